--- /dev/null
+++ b/packages/kernel/src/clock.ts
@@ -0,0 +1,45 @@
+/** Clocks and alarms. Nothing in the project reads the time in another way. */
+
+import { brandAs } from '@bamboowell/types/ids';
+import { millisUntil, type Deadline, type Instant } from '@bamboowell/types/time';
+
+/** A wake-up that has been asked for. */
+export interface Alarm {
+  cancel(): void;
+}
+
+/** A monotonic clock. Subclasses differ in where time comes from. */
+export abstract class Clock {
+  /** The current reading. Never goes back; goes on while the process is paused. */
+  abstract now(): Instant;
+
+  /** Calls `wake` once when the deadline has passed, never before this call returns. */
+  abstract wakeAt(deadline: Deadline, wake: () => void): Alarm;
+
+  /** Resolves when the deadline has passed. */
+  sleepUntil(deadline: Deadline): Promise<void> {
+    return new Promise((resolve) => {
+      this.wakeAt(deadline, resolve);
+    });
+  }
+}
+
+/** Longest delay that the platform's timers take, milliseconds. */
+const LONGEST_TIMER_MILLIS = 2 ** 31 - 1;
+
+/** The clock of the machine. */
+export class SystemClock extends Clock {
+  now(): Instant {
+    return brandAs<Instant>(performance.timeOrigin + performance.now());
+  }
+
+  wakeAt(deadline: Deadline, wake: () => void): Alarm {
+    const delay = Math.min(Math.ceil(millisUntil(deadline, this.now())), LONGEST_TIMER_MILLIS);
+    const timer = setTimeout(wake, delay);
+    return {
+      cancel: () => {
+        clearTimeout(timer);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/log/src/stream-messages.ts
@@ -0,0 +1,40 @@
+/**
+ * Messages between a stream task and the one task that subscribes to it.
+ *
+ * The stream task packs records into appends, repeats an append until its records were read back,
+ * tails the stream and hands every batch to the subscriber in log order. It judges no record: the
+ * subscriber folds them, so that only the order of the log decides.
+ */
+
+import type { Sequence } from '@bamboowell/types/ids';
+import type { Batch, Stamped } from '@bamboowell/types/records';
+import type { Instant } from '@bamboowell/types/time';
+
+/** To the stream task. */
+export type StreamMessage<Entry> =
+  /** Sequences of one writer rise by one from message to message. */
+  | { readonly kind: 'append'; readonly records: readonly Stamped<Entry>[] }
+  /**
+   * Takes a record back. Replies `withdrawn` if it was never sent (it will not be), `sent`
+   * otherwise. A withdrawn sequence is skipped, which folds allow.
+   */
+  | {
+      readonly kind: 'withdraw';
+      readonly sequence: Sequence;
+      readonly reply: (state: 'withdrawn' | 'sent') => void;
+    }
+  /** Writes a snapshot as checkpoint parts, in the name of the stream task's own writer. */
+  | { readonly kind: 'checkpoint'; readonly snapshot: string };
+
+/** From the stream task to its subscriber. */
+export type StreamEvent<Entry> =
+  /** First event: start from this snapshot (none: from empty). Also after entries expired unread. */
+  | { readonly kind: 'restored'; readonly snapshot: string | undefined }
+  | { readonly kind: 'batch'; readonly batch: Batch<Entry> }
+  /**
+   * All entries that the log held at `readAt` were delivered. `readAt` is the instant at which the
+   * read was SENT, so the subscriber's state is as new as that instant.
+   */
+  | { readonly kind: 'caught_up'; readonly readAt: Instant }
+  /** The log has not answered since `since`. Repeated while it lasts. */
+  | { readonly kind: 'unavailable'; readonly since: Instant; readonly detail: string };
--- /dev/null
+++ b/packages/state/src/cell-fold.ts
@@ -0,0 +1,199 @@
+/**
+ * The fold of the stream `cell`: the configuration, and which shard holds how much of each team's
+ * upper limit. Every reader that folds the same entries has the same state.
+ */
+
+import { match } from 'ts-pattern';
+import type { Configuration, DataCentre, Key, Queue, Team } from '@bamboowell/types/declarations';
+import {
+  brandAs,
+  type Epoch,
+  type Offset,
+  type Sequence,
+  type ShardId,
+  type TeamId,
+  type Version,
+  type WriterId,
+} from '@bamboowell/types/ids';
+import type { CellRecord, Effect, Stamped, VoidReason } from '@bamboowell/types/records';
+import {
+  add,
+  fits,
+  isNothing,
+  NOTHING,
+  subtract,
+  type Resources,
+} from '@bamboowell/types/resources';
+import { applyChanges, EMPTY_CONFIGURATION } from './configuration.js';
+import { Writers } from './writers.js';
+
+const APPLIED: Effect = { kind: 'applied' };
+const REPEATED: Effect = { kind: 'repeated' };
+
+/** A plain copy of the state, fit for a checkpoint. */
+export interface CellSnapshot {
+  readonly upTo: Offset;
+  readonly version: Version;
+  readonly teams: readonly Team[];
+  readonly queues: readonly Queue[];
+  readonly keys: readonly Key[];
+  readonly dataCentres: readonly DataCentre[];
+  readonly epochs: readonly (readonly [ShardId, Epoch])[];
+  readonly holdings: readonly (readonly [ShardId, readonly (readonly [TeamId, Resources])[]])[];
+  readonly writers: readonly (readonly [WriterId, Sequence])[];
+}
+
+export class CellFold {
+  private current: Configuration = EMPTY_CONFIGURATION;
+  private next: Offset = brandAs<Offset>(0);
+  private writers = new Writers();
+  private readonly epochs = new Map<ShardId, Epoch>();
+  private readonly holdings = new Map<ShardId, Map<TeamId, Resources>>();
+
+  get configuration(): Configuration {
+    return this.current;
+  }
+
+  /** The offset below which all entries are folded. */
+  get upTo(): Offset {
+    return this.next;
+  }
+
+  /** The part of the team's limit that the shard holds. */
+  holdingOf(shard: ShardId, team: TeamId): Resources {
+    return this.holdings.get(shard)?.get(team) ?? NOTHING;
+  }
+
+  /** All that the shard holds. */
+  holdingsOf(shard: ShardId): ReadonlyMap<TeamId, Resources> {
+    return this.holdings.get(shard) ?? new Map<TeamId, Resources>();
+  }
+
+  /** The sum over all shards. */
+  heldOf(team: TeamId): Resources {
+    let total = NOTHING;
+    for (const held of this.holdings.values()) {
+      total = add(total, held.get(team) ?? NOTHING);
+    }
+    return total;
+  }
+
+  /** The epoch that last inherited the shard's holdings. */
+  epochOf(shard: ShardId): Epoch {
+    return this.epochs.get(shard) ?? brandAs<Epoch>(0);
+  }
+
+  apply(stamped: Stamped<CellRecord>, offset: Offset): Effect {
+    this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
+    if (!this.writers.admit(stamped.writer, stamped.sequence)) {
+      return REPEATED;
+    }
+    const problem = this.effectOf(stamped.record);
+    return problem === undefined ? APPLIED : { kind: 'void', reason: problem };
+  }
+
+  snapshot(): CellSnapshot {
+    return {
+      upTo: this.next,
+      version: this.current.version,
+      teams: [...this.current.teams.values()],
+      queues: [...this.current.queues.values()],
+      keys: [...this.current.keys.values()],
+      dataCentres: [...this.current.dataCentres.values()],
+      epochs: [...this.epochs],
+      holdings: [...this.holdings].map(([shard, held]) => [shard, [...held]]),
+      writers: this.writers.entries(),
+    };
+  }
+
+  static restore(snapshot: CellSnapshot): CellFold {
+    const fold = new CellFold();
+    fold.next = snapshot.upTo;
+    fold.current = {
+      version: snapshot.version,
+      teams: byId(snapshot.teams),
+      queues: byId(snapshot.queues),
+      keys: byId(snapshot.keys),
+      dataCentres: byId(snapshot.dataCentres),
+    };
+    fold.writers = new Writers(snapshot.writers);
+    for (const [shard, epoch] of snapshot.epochs) {
+      fold.epochs.set(shard, epoch);
+    }
+    for (const [shard, held] of snapshot.holdings) {
+      fold.holdings.set(shard, new Map(held));
+    }
+    return fold;
+  }
+
+  private effectOf(record: CellRecord): VoidReason | undefined {
+    return match(record)
+      .with({ kind: 'change' }, (change) => this.change(change))
+      .with({ kind: 'inherit' }, ({ shard, epoch }) => this.inherit(shard, epoch))
+      .with({ kind: 'take' }, (take) => this.take(take))
+      .with({ kind: 'give_back' }, (giveBack) => this.giveBack(giveBack))
+      .with({ kind: 'checkpoint' }, () => undefined)
+      .exhaustive();
+  }
+
+  private change(change: Extract<CellRecord, { kind: 'change' }>): VoidReason | undefined {
+    if (change.base !== this.current.version) {
+      return 'stale_base';
+    }
+    const result = applyChanges(this.current, change.changes);
+    if (result.kind === 'invalid') {
+      return 'invalid_change';
+    }
+    this.current = result.configuration;
+    return undefined;
+  }
+
+  private inherit(shard: ShardId, epoch: Epoch): VoidReason | undefined {
+    if (epoch <= this.epochOf(shard)) {
+      return 'stale_epoch';
+    }
+    this.epochs.set(shard, epoch);
+    return undefined;
+  }
+
+  private take(take: Extract<CellRecord, { kind: 'take' }>): VoidReason | undefined {
+    if (take.epoch !== this.epochOf(take.shard)) {
+      return 'stale_epoch';
+    }
+    const team = this.current.teams.get(take.team);
+    if (team === undefined) {
+      return 'unknown_team';
+    }
+    if (!fits(add(this.heldOf(take.team), take.amount), team.limit)) {
+      return 'over_limit';
+    }
+    this.setHolding(take.shard, take.team, add(this.holdingOf(take.shard, take.team), take.amount));
+    return undefined;
+  }
+
+  private giveBack(giveBack: Extract<CellRecord, { kind: 'give_back' }>): VoidReason | undefined {
+    if (giveBack.epoch !== this.epochOf(giveBack.shard)) {
+      return 'stale_epoch';
+    }
+    const held = this.holdingOf(giveBack.shard, giveBack.team);
+    if (!fits(giveBack.amount, held)) {
+      return 'not_held';
+    }
+    this.setHolding(giveBack.shard, giveBack.team, subtract(held, giveBack.amount));
+    return undefined;
+  }
+
+  private setHolding(shard: ShardId, team: TeamId, amount: Resources): void {
+    const held = this.holdings.get(shard) ?? new Map<TeamId, Resources>();
+    this.holdings.set(shard, held);
+    if (isNothing(amount)) {
+      held.delete(team);
+    } else {
+      held.set(team, amount);
+    }
+  }
+}
+
+function byId<Item extends { readonly id: string }>(items: readonly Item[]): Map<Item['id'], Item> {
+  return new Map(items.map((item) => [item.id, item]));
+}
--- /dev/null
+++ b/packages/types/src/ids.ts
@@ -0,0 +1,76 @@
+/** Branded ids. Each id is a string or number that the compiler keeps apart from all others. */
+
+declare const brand: unique symbol;
+
+/** A value of type `Value` that carries the compile-time tag `Name`. */
+export type Branded<Value, Name extends string> = Value & { readonly [brand]: Name };
+
+export type TeamId = Branded<string, 'TeamId'>;
+export type KeyId = Branded<string, 'KeyId'>;
+export type QueueId = Branded<string, 'QueueId'>;
+/** One submitted piece of work: a service, a batch, a gang or a quick call. */
+export type WorkId = Branded<string, 'WorkId'>;
+/** One task of a piece of work: `<work id>/<index>`. */
+export type TaskId = Branded<string, 'TaskId'>;
+/** One attempt to run a task: `<task id>#<number>`. Never reused. */
+export type AttemptId = Branded<string, 'AttemptId'>;
+/** The caller's own name for a request; a repeat with the same one gets the first answer. */
+export type RequestId = Branded<string, 'RequestId'>;
+export type WorkerId = Branded<string, 'WorkerId'>;
+export type RackId = Branded<string, 'RackId'>;
+export type DataCentreId = Branded<string, 'DataCentreId'>;
+export type RegionId = Branded<string, 'RegionId'>;
+/** The workers of one data centre, or of some of its racks, under one owner. */
+export type ShardId = Branded<string, 'ShardId'>;
+/** One daemon on one entry VM. */
+export type MemberId = Branded<string, 'MemberId'>;
+/** One start of a process. A restarted process has a new incarnation. */
+export type Incarnation = Branded<string, 'Incarnation'>;
+/** One writer of log records: a member's incarnation. */
+export type WriterId = Branded<string, 'WriterId'>;
+export type StreamName = Branded<string, 'StreamName'>;
+/** Position of an entry in a stream of the log. */
+export type Offset = Branded<number, 'Offset'>;
+/** Position of a record among those of its writer in a stream, from 1. */
+export type Sequence = Branded<number, 'Sequence'>;
+/** Count of the owners that a shard has had. Higher fences lower. */
+export type Epoch = Branded<number, 'Epoch'>;
+/** Count of the configuration changes that were applied. */
+export type Version = Branded<number, 'Version'>;
+
+/** Tags a plain value as an id. The caller answers for its meaning. */
+export function brandAs<Id extends Branded<string | number, string>>(
+  value: Id extends Branded<string, string> ? string : number,
+): Id {
+  return value as unknown as Id;
+}
+
+/** The id of a task by its work and index. */
+export function taskIdOf(work: WorkId, index: number): TaskId {
+  return brandAs<TaskId>(`${work}/${index}`);
+}
+
+/** The id of an attempt by its task and number. */
+export function attemptIdOf(task: TaskId, number: number): AttemptId {
+  return brandAs<AttemptId>(`${task}#${number}`);
+}
+
+/** The work that a task belongs to. */
+export function workOfTask(task: TaskId): WorkId {
+  return brandAs<WorkId>(task.slice(0, task.lastIndexOf('/')));
+}
+
+/** The task that an attempt belongs to. */
+export function taskOfAttempt(attempt: AttemptId): TaskId {
+  return brandAs<TaskId>(attempt.slice(0, attempt.lastIndexOf('#')));
+}
+
+/** The next higher epoch. */
+export function nextEpoch(epoch: Epoch): Epoch {
+  return brandAs<Epoch>(epoch + 1);
+}
+
+/** The next higher sequence. */
+export function nextSequence(sequence: Sequence): Sequence {
+  return brandAs<Sequence>(sequence + 1);
+}
