--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 /** Packages whose code makes decisions: no I/O, no codec, no timers. */
-const PURE_PACKAGES = ['types', 'state', 'policy', 'owner'];
+const PURE_PACKAGES = ['types', 'state', 'policy', 'owner', 'ownership'];
 
 const INPUT_OUTPUT = ['node:*', 'undici', 'hono', 'hono/*', '@hono/*', 'hot-shots', 'debug'];
 const CODECS = ['@bufbuild/*', '@connectrpc/*', 'json-rpc-2.0', 'zod', '@bamboowell/schema/*'];
