--- /dev/null
+++ b/packages/log/src/entry-format.ts
@@ -0,0 +1,74 @@
+/**
+ * Text form of one log entry, which packs the records of one append:
+ * `{"version":1,"writers":["w"],"records":[[writer index, sequence, record], ...]}`.
+ */
+
+import { z } from 'zod';
+import { brandAs, type Sequence, type WriterId } from '@bamboowell/types/ids';
+import type { Stamped } from '@bamboowell/types/records';
+import type { Codec } from './codec.js';
+
+const FORMAT_VERSION = 1;
+
+/** Bytes of a record's stamp in an entry, at most. */
+const RECORD_OVERHEAD_BYTES = 32;
+
+/** A record with its stamp whose text is ready to be packed. */
+export interface Encoded {
+  readonly writer: WriterId;
+  readonly sequence: Sequence;
+  readonly text: string;
+  readonly bytes: number;
+}
+
+const entrySchema = z.object({
+  version: z.literal(FORMAT_VERSION),
+  writers: z.array(z.string().min(1)),
+  records: z.array(z.tuple([z.int().min(0), z.int().min(1), z.unknown()])),
+});
+
+/** A record whose text is `text`. */
+export function encodedRecord(writer: WriterId, sequence: Sequence, text: string): Encoded {
+  return { writer, sequence, text, bytes: Buffer.byteLength(text) + RECORD_OVERHEAD_BYTES };
+}
+
+export function packEntry(records: readonly Encoded[]): string {
+  const writers = [...new Set(records.map((record) => record.writer))];
+  const texts = records.map(
+    ({ writer, sequence, text }) => `[${writers.indexOf(writer)},${sequence},${text}]`,
+  );
+  return `{"version":${FORMAT_VERSION},"writers":${JSON.stringify(writers)},"records":[${texts.join(',')}]}`;
+}
+
+/** The records of an entry, or nothing if any part of it can't be decoded. Never throws. */
+export function unpackEntry<Entry>(
+  body: string,
+  codec: Codec<Entry>,
+): readonly Stamped<Entry>[] | undefined {
+  const entry = entrySchema.safeParse(parseJson(body));
+  if (!entry.success) {
+    return undefined;
+  }
+  const records: Stamped<Entry>[] = [];
+  for (const [index, sequence, json] of entry.data.records) {
+    const writer = entry.data.writers[index];
+    const record = codec.decode(json);
+    if (writer === undefined || record === undefined) {
+      return undefined;
+    }
+    records.push({
+      writer: brandAs<WriterId>(writer),
+      sequence: brandAs<Sequence>(sequence),
+      record,
+    });
+  }
+  return records;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
