--- /dev/null
+++ b/packages/metrics/src/counters.ts
@@ -0,0 +1,135 @@
+/** Where metrics go. */
+
+import { StatsD } from 'hot-shots';
+import type { CounterName, GaugeName, TimingName } from './names.js';
+
+/** Labels of one observation, such as `{ kind: 'batch' }`. Values are few and bounded. */
+export type Tags = Readonly<Record<string, string>>;
+
+/** Takes observations. Never throws, and never waits for the receiver. */
+export abstract class Counters {
+  abstract increment(name: CounterName, tags?: Tags, by?: number): void;
+  abstract gauge(name: GaugeName, value: number): void;
+  abstract timing(name: TimingName, millis: number): void;
+
+  /** Sends what is buffered and releases the socket. */
+  abstract close(): Promise<void>;
+}
+
+/** Address of a statsd receiver. */
+export interface Receiver {
+  readonly host: string;
+  readonly port: number;
+}
+
+const PREFIX = 'bamboowell.';
+const MAX_BUFFER_BYTES = 1400;
+const FLUSH_INTERVAL_MILLIS = 1000;
+
+/** Sends metrics over UDP, several in one datagram. A receiver that is away loses them. */
+export class StatsdCounters extends Counters {
+  private readonly client: StatsD;
+
+  /** @param onError hears of each datagram that could not be sent. */
+  constructor(receiver: Receiver, onError: (error: Error) => void) {
+    super();
+    this.client = new StatsD({
+      host: receiver.host,
+      port: receiver.port,
+      prefix: PREFIX,
+      maxBufferSize: MAX_BUFFER_BYTES,
+      bufferFlushInterval: FLUSH_INTERVAL_MILLIS,
+      errorHandler: onError,
+    });
+  }
+
+  increment(name: CounterName, tags: Tags = {}, by = 1): void {
+    this.client.increment(name, by, { ...tags });
+  }
+
+  gauge(name: GaugeName, value: number): void {
+    this.client.gauge(name, value);
+  }
+
+  timing(name: TimingName, millis: number): void {
+    this.client.timing(name, millis);
+  }
+
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.client.close(() => {
+        resolve();
+      });
+    });
+  }
+}
+
+/** Keeps sums in memory, for the status page and for tests. A count is kept for each combination of tags. */
+export class MemoryCounters extends Counters {
+  private readonly counts: Count[] = [];
+  private readonly gauges = new Map<GaugeName, number>();
+  private readonly timings = new Map<TimingName, Timing>();
+
+  increment(name: CounterName, tags: Tags = {}, by = 1): void {
+    const found = this.counts.find((count) => count.name === name && areEqual(count.tags, tags));
+    if (found === undefined) {
+      this.counts.push({ name, tags, sum: by });
+    } else {
+      found.sum += by;
+    }
+  }
+
+  gauge(name: GaugeName, value: number): void {
+    this.gauges.set(name, value);
+  }
+
+  timing(name: TimingName, millis: number): void {
+    const { count, totalMillis } = this.timings.get(name) ?? { count: 0, totalMillis: 0 };
+    this.timings.set(name, { count: count + 1, totalMillis: totalMillis + millis });
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Sum of a counter over all tags, or over those that hold `tags`; zero if there is none. */
+  count(name: CounterName, tags: Tags = {}): number {
+    return this.counts
+      .filter((count) => count.name === name && holds(count.tags, tags))
+      .reduce((total, { sum }) => total + sum, 0);
+  }
+
+  /** Latest value of a gauge. */
+  latest(name: GaugeName): number | undefined {
+    return this.gauges.get(name);
+  }
+
+  /** Sum and number of the observations of a timing. */
+  timed(name: TimingName): Timing | undefined {
+    return this.timings.get(name);
+  }
+
+  /** All counters that are not zero. */
+  snapshot(): ReadonlyMap<CounterName, number> {
+    return new Map(this.counts.map(({ name }) => [name, this.count(name)]));
+  }
+}
+
+export interface Timing {
+  readonly count: number;
+  readonly totalMillis: number;
+}
+
+interface Count {
+  readonly name: CounterName;
+  readonly tags: Tags;
+  sum: number;
+}
+
+function holds(tags: Tags, wanted: Tags): boolean {
+  return Object.entries(wanted).every(([key, value]) => tags[key] === value);
+}
+
+function areEqual(left: Tags, right: Tags): boolean {
+  return holds(left, right) && holds(right, left);
+}
--- /dev/null
+++ b/packages/metrics/src/metrics.test.ts
@@ -0,0 +1,82 @@
+import { createSocket } from 'node:dgram';
+import { readFileSync } from 'node:fs';
+import test from 'ava';
+import { REASONS } from '@bamboowell/types/verdict';
+import { MemoryCounters, StatsdCounters } from './counters.js';
+import { METRICS, RETRY_REASONS, type Metric } from './names.js';
+import { metricsTable } from './page.js';
+
+const PAGE = new URL('../../../docs/METRICS.md', import.meta.url);
+const ROW = /^\|\s*`([^`]+)`\s*\|\s*(\S+)\s*\|\s*(.+?)\s*\|\s*(.+?)\s*\|$/;
+
+function listedIn(text: string): Metric[] {
+  return text.split('\n').flatMap((line) => {
+    const [, name, kind, unit, meaning] = ROW.exec(line) ?? [];
+    return name === undefined ? [] : [{ name, kind, unit, meaning } as Metric];
+  });
+}
+
+/** A statsd receiver on a free port that hands over the first datagram. */
+async function statsdReceiver() {
+  const socket = createSocket('udp4');
+  await new Promise<void>((resolve) => socket.bind(0, '127.0.0.1', resolve));
+  const datagram = new Promise<string>((resolve) => {
+    socket.once('message', (message) => {
+      resolve(message.toString());
+    });
+  });
+  return { host: '127.0.0.1', port: socket.address().port, datagram, close: () => socket.close() };
+}
+
+test('the page lists the same metrics as the code', (t) => {
+  t.deepEqual(listedIn(readFileSync(PAGE, 'utf8')), [...METRICS]);
+});
+
+test('the comparison of page and code sees a missing row', (t) => {
+  const cut = metricsTable().split('\n').slice(0, -1).join('\n');
+  t.is(listedIn(cut).length, METRICS.length - 1);
+});
+
+test('names are unique and each reason has a counter', (t) => {
+  const names = METRICS.map(({ name }) => name);
+  t.is(new Set(names).size, names.length);
+  for (const reason of REASONS) {
+    t.true(names.includes(`refusal.${reason}`));
+  }
+  for (const reason of RETRY_REASONS) {
+    t.true(names.includes(`retry.${reason}`));
+  }
+});
+
+test('counts are summed by tags, gauges keep the latest value', (t) => {
+  const counters = new MemoryCounters();
+  counters.increment('work.accepted', { kind: 'batch' });
+  counters.increment('work.accepted', { kind: 'gang' }, 2);
+  counters.gauge('work.waiting', 7);
+  counters.gauge('work.waiting', 5);
+  counters.timing('call.millis', 3);
+  counters.timing('call.millis', 4);
+  t.is(counters.count('work.accepted'), 3);
+  t.is(counters.count('work.accepted', { kind: 'gang' }), 2);
+  t.is(counters.count('work.ended'), 0);
+  t.is(counters.latest('work.waiting'), 5);
+  t.deepEqual(counters.timed('call.millis'), { count: 2, totalMillis: 7 });
+  t.deepEqual([...counters.snapshot()], [['work.accepted', 3]]);
+});
+
+test('statsd gets several metrics in one datagram', async (t) => {
+  const receiver = await statsdReceiver();
+  const counters = new StatsdCounters(receiver, (error) => {
+    t.fail(error.message);
+  });
+  counters.increment('refusal.queue_full', { queue: 'holds' }, 2);
+  counters.gauge('shard.owned', 1);
+  counters.timing('log.append_millis', 12);
+  await counters.close();
+  t.deepEqual((await receiver.datagram).trim().split('\n'), [
+    'bamboowell.refusal.queue_full:2|c|#queue:holds',
+    'bamboowell.shard.owned:1|g',
+    'bamboowell.log.append_millis:12|ms',
+  ]);
+  receiver.close();
+});
--- /dev/null
+++ b/packages/metrics/src/page.ts
@@ -0,0 +1,13 @@
+/** The table of docs/METRICS.md. */
+
+import { METRICS, type Metric } from './names.js';
+
+/** One row for each metric, in the order of the list. */
+export function metricsTable(): string {
+  const rows = METRICS.map(rowOf);
+  return ['| name | kind | unit | meaning |', '| --- | --- | --- | --- |', ...rows].join('\n');
+}
+
+function rowOf({ name, kind, unit, meaning }: Metric): string {
+  return `| \`${name}\` | ${kind} | ${unit} | ${meaning} |`;
+}
