Read, check, plan and export declarations

Operators keep teams, queues and data centres under version control. Keys are never in the files and never in a plan. The JSON Schemas in examples/ are tested to be current.

--- /dev/null
+++ b/packages/config/src/declarations/describe.ts
@@ -0,0 +1,91 @@
+/** Tells people what a change does. */
+
+import { match } from 'ts-pattern';
+import type {
+  Change,
+  Configuration,
+  DataCentre,
+  Key,
+  Queue,
+  Team,
+} from '@bamboowell/types/declarations';
+import type { Resources } from '@bamboowell/types/resources';
+import { normalisedQueue } from './plan.js';
+import { MIB_PER_GIB, MILLICORES_PER_CORE } from './schema.js';
+
+/** The properties of an item, in the words of the declarations. */
+type Properties = Readonly<Record<string, string>>;
+
+/**
+ * One line for a new (`+`) or removed (`-`) item; for a changed one (`~`) a line for each
+ * property that differs from `current`.
+ */
+export function describeChange(change: Change, current: Configuration): string[] {
+  return match(change)
+    .with({ kind: 'put_team' }, ({ team }) =>
+      put(`team ${team.id}`, current.teams.get(team.id), team, propertiesOfTeam),
+    )
+    .with({ kind: 'put_queue' }, ({ queue }) =>
+      put(`queue ${queue.id}`, current.queues.get(queue.id), queue, propertiesOfQueue),
+    )
+    .with({ kind: 'put_data_centre' }, ({ dataCentre }) =>
+      put(
+        `data centre ${dataCentre.id}`,
+        current.dataCentres.get(dataCentre.id),
+        dataCentre,
+        propertiesOfDataCentre,
+      ),
+    )
+    .with({ kind: 'put_key' }, ({ key }) =>
+      put(`key ${key.id}`, current.keys.get(key.id), key, propertiesOfKey),
+    )
+    .with({ kind: 'remove_team' }, ({ id }) => [`- team ${id}`])
+    .with({ kind: 'remove_queue' }, ({ id }) => [`- queue ${id}`])
+    .with({ kind: 'remove_data_centre' }, ({ id }) => [`- data centre ${id}`])
+    .with({ kind: 'withdraw_key' }, ({ id }) => [`- key ${id}`])
+    .exhaustive();
+}
+
+function put<Item>(
+  subject: string,
+  before: Item | undefined,
+  after: Item,
+  propertiesOf: (item: Item) => Properties,
+): string[] {
+  const wanted = Object.entries(propertiesOf(after));
+  if (before === undefined) {
+    return [`+ ${subject}: ${wanted.map(([name, value]) => `${name} ${value}`).join(', ')}`];
+  }
+  const earlier = propertiesOf(before);
+  return wanted
+    .filter(([name, value]) => earlier[name] !== value)
+    .map(([name, value]) => `~ ${subject}: ${name} ${earlier[name] ?? 'none'} -> ${value}`);
+}
+
+function propertiesOfTeam({ share, limit }: Team): Properties {
+  return { share: String(share), limit: describeResources(limit) };
+}
+
+function propertiesOfQueue(queue: Queue): Properties {
+  const { access, maxWaiting } = normalisedQueue(queue);
+  const users = access.kind === 'open' ? `all, for ${access.team}` : `[${access.teams.join(' ')}]`;
+  return { 'open to': users, 'max waiting': String(maxWaiting) };
+}
+
+function propertiesOfDataCentre({ region }: DataCentre): Properties {
+  return { region };
+}
+
+function propertiesOfKey({ team, withdrawn }: Key): Properties {
+  return { for: team === null ? 'operators' : `team ${team}`, withdrawn: withdrawn ? 'yes' : 'no' };
+}
+
+/** An amount in the units of the declarations, as in `12.5 cores, 64 GiB, 4 accelerators, 16 slots`. */
+export function describeResources(amount: Resources): string {
+  return [
+    `${amount.millicores / MILLICORES_PER_CORE} cores`,
+    `${amount.memoryMib / MIB_PER_GIB} GiB`,
+    `${amount.accelerators} accelerators`,
+    `${amount.slots} slots`,
+  ].join(', ');
+}
--- /dev/null
+++ b/packages/config/src/write-schemas.ts
@@ -0,0 +1,11 @@
+/** Writes the published JSON Schemas into the folder named on the command line. */
+
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { publishedSchemas } from './published-schemas.js';
+
+const [folder = '.'] = process.argv.slice(2);
+
+for (const { name, schema } of publishedSchemas()) {
+  writeFileSync(join(folder, name), `${JSON.stringify(schema, undefined, 2)}\n`);
+}
