Allow in ids what the front end allows

The front end takes lower-case letters, digits and hyphens only, so settings and declarations refused later what they had let through. They check the same now.

--- a/packages/config/src/fields.ts
+++ b/packages/config/src/fields.ts
@@ -3,8 +3,9 @@
 import { z } from 'zod';
 import type { Branded } from '@bamboowell/types/ids';
 
-const ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/;
-const ID_TEXT = 'an id of 1 to 63 letters, digits, - and _ that starts with a letter or digit';
+/** The form of all ids that people choose. */
+export const ID_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
+export const ID_TEXT = 'an id of 1 to 63 lower-case letters, digits and hyphens';
 
 /** An id that stands in settings or declarations; `tag` brands it, as in `brandAs<TeamId>`. */
 export function id<Id extends Branded<string, string>>(tag: (text: string) => Id) {
