Choose workers by best fit over an index of free amounts

Cause: the baseline looked at each worker for each decision, and a decision that found nothing looked at all of them. A group searched in vain has its largest free amounts made exact, so that the next search leaves it out. couldEverHold looks at distinct capacities. A release of more than what is reserved no longer makes room beyond capacity.

--- /dev/null
+++ b/packages/policy/src/fleet-index.ts
@@ -0,0 +1,123 @@
+/** Finds workers by their free amounts without looking at each of them. */
+
+import { fits, type Resources } from '@bamboowell/types/resources';
+import type { Machine } from './fleet.js';
+
+/** Steps into which the capacity of a dimension is divided. */
+const LEVELS = 16;
+
+/** A usable worker in the index. */
+export interface IndexedMachine {
+  machine: Machine;
+  free: Resources;
+  /** The group that the worker is in, and its position there. */
+  group: MachineGroup | undefined;
+  position: number;
+}
+
+/** Usable workers of one capacity whose free amounts are close to each other. */
+export interface MachineGroup {
+  readonly key: string;
+  /** Amounts that each worker of the group has in full. */
+  readonly capacity: Resources;
+  readonly members: IndexedMachine[];
+  /** At least the largest free amount of any member, in each dimension. */
+  largest: Resources;
+}
+
+/** Groups of usable workers by capacity and free amounts, kept up with each reservation. */
+export class FleetIndex {
+  private readonly groups = new Map<string, MachineGroup>();
+
+  /** Puts the worker into the group of its free amounts. */
+  put(entry: IndexedMachine): void {
+    const capacity = entry.machine.profile.capacity;
+    const key = groupKeyOf(capacity, entry.free);
+    if (entry.group?.key !== key) {
+      this.remove(entry);
+      this.join(entry, key, capacity);
+    }
+    if (entry.group !== undefined) {
+      entry.group.largest = largerOf(entry.group.largest, entry.free);
+    }
+  }
+
+  remove(entry: IndexedMachine): void {
+    const group = entry.group;
+    if (group === undefined) {
+      return;
+    }
+    const last = group.members.pop();
+    if (last !== undefined && last !== entry) {
+      group.members[entry.position] = last;
+      last.position = entry.position;
+    }
+    if (group.members.length === 0) {
+      this.groups.delete(group.key);
+    }
+    entry.group = undefined;
+  }
+
+  /** Groups that may have a member with room for the amount. */
+  groupsFor(demand: Resources): MachineGroup[] {
+    const found: MachineGroup[] = [];
+    for (const group of this.groups.values()) {
+      if (fits(demand, group.largest)) {
+        found.push(group);
+      }
+    }
+    return found;
+  }
+
+  /** Makes `largest` exact, after a search of the group found no room. */
+  tighten(group: MachineGroup): void {
+    const [first, ...others] = group.members;
+    if (first !== undefined) {
+      group.largest = others.reduce((most, { free }) => largerOf(most, free), first.free);
+    }
+  }
+
+  private join(entry: IndexedMachine, key: string, capacity: Resources): void {
+    const group = this.groups.get(key) ?? {
+      key,
+      capacity,
+      members: [],
+      largest: entry.free,
+    };
+    this.groups.set(key, group);
+    entry.group = group;
+    entry.position = group.members.length;
+    group.members.push(entry);
+  }
+}
+
+function groupKeyOf(capacity: Resources, free: Resources): string {
+  const levels = [
+    levelOf(capacity.millicores, free.millicores),
+    levelOf(capacity.memoryMib, free.memoryMib),
+    free.accelerators,
+    levelOf(capacity.slots, free.slots),
+  ];
+  return `${capacityKeyOf(capacity)}:${levels.join(',')}`;
+}
+
+/** A text that is equal for equal amounts. */
+export function capacityKeyOf(amount: Resources): string {
+  return `${amount.millicores},${amount.memoryMib},${amount.accelerators},${amount.slots}`;
+}
+
+function levelOf(capacity: number, free: number): number {
+  return capacity === 0 ? 0 : Math.max(0, Math.floor((free * LEVELS) / capacity));
+}
+
+function largerOf(left: Resources, right: Resources): Resources {
+  if (fits(right, left)) {
+    return left;
+  }
+  return {
+    millicores: Math.max(left.millicores, right.millicores),
+    memoryMib: Math.max(left.memoryMib, right.memoryMib),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+    slots: Math.max(left.slots, right.slots),
+  };
+}
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -1,8 +1,21 @@
 /** The workers of a shard and what is reserved on each. */
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
-import { add, fits, NOTHING, subtract, type Resources } from '@bamboowell/types/resources';
+import {
+  add,
+  fits,
+  NOTHING,
+  positivePart,
+  subtract,
+  type Resources,
+} from '@bamboowell/types/resources';
 import type { WorkerProfile } from '@bamboowell/types/work';
+import {
+  capacityKeyOf,
+  FleetIndex,
+  type IndexedMachine,
+  type MachineGroup,
+} from './fleet-index.js';
 
 /** One worker as placement sees it. */
 export interface Machine {
@@ -21,60 +34,88 @@
 
 export const NO_SPREAD: Spread = { workers: new Map(), racks: new Map() };
 
+/** How many known workers have one capacity. */
+interface CapacityCount {
+  readonly capacity: Resources;
+  readonly workers: number;
+}
+
 /**
  * Reservations never pass a worker's capacity: `reserve` refuses what does not fit.
  * Reservations found on a worker (`adopt`) are counted whatever they are.
  */
 export class Fleet {
-  private readonly machines = new Map<WorkerId, Machine>();
+  private readonly entries = new Map<WorkerId, IndexedMachine>();
+  private readonly index = new FleetIndex();
+  private readonly capacities = new Map<string, CapacityCount>();
+  private readonly workersByRack = new Map<RackId, number>();
 
   /** Adds a worker or replaces its profile; what is reserved stays. */
   put(profile: WorkerProfile, usable: boolean): void {
-    const used = this.machines.get(profile.id)?.used ?? NOTHING;
-    this.machines.set(profile.id, { profile, used, usable });
+    const entry = this.entries.get(profile.id);
+    if (entry === undefined) {
+      this.addMachine({ profile, used: NOTHING, usable });
+      return;
+    }
+    this.count(entry.machine.profile, -1);
+    this.count(profile, 1);
+    this.change(entry, { profile, used: entry.machine.used, usable });
   }
 
   setUsable(worker: WorkerId, usable: boolean): void {
-    const machine = this.machines.get(worker);
-    if (machine !== undefined) {
-      this.machines.set(worker, { ...machine, usable });
+    const entry = this.entries.get(worker);
+    if (entry !== undefined) {
+      this.change(entry, { ...entry.machine, usable });
     }
   }
 
   remove(worker: WorkerId): void {
-    this.machines.delete(worker);
+    const entry = this.entries.get(worker);
+    if (entry !== undefined) {
+      this.index.remove(entry);
+      this.entries.delete(worker);
+      this.count(entry.machine.profile, -1);
+    }
   }
 
   get(worker: WorkerId): Machine | undefined {
-    return this.machines.get(worker);
+    return this.entries.get(worker)?.machine;
   }
 
-  all(): IterableIterator<Machine> {
-    return this.machines.values();
+  *all(): IterableIterator<Machine> {
+    for (const { machine } of this.entries.values()) {
+      yield machine;
+    }
+  }
+
+  /** Number of racks that have a known worker. */
+  get rackCount(): number {
+    return this.workersByRack.size;
   }
 
   /** Reserves the amount if the worker is usable and has room. */
   reserve(worker: WorkerId, amount: Resources): boolean {
-    const machine = this.machines.get(worker);
-    if (machine?.usable !== true || !fits(amount, this.freeOf(machine))) {
+    const entry = this.entries.get(worker);
+    if (entry?.machine.usable !== true || !fits(amount, entry.free)) {
       return false;
     }
-    this.adopt(worker, amount);
+    this.changeUsed(entry, add(entry.machine.used, amount));
     return true;
   }
 
   /** Counts what already runs on a worker. */
   adopt(worker: WorkerId, amount: Resources): void {
-    const machine = this.machines.get(worker);
-    if (machine !== undefined) {
-      this.machines.set(worker, { ...machine, used: add(machine.used, amount) });
+    const entry = this.entries.get(worker);
+    if (entry !== undefined) {
+      this.changeUsed(entry, add(entry.machine.used, amount));
     }
   }
 
+  /** Ends a reservation. More than what is reserved is cut to what is reserved. */
   release(worker: WorkerId, amount: Resources): void {
-    const machine = this.machines.get(worker);
-    if (machine !== undefined) {
-      this.machines.set(worker, { ...machine, used: subtract(machine.used, amount) });
+    const entry = this.entries.get(worker);
+    if (entry !== undefined) {
+      this.changeUsed(entry, positivePart(subtract(entry.machine.used, amount)));
     }
   }
 
@@ -84,11 +125,56 @@
 
   /** Whether any known worker, empty, could hold the amount. */
   couldEverHold(amount: Resources): boolean {
-    for (const machine of this.machines.values()) {
-      if (fits(amount, machine.profile.capacity)) {
+    for (const { capacity } of this.capacities.values()) {
+      if (fits(amount, capacity)) {
         return true;
       }
     }
     return false;
   }
+
+  /** Groups of usable workers that may have room for the amount. */
+  groupsFor(demand: Resources): MachineGroup[] {
+    return this.index.groupsFor(demand);
+  }
+
+  /** Tells that no member of the group has room, so that the next search leaves it out. */
+  noRoomIn(group: MachineGroup): void {
+    this.index.tighten(group);
+  }
+
+  private addMachine(machine: Machine): void {
+    const entry = { machine, free: this.freeOf(machine), group: undefined, position: 0 };
+    this.entries.set(machine.profile.id, entry);
+    this.count(machine.profile, 1);
+    this.change(entry, machine);
+  }
+
+  private changeUsed(entry: IndexedMachine, used: Resources): void {
+    this.change(entry, { ...entry.machine, used });
+  }
+
+  private change(entry: IndexedMachine, machine: Machine): void {
+    entry.machine = machine;
+    entry.free = this.freeOf(machine);
+    if (machine.usable) {
+      this.index.put(entry);
+    } else {
+      this.index.remove(entry);
+    }
+  }
+
+  private count(profile: WorkerProfile, difference: number): void {
+    const key = capacityKeyOf(profile.capacity);
+    const workers = (this.capacities.get(key)?.workers ?? 0) + difference;
+    this.capacities.set(key, { capacity: profile.capacity, workers });
+    if (workers === 0) {
+      this.capacities.delete(key);
+    }
+    const inRack = (this.workersByRack.get(profile.rack) ?? 0) + difference;
+    this.workersByRack.set(profile.rack, inRack);
+    if (inRack === 0) {
+      this.workersByRack.delete(profile.rack);
+    }
+  }
 }
