Order waiting work by weighted dominant shares

Cause: the baseline serves whoever came first, and a round over a full fleet tries each waiting piece. Change: FairShare picks urgent work, then the team with the smallest weighted dominant share, then by urgency and age. Sizes that could not start are left out of the rest of the round. First or overdue work that fits nowhere holds back other work for a bounded time. Round.again offers work that has more tasks once more in the same round.

--- /dev/null
+++ b/packages/policy/src/dominant-shares.ts
@@ -0,0 +1,89 @@
+/** Weighted dominant shares of teams. */
+
+import type { TeamId } from '@bamboowell/types/ids';
+import { add, DIMENSIONS, NOTHING, type Resources } from '@bamboowell/types/resources';
+import type { TeamUsage } from './ordering.js';
+
+interface TeamAccount {
+  here: Resources;
+  elsewhere: Resources;
+  weight: number;
+  share: number;
+}
+
+/** What each team has running, as the largest part of any dimension, divided by its weight. */
+export class DominantShares {
+  private readonly accounts = new Map<TeamId, TeamAccount>();
+  private capacity: Resources = NOTHING;
+
+  /** The team's weighted dominant share; 1 is the whole fleet at weight 1. */
+  of(team: TeamId): number {
+    return this.accounts.get(team)?.share ?? 0;
+  }
+
+  addUsage(team: TeamId, amount: Resources): void {
+    const account = this.accountOf(team);
+    account.here = add(account.here, amount);
+    this.refresh(account);
+  }
+
+  /** Replaces all usage of other shards. */
+  setElsewhere(usage: readonly TeamUsage[]): void {
+    for (const account of this.accounts.values()) {
+      account.elsewhere = NOTHING;
+    }
+    for (const { team, running } of usage) {
+      this.accountOf(team).elsewhere = running;
+    }
+    this.refreshAll();
+  }
+
+  /** Replaces all weights. A team without one has weight 1; a weight is never less than 1. */
+  setWeights(weights: ReadonlyMap<TeamId, number>): void {
+    for (const account of this.accounts.values()) {
+      account.weight = 1;
+    }
+    for (const [team, weight] of weights) {
+      this.accountOf(team).weight = Math.max(1, weight);
+    }
+    this.refreshAll();
+  }
+
+  setCapacity(capacity: Resources): void {
+    this.capacity = capacity;
+    this.refreshAll();
+  }
+
+  private accountOf(team: TeamId): TeamAccount {
+    const account = this.accounts.get(team) ?? {
+      here: NOTHING,
+      elsewhere: NOTHING,
+      weight: 1,
+      share: 0,
+    };
+    this.accounts.set(team, account);
+    return account;
+  }
+
+  private refreshAll(): void {
+    for (const account of this.accounts.values()) {
+      this.refresh(account);
+    }
+  }
+
+  private refresh(account: TeamAccount): void {
+    const running = add(account.here, account.elsewhere);
+    account.share = dominantPart(running, this.capacity) / account.weight;
+  }
+}
+
+/** The largest part of any dimension's capacity that the amount takes. */
+export function dominantPart(amount: Resources, capacity: Resources): number {
+  let largest = 0;
+  for (const dimension of DIMENSIONS) {
+    if (capacity[dimension] > 0) {
+      largest = Math.max(largest, amount[dimension] / capacity[dimension]);
+    }
+  }
+  return largest;
+}
--- /dev/null
+++ b/packages/policy/src/fair-round.ts
@@ -0,0 +1,176 @@
+/** One pass over the waiting work in the order of fair shares. */
+
+import type { WorkId } from '@bamboowell/types/ids';
+import type { Urgency } from '@bamboowell/types/work';
+import type { Candidate, Obstacle, Round } from './ordering.js';
+import type { DominantShares } from './dominant-shares.js';
+import type { Hold } from './hold.js';
+import { LanePass, type Admission } from './lane-pass.js';
+import { Obstacles } from './obstacles.js';
+import { isOlder, type WaitingEntry } from './waiting-list.js';
+import type { WaitingTeam, WaitingTeams } from './waiting-teams.js';
+
+/** The rule's state that outlives a round. */
+export interface RoundContext {
+  readonly waiting: WaitingTeams;
+  readonly shares: DominantShares;
+  /** The hold in force, if any. */
+  hold(): Hold | undefined;
+  /** Whether the candidate has waited past the bound. */
+  isOverdue(candidate: Candidate): boolean;
+  /** Whether it is the turn of the oldest overdue candidate; counts the call. */
+  isOverdueTurn(): boolean;
+  /** Work that was first in the order, or overdue, fits nowhere. */
+  firstIsBlocked(candidate: Candidate): void;
+}
+
+interface TeamPass {
+  readonly team: WaitingTeam;
+  readonly urgent: LanePass;
+  readonly ordinary: LanePass;
+  readonly patient: LanePass;
+}
+
+/** An entry and the pass that it heads. */
+interface Head {
+  readonly pass: LanePass;
+  readonly entry: WaitingEntry;
+}
+
+export class FairRound implements Round {
+  private readonly obstacles = new Obstacles();
+  private readonly returned = new Set<WorkId>();
+  private readonly teams: TeamPass[];
+  /** Overdue work in its turn and the first of each urgency: for these, room may be held. */
+  private readonly first = new Set<WorkId>();
+  private readonly seen = new Set<Urgency>();
+
+  constructor(private readonly context: RoundContext) {
+    this.teams = [...context.waiting.teams()].map((team) => this.passOf(team));
+  }
+
+  next(): Candidate | undefined {
+    const urgent = this.fairest(({ urgent }) => headOf(urgent));
+    if (urgent !== undefined) {
+      return this.take(urgent);
+    }
+    const held = this.heldEntry();
+    if (held !== undefined) {
+      return this.offer(held);
+    }
+    const overdue = this.overdueHead();
+    if (overdue !== undefined) {
+      this.first.add(overdue.entry.candidate.work);
+      return this.take(overdue);
+    }
+    const fairest = this.fairest(({ ordinary, patient }) => headOf(ordinary) ?? headOf(patient));
+    return fairest === undefined ? undefined : this.take(fairest);
+  }
+
+  blocked(candidate: Candidate, obstacle: Obstacle): void {
+    this.obstacles.add(candidate, obstacle);
+    if (obstacle === 'no_worker_fits' && this.first.has(candidate.work)) {
+      this.context.firstIsBlocked(candidate);
+    }
+  }
+
+  again(candidate: Candidate): void {
+    const entry = this.context.waiting.get(candidate.work);
+    const pass = this.teams.find(({ team }) => team.team === candidate.team);
+    if (entry !== undefined && pass !== undefined) {
+      this.returned.delete(candidate.work);
+      pass[entry.candidate.urgency].repeat(entry);
+    }
+  }
+
+  private passOf(team: WaitingTeam): TeamPass {
+    const admissionOf = (entry: WaitingEntry) => this.admissionOf(entry);
+    return {
+      team,
+      urgent: new LanePass(team.lanes.urgent, admissionOf),
+      ordinary: new LanePass(team.lanes.ordinary, admissionOf),
+      patient: new LanePass(team.lanes.patient, admissionOf),
+    };
+  }
+
+  private admissionOf(entry: WaitingEntry): Admission {
+    const { candidate } = entry;
+    if (!entry.waiting || this.returned.has(candidate.work)) {
+      return 'leave_out';
+    }
+    if (this.obstacles.block(candidate)) {
+      return 'leave_out_size';
+    }
+    const hold = this.context.hold();
+    if (candidate.urgency === 'urgent' || hold === undefined || hold.work === candidate.work) {
+      return 'admitted';
+    }
+    return hold.admits(candidate) ? 'admitted' : 'leave_out_size';
+  }
+
+  /** The head of the team with the smallest share; the older one among equals. */
+  private fairest(headIn: (pass: TeamPass) => Head | undefined): Head | undefined {
+    let best: Head | undefined;
+    let bestShare = Number.POSITIVE_INFINITY;
+    for (const pass of this.teams) {
+      const head = headIn(pass);
+      const share = this.context.shares.of(pass.team.team);
+      if (head !== undefined && goesBefore(head, share, best, bestShare)) {
+        best = head;
+        bestShare = share;
+      }
+    }
+    return best;
+  }
+
+  private heldEntry(): WaitingEntry | undefined {
+    const hold = this.context.hold();
+    const entry = hold === undefined ? undefined : this.context.waiting.get(hold.work);
+    return entry !== undefined && this.admissionOf(entry) === 'admitted' ? entry : undefined;
+  }
+
+  private overdueHead(): Head | undefined {
+    if (!this.context.isOverdueTurn()) {
+      return undefined;
+    }
+    let oldest: Head | undefined;
+    for (const { ordinary, patient } of this.teams) {
+      oldest = olderOf(olderOf(oldest, headOf(ordinary)), headOf(patient));
+    }
+    const isDue = oldest !== undefined && this.context.isOverdue(oldest.entry.candidate);
+    return isDue ? oldest : undefined;
+  }
+
+  private take({ pass, entry }: Head): Candidate {
+    pass.take();
+    return this.offer(entry);
+  }
+
+  private offer({ candidate }: WaitingEntry): Candidate {
+    this.returned.add(candidate.work);
+    if (!this.seen.has(candidate.urgency)) {
+      this.seen.add(candidate.urgency);
+      this.first.add(candidate.work);
+    }
+    return candidate;
+  }
+}
+
+function headOf(pass: LanePass): Head | undefined {
+  const entry = pass.peek();
+  return entry === undefined ? undefined : { pass, entry };
+}
+
+function olderOf(left: Head | undefined, right: Head | undefined): Head | undefined {
+  if (left === undefined || right === undefined) {
+    return left ?? right;
+  }
+  return isOlder(right.entry, left.entry) ? right : left;
+}
+
+function goesBefore(head: Head, share: number, best: Head | undefined, bestShare: number): boolean {
+  if (best === undefined || share < bestShare) {
+    return true;
+  }
+  return share === bestShare && isOlder(head.entry, best.entry);
+}
--- /dev/null
+++ b/packages/policy/src/hold.ts
@@ -0,0 +1,73 @@
+/** Room that is kept for work that has waited long and fits nowhere. */
+
+import type { WorkId } from '@bamboowell/types/ids';
+import {
+  add,
+  DIMENSIONS,
+  multiply,
+  NOTHING,
+  positivePart,
+  subtract,
+  type Resources,
+} from '@bamboowell/types/resources';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import type { Candidate } from './ordering.js';
+
+/** Length of time after which twice as much room is kept. */
+export const HOLD_WIDEN_MILLIS = 30_000;
+/** Length of time after which a hold ends, whether its candidate could start or not. */
+export const HOLD_MILLIS = 600_000;
+
+const WIDEN_FACTOR = 2;
+
+/**
+ * Keeps amounts that end from going to other work until the candidate fits. At first the size of
+ * the candidate is kept; as that may be scattered over workers, the room doubles step by step.
+ */
+export class Hold {
+  readonly work: WorkId;
+  private readonly total: Resources;
+  private readonly endsAt: Deadline;
+  private widenAt: Deadline;
+  private kept: Resources;
+  /** Ended since the hold began and not taken by other work. */
+  private room: Resources = NOTHING;
+
+  constructor(candidate: Candidate, now: Instant) {
+    this.work = candidate.work;
+    this.total = totalOf(candidate);
+    this.kept = this.total;
+    this.widenAt = deadlineAfter(now, HOLD_WIDEN_MILLIS);
+    this.endsAt = deadlineAfter(now, HOLD_MILLIS);
+  }
+
+  /** Counts what was started (positive) or ended (negative amounts). */
+  addUsage(amount: Resources): void {
+    this.room = positivePart(subtract(this.room, amount));
+  }
+
+  /** Widens the hold when it is due; false once it has ended. */
+  continuesAt(now: Instant): boolean {
+    if (hasPassed(this.widenAt, now)) {
+      this.kept = multiply(this.kept, WIDEN_FACTOR);
+      this.widenAt = deadlineAfter(now, HOLD_WIDEN_MILLIS);
+    }
+    return !hasPassed(this.endsAt, now);
+  }
+
+  /** Whether the other work leaves enough room, in each dimension that both need. */
+  admits(other: Candidate): boolean {
+    const needed = add(this.kept, totalOf(other));
+    return DIMENSIONS.every(
+      (dimension) =>
+        this.total[dimension] === 0 ||
+        other.demand[dimension] === 0 ||
+        needed[dimension] <= this.room[dimension],
+    );
+  }
+}
+
+/** The size of all tasks that must start together. */
+export function totalOf(candidate: Candidate): Resources {
+  return multiply(candidate.demand, candidate.together);
+}
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -27,6 +27,11 @@
   next(): Candidate | undefined;
   /** The candidate could not start; others that need at least as much may be left out too. */
   blocked(candidate: Candidate, obstacle: Obstacle): void;
+  /**
+   * The candidate was started in part and has more tasks to start: it may be returned again in
+   * this round, at its place in the order, while it stays in the set of waiting work.
+   */
+  again(candidate: Candidate): void;
 }
 
 /** What a team has running, for fair shares. */
@@ -89,6 +94,9 @@
     return {
       next: () => inOrder.shift(),
       blocked: () => undefined,
+      again: (candidate) => {
+        inOrder.unshift(candidate);
+      },
     };
   }
 
--- /dev/null
+++ b/packages/policy/src/waiting-teams.ts
@@ -0,0 +1,110 @@
+/** The set of waiting work, by team, urgency and size. */
+
+import type { QueueId, TeamId, WorkId } from '@bamboowell/types/ids';
+import type { Urgency } from '@bamboowell/types/work';
+import { capacityKeyOf } from './fleet-index.js';
+import type { Candidate } from './ordering.js';
+import { WaitingList, type WaitingEntry } from './waiting-list.js';
+
+/** Waiting work of one team, urgency and size, by its key. */
+export type Lane = Map<string, WaitingList>;
+
+/** Waiting work of one team. */
+export interface WaitingTeam {
+  readonly team: TeamId;
+  readonly lanes: Readonly<Record<Urgency, Lane>>;
+  size: number;
+}
+
+export class WaitingTeams {
+  private readonly entries = new Map<WorkId, WaitingEntry>();
+  private readonly byTeam = new Map<TeamId, WaitingTeam>();
+  private readonly queueSizes = new Map<QueueId, number>();
+  private nextSequence = 0;
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get(work: WorkId): WaitingEntry | undefined {
+    return this.entries.get(work);
+  }
+
+  teams(): IterableIterator<WaitingTeam> {
+    return this.byTeam.values();
+  }
+
+  waitingOf(team: TeamId): number {
+    return this.byTeam.get(team)?.size ?? 0;
+  }
+
+  waitingIn(queue: QueueId): number {
+    return this.queueSizes.get(queue) ?? 0;
+  }
+
+  /** Adds a candidate or replaces the one of the same work. */
+  put(candidate: Candidate): void {
+    this.remove(candidate.work);
+    const entry = { candidate, sequence: this.nextSequence, waiting: true };
+    this.nextSequence += 1;
+    this.entries.set(candidate.work, entry);
+    const team = this.teamOf(candidate.team);
+    listOf(team.lanes[candidate.urgency], candidate).insert(entry);
+    team.size += 1;
+    this.queueSizes.set(candidate.queue, this.waitingIn(candidate.queue) + 1);
+  }
+
+  remove(work: WorkId): void {
+    const entry = this.entries.get(work);
+    if (entry === undefined) {
+      return;
+    }
+    this.entries.delete(work);
+    this.removeFromTeam(entry);
+    this.removeFromQueue(entry.candidate.queue);
+  }
+
+  private teamOf(id: TeamId): WaitingTeam {
+    const team = this.byTeam.get(id) ?? {
+      team: id,
+      lanes: { urgent: new Map(), ordinary: new Map(), patient: new Map() },
+      size: 0,
+    };
+    this.byTeam.set(id, team);
+    return team;
+  }
+
+  private removeFromTeam(entry: WaitingEntry): void {
+    const { candidate } = entry;
+    const team = this.teamOf(candidate.team);
+    const lane = team.lanes[candidate.urgency];
+    const list = listOf(lane, candidate);
+    list.remove(entry);
+    if (list.size === 0) {
+      lane.delete(sizeKeyOf(candidate));
+    }
+    team.size -= 1;
+    if (team.size === 0) {
+      this.byTeam.delete(candidate.team);
+    }
+  }
+
+  private removeFromQueue(queue: QueueId): void {
+    const size = this.waitingIn(queue) - 1;
+    this.queueSizes.set(queue, size);
+    if (size === 0) {
+      this.queueSizes.delete(queue);
+    }
+  }
+}
+
+function listOf(lane: Lane, candidate: Candidate): WaitingList {
+  const key = sizeKeyOf(candidate);
+  const list = lane.get(key) ?? new WaitingList();
+  lane.set(key, list);
+  return list;
+}
+
+function sizeKeyOf(candidate: Candidate): string {
+  return `${capacityKeyOf(candidate.demand)}x${candidate.together}`;
+}
