Quarantine workers that fail different queues' work, and set bad jobs aside

Cause: a worker that fails everything frees its room at once and so draws more work; a job that fails everywhere looks like many bad workers. Change: a worker is quarantined when work of two queues failed there with no success between, for a time that doubles, and returns through probation with one attempt at a time. At most a tenth of a shard is quarantined. Work that fails on three good workers is set aside. Proof: two queues that fail on all of 30 workers quarantine none; failures of any queues on all 30 quarantine 3.

--- /dev/null
+++ b/packages/policy/src/worker-health.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava';
+import { brandAs, type QueueId, type WorkerId, type WorkId } from '@bamboowell/types/ids';
+import type { Instant } from '@bamboowell/types/time';
+import { FAILED_WORKERS, JobHealth } from './job-health.js';
+import { QUARANTINE_MILLIS, WorkerHealth } from './worker-health.js';
+
+function at(millis: number): Instant {
+  return brandAs<Instant>(millis);
+}
+
+function worker(number: number): WorkerId {
+  return brandAs<WorkerId>(`w${number}`);
+}
+
+function queue(id: string): QueueId {
+  return brandAs<QueueId>(id);
+}
+
+function healthOf(workers: number): WorkerHealth {
+  const health = new WorkerHealth();
+  health.setWorkerCount(workers);
+  return health;
+}
+
+/** Lets work of each queue fail on the worker. */
+function fail(health: WorkerHealth, number: number, queues: string[], now = 0): void {
+  for (const id of queues) {
+    health.failed(worker(number), queue(id), at(now));
+  }
+}
+
+function quarantinedAmong(health: WorkerHealth, workers: number): number {
+  const numbers = Array.from({ length: workers }, (_, number) => number);
+  return numbers.filter((number) => kindOf(health, number) === 'quarantined').length;
+}
+
+function kindOf(health: WorkerHealth, number: number): string {
+  return health.standingOf(worker(number)).kind;
+}
+
+test('failures of different queues quarantine a worker, those of one queue do not', (t) => {
+  const health = healthOf(30);
+  fail(health, 1, ['a', 'a', 'a', 'a']);
+  t.true(health.mayPlace(worker(1)));
+  t.deepEqual(health.failed(worker(1), queue('b'), at(0)), {
+    worker: worker(1),
+    standing: 'quarantined',
+  });
+  t.false(health.mayPlace(worker(1)));
+});
+
+test('a success between clears the evidence', (t) => {
+  const health = healthOf(30);
+  fail(health, 1, ['a']);
+  health.succeeded(worker(1), queue('c'));
+  fail(health, 1, ['b']);
+  t.is(kindOf(health, 1), 'healthy');
+});
+
+test('after its time a worker is on probation, one attempt at a time, and returns', (t) => {
+  const health = healthOf(30);
+  fail(health, 1, ['a', 'b']);
+  t.is<number | undefined, number>(health.nextDeadline(), QUARANTINE_MILLIS);
+  t.deepEqual(health.endQuarantines(at(QUARANTINE_MILLIS - 1)), []);
+  t.deepEqual(health.endQuarantines(at(QUARANTINE_MILLIS)), [
+    { worker: worker(1), standing: 'probation' },
+  ]);
+  t.true(health.mayPlace(worker(1)));
+  health.placed(worker(1));
+  t.false(health.mayPlace(worker(1)));
+  health.endedOtherwise(worker(1));
+  t.true(health.mayPlace(worker(1)));
+  t.is(health.succeeded(worker(1), queue('a'))?.standing, 'healthy');
+});
+
+test('a failure on probation means a quarantine twice as long', (t) => {
+  const health = healthOf(30);
+  fail(health, 1, ['a', 'b']);
+  health.endQuarantines(at(QUARANTINE_MILLIS));
+  fail(health, 1, ['c'], QUARANTINE_MILLIS);
+  t.deepEqual(health.endQuarantines(at(QUARANTINE_MILLIS * 3 - 1)), []);
+  t.is(health.endQuarantines(at(QUARANTINE_MILLIS * 3)).length, 1);
+});
+
+test('bad queues do not quarantine the fleet', (t) => {
+  const health = healthOf(30);
+  for (let number = 0; number < 30; number += 1) {
+    fail(health, number, ['bad']);
+  }
+  for (let number = 0; number < 30; number += 1) {
+    fail(health, number, ['worse']);
+  }
+  t.is(quarantinedAmong(health, 30), 0);
+});
+
+test('at most a tenth of the shard is quarantined, whatever fails', (t) => {
+  const health = healthOf(30);
+  for (let number = 0; number < 30; number += 1) {
+    fail(health, number, [`a${number}`, `b${number}`]);
+  }
+  t.is(quarantinedAmong(health, 30), 3);
+  health.forget(worker(0));
+  fail(health, 9, ['a9']);
+  t.is(quarantinedAmong(health, 30), 3);
+});
+
+test('a worker that fails everything is found among good ones with few queues', (t) => {
+  const health = healthOf(30);
+  for (let turn = 0; turn < 5; turn += 1) {
+    health.succeeded(worker(2), queue('a'));
+    health.succeeded(worker(3), queue('b'));
+    fail(health, 1, ['a', 'b']);
+  }
+  t.is(kindOf(health, 1), 'quarantined');
+  t.is(quarantinedAmong(health, 30), 1);
+});
+
+test('a job that fails on several good workers is set aside, and comes back on request', (t) => {
+  const health = new JobHealth();
+  const work = brandAs<WorkId>('work');
+  const answers = [1, 1, 2, 3, 4].map((number) => health.failed(work, worker(number), true));
+  t.deepEqual(answers, [false, false, false, true, false]);
+  t.true(health.isSetAside(work));
+  health.succeeded(work);
+  t.false(health.isSetAside(work));
+});
+
+test('failures on a bad worker are not held against the job', (t) => {
+  const workers = healthOf(30);
+  fail(workers, 0, ['other']);
+  t.false(workers.isGood(worker(0), queue('a')));
+  t.true(workers.isGood(worker(0), queue('other')));
+  const jobs = new JobHealth();
+  const work = brandAs<WorkId>('work');
+  for (let number = 0; number < FAILED_WORKERS + 2; number += 1) {
+    jobs.failed(work, worker(number), false);
+  }
+  t.false(jobs.isSetAside(work));
+});
--- /dev/null
+++ b/packages/policy/src/worker-health.ts
@@ -0,0 +1,162 @@
+/** Which workers get no work because they fail what they start. */
+
+import type { QueueId, WorkerId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { QueueSuspicion } from './queue-suspicion.js';
+
+/** Queues whose work must have failed on a worker, with no success between. */
+export const FAILED_QUEUES = 2;
+/** Largest part of a shard's workers that may be quarantined; one may always be. */
+export const MAX_QUARANTINED_PART = 0.1;
+/** Length of the first quarantine; each further one in a row is twice as long. */
+export const QUARANTINE_MILLIS = 60_000;
+/** Length of the longest quarantine. */
+export const LONGEST_QUARANTINE_MILLIS = 3_600_000;
+
+/** Where a worker stands. */
+export type Standing =
+  | { readonly kind: 'healthy'; readonly failedQueues: ReadonlySet<QueueId> }
+  | { readonly kind: 'quarantined'; readonly until: Deadline; readonly times: number }
+  /** Gets one attempt at a time until one succeeds. */
+  | { readonly kind: 'probation'; readonly times: number; readonly underTrial: boolean };
+
+/** A worker's standing changed. */
+export interface HealthChange {
+  readonly worker: WorkerId;
+  readonly standing: Standing['kind'];
+}
+
+const HEALTHY: Standing = { kind: 'healthy', failedQueues: new Set() };
+
+/**
+ * Quarantines a worker on failures of different queues' work. A queue whose work fails on many
+ * workers says nothing about any of them. When the bounded part of the shard is quarantined,
+ * further workers stay in use.
+ */
+export class WorkerHealth {
+  private readonly standings = new Map<WorkerId, Standing>();
+  private readonly suspicion = new QueueSuspicion();
+  private quarantined = 0;
+  private workers = 0;
+
+  /** Number of workers in the shard. */
+  setWorkerCount(workers: number): void {
+    this.workers = workers;
+  }
+
+  standingOf(worker: WorkerId): Standing {
+    return this.standings.get(worker) ?? HEALTHY;
+  }
+
+  /** Whether a new attempt may be placed on the worker. */
+  mayPlace(worker: WorkerId): boolean {
+    const standing = this.standingOf(worker);
+    return standing.kind === 'healthy' || (standing.kind === 'probation' && !standing.underTrial);
+  }
+
+  /** Whether nothing is held against the worker, so that a failure there tells about the job. */
+  isGood(worker: WorkerId, queue: QueueId): boolean {
+    const standing = this.standingOf(worker);
+    return (
+      standing.kind === 'healthy' && [...standing.failedQueues].every((failed) => failed === queue)
+    );
+  }
+
+  /** An attempt was placed on the worker. */
+  placed(worker: WorkerId): void {
+    const standing = this.standingOf(worker);
+    if (standing.kind === 'probation') {
+      this.standings.set(worker, { ...standing, underTrial: true });
+    }
+  }
+
+  /** An attempt on the worker ended without telling anything, as when it was cancelled. */
+  endedOtherwise(worker: WorkerId): void {
+    const standing = this.standingOf(worker);
+    if (standing.kind === 'probation') {
+      this.standings.set(worker, { ...standing, underTrial: false });
+    }
+  }
+
+  succeeded(worker: WorkerId, queue: QueueId): HealthChange | undefined {
+    this.suspicion.succeeded(queue);
+    const standing = this.standingOf(worker);
+    if (standing.kind === 'quarantined') {
+      return undefined;
+    }
+    this.standings.delete(worker);
+    return standing.kind === 'probation' ? { worker, standing: 'healthy' } : undefined;
+  }
+
+  failed(worker: WorkerId, queue: QueueId, now: Instant): HealthChange | undefined {
+    this.suspicion.failed(queue, worker);
+    const standing = this.standingOf(worker);
+    if (standing.kind === 'quarantined') {
+      return undefined;
+    }
+    if (standing.kind === 'probation') {
+      return this.failedOnProbation(worker, queue, standing.times, now);
+    }
+    const failedQueues = new Set([...standing.failedQueues, queue]);
+    this.standings.set(worker, { kind: 'healthy', failedQueues });
+    const telling = [...failedQueues].filter((failed) => !this.suspicion.isSuspect(failed));
+    return telling.length >= FAILED_QUEUES ? this.quarantine(worker, 1, now) : undefined;
+  }
+
+  /** Puts workers whose quarantine is over on probation. */
+  endQuarantines(now: Instant): HealthChange[] {
+    const changes: HealthChange[] = [];
+    for (const [worker, standing] of this.standings) {
+      if (standing.kind === 'quarantined' && hasPassed(standing.until, now)) {
+        this.quarantined -= 1;
+        const { times } = standing;
+        this.standings.set(worker, { kind: 'probation', times, underTrial: false });
+        changes.push({ worker, standing: 'probation' });
+      }
+    }
+    return changes;
+  }
+
+  /** When the next quarantine is over, if there is one. */
+  nextDeadline(): Deadline | undefined {
+    let next: Deadline | undefined;
+    for (const standing of this.standings.values()) {
+      if (standing.kind === 'quarantined' && (next === undefined || standing.until < next)) {
+        next = standing.until;
+      }
+    }
+    return next;
+  }
+
+  /** The worker is gone, or was replaced by a new one. */
+  forget(worker: WorkerId): void {
+    if (this.standingOf(worker).kind === 'quarantined') {
+      this.quarantined -= 1;
+    }
+    this.standings.delete(worker);
+  }
+
+  private failedOnProbation(
+    worker: WorkerId,
+    queue: QueueId,
+    times: number,
+    now: Instant,
+  ): HealthChange | undefined {
+    this.standings.set(worker, { kind: 'probation', times, underTrial: false });
+    if (this.suspicion.isSuspect(queue)) {
+      return undefined;
+    }
+    return this.quarantine(worker, times + 1, now);
+  }
+
+  private quarantine(worker: WorkerId, times: number, now: Instant): HealthChange | undefined {
+    const most = Math.max(1, Math.floor(this.workers * MAX_QUARANTINED_PART));
+    if (this.quarantined >= most) {
+      return undefined;
+    }
+    this.quarantined += 1;
+    const millis = Math.min(LONGEST_QUARANTINE_MILLIS, QUARANTINE_MILLIS * 2 ** (times - 1));
+    this.standings.set(worker, { kind: 'quarantined', until: deadlineAfter(now, millis), times });
+    return { worker, standing: 'quarantined' };
+  }
+}
