--- /dev/null
+++ b/packages/front/src/failure.ts
@@ -0,0 +1,78 @@
+/** Turns refusals into errors of the Connect protocol that carry a Failure. */
+
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import { FailureSchema } from '@bamboowell/schema/generated/bamboowell/v1/bamboowell_pb';
+import { refusalOf, type Reason, type Refusal } from '@bamboowell/types/verdict';
+import { verdictTo } from './encode.js';
+
+const CODES: Readonly<Record<Reason, Code>> = {
+  malformed: Code.InvalidArgument,
+  unknown_field: Code.InvalidArgument,
+  body_too_large: Code.ResourceExhausted,
+  impossible_size: Code.InvalidArgument,
+  unknown_queue: Code.NotFound,
+  unknown_work: Code.NotFound,
+  key_missing: Code.Unauthenticated,
+  key_unknown: Code.Unauthenticated,
+  key_withdrawn: Code.Unauthenticated,
+  not_operator: Code.PermissionDenied,
+  queue_not_open_to_team: Code.PermissionDenied,
+  team_limit_reached: Code.ResourceExhausted,
+  queue_full: Code.ResourceExhausted,
+  overloaded: Code.ResourceExhausted,
+  deadline_unreachable: Code.DeadlineExceeded,
+  deadline_passed: Code.DeadlineExceeded,
+  configuration_stale: Code.Unavailable,
+  configuration_conflict: Code.Aborted,
+  invalid_configuration: Code.InvalidArgument,
+  no_owner: Code.Unavailable,
+  owner_changed: Code.Unavailable,
+  owner_unreachable: Code.Unavailable,
+  not_fresh: Code.Unavailable,
+  log_unavailable: Code.Unavailable,
+  outcome_unknown: Code.Unknown,
+  no_worker_fits: Code.ResourceExhausted,
+  worker_refused: Code.Unavailable,
+  worker_lost: Code.Unknown,
+  worker_failed: Code.Internal,
+  answer_damaged: Code.DataLoss,
+  cancelled: Code.Canceled,
+  preempted: Code.Aborted,
+  shutting_down: Code.Unavailable,
+  internal: Code.Internal,
+};
+
+const WORDS = { not_run: 'not run', may_have_run: 'may have run', ran: 'ran' } as const;
+
+export function errorOf(refusal: Refusal): ConnectError {
+  const { verdict, reason, detail, field = '', work = '' } = refusal;
+  const message = `${WORDS[verdict]}: ${detail}`;
+  const failure = create(FailureSchema, {
+    verdict: verdictTo(verdict),
+    reason,
+    detail,
+    field,
+    workId: work,
+  });
+  return new ConnectError(message, CODES[reason], undefined, [
+    { desc: FailureSchema, value: failure },
+  ]);
+}
+
+const UNKNOWN_KEY = /key "([^"]+)" is unknown/;
+const BAD_FIELD = /cannot decode field ([\w.]+) from JSON/;
+
+/** What is wrong with a request that the protocol's decoder refused, before it reached a handler. */
+export function refusalOfDecoding(error: ConnectError): Refusal {
+  const text = error.rawMessage;
+  const unknown = UNKNOWN_KEY.exec(text)?.[1];
+  if (unknown !== undefined) {
+    return refusalOf('not_run', 'unknown_field', `there is no field ${unknown}`, unknown);
+  }
+  if (error.code === Code.ResourceExhausted) {
+    return refusalOf('not_run', 'body_too_large', text);
+  }
+  const field = BAD_FIELD.exec(text)?.[1]?.split('.').at(-1);
+  return refusalOf('not_run', 'malformed', text, field);
+}
--- /dev/null
+++ b/packages/front/src/routes.ts
@@ -0,0 +1,151 @@
+/** Serves the schema's calls from a backend. */
+
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
+import {
+  CallerService,
+  OperatorService,
+} from '@bamboowell/schema/generated/bamboowell/v1/bamboowell_pb';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type KeyId, type Version } from '@bamboowell/types/ids';
+import {
+  deadlineAfter,
+  MILLIS_PER_MINUTE,
+  MILLIS_PER_SECOND,
+  type Deadline,
+} from '@bamboowell/types/time';
+import { done, refused, type Result } from '@bamboowell/types/verdict';
+import type { WorkId } from '@bamboowell/types/ids';
+import type { Backend, Sender } from './backend.js';
+import { changesFrom, orderOfCall, orderOfSubmit, workIdFromText } from './decode.js';
+import { configurationTo, statusTo, verdictTo, workTo } from './encode.js';
+import { errorOf } from './failure.js';
+
+const DEFAULT_TIMEOUT_MILLIS = 10 * MILLIS_PER_SECOND;
+const MAX_TIMEOUT_MILLIS = 5 * MILLIS_PER_MINUTE;
+const MAX_CANCELLED_AT_ONCE = 10_000;
+
+/** Registers both services. */
+export function registerRoutes(router: ConnectRouter, backend: Backend, clock: Clock): void {
+  registerCallers(router, backend, clock);
+  registerOperators(router, backend, clock);
+}
+
+function registerCallers(router: ConnectRouter, backend: Backend, clock: Clock): void {
+  const deadlineOf = (millis: number) => deadlineFrom(clock, millis);
+  router.service(CallerService, {
+    async submit(request, context) {
+      const order = valueOf(orderOfSubmit(request));
+      const deadline = deadlineOf(request.timeoutMillis);
+      const accepted = valueOf(await backend.submit(senderOf(context), order, deadline));
+      return { workId: accepted.work, repeated: accepted.repeated };
+    },
+    async call(request, context) {
+      const order = valueOf(orderOfCall(request));
+      const deadline = deadlineOf(request.timeoutMillis);
+      const called = valueOf(await backend.call(senderOf(context), order, deadline));
+      return { answer: called.answer, worker: called.worker, attemptId: called.attempt };
+    },
+    async get(request, context) {
+      const work = valueOf(workIdFromText(request.workId, 'workId'));
+      const view = valueOf(await backend.get(senderOf(context), work, deadlineOf(0)));
+      return { status: workTo(view) };
+    },
+    async *watch(request, context) {
+      const work = valueOf(workIdFromText(request.workId, 'workId'));
+      for await (const view of backend.watch(senderOf(context), work, context.signal)) {
+        yield { status: workTo(valueOf(view)) };
+      }
+    },
+    async cancel(request, context) {
+      const works = valueOf(workIdsFrom(request.workIds));
+      const outcomes = valueOf(await backend.cancel(senderOf(context), works, deadlineOf(0)));
+      return {
+        outcomes: outcomes.map(({ work, verdict, reason }) => ({
+          workId: work,
+          verdict: verdictTo(verdict),
+          reason: reason ?? '',
+        })),
+      };
+    },
+    async explain(request, context) {
+      const work = valueOf(workIdFromText(request.workId, 'workId'));
+      const { view, sentences } = valueOf(
+        await backend.explain(senderOf(context), work, deadlineOf(0)),
+      );
+      return { status: workTo(view), sentences: [...sentences] };
+    },
+  });
+}
+
+function registerOperators(router: ConnectRouter, backend: Backend, clock: Clock): void {
+  router.service(OperatorService, {
+    async getConfiguration(_request, context) {
+      const { configuration, fresh } = valueOf(await backend.configuration(senderOf(context)));
+      return { configuration: configurationTo(configuration), fresh };
+    },
+    async applyChanges(request, context) {
+      const changes = valueOf(changesFrom(request.changes));
+      const base = brandAs<Version>(request.base);
+      const deadline = deadlineFrom(clock, request.timeoutMillis);
+      const version = valueOf(await backend.apply(senderOf(context), base, changes, deadline));
+      return { version };
+    },
+    async getEnforcement(request, context) {
+      const version = brandAs<Version>(request.version);
+      const members = valueOf(await backend.enforcement(senderOf(context), version));
+      const everywhere = members.every((member) => member.reachable && member.version >= version);
+      return { everywhere, members: [...members] };
+    },
+    async getStatus(_request, context) {
+      return statusTo(valueOf(await backend.status(senderOf(context), deadlineFrom(clock, 0))));
+    },
+  });
+}
+
+function deadlineFrom(clock: Clock, millis: number): Deadline {
+  const bounded = Math.min(millis === 0 ? DEFAULT_TIMEOUT_MILLIS : millis, MAX_TIMEOUT_MILLIS);
+  return deadlineAfter(clock.now(), bounded);
+}
+
+function workIdsFrom(texts: readonly string[]): Result<WorkId[]> {
+  if (texts.length === 0 || texts.length > MAX_CANCELLED_AT_ONCE) {
+    return refused('malformed', `expected 1 to ${MAX_CANCELLED_AT_ONCE} work ids`, 'workIds');
+  }
+  const works: WorkId[] = [];
+  for (const [index, text] of texts.entries()) {
+    const work = workIdFromText(text, `workIds[${index}]`);
+    if (work.kind === 'refused') {
+      return work;
+    }
+    works.push(work.value);
+  }
+  return done(works);
+}
+
+const BEARER = /^Bearer ([a-z0-9-]+)\.(\S+)$/;
+
+/** The key in the request's header; throws if there is a header that holds none. */
+function senderOf(context: HandlerContext): Sender {
+  const header = context.requestHeader.get('authorization');
+  if (header === null) {
+    return null;
+  }
+  const [, key, secret] = BEARER.exec(header) ?? [];
+  if (key === undefined || secret === undefined) {
+    throw errorOf({
+      verdict: 'not_run',
+      reason: 'malformed',
+      detail: 'expected the header Authorization: Bearer <key id>.<secret>',
+      field: 'authorization',
+    });
+  }
+  return { key: brandAs<KeyId>(key), secret };
+}
+
+/** The value, or the refusal thrown as an error of the protocol. */
+function valueOf<Value>(result: Result<Value>): Value {
+  if (result.kind === 'refused') {
+    throw errorOf(result.refusal);
+  }
+  return result.value;
+}
--- /dev/null
+++ b/packages/owner/src/calls.ts
@@ -0,0 +1,304 @@
+/** Quick calls: placed on a slot at once, answered on the same call, never recorded. */
+
+import { match } from 'ts-pattern';
+import { attemptIdOf, taskIdOf, type AttemptId, type WorkerId } from '@bamboowell/types/ids';
+import { fits } from '@bamboowell/types/resources';
+import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import type { Outcome, Work } from '@bamboowell/types/work';
+import type { WorkerReport } from '@bamboowell/types/worker-messages';
+import { NO_SPREAD } from '@bamboowell/policy/fleet';
+import type { Context } from './context.js';
+import type { Limits } from './limits.js';
+import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
+import type { Token } from './messages.js';
+import type { Session, Sessions } from './sessions.js';
+import type { Submissions } from './submissions.js';
+
+/** Most quick calls of a shard that wait for a slot. */
+export const MAX_WAITING_CALLS = 2048;
+
+interface Call {
+  readonly work: Work;
+  readonly deadline: Deadline;
+  readonly token: Token;
+  attempts: number;
+  /** Whether an attempt may have run. */
+  mayHaveRun: boolean;
+}
+
+type StartRefusal = Extract<WorkerReport, { kind: 'start_refused' }>['why'];
+
+export class Calls {
+  private waiting: Call[] = [];
+  private readonly running = new Map<AttemptId, Call>();
+
+  constructor(
+    private readonly context: Context,
+    private readonly live: LiveAttempts,
+    private readonly limits: Limits,
+    private readonly sessions: Sessions,
+    private readonly submissions: Submissions,
+  ) {}
+
+  /** Calls that have not been answered. */
+  get size(): number {
+    return this.waiting.length + this.running.size;
+  }
+
+  call(work: Work, deadline: Deadline, token: Token): void {
+    const objection = this.submissions.objectionTo(work);
+    if (objection !== undefined) {
+      this.context.refuse(token, 'not_run', objection.reason, objection.detail);
+      return;
+    }
+    if (this.waiting.length >= MAX_WAITING_CALLS) {
+      this.context.refuse(
+        token,
+        'not_run',
+        'overloaded',
+        `${MAX_WAITING_CALLS} calls wait for a slot already`,
+      );
+      return;
+    }
+    this.insert({ work, deadline, token, attempts: 0, mayHaveRun: false });
+  }
+
+  /** Starts the waiting calls that fit, urgent ones first. */
+  place(): void {
+    if (!this.context.mayStart || !this.context.holdsLimits) {
+      return;
+    }
+    const left: Call[] = [];
+    for (const call of this.waiting) {
+      if (!this.tryStart(call)) {
+        left.push(call);
+      }
+    }
+    this.waiting = left;
+  }
+
+  has(attempt: AttemptId): boolean {
+    return this.running.has(attempt);
+  }
+
+  ended(live: LiveAttempt, outcome: Outcome): void {
+    const call = this.takeRunning(live);
+    if (call === undefined) {
+      return;
+    }
+    const { token } = call;
+    match(outcome)
+      .with({ kind: 'succeeded' }, ({ answer }) => {
+        const { id, worker } = live.attempt;
+        this.context.respond(token, { kind: 'called', answer, worker, attempt: id });
+      })
+      .with({ kind: 'failed' }, ({ detail }) => {
+        this.context.refuse(token, 'ran', 'worker_failed', detail);
+      })
+      .with({ kind: 'never_started' }, () => {
+        this.again(call, 'worker_refused');
+      })
+      .with({ kind: 'stopped' }, () => {
+        this.context.refuse(token, 'ran', 'cancelled', 'the call was stopped on the worker');
+      })
+      .with({ kind: 'lost' }, () => {
+        this.lost(call);
+      })
+      .exhaustive();
+  }
+
+  /** The worker said that the attempt did not and will not start. */
+  startRefused(live: LiveAttempt, why: StartRefusal): void {
+    const call = this.takeRunning(live);
+    if (call !== undefined) {
+      this.context.event('start_refused', {
+        attempt: live.attempt.id,
+        worker: live.attempt.worker,
+        why,
+      });
+      this.again(call, 'worker_refused');
+    }
+  }
+
+  /** Sends the start again: the worker runs an attempt id at most once. */
+  startAgain(live: LiveAttempt): void {
+    const call = this.running.get(live.attempt.id);
+    const session = this.sessions.get(live.attempt.worker);
+    if (call !== undefined && session !== undefined && this.context.mayStart) {
+      this.sendStart(live, call, session);
+    }
+  }
+
+  /** Answers what has passed its deadline. An attempt that runs on keeps its room. */
+  expire(): void {
+    const due = this.waiting.filter((call) => hasPassed(call.deadline, this.context.now));
+    this.waiting = this.waiting.filter((call) => !due.includes(call));
+    for (const call of due) {
+      this.refuseWaiting(call);
+    }
+    for (const [attempt, call] of this.running) {
+      if (hasPassed(call.deadline, this.context.now)) {
+        this.running.delete(attempt);
+        this.context.refuse(
+          call.token,
+          'may_have_run',
+          'deadline_passed',
+          'the worker has not answered in time',
+        );
+      }
+    }
+  }
+
+  /** The shard has another owner. */
+  abandon(): void {
+    for (const call of this.waiting) {
+      const verdict = call.mayHaveRun ? 'may_have_run' : 'not_run';
+      this.context.refuse(
+        call.token,
+        verdict,
+        'owner_changed',
+        'the shard changed its owner meanwhile',
+      );
+    }
+    for (const call of this.running.values()) {
+      this.context.refuse(
+        call.token,
+        'may_have_run',
+        'owner_changed',
+        'the shard changed its owner meanwhile',
+      );
+    }
+    this.waiting = [];
+    this.running.clear();
+  }
+
+  nextDeadline(): Deadline | undefined {
+    const deadlines = [...this.waiting, ...this.running.values()].map((call) => call.deadline);
+    return deadlines.length === 0
+      ? undefined
+      : deadlines.reduce((left, right) => (left < right ? left : right));
+  }
+
+  private insert(call: Call): void {
+    if (call.work.urgency !== 'urgent') {
+      this.waiting.push(call);
+      return;
+    }
+    const firstOther = this.waiting.findIndex((other) => other.work.urgency !== 'urgent');
+    this.waiting.splice(firstOther < 0 ? this.waiting.length : firstOther, 0, call);
+  }
+
+  private tryStart(call: Call): boolean {
+    const { team, demand } = call.work;
+    if (!fits(demand, this.limits.roomOf(team))) {
+      this.limits.want(team, demand);
+      return false;
+    }
+    const worker = this.context.options.placement.choose(this.context.fleet, demand, NO_SPREAD);
+    if (worker === undefined || !this.context.fleet.reserve(worker, demand)) {
+      return false;
+    }
+    this.start(call, worker);
+    return true;
+  }
+
+  private start(call: Call, worker: WorkerId): void {
+    const session = this.sessions.get(worker);
+    if (session === undefined) {
+      throw new Error(`worker ${worker} was chosen without being attached`);
+    }
+    call.attempts += 1;
+    this.sendStart(this.addLive(call, worker), call, session);
+  }
+
+  private sendStart(live: LiveAttempt, call: Call, session: Session): void {
+    const epoch = this.context.ownedEpoch;
+    const startBy = this.sessions.startBy(session);
+    const leaseUntil = this.sessions.grantLease(session);
+    if (epoch === undefined || startBy === undefined || leaseUntil === undefined) {
+      throw new Error(`worker ${session.worker} was chosen without being attached`);
+    }
+    const { demand, payload } = call.work;
+    const attempt = live.attempt.id;
+    live.startBy = startBy;
+    this.context.command(session.worker, {
+      kind: 'start',
+      epoch,
+      attempt,
+      demand,
+      payload,
+      startBy,
+      leaseUntil,
+    });
+  }
+
+  private addLive(call: Call, worker: WorkerId): LiveAttempt {
+    const { work } = call;
+    const task = taskIdOf(work.id, 0);
+    const id = attemptIdOf(task, call.attempts);
+    const incarnation = this.sessions.get(worker)?.incarnation;
+    if (incarnation === undefined) {
+      throw new Error(`worker ${worker} was chosen without being attached`);
+    }
+    const live: LiveAttempt = {
+      attempt: { id, task, worker, incarnation },
+      work: work.id,
+      team: work.team,
+      demand: work.demand,
+      durable: false,
+      phase: 'starting',
+      stopping: false,
+      since: this.context.now,
+      startBy: undefined,
+    };
+    this.live.add(live);
+    this.running.set(id, call);
+    return live;
+  }
+
+  private takeRunning(live: LiveAttempt): Call | undefined {
+    const call = this.running.get(live.attempt.id);
+    this.running.delete(live.attempt.id);
+    this.live.remove(live);
+    return call;
+  }
+
+  /** The attempt certainly did not run: the call waits for another slot. */
+  private again(call: Call, reason: 'worker_refused' | 'worker_lost'): void {
+    this.context.emit({ kind: 'retried', reason });
+    this.insert(call);
+  }
+
+  /** Every lease of the attempt has ended: it lives no more, but it may have run. */
+  private lost(call: Call): void {
+    call.mayHaveRun = true;
+    if (call.work.idempotent) {
+      this.again(call, 'worker_lost');
+      return;
+    }
+    this.context.refuse(
+      call.token,
+      'may_have_run',
+      'worker_lost',
+      'the worker was lost while it had the call',
+    );
+  }
+
+  private refuseWaiting(call: Call): void {
+    if (call.mayHaveRun) {
+      this.context.refuse(
+        call.token,
+        'may_have_run',
+        'deadline_passed',
+        'an earlier attempt may have run',
+      );
+      return;
+    }
+    const short = !fits(call.work.demand, this.limits.roomOf(call.work.team));
+    const reason = short ? 'team_limit_reached' : 'no_worker_fits';
+    const detail = short
+      ? `team ${call.work.team} had no room below its upper limit in time`
+      : 'no worker had a free slot in time';
+    this.context.refuse(call.token, 'not_run', reason, detail);
+  }
+}
--- /dev/null
+++ b/packages/owner/src/sessions.ts
@@ -0,0 +1,236 @@
+/** What the owner knows of each worker: attachment, its clock, and when its leases lapse. */
+
+import { brandAs, type Incarnation, type WorkerId } from '@bamboowell/types/ids';
+import {
+  deadlineAfter,
+  earlier,
+  hasPassed,
+  NEVER,
+  type Deadline,
+  type Instant,
+  type WorkerInstant,
+} from '@bamboowell/types/time';
+import type { WorkerProfile } from '@bamboowell/types/work';
+import type { Context } from './context.js';
+import type { ShardVm } from './messages.js';
+import { longestOf } from './settings.js';
+
+/** A reading of a worker's clock and the instant, by ours, before which it was taken. */
+interface Reading {
+  readonly worker: WorkerInstant;
+  readonly seenAt: Instant;
+}
+
+export interface Session {
+  readonly worker: WorkerId;
+  /** Whether the worker is attached under the owned epoch. */
+  attached: boolean;
+  incarnation: Incarnation | undefined;
+  reading: Reading | undefined;
+  /** The instant at which every lease that anyone granted on the worker has ended. */
+  lapseAt: Deadline;
+  renewAt: Deadline;
+  /** The VM list or the worker itself says that it goes away. */
+  leaving: boolean;
+  quarantined: boolean;
+  /** Gets no new work until then; it refused a start for want of room. */
+  restUntil: Deadline | undefined;
+}
+
+/** How long a worker gets no new work after it refused a start for want of room. */
+const REST_MILLIS = 1_000;
+
+export class Sessions {
+  private readonly byWorker = new Map<WorkerId, Session>();
+
+  constructor(private readonly context: Context) {}
+
+  get(worker: WorkerId): Session | undefined {
+    return this.byWorker.get(worker);
+  }
+
+  all(): IterableIterator<Session> {
+    return this.byWorker.values();
+  }
+
+  /** The session of a worker; a new one may hold leases that an earlier owner granted. */
+  open(worker: WorkerId): Session {
+    const known = this.byWorker.get(worker);
+    if (known !== undefined) {
+      return known;
+    }
+    const session: Session = {
+      worker,
+      attached: false,
+      incarnation: undefined,
+      reading: undefined,
+      lapseAt: this.longestEarlierLease(),
+      renewAt: NEVER,
+      leaving: false,
+      quarantined: false,
+      restUntil: undefined,
+    };
+    this.byWorker.set(worker, session);
+    return session;
+  }
+
+  /** Takes in what the VM list shows. A worker that it no longer shows stays until it lapses. */
+  listed(vms: readonly ShardVm[]): void {
+    for (const { worker, vm } of vms) {
+      const session = this.open(worker);
+      session.leaving = session.leaving || vm.state === 'leaving';
+      this.refresh(session);
+    }
+  }
+
+  attached(
+    worker: WorkerId,
+    incarnation: Incarnation,
+    profile: WorkerProfile,
+    workerNow: WorkerInstant,
+  ): Session {
+    const session = this.open(worker);
+    session.attached = true;
+    if (session.incarnation !== incarnation) {
+      session.incarnation = incarnation;
+      session.leaving = false;
+    }
+    this.context.fleet.put(profile, false);
+    this.heard(session, workerNow);
+    this.refresh(session);
+    return session;
+  }
+
+  detached(worker: WorkerId): void {
+    const session = this.byWorker.get(worker);
+    if (session !== undefined) {
+      session.attached = false;
+      session.renewAt = NEVER;
+      this.refresh(session);
+    }
+  }
+
+  heard(session: Session, workerNow: WorkerInstant): void {
+    session.reading = { worker: workerNow, seenAt: this.context.now };
+  }
+
+  setLeaving(session: Session): void {
+    session.leaving = true;
+    this.refresh(session);
+  }
+
+  /** Gives the worker no new work for a while. */
+  rest(session: Session): void {
+    session.restUntil = deadlineAfter(this.context.now, REST_MILLIS);
+    this.refresh(session);
+  }
+
+  wakeRested(): void {
+    for (const session of this.byWorker.values()) {
+      if (session.restUntil !== undefined && hasPassed(session.restUntil, this.context.now)) {
+        session.restUntil = undefined;
+        this.refresh(session);
+      }
+    }
+  }
+
+  setQuarantined(session: Session, quarantined: boolean): void {
+    session.quarantined = quarantined;
+    this.refresh(session);
+  }
+
+  /** The end of a lease granted now, by the worker's clock; also moves the lapse on. */
+  grantLease(session: Session): WorkerInstant | undefined {
+    const { reading } = session;
+    if (reading === undefined) {
+      return undefined;
+    }
+    const { leaseMillis, renewMillis } = this.context.settings;
+    const lapse = deadlineAfter(reading.seenAt, longestOf(leaseMillis));
+    session.lapseAt = session.lapseAt > lapse ? session.lapseAt : lapse;
+    session.renewAt = deadlineAfter(this.context.now, renewMillis);
+    return brandAs<WorkerInstant>(reading.worker + leaseMillis);
+  }
+
+  /** The latest instant, by the worker's clock, at which a start sent now may begin. */
+  startBy(session: Session): WorkerInstant | undefined {
+    const { reading } = session;
+    return reading === undefined
+      ? undefined
+      : brandAs<WorkerInstant>(reading.worker + this.context.settings.startMillis);
+  }
+
+  /** Renews the leases on attached workers that are due. */
+  renewDue(): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch === undefined || !this.context.authority.mayRenew) {
+      return;
+    }
+    for (const session of this.byWorker.values()) {
+      if (session.attached && hasPassed(session.renewAt, this.context.now)) {
+        this.renew(session);
+      }
+    }
+  }
+
+  /** Renews the leases on one worker now. */
+  renew(session: Session): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch === undefined || !this.context.authority.mayRenew) {
+      return;
+    }
+    const leaseUntil = this.grantLease(session);
+    if (leaseUntil !== undefined) {
+      this.context.command(session.worker, { kind: 'renew', epoch, leaseUntil });
+    }
+  }
+
+  /** Detached workers on which every lease has ended. */
+  lapsed(): Session[] {
+    return [...this.byWorker.values()].filter(
+      (session) => !session.attached && hasPassed(session.lapseAt, this.context.now),
+    );
+  }
+
+  /**
+   * Every member knows this epoch, so that no one renews leases of earlier ones beyond the time
+   * that an owner acts unread.
+   */
+  epochKnown(): void {
+    const { freshMillis, leaseMillis } = this.context.settings;
+    const lapse = deadlineAfter(this.context.now, freshMillis + longestOf(leaseMillis));
+    for (const session of this.byWorker.values()) {
+      if (session.incarnation === undefined) {
+        session.lapseAt = earlier(session.lapseAt, lapse);
+      }
+    }
+  }
+
+  nextDeadline(): Deadline {
+    let next = NEVER;
+    for (const session of this.byWorker.values()) {
+      const due = session.attached ? session.renewAt : session.lapseAt;
+      next = hasPassed(due, this.context.now) ? next : earlier(next, due);
+      next = earlier(next, session.restUntil ?? NEVER);
+    }
+    return next;
+  }
+
+  clear(): void {
+    for (const worker of this.byWorker.keys()) {
+      this.context.fleet.remove(worker);
+    }
+    this.byWorker.clear();
+  }
+
+  private longestEarlierLease(): Deadline {
+    const { outageRenewalMillis, leaseMillis } = this.context.settings;
+    return deadlineAfter(this.context.now, outageRenewalMillis + longestOf(leaseMillis));
+  }
+
+  private refresh(session: Session): void {
+    const isHeldBack = session.leaving || session.quarantined || session.restUntil !== undefined;
+    const usable = session.attached && !isHeldBack;
+    this.context.fleet.setUsable(session.worker, usable);
+  }
+}
--- /dev/null
+++ b/packages/owner/src/shard-owner.ts
@@ -0,0 +1,352 @@
+/**
+ * The state machine of one shard's owner. It takes typed inputs with the time and returns what is
+ * to be done; it does no I/O, so that a recorded trace of inputs replays to the same outputs.
+ */
+
+import { match } from 'ts-pattern';
+import { brandAs, type Epoch, type ShardId, type TeamId, type WorkId } from '@bamboowell/types/ids';
+import type { Batch, Effect, ShardRecord, Stamped } from '@bamboowell/types/records';
+import type { Resources } from '@bamboowell/types/resources';
+import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
+import { ShardFold, type ShardSnapshot } from '@bamboowell/state/shard-fold';
+import { Calls } from './calls.js';
+import { Cancels } from './cancels.js';
+import { Context, type OwnerOptions } from './context.js';
+import { Ends } from './ends.js';
+import { Limits } from './limits.js';
+import { LiveAttempts } from './live-attempts.js';
+import type { CellView, Input, Output, ShardVm } from './messages.js';
+import { Reports } from './reports.js';
+import { Sessions } from './sessions.js';
+import { Starts } from './starts.js';
+import { Stops } from './stops.js';
+import { Submissions } from './submissions.js';
+import { Waiting } from './waiting.js';
+
+export class ShardOwner {
+  private readonly context: Context;
+  private readonly live: LiveAttempts;
+  private readonly limits: Limits;
+  private readonly sessions: Sessions;
+  private readonly waiting: Waiting;
+  private readonly starts: Starts;
+  private readonly ends: Ends;
+  private readonly submissions: Submissions;
+  private readonly calls: Calls;
+  private readonly cancels: Cancels;
+  private readonly stops: Stops;
+  private readonly reports: Reports;
+  /** Work may be left that could be placed without further input. */
+  private hasMore = false;
+  private releasing = false;
+  private vms: readonly ShardVm[] = [];
+
+  constructor(options: OwnerOptions) {
+    const context = new Context(options);
+    this.context = context;
+    this.live = new LiveAttempts(context);
+    this.limits = new Limits(context, this.live);
+    this.sessions = new Sessions(context);
+    this.waiting = new Waiting(context);
+    this.starts = new Starts(context, this.live, this.limits, this.sessions, this.waiting);
+    this.ends = new Ends(context, this.live);
+    this.submissions = new Submissions(context);
+    this.calls = new Calls(context, this.live, this.limits, this.sessions, this.submissions);
+    this.cancels = new Cancels(context, this.live, this.waiting);
+    this.stops = new Stops(context, this.live, this.limits);
+    const { live, sessions, starts, ends, calls, stops } = this;
+    this.reports = new Reports(context, { live, sessions, starts, ends, calls, stops });
+  }
+
+  get shard(): ShardId {
+    return this.context.options.shard;
+  }
+
+  get fold(): ShardFold {
+    return this.context.fold;
+  }
+
+  /** The epoch that this process owns, or none. */
+  get ownedEpoch(): Epoch | undefined {
+    return this.context.ownedEpoch;
+  }
+
+  /** Takes one input and returns what is to be done, in order. */
+  step(input: Input, now: Instant): Output[] {
+    this.context.now = now;
+    this.receive(input);
+    this.progress();
+    return this.context.takeOutputs();
+  }
+
+  /** When to step with `tick` at the latest. */
+  nextDeadline(): Deadline {
+    if (this.hasMore) {
+      return brandAs<Deadline>(this.context.now);
+    }
+    const deadlines = [
+      this.sessions.nextDeadline(),
+      this.submissions.nextDeadline(),
+      this.calls.nextDeadline(),
+      this.cancels.nextDeadline(),
+      this.limits.nextDeadline(),
+    ];
+    return brandAs<Deadline>(Math.min(...deadlines.map((deadline) => deadline ?? NEVER)));
+  }
+
+  /** What a team has running here. */
+  runningOf(team: TeamId): Resources {
+    return this.live.runningOf(team);
+  }
+
+  /** Teams with something running or held here. */
+  teams(): TeamId[] {
+    const running = [...this.live.all()].map((live) => live.team);
+    return [...new Set([...running, ...(this.context.cell?.holdings.keys() ?? [])])];
+  }
+
+  /** The parts that a status page reads. */
+  view() {
+    const { context, live, sessions, limits } = this;
+    return { context, live, sessions, limits };
+  }
+
+  private receive(input: Input): void {
+    match(input)
+      .with({ kind: 'restored' }, ({ snapshot }) => {
+        this.restore(snapshot);
+      })
+      .with({ kind: 'batch' }, ({ batch }) => {
+        this.applyBatch(batch);
+      })
+      .with({ kind: 'rejected' }, ({ sequences }) => {
+        for (const sequence of sequences) {
+          this.submissions.rejected(sequence);
+          this.cancels.rejected(sequence);
+          this.starts.voided(sequence);
+          this.ends.rejected(sequence);
+        }
+      })
+      .with({ kind: 'authority' }, ({ authority }) => {
+        this.context.authority = authority;
+      })
+      .with({ kind: 'epoch_known' }, ({ epoch }) => {
+        if (epoch === this.context.ownedEpoch) {
+          this.sessions.epochKnown();
+        }
+      })
+      .with({ kind: 'cell' }, ({ view }) => {
+        this.setCell(view);
+      })
+      .with({ kind: 'holding_settled' }, ({ team, change, amount, applied }) => {
+        this.limits.settled(team, change, amount, applied);
+      })
+      .with({ kind: 'elsewhere' }, ({ usage, capacity }) => {
+        this.context.ordering.setElsewhere(usage);
+        this.context.ordering.setCapacity(capacity);
+      })
+      .with({ kind: 'workers' }, ({ vms }) => {
+        this.setWorkers(vms);
+      })
+      .with({ kind: 'report' }, ({ report }) => {
+        this.reports.receive(report);
+      })
+      .with({ kind: 'submit' }, ({ work, deadline, token }) => {
+        this.submissions.submit(work, deadline, token);
+      })
+      .with({ kind: 'call' }, ({ work, deadline, token }) => {
+        this.calls.call(work, deadline, token);
+      })
+      .with({ kind: 'cancel' }, ({ works, deadline, token }) => {
+        this.cancels.cancel(works, deadline, token);
+      })
+      .with({ kind: 'withdrawn' }, ({ sequence, state }) => {
+        this.submissions.withdrawn(sequence, state);
+      })
+      .with({ kind: 'drain' }, () => {
+        this.context.draining = true;
+      })
+      .with({ kind: 'tick' }, () => undefined)
+      .exhaustive();
+  }
+
+  /** Does all that the input and the time now allow. */
+  private progress(): void {
+    this.submissions.expire();
+    this.calls.expire();
+    this.cancels.expire();
+    if (this.context.ownedEpoch === undefined) {
+      this.hasMore = false;
+      return;
+    }
+    this.reports.lapse();
+    this.sessions.wakeRested();
+    this.sessions.renewDue();
+    this.stops.shedAll();
+    this.limits.giveBackIdle();
+    this.calls.place();
+    this.hasMore = this.starts.place();
+    this.release();
+  }
+
+  private restore(snapshot: ShardSnapshot | undefined): void {
+    this.disown();
+    this.context.fold = snapshot === undefined ? new ShardFold() : ShardFold.restore(snapshot);
+  }
+
+  private applyBatch(batch: Batch<ShardRecord>): void {
+    for (const stamped of batch.records) {
+      const effect = this.context.fold.apply(stamped, batch.offset);
+      this.settle(stamped, effect);
+      if (effect.kind === 'applied') {
+        this.applied(stamped);
+      }
+    }
+  }
+
+  /** Tells whoever waits for the record that it was read back. */
+  private settle({ writer, sequence }: Stamped<ShardRecord>, effect: Effect): void {
+    if (writer !== this.context.options.writer || effect.kind === 'repeated') {
+      return;
+    }
+    this.submissions.settled(sequence, effect);
+    this.cancels.settled(sequence, effect);
+    this.ends.settled(sequence);
+    if (effect.kind === 'applied') {
+      this.starts.confirmed(sequence);
+    } else {
+      this.starts.voided(sequence);
+    }
+  }
+
+  private applied({ writer, record }: Stamped<ShardRecord>): void {
+    match(record)
+      .with({ kind: 'claim' }, ({ epoch }) => {
+        this.claimed(writer === this.context.options.writer, epoch);
+      })
+      .with({ kind: 'release' }, () => {
+        this.released();
+      })
+      .with({ kind: 'accept' }, ({ work }) => {
+        this.touch(work.id);
+      })
+      .with({ kind: 'cancel' }, ({ works }) => {
+        this.cancels.applied(works);
+      })
+      .with({ kind: 'place' }, ({ attempts }) => {
+        for (const attempt of attempts) {
+          this.context.emit({ kind: 'changed', work: workIdOf(attempt.task) });
+        }
+      })
+      .with({ kind: 'end' }, ({ attempt }) => {
+        this.touch(workIdOf(attempt));
+      })
+      .with({ kind: 'checkpoint' }, () => undefined)
+      .exhaustive();
+  }
+
+  private touch(work: WorkId): void {
+    if (this.context.ownedEpoch !== undefined) {
+      this.waiting.update(work);
+    }
+    this.context.emit({ kind: 'changed', work });
+  }
+
+  private claimed(isOurs: boolean, epoch: Epoch): void {
+    this.disown();
+    if (!isOurs) {
+      return;
+    }
+    this.context.ownedEpoch = epoch;
+    this.context.event('shard_owned', { epoch });
+    this.context.emit({ kind: 'inherit', epoch });
+    this.sessions.listed(this.vms);
+    for (const entry of this.context.fold.works.values()) {
+      this.resume(entry.work.id);
+    }
+    for (const session of this.sessions.all()) {
+      this.attach(session.worker);
+    }
+  }
+
+  /** Takes over a piece of work from the fold: what waits, and what may run. */
+  private resume(work: WorkId): void {
+    for (const task of this.context.fold.get(work)?.tasks ?? []) {
+      if (task.state.kind === 'placed') {
+        this.sessions.open(task.state.attempt.worker);
+        this.reports.adoptPlaced(task.state.attempt, 'starting');
+      }
+    }
+    this.waiting.update(work);
+  }
+
+  private attach(worker: ShardVm['worker']): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch !== undefined) {
+      const { shard, member } = this.context.options;
+      this.context.command(worker, { kind: 'attach', epoch, shard, member });
+    }
+  }
+
+  private released(): void {
+    const wasOurs = this.context.ownedEpoch !== undefined;
+    this.disown();
+    if (wasOurs) {
+      this.context.event('shard_released', {});
+      this.context.emit({ kind: 'released' });
+    }
+  }
+
+  /** Forgets all that only an owner knows. */
+  private disown(): void {
+    if (this.context.ownedEpoch === undefined) {
+      return;
+    }
+    this.context.event('shard_lost', { epoch: this.context.ownedEpoch });
+    this.submissions.abandon();
+    this.calls.abandon();
+    this.cancels.abandon();
+    this.starts.clear();
+    this.ends.clear();
+    this.live.clear();
+    this.waiting.clear();
+    this.limits.clear();
+    this.sessions.clear();
+    this.releasing = false;
+    this.context.ownedEpoch = undefined;
+  }
+
+  private setCell(view: CellView): void {
+    this.context.cell = view;
+    const shares = [...view.configuration.teams.values()].map(
+      (team) => [team.id, team.share] as const,
+    );
+    this.context.ordering.setShares(new Map(shares));
+  }
+
+  private setWorkers(vms: readonly ShardVm[]): void {
+    this.vms = vms;
+    if (this.context.ownedEpoch === undefined) {
+      return;
+    }
+    const unknown = vms.filter(({ worker }) => this.sessions.get(worker) === undefined);
+    this.sessions.listed(vms);
+    for (const { worker } of unknown) {
+      this.attach(worker);
+    }
+  }
+
+  /** Releases the shard once nothing that callers wait for is in hand. */
+  private release(): void {
+    const epoch = this.context.ownedEpoch;
+    const isIdle = this.calls.size === 0 && this.submissions.size === 0;
+    if (epoch !== undefined && this.context.draining && isIdle && !this.releasing) {
+      this.releasing = true;
+      this.context.append({ kind: 'release', epoch });
+    }
+  }
+}
+
+function workIdOf(id: string): WorkId {
+  return brandAs<WorkId>(id.slice(0, id.lastIndexOf('/')));
+}
--- /dev/null
+++ b/packages/owner/src/starts.ts
@@ -0,0 +1,244 @@
+/** Chooses workers for waiting tasks, records the choice, then sends the starts. */
+
+import { attemptIdOf, taskIdOf, type Sequence, type WorkerId } from '@bamboowell/types/ids';
+import { fits, multiply } from '@bamboowell/types/resources';
+import type { Attempt } from '@bamboowell/types/work';
+import type { WorkEntry } from '@bamboowell/state/shard-fold';
+import { NO_SPREAD, type Spread } from '@bamboowell/policy/fleet';
+import type { Candidate, Round } from '@bamboowell/policy/ordering';
+import type { Context } from './context.js';
+import type { Limits } from './limits.js';
+import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
+import type { Sessions } from './sessions.js';
+import type { Waiting } from './waiting.js';
+
+/** Most tasks that one step places, so that a step stays short. */
+export const MAX_PLACED_A_STEP = 256;
+
+export class Starts {
+  private readonly placing = new Map<Sequence, readonly LiveAttempt[]>();
+
+  constructor(
+    private readonly context: Context,
+    private readonly live: LiveAttempts,
+    private readonly limits: Limits,
+    private readonly sessions: Sessions,
+    private readonly waiting: Waiting,
+  ) {}
+
+  /** Tries the waiting work in order; true if some may be left that could be placed now. */
+  place(): boolean {
+    if (!this.context.mayStart || !this.context.holdsLimits || this.context.draining) {
+      return false;
+    }
+    let placed = 0;
+    for (let inRound = this.placeRound(); inRound > 0; inRound = this.placeRound()) {
+      placed += inRound;
+      if (placed >= MAX_PLACED_A_STEP) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Offers each candidate one turn, so that large batches do not go before their share. */
+  private placeRound(): number {
+    const round = this.context.ordering.round(this.context.now);
+    let placed = 0;
+    for (let next = round.next(); next !== undefined; next = round.next()) {
+      placed += this.tryOnce(next, round);
+      if (placed >= MAX_PLACED_A_STEP) {
+        return placed;
+      }
+    }
+    return placed;
+  }
+
+  /** The record was read back as applied: sends the starts. */
+  confirmed(sequence: Sequence): void {
+    for (const attempt of this.takePlacing(sequence)) {
+      attempt.phase = 'placed';
+      this.start(attempt);
+    }
+  }
+
+  /** The record was void or never sent: nothing was placed. */
+  voided(sequence: Sequence): void {
+    for (const attempt of this.takePlacing(sequence)) {
+      this.live.remove(attempt);
+      this.waiting.update(attempt.work);
+    }
+  }
+
+  /** Sends a start, also a repeated one: a worker runs an attempt id at most once. */
+  start(attempt: LiveAttempt): void {
+    const epoch = this.context.ownedEpoch;
+    const session = this.sessions.get(attempt.attempt.worker);
+    if (epoch === undefined || !this.context.mayStart || session?.attached !== true) {
+      return;
+    }
+    const startBy = this.sessions.startBy(session);
+    const leaseUntil = this.sessions.grantLease(session);
+    const entry = this.context.fold.get(attempt.work);
+    if (startBy === undefined || leaseUntil === undefined || entry === undefined) {
+      return;
+    }
+    attempt.phase = 'starting';
+    attempt.startBy = startBy;
+    const { id, worker } = attempt.attempt;
+    const { payload, demand } = entry.work;
+    this.context.command(worker, {
+      kind: 'start',
+      epoch,
+      attempt: id,
+      demand,
+      payload,
+      startBy,
+      leaseUntil,
+    });
+  }
+
+  /** Sends the starts that could not be sent when their record was read back. */
+  startPlaced(worker: WorkerId): void {
+    for (const attempt of this.live.on(worker)) {
+      if (attempt.phase === 'placed') {
+        this.start(attempt);
+      }
+    }
+  }
+
+  clear(): void {
+    this.placing.clear();
+  }
+
+  /** Places one task of the candidate, or all of a gang's; returns how many. */
+  private tryOnce(candidate: Candidate, round: Round): number {
+    const entry = this.context.fold.get(candidate.work);
+    if (entry === undefined) {
+      this.context.ordering.remove(candidate.work);
+      return 0;
+    }
+    const group = this.waiting.waitingTasks(entry).slice(0, candidate.together);
+    const isPlaced = this.tryGroup(candidate, entry, group, round);
+    this.waiting.update(candidate.work);
+    return isPlaced ? group.length : 0;
+  }
+
+  private tryGroup(
+    candidate: Candidate,
+    entry: WorkEntry,
+    group: readonly number[],
+    round: Round,
+  ): boolean {
+    const need = multiply(candidate.demand, group.length);
+    if (!fits(need, this.limits.roomOf(candidate.team))) {
+      this.limits.want(candidate.team, need);
+      round.blocked(candidate, 'team_limit_reached');
+      return false;
+    }
+    const workers = this.reserve(candidate, entry, group.length);
+    if (workers === undefined) {
+      round.blocked(candidate, 'no_worker_fits');
+      return false;
+    }
+    this.record(entry, group, workers);
+    return true;
+  }
+
+  /** Reserves room for all tasks of the group or for none. */
+  private reserve(candidate: Candidate, entry: WorkEntry, count: number): WorkerId[] | undefined {
+    const chosen: WorkerId[] = [];
+    for (let task = 0; task < count; task += 1) {
+      const spread = entry.work.shape.kind === 'service' ? this.spreadOf(entry, chosen) : NO_SPREAD;
+      const worker = this.context.options.placement.choose(
+        this.context.fleet,
+        candidate.demand,
+        spread,
+      );
+      if (worker === undefined || !this.context.fleet.reserve(worker, candidate.demand)) {
+        this.release(chosen, candidate);
+        return undefined;
+      }
+      chosen.push(worker);
+    }
+    return chosen;
+  }
+
+  private release(workers: readonly WorkerId[], candidate: Candidate): void {
+    for (const worker of workers) {
+      this.context.fleet.release(worker, candidate.demand);
+    }
+  }
+
+  private spreadOf(entry: WorkEntry, chosen: readonly WorkerId[]): Spread {
+    const workers = new Map<WorkerId, number>();
+    const racks = new Map(NO_SPREAD.racks);
+    const placed = entry.tasks.flatMap((task) =>
+      task.state.kind === 'placed' ? [task.state.attempt.worker] : [],
+    );
+    for (const worker of [...placed, ...chosen]) {
+      workers.set(worker, (workers.get(worker) ?? 0) + 1);
+      const rack = this.context.fleet.get(worker)?.profile.rack;
+      if (rack !== undefined) {
+        racks.set(rack, (racks.get(rack) ?? 0) + 1);
+      }
+    }
+    return { workers, racks };
+  }
+
+  private record(entry: WorkEntry, group: readonly number[], workers: readonly WorkerId[]): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch === undefined) {
+      return;
+    }
+    const placed: LiveAttempt[] = [];
+    for (const [at, index] of group.entries()) {
+      const attempt = this.attemptOf(entry, index, workers[at]);
+      if (attempt !== undefined) {
+        placed.push(this.addLive(entry, attempt));
+      }
+    }
+    const attempts = placed.map((live) => live.attempt);
+    this.placing.set(this.context.append({ kind: 'place', epoch, attempts }), placed);
+  }
+
+  private attemptOf(
+    entry: WorkEntry,
+    index: number,
+    worker: WorkerId | undefined,
+  ): Attempt | undefined {
+    const incarnation = worker === undefined ? undefined : this.sessions.get(worker)?.incarnation;
+    if (worker === undefined || incarnation === undefined) {
+      return undefined;
+    }
+    const task = taskIdOf(entry.work.id, index);
+    const number = (entry.tasks[index]?.attempts ?? 0) + 1;
+    return { id: attemptIdOf(task, number), task, worker, incarnation };
+  }
+
+  private addLive(entry: WorkEntry, attempt: Attempt): LiveAttempt {
+    const live: LiveAttempt = {
+      attempt,
+      work: entry.work.id,
+      team: entry.work.team,
+      demand: entry.work.demand,
+      durable: true,
+      phase: 'placing',
+      stopping: false,
+      since: this.context.now,
+      startBy: undefined,
+    };
+    this.waiting.markPlacing(attempt.task);
+    this.live.add(live);
+    return live;
+  }
+
+  private takePlacing(sequence: Sequence): readonly LiveAttempt[] {
+    const attempts = this.placing.get(sequence) ?? [];
+    this.placing.delete(sequence);
+    for (const live of attempts) {
+      this.waiting.unmarkPlacing(live.attempt.task);
+    }
+    return attempts;
+  }
+}
--- /dev/null
+++ b/packages/owner/src/stops.ts
@@ -0,0 +1,91 @@
+/** Stops attempts that may no longer run: what a lowered limit leaves no room for. */
+
+import type { TeamId } from '@bamboowell/types/ids';
+import { add, DIMENSIONS, isNothing, NOTHING, type Resources } from '@bamboowell/types/resources';
+import type { Urgency } from '@bamboowell/types/work';
+import type { Context } from './context.js';
+import type { Limits } from './limits.js';
+import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
+
+const STOP_RANK: Readonly<Record<Urgency, number>> = { patient: 0, ordinary: 1, urgent: 2 };
+
+/** Added to the rank of attempts that can't be run again. */
+const FINAL_RANK = 3;
+
+export class Stops {
+  constructor(
+    private readonly context: Context,
+    private readonly live: LiveAttempts,
+    private readonly limits: Limits,
+  ) {}
+
+  /** Stops as much of each team as passes what the shard may have running. */
+  shedAll(): void {
+    if (!this.context.holdsLimits || !this.context.mayStart) {
+      return;
+    }
+    const teams = new Set([...this.live.all()].map((live) => live.team));
+    for (const team of teams) {
+      const excess = this.limits.excessOf(team);
+      if (!isNothing(excess)) {
+        this.shed(team, excess);
+      }
+    }
+  }
+
+  /** Asks the worker to stop the attempt, once. */
+  stop(live: LiveAttempt, checkpoint: boolean): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch === undefined || live.stopping) {
+      return;
+    }
+    live.stopping = true;
+    const { id, worker } = live.attempt;
+    this.context.command(worker, { kind: 'stop', epoch, attempt: id, checkpoint });
+  }
+
+  private shed(team: TeamId, excess: Resources): void {
+    const running = [...this.live.all()].filter((live) => live.team === team && live.durable);
+    let freed = running
+      .filter((live) => live.stopping)
+      .reduce((sum, live) => add(sum, live.demand), NOTHING);
+    for (const live of this.inStopOrder(running)) {
+      if (covers(freed, excess)) {
+        return;
+      }
+      if (!live.stopping && helps(live.demand, freed, excess)) {
+        const checkpoint = this.context.fold.get(live.work)?.work.checkpointable ?? false;
+        this.context.event('limit_lowered_stop', { team, attempt: live.attempt.id });
+        this.stop(live, checkpoint);
+        freed = add(freed, live.demand);
+      }
+    }
+  }
+
+  /** What can run again first, patient work first, the youngest first. */
+  private inStopOrder(attempts: readonly LiveAttempt[]): LiveAttempt[] {
+    return attempts.toSorted(
+      (left, right) => this.rankOf(left) - this.rankOf(right) || right.since - left.since,
+    );
+  }
+
+  private rankOf(live: LiveAttempt): number {
+    const work = this.context.fold.get(live.work)?.work;
+    if (work === undefined) {
+      return 0;
+    }
+    const canRunAgain = work.idempotent || work.checkpointable || work.shape.kind === 'service';
+    return STOP_RANK[work.urgency] + (canRunAgain ? 0 : FINAL_RANK);
+  }
+}
+
+function covers(freed: Resources, excess: Resources): boolean {
+  return DIMENSIONS.every((dimension) => freed[dimension] >= excess[dimension]);
+}
+
+/** Whether stopping an attempt of this size frees some of what is still missing. */
+function helps(demand: Resources, freed: Resources, excess: Resources): boolean {
+  return DIMENSIONS.some(
+    (dimension) => demand[dimension] > 0 && freed[dimension] < excess[dimension],
+  );
+}
--- /dev/null
+++ b/packages/owner/src/submissions.ts
@@ -0,0 +1,214 @@
+/** Accepts durable work: checks it, records it, and answers once the record was read back. */
+
+import { match } from 'ts-pattern';
+import type { Queue } from '@bamboowell/types/declarations';
+import type { Sequence, WorkId } from '@bamboowell/types/ids';
+import { fits, multiply, shortDimensions } from '@bamboowell/types/resources';
+import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import type { Effect } from '@bamboowell/types/records';
+import type { Reason } from '@bamboowell/types/verdict';
+import { taskCountOf, type Work } from '@bamboowell/types/work';
+import type { Context } from './context.js';
+import type { Token } from './messages.js';
+
+interface Submission {
+  readonly token: Token;
+  readonly work: Work;
+  readonly deadline: Deadline;
+  withdrawing: boolean;
+  answered: boolean;
+}
+
+/** Why work is not taken. */
+export interface Objection {
+  readonly reason: Reason;
+  readonly detail: string;
+}
+
+export class Submissions {
+  private readonly pending = new Map<Sequence, Submission>();
+
+  constructor(private readonly context: Context) {}
+
+  get size(): number {
+    return this.pending.size;
+  }
+
+  submit(work: Work, deadline: Deadline, token: Token): void {
+    const epoch = this.context.ownedEpoch;
+    const objection = this.objectionTo(work);
+    if (objection !== undefined || epoch === undefined) {
+      const { reason, detail } = objection ?? NOT_OWNER;
+      this.context.refuse(token, 'not_run', reason, detail);
+      return;
+    }
+    const earlier = this.context.fold.findRequest(work.team, work.requestId);
+    if (earlier !== undefined) {
+      this.context.respond(token, { kind: 'accepted', work: earlier, repeated: true });
+      return;
+    }
+    const sequence = this.context.append({ kind: 'accept', epoch, work });
+    this.pending.set(sequence, { token, work, deadline, withdrawing: false, answered: false });
+  }
+
+  /** The record was read back. */
+  settled(sequence: Sequence, effect: Effect): void {
+    const submission = this.take(sequence);
+    if (submission === undefined) {
+      return;
+    }
+    const { token, work } = submission;
+    match(effect)
+      .with({ kind: 'applied' }, () => {
+        this.context.respond(token, { kind: 'accepted', work: work.id, repeated: false });
+      })
+      .with({ kind: 'repeated' }, () => undefined)
+      .with({ kind: 'void', reason: 'repeated_request' }, () => {
+        this.respondEarlier(token, work);
+      })
+      .with({ kind: 'void' }, () => {
+        this.context.refuse(token, 'not_run', 'owner_changed', 'another daemon owns the shard now');
+      })
+      .exhaustive();
+  }
+
+  /** The record was never sent. */
+  rejected(sequence: Sequence): void {
+    const submission = this.take(sequence);
+    if (submission !== undefined) {
+      this.refuseUnsent(submission);
+    }
+  }
+
+  /** Answer to a withdrawal at the caller's deadline. */
+  withdrawn(sequence: Sequence, state: 'withdrawn' | 'sent'): void {
+    const submission = this.pending.get(sequence);
+    if (submission === undefined || submission.answered) {
+      return;
+    }
+    if (state === 'withdrawn') {
+      this.pending.delete(sequence);
+      this.refuseUnsent(submission);
+      return;
+    }
+    submission.answered = true;
+    this.refuseUnknown(submission, 'outcome_unknown', 'the log has not confirmed the work in time');
+  }
+
+  /** Withdraws what has passed its deadline. */
+  expire(): void {
+    for (const [sequence, submission] of this.pending) {
+      if (!submission.withdrawing && hasPassed(submission.deadline, this.context.now)) {
+        submission.withdrawing = true;
+        this.context.emit({ kind: 'withdraw', sequence });
+      }
+    }
+  }
+
+  /** The shard has another owner: what was sent may still be read by it. */
+  abandon(): void {
+    for (const submission of this.pending.values()) {
+      if (!submission.answered) {
+        this.refuseUnknown(submission, 'owner_changed', 'the shard changed its owner meanwhile');
+      }
+    }
+    this.pending.clear();
+  }
+
+  nextDeadline(): Deadline | undefined {
+    let next: Deadline | undefined;
+    for (const { deadline, withdrawing } of this.pending.values()) {
+      if (!withdrawing && (next === undefined || deadline < next)) {
+        next = deadline;
+      }
+    }
+    return next;
+  }
+
+  /** Why the work can't be taken now, durable or not. */
+  objectionTo(work: Work): Objection | undefined {
+    if (!this.context.mayStart) {
+      return this.context.ownedEpoch === undefined ? NOT_OWNER : NOT_FRESH;
+    }
+    if (this.context.draining) {
+      return { reason: 'shutting_down', detail: 'this daemon is shutting down' };
+    }
+    return this.queueObjection(work) ?? this.sizeObjection(work);
+  }
+
+  private queueObjection(work: Work): Objection | undefined {
+    const queue = this.context.cell?.configuration.queues.get(work.queue);
+    if (queue === undefined) {
+      return { reason: 'unknown_queue', detail: `there is no queue ${work.queue}` };
+    }
+    if (!isOpenTo(queue, work)) {
+      return {
+        reason: 'queue_not_open_to_team',
+        detail: `queue ${queue.id} is not open to team ${work.team}`,
+      };
+    }
+    if (this.context.ordering.waitingIn(queue.id) >= queue.maxWaiting) {
+      return {
+        reason: 'queue_full',
+        detail: `queue ${queue.id} holds ${queue.maxWaiting} pieces of work already`,
+      };
+    }
+    return undefined;
+  }
+
+  private sizeObjection(work: Work): Objection | undefined {
+    const limit = this.context.cell?.configuration.teams.get(work.team)?.limit;
+    const together = work.shape.kind === 'gang' ? taskCountOf(work.shape) : 1;
+    const need = multiply(work.demand, together);
+    if (limit !== undefined && !fits(need, limit)) {
+      const short = shortDimensions(need, limit).join(', ');
+      return {
+        reason: 'impossible_size',
+        detail: `needs more than the upper limit of team ${work.team} in ${short}`,
+      };
+    }
+    if (!this.context.fleet.isEmpty() && !this.context.fleet.couldEverHold(work.demand)) {
+      return {
+        reason: 'impossible_size',
+        detail: 'no worker of the shard could hold one task, even when empty',
+      };
+    }
+    return undefined;
+  }
+
+  private respondEarlier(token: Token, work: Work): void {
+    const earlier: WorkId | undefined = this.context.fold.findRequest(work.team, work.requestId);
+    this.context.respond(token, { kind: 'accepted', work: earlier ?? work.id, repeated: true });
+  }
+
+  private refuseUnsent({ token }: Submission): void {
+    this.context.refuse(
+      token,
+      'not_run',
+      'log_unavailable',
+      'the log did not take the work in time; it was withdrawn',
+    );
+  }
+
+  private refuseUnknown({ token, work }: Submission, reason: Reason, detail: string): void {
+    this.context.refuse(token, 'may_have_run', reason, detail, work.id);
+  }
+
+  private take(sequence: Sequence): Submission | undefined {
+    const submission = this.pending.get(sequence);
+    this.pending.delete(sequence);
+    return submission?.answered === true ? undefined : submission;
+  }
+}
+
+const NOT_OWNER: Objection = { reason: 'no_owner', detail: 'this daemon does not own the shard' };
+const NOT_FRESH: Objection = {
+  reason: 'not_fresh',
+  detail: 'this daemon cannot show that it still owns the shard',
+};
+
+function isOpenTo(queue: Queue, work: Work): boolean {
+  return queue.access.kind === 'open'
+    ? queue.access.team === work.team
+    : queue.access.teams.includes(work.team);
+}
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -53,6 +53,10 @@
     return this.machines.values();
   }
 
+  isEmpty(): boolean {
+    return this.machines.size === 0;
+  }
+
   /** Reserves the amount if the worker is usable and has room. */
   reserve(worker: WorkerId, amount: Resources): boolean {
     const machine = this.machines.get(worker);
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -55,6 +55,21 @@
   return brandAs<AttemptId>(`${task}#${number}`);
 }
 
+/** The id of a piece of work: `<shard>:<team>:<unique part>`. */
+export function workIdFrom(shard: ShardId, team: TeamId, unique: string): WorkId {
+  return brandAs<WorkId>(`${shard}:${team}:${unique}`);
+}
+
+/** The shard that holds the work. */
+export function shardOfWork(work: WorkId): ShardId {
+  return brandAs<ShardId>(work.split(':')[0] ?? '');
+}
+
+/** The team that the work counts for. */
+export function teamOfWork(work: WorkId): TeamId {
+  return brandAs<TeamId>(work.split(':')[1] ?? '');
+}
+
 /** The work that a task belongs to. */
 export function workOfTask(task: TaskId): WorkId {
   return brandAs<WorkId>(task.slice(0, task.lastIndexOf('/')));
--- a/packages/types/src/verdict.ts
+++ b/packages/types/src/verdict.ts
@@ -1,5 +1,7 @@
 /** What a caller learns about its request. */
 
+import type { WorkId } from './ids.js';
+
 /**
  * Whether a request may have run.
  * - `not_run`: it did not run and will not.
@@ -56,6 +58,8 @@
   readonly detail: string;
   /** Path of the offending field, as in `work.demand.memoryMib`. */
   readonly field?: string;
+  /** The work that may have been accepted, where the verdict is not `not_run`. */
+  readonly work?: WorkId;
 }
 
 /** Either a value or a refusal. */
