--- /dev/null
+++ b/packages/ownership/src/claims.ts
@@ -0,0 +1,147 @@
+/** Whether a member should claim a shard now. */
+
+import { nextEpoch, type Epoch, type MemberId, type ShardId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { CLAIM_STEP_MILLIS } from './bounds.js';
+import { electorateOf, isMajority, votesAgainst, type Voters, type Votes } from './electorate.js';
+import { claimOrder } from './preference.js';
+
+/** Who owns the shard as the fold of its stream shows it. */
+export interface Ownership {
+  readonly epoch: Epoch;
+  /** None before the first claim and after a release. */
+  readonly owner: MemberId | null;
+}
+
+/** A member of the region as far as claims go. */
+export interface Candidate {
+  readonly member: MemberId;
+  /** Heard within the suspicion deadline, or this member itself. */
+  readonly live: boolean;
+  /** A leaving member gets no new shards. */
+  readonly leaving: boolean;
+}
+
+/** What a member knows when it plans a claim. */
+export interface ClaimView {
+  readonly self: MemberId;
+  readonly shard: ShardId;
+  /** All shards of the region, over which ownership is balanced. */
+  readonly shards: readonly ShardId[];
+  readonly fold: Ownership;
+  /** Whether the fold is as new as the log's tail was within the freshness bound. */
+  readonly foldIsFresh: boolean;
+  /** Whether this incarnation is the one that claimed `fold.epoch`. */
+  readonly claimedBySelf: boolean;
+  /** Whether an earlier claim of this member for the shard is not resolved yet. */
+  readonly claimUnresolved: boolean;
+  readonly candidates: readonly Candidate[];
+  readonly voters: Voters;
+  readonly votes: Votes;
+  /** When this member first saw the shard open under this epoch, as `ClaimWatch` keeps it. */
+  readonly openedAt: Instant;
+  readonly now: Instant;
+}
+
+/** Why no claim is made. `turn` ends by itself at `until`; the others end with a change. */
+export type ClaimPlan =
+  | { readonly kind: 'claim'; readonly epoch: Epoch; readonly votes: readonly MemberId[] }
+  | { readonly kind: 'wait'; readonly why: 'turn'; readonly until: Deadline }
+  | {
+      readonly kind: 'wait';
+      readonly why: 'owned' | 'not_fresh' | 'unresolved' | 'leaving' | 'no_majority';
+    };
+
+/** Plans a claim of the shard. Safe under any view: a wrong claim costs a change of owner only. */
+export function planClaim(view: ClaimView): ClaimPlan {
+  const obstacle = obstacleTo(view);
+  if (obstacle !== undefined) {
+    return { kind: 'wait', why: obstacle };
+  }
+  const turn = turnOf(view);
+  if (!hasPassed(turn, view.now)) {
+    return { kind: 'wait', why: 'turn', until: turn };
+  }
+  return { kind: 'claim', epoch: nextEpoch(view.fold.epoch), votes: votesFor(view) };
+}
+
+/** Whether the shard may be claimed by some member, as far as this view shows. */
+export function isOpen(view: Omit<ClaimView, 'openedAt'>): boolean {
+  const { owner } = view.fold;
+  if (owner === null) {
+    return true;
+  }
+  if (owner === view.self) {
+    return !view.claimedBySelf;
+  }
+  const electorate = electorateOf(view.voters, owner, view.self);
+  return isMajority(votesAgainst(owner, electorate, view.votes).length, electorate);
+}
+
+type Obstacle = 'owned' | 'not_fresh' | 'unresolved' | 'leaving' | 'no_majority';
+
+function obstacleTo(view: ClaimView): Obstacle | undefined {
+  if (!view.foldIsFresh) {
+    return 'not_fresh';
+  }
+  if (view.claimUnresolved) {
+    return 'unresolved';
+  }
+  if (view.candidates.some(({ member, leaving }) => member === view.self && leaving)) {
+    return 'leaving';
+  }
+  if (isOpen(view)) {
+    return undefined;
+  }
+  return isSuspected(view) ? 'no_majority' : 'owned';
+}
+
+function isSuspected(view: ClaimView): boolean {
+  const { owner } = view.fold;
+  return owner !== null && view.votes.get(view.self)?.has(owner) === true;
+}
+
+/** When it is this member's turn: each place in the order waits one step longer. */
+function turnOf(view: ClaimView): Deadline {
+  if (view.fold.owner === view.self) {
+    return deadlineAfter(view.openedAt, 0);
+  }
+  const eligible = view.candidates.filter(
+    ({ member, live, leaving }) =>
+      member === view.self || (live && !leaving && member !== view.fold.owner),
+  );
+  const order = claimOrder(
+    view.shard,
+    view.shards,
+    eligible.map(({ member }) => member),
+  );
+  const rank = Math.max(0, order.indexOf(view.self));
+  return deadlineAfter(view.openedAt, rank * CLAIM_STEP_MILLIS);
+}
+
+/** The votes that the claim names. None tells that nobody held the shard. */
+function votesFor(view: ClaimView): readonly MemberId[] {
+  const { owner } = view.fold;
+  if (owner === null) {
+    return [];
+  }
+  if (owner === view.self) {
+    return [view.self];
+  }
+  return votesAgainst(owner, electorateOf(view.voters, owner, view.self), view.votes);
+}
+
+/** Keeps since when a shard is open, so that the ranks count from one instant. */
+export class ClaimWatch {
+  private opened: { readonly epoch: Epoch; readonly at: Instant } | undefined;
+
+  /** Plans a claim from the view and the instant at which the shard became open. */
+  plan(view: Omit<ClaimView, 'openedAt'>): ClaimPlan {
+    if (!isOpen(view)) {
+      this.opened = undefined;
+    } else if (this.opened?.epoch !== view.fold.epoch) {
+      this.opened = { epoch: view.fold.epoch, at: view.now };
+    }
+    return planClaim({ ...view, openedAt: this.opened?.at ?? view.now });
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/configuration-freshness.ts
@@ -0,0 +1,125 @@
+/** Whether a member may accept work for teams with the configuration that it has. */
+
+import type { MemberId, Offset } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { CONFIGURATION_FRESH_MILLIS } from './bounds.js';
+
+/** What a member said of its configuration. */
+export interface ConfigurationStatement {
+  readonly member: MemberId;
+  /** The statement was made at or after this instant of the hearer's clock. */
+  readonly at: Instant;
+  readonly logAnswers: boolean;
+  /** All entries of the stream `cell` below this offset are folded. */
+  readonly upTo: Offset;
+}
+
+export type ConfigurationStanding =
+  | { readonly kind: 'fresh'; readonly freshUntil: Deadline }
+  | {
+      readonly kind: 'stale';
+      readonly why: 'not_read' | 'member_silent' | 'log_answers_member' | 'behind' | 'alone';
+      /** The members that are silent, ahead, or answered by the log. */
+      readonly members: readonly MemberId[];
+    };
+
+export class ConfigurationFreshness {
+  private upTo: Offset | undefined;
+  private readAt: Instant | undefined;
+  private logIsSilent = false;
+  private others: ReadonlySet<MemberId> = new Set();
+  private readonly statements = new Map<MemberId, ConfigurationStatement>();
+
+  constructor(private readonly self: MemberId) {}
+
+  /** The members of every region, which must be heard while the log does not answer. */
+  expect(members: Iterable<MemberId>): void {
+    this.others = new Set([...members].filter((member) => member !== this.self));
+  }
+
+  /** The fold holds the end of the stream `cell` as of a read that was sent at `readAt`. */
+  caughtUp(readAt: Instant, upTo: Offset): void {
+    this.readAt = readAt;
+    this.upTo = upTo;
+    this.logIsSilent = false;
+  }
+
+  /** A peer handed over the configuration up to this offset. Offsets only grow. */
+  handedOver(upTo: Offset): void {
+    if (this.upTo === undefined || upTo > this.upTo) {
+      this.upTo = upTo;
+    }
+  }
+
+  logUnavailable(): void {
+    this.logIsSilent = true;
+  }
+
+  memberSays(statement: ConfigurationStatement): void {
+    const before = this.statements.get(statement.member);
+    if (before === undefined || statement.at >= before.at) {
+      this.statements.set(statement.member, statement);
+    }
+  }
+
+  /** This process was paused: what was known before is void. */
+  paused(): void {
+    this.readAt = undefined;
+    this.statements.clear();
+  }
+
+  standing(now: Instant): ConfigurationStanding {
+    const byLog = this.readAt && deadlineAfter(this.readAt, CONFIGURATION_FRESH_MILLIS);
+    if (byLog !== undefined && !hasPassed(byLog, now)) {
+      return { kind: 'fresh', freshUntil: byLog };
+    }
+    if (!this.logIsSilent || this.upTo === undefined) {
+      return { kind: 'stale', why: 'not_read', members: [] };
+    }
+    return this.byMembers(this.upTo, now);
+  }
+
+  private byMembers(upTo: Offset, now: Instant): ConfigurationStanding {
+    const heard = [...this.others].flatMap((member) => this.heardOf(member, now));
+    if (heard.length < this.others.size) {
+      const names = new Set(heard.map(({ member }) => member));
+      const silent = [...this.others].filter((member) => !names.has(member));
+      return { kind: 'stale', why: 'member_silent', members: silent };
+    }
+    const answered = heard.filter(({ logAnswers }) => logAnswers);
+    if (answered.length > 0) {
+      return stale('log_answers_member', answered);
+    }
+    const ahead = heard.filter((statement) => statement.upTo > upTo);
+    if (ahead.length > 0) {
+      return stale('behind', ahead);
+    }
+    return freshBy(heard);
+  }
+
+  private heardOf(member: MemberId, now: Instant): ConfigurationStatement[] {
+    const statement = this.statements.get(member);
+    if (statement === undefined) {
+      return [];
+    }
+    return hasPassed(deadlineAfter(statement.at, CONFIGURATION_FRESH_MILLIS), now)
+      ? []
+      : [statement];
+  }
+}
+
+function stale(
+  why: 'log_answers_member' | 'behind',
+  statements: readonly ConfigurationStatement[],
+): ConfigurationStanding {
+  return { kind: 'stale', why, members: statements.map(({ member }) => member) };
+}
+
+function freshBy(statements: readonly ConfigurationStatement[]): ConfigurationStanding {
+  const [first, ...rest] = statements;
+  if (first === undefined) {
+    return { kind: 'stale', why: 'alone', members: [] };
+  }
+  const oldest = rest.reduce((least, { at }) => (at < least ? at : least), first.at);
+  return { kind: 'fresh', freshUntil: deadlineAfter(oldest, CONFIGURATION_FRESH_MILLIS) };
+}
--- /dev/null
+++ b/packages/ownership/src/freshness.ts
@@ -0,0 +1,240 @@
+/**
+ * Whether a member may act as the owner of a shard now. `docs/design/ownership.md` holds the
+ * argument; all instants are readings of this member's own clock.
+ */
+
+import type { Epoch, Incarnation, MemberId, ShardId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { FRESH_MILLIS, HANDOVER_MILLIS, LONGEST_LEASE_MILLIS } from './bounds.js';
+import type { AppendedClaim } from './claim-ledger.js';
+import type { Ownership } from './claims.js';
+
+/** What a member said of itself. */
+export interface Statement {
+  readonly member: MemberId;
+  readonly incarnation: Incarnation;
+  /**
+   * The statement was made at or after this instant: when we sent the newest heartbeat that the
+   * member had received as it spoke. The instant of receipt proves nothing; a message may have
+   * waited in a buffer.
+   */
+  readonly at: Instant;
+  /** Whether the log answered the member lately. */
+  readonly logAnswers: boolean;
+  /** The shards that the member may still win by a claim whose outcome it doesn't know. */
+  readonly unresolvedClaims: readonly ShardId[];
+  /** The epoch of each shard whose stream this incarnation has read to its end. */
+  readonly epochs: ReadonlyMap<ShardId, Epoch>;
+  /** The member has left for good: this incarnation will never own or claim again. */
+  readonly left: boolean;
+}
+
+export type Staleness =
+  | 'not_read'
+  | 'log_silent_here'
+  | 'alone'
+  | 'member_silent'
+  | 'log_answers_member'
+  | 'unresolved_claim'
+  | 'member_unsettled'
+  | 'higher_epoch';
+
+/** Whether the member is the owner, and until when that may be relied on. */
+export type Standing =
+  | { readonly kind: 'not_owner' }
+  | { readonly kind: 'stale'; readonly epoch: Epoch; readonly why: Staleness }
+  | {
+      readonly kind: 'fresh';
+      readonly epoch: Epoch;
+      /** Not fresh from this deadline on, unless there is new evidence by then. */
+      readonly freshUntil: Deadline;
+      /**
+       * From here on no earlier owner is fresh. Before, only a worker that was attached with this
+       * epoch, and so refuses lower ones, may be given work.
+       */
+      readonly exclusiveFrom: Deadline;
+    };
+
+interface Known {
+  readonly statement: Statement;
+  /** From here on, whatever an earlier incarnation started and forgot has stopped. */
+  readonly settledFrom: Deadline;
+}
+
+/** A verdict on the evidence of the members: valid until a deadline, or the first thing missing. */
+type Evidence =
+  | { readonly kind: 'valid'; readonly until: Deadline }
+  | { readonly kind: 'missing'; readonly why: Staleness };
+
+interface Owned {
+  readonly epoch: Epoch;
+  readonly exclusiveFrom: Deadline;
+}
+
+/** Freshness of one shard at one member. */
+export class Freshness {
+  private fold: Ownership | undefined;
+  private owned: Owned | undefined;
+  private releasedEpoch: Epoch | undefined;
+  private readAt: Instant | undefined;
+  private logIsSilent = false;
+  private highestHeard = 0;
+  private others: ReadonlySet<MemberId> = new Set();
+  private readonly known = new Map<MemberId, Known>();
+
+  constructor(
+    private readonly self: MemberId,
+    private readonly shard: ShardId,
+  ) {}
+
+  /** The members of the region that must be heard while the log does not answer. */
+  expect(members: Iterable<MemberId>): void {
+    this.others = new Set([...members].filter((member) => member !== this.self));
+  }
+
+  /**
+   * The fold holds the stream's end as of a read that was sent at `readAt`. `claim` is the claim
+   * by which this incarnation won the fold's epoch (`ClaimLedger.wonClaim`): a member does not act
+   * on a claim of its earlier incarnation.
+   */
+  caughtUp(readAt: Instant, fold: Ownership, claim: AppendedClaim | undefined, now: Instant): void {
+    this.readAt = readAt;
+    this.logIsSilent = false;
+    this.fold = fold;
+    this.owned = this.ownedNow(fold, claim, now);
+  }
+
+  /** Stops ownership of the current epoch for good; called before the release is appended. */
+  releasing(): void {
+    this.releasedEpoch = this.owned?.epoch;
+    this.owned = undefined;
+  }
+
+  /** The log does not answer this member. */
+  logUnavailable(): void {
+    this.logIsSilent = true;
+  }
+
+  /** A member said something of itself. Older statements of an incarnation are dropped. */
+  memberSays(statement: Statement, now: Instant): void {
+    this.highestHeard = Math.max(this.highestHeard, statement.epochs.get(this.shard) ?? 0);
+    const before = this.known.get(statement.member);
+    if (before?.statement.incarnation === statement.incarnation) {
+      if (statement.at >= before.statement.at) {
+        this.known.set(statement.member, { ...before, statement });
+      }
+      return;
+    }
+    const settledFrom = deadlineAfter(now, LONGEST_LEASE_MILLIS);
+    this.known.set(statement.member, { statement, settledFrom });
+  }
+
+  /** This process was paused, perhaps with its clock: what was known before is void. */
+  paused(): void {
+    this.readAt = undefined;
+    for (const [member, entry] of this.known) {
+      if (!entry.statement.left) {
+        this.known.delete(member);
+      }
+    }
+  }
+
+  /** What this member is to the shard now. */
+  standing(now: Instant): Standing {
+    const owned = this.owned;
+    if (owned === undefined) {
+      return { kind: 'not_owner' };
+    }
+    const { epoch, exclusiveFrom } = owned;
+    if (this.highestHeard > epoch) {
+      return { kind: 'stale', epoch, why: 'higher_epoch' };
+    }
+    const evidence = this.evidence(epoch, now);
+    return evidence.kind === 'valid'
+      ? { kind: 'fresh', epoch, freshUntil: evidence.until, exclusiveFrom }
+      : { kind: 'stale', epoch, why: evidence.why };
+  }
+
+  private ownedNow(
+    fold: Ownership,
+    claim: AppendedClaim | undefined,
+    now: Instant,
+  ): Owned | undefined {
+    if (fold.owner !== this.self || claim === undefined || fold.epoch === this.releasedEpoch) {
+      return undefined;
+    }
+    if (this.owned?.epoch === fold.epoch) {
+      return this.owned;
+    }
+    const wait = claim.afterRelease ? 0 : HANDOVER_MILLIS;
+    return { epoch: fold.epoch, exclusiveFrom: deadlineAfter(now, wait) };
+  }
+
+  private evidence(epoch: Epoch, now: Instant): Evidence {
+    const byLog = this.evidenceOfLog(now);
+    if (byLog.kind === 'valid' || !this.logIsSilent || this.fold === undefined) {
+      return byLog;
+    }
+    return this.evidenceOfMembers(epoch, now);
+  }
+
+  private evidenceOfLog(now: Instant): Evidence {
+    if (this.readAt === undefined) {
+      return { kind: 'missing', why: 'not_read' };
+    }
+    const until = deadlineAfter(this.readAt, FRESH_MILLIS);
+    return hasPassed(until, now)
+      ? { kind: 'missing', why: 'log_silent_here' }
+      : { kind: 'valid', until };
+  }
+
+  private evidenceOfMembers(epoch: Epoch, now: Instant): Evidence {
+    const each = [...this.others].map((member) => this.evidenceOf(member, epoch, now));
+    const missing = each.find(({ kind }) => kind === 'missing');
+    if (missing !== undefined) {
+      return missing;
+    }
+    const ends = each.flatMap((evidence) => (evidence.kind === 'valid' ? [evidence.until] : []));
+    const [first, ...rest] = ends;
+    return first === undefined
+      ? { kind: 'missing', why: 'alone' }
+      : { kind: 'valid', until: rest.reduce((least, end) => (end < least ? end : least), first) };
+  }
+
+  private evidenceOf(member: MemberId, epoch: Epoch, now: Instant): Evidence {
+    const known = this.known.get(member);
+    if (known === undefined) {
+      return { kind: 'missing', why: 'member_silent' };
+    }
+    const { statement, settledFrom } = known;
+    const until = deadlineAfter(statement.at, FRESH_MILLIS);
+    if (hasPassed(until, now) && !statement.left) {
+      return { kind: 'missing', why: 'member_silent' };
+    }
+    const why = objectionOf(statement, this.shard, hasPassed(settledFrom, now));
+    if (why !== undefined) {
+      return { kind: 'missing', why };
+    }
+    return statement.left
+      ? { kind: 'valid', until: deadlineAfter(now, FRESH_MILLIS) }
+      : { kind: 'valid', until };
+  }
+}
+
+/** What in the statement forbids its hearer to act as owner without the log, if anything. */
+function objectionOf(
+  statement: Statement,
+  shard: ShardId,
+  settled: boolean,
+): Staleness | undefined {
+  if (statement.unresolvedClaims.includes(shard)) {
+    return 'unresolved_claim';
+  }
+  if (statement.left) {
+    return undefined;
+  }
+  if (statement.logAnswers) {
+    return 'log_answers_member';
+  }
+  return statement.epochs.has(shard) || settled ? undefined : 'member_unsettled';
+}
