--- /dev/null
+++ b/packages/membership/src/peers.ts
@@ -0,0 +1,68 @@
+/** The other members, by id and by connection. */
+
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, NEVER, type Instant } from '@bamboowell/types/time';
+import type { Vm } from '@bamboowell/types/vm';
+import type { Connection } from '@bamboowell/wire/connection';
+import { newPeer, type Peer } from './peer.js';
+
+/** Silence after which a member that is not listed is forgotten, milliseconds. */
+export const FORGET_MILLIS = 10 * 60_000;
+
+export class Peers {
+  private readonly peers = new Map<MemberId, Peer>();
+
+  constructor(private readonly self: MemberId) {}
+
+  all(): Peer[] {
+    return [...this.peers.values()];
+  }
+
+  get(member: MemberId): Peer | undefined {
+    return this.peers.get(member);
+  }
+
+  /** The peer with this id, made if it is new. Not for this member itself. */
+  ensure(member: MemberId): Peer {
+    const peer = this.peers.get(member) ?? newPeer(member);
+    this.peers.set(member, peer);
+    return peer;
+  }
+
+  byConnection(connection: Connection): Peer | undefined {
+    return this.all().find((peer) => peer.connection === connection);
+  }
+
+  /** Takes in a listing; members that it lacks are kept for a while. Returns the new ones. */
+  list(vms: readonly Vm[], now: Instant): Peer[] {
+    const entries = vms.filter((vm) => vm.role === 'entry' && vm.member !== this.self);
+    const before = new Set(this.peers.keys());
+    const listed = new Map(entries.flatMap((vm) => (vm.role === 'entry' ? [[vm.member, vm]] : [])));
+    for (const member of listed.keys()) {
+      this.ensure(member);
+    }
+    for (const peer of this.peers.values()) {
+      peer.listed = listed.get(peer.member);
+      this.updateForgetting(peer, now);
+    }
+    return this.all().filter(({ member }) => !before.has(member));
+  }
+
+  /** Drops the members whose time is over and returns them. */
+  forget(now: Instant): Peer[] {
+    const gone = this.all().filter((peer) => hasPassed(peer.forgetFrom, now));
+    for (const peer of gone) {
+      this.peers.delete(peer.member);
+    }
+    return gone;
+  }
+
+  /** The absence from the list proves nothing, so that silence must come to it. */
+  updateForgetting(peer: Peer, now: Instant): void {
+    if (peer.listed !== undefined || peer.connection !== undefined) {
+      peer.forgetFrom = NEVER;
+    } else if (peer.forgetFrom === NEVER) {
+      peer.forgetFrom = deadlineAfter(now, FORGET_MILLIS);
+    }
+  }
+}
