--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -94,7 +94,7 @@
   }
 
   isEmpty(): boolean {
-    return this.machines.size === 0;
+    return this.entries.size === 0;
   }
 
   /** Reserves the amount if the worker is usable and has room. */
