--- /dev/null
+++ b/packages/wire/src/connect.ts
@@ -0,0 +1,76 @@
+/** Opens connections. */
+
+import { connect as connectTcp, type Socket } from 'node:net';
+import { TLSSocket, connect as connectTls } from 'node:tls';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Meter } from './meter.js';
+import type { Address } from '@bamboowell/types/vm';
+import { TcpConnection } from './tcp-connection.js';
+import { peerNameOf, type TlsIdentity } from './tls-identity.js';
+
+export interface Target {
+  readonly address: Address;
+  readonly clock: Clock;
+  /** No connection by then: unreachable. */
+  readonly deadline: Deadline;
+  readonly meter?: Meter;
+  readonly tls?: TlsIdentity;
+  /** The name that the other end's certificate must have. */
+  readonly expectedPeer?: string;
+}
+
+/** No connection was opened and nothing was sent. */
+export interface Unreachable {
+  readonly kind: 'unreachable';
+  readonly detail: string;
+}
+
+/** Opens a connection. Never rejects. */
+export function connect(target: Target): Promise<TcpConnection | Unreachable> {
+  const socket = open(target);
+  return new Promise((resolve) => {
+    const giveUp = (detail: string): void => {
+      alarm.cancel();
+      socket.destroy();
+      resolve({ kind: 'unreachable', detail });
+    };
+    const alarm = target.clock.wakeAt(target.deadline, () => {
+      giveUp('no connection before the deadline');
+    });
+    socket.once('error', (error) => {
+      giveUp(error.message);
+    });
+    socket.once(target.tls === undefined ? 'connect' : 'secureConnect', () => {
+      const peer = socket instanceof TLSSocket ? peerNameOf(socket) : undefined;
+      if (target.expectedPeer !== undefined && peer !== target.expectedPeer) {
+        giveUp(`the peer is named ${peer ?? 'nothing'}, not ${target.expectedPeer}`);
+        return;
+      }
+      alarm.cancel();
+      resolve(connectionOf(socket, target, peer));
+    });
+  });
+}
+
+function connectionOf(socket: Socket, target: Target, peer: string | undefined): TcpConnection {
+  return new TcpConnection(socket, {
+    clock: target.clock,
+    ...(target.meter === undefined ? {} : { meter: target.meter }),
+    ...(peer === undefined ? {} : { peer }),
+  });
+}
+
+function open({ address, tls }: Target): Socket {
+  if (tls === undefined) {
+    return connectTcp(address);
+  }
+  return connectTls({
+    ...address,
+    ca: tls.certificateAuthority,
+    cert: tls.certificate,
+    key: tls.privateKey,
+    // Addresses change with every replaced VM: the name is compared with `expectedPeer` instead.
+    checkServerIdentity: () => undefined,
+  });
+}
--- /dev/null
+++ b/packages/wire/src/heartbeat.ts
@@ -0,0 +1,82 @@
+/** Keeps a connection alive by pings and notices when the other end goes silent. */
+
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import type { Alarm, Clock } from '@bamboowell/kernel/clock';
+
+/** A ping is sent when nothing else was sent for this long. */
+export const PING_INTERVAL_MILLIS = 1000;
+
+/** A connection on which nothing was received for this long is silent. */
+export const SILENCE_MILLIS = 4000;
+
+/** An alarm that comes later than this shows that the process itself was paused. */
+const LATE_ALARM_MILLIS = 500;
+
+/** What the heartbeat asks of its connection. */
+export interface Pulse {
+  ping(): void;
+  silent(): void;
+}
+
+export class Heartbeat {
+  private pingAt: Deadline;
+  private silentAt: Deadline;
+  private paused = false;
+  private alarm: Alarm;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly pulse: Pulse,
+  ) {
+    this.pingAt = deadlineAfter(clock.now(), PING_INTERVAL_MILLIS);
+    this.silentAt = deadlineAfter(clock.now(), SILENCE_MILLIS);
+    this.alarm = this.schedule();
+  }
+
+  /** A message was sent. */
+  sent(): void {
+    this.pingAt = deadlineAfter(this.clock.now(), PING_INTERVAL_MILLIS);
+  }
+
+  /** A message was received. */
+  received(): void {
+    this.silentAt = deadlineAfter(this.clock.now(), SILENCE_MILLIS);
+  }
+
+  /** Reading has stopped on purpose: silence proves nothing until `resume`. */
+  pause(): void {
+    this.paused = true;
+  }
+
+  resume(): void {
+    this.paused = false;
+    this.received();
+  }
+
+  stop(): void {
+    this.alarm.cancel();
+  }
+
+  private schedule(): Alarm {
+    const deadline = this.pingAt < this.silentAt ? this.pingAt : this.silentAt;
+    return this.clock.wakeAt(deadline, () => {
+      this.wake(deadline);
+    });
+  }
+
+  private wake(deadline: Deadline): void {
+    const now = this.clock.now();
+    if (this.paused || now - deadline > LATE_ALARM_MILLIS) {
+      this.received();
+    }
+    if (hasPassed(this.silentAt, now)) {
+      this.pulse.silent();
+      return;
+    }
+    if (hasPassed(this.pingAt, now)) {
+      this.sent();
+      this.pulse.ping();
+    }
+    this.alarm = this.schedule();
+  }
+}
--- /dev/null
+++ b/packages/wire/src/listener.ts
@@ -0,0 +1,111 @@
+/** Accepts connections. */
+
+import {
+  createServer as createTcpServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import { Server as TlsServer, createServer as createTlsServer } from 'node:tls';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Meter } from './meter.js';
+import type { Address } from '@bamboowell/types/vm';
+import { TcpConnection } from './tcp-connection.js';
+import { peerNameOf, type TlsIdentity } from './tls-identity.js';
+
+/** Connections above this number are refused. */
+const MAX_CONNECTIONS = 4096;
+
+export interface ListenerOptions<Accepted extends TcpConnection = TcpConnection> {
+  readonly host: string;
+  /** Zero lets the system choose. */
+  readonly port: number;
+  readonly clock: Clock;
+  readonly meter?: Meter;
+  readonly tls?: TlsIdentity;
+  /** Sets the handlers of a new connection. Its `peer` is the name in its certificate. */
+  readonly accept: (connection: Accepted) => void;
+  /** Makes the connection of a socket; a plain TcpConnection unless given. */
+  readonly make?: (socket: Socket, peer: string | undefined) => Accepted;
+}
+
+export class Listener<Accepted extends TcpConnection = TcpConnection> {
+  private readonly server: Server;
+  private readonly connections = new Set<Accepted>();
+
+  constructor(private readonly options: ListenerOptions<Accepted>) {
+    this.server = this.makeServer();
+    this.server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /** Starts to accept. Rejects if the address is taken. */
+  listen(): Promise<Address> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host: this.options.host, port: this.options.port }, () => {
+        this.server.off('error', reject);
+        const { address, port } = this.server.address() as AddressInfo;
+        resolve({ host: address, port });
+      });
+    });
+  }
+
+  /** Uses other keys for connections that are accepted from now on. */
+  setTls(tls: TlsIdentity): void {
+    if (this.server instanceof TlsServer) {
+      this.server.setSecureContext(secureContextOf(tls));
+    }
+  }
+
+  /** Accepts no more and lets requests in progress end; the deadline ends what is left. */
+  async close(deadline: Deadline): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    await Promise.all([...this.connections].map((connection) => connection.drain(deadline)));
+    await closed;
+  }
+
+  private makeServer(): Server {
+    const { tls } = this.options;
+    if (tls === undefined) {
+      return createTcpServer((socket) => {
+        this.accept(socket, undefined);
+      });
+    }
+    const server = createTlsServer({ ...secureContextOf(tls), requestCert: true }, (socket) => {
+      this.accept(socket, peerNameOf(socket));
+    });
+    return server.on('tlsClientError', () => {
+      this.options.meter?.count('wire.tls_refused', 1);
+    });
+  }
+
+  private accept(socket: Socket, peer: string | undefined): void {
+    const connection = this.make(socket, peer);
+    this.connections.add(connection);
+    void connection.ended.then(() => {
+      this.connections.delete(connection);
+    });
+    this.options.accept(connection);
+  }
+
+  private make(socket: Socket, peer: string | undefined): Accepted {
+    const { clock, meter, make } = this.options;
+    if (make !== undefined) {
+      return make(socket, peer);
+    }
+    return new TcpConnection(socket, {
+      clock,
+      ...(meter === undefined ? {} : { meter }),
+      ...(peer === undefined ? {} : { peer }),
+    }) as Accepted;
+  }
+}
+
+function secureContextOf(tls: TlsIdentity): { ca: string; cert: string; key: string } {
+  return { ca: tls.certificateAuthority, cert: tls.certificate, key: tls.privateKey };
+}
