Add the task that owns the connection to a worker

Cause: owners need starts, leases and outcomes without reading sockets. Change: RemoteWorker connects again with full jitter, repeats the last attach, validates what the worker says, asks again for damaged answers and pauses reading while its reports wait for room.

--- /dev/null
+++ b/packages/worker/src/remote-worker.ts
@@ -0,0 +1,275 @@
+/**
+ * The task that owns the connection to one worker. It opens the connection again when it ends,
+ * repeats the last `attach` on each new one, and posts what the worker says to `reports`.
+ */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address as MailboxAddress } from '@bamboowell/kernel/mailbox';
+import { Task } from '@bamboowell/kernel/task';
+import type { WorkerId } from '@bamboowell/types/ids';
+import { deadlineAfter } from '@bamboowell/types/time';
+import { done, refused, type Result } from '@bamboowell/types/verdict';
+import type { Address } from '@bamboowell/types/vm';
+import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+import { connect } from '@bamboowell/wire/connect';
+import { DiscardingMeter, type Meter } from '@bamboowell/wire/meter';
+import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
+import { Backoff } from './backoff.js';
+import { ReportQueue } from './report-queue.js';
+import type { WorkerLink } from './worker-link.js';
+import { WorkerSession } from './worker-session.js';
+
+const CONNECT_MILLIS = 3000;
+/** A connection on which `attach` was not answered for this long is replaced. */
+const ATTACH_MILLIS = 3000;
+/** When the mailbox of the reports was full, it is tried again after this. */
+const FLUSH_MILLIS = 20;
+/** Reading from the worker pauses while this many reports wait for room. */
+export const MAX_WAITING_REPORTS = 256;
+
+type AttachCommand = Extract<WorkerCommand, { kind: 'attach' }>;
+
+export type RemoteWorkerMessage =
+  | { readonly kind: 'connect' }
+  | { readonly kind: 'connected'; readonly connection: TcpConnection }
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  | { readonly kind: 'command'; readonly command: WorkerCommand }
+  | {
+      readonly kind: 'heard';
+      readonly session: WorkerSession;
+      readonly report: WorkerReport | undefined;
+    }
+  | { readonly kind: 'attach_overdue'; readonly session: WorkerSession }
+  | { readonly kind: 'connection_ended'; readonly session: WorkerSession }
+  | { readonly kind: 'flush' };
+
+export interface RemoteWorkerOptions {
+  readonly worker: WorkerId;
+  readonly address: Address;
+  readonly clock: Clock;
+  /** Gets everything that the worker reports, in its order. */
+  readonly reports: MailboxAddress<WorkerReport>;
+  /** Returns a number from 0 up to, not including, 1. */
+  readonly random: () => number;
+  readonly meter?: Meter;
+  /** With it, the worker's certificate must carry the worker's id as its name. */
+  readonly tls?: TlsIdentity;
+}
+
+export class RemoteWorker extends Task<RemoteWorkerMessage> implements WorkerLink {
+  private readonly meter: Meter;
+  private readonly backoff: Backoff;
+  private readonly queue: ReportQueue<WorkerReport>;
+  private session: WorkerSession | undefined;
+  private lastAttach: AttachCommand | undefined;
+  private isAttached = false;
+  private isFlushDue = false;
+  /** Reports that were heard and wait in the mailbox of this task. */
+  private heardCount = 0;
+
+  constructor(private readonly options: RemoteWorkerOptions) {
+    super(`worker ${options.worker}`, options.clock);
+    this.meter = options.meter ?? new DiscardingMeter();
+    this.backoff = new Backoff(options.random);
+    this.queue = new ReportQueue(options.reports);
+  }
+
+  /** `attach` is kept and sent on each connection; other commands need an attached worker. */
+  send(command: WorkerCommand): Result<null> {
+    if (command.kind !== 'attach' && !this.isAttached) {
+      this.meter.count(`worker.refused.${command.kind}`, 1);
+      return refused('worker_lost', `the worker ${this.options.worker} is not attached`);
+    }
+    return match(this.post({ kind: 'command', command }))
+      .with('accepted', () => done(null))
+      .with('full', () => refused('overloaded', 'too many commands wait for the worker'))
+      .with('stopped', () => refused('shutting_down', 'the link to the worker is closed'))
+      .exhaustive();
+  }
+
+  close(): Promise<void> {
+    return this.stop();
+  }
+
+  protected override opened(): void {
+    this.post({ kind: 'connect' });
+  }
+
+  protected override closed(): void {
+    this.session?.close();
+    this.session = undefined;
+    this.isAttached = false;
+  }
+
+  protected receive(message: RemoteWorkerMessage): void {
+    match(message)
+      .with({ kind: 'connect' }, () => {
+        this.connect();
+      })
+      .with({ kind: 'connected' }, ({ connection }) => {
+        this.connected(connection);
+      })
+      .with({ kind: 'unreachable' }, () => {
+        this.meter.count('worker.unreachable', 1);
+        this.connectLater();
+      })
+      .with({ kind: 'command' }, ({ command }) => {
+        this.command(command);
+      })
+      .with({ kind: 'heard' }, ({ session, report }) => {
+        this.heard(session, report);
+      })
+      .with({ kind: 'attach_overdue' }, ({ session }) => {
+        this.attachOverdue(session);
+      })
+      .with({ kind: 'connection_ended' }, ({ session }) => {
+        this.connectionEnded(session);
+      })
+      .with({ kind: 'flush' }, () => {
+        this.isFlushDue = false;
+        this.flush();
+      })
+      .exhaustive();
+  }
+
+  private connect(): void {
+    const { address, clock, tls, worker } = this.options;
+    const deadline = deadlineAfter(clock.now(), CONNECT_MILLIS);
+    const identity = tls === undefined ? {} : { tls, expectedPeer: worker };
+    void connect({ address, clock, deadline, meter: this.meter, ...identity }).then((result) => {
+      if ('kind' in result) {
+        this.post(result);
+      } else if (this.post({ kind: 'connected', connection: result }) !== 'accepted') {
+        result.close();
+      }
+    });
+  }
+
+  private connectLater(): void {
+    const at = deadlineAfter(this.clock.now(), this.backoff.nextMillis());
+    this.meter.count('worker.reconnects', 1);
+    this.postAt(at, { kind: 'connect' });
+  }
+
+  private connected(connection: TcpConnection): void {
+    const session = new WorkerSession(connection, {
+      worker: this.options.worker,
+      clock: this.clock,
+      meter: this.meter,
+      sink: (from, report) => {
+        this.hear(from, report);
+      },
+    });
+    this.session = session;
+    void connection.ended.then(() => this.post({ kind: 'connection_ended', session }));
+    if (this.lastAttach !== undefined) {
+      this.attach(session, this.lastAttach);
+    }
+  }
+
+  private attach(session: WorkerSession, command: AttachCommand): void {
+    session.send(command);
+    const deadline = deadlineAfter(this.clock.now(), ATTACH_MILLIS);
+    this.postAt(deadline, { kind: 'attach_overdue', session });
+  }
+
+  private attachOverdue(session: WorkerSession): void {
+    if (session === this.session && !session.isAnswered) {
+      this.meter.count('worker.attach_timeout', 1);
+      session.close();
+    }
+  }
+
+  private command(command: WorkerCommand): void {
+    if (command.kind === 'attach') {
+      this.lastAttach = command;
+      if (this.session !== undefined) {
+        this.attach(this.session, command);
+      }
+      return;
+    }
+    const sent = this.isAttached ? this.session?.send(command) : 'not_sent';
+    if (sent !== 'sent') {
+      this.notSent(command);
+    }
+  }
+
+  private notSent(command: WorkerCommand): void {
+    this.meter.count(`worker.not_sent.${command.kind}`, 1);
+    if (command.kind === 'start') {
+      const { attempt } = command;
+      const { worker } = this.options;
+      this.report({ kind: 'start_refused', worker, attempt, why: 'not_sent' });
+    }
+  }
+
+  /** Runs when the session has a report, outside the turn of this task. */
+  private hear(session: WorkerSession, report: WorkerReport | undefined): void {
+    this.heardCount += 1;
+    this.pauseOrResume(session);
+    if (this.post({ kind: 'heard', session, report }) !== 'accepted') {
+      // The worker keeps its outcomes and lists them when it is attached again.
+      session.close();
+    }
+  }
+
+  private heard(session: WorkerSession, report: WorkerReport | undefined): void {
+    this.heardCount -= 1;
+    if (session === this.session && report !== undefined) {
+      this.note(report);
+      this.report(report);
+    }
+    this.pauseOrResume(session);
+  }
+
+  /** Keeps what a report says about the link itself. */
+  private note(report: WorkerReport): void {
+    if (report.kind === 'attached') {
+      this.isAttached = true;
+      this.backoff.reset();
+    }
+    if (report.kind === 'fenced' && report.epoch > (this.lastAttach?.epoch ?? 0)) {
+      this.isAttached = false;
+    }
+  }
+
+  private connectionEnded(session: WorkerSession): void {
+    if (session !== this.session) {
+      return;
+    }
+    this.session = undefined;
+    this.isAttached = false;
+    if (session.incarnation !== undefined) {
+      const { worker } = this.options;
+      this.report({ kind: 'detached', worker, incarnation: session.incarnation });
+    }
+    this.connectLater();
+  }
+
+  private report(report: WorkerReport): void {
+    this.queue.add(report);
+    this.flush();
+  }
+
+  private flush(): void {
+    this.queue.flush();
+    if (this.queue.size > 0 && !this.isFlushDue) {
+      this.isFlushDue = true;
+      this.meter.count('worker.reports_full', 1);
+      this.postAt(deadlineAfter(this.clock.now(), FLUSH_MILLIS), { kind: 'flush' });
+    }
+    if (this.session !== undefined) {
+      this.pauseOrResume(this.session);
+    }
+  }
+
+  private pauseOrResume(session: WorkerSession): void {
+    if (this.heardCount + this.queue.size >= MAX_WAITING_REPORTS) {
+      session.pause();
+    } else {
+      session.resume();
+    }
+  }
+}
--- /dev/null
+++ b/packages/worker/src/report-queue.ts
@@ -0,0 +1,34 @@
+/** Reports that wait for room in a mailbox. Keeps their order and loses none. */
+
+import type { Address, Posted } from '@bamboowell/kernel/mailbox';
+
+export class ReportQueue<Report> {
+  private waiting: Report[] = [];
+
+  constructor(private readonly target: Address<Report>) {}
+
+  get size(): number {
+    return this.waiting.length;
+  }
+
+  add(report: Report): void {
+    this.waiting.push(report);
+    this.flush();
+  }
+
+  /** Posts as many as there is room for. What a stopped target would get is dropped. */
+  flush(): void {
+    let next = 0;
+    for (; next < this.waiting.length; next += 1) {
+      if (this.post(next) === 'full') {
+        break;
+      }
+    }
+    this.waiting = this.waiting.slice(next);
+  }
+
+  private post(index: number): Posted {
+    const report = this.waiting[index];
+    return report === undefined ? 'stopped' : this.target.post(report);
+  }
+}
--- /dev/null
+++ b/packages/worker/src/signed-outcome.ts
@@ -0,0 +1,25 @@
+/** Checks the digests of outcomes. */
+
+import { match } from 'ts-pattern';
+import type { Outcome } from '@bamboowell/types/work';
+import { matchesDigest } from './digest.js';
+import type { SignedOutcome } from './worker-schema.js';
+
+/** What is reported when an answer was damaged twice. */
+export const DAMAGED_OUTCOME: Outcome = { kind: 'failed', detail: 'answer damaged' };
+
+/** The outcome if its text is whole. */
+export function verified(signed: SignedOutcome): Outcome | 'damaged' {
+  return match(signed)
+    .returnType<Outcome | 'damaged'>()
+    .with({ kind: 'succeeded' }, ({ answer, bytes, sha256 }) =>
+      matchesDigest(answer, { bytes, sha256 }) ? { kind: 'succeeded', answer } : 'damaged',
+    )
+    .with({ kind: 'checkpointed' }, ({ checkpoint, bytes, sha256 }) =>
+      matchesDigest(checkpoint, { bytes, sha256 }) ? { kind: 'stopped', checkpoint } : 'damaged',
+    )
+    .with({ kind: 'failed' }, ({ detail }) => ({ kind: 'failed', detail }))
+    .with({ kind: 'stopped' }, () => ({ kind: 'stopped' }))
+    .with({ kind: 'never_started' }, () => ({ kind: 'never_started' }))
+    .exhaustive();
+}
--- /dev/null
+++ b/packages/worker/src/worker-session.ts
@@ -0,0 +1,185 @@
+/** One connection to a worker: validates what the worker says and hands it on in its order. */
+
+import { match } from 'ts-pattern';
+import type { z } from 'zod';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { AttemptId, Incarnation, WorkerId } from '@bamboowell/types/ids';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { Outcome } from '@bamboowell/types/work';
+import type { AttemptReport, WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+import type { Meter } from '@bamboowell/wire/meter';
+import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import { DAMAGED_OUTCOME, verified } from './signed-outcome.js';
+import {
+  ATTACHED,
+  ENDED,
+  FENCED,
+  REPORTED_AGAIN,
+  STARTED,
+  START_REFUSED,
+  USAGE,
+  type Attached,
+  type SignedOutcome,
+} from './worker-schema.js';
+
+/** How long a worker may take to report an outcome again. */
+const REPORT_AGAIN_MILLIS = 3000;
+
+/** Takes what the worker says. `undefined`: a message that held nothing to report. */
+export type ReportSink = (session: WorkerSession, report: WorkerReport | undefined) => void;
+
+export interface WorkerSessionOptions {
+  readonly worker: WorkerId;
+  readonly clock: Clock;
+  readonly meter: Meter;
+  readonly sink: ReportSink;
+}
+
+export class WorkerSession {
+  /** The incarnation that was attached; none before that. */
+  incarnation: Incarnation | undefined;
+  /** Whether the worker has answered the last `attach`, be it with `fenced`. */
+  isAnswered = true;
+  /** Messages are handled one after the other, as an outcome may have to be asked for again. */
+  private handled: Promise<void> = Promise.resolve();
+
+  constructor(
+    private readonly connection: TcpConnection,
+    private readonly options: WorkerSessionOptions,
+  ) {
+    this.accept('attached', ATTACHED, (answer) => this.attached(answer));
+    this.accept('fenced', FENCED, ({ epoch }) => {
+      this.isAnswered = true;
+      return { kind: 'fenced', worker: this.worker, epoch };
+    });
+    this.accept('started', STARTED, ({ attempt }) => ({
+      kind: 'started',
+      worker: this.worker,
+      attempt,
+    }));
+    this.accept('start_refused', START_REFUSED, ({ attempt, why }) => ({
+      kind: 'start_refused',
+      worker: this.worker,
+      attempt,
+      why,
+    }));
+    this.accept('ended', ENDED, ({ attempt, outcome }) => this.endedOf(attempt, outcome));
+    this.accept('usage', USAGE, (usage) => ({ kind: 'usage', worker: this.worker, ...usage }));
+  }
+
+  /** Hands a command to the connection. `not_sent`: no byte of it left. */
+  send(command: WorkerCommand): 'sent' | 'not_sent' {
+    const { kind, ...params } = command;
+    this.isAnswered &&= kind !== 'attach';
+    return this.connection.notify(kind, params) === 'sent' ? 'sent' : 'not_sent';
+  }
+
+  /** Stops reading, so that the worker's messages wait in the network. */
+  pause(): void {
+    this.connection.pause();
+  }
+
+  resume(): void {
+    this.connection.resume();
+  }
+
+  close(): void {
+    this.connection.close();
+  }
+
+  private get worker(): WorkerId {
+    return this.options.worker;
+  }
+
+  private accept<Schema extends z.ZodType>(
+    method: string,
+    schema: Schema,
+    report: (message: z.output<Schema>) => Promise<WorkerReport | undefined> | WorkerReport,
+  ): void {
+    this.connection.handle(method, (params) => {
+      this.handled = this.handled.then(async () => {
+        const parsed = schema.safeParse(params);
+        if (!parsed.success) {
+          this.options.meter.count(`worker.junk.${method}`, 1);
+        }
+        this.options.sink(this, parsed.success ? await report(parsed.data) : undefined);
+      });
+    });
+  }
+
+  private async attached(answer: Attached): Promise<WorkerReport | undefined> {
+    if (answer.profile.id !== this.worker) {
+      this.options.meter.count('worker.wrong_worker', 1);
+      this.close();
+      return undefined;
+    }
+    const attempts: AttemptReport[] = [];
+    for (const attempt of answer.attempts) {
+      const report = await this.attemptReportOf(attempt);
+      if (report === undefined) {
+        return undefined;
+      }
+      attempts.push(report);
+    }
+    this.isAnswered = true;
+    this.incarnation = answer.incarnation;
+    return { kind: 'attached', worker: this.worker, ...answer, attempts };
+  }
+
+  private async attemptReportOf(
+    report: Attached['attempts'][number],
+  ): Promise<AttemptReport | undefined> {
+    const { attempt, demand, state } = report;
+    if (state.kind === 'running') {
+      return { attempt, demand, state };
+    }
+    const outcome = await this.wholeOutcome(attempt, state.outcome);
+    return outcome && { attempt, demand, state: { kind: 'ended', outcome } };
+  }
+
+  private async endedOf(
+    attempt: AttemptId,
+    signed: SignedOutcome,
+  ): Promise<WorkerReport | undefined> {
+    const outcome = await this.wholeOutcome(attempt, signed);
+    return outcome && { kind: 'ended', worker: this.worker, attempt, outcome };
+  }
+
+  /** The outcome, asked for once more if it is damaged. Without an answer the connection ends. */
+  private async wholeOutcome(
+    attempt: AttemptId,
+    signed: SignedOutcome,
+  ): Promise<Outcome | undefined> {
+    const outcome = verified(signed);
+    if (outcome !== 'damaged') {
+      return outcome;
+    }
+    this.options.meter.count('worker.damaged_answers', 1);
+    return this.reportAgain(attempt);
+  }
+
+  private async reportAgain(attempt: AttemptId): Promise<Outcome | undefined> {
+    this.connection.resume();
+    const deadline = deadlineAfter(this.options.clock.now(), REPORT_AGAIN_MILLIS);
+    const answer = await this.connection.request('report_again', { attempt }, deadline);
+    return match(answer)
+      .with({ kind: 'answered' }, ({ value }) => this.secondOutcome(value))
+      .with({ kind: 'failed' }, () => DAMAGED_OUTCOME)
+      .with({ kind: 'not_sent' }, { kind: 'unknown' }, () => {
+        // A new connection starts with `attached`, which lists the outcome once more.
+        this.close();
+        return undefined;
+      })
+      .exhaustive();
+  }
+
+  private secondOutcome(value: unknown): Outcome {
+    const parsed = REPORTED_AGAIN.safeParse(value);
+    const outcome = parsed.success ? verified(parsed.data) : 'damaged';
+    if (outcome !== 'damaged') {
+      return outcome;
+    }
+    this.options.meter.count('worker.damaged_twice', 1);
+    return DAMAGED_OUTCOME;
+  }
+}
