--- /dev/null
+++ b/packages/stand-ins/src/worker-clock.ts
@@ -0,0 +1,21 @@
+/** The worker's own clock. It is far from ours, so that nobody relies on equal clocks. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs } from '@bamboowell/types/ids';
+import type { Deadline, WorkerInstant } from '@bamboowell/types/time';
+
+/** How far the worker's clock is ahead, milliseconds. */
+const OFFSET_MILLIS = 7_654_321_987;
+
+export class WorkerClock {
+  constructor(readonly local: Clock) {}
+
+  now(): WorkerInstant {
+    return brandAs<WorkerInstant>(Math.round(this.local.now()) + OFFSET_MILLIS);
+  }
+
+  /** The local deadline of a reading of the worker's clock. */
+  deadlineOf(instant: WorkerInstant): Deadline {
+    return brandAs<Deadline>(instant - OFFSET_MILLIS);
+  }
+}
