--- a/packages/stand-ins/src/worker-server.ts
+++ b/packages/stand-ins/src/worker-server.ts
@@ -179,7 +179,7 @@
           try {
             resolve(answer(parsed));
           } catch (error) {
-            reject(error);
+            reject(error instanceof Error ? error : new Error(String(error)));
           }
         };
         this.post({ isControl, run });
