--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -93,6 +93,10 @@
     return this.workersByRack.size;
   }
 
+  isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
   /** Reserves the amount if the worker is usable and has room. */
   reserve(worker: WorkerId, amount: Resources): boolean {
     const entry = this.entries.get(worker);
