--- /dev/null
+++ b/packages/daemon/src/cell-task.ts
@@ -0,0 +1,326 @@
+/**
+ * The task that owns the stream `cell`: it folds the configuration and the holdings, applies
+ * changes, and tells its subscribers what is in force and for how long that may be relied on.
+ */
+
+import { match, P } from 'ts-pattern';
+import { Supervised, type Watcher } from '@bamboowell/kernel/supervisor';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { Task } from '@bamboowell/kernel/task';
+import type { Log } from '@bamboowell/log/log';
+import { cellCodec } from '@bamboowell/log/record-codecs';
+import type { StreamEvent, StreamMessage } from '@bamboowell/log/stream-messages';
+import { StreamTask } from '@bamboowell/log/stream-task';
+import type { EventLog } from '@bamboowell/logger/logger';
+import type { MembersEvent, MemberView } from '@bamboowell/membership/members-messages';
+import { ConfigurationFreshness } from '@bamboowell/ownership/configuration-freshness';
+import { CellFold, type CellSnapshot } from '@bamboowell/state/cell-fold';
+import { applyChanges } from '@bamboowell/state/configuration';
+import {
+  brandAs,
+  nextSequence,
+  type Sequence,
+  type Version,
+  type WriterId,
+} from '@bamboowell/types/ids';
+import {
+  CELL_STREAM,
+  type Batch,
+  type CellRecord,
+  type Effect,
+  type Stamped,
+} from '@bamboowell/types/records';
+import type { Deadline } from '@bamboowell/types/time';
+import { done, refusalOf, refused, type Result } from '@bamboowell/types/verdict';
+import { wrapped } from './adapter.js';
+import type { CellEvent, CellMessage } from './cell-messages.js';
+import { viewsOf } from './cell-views.js';
+import { newWriter, type Environment } from './environment.js';
+import type { ReporterMessage } from './reporter-task.js';
+
+type Apply = Extract<CellMessage, { kind: 'apply' }>;
+type HoldingChange = Extract<CellMessage, { kind: 'take' | 'give_back' }>;
+
+const NOT_FRESH = brandAs<Deadline>(0);
+
+/** What the task works with. */
+export interface CellParts {
+  readonly environment: Environment;
+  readonly log: Log;
+  readonly events: EventLog;
+  readonly watcher: Watcher;
+  readonly reporter: Address<ReporterMessage>;
+}
+
+export class CellTask extends Task<CellMessage> {
+  private fold = new CellFold();
+  private readonly writer: WriterId;
+  private readonly stream: Supervised<StreamMessage<CellRecord>>;
+  private readonly freshness: ConfigurationFreshness;
+  private readonly subscribers = new Set<Address<CellEvent>>();
+  private readonly applies = new Map<Sequence, Apply>();
+  private sequence = brandAs<Sequence>(0);
+  private freshUntil = NOT_FRESH;
+  private logAnswers = true;
+
+  constructor(private readonly parts: CellParts) {
+    super('cell', parts.environment.clock);
+    this.writer = newWriter(parts.environment);
+    this.freshness = new ConfigurationFreshness(parts.environment.settings.memberId);
+    this.stream = new Supervised(() => this.makeStream(), this.clock, parts.watcher);
+  }
+
+  protected override opened(): Promise<void> {
+    return this.stream.start();
+  }
+
+  protected override closed(): Promise<void> {
+    return this.stream.stop();
+  }
+
+  protected receive(message: CellMessage): void {
+    match(message)
+      .with({ kind: 'subscribe' }, ({ subscriber }) => {
+        this.subscribers.add(subscriber);
+        subscriber.post(this.cellEvent());
+        subscriber.post({ kind: 'freshness', freshUntil: this.freshUntil });
+      })
+      .with({ kind: 'apply' }, (apply) => {
+        this.apply(apply);
+      })
+      .with({ kind: 'inherit' }, ({ shard, epoch }) => {
+        this.append({ kind: 'inherit', shard, epoch });
+      })
+      .with({ kind: P.union('take', 'give_back') }, (change) => {
+        this.append(change);
+      })
+      .with({ kind: 'members' }, ({ event }) => {
+        this.membersEvent(event);
+      })
+      .with({ kind: 'stream' }, ({ event }) => {
+        this.streamEvent(event);
+      })
+      .with({ kind: 'expire' }, ({ sequence }) => {
+        this.expire(sequence);
+      })
+      .with({ kind: 'withdrawn' }, ({ sequence, state }) => {
+        this.withdrawn(sequence, state);
+      })
+      .exhaustive();
+  }
+
+  private makeStream(): StreamTask<CellRecord> {
+    const { environment, log } = this.parts;
+    return new StreamTask<CellRecord>({
+      name: 'stream cell',
+      stream: CELL_STREAM,
+      writer: newWriter(environment),
+      log,
+      clock: this.clock,
+      subscriber: wrapped<StreamEvent<CellRecord>, CellMessage>(this, (event) => ({
+        kind: 'stream',
+        event,
+      })),
+      codec: cellCodec(),
+      appendsPerSecond: environment.settings.log.appendsPerSecond,
+      random: environment.random,
+    });
+  }
+
+  private append(record: CellRecord): Sequence {
+    this.sequence = nextSequence(this.sequence);
+    const stamped = { writer: this.writer, sequence: this.sequence, record };
+    this.stream.post({ kind: 'append', records: [stamped] });
+    return this.sequence;
+  }
+
+  private apply(apply: Apply): void {
+    const objection = this.objectionTo(apply);
+    if (objection !== undefined) {
+      apply.reply(objection);
+      return;
+    }
+    const { base, changes, deadline } = apply;
+    const sequence = this.append({ kind: 'change', base, changes });
+    this.applies.set(sequence, apply);
+    this.postAt(deadline, { kind: 'expire', sequence });
+  }
+
+  /** Why the changes can't be applied to the version that is current here. */
+  private objectionTo({ base, changes }: Apply): Result<Version> | undefined {
+    const { configuration } = this.fold;
+    if (base !== configuration.version) {
+      return conflict(base, configuration.version);
+    }
+    const result = applyChanges(configuration, changes);
+    return result.kind === 'invalid' ? refused('invalid_configuration', result.detail) : undefined;
+  }
+
+  private expire(sequence: Sequence): void {
+    if (this.applies.has(sequence)) {
+      this.stream.post({
+        kind: 'withdraw',
+        sequence,
+        reply: (state) => {
+          this.post({ kind: 'withdrawn', sequence, state });
+        },
+      });
+    }
+  }
+
+  private withdrawn(sequence: Sequence, state: 'withdrawn' | 'sent'): void {
+    const apply = this.applies.get(sequence);
+    this.applies.delete(sequence);
+    apply?.reply(
+      state === 'withdrawn'
+        ? refused('log_unavailable', 'the log did not take the change in time; it was withdrawn')
+        : {
+            kind: 'refused',
+            refusal: refusalOf(
+              'may_have_run',
+              'outcome_unknown',
+              'the log has not confirmed the change in time',
+            ),
+          },
+    );
+  }
+
+  private streamEvent(event: StreamEvent<CellRecord>): void {
+    match(event)
+      .with({ kind: 'restored' }, ({ snapshot }) => {
+        this.fold =
+          snapshot === undefined
+            ? new CellFold()
+            : CellFold.restore(JSON.parse(snapshot) as CellSnapshot);
+        this.publishCell();
+      })
+      .with({ kind: 'batch' }, ({ batch }) => {
+        this.applyBatch(batch);
+      })
+      .with({ kind: 'caught_up' }, ({ readAt }) => {
+        this.logAnswers = true;
+        this.freshness.caughtUp(readAt, this.fold.upTo);
+        this.updateFreshness();
+      })
+      .with({ kind: 'unavailable' }, () => {
+        this.logAnswers = false;
+        this.freshness.logUnavailable();
+        this.updateFreshness();
+      })
+      .with({ kind: 'rejected' }, ({ sequences }) => {
+        for (const sequence of sequences) {
+          this.withdrawn(sequence, 'withdrawn');
+        }
+      })
+      .with({ kind: 'skipped' }, ({ offset }) => {
+        this.parts.events.event('log.skipped', { stream: CELL_STREAM, offset });
+      })
+      .with({ kind: 'lost' }, ({ earliest }) => {
+        this.parts.events.event('log.lost', { stream: CELL_STREAM, earliest });
+      })
+      .exhaustive();
+  }
+
+  private applyBatch(batch: Batch<CellRecord>): void {
+    let hasChanged = false;
+    for (const stamped of batch.records) {
+      const effect = this.fold.apply(stamped, batch.offset);
+      hasChanged ||= effect.kind === 'applied' && stamped.record.kind !== 'checkpoint';
+      this.settle(stamped, effect);
+    }
+    if (hasChanged) {
+      this.publishCell();
+    }
+  }
+
+  private settle({ writer, sequence, record }: Stamped<CellRecord>, effect: Effect): void {
+    if (writer !== this.writer || effect.kind === 'repeated') {
+      return;
+    }
+    const applied = effect.kind === 'applied';
+    match(record)
+      .with({ kind: 'change' }, ({ base }) => {
+        const { version } = this.fold.configuration;
+        const apply = this.applies.get(sequence);
+        this.applies.delete(sequence);
+        apply?.reply(applied ? done(version) : conflict(base, version));
+      })
+      .with({ kind: P.union('take', 'give_back') }, (change) => {
+        this.settled(change, applied);
+      })
+      .with({ kind: P.union('inherit', 'checkpoint') }, () => undefined)
+      .exhaustive();
+  }
+
+  private settled(record: HoldingChange, applied: boolean): void {
+    const { kind, shard, team, amount } = record;
+    this.publishCell();
+    this.publish({ kind: 'settled', shard, team, change: kind, amount, applied });
+  }
+
+  private membersEvent(event: MembersEvent): void {
+    match(event)
+      .with({ kind: 'view' }, ({ members }) => {
+        this.freshness.expect(members.filter(isExpected).map(({ member }) => member));
+      })
+      .with({ kind: 'heard' }, ({ view }) => {
+        this.heard(view);
+      })
+      .with({ kind: 'paused' }, () => {
+        this.freshness.paused();
+      })
+      .exhaustive();
+    this.updateFreshness();
+  }
+
+  private heard({ member, heard }: MemberView): void {
+    if (heard?.madeAfter !== undefined) {
+      const { logAnswers, cellUpTo } = heard.heartbeat;
+      this.freshness.memberSays({ member, at: heard.madeAfter, logAnswers, upTo: cellUpTo });
+    }
+  }
+
+  private updateFreshness(): void {
+    const standing = this.freshness.standing(this.clock.now());
+    this.freshUntil = standing.kind === 'fresh' ? standing.freshUntil : NOT_FRESH;
+    this.publish({ kind: 'freshness', freshUntil: this.freshUntil });
+    this.report();
+  }
+
+  private publishCell(): void {
+    this.publish(this.cellEvent());
+    this.report();
+  }
+
+  private report(): void {
+    this.parts.reporter.post({
+      kind: 'cell',
+      version: this.fold.configuration.version,
+      cellUpTo: this.fold.upTo,
+      logAnswers: this.logAnswers,
+    });
+  }
+
+  private cellEvent(): CellEvent {
+    return { kind: 'cell', configuration: this.fold.configuration, shards: viewsOf(this.fold) };
+  }
+
+  private publish(event: CellEvent): void {
+    for (const subscriber of this.subscribers) {
+      subscriber.post(event);
+    }
+  }
+}
+
+/** A member that has left owns and accepts nothing, so that its silence is no obstacle. */
+function isExpected({ heard }: MemberView): boolean {
+  return heard?.heartbeat.phase !== 'left';
+}
+
+function conflict(base: Version, current: Version): Result<Version> {
+  return refused(
+    'configuration_conflict',
+    `the changes are based on version ${base}, but version ${current} is current`,
+    'base',
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,50 @@
+/** Puts the services of one daemon together. */
+
+import { randomBytes } from 'node:crypto';
+import { SystemClock } from '@bamboowell/kernel/clock';
+import { Kernel } from '@bamboowell/kernel/kernel';
+import { brandAs, type Incarnation } from '@bamboowell/types/ids';
+import type { DaemonSettings } from '@bamboowell/config/daemon-settings';
+import type { Environment } from './environment.js';
+import { FrontService } from './front-service.js';
+import { MembersService } from './members-service.js';
+import {
+  CellService,
+  CountersService,
+  EventsService,
+  LogService,
+  ReporterService,
+  RouterService,
+  RoutingService,
+  ShardsService,
+} from './services.js';
+
+const UNIQUE_BYTES = 9;
+const INCARNATION_BYTES = 6;
+
+/** The environment of the machine. */
+export function systemEnvironment(settings: DaemonSettings): Environment {
+  return {
+    settings,
+    clock: new SystemClock(),
+    incarnation: brandAs<Incarnation>(randomBytes(INCARNATION_BYTES).toString('hex')),
+    random: Math.random,
+    unique: () => randomBytes(UNIQUE_BYTES).toString('hex'),
+  };
+}
+
+/** A kernel with all services registered, ready to start. */
+export function buildDaemon(environment: Environment): Kernel {
+  const kernel = new Kernel();
+  kernel.register(new EventsService(environment.settings.memberId));
+  kernel.register(new CountersService(environment));
+  kernel.register(new LogService(environment));
+  kernel.register(new ReporterService(environment));
+  kernel.register(new MembersService(environment));
+  kernel.register(new CellService(environment));
+  kernel.register(new ShardsService(environment));
+  kernel.register(new RoutingService(environment));
+  kernel.register(new RouterService(environment));
+  kernel.register(new FrontService(environment));
+  return kernel;
+}
--- /dev/null
+++ b/packages/daemon/src/environment.ts
@@ -0,0 +1,21 @@
+/** What every service of one daemon process is made with. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type Incarnation, type WriterId } from '@bamboowell/types/ids';
+import type { DaemonSettings } from '@bamboowell/config/daemon-settings';
+
+export interface Environment {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly incarnation: Incarnation;
+  /** Returns a number from 0 up to, not including, 1. */
+  readonly random: () => number;
+  /** Returns a text that no other call returns, letters and digits only. */
+  readonly unique: () => string;
+}
+
+/** A writer of log records that no other task has used. */
+export function newWriter(environment: Environment): WriterId {
+  const { settings, incarnation, unique } = environment;
+  return brandAs<WriterId>(`${settings.memberId}/${incarnation}/${unique()}`);
+}
--- /dev/null
+++ b/packages/daemon/src/forwarder.ts
@@ -0,0 +1,199 @@
+/**
+ * Brings a request to the shard's owner, here or on another daemon, and tries again by the caller's
+ * deadline where it is certain that nothing was run.
+ */
+
+import { match } from 'ts-pattern';
+import { ask } from '@bamboowell/kernel/ask';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { MembersMessage } from '@bamboowell/membership/members-messages';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { retryCounter, type RetryReason } from '@bamboowell/metrics/names';
+import { brandAs, type MemberId, type ShardId } from '@bamboowell/types/ids';
+import {
+  deadlineAfter,
+  earlier,
+  hasPassed,
+  millisUntil,
+  type Deadline,
+} from '@bamboowell/types/time';
+import {
+  refusalOf,
+  refused,
+  type Reason,
+  type Refusal,
+  type Result,
+} from '@bamboowell/types/verdict';
+import type { WireAnswer } from '@bamboowell/wire/connection';
+import type { LocalShards } from './local-shards.js';
+import { parseResult, SHARD_METHOD, type Ask, type ShardAsk } from './peer-messages.js';
+import type { RoutingMessage, RoutingTable } from './routing-task.js';
+
+const FIRST_BACKOFF_MILLIS = 50;
+const LONGEST_BACKOFF_MILLIS = 1_000;
+/** How long the routing table may take to answer. */
+const TABLE_MILLIS = 1_000;
+/** An owner answers by the caller's deadline; its answer needs this much longer to arrive. */
+const ANSWER_GRACE_MILLIS = 250;
+
+/** Refusals after which another daemon may take the request, and what the retry counts as. */
+const RETRIES: ReadonlyMap<Reason, RetryReason> = new Map<Reason, RetryReason>([
+  ['no_owner', 'owner_unknown'],
+  ['not_fresh', 'owner_not_fresh'],
+  ['owner_changed', 'owner_changed'],
+  ['owner_unreachable', 'peer_unreachable'],
+  ['shutting_down', 'owner_shutting_down'],
+]);
+
+export interface ForwarderParts {
+  readonly self: MemberId;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly counters: Counters;
+  readonly members: Address<MembersMessage>;
+  readonly routing: Address<RoutingMessage>;
+  readonly local: LocalShards;
+}
+
+export class Forwarder {
+  constructor(private readonly parts: ForwarderParts) {}
+
+  /** The routing table; an empty one can't be had, so that a refusal says so. */
+  async table(): Promise<Result<RoutingTable>> {
+    const { routing, clock } = this.parts;
+    const deadline = deadlineAfter(clock.now(), TABLE_MILLIS);
+    const answer = await ask<RoutingMessage, RoutingTable>(
+      routing,
+      (reply) => ({ kind: 'read', reply }),
+      deadline,
+      clock,
+    );
+    return answer.kind === 'answered'
+      ? { kind: 'done', value: answer.value }
+      : refused('overloaded', 'too many requests wait in this daemon');
+  }
+
+  async forward(shard: ShardId, question: Ask, deadline: Deadline): Promise<Result<unknown>> {
+    let last: Result<unknown> = refused('no_owner', `the shard ${shard} has no owner yet`);
+    for (let attempt = 0; ; attempt += 1) {
+      last = worst(last, await this.tryOnce(shard, question, deadline));
+      const reason = retryReason(last, question);
+      if (reason === undefined || !(await this.backOff(attempt, deadline))) {
+        return last;
+      }
+      this.parts.counters.increment(retryCounter(reason));
+    }
+  }
+
+  private async tryOnce(
+    shard: ShardId,
+    question: Ask,
+    deadline: Deadline,
+  ): Promise<Result<unknown>> {
+    const table = await this.table();
+    if (table.kind === 'refused') {
+      return table;
+    }
+    const owner = table.value.owners.get(shard)?.member;
+    return owner === undefined || owner === this.parts.self
+      ? this.parts.local.ask(shard, question, deadline)
+      : this.askMember(
+          owner,
+          { shard, ask: question, timeoutMillis: millisUntil(deadline, this.parts.clock.now()) },
+          deadline,
+        );
+  }
+
+  private async askMember(
+    member: MemberId,
+    params: ShardAsk,
+    deadline: Deadline,
+  ): Promise<Result<unknown>> {
+    const { members, clock } = this.parts;
+    const answerBy = deadlineAfter(
+      clock.now(),
+      millisUntil(deadline, clock.now()) + ANSWER_GRACE_MILLIS,
+    );
+    const answer = await ask<MembersMessage, WireAnswer>(
+      members,
+      (reply) => ({
+        kind: 'request',
+        member,
+        method: SHARD_METHOD,
+        params,
+        deadline: answerBy,
+        reply,
+      }),
+      deadlineAfter(clock.now(), millisUntil(answerBy, clock.now()) + ANSWER_GRACE_MILLIS),
+      clock,
+    );
+    if (answer.kind === 'unanswered') {
+      return answer.why === 'timeout'
+        ? unknown(member)
+        : refused('overloaded', 'too many requests wait for other daemons');
+    }
+    return resultOf(member, answer.value);
+  }
+
+  /** Sleeps with full jitter; false if the deadline comes first. */
+  private async backOff(attempt: number, deadline: Deadline): Promise<boolean> {
+    const { clock, random } = this.parts;
+    if (hasPassed(deadline, clock.now())) {
+      return false;
+    }
+    const ceiling = Math.min(LONGEST_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS * 2 ** attempt);
+    const wakeAt = deadlineAfter(clock.now(), ceiling * random());
+    await clock.sleepUntil(earlier(brandAs<Deadline>(wakeAt), deadline));
+    return !hasPassed(deadline, clock.now());
+  }
+}
+
+function resultOf(member: MemberId, answer: WireAnswer): Result<unknown> {
+  return match(answer)
+    .returnType<Result<unknown>>()
+    .with({ kind: 'answered' }, ({ value }) => parseResult(value) ?? unknown(member))
+    .with({ kind: 'failed' }, ({ message }) => ({
+      kind: 'refused',
+      refusal: refusalOf('may_have_run', 'internal', `daemon ${member} failed: ${message}`),
+    }))
+    .with({ kind: 'not_sent' }, () =>
+      refused('owner_unreachable', `daemon ${member} can't be reached`),
+    )
+    .with({ kind: 'unknown' }, () => unknown(member))
+    .exhaustive();
+}
+
+function unknown(member: MemberId): Result<never> {
+  return {
+    kind: 'refused',
+    refusal: refusalOf(
+      'may_have_run',
+      'owner_unreachable',
+      `daemon ${member} has not answered; the request may have reached it`,
+    ),
+  };
+}
+
+/** Once a try may have run, a later "not run" of the same request says nothing of the earlier one. */
+function worst(before: Result<unknown>, now: Result<unknown>): Result<unknown> {
+  if (before.kind === 'done' || now.kind === 'done') {
+    return now;
+  }
+  return before.refusal.verdict === 'may_have_run' && now.refusal.verdict === 'not_run'
+    ? before
+    : now;
+}
+
+/** Why the request may be tried again, if it may. */
+function retryReason(result: Result<unknown>, question: Ask): RetryReason | undefined {
+  if (result.kind === 'done' || !isSafeToRepeat(result.refusal, question)) {
+    return undefined;
+  }
+  return RETRIES.get(result.refusal.reason);
+}
+
+/** A submission carries its request id, so that a second one has no second effect. */
+function isSafeToRepeat({ verdict }: Refusal, question: Ask): boolean {
+  return verdict === 'not_run' || question.kind !== 'call';
+}
--- /dev/null
+++ b/packages/daemon/src/front-service.ts
@@ -0,0 +1,95 @@
+/** The service that serves callers and operators, and other daemons' requests for shards. */
+
+import { readFile } from 'node:fs/promises';
+import { Service, type Directory } from '@bamboowell/kernel/service';
+import { buildApp } from '@bamboowell/front/app';
+import { HttpServer, type TlsIdentity } from '@bamboowell/front/http-server';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import { refusalOf, type Result } from '@bamboowell/types/verdict';
+import type { Environment } from './environment.js';
+import { CELL, EVENTS, FRONT, MEMBERS, ROUTER, SHARDS, type FrontHandle } from './keys.js';
+import { LocalShards } from './local-shards.js';
+import { parseShardAsk, SHARD_METHOD } from './peer-messages.js';
+
+/** After the first word of a shutdown, requests are still taken for this long, milliseconds. */
+const UNREADY_MILLIS = 1_000;
+
+export class FrontService extends Service<FrontHandle> {
+  readonly key = FRONT;
+  readonly needs = [EVENTS, MEMBERS, CELL, SHARDS, ROUTER];
+  private server: HttpServer | undefined;
+  private isReady = false;
+  private leave: () => void = () => undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<FrontHandle> {
+    const { callers } = this.environment.settings;
+    const app = buildApp({
+      backend: directory.find(ROUTER),
+      clock: this.environment.clock,
+      maxBodyBytes: callers.maxBodyBytes,
+      isReady: () => this.isReady,
+    });
+    this.server = new HttpServer(app, {
+      host: callers.host,
+      port: callers.port,
+      tls: await this.readIdentity(),
+      maxConnections: callers.maxConnections,
+      headersMillis: callers.headerMillis,
+      requestMillis: callers.requestMillis,
+    });
+    this.servePeers(directory);
+    const address = await this.server.listen();
+    this.isReady = true;
+    this.leave = () => {
+      directory.find(MEMBERS).post({ kind: 'leave' });
+    };
+    directory.find(EVENTS).event('daemon.listening', { host: address.host, port: address.port });
+    return address;
+  }
+
+  /** Unready first, then no new connection, then every request in hand is answered. */
+  async stop(deadline: Deadline): Promise<void> {
+    const { clock } = this.environment;
+    this.isReady = false;
+    this.leave();
+    await clock.sleepUntil(deadlineAfter(clock.now(), UNREADY_MILLIS));
+    const drained = this.server?.drain();
+    await Promise.race([drained, clock.sleepUntil(deadline)]);
+    this.server?.abort();
+  }
+
+  private servePeers(directory: Directory): void {
+    const { clock } = this.environment;
+    const local = new LocalShards(directory.find(SHARDS), clock);
+    const handler = (params: unknown): Promise<Result<unknown>> => {
+      const request = parseShardAsk(params);
+      if (request === undefined) {
+        const refusal = refusalOf(
+          'not_run',
+          'malformed',
+          'the request of the other daemon is malformed',
+        );
+        return Promise.resolve({ kind: 'refused', refusal });
+      }
+      const deadline = deadlineAfter(clock.now(), request.timeoutMillis);
+      return local.ask(request.shard, request.ask, deadline);
+    };
+    directory.find(MEMBERS).post({ kind: 'serve', method: SHARD_METHOD, handler });
+  }
+
+  private async readIdentity(): Promise<TlsIdentity | null> {
+    const { tls } = this.environment.settings.callers;
+    if (tls === undefined) {
+      return null;
+    }
+    const [cert, key] = await Promise.all([
+      readFile(tls.certFile, 'utf8'),
+      readFile(tls.keyFile, 'utf8'),
+    ]);
+    return { cert, key };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/keys.ts
@@ -0,0 +1,30 @@
+/** The names under which the daemon's services find each other. */
+
+import { ServiceKey } from '@bamboowell/kernel/service';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { Backend } from '@bamboowell/front/backend';
+import type { Log } from '@bamboowell/log/log';
+import type { EventLog } from '@bamboowell/logger/logger';
+import type { MembersMessage } from '@bamboowell/membership/members-messages';
+import type { Counters } from '@bamboowell/metrics/counters';
+import type { CellMessage } from './cell-messages.js';
+import type { ReporterMessage } from './reporter-task.js';
+import type { RoutingMessage } from './routing-task.js';
+import type { ShardsMessage } from './shard-messages.js';
+
+export const EVENTS = new ServiceKey<EventLog>('events');
+export const COUNTERS = new ServiceKey<Counters>('counters');
+export const LOG = new ServiceKey<Log>('log');
+export const MEMBERS = new ServiceKey<Address<MembersMessage>>('members');
+export const REPORTER = new ServiceKey<Address<ReporterMessage>>('reporter');
+export const CELL = new ServiceKey<Address<CellMessage>>('cell');
+export const SHARDS = new ServiceKey<Address<ShardsMessage>>('shards');
+export const ROUTING = new ServiceKey<Address<RoutingMessage>>('routing');
+export const ROUTER = new ServiceKey<Backend>('router');
+export const FRONT = new ServiceKey<FrontHandle>('front');
+
+/** What others may ask of the front end. */
+export interface FrontHandle {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/daemon/src/reporter-task.ts
@@ -0,0 +1,78 @@
+/** The task that puts together what this member tells the others with its heartbeats. */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { Task } from '@bamboowell/kernel/task';
+import type { Report } from '@bamboowell/membership/heartbeat';
+import type { MembersMessage } from '@bamboowell/membership/members-messages';
+import {
+  brandAs,
+  type Epoch,
+  type Offset,
+  type ShardId,
+  type Version,
+} from '@bamboowell/types/ids';
+
+/** What one shard's task tells. */
+export interface ShardReport {
+  readonly shard: ShardId;
+  /** The epoch that the fold shows; none while its stream was not read to the end. */
+  readonly epoch: Epoch | undefined;
+  readonly hasUnresolvedClaim: boolean;
+  /** Set while this member owns the shard. */
+  readonly load: { readonly running: number; readonly waiting: number } | undefined;
+}
+
+export type ReporterMessage =
+  | {
+      readonly kind: 'cell';
+      readonly version: Version;
+      readonly cellUpTo: Offset;
+      readonly logAnswers: boolean;
+    }
+  | { readonly kind: 'shard'; readonly report: ShardReport }
+  | { readonly kind: 'attach'; readonly members: Address<MembersMessage> };
+
+export class ReporterTask extends Task<ReporterMessage> {
+  private version = brandAs<Version>(0);
+  private cellUpTo = brandAs<Offset>(0);
+  private logAnswers = true;
+  private readonly shards = new Map<ShardId, ShardReport>();
+  private members: Address<MembersMessage> | undefined;
+
+  constructor(clock: Clock) {
+    super('reporter', clock);
+  }
+
+  protected receive(message: ReporterMessage): void {
+    match(message)
+      .with({ kind: 'cell' }, ({ version, cellUpTo, logAnswers }) => {
+        this.version = version;
+        this.cellUpTo = cellUpTo;
+        this.logAnswers = logAnswers;
+      })
+      .with({ kind: 'shard' }, ({ report }) => {
+        this.shards.set(report.shard, report);
+      })
+      .with({ kind: 'attach' }, ({ members }) => {
+        this.members = members;
+      })
+      .exhaustive();
+    this.members?.post({ kind: 'report', report: this.report() });
+  }
+
+  private report(): Report {
+    const shards = [...this.shards.values()];
+    return {
+      logAnswers: this.logAnswers,
+      version: this.version,
+      cellUpTo: this.cellUpTo,
+      unresolvedClaims: shards.filter((each) => each.hasUnresolvedClaim).map((each) => each.shard),
+      epochs: shards.flatMap(({ shard, epoch }) => (epoch === undefined ? [] : [{ shard, epoch }])),
+      owned: shards.flatMap(({ shard, epoch, load }) =>
+        load === undefined || epoch === undefined ? [] : [{ shard, epoch, ...load }],
+      ),
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router-backend.ts
@@ -0,0 +1,390 @@
+/** The backend of the front end: authorises requests and brings them to the shards' owners. */
+
+import { ask } from '@bamboowell/kernel/ask';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import {
+  Backend,
+  type Acceptance,
+  type CallAnswer,
+  type CancelOutcome,
+  type CellStatus,
+  type Explanation,
+  type MemberVersion,
+  type Order,
+  type Sender,
+  type ShardView,
+  type WorkView,
+} from '@bamboowell/front/backend';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { refusalCounter } from '@bamboowell/metrics/names';
+import type { Response } from '@bamboowell/owner/messages';
+import { rendezvousOrder } from '@bamboowell/ownership/preference';
+import type { Change, Configuration } from '@bamboowell/types/declarations';
+import {
+  brandAs,
+  shardOfWork,
+  teamOfWork,
+  workIdFrom,
+  type MemberId,
+  type RegionId,
+  type ShardId,
+  type TeamId,
+  type Version,
+  type WorkId,
+} from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, MILLIS_PER_SECOND, type Deadline } from '@bamboowell/types/time';
+import { done, refusalOf, refused, type Result } from '@bamboowell/types/verdict';
+import type { Work } from '@bamboowell/types/work';
+import {
+  operatorProblem,
+  teamForQueue,
+  teamOfSender,
+  type Authority,
+  type OperatorKey,
+} from './authorise.js';
+import type { CellMessage } from './cell-messages.js';
+import type { Forwarder } from './forwarder.js';
+import type { RoutingTable } from './routing-task.js';
+import { watchWork, type WatchParts } from './watch-work.js';
+
+export interface RouterParts {
+  readonly self: MemberId;
+  readonly region: RegionId;
+  readonly operators: readonly OperatorKey[];
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly cell: Address<CellMessage>;
+  readonly forwarder: Forwarder;
+  readonly watch: WatchParts;
+  readonly unique: () => string;
+}
+
+/** How much longer than the caller's deadline the cell may take to answer. */
+const GRACE_MILLIS = MILLIS_PER_SECOND;
+
+export class RouterBackend extends Backend {
+  constructor(private readonly parts: RouterParts) {
+    super();
+  }
+
+  async submit(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Acceptance>> {
+    const work = await this.workOf(sender, order);
+    if (work.kind === 'refused') {
+      return this.counted(work);
+    }
+    const result = await this.forward<Response>(
+      work.value.id,
+      { kind: 'submit', work: work.value },
+      deadline,
+    );
+    return this.counted(expectKind(naming(result, work.value.id), 'accepted'));
+  }
+
+  async call(sender: Sender, order: Order, deadline: Deadline): Promise<Result<CallAnswer>> {
+    const work = await this.workOf(sender, order);
+    if (work.kind === 'refused') {
+      return this.counted(work);
+    }
+    const result = await this.forward<Response>(
+      work.value.id,
+      { kind: 'call', work: work.value },
+      deadline,
+    );
+    return this.counted(expectKind(naming(result, work.value.id), 'called'));
+  }
+
+  async get(sender: Sender, work: WorkId, deadline: Deadline): Promise<Result<WorkView>> {
+    const problem = await this.ownerProblem(sender, work);
+    return this.counted(
+      problem ?? (await this.forward<WorkView>(work, { kind: 'get', work }, deadline)),
+    );
+  }
+
+  async *watch(sender: Sender, work: WorkId, signal: AbortSignal): AsyncIterable<Result<WorkView>> {
+    const problem = await this.ownerProblem(sender, work);
+    if (problem !== undefined) {
+      yield this.counted(problem);
+      return;
+    }
+    yield* watchWork(this.parts.watch, work, signal);
+  }
+
+  async cancel(
+    sender: Sender,
+    works: readonly WorkId[],
+    deadline: Deadline,
+  ): Promise<Result<readonly CancelOutcome[]>> {
+    for (const work of works) {
+      const problem = await this.ownerProblem(sender, work);
+      if (problem !== undefined) {
+        return this.counted(problem);
+      }
+    }
+    const groups = groupByShard(works);
+    const results = await Promise.all(
+      [...groups].map(([shard, group]) => this.cancelIn(shard, group, deadline)),
+    );
+    return this.counted(done(results.flat()));
+  }
+
+  async explain(sender: Sender, work: WorkId, deadline: Deadline): Promise<Result<Explanation>> {
+    const problem = await this.ownerProblem(sender, work);
+    return this.counted(
+      problem ?? (await this.forward<Explanation>(work, { kind: 'explain', work }, deadline)),
+    );
+  }
+
+  async configuration(
+    sender: Sender,
+  ): Promise<Result<{ configuration: Configuration; fresh: boolean }>> {
+    const table = await this.operatorTable(sender);
+    if (table.kind === 'refused') {
+      return this.counted(table);
+    }
+    const { configuration, freshUntil } = table.value;
+    return done({ configuration, fresh: !hasPassed(freshUntil, this.parts.clock.now()) });
+  }
+
+  async apply(
+    sender: Sender,
+    base: Version,
+    changes: readonly Change[],
+    deadline: Deadline,
+  ): Promise<Result<Version>> {
+    const table = await this.operatorTable(sender);
+    if (table.kind === 'refused') {
+      return this.counted(table);
+    }
+    const { cell, clock } = this.parts;
+    const answer = await ask<CellMessage, Result<Version>>(
+      cell,
+      (reply) => ({ kind: 'apply', base, changes, deadline, reply }),
+      deadlineAfter(brandAs(deadline), GRACE_MILLIS),
+      clock,
+    );
+    if (answer.kind === 'answered') {
+      return this.counted(answer.value);
+    }
+    return this.counted(
+      answer.why === 'timeout'
+        ? {
+            kind: 'refused',
+            refusal: refusalOf(
+              'may_have_run',
+              'outcome_unknown',
+              'the change was not confirmed in time',
+            ),
+          }
+        : refused('overloaded', 'too many changes wait'),
+    );
+  }
+
+  async enforcement(sender: Sender, version: Version): Promise<Result<readonly MemberVersion[]>> {
+    const table = await this.operatorTable(sender);
+    return table.kind === 'refused'
+      ? this.counted(table)
+      : done(this.versionsOf(table.value, version));
+  }
+
+  async status(sender: Sender, deadline: Deadline): Promise<Result<CellStatus>> {
+    const table = await this.operatorTable(sender);
+    if (table.kind === 'refused') {
+      return this.counted(table);
+    }
+    const { configuration, freshUntil } = table.value;
+    const shards = [...configuration.dataCentres.keys()].map((id) => brandAs<ShardId>(id));
+    return done({
+      member: this.parts.self,
+      version: configuration.version,
+      fresh: !hasPassed(freshUntil, this.parts.clock.now()),
+      shards: await Promise.all(shards.map((shard) => this.shardStatus(shard, deadline))),
+      members: this.versionsOf(table.value, configuration.version),
+    });
+  }
+
+  private async shardStatus(shard: ShardId, deadline: Deadline): Promise<ShardView> {
+    const result = await this.parts.forwarder.forward(shard, { kind: 'status' }, deadline);
+    return result.kind === 'done'
+      ? (result.value as ShardView)
+      : {
+          shard,
+          owner: '',
+          epoch: 0,
+          fresh: false,
+          waiting: 0,
+          running: 0,
+          workers: [],
+          teams: [],
+          error: result.refusal.detail,
+        };
+  }
+
+  private async cancelIn(
+    shard: ShardId,
+    works: readonly WorkId[],
+    deadline: Deadline,
+  ): Promise<readonly CancelOutcome[]> {
+    const result = await this.parts.forwarder.forward(shard, { kind: 'cancel', works }, deadline);
+    const response = expectKind(result as Result<Response>, 'cancelled');
+    if (response.kind === 'done') {
+      return response.value.outcomes;
+    }
+    const { reason } = response.refusal;
+    return works.map((work) => ({ work, verdict: 'may_have_run', reason }));
+  }
+
+  private async forward<Value>(
+    work: WorkId,
+    question: Parameters<Forwarder['forward']>[1],
+    deadline: Deadline,
+  ): Promise<Result<Value>> {
+    return (await this.parts.forwarder.forward(
+      shardOfWork(work),
+      question,
+      deadline,
+    )) as Result<Value>;
+  }
+
+  private async workOf(sender: Sender, order: Order): Promise<Result<Work>> {
+    const table = await this.parts.forwarder.table();
+    if (table.kind === 'refused') {
+      return table;
+    }
+    const team = teamForQueue(sender, order.queue, this.authority(table.value));
+    if (team.kind === 'refused') {
+      return team;
+    }
+    const shard = this.shardFor(order, team.value, table.value);
+    if (shard.kind === 'refused') {
+      return shard;
+    }
+    const { queue, requestId, shape, urgency, demand, payload } = order;
+    const { expectedMillis, idempotent, checkpointable } = order;
+    const id = workIdFrom(shard.value, team.value, this.parts.unique());
+    return done({
+      id,
+      team: team.value,
+      queue,
+      requestId,
+      shape,
+      urgency,
+      demand,
+      expectedMillis,
+      idempotent,
+      checkpointable,
+      payload,
+    });
+  }
+
+  /** A repeat of a request must reach the same shard, so that the choice rests on its id alone. */
+  private shardFor(order: Order, team: TeamId, { configuration }: RoutingTable): Result<ShardId> {
+    if (order.dataCentre !== null) {
+      return configuration.dataCentres.has(order.dataCentre)
+        ? done(brandAs<ShardId>(order.dataCentre))
+        : refused('malformed', `there is no data centre ${order.dataCentre}`, 'dataCentre');
+    }
+    const inRegion = [...configuration.dataCentres.values()].filter(
+      ({ region }) => region === this.parts.region,
+    );
+    const names = inRegion.map(({ id }) => brandAs<MemberId>(id));
+    const [first] = rendezvousOrder(brandAs<ShardId>(`${team} ${order.requestId}`), names);
+    return first === undefined
+      ? refused('no_owner', `no data centre of region ${this.parts.region} is declared`)
+      : done(brandAs<ShardId>(first));
+  }
+
+  /** Why the sender may not ask about this work. */
+  private async ownerProblem(sender: Sender, work: WorkId): Promise<Result<never> | undefined> {
+    const table = await this.parts.forwarder.table();
+    if (table.kind === 'refused') {
+      return table;
+    }
+    const authority = this.authority(table.value);
+    if (operatorProblem(sender, authority) === undefined) {
+      return undefined;
+    }
+    const owner = teamOfWork(work);
+    if (hasOpenQueue(table.value.configuration, owner)) {
+      return undefined;
+    }
+    const team = teamOfSender(sender, authority);
+    if (team.kind === 'refused') {
+      return team;
+    }
+    return team.value === owner
+      ? undefined
+      : refused('unknown_work', `there is no work ${work} of team ${team.value}`, 'workId');
+  }
+
+  private async operatorTable(sender: Sender): Promise<Result<RoutingTable>> {
+    const table = await this.parts.forwarder.table();
+    if (table.kind === 'refused') {
+      return table;
+    }
+    return operatorProblem(sender, this.authority(table.value)) ?? table;
+  }
+
+  private authority({ configuration, freshUntil }: RoutingTable): Authority {
+    const { operators, clock } = this.parts;
+    return { configuration, freshUntil, operators, now: clock.now() };
+  }
+
+  private versionsOf({ configuration, members }: RoutingTable, version: Version): MemberVersion[] {
+    const others = members
+      .filter(({ heard }) => heard?.heartbeat.phase !== 'left')
+      .map(({ member, heard, suspected }) => ({
+        member,
+        version: heard?.heartbeat.version ?? brandAs<Version>(0),
+        reachable: heard !== undefined && !suspected,
+      }));
+    const own = { member: this.parts.self, version: configuration.version, reachable: true };
+    return [own, ...others].sort(
+      (left, right) => Number(left.version >= version) - Number(right.version >= version),
+    );
+  }
+
+  private counted<Value>(result: Result<Value>): Result<Value> {
+    if (result.kind === 'refused') {
+      this.parts.counters.increment(refusalCounter(result.refusal.reason));
+    }
+    return result;
+  }
+}
+
+/** Whether work of the team may have been taken without a key. */
+function hasOpenQueue({ queues }: Configuration, team: TeamId): boolean {
+  return [...queues.values()].some(({ access }) => access.kind === 'open' && access.team === team);
+}
+
+function groupByShard(works: readonly WorkId[]): ReadonlyMap<ShardId, readonly WorkId[]> {
+  const groups = new Map<ShardId, WorkId[]>();
+  for (const work of works) {
+    const shard = shardOfWork(work);
+    groups.set(shard, [...(groups.get(shard) ?? []), work]);
+  }
+  return groups;
+}
+
+/** Names the work where it may have been accepted, so that the caller can ask for it later. */
+function naming(result: Result<Response>, work: WorkId): Result<Response> {
+  if (result.kind === 'done' || result.refusal.verdict === 'not_run') {
+    return result;
+  }
+  return { kind: 'refused', refusal: { work, ...result.refusal } };
+}
+
+function expectKind<Kind extends Response['kind']>(
+  result: Result<Response>,
+  kind: Kind,
+): Result<Extract<Response, { kind: Kind }>> {
+  if (result.kind === 'refused') {
+    return result;
+  }
+  return result.value.kind === kind
+    ? done(result.value as Extract<Response, { kind: Kind }>)
+    : {
+        kind: 'refused',
+        refusal: refusalOf('may_have_run', 'internal', `the owner answered ${result.value.kind}`),
+      };
+}
--- /dev/null
+++ b/packages/daemon/src/routing-task.ts
@@ -0,0 +1,105 @@
+/** The task that knows what requests are routed by: the configuration, and who owns which shard. */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Reply } from '@bamboowell/kernel/ask';
+import { Task } from '@bamboowell/kernel/task';
+import type { MembersEvent, MemberView } from '@bamboowell/membership/members-messages';
+import { EMPTY_CONFIGURATION } from '@bamboowell/state/configuration';
+import type { Configuration } from '@bamboowell/types/declarations';
+import { brandAs, type Epoch, type MemberId, type ShardId } from '@bamboowell/types/ids';
+import type { Deadline } from '@bamboowell/types/time';
+import type { CellEvent } from './cell-messages.js';
+
+export interface ShardPlace {
+  readonly member: MemberId;
+  readonly epoch: Epoch;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** An immutable copy of what the task knows. */
+export interface RoutingTable {
+  readonly configuration: Configuration;
+  readonly freshUntil: Deadline;
+  /** Owners on other daemons, by their own word. */
+  readonly owners: ReadonlyMap<ShardId, ShardPlace>;
+  readonly members: readonly MemberView[];
+}
+
+export type RoutingMessage =
+  | { readonly kind: 'cell'; readonly event: CellEvent }
+  | { readonly kind: 'members'; readonly event: MembersEvent }
+  | { readonly kind: 'read'; readonly reply: Reply<RoutingTable> };
+
+export class RoutingTask extends Task<RoutingMessage> {
+  private configuration: Configuration = EMPTY_CONFIGURATION;
+  private freshUntil = brandAs<Deadline>(0);
+  private members: ReadonlyMap<MemberId, MemberView> = new Map();
+
+  constructor(clock: Clock) {
+    super('routing', clock);
+  }
+
+  protected receive(message: RoutingMessage): void {
+    match(message)
+      .with({ kind: 'cell' }, ({ event }) => {
+        this.cellEvent(event);
+      })
+      .with({ kind: 'members' }, ({ event }) => {
+        this.membersEvent(event);
+      })
+      .with({ kind: 'read' }, ({ reply }) => {
+        reply(this.table());
+      })
+      .exhaustive();
+  }
+
+  private cellEvent(event: CellEvent): void {
+    match(event)
+      .with({ kind: 'cell' }, ({ configuration }) => {
+        this.configuration = configuration;
+      })
+      .with({ kind: 'freshness' }, ({ freshUntil }) => {
+        this.freshUntil = freshUntil;
+      })
+      .with({ kind: 'settled' }, () => undefined)
+      .exhaustive();
+  }
+
+  private membersEvent(event: MembersEvent): void {
+    match(event)
+      .with({ kind: 'view' }, ({ members }) => {
+        this.members = new Map(members.map((view) => [view.member, view]));
+      })
+      .with({ kind: 'heard' }, ({ view }) => {
+        this.members = new Map([...this.members, [view.member, view]]);
+      })
+      .with({ kind: 'paused' }, () => undefined)
+      .exhaustive();
+  }
+
+  private table(): RoutingTable {
+    const members = [...this.members.values()];
+    return {
+      configuration: this.configuration,
+      freshUntil: this.freshUntil,
+      owners: ownersOf(members),
+      members,
+    };
+  }
+}
+
+/** The owner of each shard: the member that tells of the highest epoch. */
+function ownersOf(members: readonly MemberView[]): ReadonlyMap<ShardId, ShardPlace> {
+  const owners = new Map<ShardId, ShardPlace>();
+  for (const { member, heard, connected } of members) {
+    for (const { shard, epoch, running, waiting } of heard?.heartbeat.owned ?? []) {
+      const known = owners.get(shard);
+      if (connected && (known === undefined || known.epoch < epoch)) {
+        owners.set(shard, { member, epoch, running, waiting });
+      }
+    }
+  }
+  return owners;
+}
--- /dev/null
+++ b/packages/daemon/src/services.ts
@@ -0,0 +1,308 @@
+/** The services of a daemon, each of which starts the tasks that it owns. */
+
+import { ask } from '@bamboowell/kernel/ask';
+import { Service, type Directory, type ServiceKey } from '@bamboowell/kernel/service';
+import { Supervised, type Watcher } from '@bamboowell/kernel/supervisor';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { Backend } from '@bamboowell/front/backend';
+import { HttpLog } from '@bamboowell/log/http-log';
+import type { Log } from '@bamboowell/log/log';
+import { DebugLog, type EventLog } from '@bamboowell/logger/logger';
+import { HttpVmList } from '@bamboowell/membership/http-vm-list';
+import type { MembersEvent } from '@bamboowell/membership/members-messages';
+import { MemoryCounters, StatsdCounters, type Counters } from '@bamboowell/metrics/counters';
+import type { Deadline } from '@bamboowell/types/time';
+import { wrapped } from './adapter.js';
+import type { CellEvent, CellMessage } from './cell-messages.js';
+import { CellTask } from './cell-task.js';
+import type { Environment } from './environment.js';
+import { Forwarder } from './forwarder.js';
+import { CELL, COUNTERS, EVENTS, LOG, MEMBERS, REPORTER, ROUTER, ROUTING, SHARDS } from './keys.js';
+import { LocalShards } from './local-shards.js';
+import { ReporterTask, type ReporterMessage } from './reporter-task.js';
+import { RouterBackend } from './router-backend.js';
+import { RoutingTask, type RoutingMessage } from './routing-task.js';
+import type { ShardsMessage } from './shard-messages.js';
+import { ShardsTask } from './shards-task.js';
+import { WorkersListTask, type WorkersListMessage } from './workers-list-task.js';
+
+/** Logs and counts what supervisors do. */
+export function watcherOf(directory: Directory): Watcher {
+  const events = directory.find(EVENTS);
+  const counters = directory.find(COUNTERS);
+  return {
+    restarted: (task, error) => {
+      events.event('task.restarted', { task, error: describe(error) });
+      counters.increment('task.restarted');
+    },
+    gaveUp: (task, error) => {
+      events.event('task.gave_up', { task, error: describe(error) });
+    },
+  };
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? (error.stack ?? error.message) : String(error);
+}
+
+export class EventsService extends Service<EventLog> {
+  readonly key = EVENTS;
+  readonly needs: readonly ServiceKey<unknown>[] = [];
+
+  constructor(private readonly member: string) {
+    super();
+  }
+
+  start(): Promise<EventLog> {
+    return Promise.resolve(new DebugLog(this.member));
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+export class CountersService extends Service<Counters> {
+  readonly key = COUNTERS;
+  readonly needs = [EVENTS];
+  private counters: Counters | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(directory: Directory): Promise<Counters> {
+    const { metrics } = this.environment.settings;
+    const events = directory.find(EVENTS);
+    this.counters =
+      metrics === null
+        ? new MemoryCounters()
+        : new StatsdCounters(metrics, (error) => {
+            events.event('metrics.unsent', { error: error.message });
+          });
+    return Promise.resolve(this.counters);
+  }
+
+  async stop(): Promise<void> {
+    await this.counters?.close();
+  }
+}
+
+export class LogService extends Service<Log> {
+  readonly key = LOG;
+  readonly needs: readonly ServiceKey<unknown>[] = [];
+  private log: Log | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(): Promise<Log> {
+    const { hostname, port } = new URL(this.environment.settings.log.url);
+    this.log = new HttpLog({ host: hostname, port: Number(port) }, this.environment.clock);
+    return Promise.resolve(this.log);
+  }
+
+  async stop(): Promise<void> {
+    await this.log?.close();
+  }
+}
+
+export class ReporterService extends Service<Address<ReporterMessage>> {
+  readonly key = REPORTER;
+  readonly needs = [EVENTS, COUNTERS];
+  private task: Supervised<ReporterMessage> | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Address<ReporterMessage>> {
+    const { clock } = this.environment;
+    this.task = new Supervised(() => new ReporterTask(clock), clock, watcherOf(directory));
+    await this.task.start();
+    return this.task;
+  }
+
+  async stop(): Promise<void> {
+    await this.task?.stop();
+  }
+}
+
+export class CellService extends Service<Address<CellMessage>> {
+  readonly key = CELL;
+  readonly needs = [EVENTS, COUNTERS, LOG, REPORTER, MEMBERS];
+  private task: Supervised<CellMessage> | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Address<CellMessage>> {
+    const watcher = watcherOf(directory);
+    const parts = {
+      environment: this.environment,
+      log: directory.find(LOG),
+      events: directory.find(EVENTS),
+      reporter: directory.find(REPORTER),
+      watcher,
+    };
+    const task = new Supervised<CellMessage>(
+      () => new CellTask(parts),
+      this.environment.clock,
+      watcher,
+    );
+    this.task = task;
+    await task.start();
+    directory.find(MEMBERS).post({
+      kind: 'subscribe',
+      subscriber: wrapped<MembersEvent, CellMessage>(task, (event) => ({ kind: 'members', event })),
+    });
+    return task;
+  }
+
+  async stop(): Promise<void> {
+    await this.task?.stop();
+  }
+}
+
+export class ShardsService extends Service<Address<ShardsMessage>> {
+  readonly key = SHARDS;
+  readonly needs = [EVENTS, COUNTERS, LOG, REPORTER, MEMBERS, CELL];
+  private task: Supervised<ShardsMessage> | undefined;
+  private list: Supervised<WorkersListMessage> | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Address<ShardsMessage>> {
+    const { clock, settings } = this.environment;
+    const watcher = watcherOf(directory);
+    const parts = {
+      environment: this.environment,
+      log: directory.find(LOG),
+      events: directory.find(EVENTS),
+      counters: directory.find(COUNTERS),
+      reporter: directory.find(REPORTER),
+      cell: directory.find(CELL),
+      watcher,
+    };
+    const task = new Supervised<ShardsMessage>(() => new ShardsTask(parts), clock, watcher);
+    this.task = task;
+    await task.start();
+    subscribe(directory, task);
+    const { url, refreshMillis } = settings.vmList;
+    const list = new Supervised<WorkersListMessage>(
+      () => new WorkersListTask(new HttpVmList(url, clock), refreshMillis, task, clock),
+      clock,
+      watcher,
+    );
+    this.list = list;
+    await list.start();
+    return task;
+  }
+
+  async stop(deadline: Deadline): Promise<void> {
+    const { task } = this;
+    if (task !== undefined) {
+      await ask<ShardsMessage, null>(
+        task,
+        (reply) => ({ kind: 'drain', reply }),
+        deadline,
+        this.environment.clock,
+      );
+      await this.list?.stop();
+      await task.stop();
+    }
+  }
+}
+
+function subscribe(directory: Directory, task: Address<ShardsMessage>): void {
+  directory.find(CELL).post({
+    kind: 'subscribe',
+    subscriber: wrapped<CellEvent, ShardsMessage>(task, (event) => ({ kind: 'cell', event })),
+  });
+  directory.find(MEMBERS).post({
+    kind: 'subscribe',
+    subscriber: wrapped<MembersEvent, ShardsMessage>(task, (event) => ({ kind: 'members', event })),
+  });
+}
+
+export class RoutingService extends Service<Address<RoutingMessage>> {
+  readonly key = ROUTING;
+  readonly needs = [EVENTS, COUNTERS, MEMBERS, CELL];
+  private task: Supervised<RoutingMessage> | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Address<RoutingMessage>> {
+    const { clock } = this.environment;
+    const task = new Supervised<RoutingMessage>(
+      () => new RoutingTask(clock),
+      clock,
+      watcherOf(directory),
+    );
+    this.task = task;
+    await task.start();
+    directory.find(CELL).post({
+      kind: 'subscribe',
+      subscriber: wrapped<CellEvent, RoutingMessage>(task, (event) => ({ kind: 'cell', event })),
+    });
+    directory.find(MEMBERS).post({
+      kind: 'subscribe',
+      subscriber: wrapped<MembersEvent, RoutingMessage>(task, (event) => ({
+        kind: 'members',
+        event,
+      })),
+    });
+    return task;
+  }
+
+  async stop(): Promise<void> {
+    await this.task?.stop();
+  }
+}
+
+export class RouterService extends Service<Backend> {
+  readonly key = ROUTER;
+  readonly needs = [COUNTERS, MEMBERS, CELL, SHARDS, ROUTING];
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(directory: Directory): Promise<Backend> {
+    const { settings, clock, random, unique } = this.environment;
+    const { memberId: self, region, operators } = settings;
+    const shards = directory.find(SHARDS);
+    const counters = directory.find(COUNTERS);
+    const forwarder = new Forwarder({
+      self,
+      clock,
+      random,
+      counters,
+      members: directory.find(MEMBERS),
+      routing: directory.find(ROUTING),
+      local: new LocalShards(shards, clock),
+    });
+    const backend = new RouterBackend({
+      self,
+      region,
+      operators,
+      clock,
+      counters,
+      cell: directory.find(CELL),
+      forwarder,
+      watch: { shards, forwarder, clock },
+      unique,
+    });
+    return Promise.resolve(backend);
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/shard-messages.ts
@@ -0,0 +1,72 @@
+/** Messages to the tasks of shards. */
+
+import type { Reply } from '@bamboowell/kernel/ask';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { Explanation, ShardView, WorkView } from '@bamboowell/front/backend';
+import type { StreamEvent } from '@bamboowell/log/stream-messages';
+import type { MembersEvent } from '@bamboowell/membership/members-messages';
+import type { Response } from '@bamboowell/owner/messages';
+import type { Sequence, ShardId, WorkId } from '@bamboowell/types/ids';
+import type { ShardRecord } from '@bamboowell/types/records';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Result } from '@bamboowell/types/verdict';
+import type { Vm } from '@bamboowell/types/vm';
+import type { Work } from '@bamboowell/types/work';
+import type { WorkerReport } from '@bamboowell/types/worker-messages';
+import type { CellEvent } from './cell-messages.js';
+
+/** A request to a shard's owner. */
+export type ShardRequest =
+  | { readonly kind: 'submit'; readonly work: Work; readonly deadline: Deadline }
+  | { readonly kind: 'call'; readonly work: Work; readonly deadline: Deadline }
+  | { readonly kind: 'cancel'; readonly works: readonly WorkId[]; readonly deadline: Deadline };
+
+/** A question that any task of the shard answers from what it has read. */
+export type ShardQuestion =
+  | { readonly kind: 'get'; readonly work: WorkId; readonly reply: Reply<Result<WorkView>> }
+  | { readonly kind: 'explain'; readonly work: WorkId; readonly reply: Reply<Result<Explanation>> }
+  | { readonly kind: 'status'; readonly reply: Reply<Result<ShardView>> };
+
+/** Told each time that the work changes. */
+export interface WorkChange {
+  readonly work: WorkId;
+}
+
+export type ShardMessage =
+  | {
+      readonly kind: 'request';
+      readonly request: ShardRequest;
+      readonly reply: Reply<Result<Response>>;
+    }
+  | ShardQuestion
+  | { readonly kind: 'watch'; readonly work: WorkId; readonly watcher: Address<WorkChange> }
+  | { readonly kind: 'unwatch'; readonly work: WorkId; readonly watcher: Address<WorkChange> }
+  | { readonly kind: 'stream'; readonly event: StreamEvent<ShardRecord> }
+  | { readonly kind: 'members'; readonly event: MembersEvent }
+  | { readonly kind: 'cell'; readonly event: CellEvent }
+  | { readonly kind: 'workers'; readonly vms: readonly WorkerVm[] }
+  | { readonly kind: 'report'; readonly report: WorkerReport }
+  | {
+      readonly kind: 'withdrawn';
+      readonly sequence: Sequence;
+      readonly state: 'withdrawn' | 'sent';
+    }
+  /** Releases the shard; replies once it is released or was not owned. */
+  | { readonly kind: 'drain'; readonly reply: Reply<null> }
+  | { readonly kind: 'tick' };
+
+export type WorkerVm = Extract<Vm, { role: 'worker' }>;
+
+/** To the task that keeps the tasks of the region's shards. */
+export type ShardsMessage =
+  /** Replies false if the shard is not one of this region. */
+  | {
+      readonly kind: 'deliver';
+      readonly shard: ShardId;
+      readonly message: ShardMessage;
+      readonly reply: Reply<boolean>;
+    }
+  | { readonly kind: 'cell'; readonly event: CellEvent }
+  | { readonly kind: 'members'; readonly event: MembersEvent }
+  | { readonly kind: 'workers_listed'; readonly vms: readonly WorkerVm[] }
+  | { readonly kind: 'drain'; readonly reply: Reply<null> };
--- /dev/null
+++ b/packages/daemon/src/shard-task.ts
@@ -0,0 +1,448 @@
+/**
+ * The task of one shard: it owns the shard's stream, the links to its workers and the state
+ * machine of its owner, and carries messages between them.
+ */
+
+import { match, P } from 'ts-pattern';
+import type { Reply } from '@bamboowell/kernel/ask';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { Supervised, type Watcher } from '@bamboowell/kernel/supervisor';
+import { Task } from '@bamboowell/kernel/task';
+import type { Log } from '@bamboowell/log/log';
+import { shardCodec } from '@bamboowell/log/record-codecs';
+import type { StreamEvent, StreamMessage } from '@bamboowell/log/stream-messages';
+import { StreamTask } from '@bamboowell/log/stream-task';
+import type { EventLog } from '@bamboowell/logger/logger';
+import type { MembersEvent } from '@bamboowell/membership/members-messages';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { retryCounter } from '@bamboowell/metrics/names';
+import type { Authority, Input, Output, Response, Token } from '@bamboowell/owner/messages';
+import { ShardOwner } from '@bamboowell/owner/shard-owner';
+import type { ShardSnapshot } from '@bamboowell/state/shard-fold';
+import { brandAs, type Epoch, type ShardId, type WorkId } from '@bamboowell/types/ids';
+import { streamOfShard, type ShardRecord } from '@bamboowell/types/records';
+import { deadlineAfter, NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
+import { done, refused, type Result } from '@bamboowell/types/verdict';
+import { wrapped } from './adapter.js';
+import type { CellEvent, CellMessage } from './cell-messages.js';
+import { ClaimPlanner } from './claim-planner.js';
+import { newWriter, type Environment } from './environment.js';
+import { explain } from './explain.js';
+import { newOwner } from './new-owner.js';
+import type { ReporterMessage } from './reporter-task.js';
+import type {
+  ShardMessage,
+  ShardQuestion,
+  ShardRequest,
+  WorkChange,
+  WorkerVm,
+} from './shard-messages.js';
+import { shardViewOf } from './shard-view.js';
+import { WorkerLinks } from './worker-links.js';
+import { workViewOf } from './work-views.js';
+
+/** What the task works with. */
+export interface ShardParts {
+  readonly environment: Environment;
+  readonly shard: ShardId;
+  readonly log: Log;
+  readonly events: EventLog;
+  readonly counters: Counters;
+  readonly watcher: Watcher;
+  readonly reporter: Address<ReporterMessage>;
+  readonly cell: Address<CellMessage>;
+}
+
+/** Longest time between two looks at who should own the shard, milliseconds. */
+const REVIEW_MILLIS = 500;
+
+const NO_AUTHORITY: Authority = { freshUntil: brandAs<Deadline>(0), mayRenew: false };
+
+export class ShardTask extends Task<ShardMessage> {
+  private readonly owner: ShardOwner;
+  private readonly planner: ClaimPlanner;
+  private readonly stream: Supervised<StreamMessage<ShardRecord>>;
+  private readonly links: WorkerLinks;
+  private readonly replies = new Map<Token, Reply<Result<Response>>>();
+  private readonly watchers = new Map<WorkId, Set<Address<WorkChange>>>();
+  private readonly drains: Reply<null>[] = [];
+  private tokens = 0;
+  private tickAt: Deadline = NEVER;
+  private isCaughtUp = false;
+  private logSilentSince: Instant | undefined;
+
+  constructor(private readonly parts: ShardParts) {
+    super(`shard ${parts.shard}`, parts.environment.clock);
+    const { environment, shard } = parts;
+    const { memberId: self, region } = environment.settings;
+    this.owner = newOwner(environment, shard);
+    this.planner = new ClaimPlanner({ self, region, shard });
+    this.stream = new Supervised(() => this.makeStream(), this.clock, parts.watcher);
+    const reports = wrapped(
+      this,
+      (report: Extract<ShardMessage, { kind: 'report' }>['report']) => ({
+        kind: 'report' as const,
+        report,
+      }),
+    );
+    this.links = new WorkerLinks(environment, reports, parts.watcher);
+  }
+
+  protected override async opened(): Promise<void> {
+    await this.stream.start();
+    this.post({ kind: 'tick' });
+  }
+
+  protected override async closed(): Promise<void> {
+    await this.links.closeAll();
+    await this.stream.stop();
+  }
+
+  protected receive(message: ShardMessage): void {
+    match(message)
+      .with({ kind: 'request' }, ({ request, reply }) => {
+        this.request(request, reply);
+      })
+      .with({ kind: P.union('get', 'explain', 'status') }, (question) => {
+        this.answer(question);
+      })
+      .with({ kind: 'watch' }, ({ work, watcher }) => {
+        const watchers = this.watchers.get(work) ?? new Set<Address<WorkChange>>();
+        this.watchers.set(work, watchers.add(watcher));
+      })
+      .with({ kind: 'unwatch' }, ({ work, watcher }) => {
+        this.unwatch(work, watcher);
+      })
+      .with({ kind: 'stream' }, ({ event }) => {
+        this.streamEvent(event);
+      })
+      .with({ kind: 'members' }, ({ event }) => {
+        this.membersEvent(event);
+      })
+      .with({ kind: 'cell' }, ({ event }) => {
+        this.cellEvent(event);
+      })
+      .with({ kind: 'workers' }, ({ vms }) => {
+        this.workersListed(vms);
+      })
+      .with({ kind: 'report' }, ({ report }) => {
+        this.step({ kind: 'report', report });
+      })
+      .with({ kind: 'withdrawn' }, (withdrawn) => {
+        this.step(withdrawn);
+      })
+      .with({ kind: 'drain' }, ({ reply }) => {
+        this.releaseShard(reply);
+      })
+      .with({ kind: 'tick' }, () => {
+        this.tick();
+      })
+      .exhaustive();
+  }
+
+  private makeStream(): StreamTask<ShardRecord> {
+    const { environment, shard, log } = this.parts;
+    return new StreamTask<ShardRecord>({
+      name: `stream ${shard}`,
+      stream: streamOfShard(shard),
+      writer: newWriter(environment),
+      log,
+      clock: this.clock,
+      subscriber: wrapped<StreamEvent<ShardRecord>, ShardMessage>(this, (event) => ({
+        kind: 'stream',
+        event,
+      })),
+      codec: shardCodec(),
+      appendsPerSecond: environment.settings.log.appendsPerSecond,
+      random: environment.random,
+    });
+  }
+
+  private request(request: ShardRequest, reply: Reply<Result<Response>>): void {
+    this.tokens += 1;
+    const token = brandAs<Token>(this.tokens);
+    this.replies.set(token, reply);
+    this.step({ ...request, token });
+  }
+
+  private answer(question: ShardQuestion): void {
+    match(question)
+      .with({ kind: 'status' }, ({ reply }) => {
+        this.step({ kind: 'tick' });
+        reply(done(shardViewOf(this.owner)));
+      })
+      .with({ kind: P.union('get', 'explain') }, (about) => {
+        this.answerAbout(about);
+      })
+      .exhaustive();
+  }
+
+  private answerAbout(question: Extract<ShardQuestion, { kind: 'get' | 'explain' }>): void {
+    const entry = this.owner.fold.get(question.work);
+    if (entry === undefined) {
+      question.reply(refused('unknown_work', `there is no work ${question.work}`, 'workId'));
+      return;
+    }
+    const view = workViewOf(this.owner, entry);
+    match(question)
+      .with({ kind: 'get' }, ({ reply }) => {
+        reply(done(view));
+      })
+      .with({ kind: 'explain' }, ({ reply }) => {
+        reply(done({ view, sentences: explain(this.owner, entry) }));
+      })
+      .exhaustive();
+  }
+
+  private unwatch(work: WorkId, watcher: Address<WorkChange>): void {
+    const watchers = this.watchers.get(work);
+    watchers?.delete(watcher);
+    if (watchers?.size === 0) {
+      this.watchers.delete(work);
+    }
+  }
+
+  private streamEvent(event: StreamEvent<ShardRecord>): void {
+    match(event)
+      .with({ kind: 'restored' }, ({ snapshot }) => {
+        this.isCaughtUp = false;
+        const restored =
+          snapshot === undefined ? undefined : (JSON.parse(snapshot) as ShardSnapshot);
+        this.step({ kind: 'restored', snapshot: restored });
+      })
+      .with({ kind: 'batch' }, ({ batch }) => {
+        this.step({ kind: 'batch', batch });
+      })
+      .with({ kind: 'caught_up' }, ({ readAt }) => {
+        this.isCaughtUp = true;
+        this.logSilentSince = undefined;
+        this.noteEpoch();
+        this.planner.caughtUp(readAt, this.ownership(), this.clock.now());
+        this.review();
+      })
+      .with({ kind: 'unavailable' }, ({ since }) => {
+        this.logSilentSince ??= since;
+        this.planner.logUnavailable();
+        this.review();
+      })
+      .with({ kind: 'rejected' }, ({ sequences }) => {
+        this.step({ kind: 'rejected', sequences });
+      })
+      .with({ kind: 'skipped' }, ({ offset }) => {
+        this.event('log.skipped', { offset });
+      })
+      .with({ kind: 'lost' }, ({ earliest }) => {
+        this.event('log.lost', { earliest });
+      })
+      .exhaustive();
+  }
+
+  private membersEvent(event: MembersEvent): void {
+    this.planner.membersEvent(event, this.clock.now());
+    this.review();
+  }
+
+  private cellEvent(event: CellEvent): void {
+    match(event)
+      .with({ kind: 'cell' }, ({ configuration, shards }) => {
+        const { region } = this.parts.environment.settings;
+        const inRegion = [...configuration.dataCentres.values()].filter(
+          (each) => each.region === region,
+        );
+        this.planner.setShards(inRegion.map(({ id }) => brandAs<ShardId>(id)));
+        const view = shards.get(this.parts.shard);
+        if (view !== undefined) {
+          this.step({ kind: 'cell', view });
+        }
+      })
+      .with({ kind: 'settled' }, ({ shard, team, change, amount, applied }) => {
+        if (shard === this.parts.shard) {
+          this.step({ kind: 'holding_settled', team, change, amount, applied });
+        }
+      })
+      .with({ kind: 'freshness' }, () => undefined)
+      .exhaustive();
+  }
+
+  private workersListed(vms: readonly WorkerVm[]): void {
+    this.links.listed(vms);
+    this.step({ kind: 'workers', vms: vms.map((vm) => ({ worker: vm.worker, vm })) });
+  }
+
+  private releaseShard(reply: Reply<null>): void {
+    this.planner.setLeaving();
+    if (this.owner.ownedEpoch === undefined) {
+      reply(null);
+      return;
+    }
+    this.drains.push(reply);
+    this.step({ kind: 'drain' });
+  }
+
+  private tick(): void {
+    this.tickAt = NEVER;
+    this.review();
+    this.step({ kind: 'tick' });
+  }
+
+  /** Looks again at who owns the shard, and claims it if it is this member's turn. */
+  private review(): void {
+    const now = this.clock.now();
+    this.step({ kind: 'authority', authority: this.authority(now) });
+    const epoch = this.owner.ownedEpoch;
+    if (epoch !== undefined && this.planner.isKnownToAll(epoch)) {
+      this.step({ kind: 'epoch_known', epoch });
+    }
+    const plan = this.planner.plan(this.ownership(), epoch !== undefined, now);
+    if (plan.kind === 'claim') {
+      const afterRelease = this.owner.fold.owner === null;
+      this.planner.ledger.appended(this.parts.shard, { epoch: plan.epoch, afterRelease });
+      this.event('shard.claim', { epoch: plan.epoch, votes: plan.votes.length });
+      this.step({ kind: 'claim', epoch: plan.epoch, votes: plan.votes });
+    }
+    this.report();
+    this.wakeAt(deadlineAfter(now, REVIEW_MILLIS));
+  }
+
+  private authority(now: Instant): Authority {
+    const standing = this.planner.standing(now);
+    return match(standing)
+      .returnType<Authority>()
+      .with({ kind: 'fresh' }, ({ freshUntil }) => ({ freshUntil, mayRenew: true }))
+      .with({ kind: 'stale' }, ({ why }) => ({
+        freshUntil: NO_AUTHORITY.freshUntil,
+        mayRenew: why !== 'higher_epoch' && this.mayRenewInOutage(now),
+      }))
+      .with({ kind: 'not_owner' }, () => NO_AUTHORITY)
+      .exhaustive();
+  }
+
+  private mayRenewInOutage(now: Instant): boolean {
+    const since = this.logSilentSince;
+    const { outageRenewalMillis } = this.owner.view().context.settings;
+    return since !== undefined && now < deadlineAfter(since, outageRenewalMillis);
+  }
+
+  private ownership() {
+    const { epoch, owner } = this.owner.fold;
+    return { epoch, owner };
+  }
+
+  private noteEpoch(): void {
+    const { shard } = this.parts;
+    const epoch = this.owner.ownedEpoch;
+    if (epoch !== undefined) {
+      this.planner.ledger.applied(shard, epoch);
+    }
+    this.planner.ledger.reached(shard, this.owner.fold.epoch);
+  }
+
+  private report(): void {
+    const { shard } = this.parts;
+    const { live, context } = this.owner.view();
+    const isOwned = this.owner.ownedEpoch !== undefined;
+    this.parts.reporter.post({
+      kind: 'shard',
+      report: {
+        shard,
+        epoch: this.isCaughtUp ? this.owner.fold.epoch : undefined,
+        hasUnresolvedClaim: this.planner.ledger.isUnresolved(shard),
+        load: isOwned ? { running: live.size, waiting: context.ordering.size } : undefined,
+      },
+    });
+  }
+
+  private step(input: Input): void {
+    const before = this.owner.ownedEpoch;
+    const outputs = this.owner.step(input, this.clock.now());
+    for (const output of outputs) {
+      this.carryOut(output);
+    }
+    this.closeLinksIfLost(before);
+    if (input.kind === 'batch') {
+      this.noteEpoch();
+    }
+    this.wakeAt(this.owner.nextDeadline());
+  }
+
+  private closeLinksIfLost(before: Epoch | undefined): void {
+    if (before !== undefined && this.owner.ownedEpoch === undefined) {
+      void this.links.closeAll();
+    }
+  }
+
+  private wakeAt(deadline: Deadline): void {
+    if (deadline < this.tickAt) {
+      this.tickAt = deadline;
+      this.postAt(deadline, { kind: 'tick' });
+    }
+  }
+
+  private carryOut(output: Output): void {
+    const { cell, shard } = this.parts;
+    match(output)
+      .with({ kind: 'append' }, ({ records }) => {
+        this.stream.post({ kind: 'append', records });
+      })
+      .with({ kind: 'withdraw' }, ({ sequence }) => {
+        this.stream.post({
+          kind: 'withdraw',
+          sequence,
+          reply: (state) => {
+            this.post({ kind: 'withdrawn', sequence, state });
+          },
+        });
+      })
+      .with({ kind: 'command' }, ({ worker, command }) => {
+        this.links.send(worker, command);
+      })
+      .with({ kind: 'respond' }, ({ token, response }) => {
+        this.reply(token, done(response));
+      })
+      .with({ kind: 'refuse' }, ({ token, refusal }) => {
+        this.reply(token, { kind: 'refused', refusal });
+      })
+      .with({ kind: 'inherit' }, ({ epoch }) => {
+        cell.post({ kind: 'inherit', shard, epoch });
+      })
+      .with({ kind: P.union('take', 'give_back') }, (change) => {
+        cell.post({ ...change, shard });
+      })
+      .with({ kind: 'changed' }, ({ work }) => {
+        this.tellWatchers(work);
+      })
+      .with({ kind: 'event' }, ({ event }) => {
+        this.event(event.name, event.fields);
+      })
+      .with({ kind: 'retried' }, ({ reason }) => {
+        this.parts.counters.increment(retryCounter(reason));
+      })
+      .with({ kind: 'released' }, () => {
+        this.releaseDone();
+      })
+      .exhaustive();
+  }
+
+  private reply(token: Token, result: Result<Response>): void {
+    const reply = this.replies.get(token);
+    this.replies.delete(token);
+    reply?.(result);
+  }
+
+  private tellWatchers(work: WorkId): void {
+    for (const watcher of this.watchers.get(work) ?? []) {
+      watcher.post({ work });
+    }
+  }
+
+  private releaseDone(): void {
+    this.planner.releasing();
+    for (const reply of this.drains.splice(0)) {
+      reply(null);
+    }
+  }
+
+  private event(name: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.parts.events.event(name, { shard: this.parts.shard, ...fields });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/shards-task.ts
@@ -0,0 +1,121 @@
+/** The task that keeps one task for each shard of its region. */
+
+import { match } from 'ts-pattern';
+import type { Reply } from '@bamboowell/kernel/ask';
+import { Supervised } from '@bamboowell/kernel/supervisor';
+import { Task } from '@bamboowell/kernel/task';
+import type { MembersEvent } from '@bamboowell/membership/members-messages';
+import { brandAs, type ShardId } from '@bamboowell/types/ids';
+import type { CellEvent } from './cell-messages.js';
+import type { ShardMessage, ShardsMessage, WorkerVm } from './shard-messages.js';
+import { ShardTask, type ShardParts } from './shard-task.js';
+
+export type ShardsParts = Omit<ShardParts, 'shard'>;
+
+export class ShardsTask extends Task<ShardsMessage> {
+  private readonly shards = new Map<ShardId, Supervised<ShardMessage>>();
+  private lastCell: CellEvent | undefined;
+  private lastView: MembersEvent | undefined;
+  private vms: readonly WorkerVm[] = [];
+
+  constructor(private readonly parts: ShardsParts) {
+    super('shards', parts.environment.clock);
+  }
+
+  protected override async closed(): Promise<void> {
+    await Promise.all([...this.shards.values()].map((shard) => shard.stop()));
+  }
+
+  protected receive(message: ShardsMessage): void {
+    match(message)
+      .with({ kind: 'deliver' }, ({ shard, message: inner, reply }) => {
+        const posted = this.shards.get(shard)?.post(inner);
+        reply(posted === 'accepted');
+      })
+      .with({ kind: 'cell' }, ({ event }) => {
+        this.cellEvent(event);
+      })
+      .with({ kind: 'members' }, ({ event }) => {
+        this.lastView = event.kind === 'view' ? event : this.lastView;
+        this.postAll({ kind: 'members', event });
+      })
+      .with({ kind: 'workers_listed' }, ({ vms }) => {
+        this.vms = vms;
+        for (const [shard, task] of this.shards) {
+          task.post({ kind: 'workers', vms: this.vmsOf(shard) });
+        }
+      })
+      .with({ kind: 'drain' }, ({ reply }) => {
+        this.releaseAll(reply);
+      })
+      .exhaustive();
+  }
+
+  private cellEvent(event: CellEvent): void {
+    if (event.kind === 'cell') {
+      this.lastCell = event;
+      this.open(event);
+    }
+    this.postAll({ kind: 'cell', event });
+  }
+
+  private open({ configuration }: Extract<CellEvent, { kind: 'cell' }>): void {
+    const { region } = this.parts.environment.settings;
+    for (const dataCentre of configuration.dataCentres.values()) {
+      const shard = brandAs<ShardId>(dataCentre.id);
+      if (dataCentre.region === region && !this.shards.has(shard)) {
+        this.startShard(shard);
+      }
+    }
+  }
+
+  private startShard(shard: ShardId): void {
+    const make = (): ShardTask => {
+      const task = new ShardTask({ ...this.parts, shard });
+      this.introduce(task, shard);
+      return task;
+    };
+    const supervised = new Supervised<ShardMessage>(make, this.clock, this.parts.watcher);
+    this.shards.set(shard, supervised);
+    void supervised.start();
+  }
+
+  /** Tells a new task what the others were told before. */
+  private introduce(task: ShardTask, shard: ShardId): void {
+    if (this.lastCell !== undefined) {
+      task.post({ kind: 'cell', event: this.lastCell });
+    }
+    if (this.lastView !== undefined) {
+      task.post({ kind: 'members', event: this.lastView });
+    }
+    task.post({ kind: 'workers', vms: this.vmsOf(shard) });
+  }
+
+  private vmsOf(shard: ShardId): WorkerVm[] {
+    return this.vms.filter((vm) => brandAs<ShardId>(vm.dataCentre) === shard);
+  }
+
+  private postAll(message: ShardMessage): void {
+    for (const task of this.shards.values()) {
+      task.post(message);
+    }
+  }
+
+  private releaseAll(reply: Reply<null>): void {
+    let left = this.shards.size;
+    if (left === 0) {
+      reply(null);
+    }
+    const one = (): void => {
+      left -= 1;
+      if (left === 0) {
+        reply(null);
+      }
+    };
+    for (const task of this.shards.values()) {
+      if (task.post({ kind: 'drain', reply: one }) !== 'accepted') {
+        one();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/watch-work.ts
@@ -0,0 +1,109 @@
+/** Follows a piece of work until it has ended. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { shardOfWork, type WorkId } from '@bamboowell/types/ids';
+import { deadlineAfter, MILLIS_PER_SECOND } from '@bamboowell/types/time';
+import type { Result } from '@bamboowell/types/verdict';
+import type { WorkView } from '@bamboowell/front/backend';
+import type { Forwarder } from './forwarder.js';
+import type { ShardsMessage, WorkChange } from './shard-messages.js';
+
+export interface WatchParts {
+  readonly shards: Address<ShardsMessage>;
+  readonly forwarder: Forwarder;
+  readonly clock: Clock;
+}
+
+/** Looks again after this long without a change; shards of other regions tell of none. */
+const REVIEW_MILLIS = 2 * MILLIS_PER_SECOND;
+const GET_MILLIS = 5 * MILLIS_PER_SECOND;
+
+export async function* watchWork(
+  parts: WatchParts,
+  work: WorkId,
+  signal: AbortSignal,
+): AsyncIterable<Result<WorkView>> {
+  const changes = new Changes(parts, work);
+  changes.open();
+  try {
+    let shown = '';
+    while (!signal.aborted) {
+      const view = await currentView(parts, work);
+      const text = JSON.stringify(view);
+      if (text !== shown) {
+        shown = text;
+        yield view;
+      }
+      if (view.kind === 'refused' || view.value.ended) {
+        return;
+      }
+      await changes.next(signal);
+    }
+  } finally {
+    changes.close();
+  }
+}
+
+async function currentView(
+  { forwarder, clock }: WatchParts,
+  work: WorkId,
+): Promise<Result<WorkView>> {
+  const deadline = deadlineAfter(clock.now(), GET_MILLIS);
+  return (await forwarder.forward(
+    shardOfWork(work),
+    { kind: 'get', work },
+    deadline,
+  )) as Result<WorkView>;
+}
+
+/** Waits for word from the shard's task that the work has changed. */
+class Changes implements Address<WorkChange> {
+  private isPending = false;
+  private wake: () => void = () => undefined;
+
+  constructor(
+    private readonly parts: WatchParts,
+    private readonly work: WorkId,
+  ) {}
+
+  open(): void {
+    this.deliver('watch');
+  }
+
+  close(): void {
+    this.deliver('unwatch');
+  }
+
+  post(): 'accepted' {
+    this.isPending = true;
+    this.wake();
+    return 'accepted';
+  }
+
+  async next(signal: AbortSignal): Promise<void> {
+    const { clock } = this.parts;
+    if (!this.isPending) {
+      await new Promise<void>((resolve) => {
+        const alarm = clock.wakeAt(deadlineAfter(clock.now(), REVIEW_MILLIS), resolve);
+        this.wake = () => {
+          alarm.cancel();
+          resolve();
+        };
+        signal.addEventListener('abort', this.wake, { once: true });
+      });
+    }
+    this.isPending = false;
+    this.wake = () => undefined;
+  }
+
+  private deliver(kind: 'watch' | 'unwatch'): void {
+    const message = { kind, work: this.work, watcher: this };
+    this.parts.shards.post({
+      kind: 'deliver',
+      shard: shardOfWork(this.work),
+      message,
+      reply: () => undefined,
+    });
+  }
+}
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -12,6 +12,8 @@
   'peer_silent',
   'owner_unknown',
   'owner_changed',
+  'owner_not_fresh',
+  'owner_shutting_down',
   'worker_unreachable',
   'worker_refused',
   'never_started',
@@ -68,6 +70,7 @@
   metric('worker.attached', 'counter', 'workers', 'Workers attached under an epoch.'),
   metric('worker.quarantined', 'counter', 'workers', 'Workers put into quarantine.'),
   metric('task.restarted', 'counter', 'tasks', 'Tasks of the process restarted by a supervisor.'),
+  metric('peer.events', 'counter', 'events', 'Events of the connections to daemons, by `event`.'),
   metric('mailbox.full', 'counter', 'messages', 'Messages refused by a full mailbox, by `task`.'),
 ] as const;
 
--- a/packages/owner/src/calls.ts
+++ b/packages/owner/src/calls.ts
@@ -10,7 +10,7 @@
 import type { Context } from './context.js';
 import type { Limits } from './limits.js';
 import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
-import type { Token } from './messages.js';
+import type { RetryReason, Token } from './messages.js';
 import type { Session, Sessions } from './sessions.js';
 import type { Submissions } from './submissions.js';
 
@@ -264,7 +264,7 @@
   }
 
   /** The attempt certainly did not run: the call waits for another slot. */
-  private again(call: Call, reason: 'worker_refused' | 'worker_lost'): void {
+  private again(call: Call, reason: RetryReason): void {
     this.context.emit({ kind: 'retried', reason });
     this.insert(call);
   }
@@ -273,7 +273,7 @@
   private lost(call: Call): void {
     call.mayHaveRun = true;
     if (call.work.idempotent) {
-      this.again(call, 'worker_lost');
+      this.again(call, 'lease_lapsed');
       return;
     }
     this.context.refuse(
--- a/packages/owner/src/messages.ts
+++ b/packages/owner/src/messages.ts
@@ -1,7 +1,15 @@
 /** What a shard's owner is told, and what it asks to be done. */
 
 import type { Configuration } from '@bamboowell/types/declarations';
-import type { AttemptId, Epoch, Sequence, TeamId, WorkerId, WorkId } from '@bamboowell/types/ids';
+import type {
+  AttemptId,
+  Epoch,
+  MemberId,
+  Sequence,
+  TeamId,
+  WorkerId,
+  WorkId,
+} from '@bamboowell/types/ids';
 import type { Batch, ShardRecord, Stamped } from '@bamboowell/types/records';
 import type { Resources } from '@bamboowell/types/resources';
 import type { Deadline } from '@bamboowell/types/time';
@@ -50,6 +58,8 @@
   /** These records were never sent to the log and will not be. */
   | { readonly kind: 'rejected'; readonly sequences: readonly Sequence[] }
   | { readonly kind: 'authority'; readonly authority: Authority }
+  /** Claims the shard; `votes` are the members that suspect the earlier owner. */
+  | { readonly kind: 'claim'; readonly epoch: Epoch; readonly votes: readonly MemberId[] }
   /** Every other member of the region knows the current epoch, or is certainly gone. */
   | { readonly kind: 'epoch_known'; readonly epoch: Epoch }
   | { readonly kind: 'cell'; readonly view: CellView }
@@ -136,11 +146,14 @@
   /** The work changed; whoever watches it may look again. */
   | { readonly kind: 'changed'; readonly work: WorkId }
   | { readonly kind: 'event'; readonly event: OwnerEvent }
-  /** A retry for this reason. */
-  | { readonly kind: 'retried'; readonly reason: Reason }
+  /** Something is tried again for this reason. */
+  | { readonly kind: 'retried'; readonly reason: RetryReason }
   /** The shard was released; the stream may be closed. */
   | { readonly kind: 'released' };
 
+/** Why an attempt is followed by another one. */
+export type RetryReason = 'worker_refused' | 'lease_lapsed' | 'preempted';
+
 /** For the event log. */
 export interface OwnerEvent {
   readonly name: string;
--- a/packages/owner/src/reports.ts
+++ b/packages/owner/src/reports.ts
@@ -324,7 +324,7 @@
       return;
     }
     this.context.event('lease_lapsed', { attempt: live.attempt.id, worker: live.attempt.worker });
-    this.context.emit({ kind: 'retried', reason: 'worker_lost' });
+    this.context.emit({ kind: 'retried', reason: 'lease_lapsed' });
     this.finish(live, live.phase === 'placed' ? { kind: 'never_started' } : { kind: 'lost' });
   }
 }
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -130,6 +130,10 @@
       .with({ kind: 'authority' }, ({ authority }) => {
         this.context.authority = authority;
       })
+      .with({ kind: 'claim' }, ({ epoch, votes }) => {
+        const owner = this.context.options.member;
+        this.context.append({ kind: 'claim', epoch, owner, votes });
+      })
       .with({ kind: 'epoch_known' }, ({ epoch }) => {
         if (epoch === this.context.ownedEpoch) {
           this.sessions.epochKnown();
