--- /dev/null
+++ b/packages/log/src/read-loop.ts
@@ -0,0 +1,151 @@
+/**
+ * The part of a stream task that reads the stream and hands events to the subscriber. One read is
+ * in flight at a time, and only while the subscriber has taken all events of the read before.
+ */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { StreamName } from '@bamboowell/types/ids';
+import type { Stamped } from '@bamboowell/types/records';
+import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import type { Backoff } from './backoff.js';
+import type { Log, Page } from './log.js';
+import type { Outbox } from './outbox.js';
+import type { Self } from './self.js';
+import type { StreamEvent } from './stream-messages.js';
+import type { AnsweredPage, Tail } from './tail.js';
+
+/**
+ * How long a read waits at the end of the stream. `caught_up` comes at least this often, and tells
+ * of a state that is at most this much older.
+ */
+export const READ_WAIT_MILLIS = 1000;
+
+/** When events are offered again to a subscriber whose mailbox was full. */
+const REDELIVERY_MILLIS = 20;
+
+/** Messages of the loop to its task. */
+export type ReadLoopMessage =
+  | { readonly kind: 'read_due' }
+  | { readonly kind: 'read_answered'; readonly readAt: Instant; readonly page: Page }
+  | { readonly kind: 'delivery_due' };
+
+export interface ReadCounts {
+  readonly reads: number;
+  readonly readBytes: number;
+  readonly skipped: number;
+}
+
+export class ReadLoop<Entry extends { readonly kind: string }> {
+  private isReadPending = false;
+  private isDeliveryPlanned = false;
+  private mayWait = false;
+  /** When the newest read that was answered was sent. */
+  private answeredAt: Instant;
+  private reads = 0;
+  private bytes = 0;
+  private skipped = 0;
+
+  constructor(
+    private readonly stream: StreamName,
+    private readonly log: Log,
+    private readonly clock: Clock,
+    private readonly tail: Tail<Entry>,
+    private readonly outbox: Outbox<Entry>,
+    private readonly backoff: Backoff,
+    private readonly self: Self<ReadLoopMessage>,
+  ) {
+    this.answeredAt = clock.now();
+  }
+
+  counts(): ReadCounts {
+    return { reads: this.reads, readBytes: this.bytes, skipped: this.skipped };
+  }
+
+  start(): void {
+    this.read();
+  }
+
+  /** Hands an event of the task to the subscriber, after those that wait. */
+  emit(event: StreamEvent<Entry>): void {
+    this.outbox.add(event);
+    this.deliver();
+  }
+
+  /** Returns the records that were read. */
+  receive(message: ReadLoopMessage): readonly Stamped<Entry>[] {
+    return match(message)
+      .with({ kind: 'read_due' }, () => {
+        this.read();
+        return [];
+      })
+      .with({ kind: 'delivery_due' }, () => {
+        this.isDeliveryPlanned = false;
+        this.deliver();
+        return [];
+      })
+      .with({ kind: 'read_answered' }, ({ page, readAt }) => this.answered(page, readAt))
+      .exhaustive();
+  }
+
+  private read(): void {
+    const readAt = this.clock.now();
+    const waitUntil = deadlineAfter(readAt, this.mayWait ? READ_WAIT_MILLIS : 0);
+    this.isReadPending = true;
+    this.reads += 1;
+    void this.log
+      .read(this.stream, this.tail.from, waitUntil)
+      .catch((error: unknown): Page => ({ kind: 'unavailable', detail: String(error) }))
+      .then((page) => {
+        this.self.post({ kind: 'read_answered', readAt, page });
+      });
+  }
+
+  private answered(page: Page, readAt: Instant): readonly Stamped<Entry>[] {
+    if (page.kind === 'unavailable') {
+      this.self.postAt(this.backoff.failed(this.clock.now()), { kind: 'read_due' });
+      this.emit({ kind: 'unavailable', since: this.answeredAt, detail: page.detail });
+      return [];
+    }
+    this.backoff.succeeded();
+    this.answeredAt = readAt;
+    this.isReadPending = false;
+    const records = this.take(page, readAt);
+    this.deliver();
+    return records;
+  }
+
+  private take(page: AnsweredPage, readAt: Instant): readonly Stamped<Entry>[] {
+    const step = this.tail.take(page, readAt);
+    this.mayWait = step.mayWait;
+    this.bytes += bytesOf(page);
+    for (const event of step.events) {
+      this.skipped += event.kind === 'skipped' ? 1 : 0;
+      this.outbox.add(event);
+    }
+    return step.records;
+  }
+
+  private deliver(): void {
+    this.outbox.deliver();
+    if (!this.outbox.isEmpty) {
+      this.planDelivery();
+    } else if (!this.isReadPending) {
+      this.read();
+    }
+  }
+
+  private planDelivery(): void {
+    if (!this.isDeliveryPlanned) {
+      this.isDeliveryPlanned = true;
+      const at = deadlineAfter(this.clock.now(), REDELIVERY_MILLIS);
+      this.self.postAt(at, { kind: 'delivery_due' });
+    }
+  }
+}
+
+function bytesOf(page: AnsweredPage): number {
+  return page.kind === 'entries'
+    ? page.entries.reduce((sum, entry) => sum + Buffer.byteLength(entry.body), 0)
+    : 0;
+}
