--- /dev/null
+++ b/packages/log/src/memory-log.ts
@@ -0,0 +1,145 @@
+/** A log in this process's memory whose faults are set append by append. For tests and replay. */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type Offset, type StreamName } from '@bamboowell/types/ids';
+import type { Deadline } from '@bamboowell/types/time';
+import { Log, type Appended, type LogEntry, type Page } from './log.js';
+
+/** What happens to one append. The outcome of the last three is unknown at its deadline. */
+export type AppendFault =
+  /** It has no effect, and the answer says so. */
+  | 'refused'
+  /** It takes effect; the answer is lost. */
+  | 'answer_lost'
+  /** It has no effect; the request is lost. */
+  | 'request_lost'
+  /** It takes effect when `releaseLate` is called. */
+  | 'late';
+
+export class MemoryLog extends Log {
+  private readonly streams = new Map<StreamName, LogEntry[]>();
+  /** Highest offset below which entries have expired. */
+  private readonly expired = new Map<StreamName, number>();
+  private readonly late: (() => void)[] = [];
+  private faults: AppendFault[] = [];
+  private wakers: (() => void)[] = [];
+  private isDown = false;
+  private appendCount = 0;
+
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  /** Appends received, with and without effect. */
+  get appends(): number {
+    return this.appendCount;
+  }
+
+  /** Sets what happens to the next appends, in order; later ones go well. */
+  failNext(...faults: readonly AppendFault[]): void {
+    this.faults.push(...faults);
+  }
+
+  /** While down, appends are refused and reads fail. */
+  setDown(isDown: boolean): void {
+    this.isDown = isDown;
+    this.wakeReaders();
+  }
+
+  /** Gives all late appends their effect. */
+  releaseLate(): void {
+    for (const release of this.late.splice(0)) {
+      release();
+    }
+  }
+
+  /** Drops the entries below an offset. */
+  expire(stream: StreamName, below: number): void {
+    this.expired.set(stream, below);
+  }
+
+  /** All entries that the stream ever had. */
+  entries(stream: StreamName): readonly LogEntry[] {
+    return this.entriesOf(stream);
+  }
+
+  async append(stream: StreamName, body: string, deadline: Deadline): Promise<Appended> {
+    this.appendCount += 1;
+    if (this.isDown) {
+      return { kind: 'refused', detail: 'down' };
+    }
+    return match(this.faults.shift())
+      .with(undefined, (): Appended => ({ kind: 'appended', offset: this.store(stream, body) }))
+      .with('refused', (): Appended => ({ kind: 'refused', detail: 'refused' }))
+      .with('answer_lost', () => {
+        this.store(stream, body);
+        return this.unknownAt(deadline);
+      })
+      .with('request_lost', () => this.unknownAt(deadline))
+      .with('late', () => {
+        this.late.push(() => this.store(stream, body));
+        return this.unknownAt(deadline);
+      })
+      .exhaustive();
+  }
+
+  async read(stream: StreamName, from: Offset, waitUntil: Deadline): Promise<Page> {
+    if (this.isAtEnd(stream, from) && !this.isDown && this.clock.now() < waitUntil) {
+      await this.wakeUp(waitUntil);
+    }
+    if (this.isDown) {
+      return { kind: 'unavailable', detail: 'down' };
+    }
+    const earliest = brandAs<Offset>(this.expired.get(stream) ?? 0);
+    if (from < earliest) {
+      return { kind: 'expired', earliest };
+    }
+    const entries = this.entriesOf(stream).slice(from);
+    const next = brandAs<Offset>(from + entries.length);
+    return { kind: 'entries', entries, next, atEnd: true };
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private entriesOf(stream: StreamName): LogEntry[] {
+    const known = this.streams.get(stream) ?? [];
+    this.streams.set(stream, known);
+    return known;
+  }
+
+  private isAtEnd(stream: StreamName, from: Offset): boolean {
+    return from >= this.entriesOf(stream).length;
+  }
+
+  private store(stream: StreamName, body: string): Offset {
+    const entries = this.entriesOf(stream);
+    const offset = brandAs<Offset>(entries.length);
+    entries.push({ offset, body });
+    this.wakeReaders();
+    return offset;
+  }
+
+  private async unknownAt(deadline: Deadline): Promise<Appended> {
+    await this.clock.sleepUntil(deadline);
+    return { kind: 'unknown', detail: 'deadline passed' };
+  }
+
+  private wakeUp(deadline: Deadline): Promise<void> {
+    return new Promise((resolve) => {
+      const alarm = this.clock.wakeAt(deadline, resolve);
+      this.wakers.push(() => {
+        alarm.cancel();
+        resolve();
+      });
+    });
+  }
+
+  private wakeReaders(): void {
+    for (const wake of this.wakers.splice(0)) {
+      wake();
+    }
+  }
+}
