Tell when a stream needs its next checkpoint

Cause: entries expire, and an outage across the planned time must not lose history. A checkpoint read after a restart does not count as young, since its age is not known.

--- a/packages/log/src/checkpoint-parts.ts
+++ b/packages/log/src/checkpoint-parts.ts
@@ -43,12 +43,6 @@
 /** Puts parts together in whatever order they come; ignores what is incomplete or damaged. */
 export class CheckpointAssembler {
   private readonly assembling = new Map<string, Map<number, CheckpointPart>>();
-  private best: WholeCheckpoint | undefined;
-
-  /** The whole checkpoint with the highest `upTo`. */
-  get newest(): WholeCheckpoint | undefined {
-    return this.best;
-  }
 
   /** The checkpoint that this part made whole, if it did. */
   add(part: CheckpointPart): WholeCheckpoint | undefined {
@@ -61,7 +55,7 @@
       return undefined;
     }
     this.assembling.delete(keyOf(part));
-    return this.join(part, found);
+    return join(part, found);
   }
 
   private partsOf(part: CheckpointPart): Map<number, CheckpointPart> {
@@ -76,22 +70,24 @@
     }
     return found;
   }
+}
 
-  private join(
-    { upTo, parts, hash }: CheckpointPart,
-    found: ReadonlyMap<number, CheckpointPart>,
-  ): WholeCheckpoint | undefined {
-    const bodies = Array.from({ length: parts }, (_, part) => found.get(part)?.body ?? '');
-    const snapshot = bodies.join('');
-    if (hashOf(snapshot) !== hash) {
-      return undefined;
-    }
-    const whole = { upTo, snapshot };
-    if (this.best === undefined || upTo > this.best.upTo) {
-      this.best = whole;
-    }
-    return whole;
-  }
+function join(
+  { upTo, parts, hash }: CheckpointPart,
+  found: ReadonlyMap<number, CheckpointPart>,
+): WholeCheckpoint | undefined {
+  const bodies = Array.from({ length: parts }, (_, part) => found.get(part)?.body ?? '');
+  const snapshot = bodies.join('');
+  return hashOf(snapshot) === hash ? { upTo, snapshot } : undefined;
+}
+
+/** The record as a part, if it is one. */
+export function asCheckpointPart(record: { readonly kind: string }): CheckpointPart | undefined {
+  return isCheckpointPart(record) ? record : undefined;
+}
+
+function isCheckpointPart(record: { readonly kind: string }): record is CheckpointPart {
+  return record.kind === 'checkpoint';
 }
 
 /** Parts that agree in all of this belong together. */
--- a/packages/log/src/read-loop.ts
+++ b/packages/log/src/read-loop.ts
@@ -9,6 +9,7 @@
 import type { Stamped } from '@bamboowell/types/records';
 import { deadlineAfter, type Instant } from '@bamboowell/types/time';
 import type { Backoff } from './backoff.js';
+import type { CheckpointWatch } from './checkpoint-watch.js';
 import type { Log, Page } from './log.js';
 import type { Outbox } from './outbox.js';
 import type { Self } from './self.js';
@@ -52,6 +53,7 @@
     private readonly clock: Clock,
     private readonly tail: Tail<Entry>,
     private readonly outbox: Outbox<Entry>,
+    private readonly watch: CheckpointWatch,
     private readonly backoff: Backoff,
     private readonly self: Self<ReadLoopMessage>,
   ) {
@@ -118,14 +120,43 @@
   private take(page: AnsweredPage, readAt: Instant): readonly Stamped<Entry>[] {
     const step = this.tail.take(page, readAt);
     this.mayWait = step.mayWait;
-    this.bytes += bytesOf(page);
+    this.noteEntries(page);
+    this.watch.noteRecords(step.records);
     for (const event of step.events) {
-      this.skipped += event.kind === 'skipped' ? 1 : 0;
       this.outbox.add(event);
+      this.note(event);
     }
     return step.records;
   }
 
+  private noteEntries(page: AnsweredPage): void {
+    for (const { offset, body } of page.kind === 'entries' ? page.entries : []) {
+      const bytes = Buffer.byteLength(body);
+      this.bytes += bytes;
+      this.watch.noteEntry(offset, bytes);
+    }
+  }
+
+  private note(event: StreamEvent<Entry>): void {
+    if (event.kind === 'skipped') {
+      this.skipped += 1;
+    }
+    if (event.kind === 'restored') {
+      this.watch.restored(this.tail.from, this.clock.now());
+    }
+    if (event.kind === 'caught_up') {
+      this.watch.noteCaughtUp(event.readAt);
+      this.tellCheckpointNeed();
+    }
+  }
+
+  private tellCheckpointNeed(): void {
+    const need = this.watch.need(this.clock.now());
+    if (need !== 'none') {
+      this.outbox.add({ kind: 'checkpoint_due', overdue: need === 'overdue' });
+    }
+  }
+
   private deliver(): void {
     this.outbox.deliver();
     if (!this.outbox.isEmpty) {
@@ -143,9 +174,3 @@
     }
   }
 }
-
-function bytesOf(page: AnsweredPage): number {
-  return page.kind === 'entries'
-    ? page.entries.reduce((sum, entry) => sum + Buffer.byteLength(entry.body), 0)
-    : 0;
-}
--- a/packages/log/src/stream-messages.ts
+++ b/packages/log/src/stream-messages.ts
@@ -74,4 +74,9 @@
    * Entries below `earliest` have expired and no whole checkpoint replaces them. Nothing but
    * `unavailable` follows until another writer's checkpoint makes a `restored` possible.
    */
-  | { readonly kind: 'lost'; readonly earliest: Offset };
+  | { readonly kind: 'lost'; readonly earliest: Offset }
+  /**
+   * A checkpoint should be written, by whoever is responsible for the stream; `overdue`: long
+   * since. Comes after a `caught_up`, again and again until one was read back whole.
+   */
+  | { readonly kind: 'checkpoint_due'; readonly overdue: boolean };
--- a/packages/log/src/stream-task.test.ts
+++ b/packages/log/src/stream-task.test.ts
@@ -23,6 +23,7 @@
 import { StreamTask } from './stream-task.js';
 
 const STREAM = brandAs<StreamName>('notes');
+const RETENTION_MILLIS = 8_000_000;
 const WRITER = brandAs<WriterId>('writer');
 
 type Entry = { readonly kind: 'note'; readonly text: string } | CheckpointPart;
@@ -65,6 +66,7 @@
     subscriber,
     codec,
     appendsPerSecond,
+    retention: { entries: null, millis: RETENTION_MILLIS },
     random: () => 0,
   });
   return { clock, log, subscriber, task };
@@ -346,7 +348,12 @@
   await store(log, ...partsOf(snapshotOf(3, 'good')));
   await settle();
   t.deepEqual(subscriber.events[1], { kind: 'restored', snapshot: snapshotOf(3, 'good') });
-  t.is(subscriber.events.at(-1)?.kind, 'caught_up');
+  t.deepEqual(kindsOf(subscriber.events.slice(2)), [
+    'batch',
+    'batch',
+    'caught_up',
+    'checkpoint_due',
+  ]);
 });
 
 test('restores again when entries expired before they were read', async (t) => {
@@ -360,11 +367,14 @@
   log.expire(STREAM, 2);
   subscriber.isBusy = false;
   await pass(clock, 100);
-  t.deepEqual(kindsOf(subscriber.events.slice(2)).slice(0, 4), [
+  t.deepEqual(kindsOf(subscriber.events.slice(2)), [
     'batch',
     'caught_up',
+    'checkpoint_due',
     'restored',
     'batch',
+    'caught_up',
+    'checkpoint_due',
   ]);
   t.deepEqual(delivered(subscriber.events), [[1], []]);
 });
@@ -396,3 +406,42 @@
   await pass(clock, 5000);
   t.is(log.appends, appends);
 });
+
+test('a checkpoint that falls into an outage is overdue and is written once the log is back', async (t) => {
+  const { clock, log, subscriber, task } = await runningStream();
+  await post(task, 1);
+  await pass(clock, 100);
+  t.deepEqual(subscriber.events.at(-1), { kind: 'checkpoint_due', overdue: false });
+  log.setDown(true);
+  task.post({ kind: 'checkpoint', snapshot: snapshotOf(1, 'written in the outage') });
+  await pass(clock, 1000);
+  await pass(clock, RETENTION_MILLIS, RETENTION_MILLIS / 4);
+  t.deepEqual(subscriber.events.filter((event) => event.kind === 'checkpoint_due').length, 1);
+  t.is(log.entries(STREAM).length, 1);
+  log.setDown(false);
+  await pass(clock, 5000);
+  t.is(log.entries(STREAM).length, 2);
+  log.expire(STREAM, 1);
+  const next = newStream(1000, clock, log);
+  await next.task.start();
+  await settle();
+  t.deepEqual(next.subscriber.events[0], {
+    kind: 'restored',
+    snapshot: snapshotOf(1, 'written in the outage'),
+  });
+});
+
+test('a checkpoint that nobody wrote in time is told as overdue until one is whole', async (t) => {
+  const { clock, log, subscriber, task } = await runningStream();
+  await post(task, 1);
+  await pass(clock, 100);
+  log.setDown(true);
+  await pass(clock, RETENTION_MILLIS, RETENTION_MILLIS / 4);
+  log.setDown(false);
+  await pass(clock, 5000);
+  t.deepEqual(subscriber.events.at(-1), { kind: 'checkpoint_due', overdue: true });
+  task.post({ kind: 'checkpoint', snapshot: snapshotOf(1, 'state') });
+  await settle();
+  await pass(clock, 2000);
+  t.is(subscriber.events.at(-1)?.kind, 'caught_up');
+});
--- a/packages/log/src/stream-task.ts
+++ b/packages/log/src/stream-task.ts
@@ -21,6 +21,8 @@
 import { AppendPace, appendShare } from './append-pace.js';
 import { Backoff } from './backoff.js';
 import { splitSnapshot } from './checkpoint-parts.js';
+import type { LogRetention } from './checkpoint-plan.js';
+import { CheckpointWatch } from './checkpoint-watch.js';
 import type { Codec } from './codec.js';
 import { encodedRecord } from './entry-format.js';
 import type { Log } from './log.js';
@@ -36,6 +38,8 @@
 /** Busy streams of the cell, unless the settings say what part of the appends this one has. */
 const BUSY_STREAMS = 6;
 
+const UNLIMITED: LogRetention = { entries: null, millis: null };
+
 /** What a stream task is made from. */
 export interface StreamSettings<Entry> {
   readonly name: string;
@@ -48,6 +52,8 @@
   readonly codec: Codec<Entry>;
   /** The stream's part of the appends; see `appendShare`. */
   readonly appendsPerSecond?: number;
+  /** How long the log keeps entries; without it, no `checkpoint_due` is told. */
+  readonly retention?: LogRetention;
   /** Numbers from 0 to below 1, for the jitter of retries. */
   readonly random?: () => number;
 }
@@ -59,6 +65,7 @@
 > {
   private readonly appends: AppendLoop;
   private readonly reads: ReadLoop<Entry>;
+  private readonly watch: CheckpointWatch;
   private readonly codec: Codec<Entry>;
   private readonly checkpointWriter: WriterId;
   private lastPart = brandAs<Sequence>(0);
@@ -79,6 +86,7 @@
     };
     this.codec = codec;
     this.checkpointWriter = brandAs<WriterId>(`${writer}.checkpoint`);
+    this.watch = new CheckpointWatch(settings.retention ?? UNLIMITED);
     this.appends = new AppendLoop(stream, log, clock, pace, new Backoff(random), self);
     this.reads = new ReadLoop(
       stream,
@@ -86,6 +94,7 @@
       clock,
       new Tail(codec),
       new Outbox(subscriber),
+      this.watch,
       new Backoff(random),
       self,
     );
@@ -152,6 +161,7 @@
       this.lastPart = nextSequence(this.lastPart);
       return encodedRecord(this.checkpointWriter, this.lastPart, JSON.stringify(part));
     });
+    this.watch.noteWriting(this.clock.now());
     this.appends.addParts(parts);
   }
 
--- a/packages/log/src/tail.ts
+++ b/packages/log/src/tail.ts
@@ -5,9 +5,9 @@
 
 import { match } from 'ts-pattern';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
-import type { CheckpointPart, Stamped } from '@bamboowell/types/records';
+import type { Stamped } from '@bamboowell/types/records';
 import type { Instant } from '@bamboowell/types/time';
-import { CheckpointAssembler, type WholeCheckpoint } from './checkpoint-parts.js';
+import { asCheckpointPart, CheckpointAssembler, type WholeCheckpoint } from './checkpoint-parts.js';
 import type { Codec } from './codec.js';
 import { unpackEntry } from './entry-format.js';
 import type { LogEntry, Page } from './log.js';
@@ -36,6 +36,8 @@
   /** Entries below this offset expired before the scan; none did if undefined. */
   private expiredBelow: Offset | undefined;
   private assembler = new CheckpointAssembler();
+  /** The whole checkpoint with the highest `upTo` that the scan found. */
+  private newest: WholeCheckpoint | undefined;
   private isLossTold = false;
 
   constructor(private readonly codec: Codec<Entry>) {}
@@ -50,7 +52,7 @@
     this.phase = 'scan';
     this.position = brandAs<Offset>(0);
     this.expiredBelow = undefined;
-    this.assembler = new CheckpointAssembler();
+    this.forgetParts();
     this.isLossTold = false;
   }
 
@@ -91,18 +93,25 @@
 
   private collect(records: readonly Stamped<Entry>[]): void {
     for (const { record } of records) {
-      if (isCheckpoint(record)) {
-        this.assembler.add(record);
+      const part = asCheckpointPart(record);
+      const whole = part === undefined ? undefined : this.assembler.add(part);
+      if (whole !== undefined && whole.upTo >= (this.newest?.upTo ?? 0)) {
+        this.newest = whole;
       }
     }
   }
 
+  private forgetParts(): void {
+    this.assembler = new CheckpointAssembler();
+    this.newest = undefined;
+  }
+
   private endScan(): Omit<TailStep<Entry>, 'records'> {
     const whole = this.usable();
     if (whole !== undefined || this.expiredBelow === undefined) {
       this.phase = 'follow';
       this.position = whole?.upTo ?? brandAs<Offset>(0);
-      this.assembler = new CheckpointAssembler();
+      this.forgetParts();
       return { events: [{ kind: 'restored', snapshot: whole?.snapshot }], mayWait: false };
     }
     const events: StreamEvent<Entry>[] = this.isLossTold
@@ -114,7 +123,7 @@
 
   /** The newest whole checkpoint, if all entries that it lacks were kept. */
   private usable(): WholeCheckpoint | undefined {
-    const { newest } = this.assembler;
+    const { newest } = this;
     const isUsable = newest !== undefined && newest.upTo >= (this.expiredBelow ?? 0);
     return isUsable ? newest : undefined;
   }
@@ -125,7 +134,3 @@
     ? { kind: 'skipped', offset: entry.offset }
     : { kind: 'batch', batch: { offset: entry.offset, records } };
 }
-
-function isCheckpoint(record: { readonly kind: string }): record is CheckpointPart {
-  return record.kind === 'checkpoint';
-}
