Add the command line of operators and callers

plan, diff, apply and export work on folders of declarations; key grant, withdraw and list on keys; submit, call, get, watch and cancel on work; status and why tell what goes on. The exit code is the verdict.

--- /dev/null
+++ b/packages/cli/src/commands/daemon-command.ts
@@ -0,0 +1,82 @@
+/** What all commands that ask daemons have in common. */
+
+import { Command, Option, type BaseContext } from 'clipanion';
+import { FolderError } from '@bamboowell/config/declarations/folder';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { deadlineAfter, MILLIS_PER_SECOND, type Deadline } from '@bamboowell/types/time';
+import { Daemons } from '../daemons.js';
+import { EXIT_CODES, exitCodeOf, type ExitCode } from '../exit-code.js';
+import { FailedCallError } from '../failure.js';
+import { daemonUrls, keyFrom, quantity, UsageProblemError } from '../inputs.js';
+import { JsonOutput, PlainOutput, TerminalOutput, type Output } from '../output.js';
+
+/** What the process gives to a command. */
+export type ProgramContext = BaseContext & {
+  readonly clock: Clock;
+  /** Whether a person reads standard output. */
+  readonly isTerminal: boolean;
+};
+
+export const CATEGORIES = {
+  work: 'Work',
+  configuration: 'Configuration',
+  keys: 'Keys',
+  insight: 'Insight',
+} as const;
+
+const DEFAULT_TIMEOUT_SECONDS = 10;
+
+export abstract class DaemonCommand extends Command<ProgramContext> {
+  readonly daemonAddresses = Option.Array('--daemon', [], {
+    description: 'host:port of a daemon; repeat it for more (BAMBOOWELL_DAEMONS, comma-separated)',
+  });
+  readonly keyFile = Option.String('--key-file', {
+    description: 'file that holds the key (BAMBOOWELL_KEY_FILE; or the key in BAMBOOWELL_KEY)',
+  });
+  readonly isJson = Option.Boolean('--json', false, { description: 'print JSON for programs' });
+  readonly timeoutSeconds = Option.String('--timeout', {
+    description: 'seconds to wait for the answer; 10 if left out',
+    validator: quantity,
+  });
+
+  /** Carries out the command. A failed call or wrong usage may be thrown. */
+  protected abstract run(daemons: Daemons, output: Output): Promise<ExitCode>;
+
+  override async execute(): Promise<ExitCode> {
+    const output = this.output();
+    try {
+      const { env } = this.context;
+      const urls = daemonUrls(this.daemonAddresses, env);
+      const key = await keyFrom(this.keyFile, env);
+      return await this.run(new Daemons(urls, key, this.context.clock), output);
+    } catch (error) {
+      return exitCodeOfError(error, output);
+    }
+  }
+
+  /** The end of the time that the user gives the command, counted from now. */
+  protected deadline(): Deadline {
+    const seconds = this.timeoutSeconds ?? DEFAULT_TIMEOUT_SECONDS;
+    return deadlineAfter(this.context.clock.now(), seconds * MILLIS_PER_SECOND);
+  }
+
+  private output(): Output {
+    const { stdout, stderr, isTerminal } = this.context;
+    if (this.isJson) {
+      return new JsonOutput(stdout, stderr);
+    }
+    return isTerminal ? new TerminalOutput(stdout, stderr) : new PlainOutput(stdout, stderr);
+  }
+}
+
+function exitCodeOfError(error: unknown, output: Output): ExitCode {
+  if (error instanceof FailedCallError) {
+    output.failure(error.failure);
+    return exitCodeOf(error.failure.verdict);
+  }
+  if (error instanceof UsageProblemError || error instanceof FolderError) {
+    output.problems([`bamboowell: ${error.message}`]);
+    return EXIT_CODES.usage;
+  }
+  throw error;
+}
--- /dev/null
+++ b/packages/cli/src/help.ts
@@ -0,0 +1,110 @@
+/** Help texts, and short words about wrong usage. */
+
+import type { Definition } from 'clipanion';
+
+const BINARY = 'bamboowell';
+const VALUE = 'VALUE';
+const HELP_FLAGS = ['-h', '--help'];
+
+/** Whether the user asks for help in place of running a command. */
+export function isHelpWanted(args: readonly string[]): boolean {
+  const end = args.indexOf('--');
+  const own = end === -1 ? args : args.slice(0, end);
+  return own.length === 0 || own[0] === 'help' || own.some((arg) => HELP_FLAGS.includes(arg));
+}
+
+/** Help for the command that `args` name, or the list of those that begin with these words. */
+export function helpText(definitions: readonly Definition[], args: readonly string[]): string {
+  const words = args.filter((arg) => !arg.startsWith('-') && arg !== 'help');
+  const command = commandOf(definitions, words);
+  return command === undefined ? overview(definitions, words) : commandHelp(command);
+}
+
+/** One or two lines for a command line that can't be parsed. `message` is the parser's. */
+export function usageProblem(
+  definitions: readonly Definition[],
+  args: readonly string[],
+  message: string,
+): string {
+  const command = commandOf(definitions, args);
+  if (command === undefined) {
+    return `${BINARY}: there is no command ${args.join(' ')}; see ${BINARY} help\n`;
+  }
+  const absent = command.options
+    .filter(({ required }) => required)
+    .map(({ definition }) => flagOf(definition))
+    .filter((flag) => !args.some((arg) => arg === flag || arg.startsWith(`${flag}=`)));
+  const problem = absent.length > 0 ? `${absent.join(', ')} must be given` : firstLineOf(message);
+  return `${BINARY}: ${problem}\nsee ${command.path} --help\n`;
+}
+
+function firstLineOf(message: string): string {
+  return message.split('\n', 1)[0] ?? message;
+}
+
+function flagOf(definition: string): string {
+  return definition.split(' ', 1)[0] ?? definition;
+}
+
+/** The name of a command, as in `key grant`. */
+export function nameOf({ path }: Definition): string {
+  return path.replace(`${BINARY} `, '');
+}
+
+/** The command whose name the words begin with. */
+function commandOf(
+  definitions: readonly Definition[],
+  words: readonly string[],
+): Definition | undefined {
+  return definitions.find((definition) => {
+    const name = nameOf(definition).split(' ');
+    return name.every((part, index) => words[index] === part);
+  });
+}
+
+function overview(definitions: readonly Definition[], words: readonly string[]): string {
+  const prefix = words.join(' ');
+  const matching = definitions.filter((definition) => nameOf(definition).startsWith(prefix));
+  const shown = matching.length > 0 ? matching : definitions;
+  const width = Math.max(...shown.map((definition) => nameOf(definition).length));
+  const categories = [...new Set(shown.map(({ category }) => category))];
+  const blocks = categories.map((category) => {
+    const lines = shown
+      .filter((definition) => definition.category === category)
+      .map(
+        (definition) => `  ${nameOf(definition).padEnd(width)}  ${trimmed(definition.description)}`,
+      );
+    return [`${trimmed(category)}:`, ...lines].join('\n');
+  });
+  return [
+    `Usage: ${BINARY} COMMAND [options]`,
+    ...blocks,
+    `${BINARY} COMMAND --help tells more about a command.\n`,
+  ].join('\n\n');
+}
+
+function commandHelp(command: Definition): string {
+  const { usage, description, details, examples = [], options } = command;
+  const width = Math.max(...options.map(({ definition }) => optionText(definition).length));
+  const optionLines = options.map(
+    (option) =>
+      `  ${optionText(option.definition).padEnd(width)}  ${option.description ?? ''}${option.required ? ' (must be given)' : ''}`,
+  );
+  const exampleLines = examples.flatMap(([label, line]) => [`  # ${trimmed(label)}`, `  ${line}`]);
+  return [
+    `Usage: ${usage} [options]`,
+    trimmed(description),
+    ['Options:', ...optionLines].join('\n'),
+    trimmed(details),
+    ['Examples:', ...exampleLines].join('\n') + '\n',
+  ].join('\n\n');
+}
+
+/** clipanion names each value of an option `#0`. */
+function optionText(definition: string): string {
+  return definition.replace('#0', VALUE);
+}
+
+function trimmed(text: string | undefined): string {
+  return (text ?? '').trim();
+}
--- /dev/null
+++ b/packages/cli/src/inputs.ts
@@ -0,0 +1,84 @@
+/** Checks what comes from the command line, the environment and files. */
+
+import { readFile } from 'node:fs/promises';
+import type { Readable } from 'node:stream';
+import { text as textOfStream } from 'node:stream/consumers';
+import * as t from 'typanion';
+import { Secret } from '@bamboowell/logger/secret';
+
+/** The command can't be carried out as it was given. */
+export class UsageProblemError extends Error {
+  override readonly name = 'UsageProblemError';
+}
+
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+const DEFAULT_DAEMON = '127.0.0.1:8470';
+const KEY_PATTERN = /^[a-z0-9-]+\.\S+$/;
+
+/** A whole number of at least 1. */
+export const count = t.cascade(t.isNumber(), t.isInteger(), t.isAtLeast(1));
+/** A whole number, or zero. */
+export const amount = t.cascade(t.isNumber(), t.isInteger(), t.isAtLeast(0));
+/** A number, not negative. */
+export const quantity = t.cascade(t.isNumber(), t.isAtLeast(0));
+
+/** URLs of the daemons: those given, else those of the environment, else one on this machine. */
+export function daemonUrls(given: readonly string[], environment: Environment): string[] {
+  const named = given.length > 0 ? given : (environment.BAMBOOWELL_DAEMONS ?? '').split(',');
+  const texts = named.map((text) => text.trim()).filter((text) => text !== '');
+  return (texts.length > 0 ? texts : [DEFAULT_DAEMON]).map(urlOf);
+}
+
+const URL_PATTERN = /^https?:\/\/[^/]+\/?$/;
+
+function urlOf(text: string): string {
+  const url = text.includes('://') ? text : `http://${text}`;
+  if (!URL_PATTERN.test(url) || !URL.canParse(url)) {
+    throw new UsageProblemError(
+      `expected a daemon as host:port or https://host:port, found ${text}`,
+    );
+  }
+  return new URL(url).origin;
+}
+
+/** The key from the file, else from the environment; undefined if there is none. */
+export async function keyFrom(
+  file: string | undefined,
+  environment: Environment,
+): Promise<Secret | undefined> {
+  const path = file ?? environment.BAMBOOWELL_KEY_FILE;
+  const source = path ?? 'BAMBOOWELL_KEY';
+  const text = path === undefined ? environment.BAMBOOWELL_KEY : await fileText(path);
+  if (text === undefined) {
+    return undefined;
+  }
+  if (!KEY_PATTERN.test(text.trim())) {
+    throw new UsageProblemError(`expected a key as <key id>.<secret> in ${source}`);
+  }
+  return new Secret(text.trim());
+}
+
+/** The payload as given, from a file, or from standard input for the file `-`. */
+export async function payloadFrom(
+  text: string | undefined,
+  file: string | undefined,
+  stdin: Readable,
+): Promise<string> {
+  if (text !== undefined && file !== undefined) {
+    throw new UsageProblemError('expected either --payload or --payload-file');
+  }
+  if (file === undefined) {
+    return text ?? '';
+  }
+  return file === '-' ? textOfStream(stdin) : fileText(file);
+}
+
+async function fileText(path: string): Promise<string> {
+  try {
+    return await readFile(path, 'utf8');
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new UsageProblemError(`can't read ${path}: ${reason}`);
+  }
+}
