Model ownership under random schedules and show that each guard is needed

Two members acting at once is the fault that ownership must exclude, and it hides in rare orders of events. A model of three members with unequal clocks over one log runs 2000 seeded random schedules and three written ones.

--- /dev/null
+++ b/packages/ownership/src/ownership-model.test.ts
@@ -0,0 +1,553 @@
+/**
+ * A small model of members over one log. Random schedules delay, reorder and lose whatever the
+ * platform may delay, reorder or lose; after each step no two members may both be exclusive owners.
+ * Each guard is taken away in turn, and the same schedules must then find two owners.
+ */
+
+import test from 'ava';
+import fc from 'fast-check';
+import { ShardFold } from '@bamboowell/state/shard-fold';
+import {
+  brandAs,
+  type Epoch,
+  type Incarnation,
+  type MemberId,
+  type Offset,
+  type Sequence,
+  type ShardId,
+  type WriterId,
+} from '@bamboowell/types/ids';
+import type { ShardRecord, Stamped } from '@bamboowell/types/records';
+import { hasPassed, type Instant } from '@bamboowell/types/time';
+import { ClaimLedger } from './claim-ledger.js';
+import { ClaimWatch } from './claims.js';
+import { Freshness, type Standing, type Statement } from './freshness.js';
+import { Suspicion } from './suspicion.js';
+
+const SHARD = brandAs<ShardId>('shard-1');
+const MEMBERS = ['a', 'b', 'c'].map((name) => brandAs<MemberId>(name));
+/** Clocks differ in where they start and, by up to two percent, in how fast they run. */
+const CLOCKS = [
+  { offset: 0, rate: 1 },
+  { offset: 100_000, rate: 1.01 },
+  { offset: 5_000_000, rate: 0.99 },
+];
+
+type Guard =
+  | 'none'
+  | 'handover'
+  | 'echo'
+  | 'every_member'
+  | 'log_read_sent'
+  | 'own_incarnation'
+  | 'release_first'
+  | 'epochs_and_log_answers'
+  | 'fence';
+
+function itemAt<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index];
+  if (item === undefined) {
+    throw new RangeError(`no item ${index}`);
+  }
+  return item;
+}
+
+interface Letter {
+  readonly from: number;
+  readonly to: number;
+  readonly statement: Omit<Statement, 'at'>;
+  readonly suspects: ReadonlySet<MemberId>;
+  readonly echoOfSentAt: Instant | undefined;
+  readonly sentAt: Instant;
+}
+
+interface Node {
+  readonly index: number;
+  readonly member: MemberId;
+  readonly incarnation: Incarnation;
+  readonly writer: WriterId;
+  readonly freshness: Freshness;
+  readonly suspicion: Suspicion;
+  readonly ledger: ClaimLedger;
+  readonly watch: ClaimWatch;
+  fold: ShardFold;
+  sequence: number;
+  read: { readonly sentAt: Instant; served: number | undefined } | undefined;
+  freshTo: Instant | undefined;
+  logAnswered: boolean;
+  hasRead: boolean;
+  /** Sent instants of the newest letters of others, which ours echo. */
+  readonly newest: Map<MemberId, Instant>;
+  readonly votes: Map<MemberId, ReadonlySet<MemberId>>;
+}
+
+class World {
+  private time = 0;
+  private restarts = 0;
+  private readonly log: Stamped<ShardRecord>[] = [];
+  private readonly appends: Stamped<ShardRecord>[] = [];
+  private readonly letters: Letter[] = [];
+  private readonly cut = new Set<number>();
+  private readonly asleep = new Set<number>();
+  private readonly logUp = MEMBERS.map(() => true);
+  private readonly nodes: Node[];
+  private workerEpoch = brandAs<Epoch>(0);
+
+  constructor(private readonly removed: Guard) {
+    this.nodes = MEMBERS.map((_, index) => this.newNode(index));
+  }
+
+  step({ kind, node: index, amount }: Step): void {
+    const node = itemAt(this.nodes, index);
+    switch (kind) {
+      case 'pass':
+        this.time += amount * 40;
+        break;
+      case 'beat':
+        this.beat(node);
+        break;
+      case 'deliver_one':
+        this.deliver(this.letters.splice(amount % Math.max(1, this.letters.length), 1));
+        break;
+      case 'deliver_all':
+        this.deliver(this.take(({ to }) => to === index));
+        break;
+      case 'lose':
+        this.take(({ from }) => from === index);
+        break;
+      case 'send_read':
+        node.read ??= { sentAt: this.now(node), served: undefined };
+        break;
+      case 'serve_read':
+        this.serveRead(node);
+        break;
+      case 'finish_read':
+        this.finishRead(node);
+        break;
+      case 'claim':
+        this.claim(node);
+        break;
+      case 'land':
+        this.log.push(...this.appends.splice(amount % Math.max(1, this.appends.length), 1));
+        break;
+      case 'release':
+        this.release(node);
+        break;
+      case 'restart':
+        this.nodes[index] = this.newNode(index);
+        break;
+      case 'log_down':
+        this.logUp[index] = false;
+        break;
+      case 'log_up':
+        this.logUp[index] = true;
+        break;
+      case 'attach':
+        this.attach(node);
+        break;
+      case 'cut':
+        this.cut.add(index);
+        break;
+      case 'heal':
+        this.cut.delete(index);
+        break;
+      case 'sleep':
+        this.asleep.add(index);
+        break;
+      case 'wake':
+        this.asleep.delete(index);
+        break;
+      case 'round':
+        this.round(amount);
+        break;
+    }
+  }
+
+  /** Two members that may both act, if there are any. */
+  conflict(): string | undefined {
+    const fresh = this.nodes.flatMap((node) => this.freshOf(node));
+    for (const older of fresh) {
+      for (const newer of fresh) {
+        if (older.epoch < newer.epoch && newer.exclusive) {
+          return `${older.epoch} and ${newer.epoch}`;
+        }
+        if (older.epoch < newer.epoch && older.mayStart && newer.epoch === this.workerEpoch) {
+          return `start at ${older.epoch} on a worker of ${newer.epoch}`;
+        }
+      }
+    }
+    const epochs = fresh.map(({ epoch }) => epoch);
+    return new Set(epochs).size < epochs.length ? 'one epoch twice' : undefined;
+  }
+
+  /** The highest epoch that some member is fresh in. */
+  highestFreshEpoch(): number {
+    return Math.max(0, ...this.nodes.flatMap((node) => this.freshOf(node)).map((o) => o.epoch));
+  }
+
+  private freshOf(node: Node) {
+    const now = this.now(node);
+    const standing: Standing = node.freshness.standing(now);
+    if (standing.kind !== 'fresh') {
+      return [];
+    }
+    const { epoch, exclusiveFrom } = standing;
+    const exclusive = this.removed === 'handover' || hasPassed(exclusiveFrom, now);
+    const mayStart = this.removed === 'fence' || epoch >= this.workerEpoch;
+    return [{ epoch, exclusive, mayStart }];
+  }
+
+  private now({ index }: { readonly index: number }): Instant {
+    const clock = itemAt(CLOCKS, index);
+    return brandAs<Instant>(clock.offset + this.time * clock.rate);
+  }
+
+  private newNode(index: number): Node {
+    this.restarts += 1;
+    const member = itemAt(MEMBERS, index);
+    const freshness = new Freshness(member, SHARD);
+    const others = MEMBERS.filter((other) => other !== member);
+    freshness.expect(this.removed === 'every_member' ? others.slice(0, 1) : others);
+    const suspicion = new Suspicion(this.now({ index }));
+    others.forEach((other) => {
+      suspicion.expect(other, this.now({ index }));
+    });
+    const name = `${member}-${this.restarts}`;
+    return {
+      index,
+      member,
+      incarnation: brandAs<Incarnation>(name),
+      writer: brandAs<WriterId>(name),
+      freshness,
+      suspicion,
+      ledger: new ClaimLedger(),
+      watch: new ClaimWatch(),
+      fold: new ShardFold(),
+      sequence: 0,
+      read: undefined,
+      freshTo: undefined,
+      logAnswered: true,
+      hasRead: false,
+      newest: new Map(),
+      votes: new Map(),
+    };
+  }
+
+  private beat(node: Node): void {
+    const sentAt = this.now(node);
+    const suspects = node.suspicion.suspects(sentAt);
+    const statement = {
+      member: node.member,
+      incarnation: node.incarnation,
+      logAnswers: node.logAnswered,
+      unresolvedClaims: node.ledger.unresolved(),
+      epochs: new Map(node.hasRead ? [[SHARD, node.fold.epoch]] : []),
+      left: false,
+    };
+    node.logAnswered = false;
+    MEMBERS.forEach((member, to) => {
+      if (to !== node.index) {
+        const echoOfSentAt = node.newest.get(member);
+        this.letters.push({ from: node.index, to, statement, suspects, echoOfSentAt, sentAt });
+      }
+    });
+  }
+
+  private deliver(letters: readonly Letter[]): void {
+    for (const { from, to, statement, suspects, echoOfSentAt, sentAt } of letters) {
+      const node = itemAt(this.nodes, to);
+      const sender = itemAt(MEMBERS, from);
+      const now = this.now(node);
+      const at = this.removed === 'echo' ? now : echoOfSentAt;
+      node.suspicion.heard(sender, now);
+      node.votes.set(sender, suspects);
+      node.newest.set(sender, sentAt);
+      if (at !== undefined) {
+        node.freshness.memberSays({ ...this.weakened(statement), at }, now);
+      }
+    }
+  }
+
+  private weakened(statement: Omit<Statement, 'at'>): Omit<Statement, 'at'> {
+    return this.removed === 'epochs_and_log_answers'
+      ? { ...statement, logAnswers: false, epochs: new Map([[SHARD, brandAs<Epoch>(0)]]) }
+      : statement;
+  }
+
+  private serveRead(node: Node): void {
+    if (!this.logUp[node.index]) {
+      node.freshness.logUnavailable();
+      node.read = undefined;
+    } else if (node.read !== undefined) {
+      node.read.served = this.log.length;
+    }
+  }
+
+  private finishRead(node: Node): void {
+    const served = node.read?.served;
+    if (node.read === undefined || served === undefined) {
+      return;
+    }
+    for (let offset = node.fold.upTo as number; offset < served; offset += 1) {
+      this.fold(node, itemAt(this.log, offset), brandAs<Offset>(offset));
+    }
+    const { epoch, owner } = node.fold;
+    const readAt = this.removed === 'log_read_sent' ? this.now(node) : node.read.sentAt;
+    node.read = undefined;
+    node.freshTo = readAt;
+    node.logAnswered = true;
+    node.hasRead = true;
+    node.ledger.reached(SHARD, epoch);
+    node.freshness.caughtUp(readAt, { epoch, owner }, this.wonClaim(node), this.now(node));
+  }
+
+  private fold(node: Node, stamped: Stamped<ShardRecord>, offset: Offset): void {
+    const effect = node.fold.apply(stamped, offset);
+    const { record, writer } = stamped;
+    if (effect.kind === 'applied' && record.kind === 'claim' && writer === node.writer) {
+      node.ledger.applied(SHARD, record.epoch);
+    }
+  }
+
+  private wonClaim(node: Node) {
+    const { epoch, owner } = node.fold;
+    return this.removed === 'own_incarnation' && owner === node.member
+      ? { epoch, afterRelease: true }
+      : node.ledger.wonClaim(SHARD, epoch);
+  }
+
+  private claim(node: Node): void {
+    const now = this.now(node);
+    const { epoch, owner } = node.fold;
+    const suspects = node.suspicion.suspects(now);
+    const plan = node.watch.plan({
+      self: node.member,
+      shard: SHARD,
+      shards: [SHARD],
+      fold: { epoch, owner },
+      foldIsFresh: node.freshTo !== undefined && now - node.freshTo < 4000,
+      claimedBySelf: node.ledger.wonClaim(SHARD, epoch) !== undefined,
+      claimUnresolved: node.ledger.isUnresolved(SHARD),
+      candidates: MEMBERS.map((member) => ({
+        member,
+        live: !suspects.has(member),
+        leaving: false,
+      })),
+      voters: { region: MEMBERS, witnesses: [] },
+      votes: new Map([...node.votes, [node.member, suspects]]),
+      now,
+    });
+    if (plan.kind === 'claim') {
+      const afterRelease = plan.votes.length === 0;
+      node.ledger.appended(SHARD, { epoch: plan.epoch, afterRelease });
+      const { votes } = plan;
+      this.append(node, { kind: 'claim', epoch: plan.epoch, owner: node.member, votes });
+    }
+  }
+
+  private release(node: Node): void {
+    const standing = node.freshness.standing(this.now(node));
+    if (standing.kind === 'fresh') {
+      if (this.removed !== 'release_first') {
+        node.freshness.releasing();
+      }
+      this.append(node, { kind: 'release', epoch: standing.epoch });
+    }
+  }
+
+  private append(node: Node, record: ShardRecord): void {
+    node.sequence += 1;
+    const sequence = brandAs<Sequence>(node.sequence);
+    this.appends.push({ writer: node.writer, sequence, record });
+  }
+
+  private attach(node: Node): void {
+    const standing = node.freshness.standing(this.now(node));
+    if (standing.kind === 'fresh' && standing.epoch > this.workerEpoch) {
+      this.workerEpoch = standing.epoch;
+    }
+  }
+
+  /** A second in which all goes well but for what is cut, asleep or down. */
+  private round(amount: number): void {
+    this.time += 500;
+    for (const node of this.awake()) {
+      node.read ??= { sentAt: this.now(node), served: undefined };
+      this.serveRead(node);
+      if (amount % 5 > 0) {
+        this.finishRead(node);
+      }
+      this.claim(node);
+    }
+    if (amount % 4 > 0) {
+      this.log.push(...this.appends.splice(0));
+    }
+    for (const node of this.awake()) {
+      this.beat(node);
+    }
+    this.time += 500;
+    this.deliver(this.take(({ from, to }) => this.passes(from, to)));
+  }
+
+  private awake(): Node[] {
+    return this.nodes.filter(({ index }) => !this.asleep.has(index));
+  }
+
+  private passes(from: number, to: number): boolean {
+    return !this.cut.has(from) && !this.cut.has(to) && !this.asleep.has(to);
+  }
+
+  private take(wanted: (letter: Letter) => boolean): Letter[] {
+    const taken = this.letters.filter(wanted);
+    const rest = this.letters.filter((letter) => !wanted(letter));
+    this.letters.splice(0, this.letters.length, ...rest);
+    return taken;
+  }
+}
+
+const EVENTS = [
+  ...['pass', 'beat', 'deliver_one', 'deliver_all', 'lose', 'send_read', 'serve_read'],
+  ...['finish_read', 'claim', 'land', 'release', 'restart', 'attach', 'attach'],
+  ...['log_down', 'log_down', 'log_up', 'cut', 'heal', 'sleep', 'wake'],
+] as const;
+
+interface Step {
+  readonly kind: (typeof EVENTS)[number] | 'round';
+  readonly node: number;
+  readonly amount: number;
+}
+
+/** Random events, each followed by rounds, so that suspicion and claims have time to happen. */
+function schedules() {
+  const event = fc.record({
+    kind: fc.constantFrom(...EVENTS),
+    node: fc.nat(MEMBERS.length - 1),
+    amount: fc.nat(50),
+  });
+  const rounds = fc.array(fc.nat(50), { maxLength: 6, size: 'max' });
+  const stretch = fc.tuple(event, rounds).map(([first, amounts]): Step[] => {
+    return [first, ...amounts.map((amount) => ({ kind: 'round' as const, node: 0, amount }))];
+  });
+  return fc
+    .array(stretch, { minLength: 5, maxLength: 40, size: 'max' })
+    .map((stretches) => stretches.flat());
+}
+
+/** The first conflict that the schedule leads to, if any. */
+function conflictIn(schedule: readonly Step[], removed: Guard): string | undefined {
+  const world = new World(removed);
+  for (const step of schedule) {
+    world.step(step);
+    const conflict = world.conflict();
+    if (conflict !== undefined) {
+      return conflict;
+    }
+  }
+  return undefined;
+}
+
+function steps(kind: Step['kind'], node = 0, amount = 1): Step[] {
+  return [{ kind, node, amount }];
+}
+
+/** Rounds in which reads finish; whether appends land is up to `land`. */
+function rounds(count: number, land: boolean): Step[] {
+  return Array.from({ length: count }, () => steps('round', 0, land ? 1 : 4)).flat();
+}
+
+/**
+ * The owner c has no log. While c is cut off, b claims with the vote of a; then b is cut off, c and
+ * a hear each other again, and the claim lands.
+ */
+function claimAcrossTwoCuts(): Step[] {
+  const [a, b, c] = [0, 1, 2];
+  return [
+    ...rounds(4, true),
+    ...steps('log_down', c),
+    ...steps('log_down', a),
+    ...steps('cut', c),
+    ...rounds(6, false),
+    ...steps('cut', b),
+    ...steps('heal', c),
+    ...rounds(4, false),
+    ...steps('land'),
+    ...rounds(6, false),
+  ];
+}
+
+/** Statements made before b claimed reach the owner c only after b has become its successor. */
+function statementsHeldBack(): Step[] {
+  const [a, b, c] = [0, 1, 2];
+  return [
+    ...rounds(4, true),
+    ...[a, b, c].flatMap((node) => steps('log_down', node)),
+    ...rounds(3, true),
+    ...steps('cut', c),
+    ...rounds(1, true),
+    ...steps('log_up', b),
+    ...rounds(12, true),
+    ...steps('deliver_one', c, 0),
+    ...steps('deliver_one', c, 0),
+  ];
+}
+
+/** The owner c is cut off from the members but not from the log, and a has just claimed. */
+function successorAttaches(): Step[] {
+  const [a, , c] = [0, 1, 2];
+  return [
+    ...rounds(4, true),
+    ...steps('cut', c),
+    ...rounds(6, false),
+    ...steps('land', a, 0),
+    ...steps('send_read', a),
+    ...steps('serve_read', a),
+    ...steps('finish_read', a),
+    ...steps('attach', a),
+  ];
+}
+
+function check(removed: Guard) {
+  const property = fc.property(schedules(), (schedule) => {
+    return conflictIn(schedule, removed) === undefined;
+  });
+  const examples: [Step[]][] = [
+    [claimAcrossTwoCuts()],
+    [statementsHeldBack()],
+    [successorAttaches()],
+  ];
+  return fc.check(property, { seed: 20_261_204, numRuns: 2000, examples, endOnFailure: true });
+}
+
+test('no schedule gives two exclusive owners', (t) => {
+  const result = check('none');
+  t.false(result.failed, JSON.stringify(result.counterexample));
+});
+
+test('the schedules hand shards over, again and again', (t) => {
+  const reached = fc.sample(schedules(), { seed: 20_261_204, numRuns: 200 }).map((schedule) => {
+    const world = new World('none');
+    return Math.max(
+      ...schedule.map((step) => {
+        world.step(step);
+        return world.highestFreshEpoch();
+      }),
+    );
+  });
+  t.true(reached.filter((epoch) => epoch >= 2).length >= 100);
+  t.true(reached.some((epoch) => epoch >= 4));
+});
+
+for (const guard of [
+  'handover',
+  'echo',
+  'every_member',
+  'log_read_sent',
+  'own_incarnation',
+  'release_first',
+  'epochs_and_log_answers',
+  'fence',
+] as const) {
+  test(`without the guard ${guard} the schedules find two owners`, (t) => {
+    t.true(check(guard).failed);
+  });
+}
