--- /dev/null
+++ b/packages/ownership/src/claims.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava';
+import { brandAs, type Epoch, type MemberId, type ShardId } from '@bamboowell/types/ids';
+import type { Instant } from '@bamboowell/types/time';
+import { CLAIM_STEP_MILLIS } from './bounds.js';
+import { ClaimWatch, planClaim, type Candidate, type ClaimView } from './claims.js';
+import { claimOrder, dealOut } from './preference.js';
+
+const shardOf = (name: string) => brandAs<ShardId>(name);
+const memberOf = (name: string) => brandAs<MemberId>(name);
+const instantOf = (millis: number) => brandAs<Instant>(millis);
+const SHARD = shardOf('s0');
+
+function members(count: number): MemberId[] {
+  return Array.from({ length: count }, (_, index) => memberOf(`m${index}`));
+}
+
+function candidates(names: readonly MemberId[], changes: Partial<Candidate> = {}): Candidate[] {
+  return names.map((member) => ({ member, live: true, leaving: false, ...changes }));
+}
+
+function votesOf(voters: readonly MemberId[], suspect: MemberId) {
+  return new Map(voters.map((voter) => [voter, new Set([suspect])]));
+}
+
+/** The view of the preferred claimant of a released shard in a region of three. */
+function claimView(changes: Partial<ClaimView> = {}): ClaimView {
+  const region = members(3);
+  return {
+    self: claimOrder(SHARD, [SHARD], region)[0] ?? memberOf('none'),
+    shard: SHARD,
+    shards: [SHARD],
+    fold: { epoch: brandAs<Epoch>(4), owner: null },
+    foldIsFresh: true,
+    claimedBySelf: false,
+    claimUnresolved: false,
+    candidates: candidates(region),
+    voters: { region, witnesses: [] },
+    votes: new Map(),
+    openedAt: instantOf(1000),
+    now: instantOf(1000),
+    ...changes,
+  };
+}
+
+test('the preferred member claims a released shard at once, the others in turn', (t) => {
+  const [first, second] = claimOrder(SHARD, [SHARD], members(3));
+  t.truthy(first);
+  t.deepEqual(planClaim(claimView()), { kind: 'claim', epoch: brandAs<Epoch>(5), votes: [] });
+  const self = second ?? memberOf('none');
+  const waits = planClaim(claimView({ self }));
+  t.like(waits, { kind: 'wait', why: 'turn', until: 1000 + CLAIM_STEP_MILLIS });
+  const later = planClaim(claimView({ self, now: instantOf(1000 + CLAIM_STEP_MILLIS) }));
+  t.is(later.kind, 'claim');
+});
+
+test('nothing is claimed on a stale view, over an unresolved claim, or while leaving', (t) => {
+  const leaving = claimView();
+  const own = leaving.candidates.map((one) => ({ ...one, leaving: one.member === leaving.self }));
+  t.like(planClaim(claimView({ foldIsFresh: false })), { why: 'not_fresh' });
+  t.like(planClaim(claimView({ claimUnresolved: true })), { why: 'unresolved' });
+  t.like(planClaim(claimView({ candidates: own })), { why: 'leaving' });
+});
+
+test('a leaving member and a silent one are passed over', (t) => {
+  const region = members(3);
+  const [first, second] = claimOrder(SHARD, [SHARD], region);
+  const self = second ?? memberOf('none');
+  for (const change of [{ leaving: true }, { live: false }]) {
+    const view = claimView({ self });
+    const changed = view.candidates.map((one) =>
+      one.member === first ? { ...one, ...change } : one,
+    );
+    t.is(planClaim(claimView({ self, candidates: changed })).kind, 'claim');
+  }
+});
+
+test('an owner that has not released loses its shard to a majority only', (t) => {
+  const region = members(5);
+  const [self, owner, third, fourth] = region as [MemberId, MemberId, MemberId, MemberId];
+  const fold = { epoch: brandAs<Epoch>(4), owner };
+  const voters = { region, witnesses: [] };
+  const view = { self, fold, voters, candidates: candidates(region), now: instantOf(99_000) };
+  t.like(planClaim(claimView(view)), { why: 'owned' });
+  const minority = votesOf([self, third], owner);
+  t.like(planClaim(claimView({ ...view, votes: minority })), { why: 'no_majority' });
+  const majority = votesOf([self, third, fourth], owner);
+  t.like(planClaim(claimView({ ...view, votes: majority })), { kind: 'claim' });
+});
+
+test('a list that lacks members makes no majority of a minority', (t) => {
+  const [self, owner, witness] = members(3) as [MemberId, MemberId, MemberId];
+  const view = {
+    self,
+    fold: { epoch: brandAs<Epoch>(4), owner },
+    candidates: candidates([self]),
+    votes: votesOf([self], owner),
+  };
+  const alone = { ...view, voters: { region: [self], witnesses: [] } };
+  t.like(planClaim(claimView(alone)), { why: 'no_majority' });
+  const watched = { ...view, voters: { region: [self, owner], witnesses: [witness] } };
+  t.like(planClaim(claimView(watched)), { why: 'no_majority' });
+  const outvoted = { ...watched, votes: votesOf([self, witness], owner) };
+  t.is(planClaim(claimView(outvoted)).kind, 'claim');
+});
+
+test('a restarted owner claims its shard anew and names itself as the voter', (t) => {
+  const { self } = claimView();
+  const fold = { epoch: brandAs<Epoch>(4), owner: self };
+  t.like(planClaim(claimView({ fold })), { kind: 'claim', votes: [self] });
+  t.like(planClaim(claimView({ fold, claimedBySelf: true })), { why: 'owned' });
+});
+
+test('the turn counts from the instant at which the shard became open', (t) => {
+  const [, second] = claimOrder(SHARD, [SHARD], members(3));
+  const self = second ?? memberOf('none');
+  const watch = new ClaimWatch();
+  const at = (millis: number) => watch.plan(claimView({ self, now: instantOf(millis) })).kind;
+  t.is(at(5000), 'wait');
+  t.is(at(5000 + CLAIM_STEP_MILLIS - 1), 'wait');
+  t.is(at(5000 + CLAIM_STEP_MILLIS), 'claim');
+});
+
+test('shards are dealt out evenly, and few move when a member goes', (t) => {
+  const shards = Array.from({ length: 36 }, (_, index) => shardOf(`s${index}`));
+  const before = dealOut(shards, members(9));
+  const counts = members(9).map((one) => [...before.values()].filter((owner) => owner === one));
+  t.deepEqual([...new Set(counts.map(({ length }) => length))], [4]);
+  const after = dealOut(shards, members(8));
+  const moved = shards.filter((shard) => before.get(shard) !== after.get(shard));
+  t.true(moved.length <= 18, `${moved.length} of 36 moved`);
+});
--- a/packages/ownership/src/configuration-freshness.ts
+++ b/packages/ownership/src/configuration-freshness.ts
@@ -12,6 +12,8 @@
   readonly logAnswers: boolean;
   /** All entries of the stream `cell` below this offset are folded. */
   readonly upTo: Offset;
+  /** The member has left for good; its last word stays good for ever. */
+  readonly left: boolean;
 }
 
 export type ConfigurationStanding =
@@ -27,6 +29,8 @@
   private upTo: Offset | undefined;
   private readAt: Instant | undefined;
   private logIsSilent = false;
+  /** The highest offset that each member ever told of; a restarted one may have forgotten it. */
+  private readonly highest = new Map<MemberId, Offset>();
   private others: ReadonlySet<MemberId> = new Set();
   private readonly statements = new Map<MemberId, ConfigurationStatement>();
 
@@ -56,6 +60,10 @@
   }
 
   memberSays(statement: ConfigurationStatement): void {
+    const highest = this.highest.get(statement.member);
+    if (highest === undefined || statement.upTo > highest) {
+      this.highest.set(statement.member, statement.upTo);
+    }
     const before = this.statements.get(statement.member);
     if (before === undefined || statement.at >= before.at) {
       this.statements.set(statement.member, statement);
@@ -86,15 +94,16 @@
       const silent = [...this.others].filter((member) => !names.has(member));
       return { kind: 'stale', why: 'member_silent', members: silent };
     }
-    const answered = heard.filter(({ logAnswers }) => logAnswers);
+    const answered = heard.filter(({ logAnswers, left }) => logAnswers && !left);
     if (answered.length > 0) {
-      return stale('log_answers_member', answered);
+      const members = answered.map(({ member }) => member);
+      return { kind: 'stale', why: 'log_answers_member', members };
     }
-    const ahead = heard.filter((statement) => statement.upTo > upTo);
+    const ahead = [...this.highest].filter(([, offset]) => offset > upTo);
     if (ahead.length > 0) {
-      return stale('behind', ahead);
+      return { kind: 'stale', why: 'behind', members: ahead.map(([member]) => member) };
     }
-    return freshBy(heard);
+    return freshBy(heard, now);
   }
 
   private heardOf(member: MemberId, now: Instant): ConfigurationStatement[] {
@@ -102,24 +111,19 @@
     if (statement === undefined) {
       return [];
     }
-    return hasPassed(deadlineAfter(statement.at, CONFIGURATION_FRESH_MILLIS), now)
-      ? []
-      : [statement];
+    const end = deadlineAfter(statement.at, CONFIGURATION_FRESH_MILLIS);
+    return statement.left || !hasPassed(end, now) ? [statement] : [];
   }
 }
 
-function stale(
-  why: 'log_answers_member' | 'behind',
+function freshBy(
   statements: readonly ConfigurationStatement[],
+  now: Instant,
 ): ConfigurationStanding {
-  return { kind: 'stale', why, members: statements.map(({ member }) => member) };
-}
-
-function freshBy(statements: readonly ConfigurationStatement[]): ConfigurationStanding {
-  const [first, ...rest] = statements;
-  if (first === undefined) {
+  if (statements.length === 0) {
     return { kind: 'stale', why: 'alone', members: [] };
   }
-  const oldest = rest.reduce((least, { at }) => (at < least ? at : least), first.at);
+  const instants = statements.map(({ at, left }) => (left ? now : at));
+  const oldest = instants.reduce((least, at) => (at < least ? at : least), now);
   return { kind: 'fresh', freshUntil: deadlineAfter(oldest, CONFIGURATION_FRESH_MILLIS) };
 }
