--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -199,7 +199,7 @@
 
   private sendHeartbeats(to: readonly Peer[] = this.peers.all()): void {
     const sequence = this.sent.next(this.clock.now());
-    const hears = this.peers.all().filter(({ member }) => this.hears(member));
+    const hears = this.peers.all().filter(({ heard }) => heard !== undefined);
     for (const peer of to) {
       const sent = peer.connection?.notify(
         HEARTBEAT_METHOD,
@@ -211,10 +211,6 @@
     }
   }
 
-  private hears(member: MemberId): boolean {
-    return this.peers.get(member)?.heard !== undefined && !this.suspects.has(member);
-  }
-
   private heartbeatFor(peer: Peer, sequence: number, hears: readonly Peer[]): Heartbeat {
     const { member, incarnation, region, dataCentre } = this.settings;
     return {
@@ -368,7 +364,7 @@
       this.suspicion.expect(peer.member, now);
     }
     this.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
-    if (before?.incarnation !== heartbeat.incarnation || before.phase !== heartbeat.phase) {
+    if (before === undefined || changesView(before, heartbeat)) {
       this.publish(this.view());
     }
     this.updateSuspects();
@@ -436,6 +432,16 @@
   return left.size === right.size && [...left].every((member) => right.has(member));
 }
 
+/** Whether the heartbeat tells something that others decide by, beyond its being alive. */
+function changesView(before: Heartbeat, after: Heartbeat): boolean {
+  return (
+    before.incarnation !== after.incarnation ||
+    before.phase !== after.phase ||
+    !sameMembers(new Set(before.suspects), new Set(after.suspects)) ||
+    !sameMembers(new Set(before.hears), new Set(after.hears))
+  );
+}
+
 /** Whether a newer heartbeat of the same incarnation has come before. */
 function isLate(peer: Peer, { incarnation, sequence }: Heartbeat): boolean {
   const known = peer.heard?.heartbeat;
--- /dev/null
+++ b/packages/membership/src/ownership-inputs.ts
@@ -0,0 +1,100 @@
+/** What the pure decisions on ownership need, taken from the views of the members task. */
+
+import type { Candidate } from '@bamboowell/ownership/claims';
+import type { ConfigurationStatement } from '@bamboowell/ownership/configuration-freshness';
+import type { Voters, Votes } from '@bamboowell/ownership/electorate';
+import type { Statement } from '@bamboowell/ownership/freshness';
+import type { MemberId, RegionId } from '@bamboowell/types/ids';
+import type { MembersEvent, MemberView } from './members-messages.js';
+
+type View = Extract<MembersEvent, { kind: 'view' }>;
+
+/** Who this member is. */
+export interface Self {
+  readonly member: MemberId;
+  readonly region: RegionId;
+}
+
+/** The members that must be heard while the log does not answer, without this one. */
+export interface ExpectedMembers {
+  /** For the freshness of owners. */
+  readonly region: readonly MemberId[];
+  /** For the freshness of the configuration. */
+  readonly cell: readonly MemberId[];
+}
+
+/** The region of a member, if it is listed or was heard. */
+export function regionOf(member: MemberView): RegionId | undefined {
+  return member.heard?.heartbeat.region ?? member.listed?.region;
+}
+
+/**
+ * All members that this one knows of, and those that the others hear. A member of an unknown
+ * region is expected in every region, so that a lagging list hides nobody who may vote or claim.
+ */
+export function expectedMembers(view: View, self: Self): ExpectedMembers {
+  const regions = new Map(view.members.map((member) => [member.member, regionOf(member)]));
+  const told = view.members.flatMap(({ heard }) => heard?.heartbeat.hears ?? []);
+  const cell = [...new Set([...regions.keys(), ...told])].filter((one) => one !== self.member);
+  const region = cell.filter((one) => (regions.get(one) ?? self.region) === self.region);
+  return { region, cell };
+}
+
+/** The members of the region that may be given shards. */
+export function candidatesOf(view: View, self: Self): Candidate[] {
+  const others = inRegion(view, self).map(({ member, heard, suspected, leaving }) => ({
+    member,
+    live: heard !== undefined && !suspected,
+    leaving,
+  }));
+  return [{ member: self.member, live: true, leaving: view.leaving }, ...others];
+}
+
+/** The members whose suspicion counts, also silent ones. */
+export function votersOf(view: View, self: Self): Voters {
+  const { region, cell } = expectedMembers(view, self);
+  const witnesses = cell.filter((member) => !region.includes(member));
+  return { region: [self.member, ...region], witnesses };
+}
+
+/** Who suspects whom, by the members that are heard. */
+export function votesOf(view: View, self: Self): Votes {
+  const heard = view.members.filter((member) => !member.suspected);
+  const votes = heard.flatMap(({ member, heard: last }) =>
+    last === undefined ? [] : [[member, new Set(last.heartbeat.suspects)] as const],
+  );
+  return new Map([...votes, [self.member, view.suspects]]);
+}
+
+/** What the member said that bears on owners; nothing while it has echoed nothing of ours. */
+export function statementOf({ member, heard }: MemberView): Statement | undefined {
+  if (heard?.madeAfter === undefined) {
+    return undefined;
+  }
+  const { incarnation, logAnswers, unresolvedClaims, epochs, phase } = heard.heartbeat;
+  return {
+    member,
+    incarnation,
+    at: heard.madeAfter,
+    logAnswers,
+    unresolvedClaims,
+    epochs: new Map(epochs.map(({ shard, epoch }) => [shard, epoch])),
+    left: phase === 'left',
+  };
+}
+
+/** What the member said of its configuration; nothing while it has echoed nothing of ours. */
+export function configurationStatementOf({
+  member,
+  heard,
+}: MemberView): ConfigurationStatement | undefined {
+  if (heard?.madeAfter === undefined) {
+    return undefined;
+  }
+  const { logAnswers, cellUpTo, phase } = heard.heartbeat;
+  return { member, at: heard.madeAfter, logAnswers, upTo: cellUpTo, left: phase === 'left' };
+}
+
+function inRegion(view: View, self: Self): MemberView[] {
+  return view.members.filter((member) => regionOf(member) === self.region);
+}
