Date statements by the report they carry, and split the members task

A heartbeat that echoed the newest of ours while its report was older made a statement look younger than it was, which breaks the argument for freshness. Reports now carry the instant at which they were true, and only heartbeats received by then are echoed.

--- a/packages/membership/src/heartbeat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -1,16 +1,17 @@
 /** The heartbeat that members send one another: the body of the notification `heartbeat`. */
 
 import { z } from 'zod';
-import type {
-  Branded,
-  DataCentreId,
-  Epoch,
-  Incarnation,
-  MemberId,
-  Offset,
-  RegionId,
-  ShardId,
-  Version,
+import {
+  brandAs,
+  type Branded,
+  type DataCentreId,
+  type Epoch,
+  type Incarnation,
+  type MemberId,
+  type Offset,
+  type RegionId,
+  type ShardId,
+  type Version,
 } from '@bamboowell/types/ids';
 
 export const HEARTBEAT_METHOD = 'heartbeat';
@@ -53,6 +54,16 @@
   readonly owned: readonly OwnedShard[];
 }
 
+/** Nothing is known yet: the log is said to answer, which is the cautious report. */
+export const FIRST_REPORT: Report = {
+  logAnswers: true,
+  version: brandAs<Version>(0),
+  cellUpTo: brandAs<Offset>(0),
+  unresolvedClaims: [],
+  epochs: [],
+  owned: [],
+};
+
 /** `leaving`: gets no new shards. `left`: this incarnation owns and claims nothing any more. */
 export type Phase = 'serving' | 'leaving' | 'left';
 
@@ -116,3 +127,18 @@
   const parsed = heartbeatSchema.safeParse(params);
   return parsed.success ? parsed.data : undefined;
 }
+
+/** Whether both hold the same members. */
+export function sameMembers(left: ReadonlySet<MemberId>, right: ReadonlySet<MemberId>): boolean {
+  return left.size === right.size && [...left].every((member) => right.has(member));
+}
+
+/** Whether the heartbeat tells something that others decide by, beyond its being alive. */
+export function changesView(before: Heartbeat, after: Heartbeat): boolean {
+  return (
+    before.incarnation !== after.incarnation ||
+    before.phase !== after.phase ||
+    !sameMembers(new Set(before.suspects), new Set(after.suspects)) ||
+    !sameMembers(new Set(before.hears), new Set(after.hears))
+  );
+}
--- /dev/null
+++ b/packages/membership/src/links.ts
@@ -0,0 +1,161 @@
+/** The connections to other members: dials them, finds out whose they are, replaces lost ones. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Posted } from '@bamboowell/kernel/mailbox';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
+import type { Connection, Handler } from '@bamboowell/wire/connection';
+import { nextAttempt } from './backoff.js';
+import { HEARTBEAT_METHOD } from './heartbeat.js';
+import type { MembersMessage, OwnMessage } from './members-messages.js';
+import type { MembersSettings } from './members-settings.js';
+import type { Peer } from './peer.js';
+import type { Peers } from './peers.js';
+
+/** Time that one dial may take, milliseconds. */
+const DIAL_MILLIS = 2000;
+
+/** Time for which the member with the higher id waits to be dialled, milliseconds. */
+export const DIAL_GRACE_MILLIS = 3000;
+
+export class Links {
+  private readonly handlers: Map<string, Handler>;
+  /** Connections whose other end has not told its name yet. */
+  private readonly unnamed = new Set<Connection>();
+
+  constructor(
+    private readonly settings: MembersSettings,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    /** Posts to the task that owns these connections. */
+    private readonly post: (message: OwnMessage) => Posted,
+  ) {
+    this.handlers = new Map(settings.handlers);
+  }
+
+  closeAll(): void {
+    for (const connection of this.connections()) {
+      connection.close();
+    }
+  }
+
+  serve(method: string, handler: Handler): void {
+    this.handlers.set(method, handler);
+    for (const connection of this.connections()) {
+      connection.handle(method, handler);
+    }
+  }
+
+  request(message: Extract<MembersMessage, { kind: 'request' }>): void {
+    const connection = this.peers.get(message.member)?.connection;
+    if (connection === undefined) {
+      message.reply({ kind: 'not_sent' });
+      return;
+    }
+    void connection.request(message.method, message.params, message.deadline).then(message.reply);
+  }
+
+  /** Schedules the first dial of a peer that the list has just shown. */
+  expect(peer: Peer): void {
+    peer.dialFrom = deadlineAfter(this.dialBase(peer), 0);
+    this.dialIfDue(peer);
+  }
+
+  dialIfDue(peer: Peer): void {
+    const { listed, connection, dialling, dialFrom } = peer;
+    const now = this.clock.now();
+    if (listed === undefined || connection !== undefined || dialling || !hasPassed(dialFrom, now)) {
+      return;
+    }
+    peer.dialling = true;
+    const deadline = deadlineAfter(now, DIAL_MILLIS);
+    void this.settings.dialler.dial(listed.address, deadline).then((opened) => {
+      const posted = this.post({ kind: 'dialled', member: peer.member, connection: opened });
+      if (posted !== 'accepted') {
+        opened?.close();
+      }
+    });
+  }
+
+  /** Takes in the outcome of a dial. Returns whether there is a connection. */
+  dialled(peer: Peer, connection: Connection | undefined): boolean {
+    peer.dialling = false;
+    if (connection === undefined) {
+      this.settings.count('dials_failed');
+      this.scheduleDial(peer);
+      return false;
+    }
+    this.adopt(connection);
+    this.assign(connection, peer);
+    return true;
+  }
+
+  /** Listens to a connection whose other end is not known yet. */
+  adopt(connection: Connection): void {
+    this.unnamed.add(connection);
+    for (const [method, handler] of this.handlers) {
+      connection.handle(method, handler);
+    }
+    connection.handle(HEARTBEAT_METHOD, (params) => {
+      this.post({ kind: 'received', connection, params });
+    });
+    void connection.ended.then(() => {
+      this.post({ kind: 'ended', connection });
+    });
+  }
+
+  /** Whether the connection may carry this name: each carries one, and never our own. */
+  mayCarry(connection: Connection, member: MemberId): boolean {
+    const named = this.peers.byConnection(connection);
+    return member !== this.settings.member && (named === undefined || named.member === member);
+  }
+
+  /** Makes an unnamed connection the peer's own. Returns whether it was unnamed. */
+  name(connection: Connection, peer: Peer): boolean {
+    const wasUnnamed = this.unnamed.has(connection);
+    if (wasUnnamed) {
+      this.assign(connection, peer);
+    }
+    return wasUnnamed;
+  }
+
+  /** Takes in the end of a connection. Returns the peer that has none now. */
+  ended(connection: Connection): Peer | undefined {
+    this.unnamed.delete(connection);
+    const peer = this.peers.byConnection(connection);
+    if (peer !== undefined) {
+      peer.connection = undefined;
+      this.scheduleDial(peer);
+      this.peers.updateForgetting(peer, this.clock.now());
+    }
+    return peer;
+  }
+
+  /** The newest connection counts; an earlier one is closed. */
+  private assign(connection: Connection, peer: Peer): void {
+    this.unnamed.delete(connection);
+    const earlier = peer.connection;
+    peer.connection = connection;
+    this.peers.updateForgetting(peer, this.clock.now());
+    if (earlier !== undefined) {
+      this.settings.count('connections_replaced');
+      earlier.close();
+    }
+  }
+
+  private scheduleDial(peer: Peer): void {
+    peer.failures += 1;
+    peer.dialFrom = nextAttempt(peer.failures, this.dialBase(peer), this.settings.random);
+  }
+
+  /** The member with the lower id dials at once, the other one only if that did not help. */
+  private dialBase(peer: Peer): Instant {
+    const grace = this.settings.member < peer.member ? 0 : DIAL_GRACE_MILLIS;
+    return brandAs<Instant>(this.clock.now() + grace);
+  }
+
+  private connections(): Connection[] {
+    const named = this.peers.all().flatMap(({ connection }) => connection ?? []);
+    return [...named, ...this.unnamed];
+  }
+}
--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -49,8 +49,11 @@
       readonly deadline: Deadline;
       readonly reply: Reply<WireAnswer>;
     }
-  /** What this member tells from its next heartbeat on. */
-  | { readonly kind: 'report'; readonly report: Report }
+  /**
+   * What this member tells from its next heartbeat on. All of it was true at `at`; others rely on
+   * that, so that a report is posted at least every `REPORT_INTERVAL_MILLIS`.
+   */
+  | { readonly kind: 'report'; readonly report: Report; readonly at: Instant }
   /** This member gets no new shards from now on. */
   | { readonly kind: 'leave' }
   /** This member owns and claims nothing any more; it is told at once. */
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -5,82 +5,46 @@
 
 import { match } from 'ts-pattern';
 import type { Clock } from '@bamboowell/kernel/clock';
-import type { Address } from '@bamboowell/kernel/mailbox';
 import { Task } from '@bamboowell/kernel/task';
 import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { Suspicion } from '@bamboowell/ownership/suspicion';
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import type { Connection } from '@bamboowell/wire/connection';
 import {
-  brandAs,
-  type DataCentreId,
-  type Incarnation,
-  type MemberId,
-  type Offset,
-  type RegionId,
-  type Version,
-} from '@bamboowell/types/ids';
-import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
-import type { Connection, Handler } from '@bamboowell/wire/connection';
-import { nextAttempt } from './backoff.js';
-import type { Dialler } from './dialler.js';
-import {
+  changesView,
+  FIRST_REPORT,
   HEARTBEAT_METHOD,
   parseHeartbeat,
+  sameMembers,
   type Heartbeat,
   type Phase,
   type Report,
 } from './heartbeat.js';
-import type { MembersCounter, MembersEvent, MembersMessage } from './members-messages.js';
-import { echoOf, viewOf, type Peer } from './peer.js';
+import { Links } from './links.js';
+import type { MembersEvent, MembersMessage } from './members-messages.js';
+import type { MembersSettings } from './members-settings.js';
+import { echoOf, isLate, noteReceipt, viewOf, type Peer } from './peer.js';
 import { Peers } from './peers.js';
 import { SentHeartbeats } from './sent-heartbeats.js';
-import type { VmList, VmListing } from './vm-list.js';
+import { Subscribers } from './subscribers.js';
+import type { VmListing } from './vm-list.js';
 
 /** Interval at which the VM list is read, milliseconds. */
 export const LIST_INTERVAL_MILLIS = 2000;
 
-/** Time that one read of the list or one dial may take, milliseconds. */
-const ATTEMPT_MILLIS = 2000;
-
-/** Time for which the member with the higher id waits to be dialled, milliseconds. */
-export const DIAL_GRACE_MILLIS = 3000;
-
-/** What the task is told of itself and what it works with. */
-export interface MembersSettings {
-  readonly member: MemberId;
-  readonly incarnation: Incarnation;
-  readonly region: RegionId;
-  readonly dataCentre: DataCentreId;
-  readonly vmList: VmList;
-  readonly dialler: Dialler;
-  /** Uniform in [0, 1); spreads attempts to connect. */
-  readonly random: () => number;
-  readonly count: (counter: MembersCounter) => void;
-  /** Subscribed from the start, also after the task was restarted. */
-  readonly subscribers: readonly Address<MembersEvent>[];
-  /** Served from the start, by method. */
-  readonly handlers: ReadonlyMap<string, Handler>;
-}
-
-/** Nothing is known yet: the log is said to answer, which is the cautious report. */
-const FIRST_REPORT: Report = {
-  logAnswers: true,
-  version: brandAs<Version>(0),
-  cellUpTo: brandAs<Offset>(0),
-  unresolvedClaims: [],
-  epochs: [],
-  owned: [],
-};
+/** Time that one read of the list may take, milliseconds. */
+const LIST_MILLIS = 2000;
 
 export class MembersTask extends Task<MembersMessage> {
   private readonly peers: Peers;
   private readonly sent: SentHeartbeats;
   private readonly suspicion: Suspicion;
-  private readonly subscribers: Set<Address<MembersEvent>>;
-  private readonly handlers: Map<string, Handler>;
-  /** Connections whose other end has not told its name yet. */
-  private readonly unnamed = new Set<Connection>();
+  private readonly subscribers: Subscribers;
+  private readonly links: Links;
   private suspects: ReadonlySet<MemberId> = new Set();
   private report: Report = FIRST_REPORT;
+  private reportAt: Instant;
   private memberPhase: Phase = 'serving';
   private listedAsLeaving = false;
 
@@ -91,9 +55,10 @@
     super('members', clock);
     this.peers = new Peers(settings.member);
     this.sent = new SentHeartbeats(settings.incarnation, clock.now());
-    this.subscribers = new Set(settings.subscribers);
-    this.handlers = new Map(settings.handlers);
+    this.subscribers = new Subscribers(settings.subscribers, settings.count);
+    this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
     this.suspicion = new Suspicion(clock.now());
+    this.reportAt = clock.now();
   }
 
   protected override opened(): void {
@@ -102,25 +67,23 @@
   }
 
   protected override closed(): void {
-    for (const connection of this.connections()) {
-      connection.close();
-    }
+    this.links.closeAll();
   }
 
   protected receive(message: MembersMessage): void {
     match(message)
       .with({ kind: 'subscribe' }, ({ subscriber }) => {
-        this.subscribers.add(subscriber);
-        this.send(subscriber, this.view());
+        this.subscribers.add(subscriber, this.view());
       })
       .with({ kind: 'serve' }, ({ method, handler }) => {
-        this.serve(method, handler);
+        this.links.serve(method, handler);
       })
       .with({ kind: 'request' }, (request) => {
-        this.request(request);
+        this.links.request(request);
       })
-      .with({ kind: 'report' }, ({ report }) => {
+      .with({ kind: 'report' }, ({ report, at }) => {
         this.report = report;
+        this.reportAt = at;
       })
       .with({ kind: 'leave' }, () => {
         this.enter('leaving');
@@ -129,7 +92,7 @@
         this.enter('left');
       })
       .with({ kind: 'accepted' }, ({ connection }) => {
-        this.adopt(connection);
+        this.links.adopt(connection);
       })
       .with({ kind: 'beat' }, () => {
         this.beat();
@@ -141,7 +104,7 @@
         this.takeListing(listing);
       })
       .with({ kind: 'dialled' }, ({ member, connection }) => {
-        this.dialled(member, connection);
+        this.dialled(this.peers.ensure(member), connection);
       })
       .with({ kind: 'received' }, ({ connection, params }) => {
         this.received(connection, params);
@@ -152,38 +115,22 @@
       .exhaustive();
   }
 
-  private serve(method: string, handler: Handler): void {
-    this.handlers.set(method, handler);
-    for (const connection of this.connections()) {
-      connection.handle(method, handler);
-    }
-  }
-
-  private request(message: Extract<MembersMessage, { kind: 'request' }>): void {
-    const connection = this.peers.get(message.member)?.connection;
-    if (connection === undefined) {
-      message.reply({ kind: 'not_sent' });
-      return;
-    }
-    void connection.request(message.method, message.params, message.deadline).then(message.reply);
-  }
-
   private enter(phase: Phase): void {
     this.memberPhase = phase;
     this.sendHeartbeats();
-    this.publish(this.view());
+    this.subscribers.publish(this.view());
   }
 
   private beat(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, HEARTBEAT_INTERVAL_MILLIS), { kind: 'beat' });
     if (this.suspicion.tick(now)) {
-      this.publish({ kind: 'paused', at: now });
+      this.subscribers.publish({ kind: 'paused', at: now });
     }
     this.updateSuspects();
     this.sendHeartbeats();
     for (const peer of this.peers.all()) {
-      this.dialIfDue(peer);
+      this.links.dialIfDue(peer);
     }
     this.forgetSilent();
   }
@@ -193,7 +140,7 @@
     const changed = !sameMembers(suspects, this.suspects);
     this.suspects = suspects;
     if (changed) {
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
@@ -219,7 +166,7 @@
       region,
       dataCentre,
       sequence,
-      echo: echoOf(peer),
+      echo: echoOf(peer, this.reportAt),
       phase: this.memberPhase,
       hears: hears.map((heard) => heard.member),
       suspects: [...this.suspects],
@@ -230,7 +177,7 @@
   private refresh(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
-    void this.settings.vmList.list(deadlineAfter(now, ATTEMPT_MILLIS)).then((listing) => {
+    void this.settings.vmList.list(deadlineAfter(now, LIST_MILLIS)).then((listing) => {
       this.post({ kind: 'listed', listing });
     });
   }
@@ -243,15 +190,14 @@
     const now = this.clock.now();
     const before = this.listingKey();
     for (const peer of this.peers.list(listing.vms, now)) {
-      peer.dialFrom = deadlineAfter(this.dialBase(peer), 0);
       this.suspicion.expect(peer.member, now);
-      this.dialIfDue(peer);
+      this.links.expect(peer);
     }
     this.listedAsLeaving = listing.vms.some(
       (vm) => vm.role === 'entry' && vm.member === this.settings.member && vm.state === 'leaving',
     );
     if (this.listingKey() !== before) {
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
@@ -261,83 +207,28 @@
     return JSON.stringify([this.listedAsLeaving, entries]);
   }
 
-  private dialIfDue(peer: Peer): void {
-    const { listed, connection, dialling, dialFrom } = peer;
-    const now = this.clock.now();
-    if (listed === undefined || connection !== undefined || dialling || !hasPassed(dialFrom, now)) {
-      return;
-    }
-    peer.dialling = true;
-    const deadline = deadlineAfter(now, ATTEMPT_MILLIS);
-    void this.settings.dialler.dial(listed.address, deadline).then((opened) => {
-      const posted = this.post({ kind: 'dialled', member: peer.member, connection: opened });
-      if (posted !== 'accepted') {
-        opened?.close();
-      }
-    });
-  }
-
-  private dialled(member: MemberId, connection: Connection | undefined): void {
-    const peer = this.peers.ensure(member);
-    peer.dialling = false;
-    if (connection === undefined) {
-      this.settings.count('dials_failed');
-      this.scheduleDial(peer);
-      return;
-    }
-    this.adopt(connection);
-    this.assign(connection, peer);
-    this.sendHeartbeats([peer]);
-  }
-
-  private scheduleDial(peer: Peer): void {
-    peer.failures += 1;
-    peer.dialFrom = nextAttempt(peer.failures, this.dialBase(peer), this.settings.random);
-  }
-
-  /** The member with the lower id dials at once, the other one only if that did not help. */
-  private dialBase(peer: Peer): Instant {
-    const grace = this.settings.member < peer.member ? 0 : DIAL_GRACE_MILLIS;
-    return brandAs<Instant>(this.clock.now() + grace);
-  }
-
-  private adopt(connection: Connection): void {
-    this.unnamed.add(connection);
-    for (const [method, handler] of this.handlers) {
-      connection.handle(method, handler);
+  private dialled(peer: Peer, connection: Connection | undefined): void {
+    if (this.links.dialled(peer, connection)) {
+      this.sendHeartbeats([peer]);
+      this.subscribers.publish(this.view());
     }
-    connection.handle(HEARTBEAT_METHOD, (params) => {
-      this.post({ kind: 'received', connection, params });
-    });
-    void connection.ended.then(() => {
-      this.post({ kind: 'ended', connection });
-    });
   }
 
-  /** Makes the connection the peer's own; an earlier one is closed. */
-  private assign(connection: Connection, peer: Peer): void {
-    this.unnamed.delete(connection);
-    if (peer.connection === connection) {
-      return;
-    }
-    if (peer.connection !== undefined) {
-      this.settings.count('connections_replaced');
-      peer.connection.close();
+  private ended(connection: Connection): void {
+    if (this.links.ended(connection) !== undefined) {
+      this.subscribers.publish(this.view());
     }
-    peer.connection = connection;
-    this.peers.updateForgetting(peer, this.clock.now());
-    this.publish(this.view());
   }
 
   private received(connection: Connection, params: unknown): void {
     const heartbeat = parseHeartbeat(params);
-    if (heartbeat === undefined || !this.mayCome(connection, heartbeat)) {
+    if (heartbeat === undefined || !this.links.mayCarry(connection, heartbeat.member)) {
       this.settings.count('heartbeats_malformed');
       return;
     }
     const peer = this.peers.ensure(heartbeat.member);
-    if (this.unnamed.has(connection)) {
-      this.assign(connection, peer);
+    if (this.links.name(connection, peer)) {
+      this.subscribers.publish(this.view());
     }
     if (isLate(peer, heartbeat)) {
       this.settings.count('heartbeats_late');
@@ -347,25 +238,20 @@
     this.takeHeartbeat(peer, heartbeat);
   }
 
-  /** Whether the connection may carry this name: each carries one, and never our own. */
-  private mayCome(connection: Connection, { member }: Heartbeat): boolean {
-    const named = this.peers.byConnection(connection);
-    return member !== this.settings.member && (named === undefined || named.member === member);
-  }
-
   private takeHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
     const now = this.clock.now();
     const before = peer.heard?.heartbeat;
     peer.failures = 0;
+    noteReceipt(peer, heartbeat, now);
     peer.heard = { heartbeat, madeAfter: this.sent.instantOf(heartbeat.echo) };
     if (this.servesOwners(heartbeat)) {
       this.suspicion.heard(peer.member, now);
     } else {
       this.suspicion.expect(peer.member, now);
     }
-    this.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
+    this.subscribers.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
     if (before === undefined || changesView(before, heartbeat)) {
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
     this.updateSuspects();
   }
@@ -378,18 +264,6 @@
     return heartbeat.logAnswers || !this.report.logAnswers;
   }
 
-  private ended(connection: Connection): void {
-    this.unnamed.delete(connection);
-    const peer = this.peers.byConnection(connection);
-    if (peer === undefined) {
-      return;
-    }
-    peer.connection = undefined;
-    this.scheduleDial(peer);
-    this.peers.updateForgetting(peer, this.clock.now());
-    this.publish(this.view());
-  }
-
   private forgetSilent(): void {
     const gone = this.peers.forget(this.clock.now());
     for (const { member } of gone) {
@@ -397,53 +271,13 @@
     }
     if (gone.length > 0) {
       this.updateSuspects();
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
-  private connections(): Connection[] {
-    const named = this.peers.all().flatMap(({ connection }) => connection ?? []);
-    return [...named, ...this.unnamed];
-  }
-
   private view(): MembersEvent {
     const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
     const leaving = this.memberPhase !== 'serving' || this.listedAsLeaving;
     return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
   }
-
-  private publish(event: MembersEvent): void {
-    for (const subscriber of this.subscribers) {
-      this.send(subscriber, event);
-    }
-  }
-
-  private send(subscriber: Address<MembersEvent>, event: MembersEvent): void {
-    const posted = subscriber.post(event);
-    if (posted === 'stopped') {
-      this.subscribers.delete(subscriber);
-    } else if (posted === 'full') {
-      this.settings.count('events_dropped');
-    }
-  }
-}
-
-function sameMembers(left: ReadonlySet<MemberId>, right: ReadonlySet<MemberId>): boolean {
-  return left.size === right.size && [...left].every((member) => right.has(member));
-}
-
-/** Whether the heartbeat tells something that others decide by, beyond its being alive. */
-function changesView(before: Heartbeat, after: Heartbeat): boolean {
-  return (
-    before.incarnation !== after.incarnation ||
-    before.phase !== after.phase ||
-    !sameMembers(new Set(before.suspects), new Set(after.suspects)) ||
-    !sameMembers(new Set(before.hears), new Set(after.hears))
-  );
-}
-
-/** Whether a newer heartbeat of the same incarnation has come before. */
-function isLate(peer: Peer, { incarnation, sequence }: Heartbeat): boolean {
-  const known = peer.heard?.heartbeat;
-  return known?.incarnation === incarnation && sequence <= known.sequence;
 }
--- a/packages/membership/src/peer.ts
+++ b/packages/membership/src/peer.ts
@@ -1,11 +1,20 @@
 /** What the members task keeps of one other member. */
 
 import type { MemberId } from '@bamboowell/types/ids';
-import { NEVER, type Deadline } from '@bamboowell/types/time';
+import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Connection } from '@bamboowell/wire/connection';
-import type { Echo } from './heartbeat.js';
+import type { Echo, Heartbeat } from './heartbeat.js';
 import type { EntryVm, Heard, MemberView } from './members-messages.js';
 
+/** Receipts that are kept of each peer. */
+const KEPT_RECEIPTS = 8;
+
+/** When a heartbeat of the peer was received. */
+interface Receipt {
+  readonly echo: Echo;
+  readonly at: Instant;
+}
+
 export interface Peer {
   readonly member: MemberId;
   listed: EntryVm | undefined;
@@ -15,6 +24,8 @@
   failures: number;
   dialFrom: Deadline;
   heard: Heard | undefined;
+  /** Oldest first. */
+  receipts: readonly Receipt[];
   /** When an unlisted, silent member is forgotten. */
   forgetFrom: Deadline;
 }
@@ -28,17 +39,23 @@
     failures: 0,
     dialFrom: NEVER,
     heard: undefined,
+    receipts: [],
     forgetFrom: NEVER,
   };
 }
 
-/** The newest heartbeat of the peer, as the next one of ours echoes it. */
-export function echoOf(peer: Peer): Echo | null {
-  if (peer.heard === undefined) {
-    return null;
-  }
-  const { incarnation, sequence } = peer.heard.heartbeat;
-  return { incarnation, sequence };
+/** Keeps when the heartbeat was received. */
+export function noteReceipt(peer: Peer, heartbeat: Heartbeat, at: Instant): void {
+  const { incarnation, sequence } = heartbeat;
+  peer.receipts = [...peer.receipts, { echo: { incarnation, sequence }, at }].slice(-KEPT_RECEIPTS);
+}
+
+/**
+ * The newest heartbeat of the peer that was received by the time of our report. A newer one may
+ * not be echoed: the peer would take what we report for younger than it is.
+ */
+export function echoOf(peer: Peer, reportAt: Instant): Echo | null {
+  return peer.receipts.findLast(({ at }) => at <= reportAt)?.echo ?? null;
 }
 
 export function viewOf(peer: Peer, suspects: ReadonlySet<MemberId>): MemberView {
@@ -52,3 +69,9 @@
     heard: peer.heard,
   };
 }
+
+/** Whether a newer heartbeat of the same incarnation has come before. */
+export function isLate(peer: Peer, { incarnation, sequence }: Heartbeat): boolean {
+  const known = peer.heard?.heartbeat;
+  return known?.incarnation === incarnation && sequence <= known.sequence;
+}
--- /dev/null
+++ b/packages/membership/src/subscribers.ts
@@ -0,0 +1,36 @@
+/** Who is told of the members' events. */
+
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { MembersCounter, MembersEvent } from './members-messages.js';
+
+export class Subscribers {
+  private readonly addresses: Set<Address<MembersEvent>>;
+
+  constructor(
+    addresses: Iterable<Address<MembersEvent>>,
+    private readonly count: (counter: MembersCounter) => void,
+  ) {
+    this.addresses = new Set(addresses);
+  }
+
+  /** Adds a subscriber and sends it a first event. */
+  add(subscriber: Address<MembersEvent>, first: MembersEvent): void {
+    this.addresses.add(subscriber);
+    this.send(subscriber, first);
+  }
+
+  publish(event: MembersEvent): void {
+    for (const subscriber of this.addresses) {
+      this.send(subscriber, event);
+    }
+  }
+
+  private send(subscriber: Address<MembersEvent>, event: MembersEvent): void {
+    const posted = subscriber.post(event);
+    if (posted === 'stopped') {
+      this.addresses.delete(subscriber);
+    } else if (posted === 'full') {
+      this.count('events_dropped');
+    }
+  }
+}
--- a/packages/ownership/src/bounds.ts
+++ b/packages/ownership/src/bounds.ts
@@ -3,6 +3,9 @@
 /** Interval at which a member sends heartbeats, milliseconds. */
 export const HEARTBEAT_INTERVAL_MILLIS = 1000;
 
+/** Longest interval between the reports that heartbeats carry, milliseconds. */
+export const REPORT_INTERVAL_MILLIS = 500;
+
 /** Silence after which a member is suspected, milliseconds. */
 export const SUSPECT_AFTER_MILLIS = 3500;
 
