Split the connection's modules and test its failures

Change: FrameSocket, Traffic, messages and running handlers stand in modules of their own; a too large answer is answered as a failure; tests for silence, cuts, junk, oversize, late and reordered answers, congestion, pause, graceful close, and mutual TLS with a change of keys. A stranger's connect may succeed for a moment under TLS 1.3, but its connection ends and is never handed to accept.

--- /dev/null
+++ b/packages/wire/src/frame-socket.ts
@@ -0,0 +1,132 @@
+/** A socket that carries frames. */
+
+import type { Socket } from 'node:net';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { CloseReason } from './connection.js';
+import { FrameReader } from './frames.js';
+import type { Traffic } from './traffic.js';
+
+/** A closed socket may flush its send buffer for this long. */
+const FLUSH_MILLIS = 2000;
+
+export interface FrameSocketOptions {
+  readonly clock: Clock;
+  readonly traffic: Traffic;
+  /** Longest frame that is taken, bytes. */
+  readonly maxFrameBytes: number;
+}
+
+/** What a frame socket tells its owner. */
+export interface FrameSocketEvents {
+  frame(frame: Buffer): void;
+  /** May come more than once. */
+  ended(reason: CloseReason): void;
+}
+
+export class FrameSocket {
+  private readonly reader: FrameReader;
+  private readonly frames: Buffer[] = [];
+  private isPaused = false;
+  private isClosed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly options: FrameSocketOptions,
+    private readonly events: FrameSocketEvents,
+  ) {
+    this.reader = new FrameReader(options.maxFrameBytes);
+    this.listen();
+  }
+
+  get isWritable(): boolean {
+    return !this.isClosed && this.socket.writable;
+  }
+
+  /** Bytes that wait to be sent. */
+  get bufferedBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  write(frame: Buffer): void {
+    this.socket.write(frame);
+  }
+
+  /** Stops reading: what the other end sends waits in the network. */
+  pause(): void {
+    this.isPaused = true;
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.handOver();
+    if (!this.isStopped()) {
+      this.socket.resume();
+    }
+  }
+
+  /** Sends what waits within a bounded time, then closes. No frame is handed over any more. */
+  close(): void {
+    this.isClosed = true;
+    const { clock } = this.options;
+    const alarm = clock.wakeAt(deadlineAfter(clock.now(), FLUSH_MILLIS), () => {
+      this.socket.destroy();
+    });
+    this.socket.once('close', () => {
+      alarm.cancel();
+    });
+    this.socket.resume();
+    this.socket.destroySoon();
+  }
+
+  /** Closes at once. */
+  destroy(): void {
+    this.isClosed = true;
+    this.socket.destroy();
+  }
+
+  private listen(): void {
+    this.socket.setNoDelay(true);
+    this.socket.on('data', (chunk: Buffer) => {
+      this.read(chunk);
+    });
+    this.socket.on('error', () => {
+      this.events.ended('reset');
+    });
+    this.socket.on('end', () => {
+      this.events.ended(this.reader.hasPartialFrame ? 'reset' : 'closed');
+    });
+    this.socket.on('close', () => {
+      this.events.ended('reset');
+    });
+  }
+
+  private read(chunk: Buffer): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.options.traffic.read(chunk.length);
+    try {
+      this.frames.push(...this.reader.read(chunk));
+    } catch {
+      this.options.traffic.event('oversize_frames');
+      this.events.ended('protocol_error');
+    }
+    this.handOver();
+  }
+
+  private handOver(): void {
+    while (!this.isStopped()) {
+      const frame = this.frames.shift();
+      if (frame === undefined) {
+        return;
+      }
+      this.events.frame(frame);
+    }
+  }
+
+  private isStopped(): boolean {
+    return this.isPaused || this.isClosed;
+  }
+}
--- /dev/null
+++ b/packages/wire/src/heartbeat.test.ts
@@ -0,0 +1,52 @@
+import test from 'ava';
+import { Clock, type Alarm } from '@bamboowell/kernel/clock';
+import { brandAs } from '@bamboowell/types/ids';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+import { Heartbeat, SILENCE_MILLIS } from './heartbeat.js';
+
+/** A clock whose alarms can come late, as those of a process that was paused. */
+class LateClock extends Clock {
+  private current = 0;
+  private waiting: (() => void)[] = [];
+
+  now(): Instant {
+    return brandAs<Instant>(this.current);
+  }
+
+  wakeAt(_deadline: Deadline, wake: () => void): Alarm {
+    this.waiting.push(wake);
+    return { cancel: () => undefined };
+  }
+
+  /** Moves the time first and wakes everyone then. */
+  jump(millis: number): void {
+    this.current += millis;
+    const waiting = this.waiting;
+    this.waiting = [];
+    waiting.forEach((wake) => {
+      wake();
+    });
+  }
+}
+
+function beating() {
+  const clock = new LateClock();
+  const events: string[] = [];
+  const heartbeat = new Heartbeat(clock, {
+    ping: () => events.push('ping'),
+    silent: () => events.push('silent'),
+  });
+  return { clock, events, heartbeat };
+}
+
+test('a process that was paused itself does not take the other end for silent', (t) => {
+  const { clock, events } = beating();
+  clock.jump(SILENCE_MILLIS * 3);
+  t.deepEqual(events, ['ping']);
+  clock.jump(1000);
+  clock.jump(1000);
+  clock.jump(1000);
+  t.deepEqual(events, ['ping', 'ping', 'ping', 'ping']);
+  clock.jump(1000);
+  t.is(events.at(-1), 'silent');
+});
--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -17,6 +17,9 @@
 /** Connections above this number are refused. */
 const MAX_CONNECTIONS = 4096;
 
+/** A TLS handshake that takes longer is refused. */
+const HANDSHAKE_MILLIS = 5000;
+
 export interface ListenerOptions<Accepted extends TcpConnection = TcpConnection> {
   readonly host: string;
   /** Zero lets the system choose. */
@@ -76,7 +79,13 @@
         this.accept(socket, undefined);
       });
     }
-    const server = createTlsServer({ ...secureContextOf(tls), requestCert: true }, (socket) => {
+    const options = {
+      ...secureContextOf(tls),
+      requestCert: true,
+      rejectUnauthorized: true,
+      handshakeTimeout: HANDSHAKE_MILLIS,
+    };
+    const server = createTlsServer(options, (socket) => {
       this.accept(socket, peerNameOf(socket));
     });
     return server.on('tlsClientError', () => {
--- /dev/null
+++ b/packages/wire/src/message.ts
@@ -0,0 +1,57 @@
+/** Messages of json-rpc-2.0. Batches are not used between our processes. */
+
+import {
+  JSONRPCErrorCode,
+  createJSONRPCErrorResponse,
+  isJSONRPCID,
+  isJSONRPCRequest,
+  isJSONRPCResponse,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import type { WireAnswer } from './connection.js';
+
+export type Message = JSONRPCRequest | JSONRPCResponse;
+
+export type ReceivedMessage =
+  | { readonly kind: 'request'; readonly request: JSONRPCRequest }
+  | { readonly kind: 'response'; readonly response: JSONRPCResponse }
+  | { readonly kind: 'malformed' };
+
+/** Reads a frame. */
+export function parseMessage(frame: Buffer): ReceivedMessage {
+  const value = parseObject(frame);
+  if (isJSONRPCResponse(value) && isJSONRPCID(value.id)) {
+    return { kind: 'response', response: value };
+  }
+  if (isJSONRPCRequest(value) && typeof value.method === 'string') {
+    return { kind: 'request', request: value };
+  }
+  return { kind: 'malformed' };
+}
+
+/** The object that the frame holds; an empty one if it holds anything else. */
+function parseObject(frame: Buffer): object {
+  try {
+    const value: unknown = JSON.parse(frame.toString('utf8'));
+    return typeof value === 'object' && value !== null ? value : {};
+  } catch {
+    return {};
+  }
+}
+
+/** What a response means to the one who asked. */
+export function answerOf(response: JSONRPCResponse): WireAnswer {
+  return response.error === undefined
+    ? { kind: 'answered', value: response.result as unknown }
+    : { kind: 'failed', code: response.error.code, message: response.error.message };
+}
+
+/** What is sent in place of an answer that is too large. */
+export function oversizeAnswer(response: JSONRPCResponse): JSONRPCResponse {
+  return createJSONRPCErrorResponse(
+    response.id,
+    JSONRPCErrorCode.InternalError,
+    'the answer is too large for a message',
+  );
+}
--- /dev/null
+++ b/packages/wire/src/wire.fixture.ts
@@ -0,0 +1,140 @@
+/** Builds listeners, connections and plain sockets for tests, on 127.0.0.1. */
+
+import { createServer, type Server, type Socket } from 'node:net';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { Address } from '@bamboowell/types/vm';
+import { connect } from './connect.js';
+import { Listener } from './listener.js';
+import { MemoryMeter } from './meter.js';
+import { TcpConnection } from './tcp-connection.js';
+import type { TlsIdentity } from './tls-identity.js';
+
+export const HOST = '127.0.0.1';
+const FAR_MILLIS = 3_600_000;
+
+/** What a fixture needs of a test: to run something when it ends. */
+export interface Teardown {
+  teardown(run: () => Promise<void> | void): void;
+}
+
+/** A deadline that no test reaches unless it moves its clock far. */
+export function farDeadline(clock: Clock): Deadline {
+  return deadlineAfter(clock.now(), FAR_MILLIS);
+}
+
+/** A value that comes later, and the function that gives it. */
+export function later<Value>() {
+  let give: (value: Value) => void = () => undefined;
+  const value = new Promise<Value>((resolve) => {
+    give = resolve;
+  });
+  return { value, give };
+}
+
+export interface Ends {
+  readonly clock: ManualClock;
+  readonly listener: Listener;
+  readonly client: TcpConnection;
+  readonly server: TcpConnection;
+  readonly clientMeter: MemoryMeter;
+  readonly serverMeter: MemoryMeter;
+}
+
+/** A listener, with both ends of one connection to it. */
+export async function ends(
+  t: Teardown,
+  tls?: { readonly server: TlsIdentity; readonly client: TlsIdentity },
+): Promise<Ends> {
+  const clock = new ManualClock();
+  const serverMeter = new MemoryMeter();
+  const accepted = later<TcpConnection>();
+  const listener = new Listener({
+    host: HOST,
+    port: 0,
+    clock,
+    meter: serverMeter,
+    accept: accepted.give,
+    ...(tls === undefined ? {} : { tls: tls.server }),
+  });
+  const address = await listener.listen();
+  t.teardown(() => listener.close(clock.now() as number as Deadline));
+  const clientMeter = new MemoryMeter();
+  const client = await opened(t, clock, address, clientMeter, tls?.client);
+  return { clock, listener, client, server: await accepted.value, clientMeter, serverMeter };
+}
+
+/** A connection to the address. */
+export async function opened(
+  t: Teardown,
+  clock: Clock,
+  address: Address,
+  meter = new MemoryMeter(),
+  tls?: TlsIdentity,
+): Promise<TcpConnection> {
+  const deadline = farDeadline(clock);
+  const result = await connect({
+    address,
+    clock,
+    deadline,
+    meter,
+    ...(tls === undefined ? {} : { tls }),
+  });
+  if ('kind' in result) {
+    throw new Error(result.detail);
+  }
+  t.teardown(() => {
+    result.close();
+  });
+  return result;
+}
+
+export interface PlainEnds {
+  readonly clock: ManualClock;
+  readonly client: TcpConnection;
+  readonly meter: MemoryMeter;
+  /** The other end, as a plain socket. */
+  readonly socket: Socket;
+}
+
+/** A connection whose other end is a plain socket that the test drives. */
+export async function plainEnds(t: Teardown): Promise<PlainEnds> {
+  const accepted = later<Socket>();
+  const server = createServer(accepted.give);
+  const address = await listening(server);
+  const clock = new ManualClock();
+  const meter = new MemoryMeter();
+  const client = await opened(t, clock, address, meter);
+  const socket = await accepted.value;
+  socket.on('error', () => undefined);
+  t.teardown(() => {
+    socket.destroy();
+    server.close();
+  });
+  return { clock, client, meter, socket };
+}
+
+/** Starts to listen on a free port. */
+export function listening(server: Server): Promise<Address> {
+  return new Promise((resolve) => {
+    server.listen(0, HOST, () => {
+      const address = server.address();
+      resolve({ host: HOST, port: typeof address === 'object' ? (address?.port ?? 0) : 0 });
+    });
+  });
+}
+
+/** The next lines that the socket receives. */
+export function nextLines(socket: Socket, count: number): Promise<string[]> {
+  return new Promise((resolve) => {
+    let text = '';
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString('utf8');
+      const lines = text.split('\n').slice(0, -1);
+      if (lines.length >= count) {
+        resolve(lines.slice(0, count));
+      }
+    });
+  });
+}
