Keep the worker and the saved state of each task; report ready only when fresh

Cause: the tour's row of the killed owner showed no worker, since the fold forgot it at the end of an attempt; and a daemon that had just restarted took calls and refused them as stale, because it said ready as soon as it listened. Change: task entries keep the last worker and checkpoint, starts resume from the checkpoint, readiness asks whether the configuration can be relied on, checkpoints are written when they are due.

--- a/packages/daemon/src/cell-messages.ts
+++ b/packages/daemon/src/cell-messages.ts
@@ -31,6 +31,8 @@
     }
   | { readonly kind: 'members'; readonly event: MembersEvent }
   | { readonly kind: 'stream'; readonly event: StreamEvent<CellRecord> }
+  /** Looks at the freshness again and reports. */
+  | { readonly kind: 'report' }
   | { readonly kind: 'expire'; readonly sequence: Sequence }
   | {
       readonly kind: 'withdrawn';
--- a/packages/daemon/src/cell-task.ts
+++ b/packages/daemon/src/cell-task.ts
@@ -13,6 +13,7 @@
 import { StreamTask } from '@bamboowell/log/stream-task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { MembersEvent, MemberView } from '@bamboowell/membership/members-messages';
+import { REPORT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { ConfigurationFreshness } from '@bamboowell/ownership/configuration-freshness';
 import { CellFold, type CellSnapshot } from '@bamboowell/state/cell-fold';
 import { applyChanges } from '@bamboowell/state/configuration';
@@ -30,7 +31,7 @@
   type Effect,
   type Stamped,
 } from '@bamboowell/types/records';
-import type { Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import { done, refusalOf, refused, type Result } from '@bamboowell/types/verdict';
 import { wrapped } from './adapter.js';
 import type { CellEvent, CellMessage } from './cell-messages.js';
@@ -62,6 +63,7 @@
   private sequence = brandAs<Sequence>(0);
   private freshUntil = NOT_FRESH;
   private logAnswers = true;
+  private isFirstMember = true;
 
   constructor(private readonly parts: CellParts) {
     super('cell', parts.environment.clock);
@@ -70,8 +72,9 @@
     this.stream = new Supervised(() => this.makeStream(), this.clock, parts.watcher);
   }
 
-  protected override opened(): Promise<void> {
-    return this.stream.start();
+  protected override async opened(): Promise<void> {
+    await this.stream.start();
+    this.post({ kind: 'report' });
   }
 
   protected override closed(): Promise<void> {
@@ -100,6 +103,10 @@
       .with({ kind: 'stream' }, ({ event }) => {
         this.streamEvent(event);
       })
+      .with({ kind: 'report' }, () => {
+        this.updateFreshness();
+        this.postAt(deadlineAfter(this.clock.now(), REPORT_INTERVAL_MILLIS), { kind: 'report' });
+      })
       .with({ kind: 'expire' }, ({ sequence }) => {
         this.expire(sequence);
       })
@@ -218,6 +225,9 @@
       .with({ kind: 'lost' }, ({ earliest }) => {
         this.parts.events.event('log.lost', { stream: CELL_STREAM, earliest });
       })
+      .with({ kind: 'checkpoint_due' }, ({ overdue }) => {
+        this.writeCheckpoint(overdue);
+      })
       .exhaustive();
   }
 
@@ -262,6 +272,8 @@
     match(event)
       .with({ kind: 'view' }, ({ members }) => {
         this.freshness.expect(members.filter(isExpected).map(({ member }) => member));
+        const { memberId } = this.parts.environment.settings;
+        this.isFirstMember = !members.some((view) => isLive(view) && view.member < memberId);
       })
       .with({ kind: 'heard' }, ({ view }) => {
         this.heard(view);
@@ -275,8 +287,14 @@
 
   private heard({ member, heard }: MemberView): void {
     if (heard?.madeAfter !== undefined) {
-      const { logAnswers, cellUpTo } = heard.heartbeat;
-      this.freshness.memberSays({ member, at: heard.madeAfter, logAnswers, upTo: cellUpTo });
+      const { logAnswers, cellUpTo, phase } = heard.heartbeat;
+      this.freshness.memberSays({
+        member,
+        at: heard.madeAfter,
+        logAnswers,
+        upTo: cellUpTo,
+        left: phase === 'left',
+      });
     }
   }
 
@@ -287,6 +305,13 @@
     this.report();
   }
 
+  /** The first live member writes; if others see another first one, a second copy does no harm. */
+  private writeCheckpoint(overdue: boolean): void {
+    if (overdue || this.isFirstMember) {
+      this.stream.post({ kind: 'checkpoint', snapshot: JSON.stringify(this.fold.snapshot()) });
+    }
+  }
+
   private publishCell(): void {
     this.publish(this.cellEvent());
     this.report();
@@ -298,6 +323,7 @@
       version: this.fold.configuration.version,
       cellUpTo: this.fold.upTo,
       logAnswers: this.logAnswers,
+      at: this.clock.now(),
     });
   }
 
@@ -312,6 +338,10 @@
   }
 }
 
+function isLive({ heard, suspected }: MemberView): boolean {
+  return heard !== undefined && !suspected;
+}
+
 /** A member that has left owns and accepts nothing, so that its silence is no obstacle. */
 function isExpected({ heard }: MemberView): boolean {
   return heard?.heartbeat.phase !== 'left';
--- a/packages/daemon/src/front-service.ts
+++ b/packages/daemon/src/front-service.ts
@@ -1,24 +1,30 @@
 /** The service that serves callers and operators, and other daemons' requests for shards. */
 
 import { readFile } from 'node:fs/promises';
+import { ask } from '@bamboowell/kernel/ask';
+import type { Address } from '@bamboowell/kernel/mailbox';
 import { Service, type Directory } from '@bamboowell/kernel/service';
 import { buildApp } from '@bamboowell/front/app';
 import { HttpServer, type TlsIdentity } from '@bamboowell/front/http-server';
-import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { refusalOf, type Result } from '@bamboowell/types/verdict';
 import type { Environment } from './environment.js';
-import { CELL, EVENTS, FRONT, MEMBERS, ROUTER, SHARDS, type FrontHandle } from './keys.js';
+import { CELL, EVENTS, FRONT, MEMBERS, ROUTER, ROUTING, SHARDS, type FrontHandle } from './keys.js';
 import { LocalShards } from './local-shards.js';
 import { parseShardAsk, SHARD_METHOD } from './peer-messages.js';
+import type { RoutingMessage, RoutingTable } from './routing-task.js';
 
 /** After the first word of a shutdown, requests are still taken for this long, milliseconds. */
 const UNREADY_MILLIS = 1_000;
 
+/** How long the answer to a readiness check may take, milliseconds. */
+const READINESS_MILLIS = 1_000;
+
 export class FrontService extends Service<FrontHandle> {
   readonly key = FRONT;
-  readonly needs = [EVENTS, MEMBERS, CELL, SHARDS, ROUTER];
+  readonly needs = [EVENTS, MEMBERS, CELL, SHARDS, ROUTING, ROUTER];
   private server: HttpServer | undefined;
-  private isReady = false;
+  private isStopping = false;
   private leave: () => void = () => undefined;
 
   constructor(private readonly environment: Environment) {
@@ -31,7 +37,7 @@
       backend: directory.find(ROUTER),
       clock: this.environment.clock,
       maxBodyBytes: callers.maxBodyBytes,
-      isReady: () => this.isReady,
+      isReady: () => this.canServe(directory.find(ROUTING)),
     });
     this.server = new HttpServer(app, {
       host: callers.host,
@@ -43,7 +49,6 @@
     });
     this.servePeers(directory);
     const address = await this.server.listen();
-    this.isReady = true;
     this.leave = () => {
       directory.find(MEMBERS).post({ kind: 'leave' });
     };
@@ -54,7 +59,7 @@
   /** Unready first, then no new connection, then every request in hand is answered. */
   async stop(deadline: Deadline): Promise<void> {
     const { clock } = this.environment;
-    this.isReady = false;
+    this.isStopping = true;
     this.leave();
     await clock.sleepUntil(deadlineAfter(clock.now(), UNREADY_MILLIS));
     const drained = this.server?.drain();
@@ -62,6 +67,20 @@
     this.server?.abort();
   }
 
+  /** Ready while the configuration can be relied on and no stop was asked for. */
+  private async canServe(routing: Address<RoutingMessage>): Promise<boolean> {
+    const { clock } = this.environment;
+    const deadline = deadlineAfter(clock.now(), READINESS_MILLIS);
+    const table = await ask<RoutingMessage, RoutingTable>(
+      routing,
+      (reply) => ({ kind: 'read', reply }),
+      deadline,
+      clock,
+    );
+    const isFresh = table.kind === 'answered' && !hasPassed(table.value.freshUntil, clock.now());
+    return isFresh && !this.isStopping;
+  }
+
   private servePeers(directory: Directory): void {
     const { clock } = this.environment;
     const local = new LocalShards(directory.find(SHARDS), clock);
--- a/packages/daemon/src/reporter-task.ts
+++ b/packages/daemon/src/reporter-task.ts
@@ -13,6 +13,7 @@
   type ShardId,
   type Version,
 } from '@bamboowell/types/ids';
+import type { Instant } from '@bamboowell/types/time';
 
 /** What one shard's task tells. */
 export interface ShardReport {
@@ -22,6 +23,8 @@
   readonly hasUnresolvedClaim: boolean;
   /** Set while this member owns the shard. */
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
+  /** All of it was true at this instant. */
+  readonly at: Instant;
 }
 
 export type ReporterMessage =
@@ -30,6 +33,7 @@
       readonly version: Version;
       readonly cellUpTo: Offset;
       readonly logAnswers: boolean;
+      readonly at: Instant;
     }
   | { readonly kind: 'shard'; readonly report: ShardReport }
   | { readonly kind: 'attach'; readonly members: Address<MembersMessage> };
@@ -38,6 +42,7 @@
   private version = brandAs<Version>(0);
   private cellUpTo = brandAs<Offset>(0);
   private logAnswers = true;
+  private cellAt = brandAs<Instant>(0);
   private readonly shards = new Map<ShardId, ShardReport>();
   private members: Address<MembersMessage> | undefined;
 
@@ -47,10 +52,11 @@
 
   protected receive(message: ReporterMessage): void {
     match(message)
-      .with({ kind: 'cell' }, ({ version, cellUpTo, logAnswers }) => {
+      .with({ kind: 'cell' }, ({ version, cellUpTo, logAnswers, at }) => {
         this.version = version;
         this.cellUpTo = cellUpTo;
         this.logAnswers = logAnswers;
+        this.cellAt = at;
       })
       .with({ kind: 'shard' }, ({ report }) => {
         this.shards.set(report.shard, report);
@@ -59,7 +65,13 @@
         this.members = members;
       })
       .exhaustive();
-    this.members?.post({ kind: 'report', report: this.report() });
+    this.members?.post({ kind: 'report', report: this.report(), at: this.oldest() });
+  }
+
+  /** Others rely on all of the report having been true at this instant. */
+  private oldest(): Instant {
+    const instants = [...this.shards.values()].map(({ at }) => at);
+    return brandAs<Instant>(Math.min(this.cellAt, ...instants));
   }
 
   private report(): Report {
--- a/packages/daemon/src/shard-task.ts
+++ b/packages/daemon/src/shard-task.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { MembersEvent } from '@bamboowell/membership/members-messages';
 import type { Counters } from '@bamboowell/metrics/counters';
+import { REPORT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { retryCounter } from '@bamboowell/metrics/names';
 import type { Authority, Input, Output, Response, Token } from '@bamboowell/owner/messages';
 import { ShardOwner } from '@bamboowell/owner/shard-owner';
@@ -53,9 +54,6 @@
   readonly cell: Address<CellMessage>;
 }
 
-/** Longest time between two looks at who should own the shard, milliseconds. */
-const REVIEW_MILLIS = 500;
-
 const NO_AUTHORITY: Authority = { freshUntil: brandAs<Deadline>(0), mayRenew: false };
 
 export class ShardTask extends Task<ShardMessage> {
@@ -234,9 +232,21 @@
       .with({ kind: 'lost' }, ({ earliest }) => {
         this.event('log.lost', { earliest });
       })
+      .with({ kind: 'checkpoint_due' }, () => {
+        this.writeCheckpoint();
+      })
       .exhaustive();
   }
 
+  private writeCheckpoint(): void {
+    if (this.owner.ownedEpoch !== undefined) {
+      this.stream.post({
+        kind: 'checkpoint',
+        snapshot: JSON.stringify(this.owner.fold.snapshot()),
+      });
+    }
+  }
+
   private membersEvent(event: MembersEvent): void {
     this.planner.membersEvent(event, this.clock.now());
     this.review();
@@ -301,7 +311,7 @@
       this.step({ kind: 'claim', epoch: plan.epoch, votes: plan.votes });
     }
     this.report();
-    this.wakeAt(deadlineAfter(now, REVIEW_MILLIS));
+    this.wakeAt(deadlineAfter(now, REPORT_INTERVAL_MILLIS));
   }
 
   private authority(now: Instant): Authority {
@@ -348,6 +358,7 @@
         epoch: this.isCaughtUp ? this.owner.fold.epoch : undefined,
         hasUnresolvedClaim: this.planner.ledger.isUnresolved(shard),
         load: isOwned ? { running: live.size, waiting: context.ordering.size } : undefined,
+        at: this.clock.now(),
       },
     });
   }
--- a/packages/daemon/src/work-views.ts
+++ b/packages/daemon/src/work-views.ts
@@ -26,14 +26,13 @@
     attempts: task.attempts,
     answer: '',
     detail: '',
-    worker: '',
+    worker: task.worker ?? '',
   };
   return match(task.state)
     .returnType<TaskView>()
     .with({ kind: 'waiting' }, () => ({ ...base, phase: 'waiting' }))
     .with({ kind: 'placed' }, ({ attempt }) => ({
       ...base,
-      worker: attempt.worker,
       phase: phaseOf(owner, attempt.id),
     }))
     .with({ kind: 'ended' }, ({ outcome }) => ({ ...base, ...endOf(outcome) }))
--- a/packages/demo/src/cell.ts
+++ b/packages/demo/src/cell.ts
@@ -5,6 +5,7 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createClient, type Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import {
@@ -50,6 +51,10 @@
 const MILLICORES = 64_000;
 const SLOTS = 8;
 
+const OK = 200;
+const READY_PAUSE_MILLIS = 50;
+const READY_TRIES = 400;
+
 /** A secret and the hash that is kept of it. */
 export interface KeySecret {
   readonly secret: string;
@@ -118,6 +123,7 @@
     const file = join(this.directory, `${id}.json`);
     await writeFile(file, JSON.stringify(this.settingsOf(daemon)));
     daemon.child = await Child.start(id, 'daemon', ['--settings', file]);
+    await this.untilReady(id);
   }
 
   async startWorker(worker: WorkerPlan): Promise<void> {
@@ -192,6 +198,18 @@
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  private async untilReady(id: string): Promise<void> {
+    for (let attempt = 0; attempt < READY_TRIES; attempt += 1) {
+      const { statusCode, body } = await request(`http://${this.callerAddress(id)}/readyz`);
+      await body.dump();
+      if (statusCode === OK) {
+        return;
+      }
+      await sleep(READY_PAUSE_MILLIS);
+    }
+    throw new Error(`${id} does not become ready: ${this.daemon(id).log.join('\n')}`);
+  }
+
   private runningDaemon(id: string): RunningDaemon {
     const daemon = this.running.get(id);
     if (daemon === undefined) {
--- a/packages/front/src/app.ts
+++ b/packages/front/src/app.ts
@@ -19,7 +19,7 @@
   readonly clock: Clock;
   readonly maxBodyBytes: number;
   /** Whether the balancer may send requests here. */
-  readonly isReady: () => boolean;
+  readonly isReady: () => Promise<boolean>;
 }
 
 const OK = 200;
@@ -29,8 +29,8 @@
 export function buildApp(options: AppOptions): Hono {
   const app = new Hono();
   app.get('/healthz', (context) => context.text('alive', OK));
-  app.get('/readyz', (context) =>
-    options.isReady() ? context.text('ready', OK) : context.text('not ready', NOT_READY),
+  app.get('/readyz', async (context) =>
+    (await options.isReady()) ? context.text('ready', OK) : context.text('not ready', NOT_READY),
   );
   for (const handler of handlersOf(options)) {
     app.all(handler.requestPath, (context) => serve(handler, context.req.raw));
--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -87,6 +87,7 @@
     attempt.startBy = startBy;
     const { id, worker } = attempt.attempt;
     const { payload, demand } = entry.work;
+    const checkpoint = this.context.fold.task(attempt.attempt.task)?.checkpoint;
     this.context.command(worker, {
       kind: 'start',
       epoch,
@@ -95,6 +96,7 @@
       payload,
       startBy,
       leaseUntil,
+      ...(typeof checkpoint === 'string' ? { checkpoint } : {}),
     });
   }
 
--- a/packages/state/src/shard-fold.ts
+++ b/packages/state/src/shard-fold.ts
@@ -194,6 +194,7 @@
       this.updateTask(attempt.task, (entry) => ({
         ...entry,
         attempts: entry.attempts + 1,
+        worker: attempt.worker,
         state: { kind: 'placed', attempt },
       }));
     }
