Fold a task's change in constant time and bound what ended works take

Cause: each record copied the task list of its work, so that a batch cost time with the square of its size. Ended works were bounded by number only. The same task twice in one place record, a reused attempt id and a reused work id were applied. Writers and checkpoint stamps piled up for ever. Change: WorkTable keeps tasks in place with counts of the waiting and the ended; ended works are bounded by characters too, and their requests outlive them, so that a late repeat does not run again. Place takes each task once and only the next attempt number. Writers keep the 1,000 latest; checkpoint parts need no stamp.

--- a/packages/state/src/cell-fold.ts
+++ b/packages/state/src/cell-fold.ts
@@ -27,10 +27,12 @@
 import { applyChanges, EMPTY_CONFIGURATION } from './configuration.js';
 import { Writers } from './writers.js';
 
+type FoldedRecord = Exclude<CellRecord, { kind: 'checkpoint' }>;
+
 const APPLIED: Effect = { kind: 'applied' };
 const REPEATED: Effect = { kind: 'repeated' };
 
-/** A plain copy of the state, fit for a checkpoint. */
+/** A plain copy of the state, fit for a checkpoint. Taken between entries, not within one. */
 export interface CellSnapshot {
   readonly upTo: Offset;
   readonly version: Version;
@@ -85,6 +87,9 @@
 
   apply(stamped: Stamped<CellRecord>, offset: Offset): Effect {
     this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
+    if (stamped.record.kind === 'checkpoint') {
+      return APPLIED;
+    }
     if (!this.writers.admit(stamped.writer, stamped.sequence)) {
       return REPEATED;
     }
@@ -126,13 +131,12 @@
     return fold;
   }
 
-  private effectOf(record: CellRecord): VoidReason | undefined {
+  private effectOf(record: FoldedRecord): VoidReason | undefined {
     return match(record)
       .with({ kind: 'change' }, (change) => this.change(change))
       .with({ kind: 'inherit' }, ({ shard, epoch }) => this.inherit(shard, epoch))
       .with({ kind: 'take' }, (take) => this.take(take))
       .with({ kind: 'give_back' }, (giveBack) => this.giveBack(giveBack))
-      .with({ kind: 'checkpoint' }, () => undefined)
       .exhaustive();
   }
 
--- a/packages/state/src/shard-fold.ts
+++ b/packages/state/src/shard-fold.ts
@@ -5,10 +5,10 @@
 
 import { match } from 'ts-pattern';
 import {
+  attemptIdOf,
   brandAs,
   nextEpoch,
   taskOfAttempt,
-  workOfTask,
   type AttemptId,
   type Epoch,
   type MemberId,
@@ -21,30 +21,23 @@
   type WriterId,
 } from '@bamboowell/types/ids';
 import type { Effect, ShardRecord, Stamped, VoidReason } from '@bamboowell/types/records';
-import { taskCountOf, type Attempt, type Outcome, type Work } from '@bamboowell/types/work';
-import { afterEnd, NEW_TASK, type TaskEntry } from './task-state.js';
+import type { Attempt, Outcome, Work } from '@bamboowell/types/work';
+import { afterEnd, afterPlace, type TaskEntry } from './task-state.js';
+import { WorkTable, type TableSnapshot, type WorkEntry } from './work-table.js';
 import { Writers } from './writers.js';
 
-const APPLIED: Effect = { kind: 'applied' };
-const REPEATED: Effect = { kind: 'repeated' };
+export { hasEnded, type WorkEntry } from './work-table.js';
 
-/** Ended work that is kept, so that `get` and repeated requests are answered. */
-export const MAX_ENDED_KEPT = 20_000;
+type FoldedRecord = Exclude<ShardRecord, { kind: 'checkpoint' }>;
 
-/** One accepted piece of work. */
-export interface WorkEntry {
-  readonly work: Work;
-  readonly cancelled: boolean;
-  readonly tasks: readonly TaskEntry[];
-}
+const APPLIED: Effect = { kind: 'applied' };
+const REPEATED: Effect = { kind: 'repeated' };
 
-/** A plain copy of the state, fit for a checkpoint. */
-export interface ShardSnapshot {
+/** A plain copy of the state, fit for a checkpoint. Taken between entries, not within one. */
+export interface ShardSnapshot extends TableSnapshot {
   readonly upTo: Offset;
   readonly epoch: Epoch;
   readonly owner: MemberId | null;
-  readonly works: readonly WorkEntry[];
-  readonly ended: readonly WorkId[];
   readonly writers: readonly (readonly [WriterId, Sequence])[];
 }
 
@@ -53,10 +46,7 @@
   private currentOwner: MemberId | null = null;
   private next: Offset = brandAs<Offset>(0);
   private writers = new Writers();
-  private readonly entries = new Map<WorkId, WorkEntry>();
-  private readonly requests = new Map<string, WorkId>();
-  /** Ended works, oldest first. */
-  private readonly endedWorks = new Set<WorkId>();
+  private table = new WorkTable();
 
   get epoch(): Epoch {
     return this.currentEpoch;
@@ -73,24 +63,30 @@
   }
 
   get works(): ReadonlyMap<WorkId, WorkEntry> {
-    return this.entries;
+    return this.table.works;
   }
 
   get(work: WorkId): WorkEntry | undefined {
-    return this.entries.get(work);
+    return this.table.works.get(work);
   }
 
-  /** The work that an earlier request with this id was accepted as. */
+  /**
+   * The work that an earlier request with this id was accepted as. `get` may no longer know it, if
+   * it ended long ago.
+   */
   findRequest(team: TeamId, request: RequestId): WorkId | undefined {
-    return this.requests.get(requestKey(team, request));
+    return this.table.findRequest(team, request);
   }
 
   task(id: TaskId): TaskEntry | undefined {
-    return this.entries.get(workOfTask(id))?.tasks[indexOf(id)];
+    return this.table.task(id);
   }
 
   apply(stamped: Stamped<ShardRecord>, offset: Offset): Effect {
     this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
+    if (stamped.record.kind === 'checkpoint') {
+      return APPLIED;
+    }
     if (!this.writers.admit(stamped.writer, stamped.sequence)) {
       return REPEATED;
     }
@@ -103,8 +99,7 @@
       upTo: this.next,
       epoch: this.currentEpoch,
       owner: this.currentOwner,
-      works: [...this.entries.values()],
-      ended: [...this.endedWorks],
+      ...this.table.snapshot(),
       writers: this.writers.entries(),
     };
   }
@@ -115,20 +110,11 @@
     fold.currentEpoch = snapshot.epoch;
     fold.currentOwner = snapshot.owner;
     fold.writers = new Writers(snapshot.writers);
-    for (const entry of snapshot.works) {
-      fold.entries.set(entry.work.id, entry);
-      fold.requests.set(requestKey(entry.work.team, entry.work.requestId), entry.work.id);
-    }
-    for (const work of snapshot.ended) {
-      fold.endedWorks.add(work);
-    }
+    fold.table = WorkTable.restore(snapshot);
     return fold;
   }
 
-  private effectOf(record: ShardRecord): VoidReason | undefined {
-    if (record.kind === 'checkpoint') {
-      return undefined;
-    }
+  private effectOf(record: FoldedRecord): VoidReason | undefined {
     if (record.kind === 'claim') {
       return this.claim(record.epoch, record.owner);
     }
@@ -137,7 +123,7 @@
     }
     return match(record)
       .with({ kind: 'release' }, () => {
-        this.release();
+        this.currentOwner = null;
         return undefined;
       })
       .with({ kind: 'accept' }, ({ work }) => this.accept(work))
@@ -159,53 +145,43 @@
     return undefined;
   }
 
-  private release(): void {
-    this.currentOwner = null;
-  }
-
   private accept(work: Work): VoidReason | undefined {
-    const key = requestKey(work.team, work.requestId);
-    if (this.requests.has(key)) {
-      return 'repeated_request';
-    }
-    this.requests.set(key, work.id);
-    const tasks = Array.from({ length: taskCountOf(work.shape) }, () => NEW_TASK);
-    this.entries.set(work.id, { work, cancelled: false, tasks });
-    return undefined;
+    return this.table.add(work) ? undefined : 'repeated_request';
   }
 
   private cancel(works: readonly WorkId[]): void {
     for (const id of works) {
-      const entry = this.entries.get(id);
-      if (entry !== undefined && !entry.cancelled) {
-        this.update({ ...entry, cancelled: true, tasks: entry.tasks.map(cancelWaiting) });
-      }
+      this.table.cancel(id);
     }
   }
 
+  /** Places all of the attempts or none. */
   private place(attempts: readonly Attempt[]): VoidReason | undefined {
-    const problem = attempts
-      .map((attempt) => this.placeProblem(attempt))
-      .find((found) => found !== undefined);
-    if (problem !== undefined) {
-      return problem;
+    const tasks = new Set(attempts.map((attempt) => attempt.task));
+    if (tasks.size < attempts.length) {
+      return 'already_placed';
+    }
+    for (const attempt of attempts) {
+      const problem = this.placeProblem(attempt);
+      if (problem !== undefined) {
+        return problem;
+      }
     }
     for (const attempt of attempts) {
-      this.updateTask(attempt.task, (entry) => ({
-        ...entry,
-        attempts: entry.attempts + 1,
-        state: { kind: 'placed', attempt },
-      }));
+      this.table.updateTask(attempt.task, (task) => afterPlace(task, attempt));
     }
     return undefined;
   }
 
   private placeProblem(attempt: Attempt): VoidReason | undefined {
-    const state = this.task(attempt.task)?.state;
-    if (state === undefined) {
+    const task = this.table.task(attempt.task);
+    if (task === undefined) {
       return 'unknown_work';
     }
-    return match(state)
+    if (attempt.id !== attemptIdOf(attempt.task, task.attempts + 1)) {
+      return 'already_placed';
+    }
+    return match(task.state)
       .with({ kind: 'waiting' }, () => undefined)
       .with({ kind: 'placed' }, () => 'already_placed' as const)
       .with({ kind: 'ended' }, () => 'already_ended' as const)
@@ -213,72 +189,17 @@
   }
 
   private end(attempt: AttemptId, outcome: Outcome): VoidReason | undefined {
-    const task = taskOfAttempt(attempt);
-    const entry = this.entries.get(workOfTask(task));
-    const state = this.task(task)?.state;
-    if (entry === undefined || state === undefined) {
+    const id = taskOfAttempt(attempt);
+    const state = this.table.task(id)?.state;
+    if (state === undefined) {
       return 'unknown_work';
     }
     if (state.kind !== 'placed' || state.attempt.id !== attempt) {
       return 'already_ended';
     }
-    this.updateTask(task, (old) => afterEnd(entry.work, old, outcome, entry.cancelled));
+    this.table.updateTask(id, (task, { work, cancelled }) =>
+      afterEnd(work, task, outcome, cancelled),
+    );
     return undefined;
   }
-
-  private updateTask(id: TaskId, change: (entry: TaskEntry) => TaskEntry): void {
-    const entry = this.entries.get(workOfTask(id));
-    if (entry === undefined) {
-      return;
-    }
-    const index = indexOf(id);
-    const tasks = entry.tasks.map((task, at) => (at === index ? change(task) : task));
-    this.update({ ...entry, tasks });
-  }
-
-  private update(entry: WorkEntry): void {
-    this.entries.set(entry.work.id, entry);
-    if (hasEnded(entry)) {
-      this.endedWorks.add(entry.work.id);
-      this.forgetOldest();
-    }
-  }
-
-  private forgetOldest(): void {
-    for (const id of this.endedWorks) {
-      if (this.endedWorks.size <= MAX_ENDED_KEPT) {
-        return;
-      }
-      this.forget(id);
-    }
-  }
-
-  private forget(id: WorkId): void {
-    const entry = this.entries.get(id);
-    this.endedWorks.delete(id);
-    this.entries.delete(id);
-    if (entry !== undefined) {
-      this.requests.delete(requestKey(entry.work.team, entry.work.requestId));
-    }
-  }
-}
-
-/** Whether no task of the work will run any more. */
-export function hasEnded(entry: WorkEntry): boolean {
-  return entry.tasks.every((task) => task.state.kind === 'ended');
-}
-
-function cancelWaiting(entry: TaskEntry): TaskEntry {
-  if (entry.state.kind !== 'waiting') {
-    return entry;
-  }
-  return { ...entry, state: { kind: 'ended', outcome: { kind: 'cancelled' } } };
-}
-
-function requestKey(team: TeamId, request: RequestId): string {
-  return `${team} ${request}`;
-}
-
-function indexOf(task: TaskId): number {
-  return Number(task.slice(task.lastIndexOf('/') + 1));
 }
--- a/packages/state/src/task-state.ts
+++ b/packages/state/src/task-state.ts
@@ -1,6 +1,7 @@
 /** Where a task stands, and where it goes when an attempt ends. */
 
 import { match } from 'ts-pattern';
+import type { WorkerId } from '@bamboowell/types/ids';
 import type { Attempt, Outcome, Work } from '@bamboowell/types/work';
 
 /** Most attempts of one batch or gang task that fail before the task counts as failed. */
@@ -8,7 +9,7 @@
 
 /** Where one task stands. */
 export type TaskState =
-  | { readonly kind: 'waiting'; readonly checkpoint?: string }
+  | { readonly kind: 'waiting' }
   | { readonly kind: 'placed'; readonly attempt: Attempt }
   | { readonly kind: 'ended'; readonly outcome: Outcome | { readonly kind: 'cancelled' } };
 
@@ -18,9 +19,29 @@
   readonly attempts: number;
   /** Attempts that failed or were lost. */
   readonly failures: number;
+  /** The worker of the latest attempt. */
+  readonly worker: WorkerId | null;
+  /** The state that was saved last; the next attempt resumes from it. */
+  readonly checkpoint: string | null;
 }
 
-export const NEW_TASK: TaskEntry = { state: { kind: 'waiting' }, attempts: 0, failures: 0 };
+export const NEW_TASK: TaskEntry = {
+  state: { kind: 'waiting' },
+  attempts: 0,
+  failures: 0,
+  worker: null,
+  checkpoint: null,
+};
+
+/** Where a waiting task goes when an attempt of it is placed. */
+export function afterPlace(entry: TaskEntry, attempt: Attempt): TaskEntry {
+  return {
+    ...entry,
+    attempts: entry.attempts + 1,
+    worker: attempt.worker,
+    state: { kind: 'placed', attempt },
+  };
+}
 
 /**
  * Where a task goes when its attempt ends. A non-idempotent task goes back to waiting only when it
@@ -33,9 +54,9 @@
   cancelled: boolean,
 ): TaskEntry {
   const failures = entry.failures + (outcome.kind === 'failed' || outcome.kind === 'lost' ? 1 : 0);
-  const next = { ...entry, failures };
+  const next = { ...entry, failures, checkpoint: savedState(entry, outcome) };
   if (goesOn(work, next, outcome, cancelled)) {
-    return { ...next, state: waitingAfter(entry, outcome) };
+    return { ...next, state: { kind: 'waiting' } };
   }
   const endedAs =
     cancelled && outcome.kind !== 'succeeded' && outcome.kind !== 'lost' ? CANCELLED : outcome;
@@ -44,11 +65,8 @@
 
 const CANCELLED = { kind: 'cancelled' } as const;
 
-function waitingAfter(entry: TaskEntry, outcome: Outcome): TaskState {
-  if (outcome.kind === 'stopped' && outcome.checkpoint !== undefined) {
-    return { kind: 'waiting', checkpoint: outcome.checkpoint };
-  }
-  return { kind: 'waiting' };
+function savedState(entry: TaskEntry, outcome: Outcome): string | null {
+  return (outcome.kind === 'stopped' ? outcome.checkpoint : undefined) ?? entry.checkpoint;
 }
 
 function goesOn(work: Work, entry: TaskEntry, outcome: Outcome, cancelled: boolean): boolean {
--- a/packages/state/src/writers.ts
+++ b/packages/state/src/writers.ts
@@ -2,7 +2,14 @@
 
 import type { Sequence, WriterId } from '@bamboowell/types/ids';
 
+/**
+ * Most writers that are kept: each restart of a member makes a new one. Beyond that, the one that
+ * has been silent for most records is forgotten.
+ */
+export const MAX_WRITERS = 1000;
+
 export class Writers {
+  /** The writer of the newest record comes last. */
   private readonly highest: Map<WriterId, Sequence>;
 
   constructor(entries: Iterable<readonly [WriterId, Sequence]> = []) {
@@ -18,11 +25,23 @@
     if (sequence <= seen) {
       return false;
     }
+    this.highest.delete(writer);
     this.highest.set(writer, sequence);
+    this.forgetSilent();
     return true;
   }
 
+  /** In the order in which they would be forgotten. */
   entries(): [WriterId, Sequence][] {
     return [...this.highest.entries()];
   }
+
+  private forgetSilent(): void {
+    for (const writer of this.highest.keys()) {
+      if (this.highest.size <= MAX_WRITERS) {
+        return;
+      }
+      this.highest.delete(writer);
+    }
+  }
 }
