--- a/packages/state/src/task-state.ts
+++ b/packages/state/src/task-state.ts
@@ -33,6 +33,16 @@
   checkpoint: null,
 };
 
+/** Where a waiting task goes when an attempt of it is placed. */
+export function afterPlace(entry: TaskEntry, attempt: Attempt): TaskEntry {
+  return {
+    ...entry,
+    attempts: entry.attempts + 1,
+    worker: attempt.worker,
+    state: { kind: 'placed', attempt },
+  };
+}
+
 /**
  * Where a task goes when its attempt ends. A non-idempotent task goes back to waiting only when it
  * is certain that no attempt of it ran.
