--- a/packages/cli/src/usage.test.ts
+++ b/packages/cli/src/usage.test.ts
@@ -1,4 +1,5 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { readFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { type ExecutionContext } from 'ava';
@@ -53,6 +54,20 @@
   }
 });
 
+test('the page has each command with an example, and names no option that does not exist', async (t) => {
+  const page = readFileSync(new URL('../../../docs/COMMAND-LINE.md', import.meta.url), 'utf8');
+  const helps = await Promise.all(
+    commandNames().map((name) => run([...name.split(' '), '--help'])),
+  );
+  const known = helps.map(({ stdout }) => stdout).join();
+  for (const name of commandNames()) {
+    t.regex(page, new RegExp(`### ${name}\\n[^#]*^ {4}bamboowell ${name} ?`, 'm'));
+  }
+  for (const option of page.match(/(?<=[\s`])--[a-z][a-z-]+/g) ?? []) {
+    t.true(known.includes(`  ${option} `) || option === '--help', option);
+  }
+});
+
 test('daemons come from options, else from the environment, else there is one here', (t) => {
   const env = { BAMBOOWELL_DAEMONS: 'a:1, https://b:2' };
   t.deepEqual(daemonUrls(['c:3'], env), ['http://c:3']);
