Give overdue work turns within its team, not across teams

Cause: with 120% of the fleet asked for, most waiting work is overdue, and the cross-team turn of overdue work gave teams more than their share: long pieces took one turn in 32, which was far more than 1/32 of the volume. Teams whose tasks are large for their weight overshot by part of a task. Change: overdue work has every 32nd turn of its own team; a team without any start for five minutes goes before others for one start; teams are ordered by their share with half of the next task added; room may be held after a minute.

--- a/packages/policy/src/dominant-shares.ts
+++ b/packages/policy/src/dominant-shares.ts
@@ -11,6 +11,13 @@
   share: number;
 }
 
+const NEW_ACCOUNT: Readonly<TeamAccount> = {
+  here: NOTHING,
+  elsewhere: NOTHING,
+  weight: 1,
+  share: 0,
+};
+
 /** What each team has running, as the largest part of any dimension, divided by its weight. */
 export class DominantShares {
   private readonly accounts = new Map<TeamId, TeamAccount>();
@@ -21,6 +28,39 @@
     return this.accounts.get(team)?.share ?? 0;
   }
 
+  /**
+   * The team's share with half of the amount added. Ordering by it does not favour teams whose
+   * tasks are large for their weight.
+   */
+  withHalf(team: TeamId, amount: Resources): number {
+    const account = this.accounts.get(team) ?? NEW_ACCOUNT;
+    let largest = 0;
+    for (const dimension of DIMENSIONS) {
+      const capacity = this.capacity[dimension];
+      if (capacity > 0) {
+        const running = account.here[dimension] + account.elsewhere[dimension];
+        largest = Math.max(largest, (running + amount[dimension] / 2) / capacity);
+      }
+    }
+    return largest / account.weight;
+  }
+
+  /**
+   * How far the team's share is above the one that all teams with something running would have if
+   * they ran as much in proportion to their weights. Negative below it.
+   */
+  excessOf(team: TeamId): number {
+    let parts = 0;
+    let weights = 0;
+    for (const { share, weight } of this.accounts.values()) {
+      if (share > 0) {
+        parts += share * weight;
+        weights += weight;
+      }
+    }
+    return weights === 0 ? 0 : this.of(team) - parts / weights;
+  }
+
   addUsage(team: TeamId, amount: Resources): void {
     const account = this.accountOf(team);
     account.here = add(account.here, amount);
@@ -55,12 +95,7 @@
   }
 
   private accountOf(team: TeamId): TeamAccount {
-    const account = this.accounts.get(team) ?? {
-      here: NOTHING,
-      elsewhere: NOTHING,
-      weight: 1,
-      share: 0,
-    };
+    const account = this.accounts.get(team) ?? { ...NEW_ACCOUNT };
     this.accounts.set(team, account);
     return account;
   }
--- a/packages/policy/src/fair-round.ts
+++ b/packages/policy/src/fair-round.ts
@@ -1,6 +1,6 @@
 /** One pass over the waiting work in the order of fair shares. */
 
-import type { WorkId } from '@bamboowell/types/ids';
+import type { TeamId, WorkId } from '@bamboowell/types/ids';
 import type { Urgency } from '@bamboowell/types/work';
 import type { Candidate, Obstacle, Round } from './ordering.js';
 import type { DominantShares } from './dominant-shares.js';
@@ -18,9 +18,11 @@
   hold(): Hold | undefined;
   /** Whether the candidate has waited past the bound. */
   isOverdue(candidate: Candidate): boolean;
-  /** Whether it is the turn of the oldest overdue candidate; counts the call. */
-  isOverdueTurn(): boolean;
-  /** Work that was first in the order, or overdue, fits nowhere. */
+  /** Whether the team has had no start for as long as makes work overdue. */
+  isWithoutStart(team: TeamId): boolean;
+  /** Whether it is the turn of the team's oldest overdue candidate; counts the call. */
+  isOverdueTurn(team: TeamId): boolean;
+  /** Work that was first in the order, or of a team without a start, fits nowhere. */
   firstIsBlocked(candidate: Candidate): void;
 }
 
@@ -31,8 +33,9 @@
   readonly patient: LanePass;
 }
 
-/** An entry and the pass that it heads. */
+/** An entry, the pass that it heads, and the team. */
 interface Head {
+  readonly team: TeamPass;
   readonly pass: LanePass;
   readonly entry: WaitingEntry;
 }
@@ -41,7 +44,7 @@
   private readonly obstacles = new Obstacles();
   private readonly returned = new Set<WorkId>();
   private readonly teams: TeamPass[];
-  /** Overdue work in its turn and the first of each urgency: for these, room may be held. */
+  /** Work of teams without a start and the first of each urgency: for these, room may be held. */
   private readonly first = new Set<WorkId>();
   private readonly seen = new Set<Urgency>();
 
@@ -50,7 +53,7 @@
   }
 
   next(): Candidate | undefined {
-    const urgent = this.fairest(({ urgent }) => headOf(urgent));
+    const urgent = this.fairest((team) => headOf(team, 'urgent'));
     if (urgent !== undefined) {
       return this.take(urgent);
     }
@@ -58,13 +61,13 @@
     if (held !== undefined) {
       return this.offer(held);
     }
-    const overdue = this.overdueHead();
-    if (overdue !== undefined) {
-      this.first.add(overdue.entry.candidate.work);
-      return this.take(overdue);
+    const starved = this.starvedHead();
+    if (starved !== undefined) {
+      this.first.add(starved.entry.candidate.work);
+      return this.take(starved);
     }
-    const fairest = this.fairest(({ ordinary, patient }) => headOf(ordinary) ?? headOf(patient));
-    return fairest === undefined ? undefined : this.take(fairest);
+    const fairest = this.fairest((team) => headOf(team, 'ordinary') ?? headOf(team, 'patient'));
+    return fairest === undefined ? undefined : this.take(this.overdueInTurn(fairest));
   }
 
   blocked(candidate: Candidate, obstacle: Obstacle): void {
@@ -109,13 +112,16 @@
   }
 
   /** The head of the team with the smallest share; the older one among equals. */
-  private fairest(headIn: (pass: TeamPass) => Head | undefined): Head | undefined {
+  private fairest(headIn: (team: TeamPass) => Head | undefined): Head | undefined {
     let best: Head | undefined;
     let bestShare = Number.POSITIVE_INFINITY;
     for (const pass of this.teams) {
       const head = headIn(pass);
-      const share = this.context.shares.of(pass.team.team);
-      if (head !== undefined && goesBefore(head, share, best, bestShare)) {
+      if (head === undefined) {
+        continue;
+      }
+      const share = this.context.shares.withHalf(pass.team.team, head.entry.candidate.demand);
+      if (share < bestShare || (share === bestShare && olderOf(best, head) === head)) {
         best = head;
         bestShare = share;
       }
@@ -129,14 +135,25 @@
     return entry !== undefined && this.admissionOf(entry) === 'admitted' ? entry : undefined;
   }
 
-  private overdueHead(): Head | undefined {
-    if (!this.context.isOverdueTurn()) {
-      return undefined;
-    }
+  /** The oldest overdue work of the teams that have had no start for long. */
+  private starvedHead(): Head | undefined {
     let oldest: Head | undefined;
-    for (const { ordinary, patient } of this.teams) {
-      oldest = olderOf(olderOf(oldest, headOf(ordinary)), headOf(patient));
+    for (const pass of this.teams) {
+      if (this.context.isWithoutStart(pass.team.team)) {
+        oldest = olderOf(oldest, this.overdueHeadOf(pass));
+      }
     }
+    return oldest;
+  }
+
+  /** The oldest overdue work of the head's team if it is its turn, otherwise the head. */
+  private overdueInTurn(head: Head): Head {
+    const isTurn = this.context.isOverdueTurn(head.team.team.team);
+    return (isTurn ? this.overdueHeadOf(head.team) : undefined) ?? head;
+  }
+
+  private overdueHeadOf(pass: TeamPass): Head | undefined {
+    const oldest = olderOf(headOf(pass, 'ordinary'), headOf(pass, 'patient'));
     const isDue = oldest !== undefined && this.context.isOverdue(oldest.entry.candidate);
     return isDue ? oldest : undefined;
   }
@@ -156,9 +173,10 @@
   }
 }
 
-function headOf(pass: LanePass): Head | undefined {
+function headOf(team: TeamPass, urgency: Urgency): Head | undefined {
+  const pass = team[urgency];
   const entry = pass.peek();
-  return entry === undefined ? undefined : { pass, entry };
+  return entry === undefined ? undefined : { team, pass, entry };
 }
 
 function olderOf(left: Head | undefined, right: Head | undefined): Head | undefined {
@@ -167,10 +185,3 @@
   }
   return isOlder(right.entry, left.entry) ? right : left;
 }
-
-function goesBefore(head: Head, share: number, best: Head | undefined, bestShare: number): boolean {
-  if (best === undefined || share < bestShare) {
-    return true;
-  }
-  return share === bestShare && isOlder(head.entry, best.entry);
-}
--- a/packages/policy/src/fair-share.ts
+++ b/packages/policy/src/fair-share.ts
@@ -1,7 +1,7 @@
 /** The rule of order that gives each team its share of a full fleet. */
 
-import type { QueueId, TeamId, WorkId } from '@bamboowell/types/ids';
-import type { Resources } from '@bamboowell/types/resources';
+import { brandAs, type QueueId, type TeamId, type WorkId } from '@bamboowell/types/ids';
+import { DIMENSIONS, type Resources } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import { DominantShares } from './dominant-shares.js';
 import { FairRound } from './fair-round.js';
@@ -11,14 +11,17 @@
 
 /** Age from which a candidate is overdue. */
 export const OVERDUE_MILLIS = 300_000;
-/** One in so many returned candidates is the oldest overdue one, whatever its team's share. */
+/** Age from which room may be held for a candidate that fits nowhere. */
+export const HOLD_AFTER_MILLIS = 60_000;
+/** One in so many turns of a team goes to its oldest overdue candidate. */
 export const OVERDUE_TURN = 32;
 
 /**
  * Weighted dominant-resource fairness. Urgent work goes first; then the team with the smallest
  * weighted dominant share; within a team ordinary before patient, then the oldest. Overdue work
- * has every `OVERDUE_TURN`-th turn. First or overdue work that fits nowhere holds back other work
- * for a bounded time, so that gangs and large tasks are not starved by small ones.
+ * has every `OVERDUE_TURN`-th turn of its team, and goes before all other teams if its team has had
+ * no start for as long. First work that has waited and fits nowhere holds back other work for a
+ * bounded time, so that gangs and large tasks are not starved by small ones.
  */
 export class FairShare extends Ordering {
   private readonly waiting = new WaitingTeams();
@@ -26,7 +29,9 @@
   private held: Hold | undefined;
   /** Work whose hold ended without a start, and until when it gets no other. */
   private readonly noHoldUntil = new Map<WorkId, Deadline>();
-  private turns = 0;
+  private readonly turns = new Map<TeamId, number>();
+  private readonly lastStarts = new Map<TeamId, Instant>();
+  private roundAt: Instant = brandAs<Instant>(0);
 
   put(candidate: Candidate): void {
     this.waiting.put(candidate);
@@ -53,13 +58,15 @@
   }
 
   round(now: Instant): Round {
+    this.roundAt = now;
     this.refreshHold(now);
     return new FairRound({
       waiting: this.waiting,
       shares: this.shares,
       hold: () => this.held,
-      isOverdue: (candidate) => isOverdue(candidate, now),
-      isOverdueTurn: () => this.isOverdueTurn(),
+      isOverdue: (candidate) => hasWaited(candidate, OVERDUE_MILLIS, now),
+      isWithoutStart: (team) => this.isWithoutStart(team, now),
+      isOverdueTurn: (team) => this.isOverdueTurn(team),
       firstIsBlocked: (candidate) => {
         this.beginHold(candidate, now);
       },
@@ -69,6 +76,9 @@
   addUsage(team: TeamId, amount: Resources): void {
     this.shares.addUsage(team, amount);
     this.held?.addUsage(amount);
+    if (DIMENSIONS.some((dimension) => amount[dimension] > 0)) {
+      this.lastStarts.set(team, this.roundAt);
+    }
   }
 
   setElsewhere(usage: readonly TeamUsage[]): void {
@@ -93,15 +103,26 @@
     return this.shares.of(team);
   }
 
-  private isOverdueTurn(): boolean {
-    this.turns = (this.turns + 1) % OVERDUE_TURN;
-    return this.turns === 0;
+  /** How far the team is above the common share, for preemption; negative below it. */
+  excessOf(team: TeamId): number {
+    return this.shares.excessOf(team);
+  }
+
+  private isOverdueTurn(team: TeamId): boolean {
+    const turn = ((this.turns.get(team) ?? 0) + 1) % OVERDUE_TURN;
+    this.turns.set(team, turn);
+    return turn === 0;
+  }
+
+  private isWithoutStart(team: TeamId, now: Instant): boolean {
+    const lastStart = this.lastStarts.get(team);
+    return lastStart === undefined || hasPassed(deadlineAfter(lastStart, OVERDUE_MILLIS), now);
   }
 
   private beginHold(candidate: Candidate, now: Instant): void {
     const noHoldUntil = this.noHoldUntil.get(candidate.work);
     const mayHold = noHoldUntil === undefined || hasPassed(noHoldUntil, now);
-    if (this.held === undefined && mayHold && isOverdue(candidate, now)) {
+    if (this.held === undefined && mayHold && hasWaited(candidate, HOLD_AFTER_MILLIS, now)) {
       this.held = new Hold(candidate, now);
     }
   }
@@ -114,6 +135,6 @@
   }
 }
 
-function isOverdue(candidate: Candidate, now: Instant): boolean {
-  return hasPassed(deadlineAfter(candidate.waitingSince, OVERDUE_MILLIS), now);
+function hasWaited(candidate: Candidate, millis: number, now: Instant): boolean {
+  return hasPassed(deadlineAfter(candidate.waitingSince, millis), now);
 }
