Send details apart from heartbeats, and fewer heartbeats between regions

A heartbeat of 9 members with 12 shards was 1199 bytes, 9592 bytes a second for each member, mostly epochs that don't change. Details now go only when they change and first on each connection; other regions get a slim heartbeat every 2 s.

--- a/packages/membership/src/heartbeat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -1,9 +1,10 @@
-/** The heartbeat that members send one another: the body of the notification `heartbeat`. */
+/**
+ * What members tell one another. A heartbeat travels in two notifications: `details`, sent when
+ * they change and first on each connection, and `heartbeat`, which names the details that hold.
+ */
 
-import { z } from 'zod';
 import {
   brandAs,
-  type Branded,
   type DataCentreId,
   type Epoch,
   type Incarnation,
@@ -15,12 +16,7 @@
 } from '@bamboowell/types/ids';
 
 export const HEARTBEAT_METHOD = 'heartbeat';
-
-/** Longest id in a heartbeat, characters. */
-const MAX_ID_LENGTH = 128;
-
-/** Most entries in each list of a heartbeat. */
-const MAX_LIST_LENGTH = 256;
+export const DETAILS_METHOD = 'details';
 
 /** The newest heartbeat of the receiver that the sender had received. */
 export interface Echo {
@@ -67,65 +63,36 @@
 /** `leaving`: gets no new shards. `left`: this incarnation owns and claims nothing any more. */
 export type Phase = 'serving' | 'leaving' | 'left';
 
-export interface Heartbeat extends Report {
-  readonly member: MemberId;
-  readonly incarnation: Incarnation;
+/** The part that changes rarely. */
+export interface Details {
   readonly region: RegionId;
   readonly dataCentre: DataCentreId;
-  /** Counts the heartbeats of this incarnation, from 1. */
+  /** Whom the sender has heard. */
+  readonly hears: readonly MemberId[];
+  readonly epochs: readonly KnownEpoch[];
+}
+
+/** The part that is sent every time. */
+export interface Beat extends Omit<Report, 'epochs'> {
+  readonly member: MemberId;
+  readonly incarnation: Incarnation;
+  /** Rises with the heartbeats of this incarnation. */
   readonly sequence: number;
   readonly echo: Echo | null;
   readonly phase: Phase;
-  /** Whom the sender hears. */
-  readonly hears: readonly MemberId[];
   readonly suspects: readonly MemberId[];
 }
 
-function textId<Id extends Branded<string, string>>() {
-  return z.custom<Id>(
-    (value) => typeof value === 'string' && value.length > 0 && value.length <= MAX_ID_LENGTH,
-  );
-}
-
-function countId<Id extends Branded<number, string>>() {
-  return z.custom<Id>((value) => Number.isSafeInteger(value) && Number(value) >= 0);
-}
+export interface Heartbeat extends Beat, Details {}
 
-function listOf<Item extends z.ZodType>(item: Item) {
-  return z.array(item).max(MAX_LIST_LENGTH);
+/** The part of the details that members of other regions need. */
+export function detailsForOtherRegion(details: Details): Details {
+  return { ...details, hears: [], epochs: [] };
 }
 
-const heartbeatSchema = z.strictObject({
-  member: textId<MemberId>(),
-  incarnation: textId<Incarnation>(),
-  region: textId<RegionId>(),
-  dataCentre: textId<DataCentreId>(),
-  sequence: z.int().positive(),
-  echo: z
-    .strictObject({ incarnation: textId<Incarnation>(), sequence: z.int().positive() })
-    .nullable(),
-  phase: z.enum(['serving', 'leaving', 'left']),
-  hears: listOf(textId<MemberId>()),
-  suspects: listOf(textId<MemberId>()),
-  logAnswers: z.boolean(),
-  version: countId<Version>(),
-  cellUpTo: countId<Offset>(),
-  unresolvedClaims: listOf(textId<ShardId>()),
-  epochs: listOf(z.strictObject({ shard: textId<ShardId>(), epoch: countId<Epoch>() })),
-  owned: listOf(
-    z.strictObject({
-      shard: textId<ShardId>(),
-      epoch: countId<Epoch>(),
-      running: z.int().nonnegative(),
-      waiting: z.int().nonnegative(),
-    }),
-  ),
-});
-
-/** The heartbeat in a notification's parameters, or nothing if they are malformed. */
-export function parseHeartbeat(params: unknown): Heartbeat | undefined {
-  const parsed = heartbeatSchema.safeParse(params);
-  return parsed.success ? parsed.data : undefined;
+/** The part of a beat that members of other regions need. */
+export function beatForOtherRegion(beat: Beat): Beat {
+  return { ...beat, unresolvedClaims: [], owned: [] };
 }
 
 /** Whether both hold the same members. */
--- a/packages/membership/src/links.ts
+++ b/packages/membership/src/links.ts
@@ -6,7 +6,7 @@
 import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
 import type { Connection, Handler } from '@bamboowell/wire/connection';
 import { nextAttempt } from './backoff.js';
-import { HEARTBEAT_METHOD } from './heartbeat.js';
+import { DETAILS_METHOD, HEARTBEAT_METHOD } from './heartbeat.js';
 import type { MembersMessage, OwnMessage } from './members-messages.js';
 import type { MembersSettings } from './members-settings.js';
 import type { Peer } from './peer.js';
@@ -96,6 +96,9 @@
     for (const [method, handler] of this.handlers) {
       connection.handle(method, handler);
     }
+    connection.handle(DETAILS_METHOD, (params) => {
+      this.post({ kind: 'received_details', connection, params });
+    });
     connection.handle(HEARTBEAT_METHOD, (params) => {
       this.post({ kind: 'received', connection, params });
     });
--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -72,6 +72,7 @@
       readonly member: MemberId;
       readonly connection: Connection | undefined;
     }
+  | { readonly kind: 'received_details'; readonly connection: Connection; readonly params: unknown }
   | { readonly kind: 'received'; readonly connection: Connection; readonly params: unknown }
   | { readonly kind: 'ended'; readonly connection: Connection };
 
@@ -95,6 +96,7 @@
 /** What the task counts. */
 export type MembersCounter =
   | 'heartbeats_sent'
+  | 'details_sent'
   | 'heartbeats_congested'
   | 'heartbeats_received'
   | 'heartbeats_malformed'
--- a/packages/membership/src/members-task.test.ts
+++ b/packages/membership/src/members-task.test.ts
@@ -1,289 +1,23 @@
-import test, { type ExecutionContext } from 'ava';
-import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import test from 'ava';
 import { HEARTBEAT_INTERVAL_MILLIS, SUSPECT_AFTER_MILLIS } from '@bamboowell/ownership/bounds';
-import {
-  brandAs,
-  type DataCentreId,
-  type Epoch,
-  type Incarnation,
-  type MemberId,
-  type Offset,
-  type RegionId,
-  type ShardId,
-  type Version,
-} from '@bamboowell/types/ids';
+import { brandAs, type Epoch, type Incarnation } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
-import type { Address, Vm, VmState } from '@bamboowell/types/vm';
+import type { Handler, WireAnswer } from '@bamboowell/wire/connection';
 import {
-  Connection,
-  type CloseReason,
-  type Handler,
-  type WireAnswer,
-} from '@bamboowell/wire/connection';
-import { Dialler } from './dialler.js';
-import type { Report } from './heartbeat.js';
-import type { MembersCounter, MembersEvent, MemberView } from './members-messages.js';
-import { MembersTask } from './members-task.js';
+  cellOf,
+  entryVm,
+  lastView,
+  memberIn,
+  memberOf,
+  REGION,
+  reportOf,
+  settle,
+  SHARD,
+  viewOn,
+} from './members.fixture.js';
+import type { BeatParams } from './heartbeat-schema.js';
 import { candidatesOf, expectedMembers, statementOf, votesOf } from './ownership-inputs.js';
 import { FORGET_MILLIS } from './peers.js';
-import { VmList, type VmListing } from './vm-list.js';
-
-const REGION = brandAs<RegionId>('r1');
-const SHARD = brandAs<ShardId>('s0');
-const memberOf = (name: string) => brandAs<MemberId>(name);
-
-/** One end of a connection within this process. `silent` ends lose what is sent. */
-class MemoryConnection extends Connection {
-  readonly ended: Promise<CloseReason>;
-  other: MemoryConnection | undefined;
-  silent = false;
-  private end: (reason: CloseReason) => void = () => undefined;
-  private readonly handlers = new Map<string, Handler>();
-
-  constructor(private readonly wireBytes: number[]) {
-    super();
-    this.ended = new Promise((resolve) => {
-      this.end = resolve;
-    });
-  }
-
-  async request(method: string, params: unknown): Promise<WireAnswer> {
-    const handler = this.other?.handlers.get(method);
-    return handler === undefined
-      ? { kind: 'failed', code: -32601, message: 'no such method' }
-      : { kind: 'answered', value: await handler(params) };
-  }
-
-  notify(method: string, params: unknown): 'sent' | 'closed' {
-    const body = JSON.stringify({ jsonrpc: '2.0', method, params });
-    this.wireBytes.push(Buffer.byteLength(body));
-    if (this.other === undefined) {
-      return 'closed';
-    }
-    if (!this.silent) {
-      const received = JSON.parse(body) as { params: unknown };
-      void this.other.handlers.get(method)?.(received.params);
-    }
-    return 'sent';
-  }
-
-  handle(method: string, handler: Handler): void {
-    this.handlers.set(method, handler);
-  }
-
-  close(): void {
-    const other = this.other;
-    this.other = undefined;
-    this.end('closed');
-    other?.close();
-  }
-}
-
-/** A list that shows what it was last given. */
-class FixedVmList extends VmList {
-  listing: VmListing = { kind: 'listed', vms: [] };
-
-  list(): Promise<VmListing> {
-    return Promise.resolve(this.listing);
-  }
-}
-
-interface Member {
-  readonly id: MemberId;
-  readonly task: MembersTask;
-  readonly events: MembersEvent[];
-  readonly counts: Map<MembersCounter, number>;
-  /** What its services report as time passes; none if they hang. */
-  report: Report | undefined;
-}
-
-/** Members of one region within this process, which reach each other unless they are cut off. */
-class Cell {
-  readonly clock = new ManualClock(1_000_000);
-  readonly list = new FixedVmList();
-  readonly members = new Map<MemberId, Member>();
-  readonly wireBytes: number[] = [];
-  readonly cut = new Set<MemberId>();
-  readonly connections: { ends: readonly [MemberId, MemberId]; connection: MemoryConnection }[] =
-    [];
-  private readonly ports = new Map<number, MemberId>();
-
-  async add(name: string, incarnation = `${name}-1`, extra: Partial<Vm> = {}): Promise<Member> {
-    const id = memberOf(name);
-    const port = 1 + this.ports.size;
-    this.ports.set(port, id);
-    this.show(entryVm(name, port, 'live', extra.region));
-    const events: MembersEvent[] = [];
-    const counts = new Map<MembersCounter, number>();
-    const subscriber = {
-      post: (event: MembersEvent) => {
-        events.push(event);
-        return 'accepted' as const;
-      },
-    };
-    const task = new MembersTask(
-      {
-        member: id,
-        incarnation: brandAs<Incarnation>(incarnation),
-        region: extra.region ?? REGION,
-        dataCentre: brandAs<DataCentreId>('d1'),
-        vmList: this.list,
-        dialler: this.diallerOf(id),
-        random: () => 0.5,
-        count: (counter) => counts.set(counter, (counts.get(counter) ?? 0) + 1),
-        subscribers: [subscriber],
-        handlers: new Map(),
-      },
-      this.clock,
-    );
-    const member = { id, task, events, counts, report: reportOf() };
-    this.members.set(id, member);
-    await task.start();
-    return member;
-  }
-
-  show(vm: Vm): void {
-    const vms = this.list.listing.kind === 'listed' ? this.list.listing.vms : [];
-    this.list.listing = { kind: 'listed', vms: [...vms.filter((one) => !sameVm(one, vm)), vm] };
-  }
-
-  hide(id: MemberId): void {
-    const vms = this.list.listing.kind === 'listed' ? this.list.listing.vms : [];
-    const rest = vms.filter((vm) => vm.role !== 'entry' || vm.member !== id);
-    this.list.listing = { kind: 'listed', vms: rest };
-  }
-
-  /** Lets time pass in small steps, with all messages delivered between them. */
-  async pass(millis: number, step = HEARTBEAT_INTERVAL_MILLIS / 2): Promise<void> {
-    for (let passed = 0; passed < millis; passed += step) {
-      this.clock.advance(Math.min(step, millis - passed));
-      this.reportAll();
-      await settle();
-    }
-  }
-
-  reportAll(): void {
-    const at = this.clock.now();
-    for (const { task, report } of this.members.values()) {
-      if (report !== undefined) {
-        task.post({ kind: 'report', report, at });
-      }
-    }
-  }
-
-  /** From now on nothing arrives to or from the member, on old connections and new ones. */
-  cutOff(id: MemberId): void {
-    this.cut.add(id);
-    for (const { ends, connection } of this.connections) {
-      connection.silent ||= ends.includes(id);
-    }
-  }
-
-  /** The ends of silent connections notice it, as their pings do. */
-  heal(): void {
-    this.cut.clear();
-    for (const { connection } of this.connections) {
-      if (connection.silent) {
-        connection.close();
-      }
-    }
-  }
-
-  async stop(): Promise<void> {
-    await Promise.all([...this.members.values()].map(({ task }) => task.stop()));
-  }
-
-  private diallerOf(from: MemberId): Dialler {
-    const open = (address: Address) => this.open(from, address);
-    return new (class extends Dialler {
-      dial(address: Address): Promise<Connection | undefined> {
-        return Promise.resolve(open(address));
-      }
-    })();
-  }
-
-  private open(from: MemberId, address: Address): Connection | undefined {
-    const to = this.ports.get(address.port);
-    const target = to === undefined ? undefined : this.members.get(to);
-    if (to === undefined || target === undefined || this.cut.has(from) || this.cut.has(to)) {
-      return undefined;
-    }
-    const [near, far] = connectionPair(this.wireBytes);
-    this.connections.push({ ends: [from, to], connection: near });
-    this.connections.push({ ends: [from, to], connection: far });
-    if (target.task.post({ kind: 'accepted', connection: far }) !== 'accepted') {
-      return undefined;
-    }
-    return near;
-  }
-}
-
-function connectionPair(wireBytes: number[]): [MemoryConnection, MemoryConnection] {
-  const near = new MemoryConnection(wireBytes);
-  const far = new MemoryConnection(wireBytes);
-  near.other = far;
-  far.other = near;
-  return [near, far];
-}
-
-function entryVm(name: string, port: number, state: VmState, region = REGION): Vm {
-  const dataCentre = brandAs<DataCentreId>('d1');
-  const address = { host: '127.0.0.1', port };
-  return { role: 'entry', member: memberOf(name), region, dataCentre, address, state };
-}
-
-function sameVm(left: Vm, right: Vm): boolean {
-  return left.role === 'entry' && right.role === 'entry' && left.member === right.member;
-}
-
-async function settle(): Promise<void> {
-  for (let turn = 0; turn < 8; turn += 1) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
-
-async function cellOf(t: ExecutionContext, names: readonly string[]): Promise<Cell> {
-  const cell = new Cell();
-  t.teardown(() => cell.stop());
-  for (const name of names) {
-    await cell.add(name);
-  }
-  await cell.pass(6000);
-  return cell;
-}
-
-function memberIn(cell: Cell, name: string): Member {
-  const member = cell.members.get(memberOf(name));
-  if (member === undefined) {
-    throw new Error(`no member ${name}`);
-  }
-  return member;
-}
-
-function lastView(member: Member): Extract<MembersEvent, { kind: 'view' }> {
-  const view = member.events.findLast((event) => event.kind === 'view');
-  if (view === undefined) {
-    throw new Error('no view');
-  }
-  return view;
-}
-
-function viewOn(member: Member, name: string): MemberView | undefined {
-  return lastView(member).members.find((one) => one.member === memberOf(name));
-}
-
-function reportOf(changes: Partial<Report> = {}): Report {
-  return {
-    logAnswers: true,
-    version: brandAs<Version>(3),
-    cellUpTo: brandAs<Offset>(7),
-    unresolvedClaims: [],
-    epochs: [{ shard: SHARD, epoch: brandAs<Epoch>(2) }],
-    owned: [],
-    ...changes,
-  };
-}
-
 test('members connect, one connection a pair, and hear each other with an echo', async (t) => {
   const cell = await cellOf(t, ['a', 'b', 'c']);
   for (const member of cell.members.values()) {
@@ -422,7 +156,7 @@
   await memberIn(cell, 'b').task.stop();
   cell.members.delete(memberOf('b'));
   cell.hide(memberOf('b'));
-  await cell.add('b', 'b-2');
+  await cell.add('b', { incarnation: 'b-2' });
   await cell.pass(20_000);
   const seen = viewOn(memberIn(cell, 'a'), 'b');
   t.like(seen, { connected: true, suspected: false });
@@ -433,14 +167,22 @@
   const cell = await cellOf(t, ['a', 'b']);
   const a = memberIn(cell, 'a');
   const toA = cell.connections.find(({ connection }) => connection.other !== undefined);
-  const heartbeat = viewOn(memberIn(cell, 'a'), 'b')?.heard?.heartbeat;
-  const junk: unknown[] = [null, 7, {}, [], { ...heartbeat, sequence: -1 }];
-  for (const params of [...junk, { ...heartbeat, member: 'stranger' }]) {
+  const fromB = toA?.connection.other?.lastSent.get('heartbeat') as BeatParams;
+  const { beat, details: number } = fromB;
+  const junk: unknown[] = [
+    ...[null, 7, {}, []],
+    { beat: { ...beat, sequence: -1 }, details: number },
+    { beat: { ...beat, member: 'stranger' }, details: number },
+    { beat, details: number + 1 },
+  ];
+  for (const params of junk) {
     toA?.connection.other?.notify('heartbeat', params);
     toA?.connection.notify('heartbeat', params);
   }
+  toA?.connection.other?.notify('details', { number: 3 });
+  toA?.connection.notify('details', { number: 3 });
   await settle();
-  t.is(a.counts.get('heartbeats_malformed'), 6);
+  t.is(a.counts.get('heartbeats_malformed'), 8);
   t.is(viewOn(a, 'stranger'), undefined);
   t.true(viewOn(a, 'b')?.connected);
 });
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -6,17 +6,21 @@
 import { match } from 'ts-pattern';
 import type { Clock } from '@bamboowell/kernel/clock';
 import { Task } from '@bamboowell/kernel/task';
-import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
+import { HEARTBEAT_INTERVAL_MILLIS, REMOTE_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { Suspicion } from '@bamboowell/ownership/suspicion';
 import type { MemberId } from '@bamboowell/types/ids';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
 import type { Connection } from '@bamboowell/wire/connection';
+import { HeartbeatReceiver } from './heartbeat-receiver.js';
+import { HeartbeatSender } from './heartbeat-sender.js';
 import {
+  beatForOtherRegion,
   changesView,
+  detailsForOtherRegion,
   FIRST_REPORT,
-  HEARTBEAT_METHOD,
-  parseHeartbeat,
   sameMembers,
+  type Beat,
+  type Details,
   type Heartbeat,
   type Phase,
   type Report,
@@ -42,6 +46,8 @@
   private readonly suspicion: Suspicion;
   private readonly subscribers: Subscribers;
   private readonly links: Links;
+  private readonly sender: HeartbeatSender;
+  private readonly receiver = new HeartbeatReceiver();
   private suspects: ReadonlySet<MemberId> = new Set();
   private report: Report = FIRST_REPORT;
   private reportAt: Instant;
@@ -57,6 +63,7 @@
     this.sent = new SentHeartbeats(settings.incarnation, clock.now());
     this.subscribers = new Subscribers(settings.subscribers, settings.count);
     this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
+    this.sender = new HeartbeatSender(settings.count);
     this.suspicion = new Suspicion(clock.now());
     this.reportAt = clock.now();
   }
@@ -109,6 +116,11 @@
       .with({ kind: 'received' }, ({ connection, params }) => {
         this.received(connection, params);
       })
+      .with({ kind: 'received_details' }, ({ connection, params }) => {
+        if (!this.receiver.receiveDetails(connection, params)) {
+          this.settings.count('heartbeats_malformed');
+        }
+      })
       .with({ kind: 'ended' }, ({ connection }) => {
         this.ended(connection);
       })
@@ -128,7 +140,7 @@
       this.subscribers.publish({ kind: 'paused', at: now });
     }
     this.updateSuspects();
-    this.sendHeartbeats();
+    this.sendHeartbeats(this.peers.all().filter((peer) => this.isDue(peer, now)));
     for (const peer of this.peers.all()) {
       this.links.dialIfDue(peer);
     }
@@ -144,36 +156,62 @@
     }
   }
 
+  /** Heartbeats to other regions are rarer, as that traffic is paid for by volume. */
+  private isDue(peer: Peer, now: Instant): boolean {
+    if (!this.isRemote(peer)) {
+      return true;
+    }
+    const due = hasPassed(peer.heartbeatFrom, now);
+    if (due) {
+      peer.heartbeatFrom = deadlineAfter(now, REMOTE_INTERVAL_MILLIS);
+    }
+    return due;
+  }
+
+  private isRemote(peer: Peer): boolean {
+    const region = peer.heard?.heartbeat.region ?? peer.listed?.region;
+    return region !== undefined && region !== this.settings.region;
+  }
+
   private sendHeartbeats(to: readonly Peer[] = this.peers.all()): void {
     const sequence = this.sent.next(this.clock.now());
-    const hears = this.peers.all().filter(({ heard }) => heard !== undefined);
+    const details = this.details();
+    const fewer = detailsForOtherRegion(details);
     for (const peer of to) {
-      const sent = peer.connection?.notify(
-        HEARTBEAT_METHOD,
-        this.heartbeatFor(peer, sequence, hears),
-      );
-      if (sent !== undefined) {
-        this.settings.count(sent === 'sent' ? 'heartbeats_sent' : 'heartbeats_congested');
+      const beat = this.beatFor(peer, sequence);
+      if (peer.connection !== undefined && this.isRemote(peer)) {
+        this.sender.send(peer.connection, beatForOtherRegion(beat), fewer);
+      } else if (peer.connection !== undefined) {
+        this.sender.send(peer.connection, beat, details);
       }
     }
   }
 
-  private heartbeatFor(peer: Peer, sequence: number, hears: readonly Peer[]): Heartbeat {
-    const { member, incarnation, region, dataCentre } = this.settings;
+  private beatFor(peer: Peer, sequence: number): Beat {
+    const { member, incarnation } = this.settings;
+    const { logAnswers, version, cellUpTo, unresolvedClaims, owned } = this.report;
     return {
       member,
       incarnation,
-      region,
-      dataCentre,
       sequence,
       echo: echoOf(peer, this.reportAt),
       phase: this.memberPhase,
-      hears: hears.map((heard) => heard.member),
       suspects: [...this.suspects],
-      ...this.report,
+      logAnswers,
+      version,
+      cellUpTo,
+      unresolvedClaims,
+      owned,
     };
   }
 
+  private details(): Details {
+    const { region, dataCentre } = this.settings;
+    const { epochs } = this.report;
+    const heard = this.peers.all().filter((peer) => peer.heard !== undefined);
+    return { region, dataCentre, hears: heard.map(({ member }) => member), epochs };
+  }
+
   private refresh(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
@@ -221,7 +259,7 @@
   }
 
   private received(connection: Connection, params: unknown): void {
-    const heartbeat = parseHeartbeat(params);
+    const heartbeat = this.receiver.receive(connection, params);
     if (heartbeat === undefined || !this.links.mayCarry(connection, heartbeat.member)) {
       this.settings.count('heartbeats_malformed');
       return;
--- a/packages/membership/src/peer.ts
+++ b/packages/membership/src/peer.ts
@@ -1,6 +1,6 @@
 /** What the members task keeps of one other member. */
 
-import type { MemberId } from '@bamboowell/types/ids';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
 import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Connection } from '@bamboowell/wire/connection';
 import type { Echo, Heartbeat } from './heartbeat.js';
@@ -26,6 +26,8 @@
   heard: Heard | undefined;
   /** Oldest first. */
   receipts: readonly Receipt[];
+  /** When the next heartbeat is due, if the peer is in another region. */
+  heartbeatFrom: Deadline;
   /** When an unlisted, silent member is forgotten. */
   forgetFrom: Deadline;
 }
@@ -40,6 +42,7 @@
     dialFrom: NEVER,
     heard: undefined,
     receipts: [],
+    heartbeatFrom: brandAs<Deadline>(0),
     forgetFrom: NEVER,
   };
 }
--- a/packages/ownership/src/bounds.ts
+++ b/packages/ownership/src/bounds.ts
@@ -3,6 +3,9 @@
 /** Interval at which a member sends heartbeats, milliseconds. */
 export const HEARTBEAT_INTERVAL_MILLIS = 1000;
 
+/** Interval at which a member sends heartbeats to other regions, milliseconds. */
+export const REMOTE_INTERVAL_MILLIS = 2 * HEARTBEAT_INTERVAL_MILLIS;
+
 /** Longest interval between the reports that heartbeats carry, milliseconds. */
 export const REPORT_INTERVAL_MILLIS = 500;
 
@@ -31,4 +34,4 @@
 export const CLAIM_STEP_MILLIS = 1000;
 
 /** Age up to which configuration counts as fresh, milliseconds. */
-export const CONFIGURATION_FRESH_MILLIS = 4000;
+export const CONFIGURATION_FRESH_MILLIS = 5000;
