--- /dev/null
+++ b/packages/membership/src/announcer.ts
@@ -0,0 +1,129 @@
+/** What this member tells the others: composes its heartbeats and sends them. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { REMOTE_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
+import { HeartbeatSender } from './heartbeat-sender.js';
+import {
+  beatForOtherRegion,
+  detailsForOtherRegion,
+  FIRST_REPORT,
+  type Beat,
+  type Details,
+  type Echo,
+  type Phase,
+  type Report,
+} from './heartbeat.js';
+import type { MembersSettings } from './members-settings.js';
+import { echoOf, type Peer } from './peer.js';
+import type { Peers } from './peers.js';
+import { SentHeartbeats } from './sent-heartbeats.js';
+
+export class Announcer {
+  private readonly sent: SentHeartbeats;
+  private readonly sender: HeartbeatSender;
+  private report: Report = FIRST_REPORT;
+  private reportAt: Instant;
+  private currentPhase: Phase = 'serving';
+
+  constructor(
+    private readonly settings: MembersSettings,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+  ) {
+    this.sent = new SentHeartbeats(settings.incarnation, clock.now());
+    this.sender = new HeartbeatSender(settings.count);
+    this.reportAt = clock.now();
+  }
+
+  get phase(): Phase {
+    return this.currentPhase;
+  }
+
+  /** Whether the log answered this member, by its last report. */
+  get logAnswers(): boolean {
+    return this.report.logAnswers;
+  }
+
+  /** All of the report was true at `at`. */
+  takeReport(report: Report, at: Instant): void {
+    this.report = report;
+    this.reportAt = at;
+  }
+
+  enter(phase: Phase): void {
+    this.currentPhase = phase;
+  }
+
+  /** When this member sent the heartbeat that a peer echoes. */
+  instantOf(echo: Echo | null): Instant | undefined {
+    return this.sent.instantOf(echo);
+  }
+
+  /** Sends a heartbeat to every peer for which one is due. */
+  sendDue(suspects: ReadonlySet<MemberId>): void {
+    const now = this.clock.now();
+    this.sendTo(
+      this.peers.all().filter((peer) => this.isDue(peer, now)),
+      suspects,
+    );
+  }
+
+  /** Sends a heartbeat to these peers, as far as they are connected. */
+  sendTo(to: readonly Peer[], suspects: ReadonlySet<MemberId>): void {
+    const sequence = this.sent.next(this.clock.now());
+    const details = this.details();
+    const fewer = detailsForOtherRegion(details);
+    for (const peer of to) {
+      const beat = this.beatFor(peer, sequence, suspects);
+      if (peer.connection !== undefined && this.isRemote(peer)) {
+        this.sender.send(peer.connection, beatForOtherRegion(beat), fewer);
+      } else if (peer.connection !== undefined) {
+        this.sender.send(peer.connection, beat, details);
+      }
+    }
+  }
+
+  /** Heartbeats to other regions are rarer, as that traffic is paid for by volume. */
+  private isDue(peer: Peer, now: Instant): boolean {
+    if (!this.isRemote(peer)) {
+      return true;
+    }
+    const due = hasPassed(peer.heartbeatFrom, now);
+    if (due) {
+      peer.heartbeatFrom = deadlineAfter(now, REMOTE_INTERVAL_MILLIS);
+    }
+    return due;
+  }
+
+  private isRemote(peer: Peer): boolean {
+    const region = peer.heard?.heartbeat.region ?? peer.listed?.region;
+    return region !== undefined && region !== this.settings.region;
+  }
+
+  private beatFor(peer: Peer, sequence: number, suspects: ReadonlySet<MemberId>): Beat {
+    const { member, incarnation } = this.settings;
+    const { logAnswers, version, cellUpTo, unresolvedClaims, owned } = this.report;
+    return {
+      member,
+      incarnation,
+      sequence,
+      echo: echoOf(peer, this.reportAt),
+      phase: this.currentPhase,
+      suspects: [...suspects],
+      logAnswers,
+      version,
+      cellUpTo,
+      unresolvedClaims,
+      owned,
+    };
+  }
+
+  private details(): Details {
+    const { region, dataCentre } = this.settings;
+    const { epochs } = this.report;
+    const heard = this.peers.all().filter((peer) => peer.heard !== undefined);
+    return { region, dataCentre, hears: heard.map(({ member }) => member), epochs };
+  }
+}
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -6,31 +6,19 @@
 import { match } from 'ts-pattern';
 import type { Clock } from '@bamboowell/kernel/clock';
 import { Task } from '@bamboowell/kernel/task';
-import { HEARTBEAT_INTERVAL_MILLIS, REMOTE_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
+import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { Suspicion } from '@bamboowell/ownership/suspicion';
 import type { MemberId } from '@bamboowell/types/ids';
-import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter } from '@bamboowell/types/time';
 import type { Connection } from '@bamboowell/wire/connection';
+import { Announcer } from './announcer.js';
 import { HeartbeatReceiver } from './heartbeat-receiver.js';
-import { HeartbeatSender } from './heartbeat-sender.js';
-import {
-  beatForOtherRegion,
-  changesView,
-  detailsForOtherRegion,
-  FIRST_REPORT,
-  sameMembers,
-  type Beat,
-  type Details,
-  type Heartbeat,
-  type Phase,
-  type Report,
-} from './heartbeat.js';
+import { changesView, sameMembers, type Heartbeat, type Phase } from './heartbeat.js';
 import { Links } from './links.js';
 import type { MembersEvent, MembersMessage } from './members-messages.js';
 import type { MembersSettings } from './members-settings.js';
-import { echoOf, isLate, noteReceipt, viewOf, type Peer } from './peer.js';
+import { isLate, noteReceipt, viewOf, type Peer } from './peer.js';
 import { Peers } from './peers.js';
-import { SentHeartbeats } from './sent-heartbeats.js';
 import { Subscribers } from './subscribers.js';
 import type { VmListing } from './vm-list.js';
 
@@ -42,16 +30,12 @@
 
 export class MembersTask extends Task<MembersMessage> {
   private readonly peers: Peers;
-  private readonly sent: SentHeartbeats;
+  private readonly announcer: Announcer;
   private readonly suspicion: Suspicion;
   private readonly subscribers: Subscribers;
   private readonly links: Links;
-  private readonly sender: HeartbeatSender;
   private readonly receiver = new HeartbeatReceiver();
   private suspects: ReadonlySet<MemberId> = new Set();
-  private report: Report = FIRST_REPORT;
-  private reportAt: Instant;
-  private memberPhase: Phase = 'serving';
   private listedAsLeaving = false;
 
   constructor(
@@ -60,12 +44,10 @@
   ) {
     super('members', clock);
     this.peers = new Peers(settings.member);
-    this.sent = new SentHeartbeats(settings.incarnation, clock.now());
+    this.announcer = new Announcer(settings, this.peers, clock);
     this.subscribers = new Subscribers(settings.subscribers, settings.count);
     this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
-    this.sender = new HeartbeatSender(settings.count);
     this.suspicion = new Suspicion(clock.now());
-    this.reportAt = clock.now();
   }
 
   protected override opened(): void {
@@ -89,8 +71,7 @@
         this.links.request(request);
       })
       .with({ kind: 'report' }, ({ report, at }) => {
-        this.report = report;
-        this.reportAt = at;
+        this.announcer.takeReport(report, at);
       })
       .with({ kind: 'leave' }, () => {
         this.enter('leaving');
@@ -128,8 +109,8 @@
   }
 
   private enter(phase: Phase): void {
-    this.memberPhase = phase;
-    this.sendHeartbeats();
+    this.announcer.enter(phase);
+    this.announcer.sendTo(this.peers.all(), this.suspects);
     this.subscribers.publish(this.view());
   }
 
@@ -140,7 +121,7 @@
       this.subscribers.publish({ kind: 'paused', at: now });
     }
     this.updateSuspects();
-    this.sendHeartbeats(this.peers.all().filter((peer) => this.isDue(peer, now)));
+    this.announcer.sendDue(this.suspects);
     for (const peer of this.peers.all()) {
       this.links.dialIfDue(peer);
     }
@@ -156,62 +137,6 @@
     }
   }
 
-  /** Heartbeats to other regions are rarer, as that traffic is paid for by volume. */
-  private isDue(peer: Peer, now: Instant): boolean {
-    if (!this.isRemote(peer)) {
-      return true;
-    }
-    const due = hasPassed(peer.heartbeatFrom, now);
-    if (due) {
-      peer.heartbeatFrom = deadlineAfter(now, REMOTE_INTERVAL_MILLIS);
-    }
-    return due;
-  }
-
-  private isRemote(peer: Peer): boolean {
-    const region = peer.heard?.heartbeat.region ?? peer.listed?.region;
-    return region !== undefined && region !== this.settings.region;
-  }
-
-  private sendHeartbeats(to: readonly Peer[] = this.peers.all()): void {
-    const sequence = this.sent.next(this.clock.now());
-    const details = this.details();
-    const fewer = detailsForOtherRegion(details);
-    for (const peer of to) {
-      const beat = this.beatFor(peer, sequence);
-      if (peer.connection !== undefined && this.isRemote(peer)) {
-        this.sender.send(peer.connection, beatForOtherRegion(beat), fewer);
-      } else if (peer.connection !== undefined) {
-        this.sender.send(peer.connection, beat, details);
-      }
-    }
-  }
-
-  private beatFor(peer: Peer, sequence: number): Beat {
-    const { member, incarnation } = this.settings;
-    const { logAnswers, version, cellUpTo, unresolvedClaims, owned } = this.report;
-    return {
-      member,
-      incarnation,
-      sequence,
-      echo: echoOf(peer, this.reportAt),
-      phase: this.memberPhase,
-      suspects: [...this.suspects],
-      logAnswers,
-      version,
-      cellUpTo,
-      unresolvedClaims,
-      owned,
-    };
-  }
-
-  private details(): Details {
-    const { region, dataCentre } = this.settings;
-    const { epochs } = this.report;
-    const heard = this.peers.all().filter((peer) => peer.heard !== undefined);
-    return { region, dataCentre, hears: heard.map(({ member }) => member), epochs };
-  }
-
   private refresh(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
@@ -247,7 +172,7 @@
 
   private dialled(peer: Peer, connection: Connection | undefined): void {
     if (this.links.dialled(peer, connection)) {
-      this.sendHeartbeats([peer]);
+      this.announcer.sendTo([peer], this.suspects);
       this.subscribers.publish(this.view());
     }
   }
@@ -281,7 +206,7 @@
     const before = peer.heard?.heartbeat;
     peer.failures = 0;
     noteReceipt(peer, heartbeat, now);
-    peer.heard = { heartbeat, madeAfter: this.sent.instantOf(heartbeat.echo) };
+    peer.heard = { heartbeat, madeAfter: this.announcer.instantOf(heartbeat.echo) };
     if (this.servesOwners(heartbeat)) {
       this.suspicion.heard(peer.member, now);
     } else {
@@ -299,7 +224,7 @@
    * not counted as heard, so that a majority may hand its shards to others.
    */
   private servesOwners(heartbeat: Heartbeat): boolean {
-    return heartbeat.logAnswers || !this.report.logAnswers;
+    return heartbeat.logAnswers || !this.announcer.logAnswers;
   }
 
   private forgetSilent(): void {
@@ -315,7 +240,7 @@
 
   private view(): MembersEvent {
     const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
-    const leaving = this.memberPhase !== 'serving' || this.listedAsLeaving;
+    const leaving = this.announcer.phase !== 'serving' || this.listedAsLeaving;
     return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
   }
 }
