Test that heartbeats alone keep an owner fresh through an outage of the log

The bounds must fit together: statement age grows by the report interval and two heartbeat intervals. Five minutes of outage in two regions of three, checked every 250 ms of injected time: fresh at each check; a cut region makes configuration stale.

--- /dev/null
+++ b/packages/membership/src/ownership-inputs.test.ts
@@ -0,0 +1,83 @@
+import test, { type ExecutionContext } from 'ava';
+import { ConfigurationFreshness } from '@bamboowell/ownership/configuration-freshness';
+import { Freshness } from '@bamboowell/ownership/freshness';
+import { brandAs, type Epoch, type Offset, type RegionId } from '@bamboowell/types/ids';
+import { Cell, lastView, reportOf, REGION, SHARD, type Member } from './members.fixture.js';
+import { configurationStatementOf, expectedMembers, statementOf } from './ownership-inputs.js';
+
+const OTHER_REGION = brandAs<RegionId>('r2');
+const STEP_MILLIS = 250;
+const OUTAGE_STEPS = (5 * 60_000) / STEP_MILLIS;
+
+/** Two regions of three, in which every member reports that the log does not answer. */
+async function cellInOutage(t: ExecutionContext): Promise<Cell> {
+  const cell = new Cell();
+  t.teardown(() => cell.stop());
+  for (const name of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    const member = await cell.add(name, { region: name < 'd' ? REGION : OTHER_REGION });
+    member.report = reportOf({ logAnswers: false });
+  }
+  await cell.pass(10_000);
+  return cell;
+}
+
+/** The decisions of one member, which owns the shard and read the log last before the outage. */
+function decisionsOf(cell: Cell, member: Member) {
+  const epoch = brandAs<Epoch>(2);
+  const now = cell.clock.now();
+  const owner = new Freshness(member.id, SHARD);
+  const configuration = new ConfigurationFreshness(member.id);
+  owner.caughtUp(now, { epoch, owner: member.id }, { epoch, afterRelease: true }, now);
+  configuration.caughtUp(now, brandAs<Offset>(7));
+  owner.logUnavailable();
+  configuration.logUnavailable();
+  return { owner, configuration };
+}
+
+/** Hands over what the member's task has published since the last time. */
+function feed(cell: Cell, member: Member, decisions: ReturnType<typeof decisionsOf>): void {
+  const expected = expectedMembers(lastView(member), { member: member.id, region: REGION });
+  decisions.owner.expect(expected.region);
+  decisions.configuration.expect(expected.cell);
+  for (const event of member.events.splice(0)) {
+    if (event.kind === 'heard') {
+      const statement = statementOf(event.view);
+      const told = configurationStatementOf(event.view);
+      if (statement !== undefined) {
+        decisions.owner.memberSays(statement, event.at);
+      }
+      if (told !== undefined) {
+        decisions.configuration.memberSays(told);
+      }
+    } else if (event.kind === 'view') {
+      member.events.push(event);
+    }
+  }
+}
+
+test('through an outage of the log that all see, heartbeats keep owner and configuration fresh', async (t) => {
+  const cell = await cellInOutage(t);
+  const [member] = [...cell.members.values()] as [Member];
+  const decisions = decisionsOf(cell, member);
+  for (let step = 0; step < OUTAGE_STEPS; step += 1) {
+    await cell.pass(STEP_MILLIS, STEP_MILLIS);
+    feed(cell, member, decisions);
+    const now = cell.clock.now();
+    t.is(decisions.owner.standing(now).kind, 'fresh');
+    t.is(decisions.configuration.standing(now).kind, 'fresh');
+  }
+});
+
+test('a region that is cut off costs the configuration its freshness, and the owner nothing', async (t) => {
+  const cell = await cellInOutage(t);
+  const [member, , , remote] = [...cell.members.values()] as [Member, Member, Member, Member];
+  const decisions = decisionsOf(cell, member);
+  cell.cutOff(remote.id);
+  for (let step = 0; step < 40; step += 1) {
+    await cell.pass(STEP_MILLIS, STEP_MILLIS);
+    feed(cell, member, decisions);
+  }
+  const now = cell.clock.now();
+  t.is(decisions.owner.standing(now).kind, 'fresh');
+  t.like(decisions.configuration.standing(now), { why: 'member_silent', members: [remote.id] });
+});
