Repeat details until a heartbeat that named them was echoed

The end that accepts a connection sets its handlers after the socket is open; with TLS the first notification may come before that and is lost, after which every heartbeat of the connection would be dropped.

--- a/packages/membership/src/announcer.ts
+++ b/packages/membership/src/announcer.ts
@@ -77,10 +77,11 @@
     const fewer = detailsForOtherRegion(details);
     for (const peer of to) {
       const beat = this.beatFor(peer, sequence, suspects);
+      const echoed = this.echoedBy(peer);
       if (peer.connection !== undefined && this.isRemote(peer)) {
-        this.sender.send(peer.connection, beatForOtherRegion(beat), fewer);
+        this.sender.send(peer.connection, beatForOtherRegion(beat), fewer, echoed);
       } else if (peer.connection !== undefined) {
-        this.sender.send(peer.connection, beat, details);
+        this.sender.send(peer.connection, beat, details, echoed);
       }
     }
   }
@@ -102,6 +103,12 @@
     return region !== undefined && region !== this.settings.region;
   }
 
+  /** The sequence of our newest heartbeat that the peer has echoed; zero if there is none. */
+  private echoedBy(peer: Peer): number {
+    const echo = peer.heard?.heartbeat.echo;
+    return echo?.incarnation === this.settings.incarnation ? echo.sequence : 0;
+  }
+
   private beatFor(peer: Peer, sequence: number, suspects: ReadonlySet<MemberId>): Beat {
     const { member, incarnation } = this.settings;
     const { logAnswers, version, cellUpTo, unresolvedClaims, owned } = this.report;
--- a/packages/membership/src/members.fixture.ts
+++ b/packages/membership/src/members.fixture.ts
@@ -226,7 +226,7 @@
   }
 }
 
-function connectionPair(wireBytes: number[]): [MemoryConnection, MemoryConnection] {
+export function connectionPair(wireBytes: number[]): [MemoryConnection, MemoryConnection] {
   const near = new MemoryConnection(wireBytes);
   const far = new MemoryConnection(wireBytes);
   near.other = far;
