--- /dev/null
+++ b/packages/stand-ins/src/worker.fixture.ts
@@ -0,0 +1,128 @@
+/** Builds worker stand-ins and clients of them for tests. */
+
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { brandAs, type DataCentreId, type RackId, type WorkerId } from '@bamboowell/types/ids';
+import type { Resources } from '@bamboowell/types/resources';
+import type { Address } from '@bamboowell/types/vm';
+import { Inbox } from '@bamboowell/wire/inbox.fixture';
+import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import { HOST, farDeadline, opened, type Teardown } from '@bamboowell/wire/wire.fixture';
+import type { Switches } from './worker-protocol.js';
+import type { Run } from './worker-runs.js';
+import { WorkerServer } from './worker-server.js';
+
+const STEP_MILLIS = 500;
+
+/** A notification from the worker. */
+export interface Said {
+  readonly method: string;
+  readonly params: unknown;
+}
+
+export interface Inspection {
+  readonly incarnation: string;
+  readonly workerNow: number;
+  readonly runs: readonly Run[];
+}
+
+export function resourcesFor(slots: number): Resources {
+  return { millicores: slots * 1000, memoryMib: slots * 100, accelerators: 0, slots };
+}
+
+/** One end that talks to the worker as an owner does. */
+export class Owner {
+  readonly heard = new Inbox<Said>();
+
+  constructor(
+    readonly connection: TcpConnection,
+    private readonly clock: ManualClock,
+  ) {
+    for (const method of ['attached', 'fenced', 'started', 'start_refused', 'ended', 'usage']) {
+      connection.handle(method, (params) => this.heard.post({ method, params }));
+    }
+  }
+
+  send(method: string, params: object): void {
+    this.connection.notify(method, params);
+  }
+
+  async attach(epoch: number): Promise<{ workerNow: number; attempts: object[] }> {
+    this.send('attach', { epoch, shard: 's', member: 'm' });
+    const { params } = await this.hear('attached');
+    return params as { workerNow: number; attempts: object[] };
+  }
+
+  /** The next notification of the method; others before it are dropped. */
+  async hear(method: string): Promise<Said> {
+    for (;;) {
+      const said = await this.heard.next();
+      if (said.method === method) {
+        return said;
+      }
+    }
+  }
+
+  async ask(method: string, params: object = {}): Promise<unknown> {
+    const answer = await this.connection.request(method, params, farDeadline(this.clock));
+    return answer.kind === 'answered' ? answer.value : answer;
+  }
+
+  async inspect(): Promise<Inspection> {
+    return (await this.ask('runs')) as Inspection;
+  }
+
+  switch(switches: Partial<Switches>): Promise<unknown> {
+    return this.ask('switches', switches);
+  }
+
+  /** Lets time pass in steps, with traffic in between, so that no connection counts as silent. */
+  async pass(millis: number): Promise<void> {
+    await this.ask('ping');
+    for (let left = millis; left > 0; left -= STEP_MILLIS) {
+      this.clock.advance(Math.min(left, STEP_MILLIS));
+      await this.ask('ping');
+    }
+  }
+}
+
+export interface Worker {
+  readonly clock: ManualClock;
+  readonly address: Address;
+  readonly server: WorkerServer;
+}
+
+/** A worker with the capacity of so many slots. */
+export async function workerOf(t: Teardown, slots = 8): Promise<Worker> {
+  const clock = new ManualClock(1_000_000);
+  const server = new WorkerServer({
+    host: HOST,
+    port: 0,
+    clock,
+    profile: {
+      id: brandAs<WorkerId>('worker-1'),
+      dataCentre: brandAs<DataCentreId>('centre-1'),
+      rack: brandAs<RackId>('rack-1'),
+      capacity: resourcesFor(slots),
+    },
+  });
+  const address = await server.listen();
+  t.teardown(() => server.stop());
+  return { clock, address, server };
+}
+
+export async function ownerOf(t: Teardown, { clock, address }: Worker): Promise<Owner> {
+  return new Owner(await opened(t, clock, address), clock);
+}
+
+/** The fields of a start that may run for a minute. */
+export function startOf(attempt: string, workerNow: number, changes: object = {}): object {
+  return {
+    epoch: 1,
+    attempt,
+    demand: resourcesFor(1),
+    payload: JSON.stringify({ millis: 600_000 }),
+    startBy: workerNow + 1000,
+    leaseUntil: workerNow + 60_000,
+    ...changes,
+  };
+}
