Bound what a worker link reads ahead and test the link

Cause: a test with a full mailbox of reports saw 965 messages read where the bound was 256, because arrivals were counted only after their checks, a microtask later than the whole chunk was read. Change: arrivals are counted as they are handed over; reading goes on only while a damaged outcome is asked for again. Tests of attach, reconnect, fate of starts, silence, junk, damage and fences.

--- /dev/null
+++ b/packages/worker/src/remote-worker.fixture.ts
@@ -0,0 +1,129 @@
+/** Builds links to a worker that the test scripts itself. */
+
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import type { Address as MailboxAddress } from '@bamboowell/kernel/mailbox';
+import {
+  brandAs,
+  type AttemptId,
+  type Epoch,
+  type MemberId,
+  type ShardId,
+  type WorkerId,
+} from '@bamboowell/types/ids';
+import type { WorkerInstant } from '@bamboowell/types/time';
+import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+import { Inbox } from '@bamboowell/wire/inbox.fixture';
+import { Listener } from '@bamboowell/wire/listener';
+import { MemoryMeter } from '@bamboowell/wire/meter';
+import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import { HOST, farDeadline, type Teardown } from '@bamboowell/wire/wire.fixture';
+import { digestOf } from './digest.js';
+import { RemoteWorker } from './remote-worker.js';
+
+const COMMANDS = ['attach', 'start', 'renew', 'stop', 'throttle', 'forget'];
+
+/** A command as the scripted worker got it. */
+export interface Got {
+  readonly connection: TcpConnection;
+  readonly method: string;
+  readonly params: unknown;
+}
+
+export interface Scripted {
+  /** The link's clock. That of the worker stands still, so that it sends no pings. */
+  readonly clock: ManualClock;
+  readonly meter: MemoryMeter;
+  readonly link: RemoteWorker;
+  /** What the link reported. */
+  readonly reports: Inbox<WorkerReport>;
+  /** What the worker got. */
+  readonly got: Inbox<Got>;
+}
+
+/** A link to a worker that answers nothing by itself. */
+export async function scripted(
+  t: Teardown,
+  through: (reports: Inbox<WorkerReport>) => MailboxAddress<WorkerReport> = (reports) => reports,
+  setUp: (connection: TcpConnection) => void = () => undefined,
+): Promise<Scripted> {
+  const clock = new ManualClock();
+  const workerClock = new ManualClock();
+  const got = new Inbox<Got>();
+  const listener = new Listener({
+    host: HOST,
+    port: 0,
+    clock: workerClock,
+    accept: (connection) => {
+      for (const method of COMMANDS) {
+        connection.handle(method, (params) => got.post({ connection, method, params }));
+      }
+      setUp(connection);
+    },
+  });
+  const address = await listener.listen();
+  const reports = new Inbox<WorkerReport>();
+  const meter = new MemoryMeter();
+  const link = new RemoteWorker({
+    worker: brandAs<WorkerId>('worker-1'),
+    address,
+    clock,
+    meter,
+    reports: through(reports),
+    random: () => 0.5,
+  });
+  await link.start();
+  t.teardown(async () => {
+    await link.close();
+    await listener.close(farDeadline(workerClock));
+  });
+  return { clock, meter, link, reports, got };
+}
+
+export function attachOf(epoch: number): WorkerCommand {
+  return {
+    kind: 'attach',
+    epoch: brandAs<Epoch>(epoch),
+    shard: brandAs<ShardId>('shard-1'),
+    member: brandAs<MemberId>('member-1'),
+  };
+}
+
+export function startOf(attempt: string, payload = 'echo'): WorkerCommand {
+  return {
+    kind: 'start',
+    epoch: brandAs<Epoch>(1),
+    attempt: brandAs<AttemptId>(attempt),
+    demand: { millicores: 1, memoryMib: 1, accelerators: 0, slots: 1 },
+    payload,
+    startBy: brandAs<WorkerInstant>(1),
+    leaseUntil: brandAs<WorkerInstant>(2),
+  };
+}
+
+/** What a worker answers to `attach`. */
+export function attachedOf(changes: object = {}): object {
+  const capacity = { millicores: 8, memoryMib: 8, accelerators: 0, slots: 8 };
+  return {
+    incarnation: 'incarnation-1',
+    epoch: 1,
+    profile: { id: 'worker-1', dataCentre: 'centre-1', rack: 'rack-1', capacity },
+    workerNow: 1000,
+    attempts: [],
+    leaving: false,
+    ...changes,
+  };
+}
+
+/** A succeeded outcome as it is sent; `sent` stands in the place of the whole answer. */
+export function succeededOf(answer: string, sent = answer): object {
+  return { kind: 'succeeded', answer: sent, ...digestOf(answer) };
+}
+
+/** Attaches the link and returns the worker's end of the connection. */
+export async function attached(script: Scripted, epoch = 1): Promise<TcpConnection> {
+  script.link.send(attachOf(epoch));
+  const { connection } = await script.got.next();
+  connection.notify('attached', attachedOf({ epoch }));
+  await script.reports.next();
+  return connection;
+}
--- a/packages/worker/src/remote-worker.ts
+++ b/packages/worker/src/remote-worker.ts
@@ -66,7 +66,7 @@
   private lastAttach: AttachCommand | undefined;
   private isAttached = false;
   private isFlushDue = false;
-  /** Reports that were heard and wait in the mailbox of this task. */
+  /** Messages of the worker that have arrived and wait for a turn of this task. */
   private heardCount = 0;
 
   constructor(private readonly options: RemoteWorkerOptions) {
@@ -158,8 +158,14 @@
       worker: this.options.worker,
       clock: this.clock,
       meter: this.meter,
-      sink: (from, report) => {
-        this.hear(from, report);
+      events: {
+        arrived: (from) => {
+          this.heardCount += 1;
+          this.pauseOrResume(from);
+        },
+        reported: (from, report) => {
+          this.hear(from, report);
+        },
       },
     });
     this.session = session;
@@ -207,9 +213,8 @@
 
   /** Runs when the session has a report, outside the turn of this task. */
   private hear(session: WorkerSession, report: WorkerReport | undefined): void {
-    this.heardCount += 1;
-    this.pauseOrResume(session);
     if (this.post({ kind: 'heard', session, report }) !== 'accepted') {
+      this.heardCount -= 1;
       // The worker keeps its outcomes and lists them when it is attached again.
       session.close();
     }
--- a/packages/worker/src/worker-session.ts
+++ b/packages/worker/src/worker-session.ts
@@ -25,14 +25,19 @@
 /** How long a worker may take to report an outcome again. */
 const REPORT_AGAIN_MILLIS = 3000;
 
-/** Takes what the worker says. `undefined`: a message that held nothing to report. */
-export type ReportSink = (session: WorkerSession, report: WorkerReport | undefined) => void;
+/** What a session tells its owner. */
+export interface WorkerSessionEvents {
+  /** A message has arrived; `reported` follows once for each. */
+  arrived(session: WorkerSession): void;
+  /** The message was handled. `undefined`: it held nothing to report. */
+  reported(session: WorkerSession, report: WorkerReport | undefined): void;
+}
 
 export interface WorkerSessionOptions {
   readonly worker: WorkerId;
   readonly clock: Clock;
   readonly meter: Meter;
-  readonly sink: ReportSink;
+  readonly events: WorkerSessionEvents;
 }
 
 export class WorkerSession {
@@ -40,6 +45,8 @@
   incarnation: Incarnation | undefined;
   /** Whether the worker has answered the last `attach`, be it with `fenced`. */
   isAnswered = true;
+  /** An outcome is being asked for again: its answer must be read. */
+  private isAsking = false;
   /** Messages are handled one after the other, as an outcome may have to be asked for again. */
   private handled: Promise<void> = Promise.resolve();
 
@@ -76,7 +83,9 @@
 
   /** Stops reading, so that the worker's messages wait in the network. */
   pause(): void {
-    this.connection.pause();
+    if (!this.isAsking) {
+      this.connection.pause();
+    }
   }
 
   resume(): void {
@@ -97,12 +106,13 @@
     report: (message: z.output<Schema>) => Promise<WorkerReport | undefined> | WorkerReport,
   ): void {
     this.connection.handle(method, (params) => {
+      this.options.events.arrived(this);
       this.handled = this.handled.then(async () => {
         const parsed = schema.safeParse(params);
         if (!parsed.success) {
           this.options.meter.count(`worker.junk.${method}`, 1);
         }
-        this.options.sink(this, parsed.success ? await report(parsed.data) : undefined);
+        this.options.events.reported(this, parsed.success ? await report(parsed.data) : undefined);
       });
     });
   }
@@ -159,9 +169,11 @@
   }
 
   private async reportAgain(attempt: AttemptId): Promise<Outcome | undefined> {
+    this.isAsking = true;
     this.connection.resume();
     const deadline = deadlineAfter(this.options.clock.now(), REPORT_AGAIN_MILLIS);
     const answer = await this.connection.request('report_again', { attempt }, deadline);
+    this.isAsking = false;
     return match(answer)
       .with({ kind: 'answered' }, ({ value }) => this.secondOutcome(value))
       .with({ kind: 'failed' }, () => DAMAGED_OUTCOME)
