Let the platform's parts be services that are found by name

Change: the VM list, the transport between daemons and the links to workers are services behind abstract classes; claim inputs come from the membership package in place of a second reading of the same views.

--- a/packages/daemon/src/claim-planner.ts
+++ b/packages/daemon/src/claim-planner.ts
@@ -2,39 +2,47 @@
 
 import { match } from 'ts-pattern';
 import type { MembersEvent, MemberView } from '@bamboowell/membership/members-messages';
-import { ClaimLedger } from '@bamboowell/ownership/claim-ledger';
 import {
-  ClaimWatch,
-  type Candidate,
-  type ClaimPlan,
-  type Ownership,
-} from '@bamboowell/ownership/claims';
-import type { Voters, Votes } from '@bamboowell/ownership/electorate';
-import { Freshness, type Standing } from '@bamboowell/ownership/freshness';
+  candidatesOf,
+  expectedMembers,
+  statementOf,
+  votersOf,
+  votesOf,
+  type Self,
+} from '@bamboowell/membership/ownership-inputs';
 import { FRESH_MILLIS } from '@bamboowell/ownership/bounds';
-import type { Epoch, MemberId, RegionId, ShardId } from '@bamboowell/types/ids';
+import { ClaimLedger } from '@bamboowell/ownership/claim-ledger';
+import { ClaimWatch, type ClaimPlan, type Ownership } from '@bamboowell/ownership/claims';
+import { Freshness, type Standing } from '@bamboowell/ownership/freshness';
+import { brandAs, type Epoch, type ShardId } from '@bamboowell/types/ids';
 import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
 
+type View = Extract<MembersEvent, { kind: 'view' }>;
+
 export interface ClaimPlannerOptions {
-  readonly self: MemberId;
-  readonly region: RegionId;
+  readonly self: Self;
   readonly shard: ShardId;
 }
 
+const NO_VIEW: View = {
+  kind: 'view',
+  members: [],
+  suspects: new Set(),
+  leaving: false,
+  at: brandAs<Instant>(0),
+};
+
 export class ClaimPlanner {
   readonly ledger = new ClaimLedger();
   private readonly freshness: Freshness;
   private readonly watch = new ClaimWatch();
-  private members: readonly MemberView[] = [];
-  /** Members of other regions. */
-  private witnesses: readonly MemberView[] = [];
-  private suspects: ReadonlySet<MemberId> = new Set();
-  private leaving = false;
+  private view: View = NO_VIEW;
+  private isLeaving = false;
   private readAt: Instant | undefined;
   private shards: readonly ShardId[];
 
   constructor(private readonly options: ClaimPlannerOptions) {
-    this.freshness = new Freshness(options.self, options.shard);
+    this.freshness = new Freshness(options.self.member, options.shard);
     this.shards = [options.shard];
   }
 
@@ -44,17 +52,14 @@
   }
 
   setLeaving(): void {
-    this.leaving = true;
+    this.isLeaving = true;
   }
 
   membersEvent(event: MembersEvent, now: Instant): void {
     match(event)
-      .with({ kind: 'view' }, ({ members, suspects, leaving }) => {
-        this.members = members.filter((view) => this.isInRegion(view));
-        this.witnesses = members.filter((view) => !this.isInRegion(view));
-        this.suspects = suspects;
-        this.leaving ||= leaving;
-        this.freshness.expect(this.members.filter(hasNotLeft).map(({ member }) => member));
+      .with({ kind: 'view' }, (view) => {
+        this.view = view;
+        this.freshness.expect(expectedMembers(view, this.options.self).region);
       })
       .with({ kind: 'heard' }, ({ view }) => {
         this.heard(view, now);
@@ -76,6 +81,7 @@
     this.freshness.logUnavailable();
   }
 
+  /** Ends ownership of the current epoch for good; called before the release is appended. */
   releasing(): void {
     this.freshness.releasing();
   }
@@ -87,81 +93,47 @@
   plan(fold: Ownership, claimedBySelf: boolean, now: Instant): ClaimPlan {
     const { self, shard } = this.options;
     return this.watch.plan({
-      self,
+      self: self.member,
       shard,
       shards: this.shards,
       fold,
-      foldIsFresh:
-        this.readAt !== undefined && !hasPassed(deadlineAfter(this.readAt, FRESH_MILLIS), now),
+      foldIsFresh: this.hasReadTail(now),
       claimedBySelf,
       claimUnresolved: this.ledger.isUnresolved(shard),
-      candidates: this.candidates(),
-      voters: this.voters(),
-      votes: this.votes(),
+      candidates: candidatesOf(this.viewWithSelf(), self),
+      voters: votersOf(this.view, self),
+      votes: votesOf(this.view, self),
       now,
     });
   }
 
   /** Whether every other member of the region has read of the epoch or has left. */
   isKnownToAll(epoch: Epoch): boolean {
-    return this.members.filter(hasNotLeft).every(({ heard }) => {
+    const expected = new Set(expectedMembers(this.view, this.options.self).region);
+    for (const { member, heard } of this.view.members) {
       const known = heard?.heartbeat.epochs.find(({ shard }) => shard === this.options.shard);
-      return known !== undefined && known.epoch >= epoch;
-    });
-  }
-
-  private heard({ member, heard }: MemberView, now: Instant): void {
-    const isKnown = this.members.some((view) => view.member === member);
-    if (heard?.madeAfter === undefined || !isKnown) {
-      return;
+      const hasLeft = heard?.heartbeat.phase === 'left';
+      if (hasLeft || (known !== undefined && known.epoch >= epoch)) {
+        expected.delete(member);
+      }
     }
-    const { incarnation, logAnswers, unresolvedClaims, epochs, phase } = heard.heartbeat;
-    const statement = {
-      member,
-      incarnation,
-      at: heard.madeAfter,
-      logAnswers,
-      unresolvedClaims,
-      epochs: new Map(epochs.map(({ shard, epoch }) => [shard, epoch])),
-      left: phase === 'left',
-    };
-    this.freshness.memberSays(statement, now);
-    this.members = this.members.map((view) => (view.member === member ? { ...view, heard } : view));
-  }
-
-  private isInRegion({ listed, heard }: MemberView): boolean {
-    const region = listed?.region ?? heard?.heartbeat.region;
-    return region === this.options.region;
+    return expected.size === 0;
   }
 
-  private candidates(): Candidate[] {
-    const others = this.members.map(({ member, suspected, leaving, heard }) => ({
-      member,
-      live: heard !== undefined && !suspected,
-      leaving: leaving || heard?.heartbeat.phase !== 'serving',
-    }));
-    return [...others, { member: this.options.self, live: true, leaving: this.leaving }];
+  private hasReadTail(now: Instant): boolean {
+    return this.readAt !== undefined && !hasPassed(deadlineAfter(this.readAt, FRESH_MILLIS), now);
   }
 
-  private voters(): Voters {
-    return {
-      region: this.members.filter(hasNotLeft).map(({ member }) => member),
-      witnesses: this.witnesses.filter(hasNotLeft).map(({ member }) => member),
-    };
+  private viewWithSelf(): View {
+    return { ...this.view, leaving: this.view.leaving || this.isLeaving };
   }
 
-  private votes(): Votes {
-    const votes = new Map<MemberId, ReadonlySet<MemberId>>();
-    for (const { member, heard, suspected } of [...this.members, ...this.witnesses]) {
-      if (heard !== undefined && !suspected) {
-        votes.set(member, new Set(heard.heartbeat.suspects));
-      }
+  private heard(view: MemberView, now: Instant): void {
+    const others = this.view.members.filter(({ member }) => member !== view.member);
+    this.view = { ...this.view, members: [...others, view] };
+    const statement = statementOf(view);
+    if (statement !== undefined) {
+      this.freshness.memberSays(statement, now);
     }
-    votes.set(this.options.self, this.suspects);
-    return votes;
   }
 }
-
-function hasNotLeft({ heard }: MemberView): boolean {
-  return heard?.heartbeat.phase !== 'left';
-}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,12 +7,12 @@
 import type { DaemonSettings } from '@bamboowell/config/daemon-settings';
 import type { Environment } from './environment.js';
 import { FrontService } from './front-service.js';
+import { LinksService, LogService, TransportService, VmListService } from './platform-services.js';
 import { MembersService } from './members-service.js';
 import {
   CellService,
   CountersService,
   EventsService,
-  LogService,
   ReporterService,
   RouterService,
   RoutingService,
@@ -39,12 +39,20 @@
   kernel.register(new EventsService(environment.settings.memberId));
   kernel.register(new CountersService(environment));
   kernel.register(new LogService(environment));
+  kernel.register(new VmListService(environment));
+  kernel.register(new TransportService(environment));
+  kernel.register(new LinksService(environment));
+  registerCore(kernel, environment);
+  kernel.register(new FrontService(environment));
+  return kernel;
+}
+
+/** Registers the services that decide; they find the log, the VM list and the rest by name. */
+export function registerCore(kernel: Kernel, environment: Environment): void {
   kernel.register(new ReporterService(environment));
   kernel.register(new MembersService(environment));
   kernel.register(new CellService(environment));
   kernel.register(new ShardsService(environment));
   kernel.register(new RoutingService(environment));
   kernel.register(new RouterService(environment));
-  kernel.register(new FrontService(environment));
-  return kernel;
 }
--- /dev/null
+++ b/packages/daemon/src/platform-services.ts
@@ -0,0 +1,102 @@
+/** The services by which a daemon reaches the platform and other processes. */
+
+import { readFile } from 'node:fs/promises';
+import { Service, type ServiceKey } from '@bamboowell/kernel/service';
+import { HttpLog } from '@bamboowell/log/http-log';
+import type { Log } from '@bamboowell/log/log';
+import { HttpVmList } from '@bamboowell/membership/http-vm-list';
+import type { VmList } from '@bamboowell/membership/vm-list';
+import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
+import type { Environment } from './environment.js';
+import { LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
+import type { LinkMaker, Transport } from './platform.js';
+import { TcpLinkMaker, TcpTransport } from './tcp-platform.js';
+
+const NOTHING_NEEDED: readonly ServiceKey<unknown>[] = [];
+
+export class LogService extends Service<Log> {
+  readonly key = LOG;
+  readonly needs = NOTHING_NEEDED;
+  private log: Log | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(): Promise<Log> {
+    const { hostname, port } = new URL(this.environment.settings.log.url);
+    this.log = new HttpLog({ host: hostname, port: Number(port) }, this.environment.clock);
+    return Promise.resolve(this.log);
+  }
+
+  async stop(): Promise<void> {
+    await this.log?.close();
+  }
+}
+
+export class VmListService extends Service<VmList> {
+  readonly key = VM_LIST;
+  readonly needs = NOTHING_NEEDED;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(): Promise<VmList> {
+    const { settings, clock } = this.environment;
+    return Promise.resolve(new HttpVmList(settings.vmList.url, clock));
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+export class TransportService extends Service<Transport> {
+  readonly key = TRANSPORT;
+  readonly needs = NOTHING_NEEDED;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(): Promise<Transport> {
+    const { settings, clock } = this.environment;
+    const { host, port } = settings.peers;
+    return new TcpTransport({ host, port, clock, tls: await this.readIdentity() });
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async readIdentity(): Promise<TlsIdentity | undefined> {
+    const { tls } = this.environment.settings.peers;
+    if (tls === undefined) {
+      return undefined;
+    }
+    return {
+      certificateAuthority: await readFile(tls.caFile, 'utf8'),
+      certificate: await readFile(tls.certFile, 'utf8'),
+      privateKey: await readFile(tls.keyFile, 'utf8'),
+    };
+  }
+}
+
+export class LinksService extends Service<LinkMaker> {
+  readonly key = LINKS;
+  readonly needs = NOTHING_NEEDED;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  start(): Promise<LinkMaker> {
+    const { clock, random } = this.environment;
+    return Promise.resolve(new TcpLinkMaker(clock, random));
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- a/packages/daemon/src/services.ts
+++ b/packages/daemon/src/services.ts
@@ -5,10 +5,7 @@
 import { Supervised, type Watcher } from '@bamboowell/kernel/supervisor';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import type { Backend } from '@bamboowell/front/backend';
-import { HttpLog } from '@bamboowell/log/http-log';
-import type { Log } from '@bamboowell/log/log';
 import { DebugLog, type EventLog } from '@bamboowell/logger/logger';
-import { HttpVmList } from '@bamboowell/membership/http-vm-list';
 import type { MembersEvent } from '@bamboowell/membership/members-messages';
 import { MemoryCounters, StatsdCounters, type Counters } from '@bamboowell/metrics/counters';
 import type { Deadline } from '@bamboowell/types/time';
@@ -17,7 +14,19 @@
 import { CellTask } from './cell-task.js';
 import type { Environment } from './environment.js';
 import { Forwarder } from './forwarder.js';
-import { CELL, COUNTERS, EVENTS, LOG, MEMBERS, REPORTER, ROUTER, ROUTING, SHARDS } from './keys.js';
+import {
+  CELL,
+  COUNTERS,
+  EVENTS,
+  LINKS,
+  LOG,
+  MEMBERS,
+  REPORTER,
+  ROUTER,
+  ROUTING,
+  SHARDS,
+  VM_LIST,
+} from './keys.js';
 import { LocalShards } from './local-shards.js';
 import { ReporterTask, type ReporterMessage } from './reporter-task.js';
 import { RouterBackend } from './router-backend.js';
@@ -88,26 +97,6 @@
   }
 }
 
-export class LogService extends Service<Log> {
-  readonly key = LOG;
-  readonly needs: readonly ServiceKey<unknown>[] = [];
-  private log: Log | undefined;
-
-  constructor(private readonly environment: Environment) {
-    super();
-  }
-
-  start(): Promise<Log> {
-    const { hostname, port } = new URL(this.environment.settings.log.url);
-    this.log = new HttpLog({ host: hostname, port: Number(port) }, this.environment.clock);
-    return Promise.resolve(this.log);
-  }
-
-  async stop(): Promise<void> {
-    await this.log?.close();
-  }
-}
-
 export class ReporterService extends Service<Address<ReporterMessage>> {
   readonly key = REPORTER;
   readonly needs = [EVENTS, COUNTERS];
@@ -168,7 +157,7 @@
 
 export class ShardsService extends Service<Address<ShardsMessage>> {
   readonly key = SHARDS;
-  readonly needs = [EVENTS, COUNTERS, LOG, REPORTER, MEMBERS, CELL];
+  readonly needs = [EVENTS, COUNTERS, LOG, VM_LIST, LINKS, REPORTER, MEMBERS, CELL];
   private task: Supervised<ShardsMessage> | undefined;
   private list: Supervised<WorkersListMessage> | undefined;
 
@@ -186,15 +175,17 @@
       counters: directory.find(COUNTERS),
       reporter: directory.find(REPORTER),
       cell: directory.find(CELL),
+      links: directory.find(LINKS),
       watcher,
     };
     const task = new Supervised<ShardsMessage>(() => new ShardsTask(parts), clock, watcher);
     this.task = task;
     await task.start();
     subscribe(directory, task);
-    const { url, refreshMillis } = settings.vmList;
+    const vms = directory.find(VM_LIST);
+    const { refreshMillis } = settings.vmList;
     const list = new Supervised<WorkersListMessage>(
-      () => new WorkersListTask(new HttpVmList(url, clock), refreshMillis, task, clock),
+      () => new WorkersListTask(vms, refreshMillis, task, clock),
       clock,
       watcher,
     );
--- a/packages/daemon/src/shard-task.ts
+++ b/packages/daemon/src/shard-task.ts
@@ -30,6 +30,7 @@
 import { newWriter, type Environment } from './environment.js';
 import { explain } from './explain.js';
 import { newOwner } from './new-owner.js';
+import type { LinkMaker } from './platform.js';
 import type { ReporterMessage } from './reporter-task.js';
 import type {
   ShardMessage,
@@ -52,6 +53,7 @@
   readonly watcher: Watcher;
   readonly reporter: Address<ReporterMessage>;
   readonly cell: Address<CellMessage>;
+  readonly links: LinkMaker;
 }
 
 const NO_AUTHORITY: Authority = { freshUntil: brandAs<Deadline>(0), mayRenew: false };
@@ -72,9 +74,9 @@
   constructor(private readonly parts: ShardParts) {
     super(`shard ${parts.shard}`, parts.environment.clock);
     const { environment, shard } = parts;
-    const { memberId: self, region } = environment.settings;
+    const { memberId: member, region } = environment.settings;
     this.owner = newOwner(environment, shard);
-    this.planner = new ClaimPlanner({ self, region, shard });
+    this.planner = new ClaimPlanner({ self: { member, region }, shard });
     this.stream = new Supervised(() => this.makeStream(), this.clock, parts.watcher);
     const reports = wrapped(
       this,
@@ -83,7 +85,8 @@
         report,
       }),
     );
-    this.links = new WorkerLinks(environment, reports, parts.watcher);
+    const { links: maker, watcher } = parts;
+    this.links = new WorkerLinks({ maker, reports, watcher, clock: this.clock });
   }
 
   protected override async opened(): Promise<void> {
--- a/packages/daemon/src/worker-links.ts
+++ b/packages/daemon/src/worker-links.ts
@@ -1,34 +1,38 @@
 /** The links of a shard's task to its workers. */
 
+import type { Clock } from '@bamboowell/kernel/clock';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import type { Watcher } from '@bamboowell/kernel/supervisor';
 import type { WorkerId } from '@bamboowell/types/ids';
 import { deadlineAfter, MILLIS_PER_SECOND } from '@bamboowell/types/time';
 import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
-import { RemoteWorker } from '@bamboowell/worker/remote-worker';
-import type { Environment } from './environment.js';
+import type { WorkerLink } from '@bamboowell/worker/worker-link';
+import type { LinkMaker } from './platform.js';
 import type { WorkerVm } from './shard-messages.js';
 
 type Attach = Extract<WorkerCommand, { kind: 'attach' }>;
 
 interface Link {
-  readonly address: WorkerVm['address'];
-  readonly task: RemoteWorker;
+  readonly wire: WorkerLink;
   attach: Attach;
 }
 
-/** Time before a link whose task failed is made again, milliseconds. */
+/** Time before a link that failed is made again, milliseconds. */
 const REOPEN_MILLIS = MILLIS_PER_SECOND;
 
+/** What the links work with. */
+export interface WorkerLinksParts {
+  readonly maker: LinkMaker;
+  readonly reports: Address<WorkerReport>;
+  readonly watcher: Watcher;
+  readonly clock: Clock;
+}
+
 export class WorkerLinks {
   private readonly links = new Map<WorkerId, Link>();
   private readonly addresses = new Map<WorkerId, WorkerVm['address']>();
 
-  constructor(
-    private readonly environment: Environment,
-    private readonly reports: Address<WorkerReport>,
-    private readonly watcher: Watcher,
-  ) {}
+  constructor(private readonly parts: WorkerLinksParts) {}
 
   /** Notes where workers are; a link to an address that has changed is replaced. */
   listed(vms: readonly WorkerVm[]): void {
@@ -47,14 +51,10 @@
       this.attach(worker, command);
       return;
     }
-    const sent = this.links.get(worker)?.task.send(command);
+    const sent = this.links.get(worker)?.wire.send(command);
     if (sent?.kind !== 'done' && command.kind === 'start') {
-      this.reports.post({
-        kind: 'start_refused',
-        worker,
-        attempt: command.attempt,
-        why: 'not_sent',
-      });
+      const { attempt } = command;
+      this.parts.reports.post({ kind: 'start_refused', worker, attempt, why: 'not_sent' });
     }
   }
 
@@ -62,7 +62,7 @@
   async closeAll(): Promise<void> {
     const links = [...this.links.values()];
     this.links.clear();
-    await Promise.all(links.map(({ task }) => task.stop()));
+    await Promise.all(links.map(({ wire }) => wire.close()));
   }
 
   private attach(worker: WorkerId, attach: Attach): void {
@@ -72,7 +72,7 @@
       return;
     }
     known.attach = attach;
-    known.task.send(attach);
+    known.wire.send(attach);
   }
 
   private open(worker: WorkerId, attach: Attach): void {
@@ -80,31 +80,34 @@
     if (address === undefined) {
       return;
     }
-    const { clock, random } = this.environment;
-    const task = new RemoteWorker({ worker, address, clock, reports: this.reports, random });
-    this.links.set(worker, { address, task, attach });
-    void task.start((error) => {
-      this.failed(worker, task, error);
+    const wire = this.parts.maker.open({
+      worker,
+      address,
+      reports: this.parts.reports,
+      failed: (error) => {
+        this.failed(worker, wire, error);
+      },
     });
-    task.send(attach);
+    this.links.set(worker, { wire, attach });
+    wire.send(attach);
   }
 
   private replace(worker: WorkerId): void {
     const link = this.links.get(worker);
     if (link !== undefined) {
       this.links.delete(worker);
-      void link.task.stop();
-      this.reports.post({ kind: 'detached', worker });
+      void link.wire.close();
+      this.parts.reports.post({ kind: 'detached', worker });
       this.open(worker, link.attach);
     }
   }
 
-  private failed(worker: WorkerId, task: RemoteWorker, error: unknown): void {
-    this.watcher.restarted(task.name, error);
-    this.reports.post({ kind: 'detached', worker });
-    const { clock } = this.environment;
+  private failed(worker: WorkerId, wire: WorkerLink, error: unknown): void {
+    const { watcher, reports, clock } = this.parts;
+    watcher.restarted(`worker ${worker}`, error);
+    reports.post({ kind: 'detached', worker });
     clock.wakeAt(deadlineAfter(clock.now(), REOPEN_MILLIS), () => {
-      if (this.links.get(worker)?.task === task) {
+      if (this.links.get(worker)?.wire === wire) {
         this.replace(worker);
       }
     });
