--- a/packages/worker/src/remote-worker.test.ts
+++ b/packages/worker/src/remote-worker.test.ts
@@ -203,6 +203,23 @@
   t.like(await script.reports.next(), { kind: 'detached' });
 });
 
+test('reading goes on while an answer is asked for again', async (t) => {
+  const script = await scripted(t, undefined, (accepted) => {
+    accepted.handle('report_again', () => {
+      for (let index = 0; index < MAX_WAITING_REPORTS * 2; index += 1) {
+        accepted.notify('started', { attempt: `w/${index}#2` });
+      }
+      return succeededOf('whole');
+    });
+  });
+  const connection = await attached(script);
+  connection.notify('ended', endedOf('w/0#1', succeededOf('whole', 'who')));
+  t.like(await script.reports.next(), {
+    attempt: 'w/0#1',
+    outcome: { kind: 'succeeded', answer: 'whole' },
+  });
+});
+
 test('a worker that saw a higher epoch is reported, and nothing more is sent to it', async (t) => {
   const script = await scripted(t);
   const connection = await attached(script, 1);
