Leave what is empty or false out of heartbeats

Cause: the heartbeat of a quiet worker is the largest part of its control traffic. Change: usage without attempts and without leaving carries the clock alone; the link fills in both.

--- a/packages/stand-ins/src/worker-server.ts
+++ b/packages/stand-ins/src/worker-server.ts
@@ -302,10 +302,11 @@
   }
 
   private heartbeat(): void {
+    const attempts = this.usage.next(this.machine.runs.running.values());
     this.owner?.notify('usage', {
       workerNow: this.workerClock.now(),
-      attempts: this.usage.next(this.machine.runs.running.values()),
-      leaving: this.switches.leaving,
+      ...(attempts.length > 0 ? { attempts } : {}),
+      ...(this.switches.leaving ? { leaving: true } : {}),
     });
     this.turnAt(deadlineAfter(this.clock.now(), HEARTBEAT_MILLIS), () => {
       this.heartbeat();
--- a/packages/stand-ins/src/worker-traffic.test.ts
+++ b/packages/stand-ins/src/worker-traffic.test.ts
@@ -57,6 +57,8 @@
   const listed = costOf(many, 'in', 'usage').bytes - costOf(few, 'in', 'usage').bytes;
   const entry = JSON.stringify({ attempt: `${WORK}/10#1`, millicores: 1000, memoryMib: 100 });
   t.true(listed <= 31 * (entry.length + 1));
+  const idle = costOf(await minuteWith(t, 0), 'in', 'usage');
+  t.log(`in usage of an idle worker: ${idle.messages} messages, ${idle.bytes} bytes`);
   for (const kind of KINDS_OUT) {
     const { messages, bytes } = costOf(many, 'out', kind);
     t.log(`out ${kind}: ${messages} messages, ${bytes} bytes`);
--- a/packages/worker/src/remote-worker.test.ts
+++ b/packages/worker/src/remote-worker.test.ts
@@ -264,6 +264,19 @@
   );
 });
 
+test('usage that leaves out what is empty is reported in full', async (t) => {
+  const script = await scripted(t);
+  const connection = await attached(script);
+  connection.notify('usage', { workerNow: 5 });
+  t.deepEqual(await script.reports.next(), {
+    kind: 'usage',
+    worker: 'worker-1',
+    workerNow: 5,
+    attempts: [],
+    leaving: false,
+  } as unknown as WorkerReport);
+});
+
 test('counts what is sent and received by method', async (t) => {
   const script = await scripted(t);
   const connection = await attached(script);
--- a/packages/worker/src/worker-schema.ts
+++ b/packages/worker/src/worker-schema.ts
@@ -83,9 +83,9 @@
 
 export const ENDED = z.object({ attempt, outcome: SIGNED_OUTCOME });
 
-/** Attempts that are not listed use what they used before. */
+/** Attempts that are not listed use what they used before. What is empty or false is left out. */
 export const USAGE = z.object({
   workerNow,
-  attempts: z.array(z.object({ attempt, millicores: amount, memoryMib: amount })),
-  leaving: z.boolean(),
+  attempts: z.array(z.object({ attempt, millicores: amount, memoryMib: amount })).default([]),
+  leaving: z.boolean().default(false),
 });
