--- /dev/null
+++ b/packages/membership/src/members-task.ts
@@ -0,0 +1,246 @@
+/**
+ * The task that owns the connections to all other members: it keeps them up, exchanges heartbeats,
+ * tells its subscribers who is there, and carries requests.
+ */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { Task } from '@bamboowell/kernel/task';
+import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
+import { Suspicion } from '@bamboowell/ownership/suspicion';
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { Connection } from '@bamboowell/wire/connection';
+import { Announcer } from './announcer.js';
+import { HeartbeatReceiver } from './heartbeat-receiver.js';
+import { changesView, sameMembers, type Heartbeat, type Phase } from './heartbeat.js';
+import { Links } from './links.js';
+import type { MembersEvent, MembersMessage } from './members-messages.js';
+import type { MembersSettings } from './members-settings.js';
+import { isLate, noteReceipt, viewOf, type Peer } from './peer.js';
+import { Peers } from './peers.js';
+import { Subscribers } from './subscribers.js';
+import type { VmListing } from './vm-list.js';
+
+/** Interval at which the VM list is read, milliseconds. */
+export const LIST_INTERVAL_MILLIS = 2000;
+
+/** Time that one read of the list may take, milliseconds. */
+const LIST_MILLIS = 2000;
+
+export class MembersTask extends Task<MembersMessage> {
+  private readonly peers: Peers;
+  private readonly announcer: Announcer;
+  private readonly suspicion: Suspicion;
+  private readonly subscribers: Subscribers;
+  private readonly links: Links;
+  private readonly receiver = new HeartbeatReceiver();
+  private suspects: ReadonlySet<MemberId> = new Set();
+  private listedAsLeaving = false;
+
+  constructor(
+    private readonly settings: MembersSettings,
+    clock: Clock,
+  ) {
+    super('members', clock);
+    this.peers = new Peers(settings.member);
+    this.announcer = new Announcer(settings, this.peers, clock);
+    this.subscribers = new Subscribers(settings.subscribers, settings.count);
+    this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
+    this.suspicion = new Suspicion(clock.now());
+  }
+
+  protected override opened(): void {
+    this.post({ kind: 'refresh' });
+    this.post({ kind: 'beat' });
+  }
+
+  protected override closed(): void {
+    this.links.closeAll();
+  }
+
+  protected receive(message: MembersMessage): void {
+    match(message)
+      .with({ kind: 'subscribe' }, ({ subscriber }) => {
+        this.subscribers.add(subscriber, this.view());
+      })
+      .with({ kind: 'serve' }, ({ method, handler }) => {
+        this.links.serve(method, handler);
+      })
+      .with({ kind: 'request' }, (request) => {
+        this.links.request(request);
+      })
+      .with({ kind: 'report' }, ({ report, at }) => {
+        this.announcer.takeReport(report, at);
+      })
+      .with({ kind: 'leave' }, () => {
+        this.enter('leaving');
+      })
+      .with({ kind: 'left' }, () => {
+        this.enter('left');
+      })
+      .with({ kind: 'accepted' }, ({ connection }) => {
+        this.links.adopt(connection);
+      })
+      .with({ kind: 'beat' }, () => {
+        this.beat();
+      })
+      .with({ kind: 'refresh' }, () => {
+        this.refresh();
+      })
+      .with({ kind: 'listed' }, ({ listing }) => {
+        this.takeListing(listing);
+      })
+      .with({ kind: 'dialled' }, ({ member, connection }) => {
+        this.dialled(this.peers.ensure(member), connection);
+      })
+      .with({ kind: 'received' }, ({ connection, params }) => {
+        this.received(connection, params);
+      })
+      .with({ kind: 'received_details' }, ({ connection, params }) => {
+        if (!this.receiver.receiveDetails(connection, params)) {
+          this.settings.count('heartbeats_malformed');
+        }
+      })
+      .with({ kind: 'ended' }, ({ connection }) => {
+        this.ended(connection);
+      })
+      .exhaustive();
+  }
+
+  private enter(phase: Phase): void {
+    this.announcer.enter(phase);
+    this.announcer.sendTo(this.peers.all(), this.suspects);
+    this.subscribers.publish(this.view());
+  }
+
+  private beat(): void {
+    const now = this.clock.now();
+    this.postAt(deadlineAfter(now, HEARTBEAT_INTERVAL_MILLIS), { kind: 'beat' });
+    if (this.suspicion.tick(now)) {
+      this.subscribers.publish({ kind: 'paused', at: now });
+    }
+    this.updateSuspects();
+    this.announcer.sendDue(this.suspects);
+    for (const peer of this.peers.all()) {
+      this.links.dialIfDue(peer);
+    }
+    this.forgetSilent();
+  }
+
+  private updateSuspects(): void {
+    const suspects = this.suspicion.suspects(this.clock.now());
+    const changed = !sameMembers(suspects, this.suspects);
+    this.suspects = suspects;
+    if (changed) {
+      this.subscribers.publish(this.view());
+    }
+  }
+
+  private refresh(): void {
+    const now = this.clock.now();
+    this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
+    void this.settings.vmList.list(deadlineAfter(now, LIST_MILLIS)).then((listing) => {
+      this.post({ kind: 'listed', listing });
+    });
+  }
+
+  private takeListing(listing: VmListing): void {
+    if (listing.kind === 'unavailable') {
+      this.settings.count('list_unavailable');
+      return;
+    }
+    const now = this.clock.now();
+    const before = this.listingKey();
+    for (const peer of this.peers.list(listing.vms, now)) {
+      this.suspicion.expect(peer.member, now);
+      this.links.expect(peer);
+    }
+    this.listedAsLeaving = listing.vms.some(
+      (vm) => vm.role === 'entry' && vm.member === this.settings.member && vm.state === 'leaving',
+    );
+    if (this.listingKey() !== before) {
+      this.subscribers.publish(this.view());
+    }
+  }
+
+  /** Changes whenever the listing changes what a view shows. */
+  private listingKey(): string {
+    const entries = this.peers.all().map(({ member, listed }) => [member, listed]);
+    return JSON.stringify([this.listedAsLeaving, entries]);
+  }
+
+  private dialled(peer: Peer, connection: Connection | undefined): void {
+    if (this.links.dialled(peer, connection)) {
+      this.announcer.sendTo([peer], this.suspects);
+      this.subscribers.publish(this.view());
+    }
+  }
+
+  private ended(connection: Connection): void {
+    if (this.links.ended(connection) !== undefined) {
+      this.subscribers.publish(this.view());
+    }
+  }
+
+  private received(connection: Connection, params: unknown): void {
+    const heartbeat = this.receiver.receive(connection, params);
+    if (heartbeat === undefined || !this.links.mayCarry(connection, heartbeat.member)) {
+      this.settings.count('heartbeats_malformed');
+      return;
+    }
+    const peer = this.peers.ensure(heartbeat.member);
+    if (this.links.name(connection, peer)) {
+      this.subscribers.publish(this.view());
+    }
+    if (isLate(peer, heartbeat)) {
+      this.settings.count('heartbeats_late');
+      return;
+    }
+    this.settings.count('heartbeats_received');
+    this.takeHeartbeat(peer, heartbeat);
+  }
+
+  private takeHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
+    const now = this.clock.now();
+    const before = peer.heard?.heartbeat;
+    peer.failures = 0;
+    noteReceipt(peer, heartbeat, now);
+    peer.heard = { heartbeat, madeAfter: this.announcer.instantOf(heartbeat.echo) };
+    if (this.servesOwners(heartbeat)) {
+      this.suspicion.heard(peer.member, now);
+    } else {
+      this.suspicion.expect(peer.member, now);
+    }
+    this.subscribers.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
+    if (before === undefined || changesView(before, heartbeat)) {
+      this.subscribers.publish(this.view());
+    }
+    this.updateSuspects();
+  }
+
+  /**
+   * A member that the log does not answer while it answers us can't own a shard for long: it is
+   * not counted as heard, so that a majority may hand its shards to others.
+   */
+  private servesOwners(heartbeat: Heartbeat): boolean {
+    return heartbeat.logAnswers || !this.announcer.logAnswers;
+  }
+
+  private forgetSilent(): void {
+    const gone = this.peers.forget(this.clock.now());
+    for (const { member } of gone) {
+      this.suspicion.forget(member);
+    }
+    if (gone.length > 0) {
+      this.updateSuspects();
+      this.subscribers.publish(this.view());
+    }
+  }
+
+  private view(): MembersEvent {
+    const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
+    const leaving = this.announcer.phase !== 'serving' || this.listedAsLeaving;
+    return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
+  }
+}
--- /dev/null
+++ b/packages/membership/src/peer.ts
@@ -0,0 +1,80 @@
+/** What the members task keeps of one other member. */
+
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
+import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
+import type { Connection } from '@bamboowell/wire/connection';
+import type { Echo, Heartbeat } from './heartbeat.js';
+import type { EntryVm, Heard, MemberView } from './members-messages.js';
+
+/** Receipts that are kept of each peer. */
+const KEPT_RECEIPTS = 8;
+
+/** When a heartbeat of the peer was received. */
+interface Receipt {
+  readonly echo: Echo;
+  readonly at: Instant;
+}
+
+export interface Peer {
+  readonly member: MemberId;
+  listed: EntryVm | undefined;
+  connection: Connection | undefined;
+  /** Whether a dial is under way. */
+  dialling: boolean;
+  failures: number;
+  dialFrom: Deadline;
+  heard: Heard | undefined;
+  /** Oldest first. */
+  receipts: readonly Receipt[];
+  /** When the next heartbeat is due, if the peer is in another region. */
+  heartbeatFrom: Deadline;
+  /** When an unlisted, silent member is forgotten. */
+  forgetFrom: Deadline;
+}
+
+export function newPeer(member: MemberId): Peer {
+  return {
+    member,
+    listed: undefined,
+    connection: undefined,
+    dialling: false,
+    failures: 0,
+    dialFrom: NEVER,
+    heard: undefined,
+    receipts: [],
+    heartbeatFrom: brandAs<Deadline>(0),
+    forgetFrom: NEVER,
+  };
+}
+
+/** Keeps when the heartbeat was received. */
+export function noteReceipt(peer: Peer, heartbeat: Heartbeat, at: Instant): void {
+  const { incarnation, sequence } = heartbeat;
+  peer.receipts = [...peer.receipts, { echo: { incarnation, sequence }, at }].slice(-KEPT_RECEIPTS);
+}
+
+/**
+ * The newest heartbeat of the peer that was received by the time of our report. A newer one may
+ * not be echoed: the peer would take what we report for younger than it is.
+ */
+export function echoOf(peer: Peer, reportAt: Instant): Echo | null {
+  return peer.receipts.findLast(({ at }) => at <= reportAt)?.echo ?? null;
+}
+
+export function viewOf(peer: Peer, suspects: ReadonlySet<MemberId>): MemberView {
+  const phase = peer.heard?.heartbeat.phase ?? 'serving';
+  return {
+    member: peer.member,
+    listed: peer.listed,
+    connected: peer.connection !== undefined,
+    suspected: suspects.has(peer.member),
+    leaving: peer.listed?.state === 'leaving' || phase !== 'serving',
+    heard: peer.heard,
+  };
+}
+
+/** Whether a newer heartbeat of the same incarnation has come before. */
+export function isLate(peer: Peer, { incarnation, sequence }: Heartbeat): boolean {
+  const known = peer.heard?.heartbeat;
+  return known?.incarnation === incarnation && sequence <= known.sequence;
+}
--- /dev/null
+++ b/packages/policy/src/fair-round.ts
@@ -0,0 +1,187 @@
+/** One pass over the waiting work in the order of fair shares. */
+
+import type { TeamId, WorkId } from '@bamboowell/types/ids';
+import type { Urgency } from '@bamboowell/types/work';
+import type { Candidate, Obstacle, Round } from './ordering.js';
+import type { DominantShares } from './dominant-shares.js';
+import type { Hold } from './hold.js';
+import { LanePass, type Admission } from './lane-pass.js';
+import { Obstacles } from './obstacles.js';
+import { isOlder, type WaitingEntry } from './waiting-list.js';
+import type { WaitingTeam, WaitingTeams } from './waiting-teams.js';
+
+/** The rule's state that outlives a round. */
+export interface RoundContext {
+  readonly waiting: WaitingTeams;
+  readonly shares: DominantShares;
+  /** The hold in force, if any. */
+  hold(): Hold | undefined;
+  /** Whether the candidate has waited past the bound. */
+  isOverdue(candidate: Candidate): boolean;
+  /** Whether the team has had no start for as long as makes work overdue. */
+  isWithoutStart(team: TeamId): boolean;
+  /** Whether it is the turn of the team's oldest overdue candidate; counts the call. */
+  isOverdueTurn(team: TeamId): boolean;
+  /** Work that was first in the order, or of a team without a start, fits nowhere. */
+  firstIsBlocked(candidate: Candidate): void;
+}
+
+interface TeamPass {
+  readonly team: WaitingTeam;
+  readonly urgent: LanePass;
+  readonly ordinary: LanePass;
+  readonly patient: LanePass;
+}
+
+/** An entry, the pass that it heads, and the team. */
+interface Head {
+  readonly team: TeamPass;
+  readonly pass: LanePass;
+  readonly entry: WaitingEntry;
+}
+
+export class FairRound implements Round {
+  private readonly obstacles = new Obstacles();
+  private readonly returned = new Set<WorkId>();
+  private readonly teams: TeamPass[];
+  /** Work of teams without a start and the first of each urgency: for these, room may be held. */
+  private readonly first = new Set<WorkId>();
+  private readonly seen = new Set<Urgency>();
+
+  constructor(private readonly context: RoundContext) {
+    this.teams = [...context.waiting.teams()].map((team) => this.passOf(team));
+  }
+
+  next(): Candidate | undefined {
+    const urgent = this.fairest((team) => headOf(team, 'urgent'));
+    if (urgent !== undefined) {
+      return this.take(urgent);
+    }
+    const held = this.heldEntry();
+    if (held !== undefined) {
+      return this.offer(held);
+    }
+    const starved = this.starvedHead();
+    if (starved !== undefined) {
+      this.first.add(starved.entry.candidate.work);
+      return this.take(starved);
+    }
+    const fairest = this.fairest((team) => headOf(team, 'ordinary') ?? headOf(team, 'patient'));
+    return fairest === undefined ? undefined : this.take(this.overdueInTurn(fairest));
+  }
+
+  blocked(candidate: Candidate, obstacle: Obstacle): void {
+    this.obstacles.add(candidate, obstacle);
+    if (obstacle === 'no_worker_fits' && this.first.has(candidate.work)) {
+      this.context.firstIsBlocked(candidate);
+    }
+  }
+
+  again(candidate: Candidate): void {
+    const entry = this.context.waiting.get(candidate.work);
+    const pass = this.teams.find(({ team }) => team.team === candidate.team);
+    if (entry !== undefined && pass !== undefined) {
+      this.returned.delete(candidate.work);
+      pass[entry.candidate.urgency].repeat(entry);
+    }
+  }
+
+  private passOf(team: WaitingTeam): TeamPass {
+    const admissionOf = (entry: WaitingEntry) => this.admissionOf(entry);
+    return {
+      team,
+      urgent: new LanePass(team.lanes.urgent, admissionOf),
+      ordinary: new LanePass(team.lanes.ordinary, admissionOf),
+      patient: new LanePass(team.lanes.patient, admissionOf),
+    };
+  }
+
+  private admissionOf(entry: WaitingEntry): Admission {
+    const { candidate } = entry;
+    if (!entry.waiting || this.returned.has(candidate.work)) {
+      return 'leave_out';
+    }
+    if (this.obstacles.block(candidate)) {
+      return 'leave_out_size';
+    }
+    const hold = this.context.hold();
+    if (candidate.urgency === 'urgent' || hold === undefined || hold.work === candidate.work) {
+      return 'admitted';
+    }
+    return hold.admits(candidate) ? 'admitted' : 'leave_out_size';
+  }
+
+  /** The head of the team with the smallest share; the older one among equals. */
+  private fairest(headIn: (team: TeamPass) => Head | undefined): Head | undefined {
+    let best: Head | undefined;
+    let bestShare = Number.POSITIVE_INFINITY;
+    for (const pass of this.teams) {
+      const head = headIn(pass);
+      if (head === undefined) {
+        continue;
+      }
+      const share = this.context.shares.withHalf(pass.team.team, head.entry.candidate.demand);
+      if (share < bestShare || (share === bestShare && olderOf(best, head) === head)) {
+        best = head;
+        bestShare = share;
+      }
+    }
+    return best;
+  }
+
+  private heldEntry(): WaitingEntry | undefined {
+    const hold = this.context.hold();
+    const entry = hold === undefined ? undefined : this.context.waiting.get(hold.work);
+    return entry !== undefined && this.admissionOf(entry) === 'admitted' ? entry : undefined;
+  }
+
+  /** The oldest overdue work of the teams that have had no start for long. */
+  private starvedHead(): Head | undefined {
+    let oldest: Head | undefined;
+    for (const pass of this.teams) {
+      if (this.context.isWithoutStart(pass.team.team)) {
+        oldest = olderOf(oldest, this.overdueHeadOf(pass));
+      }
+    }
+    return oldest;
+  }
+
+  /** The oldest overdue work of the head's team if it is its turn, otherwise the head. */
+  private overdueInTurn(head: Head): Head {
+    const isTurn = this.context.isOverdueTurn(head.team.team.team);
+    return (isTurn ? this.overdueHeadOf(head.team) : undefined) ?? head;
+  }
+
+  private overdueHeadOf(pass: TeamPass): Head | undefined {
+    const oldest = olderOf(headOf(pass, 'ordinary'), headOf(pass, 'patient'));
+    const isDue = oldest !== undefined && this.context.isOverdue(oldest.entry.candidate);
+    return isDue ? oldest : undefined;
+  }
+
+  private take({ pass, entry }: Head): Candidate {
+    pass.take();
+    return this.offer(entry);
+  }
+
+  private offer({ candidate }: WaitingEntry): Candidate {
+    this.returned.add(candidate.work);
+    if (!this.seen.has(candidate.urgency)) {
+      this.seen.add(candidate.urgency);
+      this.first.add(candidate.work);
+    }
+    return candidate;
+  }
+}
+
+function headOf(team: TeamPass, urgency: Urgency): Head | undefined {
+  const pass = team[urgency];
+  const entry = pass.peek();
+  return entry === undefined ? undefined : { team, pass, entry };
+}
+
+function olderOf(left: Head | undefined, right: Head | undefined): Head | undefined {
+  if (left === undefined || right === undefined) {
+    return left ?? right;
+  }
+  return isOlder(right.entry, left.entry) ? right : left;
+}
