--- a/packages/state/src/shard-fold.test.ts
+++ b/packages/state/src/shard-fold.test.ts
@@ -1,6 +1,6 @@
 /** Laws of the shard's fold over any order, repetition and delay of appends. */
 
-import test, { type ExecutionContext } from 'ava';
+import test from 'ava';
 import fc from 'fast-check';
 import {
   attemptIdOf,
@@ -9,36 +9,32 @@
   type Epoch,
   type Incarnation,
   type MemberId,
-  type Offset,
   type QueueId,
   type RequestId,
-  type Sequence,
   type TaskId,
   type TeamId,
   type WorkerId,
   type WorkId,
-  type WriterId,
 } from '@bamboowell/types/ids';
-import type { Effect, ShardRecord, Stamped } from '@bamboowell/types/records';
+import type { ShardRecord, Stamped } from '@bamboowell/types/records';
 import { NOTHING } from '@bamboowell/types/resources';
 import type { Attempt, Outcome, Work } from '@bamboowell/types/work';
+import {
+  always,
+  applyTo,
+  asIs,
+  holdsOnlyWith,
+  logOf,
+  stampedAs,
+  withoutSequences,
+  type Rewrite,
+} from './fold.fixture.js';
 import { ShardFold, type ShardSnapshot } from './shard-fold.js';
 
-const RUNS = { seed: 20_261_204, numRuns: 1000 };
 const WORKS = 3;
 const TASKS = 2;
 
-/** Changes a record, or puts others before it, on its way to the fold. */
-type Rewrite = (stamped: Stamped<ShardRecord>, fold: ShardFold) => Stamped<ShardRecord>[];
-
-/** One entry of a log of single records, and what a fold made of it. */
-interface Step {
-  readonly record: ShardRecord;
-  readonly effect: Effect;
-  readonly fold: ShardFold;
-}
-
-const asIs: Rewrite = (stamped) => [stamped];
+type ShardRewrite = Rewrite<ShardRecord, ShardFold>;
 
 /** Works 0 and 1 may be repeated, work 2 may not. */
 function workOf(index: number, request = index): Work {
@@ -127,7 +123,10 @@
   { weight: 1, arbitrary: fc.record({ epochs: fc.nat(2), attempts: fc.nat(1) }) },
 );
 
-function recordOf(meant: Intent, { epochs, attempts }: Lag, fold: ShardFold): ShardRecord {
+function recordOf(
+  [meant, { epochs, attempts }]: readonly [Intent, Lag],
+  fold: ShardFold,
+): ShardRecord {
   const epoch = brandAs<Epoch>(Math.max(0, fold.epoch - epochs));
   const numberOf = (index: number) => (fold.task(taskAt(index))?.attempts ?? 0) - attempts;
   switch (meant.kind) {
@@ -152,75 +151,11 @@
   }
 }
 
-/**
- * A log to which three writers appended. Each writer's records come in its order for the first
- * time; any may come again, at any later place.
- */
-const log = fc
-  .tuple(
-    fc.array(fc.tuple(fc.nat(2), intent, lag), { maxLength: 60, size: 'max' }),
-    fc.array(fc.tuple(fc.nat(59), fc.nat(59)), { maxLength: 15 }),
-  )
-  .map(([firsts, repeats]) => {
-    const once = stamp(firsts);
-    return { once, all: withRepeats(once, repeats) };
-  });
-
-function stamp(firsts: readonly (readonly [number, Intent, Lag])[]): Stamped<ShardRecord>[] {
-  const sequences = [0, 0, 0];
-  const fold = new ShardFold();
-  return firsts.map(([writer, meant, behind], offset) => {
-    const sequence = (sequences[writer] ?? 0) + 1;
-    sequences[writer] = sequence;
-    const stamped = {
-      writer: brandAs<WriterId>(`writer${writer}`),
-      sequence: brandAs<Sequence>(sequence),
-      record: recordOf(meant, behind, fold),
-    };
-    fold.apply(stamped, brandAs<Offset>(offset));
-    return stamped;
-  });
-}
-
-function withRepeats(
-  records: readonly Stamped<ShardRecord>[],
-  repeats: readonly (readonly [number, number])[],
-): Stamped<ShardRecord>[] {
-  const placed = records.map((stamped, at) => ({ at, stamped }));
-  const copies = repeats.flatMap(([from, delay]) => {
-    const stamped = records[from];
-    return stamped === undefined ? [] : [{ at: from + delay + 0.5, stamped }];
-  });
-  return [...placed, ...copies]
-    .sort((left, right) => left.at - right.at)
-    .map(({ stamped }) => stamped);
-}
-
-function applyTo(
-  fold: ShardFold,
-  records: readonly Stamped<ShardRecord>[],
-  rewrite: Rewrite,
-  firstOffset = 0,
-): Step[] {
-  return records.map((stamped, index) => {
-    const offset = brandAs<Offset>(firstOffset + index);
-    const effects = rewrite(stamped, fold).map((one) => fold.apply(one, offset));
-    return { record: stamped.record, effect: effects.at(-1) ?? { kind: 'repeated' }, fold };
-  });
-}
-
-/** Calls `check` after each record, with the record and its effect. */
-function always(
-  records: readonly Stamped<ShardRecord>[],
-  rewrite: Rewrite,
-  check: (step: Step) => boolean,
-): boolean {
-  const fold = new ShardFold();
-  return records.every((stamped, index) => {
-    const [step] = applyTo(fold, [stamped], rewrite, index);
-    return step !== undefined && check(step);
-  });
-}
+const log = logOf<ShardRecord, ShardFold, readonly [Intent, Lag]>(
+  fc.tuple(intent, lag),
+  () => new ShardFold(),
+  recordOf,
+);
 
 function stateOf(fold: ShardFold): unknown {
   return JSON.parse(JSON.stringify({ ...fold.snapshot(), upTo: 0 }));
@@ -230,31 +165,15 @@
   return JSON.stringify(left) === JSON.stringify(right);
 }
 
-/** The law holds for the fold, and a counterexample is found for the fold without the guard. */
-function holdsOnlyWith(
-  t: ExecutionContext,
-  law: (rewrite: Rewrite) => fc.IProperty<unknown>,
-  withoutGuard: Rewrite,
-): void {
-  const sound = fc.check(law(asIs), RUNS);
-  t.false(sound.failed, fc.defaultReportMessage(sound) ?? '');
-  t.true(fc.check(law(withoutGuard), RUNS).failed);
-}
-
-/** As if the fold took every record for new. */
-const withoutSequences: Rewrite = (stamped, fold) => [
-  { ...stamped, writer: brandAs<WriterId>(`writer at ${fold.upTo}`) },
-];
-
 /** As if the fold compared no epochs. */
-const withoutEpochs: Rewrite = (stamped, fold) => {
+const withoutEpochs: ShardRewrite = (stamped, fold) => {
   const { record: entry } = stamped;
   const current = entry.kind === 'claim' ? fold.epoch + 1 : fold.epoch;
   return [{ ...stamped, record: { ...entry, epoch: brandAs<Epoch>(current) } as ShardRecord }];
 };
 
 /** As if the fold placed a task whatever its state. */
-const withoutStates: Rewrite = (stamped, fold) => {
+const withoutStates: ShardRewrite = (stamped, fold) => {
   if (stamped.record.kind !== 'place') {
     return [stamped];
   }
@@ -270,15 +189,16 @@
 };
 
 function endOf({ id }: Attempt, fold: ShardFold, index: number): Stamped<ShardRecord> {
-  return {
-    writer: brandAs<WriterId>(`end at ${fold.upTo} ${index}`),
-    sequence: brandAs<Sequence>(1),
-    record: { kind: 'end', epoch: fold.epoch, attempt: id, outcome: { kind: 'never_started' } },
-  };
+  return stampedAs(`end at ${fold.upTo} ${index}`, 1, {
+    kind: 'end',
+    epoch: fold.epoch,
+    attempt: id,
+    outcome: { kind: 'never_started' },
+  });
 }
 
 /** As if all work might run again. */
-const withoutIdempotence: Rewrite = (stamped) =>
+const withoutIdempotence: ShardRewrite = (stamped) =>
   stamped.record.kind === 'accept'
     ? [
         {
@@ -289,11 +209,11 @@
     : [stamped];
 
 test('an epoch has one owner, and epochs only rise', (t) => {
-  const law = (rewrite: Rewrite) =>
+  const law = (rewrite: ShardRewrite) =>
     fc.property(log, ({ all }) => {
       const owners = new Map<Epoch, MemberId>();
       let highest = 0;
-      return always(all, rewrite, ({ record: entry, effect, fold }) => {
+      return always(new ShardFold(), all, rewrite, ({ record: entry, effect, fold }) => {
         if (entry.kind === 'claim' && effect.kind === 'applied') {
           if (owners.has(entry.epoch) || entry.epoch <= highest) {
             return false;
@@ -304,25 +224,25 @@
         return fold.epoch === highest && [null, owners.get(fold.epoch)].includes(fold.owner);
       });
     });
-  holdsOnlyWith(t, law, withoutEpochs);
+  holdsOnlyWith(t, law, asIs, withoutEpochs);
 });
 
 test('a record of another epoch than the current one has no effect', (t) => {
-  const law = (rewrite: Rewrite) =>
+  const law = (rewrite: ShardRewrite) =>
     fc.property(log, ({ all }) => {
       let current = 0;
-      return always(all, rewrite, ({ record: entry, effect }) => {
+      return always(new ShardFold(), all, rewrite, ({ record: entry, effect }) => {
         const isApplied = effect.kind === 'applied' && entry.kind !== 'checkpoint';
         const isAllowed = !isApplied || entry.kind === 'claim' || entry.epoch === current;
         current = isApplied && entry.kind === 'claim' ? entry.epoch : current;
         return isAllowed;
       });
     });
-  holdsOnlyWith(t, law, withoutEpochs);
+  holdsOnlyWith(t, law, asIs, withoutEpochs);
 });
 
 test('a repeated append has no second effect, however late', (t) => {
-  const law = (rewrite: Rewrite) =>
+  const law = (rewrite: ShardRewrite) =>
     fc.property(log, ({ once, all }) => {
       const one = new ShardFold();
       const other = new ShardFold();
@@ -333,15 +253,15 @@
         { ...other.snapshot(), upTo: 0, writers: [] },
       );
     });
-  holdsOnlyWith(t, law, withoutSequences);
+  holdsOnlyWith(t, law, asIs, withoutSequences);
 });
 
 test('a task is placed again only after an end, and no attempt id comes twice', (t) => {
-  const law = (rewrite: Rewrite) =>
+  const law = (rewrite: ShardRewrite) =>
     fc.property(log, ({ all }) => {
       const running = new Set<TaskId>();
       const used = new Set<string>();
-      return always(all, rewrite, ({ record: entry, effect }) => {
+      return always(new ShardFold(), all, rewrite, ({ record: entry, effect }) => {
         if (effect.kind !== 'applied') {
           return true;
         }
@@ -357,14 +277,14 @@
         });
       });
     });
-  holdsOnlyWith(t, law, withoutStates);
+  holdsOnlyWith(t, law, asIs, withoutStates);
 });
 
 test('a task that is not idempotent is over once it may have run', (t) => {
-  const law = (rewrite: Rewrite) =>
+  const law = (rewrite: ShardRewrite) =>
     fc.property(log, ({ all }) => {
       const over = new Set<TaskId>();
-      return always(all, rewrite, ({ record: entry, effect, fold }) => {
+      return always(new ShardFold(), all, rewrite, ({ record: entry, effect, fold }) => {
         if (effect.kind === 'applied' && entry.kind === 'end') {
           const id = brandAs<TaskId>(entry.attempt.slice(0, entry.attempt.lastIndexOf('#')));
           if (id.startsWith(workOf(2).id) && mayHaveRun(entry.outcome)) {
@@ -374,7 +294,7 @@
         return [...over].every((id) => fold.task(id)?.state.kind === 'ended');
       });
     });
-  holdsOnlyWith(t, law, withoutIdempotence);
+  holdsOnlyWith(t, law, asIs, withoutIdempotence);
 });
 
 /** With a checkpoint, the next attempt goes on where this one stopped. */
@@ -394,34 +314,14 @@
       applyTo(restored, all.slice(cut), asIs, Math.min(cut, all.length));
       return isEqual(stateOf(whole), stateOf(restored)) && hasSameIndex(whole, restored);
     });
-  const sound = fc.check(
-    law((snapshot) => snapshot),
-    RUNS,
-  );
-  t.false(sound.failed, fc.defaultReportMessage(sound) ?? '');
-  t.true(
-    fc.check(
-      law((snapshot) => ({ ...snapshot, writers: [] })),
-      RUNS,
-    ).failed,
-  );
-  t.true(
-    fc.check(
-      law((snapshot) => ({ ...snapshot, owner: null })),
-      RUNS,
-    ).failed,
-  );
-  t.true(
-    fc.check(
-      law((snapshot) => ({ ...snapshot, works: [] })),
-      RUNS,
-    ).failed,
-  );
-  t.true(
-    fc.check(
-      law((snapshot) => ({ ...snapshot, ended: [] })),
-      RUNS,
-    ).failed,
+  holdsOnlyWith<(snapshot: ShardSnapshot) => ShardSnapshot>(
+    t,
+    law,
+    (snapshot) => snapshot,
+    (snapshot) => ({ ...snapshot, writers: [] }),
+    (snapshot) => ({ ...snapshot, owner: null }),
+    (snapshot) => ({ ...snapshot, works: [] }),
+    (snapshot) => ({ ...snapshot, ended: [] }),
   );
 });
 
