--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -9,24 +9,16 @@
 import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { Suspicion } from '@bamboowell/ownership/suspicion';
 import type { MemberId } from '@bamboowell/types/ids';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter } from '@bamboowell/types/time';
 import type { Connection } from '@bamboowell/wire/connection';
-import {
-  changesView,
-  FIRST_REPORT,
-  HEARTBEAT_METHOD,
-  parseHeartbeat,
-  sameMembers,
-  type Heartbeat,
-  type Phase,
-  type Report,
-} from './heartbeat.js';
+import { Announcer } from './announcer.js';
+import { HeartbeatReceiver } from './heartbeat-receiver.js';
+import { changesView, sameMembers, type Heartbeat, type Phase } from './heartbeat.js';
 import { Links } from './links.js';
 import type { MembersEvent, MembersMessage } from './members-messages.js';
 import type { MembersSettings } from './members-settings.js';
-import { echoOf, isLate, noteReceipt, viewOf, type Peer } from './peer.js';
+import { isLate, noteReceipt, viewOf, type Peer } from './peer.js';
 import { Peers } from './peers.js';
-import { SentHeartbeats } from './sent-heartbeats.js';
 import { Subscribers } from './subscribers.js';
 import type { VmListing } from './vm-list.js';
 
@@ -38,14 +30,12 @@
 
 export class MembersTask extends Task<MembersMessage> {
   private readonly peers: Peers;
-  private readonly sent: SentHeartbeats;
+  private readonly announcer: Announcer;
   private readonly suspicion: Suspicion;
   private readonly subscribers: Subscribers;
   private readonly links: Links;
+  private readonly receiver = new HeartbeatReceiver();
   private suspects: ReadonlySet<MemberId> = new Set();
-  private report: Report = FIRST_REPORT;
-  private reportAt: Instant;
-  private memberPhase: Phase = 'serving';
   private listedAsLeaving = false;
 
   constructor(
@@ -54,11 +44,10 @@
   ) {
     super('members', clock);
     this.peers = new Peers(settings.member);
-    this.sent = new SentHeartbeats(settings.incarnation, clock.now());
+    this.announcer = new Announcer(settings, this.peers, clock);
     this.subscribers = new Subscribers(settings.subscribers, settings.count);
     this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
     this.suspicion = new Suspicion(clock.now());
-    this.reportAt = clock.now();
   }
 
   protected override opened(): void {
@@ -82,8 +71,7 @@
         this.links.request(request);
       })
       .with({ kind: 'report' }, ({ report, at }) => {
-        this.report = report;
-        this.reportAt = at;
+        this.announcer.takeReport(report, at);
       })
       .with({ kind: 'leave' }, () => {
         this.enter('leaving');
@@ -109,6 +97,11 @@
       .with({ kind: 'received' }, ({ connection, params }) => {
         this.received(connection, params);
       })
+      .with({ kind: 'received_details' }, ({ connection, params }) => {
+        if (!this.receiver.receiveDetails(connection, params)) {
+          this.settings.count('heartbeats_malformed');
+        }
+      })
       .with({ kind: 'ended' }, ({ connection }) => {
         this.ended(connection);
       })
@@ -116,8 +109,8 @@
   }
 
   private enter(phase: Phase): void {
-    this.memberPhase = phase;
-    this.sendHeartbeats();
+    this.announcer.enter(phase);
+    this.announcer.sendTo(this.peers.all(), this.suspects);
     this.subscribers.publish(this.view());
   }
 
@@ -128,7 +121,7 @@
       this.subscribers.publish({ kind: 'paused', at: now });
     }
     this.updateSuspects();
-    this.sendHeartbeats();
+    this.announcer.sendDue(this.suspects);
     for (const peer of this.peers.all()) {
       this.links.dialIfDue(peer);
     }
@@ -144,36 +137,6 @@
     }
   }
 
-  private sendHeartbeats(to: readonly Peer[] = this.peers.all()): void {
-    const sequence = this.sent.next(this.clock.now());
-    const hears = this.peers.all().filter(({ heard }) => heard !== undefined);
-    for (const peer of to) {
-      const sent = peer.connection?.notify(
-        HEARTBEAT_METHOD,
-        this.heartbeatFor(peer, sequence, hears),
-      );
-      if (sent !== undefined) {
-        this.settings.count(sent === 'sent' ? 'heartbeats_sent' : 'heartbeats_congested');
-      }
-    }
-  }
-
-  private heartbeatFor(peer: Peer, sequence: number, hears: readonly Peer[]): Heartbeat {
-    const { member, incarnation, region, dataCentre } = this.settings;
-    return {
-      member,
-      incarnation,
-      region,
-      dataCentre,
-      sequence,
-      echo: echoOf(peer, this.reportAt),
-      phase: this.memberPhase,
-      hears: hears.map((heard) => heard.member),
-      suspects: [...this.suspects],
-      ...this.report,
-    };
-  }
-
   private refresh(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
@@ -209,7 +172,7 @@
 
   private dialled(peer: Peer, connection: Connection | undefined): void {
     if (this.links.dialled(peer, connection)) {
-      this.sendHeartbeats([peer]);
+      this.announcer.sendTo([peer], this.suspects);
       this.subscribers.publish(this.view());
     }
   }
@@ -221,7 +184,7 @@
   }
 
   private received(connection: Connection, params: unknown): void {
-    const heartbeat = parseHeartbeat(params);
+    const heartbeat = this.receiver.receive(connection, params);
     if (heartbeat === undefined || !this.links.mayCarry(connection, heartbeat.member)) {
       this.settings.count('heartbeats_malformed');
       return;
@@ -243,7 +206,7 @@
     const before = peer.heard?.heartbeat;
     peer.failures = 0;
     noteReceipt(peer, heartbeat, now);
-    peer.heard = { heartbeat, madeAfter: this.sent.instantOf(heartbeat.echo) };
+    peer.heard = { heartbeat, madeAfter: this.announcer.instantOf(heartbeat.echo) };
     if (this.servesOwners(heartbeat)) {
       this.suspicion.heard(peer.member, now);
     } else {
@@ -261,7 +224,7 @@
    * not counted as heard, so that a majority may hand its shards to others.
    */
   private servesOwners(heartbeat: Heartbeat): boolean {
-    return heartbeat.logAnswers || !this.report.logAnswers;
+    return heartbeat.logAnswers || !this.announcer.logAnswers;
   }
 
   private forgetSilent(): void {
@@ -277,7 +240,7 @@
 
   private view(): MembersEvent {
     const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
-    const leaving = this.memberPhase !== 'serving' || this.listedAsLeaving;
+    const leaving = this.announcer.phase !== 'serving' || this.listedAsLeaving;
     return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
   }
 }
