Withdraw queued records in constant time; never read in a tight loop

Cause: an outage ends in thousands of withdrawals, each of which searched the whole queue; and a log that answers empty reads at once made the reader spin. Change: the queue is a map by sequence; an empty read that came back early is followed by the next 100 ms after it was sent. Conclusion: bounded; both have tests.

--- a/packages/log/src/append-queue.ts
+++ b/packages/log/src/append-queue.ts
@@ -30,7 +30,8 @@
 }
 
 export class AppendQueue {
-  private records: Encoded[] = [];
+  /** By sequence, in the order in which they go out. */
+  private records = new Map<Sequence, Encoded>();
   private bytes = 0;
   private parts: Encoded[] = [];
   private current: InFlight | undefined;
@@ -42,22 +43,22 @@
 
   /** The number of records that wait and were not sent. */
   get size(): number {
-    return this.records.length;
+    return this.records.size;
   }
 
   /** Whether anything is in flight or waits. */
   get hasWork(): boolean {
-    return this.current !== undefined || this.records.length > 0 || this.parts.length > 0;
+    return this.current !== undefined || this.records.size > 0 || this.parts.length > 0;
   }
 
   /** Whether there was room for the record. */
   add(record: Encoded): boolean {
     const isRoom =
       record.bytes <= MAX_RECORD_BYTES &&
-      this.records.length < MAX_QUEUED_RECORDS &&
+      this.records.size < MAX_QUEUED_RECORDS &&
       this.bytes + record.bytes <= MAX_QUEUED_BYTES;
     if (isRoom) {
-      this.records.push(record);
+      this.records.set(record.sequence, record);
       this.bytes += record.bytes;
     }
     return isRoom;
@@ -70,8 +71,8 @@
 
   /** Takes a record back if it was not sent. */
   withdraw(sequence: Sequence): boolean {
-    const index = this.records.findIndex((record) => record.sequence === sequence);
-    const [record] = index === -1 ? [] : this.records.splice(index, 1);
+    const record = this.records.get(sequence);
+    this.records.delete(sequence);
     this.bytes -= record?.bytes ?? 0;
     return record !== undefined;
   }
@@ -102,7 +103,7 @@
       return;
     }
     const { records, part } = this.current;
-    this.records = [...records, ...this.records];
+    this.records = new Map([...records.map(bySequence), ...this.records]);
     this.bytes += sumOf(records);
     this.parts = part === undefined ? this.parts : [part, ...this.parts];
     this.current = undefined;
@@ -124,8 +125,7 @@
   }
 
   private packWaiting(): InFlight {
-    const records = this.records.splice(0, this.countThatFits());
-    this.bytes -= sumOf(records);
+    const records = this.takeThatFit();
     const part = this.parts.shift();
     const all = part === undefined ? records : [...records, part];
     return {
@@ -137,19 +137,27 @@
     };
   }
 
-  /** How many of the first records go into one append; at least one. */
-  private countThatFits(): number {
+  /** Takes the first records that fit into one append; at least one. */
+  private takeThatFit(): Encoded[] {
+    const taken: Encoded[] = [];
     let bytes = 0;
-    for (const [index, record] of this.records.entries()) {
+    for (const [sequence, record] of this.records) {
       bytes += record.bytes;
-      if (bytes > MAX_APPEND_BYTES) {
-        return Math.max(1, index);
+      if (taken.length > 0 && bytes > MAX_APPEND_BYTES) {
+        break;
       }
+      taken.push(record);
+      this.records.delete(sequence);
     }
-    return this.records.length;
+    this.bytes -= sumOf(taken);
+    return taken;
   }
 }
 
+function bySequence(record: Encoded): [Sequence, Encoded] {
+  return [record.sequence, record];
+}
+
 function keyOf(stamp: Stamp): string {
   return `${stamp.sequence} ${stamp.writer}`;
 }
--- a/packages/log/src/read-loop.ts
+++ b/packages/log/src/read-loop.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { StreamName } from '@bamboowell/types/ids';
 import type { Stamped } from '@bamboowell/types/records';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Backoff } from './backoff.js';
 import type { CheckpointWatch } from './checkpoint-watch.js';
 import type { Log, Page } from './log.js';
@@ -22,6 +22,9 @@
  */
 export const READ_WAIT_MILLIS = 1000;
 
+/** Least time between two reads that find nothing, should the log not wait as it was asked to. */
+const EMPTY_READ_MILLIS = 100;
+
 /** When events are offered again to a subscriber whose mailbox was full. */
 const REDELIVERY_MILLIS = 20;
 
@@ -78,7 +81,8 @@
   receive(message: ReadLoopMessage): readonly Stamped<Entry>[] {
     return match(message)
       .with({ kind: 'read_due' }, () => {
-        this.read();
+        this.isReadPending = false;
+        this.deliver();
         return [];
       })
       .with({ kind: 'delivery_due' }, () => {
@@ -109,14 +113,25 @@
       this.emit({ kind: 'unavailable', since: this.answeredAt, detail: page.detail });
       return [];
     }
+    const isEmpty = page.kind === 'entries' && page.entries.length === 0;
+    const isTooEarly = isEmpty && (this.mayWait || !page.atEnd);
     this.backoff.succeeded();
     this.answeredAt = readAt;
-    this.isReadPending = false;
     const records = this.take(page, readAt);
+    this.planRead(isTooEarly ? deadlineAfter(readAt, EMPTY_READ_MILLIS) : undefined);
     this.deliver();
     return records;
   }
 
+  /** Reads on as soon as all is delivered, but not before the deadline. */
+  private planRead(notBefore: Deadline | undefined): void {
+    if (notBefore === undefined || hasPassed(notBefore, this.clock.now())) {
+      this.isReadPending = false;
+    } else {
+      this.self.postAt(notBefore, { kind: 'read_due' });
+    }
+  }
+
   private take(page: AnsweredPage, readAt: Instant): readonly Stamped<Entry>[] {
     const step = this.tail.take(page, readAt);
     this.mayWait = step.mayWait;
--- a/packages/log/src/stream-task.test.ts
+++ b/packages/log/src/stream-task.test.ts
@@ -12,11 +12,12 @@
   type WriterId,
 } from '@bamboowell/types/ids';
 import type { CheckpointPart, Stamped } from '@bamboowell/types/records';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import { MAX_QUEUED_RECORDS } from './append-queue.js';
 import { MAX_PART_CHARACTERS, splitSnapshot } from './checkpoint-parts.js';
 import { JsonCodec } from './codec.js';
 import { encodedRecord, packEntry } from './entry-format.js';
+import type { Page } from './log.js';
 import { MemoryLog } from './memory-log.js';
 import { READ_WAIT_MILLIS } from './read-loop.js';
 import type { StreamEvent, StreamStats } from './stream-messages.js';
@@ -445,3 +446,33 @@
   await pass(clock, 2000);
   t.is(subscriber.events.at(-1)?.kind, 'caught_up');
 });
+
+test('a log that does not wait at the end of a stream is not read in a tight loop', async (t) => {
+  const clock = new ManualClock(1000);
+  const log = new (class extends MemoryLog {
+    override read(stream: StreamName, from: Offset): Promise<Page> {
+      return super.read(stream, from, brandAs<Deadline>(0));
+    }
+  })(clock);
+  const { task } = newStream(1000, clock, log);
+  await task.start();
+  await pass(clock, 5000);
+  const { reads } = await statsOf(task);
+  t.log(`${reads} reads in 5 s`);
+  t.true(reads <= 55);
+});
+
+test('records that were withdrawn leave room for others', async (t) => {
+  const { clock, log, subscriber, task } = await runningStream();
+  log.setDown(true);
+  const count = MAX_QUEUED_RECORDS;
+  task.post({ kind: 'append', records: Array.from({ length: count }, (_, at) => note(at + 1)) });
+  for (let sequence = 1; sequence <= count; sequence += 1) {
+    void withdraw(task, sequence);
+    await (sequence % 1000 === 0 ? settle() : undefined);
+  }
+  await post(task, count + 1);
+  log.setDown(false);
+  await pass(clock, 5000);
+  t.deepEqual(delivered(subscriber.events), [[count + 1]]);
+});
