Measure placement, packing and waiting against plain baselines

Cause: the targets of the decision code were not measured. Change: npm run bench -- placement, packing or waiting prints JSON. Waiting is a model of one shard in virtual time; packing fills a fleet once.

--- /dev/null
+++ b/packages/bench/src/demand.ts
@@ -0,0 +1,195 @@
+/** What the two users' teams ask for, drawn with a fixed seed. */
+
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { brandAs, type TeamId, type WorkId } from '@bamboowell/types/ids';
+import type { Resources } from '@bamboowell/types/resources';
+import type { Instant } from '@bamboowell/types/time';
+import type { Urgency } from '@bamboowell/types/work';
+import type { Candidate } from '@bamboowell/policy/ordering';
+import { amountOf, capacityOf, TALLOWGUM, UPEPO, type FleetPlan } from './fleets.js';
+
+/** A class of work of one user. */
+export interface WorkClass {
+  readonly name: string;
+  readonly urgency: Urgency;
+  /** Part of the cores asked for. */
+  readonly part: number;
+  /** Sizes that are drawn evenly. */
+  readonly demands: readonly Resources[];
+  readonly meanRunMillis: number;
+  readonly together: number;
+  readonly checkpointable: boolean;
+}
+
+/** A team's weight, and its part of all that is asked for. */
+export interface TeamDemand {
+  readonly team: TeamId;
+  readonly weight: number;
+  readonly part: number;
+}
+
+/** One user with its fleet, its customers as teams, and its work. */
+export interface UserProfile {
+  readonly name: string;
+  readonly fleet: FleetPlan;
+  readonly teams: readonly TeamDemand[];
+  readonly classes: readonly WorkClass[];
+}
+
+/** A piece of work and when it comes. */
+export interface Arrival {
+  readonly candidate: Candidate;
+  readonly className: string;
+  readonly runMillis: number;
+  readonly checkpointable: boolean;
+}
+
+/** Six customers, a few of them large; some ask for more than their share, some for less. */
+const TEAMS: readonly TeamDemand[] = [
+  { team: brandAs<TeamId>('large-1'), weight: 6, part: 0.45 },
+  { team: brandAs<TeamId>('large-2'), weight: 4, part: 0.2 },
+  { team: brandAs<TeamId>('middle'), weight: 3, part: 0.2 },
+  { team: brandAs<TeamId>('small-1'), weight: 1, part: 0.09 },
+  { team: brandAs<TeamId>('small-2'), weight: 1, part: 0.03 },
+  { team: brandAs<TeamId>('small-3'), weight: 1, part: 0.03 },
+];
+
+const PLAN_SIZES = [amountOf(2, 4, 0, 0), amountOf(4, 8, 0, 0), amountOf(8, 16, 0, 0)];
+
+const SHARED_CLASSES: readonly WorkClass[] = [
+  {
+    name: 'urgent',
+    urgency: 'urgent',
+    part: 0.01,
+    demands: [amountOf(4, 8, 0, 0)],
+    meanRunMillis: 20_000,
+    together: 1,
+    checkpointable: false,
+  },
+  {
+    name: 'gang',
+    urgency: 'patient',
+    part: 0.04,
+    demands: [amountOf(8, 16, 0, 0)],
+    meanRunMillis: 60_000,
+    together: 6,
+    checkpointable: true,
+  },
+];
+
+const BOOKINGS: readonly WorkClass[] = [
+  ...SHARED_CLASSES,
+  planClass('run plan', 'patient', 0.7, 60_000),
+  planClass('slot swap', 'patient', 0.15, 15_000),
+  quickClass('seat hold', 0.1, 2000),
+];
+
+const SCANS: readonly WorkClass[] = [
+  ...SHARED_CLASSES,
+  planClass('deposit reconciliation', 'patient', 0.6, 60_000),
+  planClass('export', 'ordinary', 0.15, 20_000),
+  quickClass('keg scan', 0.2, 2000),
+];
+
+export const UPEPO_PROFILE: UserProfile = {
+  name: 'upepo',
+  fleet: UPEPO,
+  teams: TEAMS,
+  classes: BOOKINGS,
+};
+
+export const TALLOWGUM_PROFILE: UserProfile = {
+  name: 'tallowgum',
+  fleet: TALLOWGUM,
+  teams: TEAMS,
+  classes: SCANS,
+};
+
+function planClass(name: string, urgency: Urgency, part: number, meanRunMillis: number): WorkClass {
+  return {
+    name,
+    urgency,
+    part,
+    demands: PLAN_SIZES,
+    meanRunMillis,
+    together: 1,
+    checkpointable: true,
+  };
+}
+
+function quickClass(name: string, part: number, meanRunMillis: number): WorkClass {
+  return {
+    name,
+    urgency: 'ordinary',
+    part,
+    demands: [amountOf(2, 1, 0, 1)],
+    meanRunMillis,
+    together: 1,
+    checkpointable: false,
+  };
+}
+
+/** Arrivals up to the end, in order, that ask for `load` times the fleet's cores. */
+export function arrivalsOf(
+  profile: UserProfile,
+  load: number,
+  untilMillis: number,
+  seed: number,
+): Arrival[] {
+  const random = xoroshiro128plus(seed);
+  const cores = capacityOf(profile.fleet).millicores;
+  const arrivals = profile.teams.flatMap(({ team, part }) =>
+    profile.classes.flatMap((workClass) =>
+      streamOf(team, workClass, cores * load * part * workClass.part, untilMillis, random),
+    ),
+  );
+  return arrivals.sort((left, right) => left.candidate.waitingSince - right.candidate.waitingSince);
+}
+
+/** Poisson arrivals that keep so many millicores busy on average. */
+function streamOf(
+  team: TeamId,
+  workClass: WorkClass,
+  millicores: number,
+  untilMillis: number,
+  random: RandomGenerator,
+): Arrival[] {
+  const { demands, meanRunMillis, together } = workClass;
+  const meanSize = demands.reduce((sum, demand) => sum + demand.millicores, 0) / demands.length;
+  const meanGapMillis = (meanSize * together * meanRunMillis) / millicores;
+  const arrivals: Arrival[] = [];
+  for (let at = exponential(random, meanGapMillis); at < untilMillis;) {
+    arrivals.push(arrivalOf(team, workClass, Math.round(at), arrivals.length, random));
+    at += exponential(random, meanGapMillis);
+  }
+  return arrivals;
+}
+
+function arrivalOf(
+  team: TeamId,
+  workClass: WorkClass,
+  at: number,
+  number: number,
+  random: RandomGenerator,
+): Arrival {
+  const { name, urgency, demands, together, checkpointable, meanRunMillis } = workClass;
+  const demand = demands[uniformInt(random, 0, demands.length - 1)] ?? amountOf(1, 1);
+  const candidate: Candidate = {
+    work: brandAs<WorkId>(`${team}/${name}/${number}`),
+    team,
+    queue: brandAs(name),
+    urgency,
+    demand,
+    together,
+    waitingSince: brandAs<Instant>(at),
+  };
+  const runMillis = Math.max(1, Math.round(exponential(random, meanRunMillis)));
+  return { candidate, className: name, runMillis, checkpointable };
+}
+
+function exponential(random: RandomGenerator, mean: number): number {
+  return -Math.log(1 - uniformFloat64(random)) * mean;
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,25 @@
+/** Runs the measurement that is named on the command line and prints its figures as JSON. */
+
+import { measurePacking } from './packing.js';
+import { measurePlacement } from './placement.js';
+import { measureWaiting } from './waiting.js';
+
+/** A measurement. Its figures are plain data. */
+type Measurement = () => object | Promise<object>;
+
+const MEASUREMENTS: ReadonlyMap<string, Measurement> = new Map<string, Measurement>([
+  ['placement', measurePlacement],
+  ['waiting', measureWaiting],
+  ['packing', measurePacking],
+]);
+
+const name = process.argv[2] ?? '';
+const measurement = MEASUREMENTS.get(name);
+if (measurement === undefined) {
+  const known = [...MEASUREMENTS.keys()].join(', ');
+  process.stderr.write(`Unknown measurement "${name}". Known: ${known}.\n`);
+  process.exitCode = 2;
+} else {
+  const figures = await measurement();
+  process.stdout.write(`${JSON.stringify({ name, ...figures }, undefined, 2)}\n`);
+}
--- /dev/null
+++ b/packages/bench/src/packing.ts
@@ -0,0 +1,125 @@
+/** Cores and accelerators that stay free although work for them came. */
+
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { BestFit } from '@bamboowell/policy/best-fit';
+import { NO_SPREAD } from '@bamboowell/policy/fleet';
+import { FirstFit, type Placement } from '@bamboowell/policy/placement';
+import { add, NOTHING, subtract, type Resources } from '@bamboowell/types/resources';
+import {
+  acceleratorDemand,
+  batchDemand,
+  capacityOf,
+  fleetOf,
+  TALLOWGUM,
+  twoYearFleet,
+  UPEPO,
+  type FleetPlan,
+} from './fleets.js';
+
+const SEED = 20_261_205;
+const TARGET_PART_ABOVE_BOUND = 0.05;
+const PLANS = [UPEPO, TALLOWGUM, twoYearFleet(200), twoYearFleet(6800)];
+
+/**
+ * Work whose volume is all of the fleet's accelerators and cores comes in random order and is
+ * placed or turned away. By volume all of it could be placed, so the bound of what is stranded is
+ * what the volume itself leaves free.
+ */
+export function measurePacking(): object {
+  const runs = PLANS.flatMap((plan) => {
+    const work = workFor(plan);
+    return [pack(new BestFit(), plan, work), pack(new FirstFit(), plan, work)];
+  });
+  return { seed: SEED, target: { partAboveBound: TARGET_PART_ABOVE_BOUND }, runs };
+}
+
+function pack(rule: Placement, plan: FleetPlan, work: readonly Resources[]) {
+  const fleet = fleetOf(plan);
+  const capacity = capacityOf(plan);
+  let placed = NOTHING;
+  let turnedAway = 0;
+  for (const demand of work) {
+    const worker = rule.choose(fleet, demand, NO_SPREAD);
+    if (worker !== undefined && fleet.reserve(worker, demand)) {
+      placed = add(placed, demand);
+    } else {
+      turnedAway += 1;
+    }
+  }
+  const bound = subtract(capacity, totalOf(work));
+  const stranded = subtract(capacity, placed);
+  return {
+    rule: rule.constructor.name,
+    fleet: plan.name,
+    tasks: work.length,
+    turnedAway,
+    cores: strandedOf(stranded.millicores, bound.millicores, capacity.millicores),
+    accelerators: strandedOf(stranded.accelerators, bound.accelerators, capacity.accelerators),
+  };
+}
+
+/** Parts of the capacity. */
+function strandedOf(stranded: number, bound: number, capacity: number) {
+  if (capacity === 0) {
+    return { capacity };
+  }
+  return {
+    capacity,
+    strandedPart: rounded(stranded / capacity),
+    boundPart: rounded(bound / capacity),
+    partAboveBound: rounded((stranded - bound) / capacity),
+  };
+}
+
+function rounded(part: number): number {
+  return Number(part.toFixed(4));
+}
+
+/** Accelerator work up to the accelerators, then batch work up to the cores, shuffled. */
+function workFor(plan: FleetPlan): Resources[] {
+  const random = xoroshiro128plus(SEED);
+  const capacity = capacityOf(plan);
+  const work: Resources[] = [];
+  const total = drawUpTo(capacity, NOTHING, work, () => acceleratorDemand(random));
+  drawUpTo(capacity, total, work, () => batchDemand(random));
+  return shuffled(work, random);
+}
+
+/** Adds draws until the first that would pass the capacity. */
+function drawUpTo(
+  capacity: Resources,
+  from: Resources,
+  work: Resources[],
+  draw: () => Resources,
+): Resources {
+  let total = from;
+  for (let demand = draw(); isWithin(add(total, demand), capacity); demand = draw()) {
+    work.push(demand);
+    total = add(total, demand);
+  }
+  return total;
+}
+
+function isWithin(total: Resources, capacity: Resources): boolean {
+  return total.millicores <= capacity.millicores && total.accelerators <= capacity.accelerators;
+}
+
+function totalOf(work: readonly Resources[]): Resources {
+  return work.reduce(add, NOTHING);
+}
+
+function shuffled(work: readonly Resources[], random: RandomGenerator): Resources[] {
+  const result = [...work];
+  for (let index = result.length - 1; index > 0; index -= 1) {
+    const other = uniformInt(random, 0, index);
+    const left = result[index];
+    const right = result[other];
+    if (left !== undefined && right !== undefined) {
+      result[index] = right;
+      result[other] = left;
+    }
+  }
+  return result;
+}
--- /dev/null
+++ b/packages/bench/src/split-ordering.ts
@@ -0,0 +1,84 @@
+/** A queue for each team, as where the fleet is split between them. A baseline. */
+
+import type { QueueId, TeamId, WorkId } from '@bamboowell/types/ids';
+import {
+  FirstComeFirstServed,
+  Ordering,
+  type Candidate,
+  type Obstacle,
+  type Round,
+} from '@bamboowell/policy/ordering';
+
+/** First come, first served within each team. A team's limit ends its part of a round. */
+export class SplitOrdering extends Ordering {
+  private readonly queues = new Map<TeamId, FirstComeFirstServed>();
+
+  put(candidate: Candidate): void {
+    const queue = this.queues.get(candidate.team) ?? new FirstComeFirstServed();
+    this.queues.set(candidate.team, queue);
+    queue.put(candidate);
+  }
+
+  remove(work: WorkId): void {
+    for (const queue of this.queues.values()) {
+      queue.remove(work);
+    }
+  }
+
+  get size(): number {
+    return this.sum((queue) => queue.size);
+  }
+
+  waitingIn(queue: QueueId): number {
+    return this.sum((ofTeam) => ofTeam.waitingIn(queue));
+  }
+
+  waitingOf(team: TeamId): number {
+    return this.queues.get(team)?.size ?? 0;
+  }
+
+  round(): Round {
+    const rounds = new Map([...this.queues].map(([team, queue]) => [team, queue.round()]));
+    return {
+      next: () => nextOf(rounds),
+      blocked: (candidate: Candidate, obstacle: Obstacle) => {
+        if (obstacle === 'team_limit_reached') {
+          rounds.delete(candidate.team);
+        }
+      },
+      again: (candidate: Candidate) => {
+        rounds.get(candidate.team)?.again(candidate);
+      },
+    };
+  }
+
+  addUsage(): void {
+    return undefined;
+  }
+
+  setElsewhere(): void {
+    return undefined;
+  }
+
+  setShares(): void {
+    return undefined;
+  }
+
+  setCapacity(): void {
+    return undefined;
+  }
+
+  private sum(of: (queue: FirstComeFirstServed) => number): number {
+    return [...this.queues.values()].reduce((total, queue) => total + of(queue), 0);
+  }
+}
+
+function nextOf(rounds: ReadonlyMap<TeamId, Round>): Candidate | undefined {
+  for (const round of rounds.values()) {
+    const candidate = round.next();
+    if (candidate !== undefined) {
+      return candidate;
+    }
+  }
+  return undefined;
+}
