--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -49,8 +49,11 @@
       readonly deadline: Deadline;
       readonly reply: Reply<WireAnswer>;
     }
-  /** What this member tells from its next heartbeat on. */
-  | { readonly kind: 'report'; readonly report: Report }
+  /**
+   * What this member tells from its next heartbeat on. All of it was true at `at`; others rely on
+   * that, so that a report is posted at least every `REPORT_INTERVAL_MILLIS`.
+   */
+  | { readonly kind: 'report'; readonly report: Report; readonly at: Instant }
   /** This member gets no new shards from now on. */
   | { readonly kind: 'leave' }
   /** This member owns and claims nothing any more; it is told at once. */
@@ -69,6 +72,7 @@
       readonly member: MemberId;
       readonly connection: Connection | undefined;
     }
+  | { readonly kind: 'received_details'; readonly connection: Connection; readonly params: unknown }
   | { readonly kind: 'received'; readonly connection: Connection; readonly params: unknown }
   | { readonly kind: 'ended'; readonly connection: Connection };
 
@@ -92,6 +96,7 @@
 /** What the task counts. */
 export type MembersCounter =
   | 'heartbeats_sent'
+  | 'details_sent'
   | 'heartbeats_congested'
   | 'heartbeats_received'
   | 'heartbeats_malformed'
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -5,83 +5,37 @@
 
 import { match } from 'ts-pattern';
 import type { Clock } from '@bamboowell/kernel/clock';
-import type { Address } from '@bamboowell/kernel/mailbox';
 import { Task } from '@bamboowell/kernel/task';
 import { HEARTBEAT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { Suspicion } from '@bamboowell/ownership/suspicion';
-import {
-  brandAs,
-  type DataCentreId,
-  type Incarnation,
-  type MemberId,
-  type Offset,
-  type RegionId,
-  type Version,
-} from '@bamboowell/types/ids';
-import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
-import type { Connection, Handler } from '@bamboowell/wire/connection';
-import { nextAttempt } from './backoff.js';
-import type { Dialler } from './dialler.js';
-import {
-  HEARTBEAT_METHOD,
-  parseHeartbeat,
-  type Heartbeat,
-  type Phase,
-  type Report,
-} from './heartbeat.js';
-import type { MembersCounter, MembersEvent, MembersMessage } from './members-messages.js';
-import { echoOf, viewOf, type Peer } from './peer.js';
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { Connection } from '@bamboowell/wire/connection';
+import { Announcer } from './announcer.js';
+import { HeartbeatReceiver } from './heartbeat-receiver.js';
+import { changesView, sameMembers, type Heartbeat, type Phase } from './heartbeat.js';
+import { Links } from './links.js';
+import type { MembersEvent, MembersMessage } from './members-messages.js';
+import type { MembersSettings } from './members-settings.js';
+import { isLate, noteReceipt, viewOf, type Peer } from './peer.js';
 import { Peers } from './peers.js';
-import { SentHeartbeats } from './sent-heartbeats.js';
-import type { VmList, VmListing } from './vm-list.js';
+import { Subscribers } from './subscribers.js';
+import type { VmListing } from './vm-list.js';
 
 /** Interval at which the VM list is read, milliseconds. */
 export const LIST_INTERVAL_MILLIS = 2000;
 
-/** Time that one read of the list or one dial may take, milliseconds. */
-const ATTEMPT_MILLIS = 2000;
-
-/** Time for which the member with the higher id waits to be dialled, milliseconds. */
-export const DIAL_GRACE_MILLIS = 3000;
-
-/** What the task is told of itself and what it works with. */
-export interface MembersSettings {
-  readonly member: MemberId;
-  readonly incarnation: Incarnation;
-  readonly region: RegionId;
-  readonly dataCentre: DataCentreId;
-  readonly vmList: VmList;
-  readonly dialler: Dialler;
-  /** Uniform in [0, 1); spreads attempts to connect. */
-  readonly random: () => number;
-  readonly count: (counter: MembersCounter) => void;
-  /** Subscribed from the start, also after the task was restarted. */
-  readonly subscribers: readonly Address<MembersEvent>[];
-  /** Served from the start, by method. */
-  readonly handlers: ReadonlyMap<string, Handler>;
-}
-
-/** Nothing is known yet: the log is said to answer, which is the cautious report. */
-const FIRST_REPORT: Report = {
-  logAnswers: true,
-  version: brandAs<Version>(0),
-  cellUpTo: brandAs<Offset>(0),
-  unresolvedClaims: [],
-  epochs: [],
-  owned: [],
-};
+/** Time that one read of the list may take, milliseconds. */
+const LIST_MILLIS = 2000;
 
 export class MembersTask extends Task<MembersMessage> {
   private readonly peers: Peers;
-  private readonly sent: SentHeartbeats;
+  private readonly announcer: Announcer;
   private readonly suspicion: Suspicion;
-  private readonly subscribers: Set<Address<MembersEvent>>;
-  private readonly handlers: Map<string, Handler>;
-  /** Connections whose other end has not told its name yet. */
-  private readonly unnamed = new Set<Connection>();
+  private readonly subscribers: Subscribers;
+  private readonly links: Links;
+  private readonly receiver = new HeartbeatReceiver();
   private suspects: ReadonlySet<MemberId> = new Set();
-  private report: Report = FIRST_REPORT;
-  private memberPhase: Phase = 'serving';
   private listedAsLeaving = false;
 
   constructor(
@@ -90,9 +44,9 @@
   ) {
     super('members', clock);
     this.peers = new Peers(settings.member);
-    this.sent = new SentHeartbeats(settings.incarnation, clock.now());
-    this.subscribers = new Set(settings.subscribers);
-    this.handlers = new Map(settings.handlers);
+    this.announcer = new Announcer(settings, this.peers, clock);
+    this.subscribers = new Subscribers(settings.subscribers, settings.count);
+    this.links = new Links(settings, this.peers, clock, (message) => this.post(message));
     this.suspicion = new Suspicion(clock.now());
   }
 
@@ -102,25 +56,22 @@
   }
 
   protected override closed(): void {
-    for (const connection of this.connections()) {
-      connection.close();
-    }
+    this.links.closeAll();
   }
 
   protected receive(message: MembersMessage): void {
     match(message)
       .with({ kind: 'subscribe' }, ({ subscriber }) => {
-        this.subscribers.add(subscriber);
-        this.send(subscriber, this.view());
+        this.subscribers.add(subscriber, this.view());
       })
       .with({ kind: 'serve' }, ({ method, handler }) => {
-        this.serve(method, handler);
+        this.links.serve(method, handler);
       })
       .with({ kind: 'request' }, (request) => {
-        this.request(request);
+        this.links.request(request);
       })
-      .with({ kind: 'report' }, ({ report }) => {
-        this.report = report;
+      .with({ kind: 'report' }, ({ report, at }) => {
+        this.announcer.takeReport(report, at);
       })
       .with({ kind: 'leave' }, () => {
         this.enter('leaving');
@@ -129,7 +80,7 @@
         this.enter('left');
       })
       .with({ kind: 'accepted' }, ({ connection }) => {
-        this.adopt(connection);
+        this.links.adopt(connection);
       })
       .with({ kind: 'beat' }, () => {
         this.beat();
@@ -141,49 +92,38 @@
         this.takeListing(listing);
       })
       .with({ kind: 'dialled' }, ({ member, connection }) => {
-        this.dialled(member, connection);
+        this.dialled(this.peers.ensure(member), connection);
       })
       .with({ kind: 'received' }, ({ connection, params }) => {
         this.received(connection, params);
       })
+      .with({ kind: 'received_details' }, ({ connection, params }) => {
+        if (!this.receiver.receiveDetails(connection, params)) {
+          this.settings.count('heartbeats_malformed');
+        }
+      })
       .with({ kind: 'ended' }, ({ connection }) => {
         this.ended(connection);
       })
       .exhaustive();
   }
 
-  private serve(method: string, handler: Handler): void {
-    this.handlers.set(method, handler);
-    for (const connection of this.connections()) {
-      connection.handle(method, handler);
-    }
-  }
-
-  private request(message: Extract<MembersMessage, { kind: 'request' }>): void {
-    const connection = this.peers.get(message.member)?.connection;
-    if (connection === undefined) {
-      message.reply({ kind: 'not_sent' });
-      return;
-    }
-    void connection.request(message.method, message.params, message.deadline).then(message.reply);
-  }
-
   private enter(phase: Phase): void {
-    this.memberPhase = phase;
-    this.sendHeartbeats();
-    this.publish(this.view());
+    this.announcer.enter(phase);
+    this.announcer.sendTo(this.peers.all(), this.suspects);
+    this.subscribers.publish(this.view());
   }
 
   private beat(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, HEARTBEAT_INTERVAL_MILLIS), { kind: 'beat' });
     if (this.suspicion.tick(now)) {
-      this.publish({ kind: 'paused', at: now });
+      this.subscribers.publish({ kind: 'paused', at: now });
     }
     this.updateSuspects();
-    this.sendHeartbeats();
+    this.announcer.sendDue(this.suspects);
     for (const peer of this.peers.all()) {
-      this.dialIfDue(peer);
+      this.links.dialIfDue(peer);
     }
     this.forgetSilent();
   }
@@ -193,48 +133,14 @@
     const changed = !sameMembers(suspects, this.suspects);
     this.suspects = suspects;
     if (changed) {
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
-  private sendHeartbeats(to: readonly Peer[] = this.peers.all()): void {
-    const sequence = this.sent.next(this.clock.now());
-    const hears = this.peers.all().filter(({ member }) => this.hears(member));
-    for (const peer of to) {
-      const sent = peer.connection?.notify(
-        HEARTBEAT_METHOD,
-        this.heartbeatFor(peer, sequence, hears),
-      );
-      if (sent !== undefined) {
-        this.settings.count(sent === 'sent' ? 'heartbeats_sent' : 'heartbeats_congested');
-      }
-    }
-  }
-
-  private hears(member: MemberId): boolean {
-    return this.peers.get(member)?.heard !== undefined && !this.suspects.has(member);
-  }
-
-  private heartbeatFor(peer: Peer, sequence: number, hears: readonly Peer[]): Heartbeat {
-    const { member, incarnation, region, dataCentre } = this.settings;
-    return {
-      member,
-      incarnation,
-      region,
-      dataCentre,
-      sequence,
-      echo: echoOf(peer),
-      phase: this.memberPhase,
-      hears: hears.map((heard) => heard.member),
-      suspects: [...this.suspects],
-      ...this.report,
-    };
-  }
-
   private refresh(): void {
     const now = this.clock.now();
     this.postAt(deadlineAfter(now, LIST_INTERVAL_MILLIS), { kind: 'refresh' });
-    void this.settings.vmList.list(deadlineAfter(now, ATTEMPT_MILLIS)).then((listing) => {
+    void this.settings.vmList.list(deadlineAfter(now, LIST_MILLIS)).then((listing) => {
       this.post({ kind: 'listed', listing });
     });
   }
@@ -247,15 +153,14 @@
     const now = this.clock.now();
     const before = this.listingKey();
     for (const peer of this.peers.list(listing.vms, now)) {
-      peer.dialFrom = deadlineAfter(this.dialBase(peer), 0);
       this.suspicion.expect(peer.member, now);
-      this.dialIfDue(peer);
+      this.links.expect(peer);
     }
     this.listedAsLeaving = listing.vms.some(
       (vm) => vm.role === 'entry' && vm.member === this.settings.member && vm.state === 'leaving',
     );
     if (this.listingKey() !== before) {
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
@@ -265,83 +170,28 @@
     return JSON.stringify([this.listedAsLeaving, entries]);
   }
 
-  private dialIfDue(peer: Peer): void {
-    const { listed, connection, dialling, dialFrom } = peer;
-    const now = this.clock.now();
-    if (listed === undefined || connection !== undefined || dialling || !hasPassed(dialFrom, now)) {
-      return;
-    }
-    peer.dialling = true;
-    const deadline = deadlineAfter(now, ATTEMPT_MILLIS);
-    void this.settings.dialler.dial(listed.address, deadline).then((opened) => {
-      const posted = this.post({ kind: 'dialled', member: peer.member, connection: opened });
-      if (posted !== 'accepted') {
-        opened?.close();
-      }
-    });
-  }
-
-  private dialled(member: MemberId, connection: Connection | undefined): void {
-    const peer = this.peers.ensure(member);
-    peer.dialling = false;
-    if (connection === undefined) {
-      this.settings.count('dials_failed');
-      this.scheduleDial(peer);
-      return;
-    }
-    this.adopt(connection);
-    this.assign(connection, peer);
-    this.sendHeartbeats([peer]);
-  }
-
-  private scheduleDial(peer: Peer): void {
-    peer.failures += 1;
-    peer.dialFrom = nextAttempt(peer.failures, this.dialBase(peer), this.settings.random);
-  }
-
-  /** The member with the lower id dials at once, the other one only if that did not help. */
-  private dialBase(peer: Peer): Instant {
-    const grace = this.settings.member < peer.member ? 0 : DIAL_GRACE_MILLIS;
-    return brandAs<Instant>(this.clock.now() + grace);
-  }
-
-  private adopt(connection: Connection): void {
-    this.unnamed.add(connection);
-    for (const [method, handler] of this.handlers) {
-      connection.handle(method, handler);
+  private dialled(peer: Peer, connection: Connection | undefined): void {
+    if (this.links.dialled(peer, connection)) {
+      this.announcer.sendTo([peer], this.suspects);
+      this.subscribers.publish(this.view());
     }
-    connection.handle(HEARTBEAT_METHOD, (params) => {
-      this.post({ kind: 'received', connection, params });
-    });
-    void connection.ended.then(() => {
-      this.post({ kind: 'ended', connection });
-    });
   }
 
-  /** Makes the connection the peer's own; an earlier one is closed. */
-  private assign(connection: Connection, peer: Peer): void {
-    this.unnamed.delete(connection);
-    if (peer.connection === connection) {
-      return;
-    }
-    if (peer.connection !== undefined) {
-      this.settings.count('connections_replaced');
-      peer.connection.close();
+  private ended(connection: Connection): void {
+    if (this.links.ended(connection) !== undefined) {
+      this.subscribers.publish(this.view());
     }
-    peer.connection = connection;
-    this.peers.updateForgetting(peer, this.clock.now());
-    this.publish(this.view());
   }
 
   private received(connection: Connection, params: unknown): void {
-    const heartbeat = parseHeartbeat(params);
-    if (heartbeat === undefined || !this.mayCome(connection, heartbeat)) {
+    const heartbeat = this.receiver.receive(connection, params);
+    if (heartbeat === undefined || !this.links.mayCarry(connection, heartbeat.member)) {
       this.settings.count('heartbeats_malformed');
       return;
     }
     const peer = this.peers.ensure(heartbeat.member);
-    if (this.unnamed.has(connection)) {
-      this.assign(connection, peer);
+    if (this.links.name(connection, peer)) {
+      this.subscribers.publish(this.view());
     }
     if (isLate(peer, heartbeat)) {
       this.settings.count('heartbeats_late');
@@ -351,25 +201,20 @@
     this.takeHeartbeat(peer, heartbeat);
   }
 
-  /** Whether the connection may carry this name: each carries one, and never our own. */
-  private mayCome(connection: Connection, { member }: Heartbeat): boolean {
-    const named = this.peers.byConnection(connection);
-    return member !== this.settings.member && (named === undefined || named.member === member);
-  }
-
   private takeHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
     const now = this.clock.now();
     const before = peer.heard?.heartbeat;
     peer.failures = 0;
-    peer.heard = { heartbeat, madeAfter: this.sent.instantOf(heartbeat.echo) };
+    noteReceipt(peer, heartbeat, now);
+    peer.heard = { heartbeat, madeAfter: this.announcer.instantOf(heartbeat.echo) };
     if (this.servesOwners(heartbeat)) {
       this.suspicion.heard(peer.member, now);
     } else {
       this.suspicion.expect(peer.member, now);
     }
-    this.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
-    if (before?.incarnation !== heartbeat.incarnation || before.phase !== heartbeat.phase) {
-      this.publish(this.view());
+    this.subscribers.publish({ kind: 'heard', view: viewOf(peer, this.suspects), at: now });
+    if (before === undefined || changesView(before, heartbeat)) {
+      this.subscribers.publish(this.view());
     }
     this.updateSuspects();
   }
@@ -379,19 +224,7 @@
    * not counted as heard, so that a majority may hand its shards to others.
    */
   private servesOwners(heartbeat: Heartbeat): boolean {
-    return heartbeat.logAnswers || !this.report.logAnswers;
-  }
-
-  private ended(connection: Connection): void {
-    this.unnamed.delete(connection);
-    const peer = this.peers.byConnection(connection);
-    if (peer === undefined) {
-      return;
-    }
-    peer.connection = undefined;
-    this.scheduleDial(peer);
-    this.peers.updateForgetting(peer, this.clock.now());
-    this.publish(this.view());
+    return heartbeat.logAnswers || !this.announcer.logAnswers;
   }
 
   private forgetSilent(): void {
@@ -401,43 +234,13 @@
     }
     if (gone.length > 0) {
       this.updateSuspects();
-      this.publish(this.view());
+      this.subscribers.publish(this.view());
     }
   }
 
-  private connections(): Connection[] {
-    const named = this.peers.all().flatMap(({ connection }) => connection ?? []);
-    return [...named, ...this.unnamed];
-  }
-
   private view(): MembersEvent {
     const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
-    const leaving = this.memberPhase !== 'serving' || this.listedAsLeaving;
+    const leaving = this.announcer.phase !== 'serving' || this.listedAsLeaving;
     return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
   }
-
-  private publish(event: MembersEvent): void {
-    for (const subscriber of this.subscribers) {
-      this.send(subscriber, event);
-    }
-  }
-
-  private send(subscriber: Address<MembersEvent>, event: MembersEvent): void {
-    const posted = subscriber.post(event);
-    if (posted === 'stopped') {
-      this.subscribers.delete(subscriber);
-    } else if (posted === 'full') {
-      this.settings.count('events_dropped');
-    }
-  }
-}
-
-function sameMembers(left: ReadonlySet<MemberId>, right: ReadonlySet<MemberId>): boolean {
-  return left.size === right.size && [...left].every((member) => right.has(member));
-}
-
-/** Whether a newer heartbeat of the same incarnation has come before. */
-function isLate(peer: Peer, { incarnation, sequence }: Heartbeat): boolean {
-  const known = peer.heard?.heartbeat;
-  return known?.incarnation === incarnation && sequence <= known.sequence;
 }
