--- a/packages/membership/src/members.fixture.ts
+++ b/packages/membership/src/members.fixture.ts
@@ -82,7 +82,7 @@
 }
 
 /** A list that shows what it was last given. */
-class FixedVmList extends VmList {
+export class FixedVmList extends VmList {
   listing: VmListing = { kind: 'listed', vms: [] };
 
   list(): Promise<VmListing> {
