--- a/packages/stand-ins/src/worker-main.ts
+++ b/packages/stand-ins/src/worker-main.ts
@@ -1,6 +1,7 @@
 /** A worker stand-in as a process. */
 
 import { parseArgs } from 'node:util';
+import { z } from 'zod';
 import { SystemClock } from '@bamboowell/kernel/clock';
 import { brandAs, type DataCentreId, type RackId, type WorkerId } from '@bamboowell/types/ids';
 import type { WorkerProfile } from '@bamboowell/types/work';
@@ -20,21 +21,37 @@
   },
 });
 
+const number = z.coerce.number().int().nonnegative();
+
+const settings = z
+  .object({
+    id: z.string().min(1),
+    'data-centre': z.string().min(1),
+    rack: z.string().min(1),
+    host: z.string(),
+    port: number.max(65535),
+    millicores: number,
+    'memory-mib': number,
+    accelerators: number,
+    slots: number,
+  })
+  .parse(values);
+
 const profile: WorkerProfile = {
-  id: brandAs<WorkerId>(values.id ?? 'worker'),
-  dataCentre: brandAs<DataCentreId>(values['data-centre'] ?? 'data-centre'),
-  rack: brandAs<RackId>(values.rack ?? 'rack'),
+  id: brandAs<WorkerId>(settings.id),
+  dataCentre: brandAs<DataCentreId>(settings['data-centre']),
+  rack: brandAs<RackId>(settings.rack),
   capacity: {
-    millicores: Number(values.millicores),
-    memoryMib: Number(values['memory-mib']),
-    accelerators: Number(values.accelerators),
-    slots: Number(values.slots),
+    millicores: settings.millicores,
+    memoryMib: settings['memory-mib'],
+    accelerators: settings.accelerators,
+    slots: settings.slots,
   },
 };
 
 const server = new WorkerServer({
-  host: values.host,
-  port: Number(values.port),
+  host: settings.host,
+  port: settings.port,
   profile,
   clock: new SystemClock(),
 });
--- a/packages/worker/src/remote-worker.fixture.ts
+++ b/packages/worker/src/remote-worker.fixture.ts
@@ -16,9 +16,13 @@
 import { Listener } from '@bamboowell/wire/listener';
 import { MemoryMeter } from '@bamboowell/wire/meter';
 import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
-import { HOST, farDeadline, type Teardown } from '@bamboowell/wire/wire.fixture';
+import { HOST, farDeadline, later, type Teardown } from '@bamboowell/wire/wire.fixture';
 import { digestOf } from './digest.js';
-import { RemoteWorker } from './remote-worker.js';
+import {
+  RemoteWorker,
+  type RemoteWorkerMessage,
+  type RemoteWorkerOptions,
+} from './remote-worker.js';
 
 const COMMANDS = ['attach', 'start', 'renew', 'stop', 'throttle', 'forget'];
 
@@ -40,12 +44,17 @@
   readonly got: Inbox<Got>;
 }
 
+/** What a test changes about the link and its worker. */
+export interface Script {
+  /** Stands before the inbox of the reports. */
+  readonly through?: (reports: Inbox<WorkerReport>) => MailboxAddress<WorkerReport>;
+  /** Sets further handlers of the worker. */
+  readonly accepted?: (connection: TcpConnection) => void;
+  readonly make?: (options: RemoteWorkerOptions) => RemoteWorker;
+}
+
 /** A link to a worker that answers nothing by itself. */
-export async function scripted(
-  t: Teardown,
-  through: (reports: Inbox<WorkerReport>) => MailboxAddress<WorkerReport> = (reports) => reports,
-  setUp: (connection: TcpConnection) => void = () => undefined,
-): Promise<Scripted> {
+export async function scripted(t: Teardown, script: Script = {}): Promise<Scripted> {
   const clock = new ManualClock();
   const workerClock = new ManualClock();
   const got = new Inbox<Got>();
@@ -57,20 +66,21 @@
       for (const method of COMMANDS) {
         connection.handle(method, (params) => got.post({ connection, method, params }));
       }
-      setUp(connection);
+      script.accepted?.(connection);
     },
   });
   const address = await listener.listen();
   const reports = new Inbox<WorkerReport>();
   const meter = new MemoryMeter();
-  const link = new RemoteWorker({
+  const options = {
     worker: brandAs<WorkerId>('worker-1'),
     address,
     clock,
     meter,
-    reports: through(reports),
+    reports: script.through?.(reports) ?? reports,
     random: () => 0.5,
-  });
+  };
+  const link = script.make?.(options) ?? new RemoteWorker(options);
   await link.start();
   t.teardown(async () => {
     await link.close();
@@ -127,3 +137,35 @@
   await script.reports.next();
   return connection;
 }
+
+/** A link whose task can be held up when its connection ends. */
+class HeldWorker extends RemoteWorker {
+  private gate: Promise<void> | undefined;
+  private readonly end = later<undefined>();
+
+  /** Handles nothing between the end of the connection and `until`; resolves at that end. */
+  holdFromEndOn(until: Promise<void>): Promise<void> {
+    this.gate = until;
+    return this.end.value;
+  }
+
+  protected override async receive(message: RemoteWorkerMessage): Promise<void> {
+    if (message.kind === 'connection_ended') {
+      this.end.give(undefined);
+      await this.gate;
+    }
+    await super.receive(message);
+  }
+}
+
+/** As `scripted`, with a link that can be held up. */
+export async function scriptedHeld(t: Teardown) {
+  const made = later<HeldWorker>();
+  const make = (options: RemoteWorkerOptions): RemoteWorker => {
+    const held = new HeldWorker(options);
+    made.give(held);
+    return held;
+  };
+  const script = await scripted(t, { make });
+  return { script, held: await made.value };
+}
--- a/packages/worker/src/remote-worker.test.ts
+++ b/packages/worker/src/remote-worker.test.ts
@@ -12,6 +12,7 @@
   attached,
   attachedOf,
   scripted,
+  scriptedHeld,
   startOf,
   succeededOf,
 } from './remote-worker.fixture.js';
@@ -104,6 +105,26 @@
   t.like(await script.reports.next(), { kind: 'attached' });
 });
 
+test('a start that was taken while the connection ended is not sent on the next one', async (t) => {
+  const { script, held } = await scriptedHeld(t);
+  const connection = await attached(script);
+  const gate = later<undefined>();
+  const ended = held.holdFromEndOn(gate.value);
+  connection.close();
+  await ended;
+  t.like(script.link.send(startOf('w/0#1')), { kind: 'done' });
+  gate.give(undefined);
+  t.like(await script.reports.next(), { kind: 'detached' });
+  t.like(await script.reports.next(), { kind: 'start_refused', why: 'not_sent' });
+  script.clock.advance(1000);
+  const again = await script.got.next();
+  t.is(again.method, 'attach');
+  again.connection.notify('attached', attachedOf());
+  await script.reports.next();
+  script.link.send(startOf('w/1#1'));
+  t.like(await script.got.next(), { method: 'start', params: { attempt: 'w/1#1' } });
+});
+
 test('a silent worker is detached, and a new connection is opened', async (t) => {
   const script = await scripted(t);
   await attached(script);
@@ -148,11 +169,13 @@
 
 test('a damaged answer is asked for again and passed on whole', async (t) => {
   const asked: unknown[] = [];
-  const script = await scripted(t, undefined, (accepted) => {
-    accepted.handle('report_again', (params) => {
-      asked.push(params);
-      return succeededOf('whole');
-    });
+  const script = await scripted(t, {
+    accepted: (accepted) => {
+      accepted.handle('report_again', (params) => {
+        asked.push(params);
+        return succeededOf('whole');
+      });
+    },
   });
   const connection = await attached(script);
   connection.notify('ended', endedOf('w/0#1', succeededOf('whole', 'who')));
@@ -166,8 +189,10 @@
 });
 
 test('an answer of the right length with another digest is damaged, twice is a failure', async (t) => {
-  const script = await scripted(t, undefined, (accepted) => {
-    accepted.handle('report_again', () => succeededOf('whole', 'whale'));
+  const script = await scripted(t, {
+    accepted: (accepted) => {
+      accepted.handle('report_again', () => succeededOf('whole', 'whale'));
+    },
   });
   const connection = await attached(script);
   connection.notify('ended', endedOf('w/0#1', succeededOf('whole', 'whale')));
@@ -177,10 +202,12 @@
 });
 
 test('a cut checkpoint is never passed on', async (t) => {
-  const script = await scripted(t, undefined, (accepted) => {
-    accepted.handle('report_again', () => {
-      throw new Error('not kept');
-    });
+  const script = await scripted(t, {
+    accepted: (accepted) => {
+      accepted.handle('report_again', () => {
+        throw new Error('not kept');
+      });
+    },
   });
   const connection = await attached(script);
   const outcome = { kind: 'checkpointed', checkpoint: 'sav', ...digestOf('saved') };
@@ -190,11 +217,13 @@
 
 test('a worker that does not report again is attached anew', async (t) => {
   const begun = later<null>();
-  const script = await scripted(t, undefined, (accepted) => {
-    accepted.handle('report_again', () => {
-      begun.give(null);
-      return new Promise(() => undefined);
-    });
+  const script = await scripted(t, {
+    accepted: (accepted) => {
+      accepted.handle('report_again', () => {
+        begun.give(null);
+        return new Promise(() => undefined);
+      });
+    },
   });
   const connection = await attached(script);
   connection.notify('ended', endedOf('w/0#1', succeededOf('whole', 'who')));
@@ -204,13 +233,15 @@
 });
 
 test('reading goes on while an answer is asked for again', async (t) => {
-  const script = await scripted(t, undefined, (accepted) => {
-    accepted.handle('report_again', () => {
-      for (let index = 0; index < MAX_WAITING_REPORTS * 2; index += 1) {
-        accepted.notify('started', { attempt: `w/${index}#2` });
-      }
-      return succeededOf('whole');
-    });
+  const script = await scripted(t, {
+    accepted: (accepted) => {
+      accepted.handle('report_again', () => {
+        for (let index = 0; index < MAX_WAITING_REPORTS * 2; index += 1) {
+          accepted.notify('started', { attempt: `w/${index}#2` });
+        }
+        return succeededOf('whole');
+      });
+    },
   });
   const connection = await attached(script);
   connection.notify('ended', endedOf('w/0#1', succeededOf('whole', 'who')));
@@ -232,9 +263,11 @@
 
 test('while the reports wait for room reading pauses, and none is lost', async (t) => {
   let isFull = false;
-  const script = await scripted(t, (reports) => ({
-    post: (report) => (isFull ? 'full' : reports.post(report)),
-  }));
+  const script = await scripted(t, {
+    through: (reports) => ({
+      post: (report) => (isFull ? 'full' : reports.post(report)),
+    }),
+  });
   const connection = await attached(script);
   isFull = true;
   const count = MAX_WAITING_REPORTS * 4;
--- a/packages/worker/src/remote-worker.ts
+++ b/packages/worker/src/remote-worker.ts
@@ -103,7 +103,7 @@
     this.isAttached = false;
   }
 
-  protected receive(message: RemoteWorkerMessage): void {
+  protected receive(message: RemoteWorkerMessage): Promise<void> | void {
     match(message)
       .with({ kind: 'connect' }, () => {
         this.connect();
