Compress long log entries

Cause: the paid link between regions carries every entry to every reader. Change: entries of 1,000 characters or more are deflated, in base64; bounded when decompressed. Short ones stay readable.

--- a/packages/log/src/entry-format.ts
+++ b/packages/log/src/entry-format.ts
@@ -1,8 +1,10 @@
 /**
  * Text form of one log entry, which packs the records of one append:
  * `{"version":1,"writers":["w"],"records":[[writer index, sequence, record], ...]}`.
+ * A long one is compressed: `deflate:` and the raw deflate stream of the JSON in base64.
  */
 
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { z } from 'zod';
 import { brandAs, type Sequence, type WriterId } from '@bamboowell/types/ids';
 import type { Stamped } from '@bamboowell/types/records';
@@ -10,6 +12,13 @@
 
 const FORMAT_VERSION = 1;
 
+/** Shorter entries stay readable: they would gain little. */
+const MIN_COMPRESSED_CHARACTERS = 1000;
+const COMPRESSED_PREFIX = 'deflate:';
+
+/** Most bytes that an entry may have once it is decompressed. */
+const MAX_ENTRY_BYTES = 16_000_000;
+
 /** Bytes of a record's stamp in an entry, at most. */
 const RECORD_OVERHEAD_BYTES = 32;
 
@@ -37,7 +46,9 @@
   const texts = records.map(
     ({ writer, sequence, text }) => `[${writers.indexOf(writer)},${sequence},${text}]`,
   );
-  return `{"version":${FORMAT_VERSION},"writers":${JSON.stringify(writers)},"records":[${texts.join(',')}]}`;
+  return compress(
+    `{"version":${FORMAT_VERSION},"writers":${JSON.stringify(writers)},"records":[${texts.join(',')}]}`,
+  );
 }
 
 /** The records of an entry, or nothing if any part of it can't be decoded. Never throws. */
@@ -45,7 +56,7 @@
   body: string,
   codec: Codec<Entry>,
 ): readonly Stamped<Entry>[] | undefined {
-  const entry = entrySchema.safeParse(parseJson(body));
+  const entry = entrySchema.safeParse(parseEntry(body));
   if (!entry.success) {
     return undefined;
   }
@@ -65,10 +76,25 @@
   return records;
 }
 
-function parseJson(text: string): unknown {
+function compress(text: string): string {
+  return text.length < MIN_COMPRESSED_CHARACTERS
+    ? text
+    : COMPRESSED_PREFIX + deflateRawSync(text).toString('base64');
+}
+
+function parseEntry(body: string): unknown {
   try {
-    return JSON.parse(text) as unknown;
+    return JSON.parse(decompress(body)) as unknown;
   } catch {
     return undefined;
   }
 }
+
+/** @throws Error if the text is not what `compress` made, or longer than an entry may be. */
+function decompress(body: string): string {
+  if (!body.startsWith(COMPRESSED_PREFIX)) {
+    return body;
+  }
+  const compressed = Buffer.from(body.slice(COMPRESSED_PREFIX.length), 'base64');
+  return inflateRawSync(compressed, { maxOutputLength: MAX_ENTRY_BYTES }).toString();
+}
