--- a/packages/log/src/entry-format.test.ts
+++ b/packages/log/src/entry-format.test.ts
@@ -91,14 +91,14 @@
 }
 
 test('every kind of record comes back as it was, in plain and in compressed entries', (t) => {
-  const shards = unpackEntry(packed(SHARD_RECORDS, shardCodec()), shardCodec());
-  const cells = unpackEntry(packed(CELL_RECORDS, cellCodec()), cellCodec());
+  const shards = unpackEntry(packed(SHARD_RECORDS, shardCodec()), shardCodec()) ?? [];
+  const cells = unpackEntry(packed(CELL_RECORDS, cellCodec()), cellCodec()) ?? [];
   t.deepEqual(
-    shards?.map(({ record }) => record),
+    shards.map(({ record }) => record),
     SHARD_RECORDS,
   );
   t.deepEqual(
-    cells?.map(({ record }) => record),
+    cells.map(({ record }) => record),
     CELL_RECORDS,
   );
   t.deepEqual(
