Leave out whole lanes in a round by their smallest needs

Change: a lane keeps all its entries by age and its smallest needs; a pass goes by age until a size is not admitted, then ends if the smallest needs are not admitted either, and only otherwise orders the sizes. Proof: property test that all that fits is returned whatever is blocked.

--- a/packages/policy/src/fair-round.ts
+++ b/packages/policy/src/fair-round.ts
@@ -2,10 +2,10 @@
 
 import type { TeamId, WorkId } from '@bamboowell/types/ids';
 import type { Urgency } from '@bamboowell/types/work';
-import type { Candidate, Obstacle, Round } from './ordering.js';
+import type { Candidate, Obstacle, Round, Size } from './ordering.js';
 import type { DominantShares } from './dominant-shares.js';
 import type { Hold } from './hold.js';
-import { LanePass, type Admission } from './lane-pass.js';
+import { LanePass } from './lane-pass.js';
 import { Obstacles } from './obstacles.js';
 import { isOlder, type WaitingEntry } from './waiting-list.js';
 import type { WaitingTeam, WaitingTeams } from './waiting-teams.js';
@@ -87,28 +87,29 @@
   }
 
   private passOf(team: WaitingTeam): TeamPass {
-    const admissionOf = (entry: WaitingEntry) => this.admissionOf(entry);
+    const pass = (urgency: Urgency) =>
+      new LanePass(team.lanes[urgency], {
+        isOpen: (entry) => this.isOpen(entry),
+        admits: (size) => this.admits(team.team, urgency, size),
+      });
     return {
       team,
-      urgent: new LanePass(team.lanes.urgent, admissionOf),
-      ordinary: new LanePass(team.lanes.ordinary, admissionOf),
-      patient: new LanePass(team.lanes.patient, admissionOf),
+      urgent: pass('urgent'),
+      ordinary: pass('ordinary'),
+      patient: pass('patient'),
     };
   }
 
-  private admissionOf(entry: WaitingEntry): Admission {
-    const { candidate } = entry;
-    if (!entry.waiting || this.returned.has(candidate.work)) {
-      return 'leave_out';
-    }
-    if (this.obstacles.block(candidate)) {
-      return 'leave_out_size';
+  private isOpen({ candidate, waiting }: WaitingEntry): boolean {
+    return waiting && !this.returned.has(candidate.work);
+  }
+
+  private admits(team: TeamId, urgency: Urgency, size: Size): boolean {
+    if (this.obstacles.block(team, size)) {
+      return false;
     }
     const hold = this.context.hold();
-    if (candidate.urgency === 'urgent' || hold === undefined || hold.work === candidate.work) {
-      return 'admitted';
-    }
-    return hold.admits(candidate) ? 'admitted' : 'leave_out_size';
+    return urgency === 'urgent' || hold === undefined || hold.admits(size);
   }
 
   /** The head of the team with the smallest share; the older one among equals. */
@@ -132,7 +133,10 @@
   private heldEntry(): WaitingEntry | undefined {
     const hold = this.context.hold();
     const entry = hold === undefined ? undefined : this.context.waiting.get(hold.work);
-    return entry !== undefined && this.admissionOf(entry) === 'admitted' ? entry : undefined;
+    if (entry === undefined || !this.isOpen(entry)) {
+      return undefined;
+    }
+    return this.obstacles.block(entry.candidate.team, entry.candidate) ? undefined : entry;
   }
 
   /** The oldest overdue work of the teams that have had no start for long. */
--- a/packages/policy/src/fair-share.test.ts
+++ b/packages/policy/src/fair-share.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { brandAs, type TeamId, type WorkId, type WorkerId } from '@bamboowell/types/ids';
 import {
+  fits,
   multiply,
   NOTHING,
   resourcesOf,
@@ -374,6 +375,53 @@
   });
 });
 
+test('whatever is blocked, all that fits is returned, and nothing as large as what was blocked', (t) => {
+  const anyCandidate = fc.record({
+    millicores: fc.integer({ min: 1, max: 4 }),
+    memoryMib: fc.integer({ min: 1, max: 4 }),
+    together: fc.integer({ min: 1, max: 2 }),
+    team: fc.nat(2),
+    urgency: fc.constantFrom('ordinary', 'patient'),
+  });
+  const property = fc.property(
+    fc.array(anyCandidate, { maxLength: 40 }),
+    fc.record({ millicores: fc.nat(4), memoryMib: fc.nat(4), together: fc.nat(2) }),
+    (drawn, room) => {
+      const candidates = drawn.map(
+        ({ millicores, memoryMib, together, team: number, urgency }, index) =>
+          candidateOf(`w${index}`, `team${number}`, {
+            demand: { ...NOTHING, millicores, memoryMib },
+            together,
+            urgency,
+          }),
+      );
+      const mayStart = ({ demand, together }: Candidate) =>
+        demand.millicores <= room.millicores &&
+        demand.memoryMib <= room.memoryMib &&
+        together <= room.together;
+      const round = orderingOf(...candidates).round(at(0));
+      const blocked: Candidate[] = [];
+      const started = new Set<string>();
+      for (let next = round.next(); next !== undefined; next = round.next()) {
+        const { demand, together } = next;
+        if (blocked.some((other) => fits(other.demand, demand) && other.together <= together)) {
+          return false;
+        }
+        if (mayStart(next)) {
+          started.add(next.work);
+        } else {
+          round.blocked(next, 'no_worker_fits');
+          blocked.push(next);
+        }
+      }
+      return candidates.filter(mayStart).every(({ work }) => started.has(work));
+    },
+  );
+  t.notThrows(() => {
+    fc.assert(property, { seed: 13, numRuns: 500 });
+  });
+});
+
 test('counts by queue and team follow a wave of cancellations', (t) => {
   const ordering = orderingOf(...manyOf('a', 1000), ...manyOf('b', 10));
   for (const { work } of manyOf('a', 990).reverse()) {
--- a/packages/policy/src/hold.ts
+++ b/packages/policy/src/hold.ts
@@ -11,7 +11,7 @@
   type Resources,
 } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
-import type { Candidate } from './ordering.js';
+import type { Candidate, Size } from './ordering.js';
 
 /** Length of time after which twice as much room is kept. */
 export const HOLD_WIDEN_MILLIS = 30_000;
@@ -56,7 +56,7 @@
   }
 
   /** Whether the other work leaves enough room, in each dimension that both need. */
-  admits(other: Candidate): boolean {
+  admits(other: Size): boolean {
     const needed = add(this.kept, totalOf(other));
     return DIMENSIONS.every(
       (dimension) =>
@@ -68,6 +68,6 @@
 }
 
 /** The size of all tasks that must start together. */
-export function totalOf(candidate: Candidate): Resources {
-  return multiply(candidate.demand, candidate.together);
+export function totalOf(size: Size): Resources {
+  return multiply(size.demand, size.together);
 }
--- a/packages/policy/src/obstacles.ts
+++ b/packages/policy/src/obstacles.ts
@@ -1,32 +1,26 @@
 /** What could not start in a round, so that nothing as large is tried in vain. */
 
 import type { TeamId } from '@bamboowell/types/ids';
-import { fits, type Resources } from '@bamboowell/types/resources';
-import type { Candidate, Obstacle } from './ordering.js';
+import { fits } from '@bamboowell/types/resources';
+import type { Candidate, Obstacle, Size } from './ordering.js';
 import { totalOf } from './hold.js';
 
-/** One size that could not start. */
-interface BlockedSize {
-  readonly amount: Resources;
-  readonly together: number;
-}
-
 /** Smallest sizes that could not start; none is at least as large as another. */
 class BlockedSizes {
-  private sizes: BlockedSize[] = [];
+  private sizes: Size[] = [];
 
-  add(size: BlockedSize): void {
+  add(size: Size): void {
     this.sizes = this.sizes.filter((other) => !isAtMost(size, other));
     this.sizes.push(size);
   }
 
-  cover(size: BlockedSize): boolean {
+  cover(size: Size): boolean {
     return this.sizes.some((other) => isAtMost(other, size));
   }
 }
 
-function isAtMost(left: BlockedSize, right: BlockedSize): boolean {
-  return left.together <= right.together && fits(left.amount, right.amount);
+function isAtMost(left: Size, right: Size): boolean {
+  return left.together <= right.together && fits(left.demand, right.demand);
 }
 
 /** The obstacles met in one round. */
@@ -36,21 +30,25 @@
 
   add(candidate: Candidate, obstacle: Obstacle): void {
     if (obstacle === 'no_worker_fits') {
-      this.noWorkerFits.add({ amount: candidate.demand, together: candidate.together });
+      this.noWorkerFits.add(candidate);
       return;
     }
     const sizes = this.teamLimits.get(candidate.team) ?? new BlockedSizes();
     this.teamLimits.set(candidate.team, sizes);
-    sizes.add({ amount: totalOf(candidate), together: 1 });
+    sizes.add(inTotal(candidate));
   }
 
   /** Whether something at most as large could not start. */
-  block(candidate: Candidate): boolean {
-    const { demand, together, team } = candidate;
-    if (this.noWorkerFits.cover({ amount: demand, together })) {
+  block(team: TeamId, size: Size): boolean {
+    if (this.noWorkerFits.cover(size)) {
       return true;
     }
     const limits = this.teamLimits.get(team);
-    return limits?.cover({ amount: totalOf(candidate), together: 1 }) === true;
+    return limits?.cover(inTotal(size)) === true;
   }
 }
+
+/** A limit counts what starts together, whatever its parts. */
+function inTotal(size: Size): Size {
+  return { demand: totalOf(size), together: 1 };
+}
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -5,16 +5,20 @@
 import type { Instant } from '@bamboowell/types/time';
 import type { Urgency } from '@bamboowell/types/work';
 
+/** What must find room at once. */
+export interface Size {
+  /** Size of one task. */
+  readonly demand: Resources;
+  /** Tasks that must start together: all of a gang, one otherwise. */
+  readonly together: number;
+}
+
 /** Work that has tasks to start. */
-export interface Candidate {
+export interface Candidate extends Size {
   readonly work: WorkId;
   readonly team: TeamId;
   readonly queue: QueueId;
   readonly urgency: Urgency;
-  /** Size of one task. */
-  readonly demand: Resources;
-  /** Tasks that must start together: all of a gang, one otherwise. */
-  readonly together: number;
   readonly waitingSince: Instant;
 }
 
--- a/packages/policy/src/waiting-list.ts
+++ b/packages/policy/src/waiting-list.ts
@@ -72,8 +72,10 @@
     while (this.entries[head]?.waiting === false) {
       head += 1;
     }
-    this.entries.splice(0, head);
-    this.removed -= head;
+    if (head > 0) {
+      this.entries.splice(0, head);
+      this.removed -= head;
+    }
   }
 
   /** Position of the first entry that is younger than the given one. */
--- a/packages/policy/src/waiting-teams.ts
+++ b/packages/policy/src/waiting-teams.ts
@@ -1,13 +1,10 @@
-/** The set of waiting work, by team, urgency and size. */
+/** The set of waiting work, by team and urgency. */
 
 import type { QueueId, TeamId, WorkId } from '@bamboowell/types/ids';
 import type { Urgency } from '@bamboowell/types/work';
-import { capacityKeyOf } from './fleet-index.js';
+import { Lane } from './lane.js';
 import type { Candidate } from './ordering.js';
-import { WaitingList, type WaitingEntry } from './waiting-list.js';
-
-/** Waiting work of one team, urgency and size, by its key. */
-export type Lane = Map<string, WaitingList>;
+import type { WaitingEntry } from './waiting-list.js';
 
 /** Waiting work of one team. */
 export interface WaitingTeam {
@@ -49,7 +46,7 @@
     this.nextSequence += 1;
     this.entries.set(candidate.work, entry);
     const team = this.teamOf(candidate.team);
-    listOf(team.lanes[candidate.urgency], candidate).insert(entry);
+    team.lanes[candidate.urgency].insert(entry);
     team.size += 1;
     this.queueSizes.set(candidate.queue, this.waitingIn(candidate.queue) + 1);
   }
@@ -67,7 +64,7 @@
   private teamOf(id: TeamId): WaitingTeam {
     const team = this.byTeam.get(id) ?? {
       team: id,
-      lanes: { urgent: new Map(), ordinary: new Map(), patient: new Map() },
+      lanes: { urgent: new Lane(), ordinary: new Lane(), patient: new Lane() },
       size: 0,
     };
     this.byTeam.set(id, team);
@@ -77,12 +74,7 @@
   private removeFromTeam(entry: WaitingEntry): void {
     const { candidate } = entry;
     const team = this.teamOf(candidate.team);
-    const lane = team.lanes[candidate.urgency];
-    const list = listOf(lane, candidate);
-    list.remove(entry);
-    if (list.size === 0) {
-      lane.delete(sizeKeyOf(candidate));
-    }
+    team.lanes[candidate.urgency].remove(entry);
     team.size -= 1;
     if (team.size === 0) {
       this.byTeam.delete(candidate.team);
@@ -97,14 +89,3 @@
     }
   }
 }
-
-function listOf(lane: Lane, candidate: Candidate): WaitingList {
-  const key = sizeKeyOf(candidate);
-  const list = lane.get(key) ?? new WaitingList();
-  lane.set(key, list);
-  return list;
-}
-
-function sizeKeyOf(candidate: Candidate): string {
-  return `${capacityKeyOf(candidate.demand)}x${candidate.together}`;
-}
