--- a/packages/demo/src/setup.ts
+++ b/packages/demo/src/setup.ts
@@ -18,7 +18,8 @@
 const APPLY_TRIES = 50;
 const IN_FORCE_TRIES = 100;
 
-const LIMIT = { millicores: 96_000, memoryMib: 196_608, accelerators: 4, slots: 24 };
+/** Upper limit of each team of the sample. */
+export const LIMIT = { millicores: 96_000, memoryMib: 196_608, accelerators: 4, slots: 24 };
 
 function sampleChanges(): Change[] {
   return [
