Find workers that fail everything in cells with one queue

Cause: evidence had to come from two queues, and each of today's users runs one booking or tracking service. Change: four different pieces of work of one queue that succeeded elsewhere in the meantime are evidence too. failed() takes the work's id. One bad job, or a queue that succeeds nowhere, still quarantines no worker (tested).

--- a/packages/policy/src/queue-suspicion.ts
+++ b/packages/policy/src/queue-suspicion.ts
@@ -8,6 +8,7 @@
 /** Keeps at most `SUSPECT_WORKERS` workers for each queue that has failed. */
 export class QueueSuspicion {
   private readonly failedOn = new Map<QueueId, Set<WorkerId>>();
+  private readonly successes = new Map<QueueId, number>();
 
   failed(queue: QueueId, worker: WorkerId): void {
     const workers = this.failedOn.get(queue) ?? new Set<WorkerId>();
@@ -19,6 +20,12 @@
 
   succeeded(queue: QueueId): void {
     this.failedOn.delete(queue);
+    this.successes.set(queue, this.successesOf(queue) + 1);
+  }
+
+  /** Number of attempts of the queue's work that succeeded. */
+  successesOf(queue: QueueId): number {
+    return this.successes.get(queue) ?? 0;
   }
 
   isSuspect(queue: QueueId): boolean {
--- a/packages/policy/src/worker-health.test.ts
+++ b/packages/policy/src/worker-health.test.ts
@@ -22,10 +22,21 @@
   return health;
 }
 
-/** Lets work of each queue fail on the worker. */
+function work(id: string): WorkId {
+  return brandAs<WorkId>(id);
+}
+
+/** Lets one piece of work of each queue fail on the worker. */
 function fail(health: WorkerHealth, number: number, queues: string[], now = 0): void {
   for (const id of queues) {
-    health.failed(worker(number), queue(id), at(now));
+    health.failed(worker(number), queue(id), work(`of-${id}`), at(now));
+  }
+}
+
+/** Lets pieces of work of one queue fail on the worker. */
+function failWorks(health: WorkerHealth, number: number, id: string, works: string[]): void {
+  for (const name of works) {
+    health.failed(worker(number), queue(id), work(name), at(0));
   }
 }
 
@@ -42,7 +53,7 @@
   const health = healthOf(30);
   fail(health, 1, ['a', 'a', 'a', 'a']);
   t.true(health.mayPlace(worker(1)));
-  t.deepEqual(health.failed(worker(1), queue('b'), at(0)), {
+  t.deepEqual(health.failed(worker(1), queue('b'), work('of-b'), at(0)), {
     worker: worker(1),
     standing: 'quarantined',
   });
@@ -115,14 +126,34 @@
   t.is(quarantinedAmong(health, 30), 1);
 });
 
+test('in a cell with one queue, a worker that fails many pieces that run elsewhere is found', (t) => {
+  const health = healthOf(30);
+  failWorks(health, 1, 'a', ['w1', 'w2', 'w3']);
+  health.succeeded(worker(2), queue('a'));
+  t.is(kindOf(health, 1), 'healthy');
+  failWorks(health, 1, 'a', ['w4']);
+  t.is(kindOf(health, 1), 'quarantined');
+});
+
+test('one bad job, or a queue that succeeds nowhere, does not quarantine a worker', (t) => {
+  const health = healthOf(30);
+  health.succeeded(worker(2), queue('a'));
+  failWorks(health, 1, 'a', ['w1', 'w2', 'w3', 'w4', 'w5']);
+  t.is(kindOf(health, 1), 'healthy');
+  failWorks(health, 3, 'a', ['bad', 'bad', 'bad', 'bad', 'bad']);
+  health.succeeded(worker(2), queue('a'));
+  failWorks(health, 3, 'a', ['bad']);
+  t.is(kindOf(health, 3), 'healthy');
+});
+
 test('a job that fails on several good workers is set aside, and comes back on request', (t) => {
   const health = new JobHealth();
-  const work = brandAs<WorkId>('work');
-  const answers = [1, 1, 2, 3, 4].map((number) => health.failed(work, worker(number), true));
+  const job = work('job');
+  const answers = [1, 1, 2, 3, 4].map((number) => health.failed(job, worker(number), true));
   t.deepEqual(answers, [false, false, false, true, false]);
-  t.true(health.isSetAside(work));
-  health.succeeded(work);
-  t.false(health.isSetAside(work));
+  t.true(health.isSetAside(job));
+  health.succeeded(job);
+  t.false(health.isSetAside(job));
 });
 
 test('failures on a bad worker are not held against the job', (t) => {
@@ -131,9 +162,9 @@
   t.false(workers.isGood(worker(0), queue('a')));
   t.true(workers.isGood(worker(0), queue('other')));
   const jobs = new JobHealth();
-  const work = brandAs<WorkId>('work');
+  const job = work('job');
   for (let number = 0; number < FAILED_WORKERS + 2; number += 1) {
-    jobs.failed(work, worker(number), false);
+    jobs.failed(job, worker(number), false);
   }
-  t.false(jobs.isSetAside(work));
+  t.false(jobs.isSetAside(job));
 });
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -1,11 +1,16 @@
 /** Which workers get no work because they fail what they start. */
 
-import type { QueueId, WorkerId } from '@bamboowell/types/ids';
+import type { QueueId, WorkerId, WorkId } from '@bamboowell/types/ids';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import { QueueSuspicion } from './queue-suspicion.js';
 
 /** Queues whose work must have failed on a worker, with no success between. */
 export const FAILED_QUEUES = 2;
+/**
+ * Pieces of work of one queue that must have failed on a worker, with no success there and one
+ * elsewhere; for cells whose work comes from one queue.
+ */
+export const FAILED_WORKS = 4;
 /** Largest part of a shard's workers that may be quarantined; one may always be. */
 export const MAX_QUARANTINED_PART = 0.1;
 /** Length of the first quarantine; each further one in a row is twice as long. */
@@ -13,9 +18,17 @@
 /** Length of the longest quarantine. */
 export const LONGEST_QUARANTINE_MILLIS = 3_600_000;
 
+/** What of a queue failed on a worker since its last success. */
+interface QueueFailures {
+  /** At most `FAILED_WORKS`. */
+  readonly works: ReadonlySet<WorkId>;
+  /** Successes of the queue anywhere when the first of them failed. */
+  readonly successesBefore: number;
+}
+
 /** Where a worker stands. */
 export type Standing =
-  | { readonly kind: 'healthy'; readonly failedQueues: ReadonlySet<QueueId> }
+  | { readonly kind: 'healthy'; readonly failures: ReadonlyMap<QueueId, QueueFailures> }
   | { readonly kind: 'quarantined'; readonly until: Deadline; readonly times: number }
   /** Gets one attempt at a time until one succeeds. */
   | { readonly kind: 'probation'; readonly times: number; readonly underTrial: boolean };
@@ -26,11 +39,12 @@
   readonly standing: Standing['kind'];
 }
 
-const HEALTHY: Standing = { kind: 'healthy', failedQueues: new Set() };
+const HEALTHY: Standing = { kind: 'healthy', failures: new Map() };
 
 /**
- * Quarantines a worker on failures of different queues' work. A queue whose work fails on many
- * workers says nothing about any of them. When the bounded part of the shard is quarantined,
+ * Quarantines a worker on failures of different queues' work, or of many pieces of work of a queue
+ * that succeeds elsewhere. A queue whose work fails on many workers says nothing about any of them,
+ * and one piece of work never says enough. When the bounded part of the shard is quarantined,
  * further workers stay in use.
  */
 export class WorkerHealth {
@@ -58,7 +72,8 @@
   isGood(worker: WorkerId, queue: QueueId): boolean {
     const standing = this.standingOf(worker);
     return (
-      standing.kind === 'healthy' && [...standing.failedQueues].every((failed) => failed === queue)
+      standing.kind === 'healthy' &&
+      [...standing.failures.keys()].every((failed) => failed === queue)
     );
   }
 
@@ -88,7 +103,7 @@
     return standing.kind === 'probation' ? { worker, standing: 'healthy' } : undefined;
   }
 
-  failed(worker: WorkerId, queue: QueueId, now: Instant): HealthChange | undefined {
+  failed(worker: WorkerId, queue: QueueId, work: WorkId, now: Instant): HealthChange | undefined {
     this.suspicion.failed(queue, worker);
     const standing = this.standingOf(worker);
     if (standing.kind === 'quarantined') {
@@ -97,10 +112,10 @@
     if (standing.kind === 'probation') {
       return this.failedOnProbation(worker, queue, standing.times, now);
     }
-    const failedQueues = new Set([...standing.failedQueues, queue]);
-    this.standings.set(worker, { kind: 'healthy', failedQueues });
-    const telling = [...failedQueues].filter((failed) => !this.suspicion.isSuspect(failed));
-    return telling.length >= FAILED_QUEUES ? this.quarantine(worker, 1, now) : undefined;
+    const failures = new Map(standing.failures);
+    failures.set(queue, this.withFailure(failures.get(queue), queue, work));
+    this.standings.set(worker, { kind: 'healthy', failures });
+    return this.isEnough(failures) ? this.quarantine(worker, 1, now) : undefined;
   }
 
   /** Puts workers whose quarantine is over on probation. */
@@ -136,6 +151,30 @@
     this.standings.delete(worker);
   }
 
+  private withFailure(
+    earlier: QueueFailures | undefined,
+    queue: QueueId,
+    work: WorkId,
+  ): QueueFailures {
+    const works = new Set(earlier?.works);
+    if (works.size < FAILED_WORKS) {
+      works.add(work);
+    }
+    const successesBefore = earlier?.successesBefore ?? this.suspicion.successesOf(queue);
+    return { works, successesBefore };
+  }
+
+  private isEnough(failures: ReadonlyMap<QueueId, QueueFailures>): boolean {
+    const telling = [...failures].filter(([queue]) => !this.suspicion.isSuspect(queue));
+    return (
+      telling.length >= FAILED_QUEUES ||
+      telling.some(
+        ([queue, { works, successesBefore }]) =>
+          works.size >= FAILED_WORKS && this.suspicion.successesOf(queue) > successesBefore,
+      )
+    );
+  }
+
   private failedOnProbation(
     worker: WorkerId,
     queue: QueueId,
