Let owners use the policies for limits, health, preemption, overuse and routing

Cause: the owner kept first versions of decisions that the policy package has by now, and had none for failing workers, failing jobs, urgent work without room and overuse. Where a limit was lowered, each shard gave up its part of what was still too much, again and again, and so more than needed. Change: the fold settles each shard's ceiling when a limit is lowered; the owner takes in chunks, gives back what lay idle, quarantines workers, sets failing work aside, preempts for urgent work, throttles overuse; calls go to the less loaded of two shards.

--- a/packages/bench/src/split-ordering.ts
+++ b/packages/bench/src/split-ordering.ts
@@ -52,6 +52,10 @@
     };
   }
 
+  excessOf(): number {
+    return 0;
+  }
+
   addUsage(): void {
     return undefined;
   }
--- a/packages/daemon/src/cell-views.ts
+++ b/packages/daemon/src/cell-views.ts
@@ -32,10 +32,18 @@
 ): ReadonlyMap<TeamId, Holding> {
   const holdings = new Map<TeamId, Holding>();
   for (const [team, total] of totals) {
-    holdings.set(team, { held: fold.holdingOf(shard, team), total });
+    holdings.set(team, {
+      held: fold.holdingOf(shard, team),
+      total,
+      allowed: fold.allowedOf(shard, team),
+    });
   }
   for (const [team, held] of fold.holdingsOf(shard)) {
-    holdings.set(team, { held, total: totals.get(team) ?? fold.heldOf(team) });
+    holdings.set(team, {
+      held,
+      total: totals.get(team) ?? fold.heldOf(team),
+      allowed: fold.allowedOf(shard, team),
+    });
   }
   return holdings;
 }
--- a/packages/daemon/src/new-owner.ts
+++ b/packages/daemon/src/new-owner.ts
@@ -8,15 +8,21 @@
 import { FairShare } from '@bamboowell/policy/fair-share';
 import { FirstComeFirstServed, type Ordering } from '@bamboowell/policy/ordering';
 import { FirstFit, type Placement } from '@bamboowell/policy/placement';
+import { FullJitter } from '@bamboowell/policy/retry';
 import type { ShardId } from '@bamboowell/types/ids';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { newWriter, type Environment } from './environment.js';
 
+/** Number of seeds for the jitter of retries. */
+const SEEDS = 2 ** 31;
+
 export function newOwner(environment: Environment, shard: ShardId): ShardOwner {
   const { settings } = environment;
   return new ShardOwner({
     shard,
     member: settings.memberId,
     writer: newWriter(environment),
+    backoff: new FullJitter(xoroshiro128plus(Math.floor(environment.random() * SEEDS))),
     placement: placementOf(settings.placement),
     ordering: orderingOf(settings.ordering),
     settings: { ...DEFAULT_OWNER_SETTINGS, ...settings.leases, freshMillis: FRESH_MILLIS },
--- a/packages/daemon/src/reporter-task.ts
+++ b/packages/daemon/src/reporter-task.ts
@@ -9,11 +9,13 @@
 import {
   brandAs,
   type Epoch,
+  type MemberId,
   type Offset,
   type ShardId,
   type Version,
 } from '@bamboowell/types/ids';
 import type { Instant } from '@bamboowell/types/time';
+import type { RoutingMessage } from './routing-task.js';
 
 /** What one shard's task tells. */
 export interface ShardReport {
@@ -37,6 +39,7 @@
       readonly at: Instant;
     }
   | { readonly kind: 'shard'; readonly report: ShardReport }
+  | { readonly kind: 'route'; readonly routing: Address<RoutingMessage>; readonly self: MemberId }
   | { readonly kind: 'attach'; readonly members: Address<MembersMessage> };
 
 export class ReporterTask extends Task<ReporterMessage> {
@@ -46,6 +49,8 @@
   private cellAt = brandAs<Instant>(0);
   private readonly shards = new Map<ShardId, ShardReport>();
   private members: Address<MembersMessage> | undefined;
+  private routing:
+    { readonly address: Address<RoutingMessage>; readonly self: MemberId } | undefined;
 
   constructor(clock: Clock) {
     super('reporter', clock);
@@ -62,13 +67,28 @@
       .with({ kind: 'shard' }, ({ report }) => {
         this.shards.set(report.shard, report);
       })
+      .with({ kind: 'route' }, ({ routing, self }) => {
+        this.routing = { address: routing, self };
+      })
       .with({ kind: 'attach' }, ({ members }) => {
         this.members = members;
       })
       .exhaustive();
+    this.tellRouting();
     this.members?.post({ kind: 'report', report: this.report(), at: this.oldest() });
   }
 
+  private tellRouting(): void {
+    if (this.routing === undefined) {
+      return;
+    }
+    const { address, self: member } = this.routing;
+    const owned = this.report().owned.map(
+      ({ shard, ...place }) => [shard, { member, ...place }] as const,
+    );
+    address.post({ kind: 'owned', shards: new Map(owned) });
+  }
+
   /** Others rely on all of the report having been true at this instant. */
   private oldest(): Instant {
     const instants = [...this.shards.values()].map(({ at }) => at);
--- a/packages/daemon/src/router-backend.ts
+++ b/packages/daemon/src/router-backend.ts
@@ -19,7 +19,9 @@
 import type { Counters } from '@bamboowell/metrics/counters';
 import { refusalCounter } from '@bamboowell/metrics/names';
 import type { Response } from '@bamboowell/owner/messages';
-import { rendezvousOrder } from '@bamboowell/ownership/preference';
+import { shardForCall, shardForWork, type ShardLoad } from '@bamboowell/policy/routing';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Change, Configuration } from '@bamboowell/types/declarations';
 import {
   brandAs,
@@ -58,14 +60,19 @@
   readonly forwarder: Forwarder;
   readonly watch: WatchParts;
   readonly unique: () => string;
+  /** Of the draws between shards. */
+  readonly seed: number;
 }
 
 /** How much longer than the caller's deadline the cell may take to answer. */
 const GRACE_MILLIS = MILLIS_PER_SECOND;
 
 export class RouterBackend extends Backend {
+  private readonly generator: RandomGenerator;
+
   constructor(private readonly parts: RouterParts) {
     super();
+    this.generator = xoroshiro128plus(parts.seed);
   }
 
   async submit(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Acceptance>> {
@@ -277,21 +284,34 @@
     });
   }
 
-  /** A repeat of a request must reach the same shard, so that the choice rests on its id alone. */
-  private shardFor(order: Order, team: TeamId, { configuration }: RoutingTable): Result<ShardId> {
+  /**
+   * A repeat of durable work must reach the same shard, so that its choice rests on the request's
+   * id alone. A quick call goes where there is less to do.
+   */
+  private shardFor(order: Order, team: TeamId, table: RoutingTable): Result<ShardId> {
+    const { configuration } = table;
     if (order.dataCentre !== null) {
       return configuration.dataCentres.has(order.dataCentre)
         ? done(brandAs<ShardId>(order.dataCentre))
         : refused('malformed', `there is no data centre ${order.dataCentre}`, 'dataCentre');
     }
-    const inRegion = [...configuration.dataCentres.values()].filter(
-      ({ region }) => region === this.parts.region,
-    );
-    const names = inRegion.map(({ id }) => brandAs<MemberId>(id));
-    const [first] = rendezvousOrder(brandAs<ShardId>(`${team} ${order.requestId}`), names);
-    return first === undefined
+    const shards = [...configuration.dataCentres.values()]
+      .filter(({ region }) => region === this.parts.region)
+      .map(({ id }) => brandAs<ShardId>(id));
+    const isCall = order.shape.kind === 'quick_call';
+    const chosen = isCall ? shardForCall(this.loadsOf(shards, table), this.generator) : undefined;
+    const shard = chosen ?? shardForWork(team, order.requestId, shards);
+    return shard === undefined
       ? refused('no_owner', `no data centre of region ${this.parts.region} is declared`)
-      : done(brandAs<ShardId>(first));
+      : done(shard);
+  }
+
+  private loadsOf(shards: readonly ShardId[], { owners, local }: RoutingTable): ShardLoad[] {
+    return shards.map((shard) => {
+      const place = owners.get(shard) ?? local.get(shard);
+      const load = place === undefined ? 0 : place.running + place.waiting;
+      return { shard, reachable: place !== undefined, load };
+    });
   }
 
   /** Why the sender may not ask about this work. */
--- a/packages/daemon/src/routing-task.ts
+++ b/packages/daemon/src/routing-task.ts
@@ -24,18 +24,23 @@
   readonly freshUntil: Deadline;
   /** Owners on other daemons, by their own word. */
   readonly owners: ReadonlyMap<ShardId, ShardPlace>;
+  /** Shards that this daemon owns. */
+  readonly local: ReadonlyMap<ShardId, ShardPlace>;
   readonly members: readonly MemberView[];
 }
 
 export type RoutingMessage =
   | { readonly kind: 'cell'; readonly event: CellEvent }
   | { readonly kind: 'members'; readonly event: MembersEvent }
+  /** What this daemon owns, whenever it is reported. */
+  | { readonly kind: 'owned'; readonly shards: ReadonlyMap<ShardId, ShardPlace> }
   | { readonly kind: 'read'; readonly reply: Reply<RoutingTable> };
 
 export class RoutingTask extends Task<RoutingMessage> {
   private configuration: Configuration = EMPTY_CONFIGURATION;
   private freshUntil = brandAs<Deadline>(0);
   private members: ReadonlyMap<MemberId, MemberView> = new Map();
+  private local: ReadonlyMap<ShardId, ShardPlace> = new Map();
 
   constructor(clock: Clock) {
     super('routing', clock);
@@ -49,6 +54,9 @@
       .with({ kind: 'members' }, ({ event }) => {
         this.membersEvent(event);
       })
+      .with({ kind: 'owned' }, ({ shards }) => {
+        this.local = shards;
+      })
       .with({ kind: 'read' }, ({ reply }) => {
         reply(this.table());
       })
@@ -85,6 +93,7 @@
       configuration: this.configuration,
       freshUntil: this.freshUntil,
       owners: ownersOf(members),
+      local: this.local,
       members,
     };
   }
--- a/packages/daemon/src/services.ts
+++ b/packages/daemon/src/services.ts
@@ -222,7 +222,7 @@
 
 export class RoutingService extends Service<Address<RoutingMessage>> {
   readonly key = ROUTING;
-  readonly needs = [EVENTS, COUNTERS, MEMBERS, CELL];
+  readonly needs = [EVENTS, COUNTERS, REPORTER, MEMBERS, CELL];
   private task: Supervised<RoutingMessage> | undefined;
 
   constructor(private readonly environment: Environment) {
@@ -230,7 +230,7 @@
   }
 
   async start(directory: Directory): Promise<Address<RoutingMessage>> {
-    const { clock } = this.environment;
+    const { clock, settings } = this.environment;
     const task = new Supervised<RoutingMessage>(
       () => new RoutingTask(clock),
       clock,
@@ -249,6 +249,7 @@
         event,
       })),
     });
+    directory.find(REPORTER).post({ kind: 'route', routing: task, self: settings.memberId });
     return task;
   }
 
@@ -257,6 +258,9 @@
   }
 }
 
+/** Number of seeds for draws. */
+const SEEDS = 2 ** 31;
+
 export class RouterService extends Service<Backend> {
   readonly key = ROUTER;
   readonly needs = [COUNTERS, MEMBERS, CELL, SHARDS, ROUTING];
@@ -289,6 +293,7 @@
       forwarder,
       watch: { shards, forwarder, clock },
       unique,
+      seed: Math.floor(random() * SEEDS),
     });
     return Promise.resolve(backend);
   }
--- a/packages/owner/src/calls.ts
+++ b/packages/owner/src/calls.ts
@@ -3,10 +3,11 @@
 import { match } from 'ts-pattern';
 import { attemptIdOf, taskIdOf, type AttemptId, type WorkerId } from '@bamboowell/types/ids';
 import { fits } from '@bamboowell/types/resources';
-import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import { hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Outcome, Work } from '@bamboowell/types/work';
 import type { WorkerReport } from '@bamboowell/types/worker-messages';
 import { NO_SPREAD } from '@bamboowell/policy/fleet';
+import { WaitEstimate, type Backlog } from '@bamboowell/policy/wait-estimate';
 import type { Context } from './context.js';
 import type { Limits } from './limits.js';
 import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
@@ -21,6 +22,7 @@
   readonly work: Work;
   readonly deadline: Deadline;
   readonly token: Token;
+  readonly waitingSince: Instant;
   attempts: number;
   /** Whether an attempt may have run. */
   mayHaveRun: boolean;
@@ -30,6 +32,7 @@
 
 export class Calls {
   private waiting: Call[] = [];
+  private readonly estimate = new WaitEstimate();
   private readonly running = new Map<AttemptId, Call>();
 
   constructor(
@@ -60,7 +63,18 @@
       );
       return;
     }
-    this.insert({ work, deadline, token, attempts: 0, mayHaveRun: false });
+    const estimatedStart = this.estimate.startBehind(this.backlogOf(work), this.context.now);
+    if (hasPassed(deadline, estimatedStart)) {
+      this.context.refuse(
+        token,
+        'not_run',
+        'deadline_unreachable',
+        `the call would start ${Math.round(estimatedStart - deadline)} ms after its deadline`,
+      );
+      return;
+    }
+    const waitingSince = this.context.now;
+    this.insert({ work, deadline, token, waitingSince, attempts: 0, mayHaveRun: false });
   }
 
   /** Starts the waiting calls that fit, urgent ones first. */
@@ -179,6 +193,12 @@
       : deadlines.reduce((left, right) => (left < right ? left : right));
   }
 
+  private backlogOf({ queue }: Work): Backlog {
+    const ahead = this.waiting.filter((call) => call.work.queue === queue);
+    const oldestSince = ahead[0]?.waitingSince ?? this.context.now;
+    return { queue, waiting: ahead.length, oldestSince };
+  }
+
   private insert(call: Call): void {
     if (call.work.urgency !== 'urgent') {
       this.waiting.push(call);
@@ -208,6 +228,7 @@
       throw new Error(`worker ${worker} was chosen without being attached`);
     }
     call.attempts += 1;
+    this.estimate.started(call.work.queue, call.waitingSince, this.context.now);
     this.sendStart(this.addLive(call, worker), call, session);
   }
 
--- a/packages/owner/src/context.ts
+++ b/packages/owner/src/context.ts
@@ -19,6 +19,7 @@
 import { Fleet } from '@bamboowell/policy/fleet';
 import type { Ordering } from '@bamboowell/policy/ordering';
 import type { Placement } from '@bamboowell/policy/placement';
+import type { Backoff } from '@bamboowell/policy/retry';
 import type { Authority, CellView, OwnerEvent, Output, Response, Token } from './messages.js';
 import type { OwnerSettings } from './settings.js';
 
@@ -29,6 +30,8 @@
   readonly writer: WriterId;
   readonly placement: Placement;
   readonly ordering: Ordering;
+  /** The delay before work is tried again after a failure. */
+  readonly backoff: Backoff;
   readonly settings: OwnerSettings;
 }
 
--- /dev/null
+++ b/packages/owner/src/health.ts
@@ -0,0 +1,80 @@
+/** Learns from how attempts end which workers and which work to keep apart. */
+
+import type { WorkerId } from '@bamboowell/types/ids';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Outcome, Work } from '@bamboowell/types/work';
+import { JobHealth } from '@bamboowell/policy/job-health';
+import type { Backoff } from '@bamboowell/policy/retry';
+import { WorkerHealth, type HealthChange } from '@bamboowell/policy/worker-health';
+import type { Context } from './context.js';
+import type { Sessions } from './sessions.js';
+import type { Waiting } from './waiting.js';
+
+export class Health {
+  private readonly workers = new WorkerHealth();
+  private readonly jobs = new JobHealth();
+
+  constructor(
+    private readonly context: Context,
+    private readonly sessions: Sessions,
+    private readonly waiting: Waiting,
+    private readonly backoff: Backoff,
+  ) {}
+
+  /** An attempt of the work ended on a worker. `failures` counts those of its task. */
+  ended(work: Work, worker: WorkerId, outcome: Outcome, failures: number): void {
+    if (outcome.kind === 'succeeded') {
+      this.jobs.succeeded(work.id);
+      this.note(this.workers.succeeded(worker, work.queue));
+    } else if (outcome.kind === 'failed') {
+      this.failed(work, worker, failures);
+    } else {
+      this.workers.endedOtherwise(worker);
+    }
+  }
+
+  placed(worker: WorkerId): void {
+    this.workers.placed(worker);
+    this.refresh(worker);
+  }
+
+  setWorkerCount(count: number): void {
+    this.workers.setWorkerCount(count);
+  }
+
+  endQuarantines(): void {
+    for (const change of this.workers.endQuarantines(this.context.now)) {
+      this.note(change);
+    }
+  }
+
+  nextDeadline(): Deadline | undefined {
+    return this.workers.nextDeadline();
+  }
+
+  private failed(work: Work, worker: WorkerId, failures: number): void {
+    const isGood = this.workers.isGood(worker, work.queue);
+    const isSetAside = this.jobs.failed(work.id, worker, isGood);
+    this.note(this.workers.failed(worker, work.queue, work.id, this.context.now));
+    if (isSetAside) {
+      this.context.event('work_set_aside', { work: work.id });
+      this.waiting.setAside(work.id);
+      return;
+    }
+    this.waiting.hold(work.id, this.backoff.retryAt(Math.max(1, failures), this.context.now));
+  }
+
+  private note(change: HealthChange | undefined): void {
+    if (change !== undefined) {
+      this.context.event('worker_health', { worker: change.worker, standing: change.standing });
+      this.refresh(change.worker);
+    }
+  }
+
+  private refresh(worker: WorkerId): void {
+    const session = this.sessions.get(worker);
+    if (session !== undefined) {
+      this.sessions.setQuarantined(session, !this.workers.mayPlace(worker));
+    }
+  }
+}
--- a/packages/owner/src/limits.ts
+++ b/packages/owner/src/limits.ts
@@ -1,11 +1,9 @@
 /** Takes and gives back parts of the teams' upper limits, so that no start passes one. */
 
-import type { TeamId } from '@bamboowell/types/ids';
+import type { Epoch, TeamId } from '@bamboowell/types/ids';
 import {
   add,
-  fits,
   isNothing,
-  multiply,
   NOTHING,
   positivePart,
   resourcesOf,
@@ -13,24 +11,21 @@
   type Resources,
 } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { amountToTake, IdleHoldings, type TeamHolding } from '@bamboowell/policy/holdings';
 import type { Context } from './context.js';
 import type { LiveAttempts } from './live-attempts.js';
 
-/** A take asks for this many times what is short, so that not every start needs one. */
-const TAKE_AHEAD_FACTOR = 8;
-
 interface Ledger {
   takeInFlight: boolean;
   /** No take before then; the last one was void. */
   retryAt: Deadline | undefined;
   /** On the way back; no longer counted as held. */
   givingBack: Resources;
-  /** Since when part of the holding has been idle; given back then. */
-  idleUntil: Deadline | undefined;
 }
 
 export class Limits {
   private readonly ledgers = new Map<TeamId, Ledger>();
+  private idle = new IdleHoldings();
 
   constructor(
     private readonly context: Context,
@@ -42,25 +37,24 @@
     if (!this.context.holdsLimits) {
       return NOTHING;
     }
-    return positivePart(subtract(this.usableOf(team), this.live.runningOf(team)));
+    const usable = this.usableOf(team);
+    const allowed = this.allowedOf(team);
+    const most = resourcesOf((dimension) => Math.min(usable[dimension], allowed[dimension]));
+    return positivePart(subtract(most, this.live.runningOf(team)));
   }
 
   /** Asks for more of the team's limit, unless that is under way or was void a moment ago. */
   want(team: TeamId, need: Resources): void {
     const ledger = this.ledgerOf(team);
-    const now = this.context.now;
-    if (!this.context.holdsLimits || !this.context.mayStart || ledger.takeInFlight) {
-      return;
-    }
-    if (ledger.retryAt !== undefined && !hasPassed(ledger.retryAt, now)) {
+    const epoch = this.context.ownedEpoch;
+    if (epoch === undefined || !this.mayTake(ledger)) {
       return;
     }
     const amount = this.takeable(team, need);
-    if (amount === undefined) {
-      return;
+    if (amount !== undefined && !isNothing(amount)) {
+      ledger.takeInFlight = true;
+      this.context.emit({ kind: 'take', epoch, team, amount });
     }
-    ledger.takeInFlight = true;
-    this.context.emit({ kind: 'take', epoch: this.ownedEpoch(), team, amount });
   }
 
   settled(team: TeamId, change: 'take' | 'give_back', amount: Resources, applied: boolean): void {
@@ -85,85 +79,71 @@
     if (!this.context.holdsLimits || !this.context.mayStart) {
       return;
     }
+    const holdings: TeamHolding[] = [];
     for (const team of this.context.cell?.holdings.keys() ?? []) {
-      this.giveBackFor(team);
+      this.giveBackSurplus(team);
+      holdings.push({ team, held: this.usableOf(team), inUse: this.live.runningOf(team) });
+    }
+    for (const { team, amount } of this.idle.due(holdings, this.context.now)) {
+      this.giveBack(team, amount);
     }
   }
 
   nextDeadline(): Deadline | undefined {
-    const deadlines = [...this.ledgers.values()].flatMap((ledger) => [
-      ledger.retryAt,
-      ledger.idleUntil,
-    ]);
-    const known = deadlines.filter((deadline) => deadline !== undefined);
-    const future = known.filter((deadline) => !hasPassed(deadline, this.context.now));
-    return future.length === 0
-      ? undefined
-      : future.reduce((left, right) => (left < right ? left : right));
+    const retries = [...this.ledgers.values()].map((ledger) => ledger.retryAt);
+    const known = [...retries, this.idle.nextDeadline()].filter(
+      (deadline) => deadline !== undefined && !hasPassed(deadline, this.context.now),
+    );
+    return known.reduce<Deadline | undefined>(
+      (next, deadline) => (next === undefined || (deadline ?? next) < next ? deadline : next),
+      undefined,
+    );
   }
 
   clear(): void {
     this.ledgers.clear();
+    this.idle = new IdleHoldings();
   }
 
-  private giveBackFor(team: TeamId): void {
-    const ledger = this.ledgerOf(team);
-    const idle = positivePart(subtract(this.usableOf(team), this.live.runningOf(team)));
-    const surplus = positivePart(subtract(this.usableOf(team), this.allowedOf(team)));
-    const mustGo = resourcesOf((dimension) => Math.min(idle[dimension], surplus[dimension]));
-    if (!isNothing(mustGo)) {
-      this.giveBack(team, ledger, mustGo);
-      return;
-    }
-    if (isNothing(idle)) {
-      ledger.idleUntil = undefined;
-      return;
-    }
-    ledger.idleUntil ??= deadlineAfter(this.context.now, this.context.settings.idleHoldingMillis);
-    if (hasPassed(ledger.idleUntil, this.context.now)) {
-      ledger.idleUntil = undefined;
-      this.giveBack(team, ledger, idle);
-    }
+  private mayTake(ledger: Ledger): boolean {
+    const isEarly = ledger.retryAt !== undefined && !hasPassed(ledger.retryAt, this.context.now);
+    const mayWrite = this.context.holdsLimits && this.context.mayStart;
+    return mayWrite && !ledger.takeInFlight && !isEarly;
   }
 
-  private giveBack(team: TeamId, ledger: Ledger, amount: Resources): void {
-    ledger.givingBack = add(ledger.givingBack, amount);
-    this.context.emit({ kind: 'give_back', epoch: this.ownedEpoch(), team, amount });
-  }
-
-  /** As much as can be taken of several times the need; none where not even the need is left. */
   private takeable(team: TeamId, need: Resources): Resources | undefined {
     const limit = this.context.cell?.configuration.teams.get(team)?.limit;
     if (limit === undefined) {
       return undefined;
     }
-    const total = this.context.cell?.holdings.get(team)?.total ?? NOTHING;
-    const left = positivePart(subtract(limit, total));
-    const missing = positivePart(subtract(need, this.roomOf(team)));
-    if (!fits(missing, left)) {
-      return undefined;
+    const heldByAll = this.context.cell?.holdings.get(team)?.total ?? NOTHING;
+    const state = { limit, heldByAll, heldHere: this.usableOf(team) };
+    return amountToTake(state, this.live.runningOf(team), need);
+  }
+
+  private giveBackSurplus(team: TeamId): void {
+    const idle = positivePart(subtract(this.usableOf(team), this.live.runningOf(team)));
+    const surplus = positivePart(subtract(this.usableOf(team), this.allowedOf(team)));
+    const amount = resourcesOf((dimension) => Math.min(idle[dimension], surplus[dimension]));
+    if (!isNothing(amount)) {
+      this.giveBack(team, amount);
     }
-    const ahead = multiply(missing, TAKE_AHEAD_FACTOR);
-    return resourcesOf((dimension) => Math.min(ahead[dimension], left[dimension]));
   }
 
-  /** What the shard may have running: its holding less its part of what passes the limit. */
-  private allowedOf(team: TeamId): Resources {
-    const holding = this.context.cell?.holdings.get(team);
-    if (holding === undefined) {
-      return NOTHING;
+  private giveBack(team: TeamId, amount: Resources): void {
+    const epoch: Epoch | undefined = this.context.ownedEpoch;
+    if (epoch !== undefined) {
+      const ledger = this.ledgerOf(team);
+      ledger.givingBack = add(ledger.givingBack, amount);
+      this.context.emit({ kind: 'give_back', epoch, team, amount });
     }
-    const limit = this.context.cell?.configuration.teams.get(team)?.limit ?? NOTHING;
-    return resourcesOf((dimension) => {
-      const excess = Math.max(0, holding.total[dimension] - limit[dimension]);
-      if (excess === 0) {
-        return holding.held[dimension];
-      }
-      const part = Math.ceil((excess * holding.held[dimension]) / holding.total[dimension]);
-      return holding.held[dimension] - part;
-    });
   }
 
+  private allowedOf(team: TeamId): Resources {
+    return this.context.cell?.holdings.get(team)?.allowed ?? NOTHING;
+  }
+
+  /** What the shard holds and is not giving back. */
   private usableOf(team: TeamId): Resources {
     const held = this.context.cell?.holdings.get(team)?.held ?? NOTHING;
     return positivePart(subtract(held, this.ledgerOf(team).givingBack));
@@ -174,21 +154,8 @@
     if (known !== undefined) {
       return known;
     }
-    const fresh: Ledger = {
-      takeInFlight: false,
-      retryAt: undefined,
-      givingBack: NOTHING,
-      idleUntil: undefined,
-    };
+    const fresh: Ledger = { takeInFlight: false, retryAt: undefined, givingBack: NOTHING };
     this.ledgers.set(team, fresh);
     return fresh;
   }
-
-  private ownedEpoch() {
-    const epoch = this.context.ownedEpoch;
-    if (epoch === undefined) {
-      throw new Error('limits are used without an owned epoch');
-    }
-    return epoch;
-  }
 }
--- a/packages/owner/src/messages.ts
+++ b/packages/owner/src/messages.ts
@@ -19,7 +19,6 @@
 import type { Work } from '@bamboowell/types/work';
 import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
 import type { ShardSnapshot } from '@bamboowell/state/shard-fold';
-import type { TeamUsage } from '@bamboowell/policy/ordering';
 
 /** Names one request that waits for its answer. */
 export type Token = Branded<number, 'Token'>;
@@ -28,6 +27,8 @@
 export interface Holding {
   readonly held: Resources;
   readonly total: Resources;
+  /** What the shard may use of its holding; less than it where a limit was lowered. */
+  readonly allowed: Resources;
 }
 
 /** The configuration and the holdings, as of one offset of the stream `cell`. */
@@ -71,11 +72,6 @@
       readonly amount: Resources;
       readonly applied: boolean;
     }
-  | {
-      readonly kind: 'elsewhere';
-      readonly usage: readonly TeamUsage[];
-      readonly capacity: Resources;
-    }
   | { readonly kind: 'workers'; readonly vms: readonly ShardVm[] }
   | { readonly kind: 'report'; readonly report: WorkerReport }
   | {
--- a/packages/owner/src/reports.ts
+++ b/packages/owner/src/reports.ts
@@ -9,14 +9,16 @@
   type Incarnation,
   type WorkerId,
 } from '@bamboowell/types/ids';
-import type { Resources } from '@bamboowell/types/resources';
+import { add, NOTHING, type Resources } from '@bamboowell/types/resources';
 import type { WorkerInstant } from '@bamboowell/types/time';
 import type { Attempt, Outcome } from '@bamboowell/types/work';
 import type { AttemptReport, WorkerReport } from '@bamboowell/types/worker-messages';
 import type { Calls } from './calls.js';
 import type { Context } from './context.js';
 import type { Ends } from './ends.js';
+import type { Health } from './health.js';
 import type { LiveAttempt, LiveAttempts, Phase } from './live-attempts.js';
+import type { Overuses } from './overuses.js';
 import type { Session, Sessions } from './sessions.js';
 import type { Starts } from './starts.js';
 import type { Stops } from './stops.js';
@@ -32,6 +34,8 @@
   readonly ends: Ends;
   readonly calls: Calls;
   readonly stops: Stops;
+  readonly health: Health;
+  readonly overuses: Overuses;
 }
 
 export class Reports {
@@ -61,8 +65,9 @@
       .with({ kind: 'ended' }, ({ worker, attempt, outcome }) => {
         this.ended(worker, attempt, outcome);
       })
-      .with({ kind: 'usage' }, ({ worker, workerNow, leaving }) => {
+      .with({ kind: 'usage' }, ({ worker, workerNow, attempts, leaving }) => {
         this.heard(worker, workerNow, leaving);
+        this.parts.overuses.reported(attempts);
       })
       .with({ kind: 'detached' }, ({ worker }) => {
         this.context.event('worker_detached', { worker });
@@ -119,9 +124,18 @@
     }
     this.context.event('worker_attached', { worker, attempts: report.attempts.length });
     this.reconcile(session, report);
+    this.context.ordering.setCapacity(this.capacity());
     this.parts.sessions.renew(session);
   }
 
+  private capacity(): Resources {
+    let sum = NOTHING;
+    for (const { profile } of this.context.fleet.all()) {
+      sum = add(sum, profile.capacity);
+    }
+    return sum;
+  }
+
   /** The attempts known to be on a worker take up room on it from now on. */
   private countKnown(worker: WorkerId): void {
     for (const live of this.parts.live.on(worker)) {
--- a/packages/owner/src/settings.ts
+++ b/packages/owner/src/settings.ts
@@ -15,8 +15,6 @@
   readonly startMillis: number;
   /** From a void take to the next one for the same team, milliseconds. */
   readonly takeRetryMillis: number;
-  /** How long a holding stays idle before it is given back, milliseconds. */
-  readonly idleHoldingMillis: number;
 }
 
 export const DEFAULT_OWNER_SETTINGS: OwnerSettings = {
@@ -26,7 +24,6 @@
   outageRenewalMillis: 120 * MILLIS_PER_MINUTE,
   startMillis: 5 * MILLIS_PER_SECOND,
   takeRetryMillis: MILLIS_PER_SECOND,
-  idleHoldingMillis: 30 * MILLIS_PER_SECOND,
 };
 
 /** Clocks of workers run at most one in this many faster or slower than ours. */
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -4,18 +4,33 @@
  */
 
 import { match } from 'ts-pattern';
-import { brandAs, type Epoch, type ShardId, type TeamId, type WorkId } from '@bamboowell/types/ids';
+import {
+  brandAs,
+  taskOfAttempt,
+  workOfTask,
+  type AttemptId,
+  type Epoch,
+  type ShardId,
+  type TaskId,
+  type TeamId,
+  type WorkId,
+} from '@bamboowell/types/ids';
+import type { Outcome } from '@bamboowell/types/work';
 import type { Batch, Effect, ShardRecord, Stamped } from '@bamboowell/types/records';
-import type { Resources } from '@bamboowell/types/resources';
+import { positivePart, subtract, type Resources } from '@bamboowell/types/resources';
+import type { TeamUsage } from '@bamboowell/policy/ordering';
 import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
 import { ShardFold, type ShardSnapshot } from '@bamboowell/state/shard-fold';
 import { Calls } from './calls.js';
 import { Cancels } from './cancels.js';
 import { Context, type OwnerOptions } from './context.js';
 import { Ends } from './ends.js';
+import { Health } from './health.js';
 import { Limits } from './limits.js';
 import { LiveAttempts } from './live-attempts.js';
 import type { CellView, Input, Output, ShardVm } from './messages.js';
+import { Overuses } from './overuses.js';
+import { Preemptions } from './preemptions.js';
 import { Reports } from './reports.js';
 import { Sessions } from './sessions.js';
 import { Starts } from './starts.js';
@@ -35,6 +50,9 @@
   private readonly calls: Calls;
   private readonly cancels: Cancels;
   private readonly stops: Stops;
+  private readonly health: Health;
+  private readonly preemptions: Preemptions;
+  private readonly overuses: Overuses;
   private readonly reports: Reports;
   /** Work may be left that could be placed without further input. */
   private hasMore = false;
@@ -48,14 +66,27 @@
     this.limits = new Limits(context, this.live);
     this.sessions = new Sessions(context);
     this.waiting = new Waiting(context);
-    this.starts = new Starts(context, this.live, this.limits, this.sessions, this.waiting);
+    this.stops = new Stops(context, this.live, this.limits);
+    this.health = new Health(context, this.sessions, this.waiting, options.backoff);
+    this.preemptions = new Preemptions(context, this.live, this.stops);
+    this.overuses = new Overuses(context, this.live, this.stops);
+    const { live, limits, sessions, waiting, health, preemptions, overuses, stops } = this;
+    this.starts = new Starts(context, { live, limits, sessions, waiting, health, preemptions });
     this.ends = new Ends(context, this.live);
     this.submissions = new Submissions(context);
     this.calls = new Calls(context, this.live, this.limits, this.sessions, this.submissions);
     this.cancels = new Cancels(context, this.live, this.waiting);
-    this.stops = new Stops(context, this.live, this.limits);
-    const { live, sessions, starts, ends, calls, stops } = this;
-    this.reports = new Reports(context, { live, sessions, starts, ends, calls, stops });
+    const { starts, ends, calls } = this;
+    this.reports = new Reports(context, {
+      live,
+      sessions,
+      starts,
+      ends,
+      calls,
+      stops,
+      health,
+      overuses,
+    });
   }
 
   get shard(): ShardId {
@@ -90,6 +121,8 @@
       this.calls.nextDeadline(),
       this.cancels.nextDeadline(),
       this.limits.nextDeadline(),
+      this.health.nextDeadline(),
+      this.waiting.nextDeadline(),
     ];
     return brandAs<Deadline>(Math.min(...deadlines.map((deadline) => deadline ?? NEVER)));
   }
@@ -145,10 +178,6 @@
       .with({ kind: 'holding_settled' }, ({ team, change, amount, applied }) => {
         this.limits.settled(team, change, amount, applied);
       })
-      .with({ kind: 'elsewhere' }, ({ usage, capacity }) => {
-        this.context.ordering.setElsewhere(usage);
-        this.context.ordering.setCapacity(capacity);
-      })
       .with({ kind: 'workers' }, ({ vms }) => {
         this.setWorkers(vms);
       })
@@ -185,6 +214,8 @@
     }
     this.reports.lapse();
     this.sessions.wakeRested();
+    this.health.endQuarantines();
+    this.waiting.releaseHeld();
     this.sessions.renewDue();
     this.stops.shedAll();
     this.limits.giveBackIdle();
@@ -232,30 +263,50 @@
         this.released();
       })
       .with({ kind: 'accept' }, ({ work }) => {
-        this.touch(work.id);
+        this.accepted(work.id);
       })
       .with({ kind: 'cancel' }, ({ works }) => {
         this.cancels.applied(works);
       })
       .with({ kind: 'place' }, ({ attempts }) => {
         for (const attempt of attempts) {
-          this.context.emit({ kind: 'changed', work: workIdOf(attempt.task) });
+          this.context.emit({ kind: 'changed', work: workOfTask(attempt.task) });
         }
       })
-      .with({ kind: 'end' }, ({ attempt }) => {
-        this.touch(workIdOf(attempt));
+      .with({ kind: 'end' }, ({ attempt, outcome }) => {
+        this.ended(attempt, outcome);
       })
       .with({ kind: 'checkpoint' }, () => undefined)
       .exhaustive();
   }
 
-  private touch(work: WorkId): void {
+  private accepted(work: WorkId): void {
+    const entry = this.context.fold.get(work);
+    if (this.context.ownedEpoch !== undefined && entry !== undefined) {
+      this.waiting.resume(entry);
+    }
+    this.context.emit({ kind: 'changed', work });
+  }
+
+  private ended(attempt: AttemptId, outcome: Outcome): void {
+    const task = taskOfAttempt(attempt);
+    const work = workOfTask(task);
     if (this.context.ownedEpoch !== undefined) {
-      this.waiting.update(work);
+      this.waiting.refresh(task);
+      this.learn(task, outcome);
     }
     this.context.emit({ kind: 'changed', work });
   }
 
+  /** Lets the end of an attempt count for its worker and its work. */
+  private learn(task: TaskId, outcome: Outcome): void {
+    const entry = this.context.fold.get(workOfTask(task));
+    const { worker, failures } = this.context.fold.task(task) ?? {};
+    if (entry !== undefined && worker !== undefined && worker !== null) {
+      this.health.ended(entry.work, worker, outcome, failures ?? 0);
+    }
+  }
+
   private claimed(isOurs: boolean, epoch: Epoch): void {
     this.disown();
     if (!isOurs) {
@@ -275,13 +326,16 @@
 
   /** Takes over a piece of work from the fold: what waits, and what may run. */
   private resume(work: WorkId): void {
-    for (const task of this.context.fold.get(work)?.tasks ?? []) {
+    const entry = this.context.fold.get(work);
+    for (const task of entry?.tasks ?? []) {
       if (task.state.kind === 'placed') {
         this.sessions.open(task.state.attempt.worker);
         this.reports.adoptPlaced(task.state.attempt, 'starting');
       }
     }
-    this.waiting.update(work);
+    if (entry !== undefined) {
+      this.waiting.resume(entry);
+    }
   }
 
   private attach(worker: ShardVm['worker']): void {
@@ -315,6 +369,8 @@
     this.live.clear();
     this.waiting.clear();
     this.limits.clear();
+    this.preemptions.clear();
+    this.overuses.clear();
     this.sessions.clear();
     this.releasing = false;
     this.context.ownedEpoch = undefined;
@@ -326,10 +382,12 @@
       (team) => [team.id, team.share] as const,
     );
     this.context.ordering.setShares(new Map(shares));
+    this.context.ordering.setElsewhere(usageElsewhere(view));
   }
 
   private setWorkers(vms: readonly ShardVm[]): void {
     this.vms = vms;
+    this.health.setWorkerCount(vms.length);
     if (this.context.ownedEpoch === undefined) {
       return;
     }
@@ -351,6 +409,10 @@
   }
 }
 
-function workIdOf(id: string): WorkId {
-  return brandAs<WorkId>(id.slice(0, id.lastIndexOf('/')));
+/** What other shards hold of the teams' limits; they use at most that, so that it may be stale. */
+function usageElsewhere({ holdings }: CellView): TeamUsage[] {
+  return [...holdings].map(([team, { held, total }]) => ({
+    team,
+    running: positivePart(subtract(total, held)),
+  }));
 }
--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -7,23 +7,32 @@
 import { NO_SPREAD, type Spread } from '@bamboowell/policy/fleet';
 import type { Candidate, Round } from '@bamboowell/policy/ordering';
 import type { Context } from './context.js';
+import type { Health } from './health.js';
 import type { Limits } from './limits.js';
 import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
+import type { Preemptions } from './preemptions.js';
 import type { Sessions } from './sessions.js';
 import type { Waiting } from './waiting.js';
 
 /** Most tasks that one step places, so that a step stays short. */
 export const MAX_PLACED_A_STEP = 256;
 
+/** The parts that starts go through. */
+export interface StartParts {
+  readonly live: LiveAttempts;
+  readonly limits: Limits;
+  readonly sessions: Sessions;
+  readonly waiting: Waiting;
+  readonly health: Health;
+  readonly preemptions: Preemptions;
+}
+
 export class Starts {
   private readonly placing = new Map<Sequence, readonly LiveAttempt[]>();
 
   constructor(
     private readonly context: Context,
-    private readonly live: LiveAttempts,
-    private readonly limits: Limits,
-    private readonly sessions: Sessions,
-    private readonly waiting: Waiting,
+    private readonly parts: StartParts,
   ) {}
 
   /** Tries the waiting work in order; true if some may be left that could be placed now. */
@@ -31,27 +40,15 @@
     if (!this.context.mayStart || !this.context.holdsLimits || this.context.draining) {
       return false;
     }
-    let placed = 0;
-    for (let inRound = this.placeRound(); inRound > 0; inRound = this.placeRound()) {
-      placed += inRound;
-      if (placed >= MAX_PLACED_A_STEP) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Offers each candidate one turn, so that large batches do not go before their share. */
-  private placeRound(): number {
     const round = this.context.ordering.round(this.context.now);
     let placed = 0;
     for (let next = round.next(); next !== undefined; next = round.next()) {
       placed += this.tryOnce(next, round);
       if (placed >= MAX_PLACED_A_STEP) {
-        return placed;
+        return true;
       }
     }
-    return placed;
+    return false;
   }
 
   /** The record was read back as applied: sends the starts. */
@@ -65,20 +62,20 @@
   /** The record was void or never sent: nothing was placed. */
   voided(sequence: Sequence): void {
     for (const attempt of this.takePlacing(sequence)) {
-      this.live.remove(attempt);
-      this.waiting.update(attempt.work);
+      this.parts.live.remove(attempt);
+      this.parts.waiting.refresh(attempt.attempt.task);
     }
   }
 
   /** Sends a start, also a repeated one: a worker runs an attempt id at most once. */
   start(attempt: LiveAttempt): void {
     const epoch = this.context.ownedEpoch;
-    const session = this.sessions.get(attempt.attempt.worker);
+    const session = this.parts.sessions.get(attempt.attempt.worker);
     if (epoch === undefined || !this.context.mayStart || session?.attached !== true) {
       return;
     }
-    const startBy = this.sessions.startBy(session);
-    const leaseUntil = this.sessions.grantLease(session);
+    const startBy = this.parts.sessions.startBy(session);
+    const leaseUntil = this.parts.sessions.grantLease(session);
     const entry = this.context.fold.get(attempt.work);
     if (startBy === undefined || leaseUntil === undefined || entry === undefined) {
       return;
@@ -102,7 +99,7 @@
 
   /** Sends the starts that could not be sent when their record was read back. */
   startPlaced(worker: WorkerId): void {
-    for (const attempt of this.live.on(worker)) {
+    for (const attempt of this.parts.live.on(worker)) {
       if (attempt.phase === 'placed') {
         this.start(attempt);
       }
@@ -120,10 +117,13 @@
       this.context.ordering.remove(candidate.work);
       return 0;
     }
-    const group = this.waiting.waitingTasks(entry).slice(0, candidate.together);
-    const isPlaced = this.tryGroup(candidate, entry, group, round);
-    this.waiting.update(candidate.work);
-    return isPlaced ? group.length : 0;
+    const group = this.parts.waiting.firstOf(candidate.work, candidate.together);
+    if (!this.tryGroup(candidate, entry, group, round)) {
+      return 0;
+    }
+    this.parts.waiting.update(candidate.work);
+    round.again(candidate);
+    return group.length;
   }
 
   private tryGroup(
@@ -133,16 +133,18 @@
     round: Round,
   ): boolean {
     const need = multiply(candidate.demand, group.length);
-    if (!fits(need, this.limits.roomOf(candidate.team))) {
-      this.limits.want(candidate.team, need);
+    if (!fits(need, this.parts.limits.roomOf(candidate.team))) {
+      this.parts.limits.want(candidate.team, need);
       round.blocked(candidate, 'team_limit_reached');
       return false;
     }
     const workers = this.reserve(candidate, entry, group.length);
     if (workers === undefined) {
       round.blocked(candidate, 'no_worker_fits');
+      this.parts.preemptions.makeRoomFor(candidate);
       return false;
     }
+    this.parts.preemptions.settled(candidate.work);
     this.record(entry, group, workers);
     return true;
   }
@@ -209,7 +211,8 @@
     index: number,
     worker: WorkerId | undefined,
   ): Attempt | undefined {
-    const incarnation = worker === undefined ? undefined : this.sessions.get(worker)?.incarnation;
+    const incarnation =
+      worker === undefined ? undefined : this.parts.sessions.get(worker)?.incarnation;
     if (worker === undefined || incarnation === undefined) {
       return undefined;
     }
@@ -230,17 +233,15 @@
       since: this.context.now,
       startBy: undefined,
     };
-    this.waiting.markPlacing(attempt.task);
-    this.live.add(live);
+    this.parts.waiting.placing(attempt.task);
+    this.parts.health.placed(attempt.worker);
+    this.parts.live.add(live);
     return live;
   }
 
   private takePlacing(sequence: Sequence): readonly LiveAttempt[] {
     const attempts = this.placing.get(sequence) ?? [];
     this.placing.delete(sequence);
-    for (const live of attempts) {
-      this.waiting.unmarkPlacing(live.attempt.task);
-    }
     return attempts;
   }
 }
--- a/packages/owner/src/submissions.ts
+++ b/packages/owner/src/submissions.ts
@@ -4,10 +4,11 @@
 import type { Queue } from '@bamboowell/types/declarations';
 import type { Sequence, WorkId } from '@bamboowell/types/ids';
 import { fits, multiply, shortDimensions } from '@bamboowell/types/resources';
-import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import { hasPassed, NEVER, type Deadline } from '@bamboowell/types/time';
 import type { Effect } from '@bamboowell/types/records';
 import type { Reason } from '@bamboowell/types/verdict';
 import { taskCountOf, type Work } from '@bamboowell/types/work';
+import { admit } from '@bamboowell/policy/admission';
 import type { Context } from './context.js';
 import type { Token } from './messages.js';
 
@@ -147,13 +148,19 @@
         detail: `queue ${queue.id} is not open to team ${work.team}`,
       };
     }
-    if (this.context.ordering.waitingIn(queue.id) >= queue.maxWaiting) {
-      return {
-        reason: 'queue_full',
-        detail: `queue ${queue.id} holds ${queue.maxWaiting} pieces of work already`,
-      };
-    }
-    return undefined;
+    return this.loadObjection(work, queue);
+  }
+
+  private loadObjection(work: Work, queue: Queue): Objection | undefined {
+    const { ordering, now } = this.context;
+    const load = {
+      waitingInQueue: ordering.waitingIn(queue.id),
+      waitingOfTeam: ordering.waitingOf(work.team),
+      waitingInShard: ordering.size,
+      estimatedStart: now,
+    };
+    const admitted = admit({ team: work.team, queue, startBy: NEVER }, load, now);
+    return admitted.kind === 'refused' ? admitted.refusal : undefined;
   }
 
   private sizeObjection(work: Work): Objection | undefined {
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -64,6 +64,9 @@
 
   /** Size of the whole fleet, against which dominant shares are taken. */
   abstract setCapacity(capacity: Resources): void;
+
+  /** How far the team is above its share, for preemption; not positive at or below it. */
+  abstract excessOf(team: TeamId): number;
 }
 
 /** First come, first served, urgent work first. The baseline that other rules are measured against. */
@@ -120,6 +123,10 @@
     return undefined;
   }
 
+  excessOf(): number {
+    return 0;
+  }
+
   private count(matches: (candidate: Candidate) => boolean): number {
     return [...this.waiting.values()].filter(matches).length;
   }
--- a/packages/replay/src/player.ts
+++ b/packages/replay/src/player.ts
@@ -469,7 +469,12 @@
     .returnType<Change>()
     .with({ kind: 'grant_key' }, ({ id, team }) => ({
       kind: 'put_key',
-      key: { id: brandAs<KeyId>(id), team: brandAs<TeamId>(team), secretHash: secretHashOf(id), withdrawn: false },
+      key: {
+        id: brandAs<KeyId>(id),
+        team: brandAs<TeamId>(team),
+        secretHash: secretHashOf(id),
+        withdrawn: false,
+      },
     }))
     .otherwise((plain) => plain as Change);
 }
--- a/packages/replay/src/stage/staged-daemon.ts
+++ b/packages/replay/src/stage/staged-daemon.ts
@@ -6,7 +6,7 @@
 import type { Address as MailboxAddress } from '@bamboowell/kernel/mailbox';
 import { EventLog } from '@bamboowell/logger/logger';
 import { MemoryCounters } from '@bamboowell/metrics/counters';
-import type { Dialler } from '@bamboowell/membership/dialler';
+import { Dialler } from '@bamboowell/membership/dialler';
 import { parseSettings, type DaemonSettings } from '@bamboowell/config/daemon-settings';
 import type { CellEvent, CellMessage } from '@bamboowell/daemon/cell-messages';
 import { registerCore } from '@bamboowell/daemon/daemon';
@@ -31,6 +31,7 @@
 import { brandAs, type Incarnation } from '@bamboowell/types/ids';
 import { deadlineAfter, MILLIS_PER_MINUTE } from '@bamboowell/types/time';
 import { refused } from '@bamboowell/types/verdict';
+import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
 import type { MemoryConnection } from '@bamboowell/wire/memory-connection';
 import type { WorkerLink } from '@bamboowell/worker/worker-link';
@@ -67,6 +68,17 @@
   return createHash('sha256').update(secret).digest('hex');
 }
 
+/** Dials other daemons of the stage by their port. */
+class StagedDialler extends Dialler {
+  constructor(private readonly open: (port: number) => Connection | undefined) {
+    super();
+  }
+
+  dial(address: Address): Promise<Connection | undefined> {
+    return Promise.resolve(this.open(address.port));
+  }
+}
+
 /** A service whose handle exists already. */
 class Given<Handle> extends Service<Handle> {
   readonly needs: readonly ServiceKey<unknown>[] = [];
@@ -169,9 +181,7 @@
       this.accept = accept;
     };
     return new (class extends Transport {
-      readonly dialler: Dialler = {
-        dial: (address) => Promise.resolve(dial(address.port)),
-      };
+      readonly dialler = new StagedDialler(dial);
 
       listen(accept: (connection: Connection) => void): Promise<void> {
         listen(accept);
--- a/packages/state/src/cell-fold.ts
+++ b/packages/state/src/cell-fold.ts
@@ -21,9 +21,11 @@
   fits,
   isNothing,
   NOTHING,
+  resourcesOf,
   subtract,
   type Resources,
 } from '@bamboowell/types/resources';
+import { amountsToShed } from '@bamboowell/policy/holdings';
 import { applyChanges, EMPTY_CONFIGURATION } from './configuration.js';
 import { Writers } from './writers.js';
 
@@ -42,6 +44,7 @@
   readonly dataCentres: readonly DataCentre[];
   readonly epochs: readonly (readonly [ShardId, Epoch])[];
   readonly holdings: readonly (readonly [ShardId, readonly (readonly [TeamId, Resources])[]])[];
+  readonly ceilings: readonly (readonly [TeamId, readonly (readonly [ShardId, Resources])[]])[];
   readonly writers: readonly (readonly [WriterId, Sequence])[];
 }
 
@@ -51,6 +54,8 @@
   private writers = new Writers();
   private readonly epochs = new Map<ShardId, Epoch>();
   private readonly holdings = new Map<ShardId, Map<TeamId, Resources>>();
+  /** Where a lowered limit is passed: the most that each shard may go on using. */
+  private readonly ceilings = new Map<TeamId, ReadonlyMap<ShardId, Resources>>();
 
   get configuration(): Configuration {
     return this.current;
@@ -71,6 +76,18 @@
     return this.holdings.get(shard) ?? new Map<TeamId, Resources>();
   }
 
+  /**
+   * The most of the team's limit that the shard may use: its holding, or less where the limit was
+   * lowered below what all shards hold.
+   */
+  allowedOf(shard: ShardId, team: TeamId): Resources {
+    const held = this.holdingOf(shard, team);
+    const ceiling = this.ceilings.get(team)?.get(shard);
+    return ceiling === undefined
+      ? held
+      : resourcesOf((dimension) => Math.min(held[dimension], ceiling[dimension]));
+  }
+
   /** The sum over all shards. */
   heldOf(team: TeamId): Resources {
     let total = NOTHING;
@@ -107,6 +124,7 @@
       dataCentres: [...this.current.dataCentres.values()],
       epochs: [...this.epochs],
       holdings: [...this.holdings].map(([shard, held]) => [shard, [...held]]),
+      ceilings: [...this.ceilings].map(([team, ofShards]) => [team, [...ofShards]]),
       writers: this.writers.entries(),
     };
   }
@@ -125,6 +143,9 @@
     for (const [shard, epoch] of snapshot.epochs) {
       fold.epochs.set(shard, epoch);
     }
+    for (const [team, ofShards] of snapshot.ceilings) {
+      fold.ceilings.set(team, new Map(ofShards));
+    }
     for (const [shard, held] of snapshot.holdings) {
       fold.holdings.set(shard, new Map(held));
     }
@@ -149,6 +170,7 @@
       return 'invalid_change';
     }
     this.current = result.configuration;
+    this.setCeilings();
     return undefined;
   }
 
@@ -184,9 +206,41 @@
       return 'not_held';
     }
     this.setHolding(giveBack.shard, giveBack.team, subtract(held, giveBack.amount));
+    this.liftCeilings(giveBack.team);
     return undefined;
   }
 
+  /** Settles, for each team, what every shard may go on using under the limits now in force. */
+  private setCeilings(): void {
+    const teams = new Set([...this.holdings.values()].flatMap((held) => [...held.keys()]));
+    for (const team of teams) {
+      this.setCeilingsOf(team);
+    }
+  }
+
+  private setCeilingsOf(team: TeamId): void {
+    const limit = this.current.teams.get(team)?.limit ?? NOTHING;
+    if (fits(this.heldOf(team), limit)) {
+      this.ceilings.delete(team);
+      return;
+    }
+    const held = new Map(
+      [...this.holdings.keys()].map((shard) => [shard, this.holdingOf(shard, team)]),
+    );
+    const shed = amountsToShed(limit, held);
+    const ceilings = [...held].map(
+      ([shard, amount]) => [shard, subtract(amount, shed.get(shard) ?? NOTHING)] as const,
+    );
+    this.ceilings.set(team, new Map(ceilings));
+  }
+
+  /** Forgets the team's ceilings once what is held fits its limit again. */
+  private liftCeilings(team: TeamId): void {
+    if (fits(this.heldOf(team), this.current.teams.get(team)?.limit ?? NOTHING)) {
+      this.ceilings.delete(team);
+    }
+  }
+
   private setHolding(shard: ShardId, team: TeamId, amount: Resources): void {
     const held = this.holdings.get(shard) ?? new Map<TeamId, Resources>();
     this.holdings.set(shard, held);
