--- a/packages/stand-ins/src/worker-connection.ts
+++ b/packages/stand-ins/src/worker-connection.ts
@@ -5,9 +5,14 @@
 export class WorkerConnection extends TcpConnection {
   private held: Buffer[] | undefined;
 
+  /** Sends nothing until `wake`. */
+  mute(): void {
+    this.held ??= [];
+  }
+
   /** Sends and reads nothing until `wake`. */
   silence(): void {
-    this.held ??= [];
+    this.mute();
     this.pause();
   }
 
--- a/packages/stand-ins/src/worker-machine.ts
+++ b/packages/stand-ins/src/worker-machine.ts
@@ -129,7 +129,7 @@
   }
 
   private refusalOf(start: Start): StartRefusal | undefined {
-    if (start.epoch < this.highestEpoch) {
+    if (!this.admit(start.epoch)) {
       return 'fenced';
     }
     if (this.clock.now() >= start.startBy || this.clock.now() >= start.leaseUntil) {
--- a/packages/stand-ins/src/worker-protocol.ts
+++ b/packages/stand-ins/src/worker-protocol.ts
@@ -68,6 +68,11 @@
 /** What a message leaves out stays as it is. */
 export const SWITCHES = ALL_SWITCHES.partial();
 
+export type SwitchChange = z.infer<typeof SWITCHES>;
+
+/** The parameters of `runs`: none. */
+export const INSPECT = z.unknown();
+
 export const NO_FAULTS: Switches = {
   silent: false,
   frozen: false,
--- a/packages/stand-ins/src/worker-server.test.ts
+++ b/packages/stand-ins/src/worker-server.test.ts
@@ -173,6 +173,26 @@
   t.like((await owner.hear('ended')).params, { outcome: { kind: 'stopped' } });
 });
 
+test('a frozen worker does not speak on new connections either', async (t) => {
+  const worker = await workerOf(t);
+  const control = await ownerOf(t, worker);
+  await control.switch({ frozen: true });
+  const owner = await ownerOf(t, worker);
+  owner.send('attach', { epoch: 1, shard: 's', member: 'm' });
+  await control.pass(4500);
+  t.is(await owner.connection.ended, 'silent');
+  t.deepEqual(owner.heard.rest(), []);
+});
+
+test('a start of a higher epoch fences lower ones', async (t) => {
+  const owner = await ownerOf(t, await workerOf(t));
+  const { workerNow } = await owner.attach(1);
+  owner.send('start', startOf('w/0#1', workerNow, { epoch: 2 }));
+  await owner.hear('started');
+  owner.send('stop', { epoch: 1, attempt: 'w/0#1', checkpoint: false });
+  t.deepEqual((await owner.hear('fenced')).params, { epoch: 2 });
+});
+
 test('usage lags, and only changes are reported', async (t) => {
   const owner = await ownerOf(t, await workerOf(t));
   const { workerNow } = await owner.attach(1);
