--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -21,15 +21,27 @@
 /** Reads a frame. */
 export function parseMessage(frame: Buffer): ReceivedMessage {
   const value = parseObject(frame);
-  if (isJSONRPCResponse(value) && isJSONRPCID(value.id)) {
+  if (isJSONRPCResponse(value) && isJSONRPCID(value.id) && hasWholeError(value)) {
     return { kind: 'response', response: value };
   }
-  if (isJSONRPCRequest(value) && typeof value.method === 'string') {
+  if (isJSONRPCRequest(value) && typeof value.method === 'string' && hasValidId(value)) {
     return { kind: 'request', request: value };
   }
   return { kind: 'malformed' };
 }
 
+function hasWholeError({ error }: { readonly error?: unknown }): boolean {
+  if (error === undefined) {
+    return true;
+  }
+  const { code, message } = (error ?? {}) as { code?: unknown; message?: unknown };
+  return typeof code === 'number' && typeof message === 'string';
+}
+
+function hasValidId({ id }: JSONRPCRequest): boolean {
+  return id === undefined || isJSONRPCID(id);
+}
+
 /** The object that the frame holds; an empty one if it holds anything else. */
 function parseObject(frame: Buffer): object {
   try {
--- a/packages/wire/src/tcp-connection.ts
+++ b/packages/wire/src/tcp-connection.ts
@@ -18,14 +18,12 @@
 import { MAX_FRAME_BYTES, encodeFrame } from './frames.js';
 import { Heartbeat } from './heartbeat.js';
 import { answerOf, oversizeAnswer, parseMessage, type Message } from './message.js';
-import { DiscardingMeter, type Meter } from './meter.js';
+import { DiscardingMeter } from './meter.js';
 import { Outstanding } from './outstanding.js';
 import { RunningHandlers } from './running-handlers.js';
+import { MAX_BUFFERED_BYTES, type TcpConnectionOptions } from './tcp-connection-options.js';
 import { ANSWER, Traffic, UNHANDLED } from './traffic.js';
 
-/** Nothing more is sent while this many bytes wait in the send buffer. */
-export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
-
 /** Error code of a request that was refused because the connection drains. Its handler did not run. */
 export const DRAINING_CODE = -32050;
 
@@ -34,17 +32,6 @@
 
 const PING = 'ping';
 
-export interface TcpConnectionOptions {
-  readonly clock: Clock;
-  readonly meter?: Meter;
-  /** Longest message that is sent or taken, bytes. */
-  readonly maxFrameBytes?: number;
-  /** Bound of the send buffer, bytes. */
-  readonly maxBufferedBytes?: number;
-  /** Name in the other end's certificate; absent without TLS. */
-  readonly peer?: string;
-}
-
 type SendState = 'sent' | 'closed' | 'congested';
 
 export class TcpConnection extends Connection {
--- a/packages/worker/src/remote-worker.fixture.ts
+++ b/packages/worker/src/remote-worker.fixture.ts
@@ -18,11 +18,8 @@
 import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
 import { HOST, farDeadline, later, type Teardown } from '@bamboowell/wire/wire.fixture';
 import { digestOf } from './digest.js';
-import {
-  RemoteWorker,
-  type RemoteWorkerMessage,
-  type RemoteWorkerOptions,
-} from './remote-worker.js';
+import type { RemoteWorkerMessage, RemoteWorkerOptions } from './remote-worker-messages.js';
+import { RemoteWorker } from './remote-worker.js';
 
 const COMMANDS = ['attach', 'start', 'renew', 'stop', 'throttle', 'forget'];
 
--- a/packages/worker/src/remote-worker.ts
+++ b/packages/worker/src/remote-worker.ts
@@ -4,19 +4,19 @@
  */
 
 import { match } from 'ts-pattern';
-import type { Clock } from '@bamboowell/kernel/clock';
-import type { Address as MailboxAddress } from '@bamboowell/kernel/mailbox';
 import { Task } from '@bamboowell/kernel/task';
-import type { WorkerId } from '@bamboowell/types/ids';
 import { deadlineAfter } from '@bamboowell/types/time';
 import { done, refused, type Result } from '@bamboowell/types/verdict';
-import type { Address } from '@bamboowell/types/vm';
 import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
 import { connect } from '@bamboowell/wire/connect';
 import { DiscardingMeter, type Meter } from '@bamboowell/wire/meter';
 import type { TcpConnection } from '@bamboowell/wire/tcp-connection';
-import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
 import { Backoff } from './backoff.js';
+import type {
+  AttachCommand,
+  RemoteWorkerMessage,
+  RemoteWorkerOptions,
+} from './remote-worker-messages.js';
 import { ReportQueue } from './report-queue.js';
 import type { WorkerLink } from './worker-link.js';
 import { WorkerSession } from './worker-session.js';
@@ -29,35 +29,6 @@
 /** Reading from the worker pauses while this many reports wait for room. */
 export const MAX_WAITING_REPORTS = 256;
 
-type AttachCommand = Extract<WorkerCommand, { kind: 'attach' }>;
-
-export type RemoteWorkerMessage =
-  | { readonly kind: 'connect' }
-  | { readonly kind: 'connected'; readonly connection: TcpConnection }
-  | { readonly kind: 'unreachable'; readonly detail: string }
-  | { readonly kind: 'command'; readonly command: WorkerCommand }
-  | {
-      readonly kind: 'heard';
-      readonly session: WorkerSession;
-      readonly report: WorkerReport | undefined;
-    }
-  | { readonly kind: 'attach_overdue'; readonly session: WorkerSession }
-  | { readonly kind: 'connection_ended'; readonly session: WorkerSession }
-  | { readonly kind: 'flush' };
-
-export interface RemoteWorkerOptions {
-  readonly worker: WorkerId;
-  readonly address: Address;
-  readonly clock: Clock;
-  /** Gets everything that the worker reports, in its order. */
-  readonly reports: MailboxAddress<WorkerReport>;
-  /** Returns a number from 0 up to, not including, 1. */
-  readonly random: () => number;
-  readonly meter?: Meter;
-  /** With it, the worker's certificate must carry the worker's id as its name. */
-  readonly tls?: TlsIdentity;
-}
-
 export class RemoteWorker extends Task<RemoteWorkerMessage> implements WorkerLink {
   private readonly meter: Meter;
   private readonly backoff: Backoff;
