--- a/packages/daemon/src/shard-task.ts
+++ b/packages/daemon/src/shard-task.ts
@@ -5,6 +5,7 @@
 
 import { match, P } from 'ts-pattern';
 import type { Reply } from '@bamboowell/kernel/ask';
+import type { Alarm } from '@bamboowell/kernel/clock';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import { Supervised, type Watcher } from '@bamboowell/kernel/supervisor';
 import { Task } from '@bamboowell/kernel/task';
@@ -21,7 +22,7 @@
 import { ShardOwner } from '@bamboowell/owner/shard-owner';
 import type { ShardSnapshot } from '@bamboowell/state/shard-fold';
 import { brandAs, type Epoch, type ShardId, type WorkId } from '@bamboowell/types/ids';
-import { streamOfShard, type ShardRecord } from '@bamboowell/types/records';
+import { streamOfShard, type ShardRecord, type Stamped } from '@bamboowell/types/records';
 import { deadlineAfter, NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
 import { done, refused, type Result } from '@bamboowell/types/verdict';
 import { wrapped } from './adapter.js';
@@ -30,6 +31,7 @@
 import { newWriter, type Environment } from './environment.js';
 import { explain } from './explain.js';
 import { newOwner } from './new-owner.js';
+import type { LinkMaker } from './platform.js';
 import type { ReporterMessage } from './reporter-task.js';
 import type {
   ShardMessage,
@@ -52,6 +54,7 @@
   readonly watcher: Watcher;
   readonly reporter: Address<ReporterMessage>;
   readonly cell: Address<CellMessage>;
+  readonly links: LinkMaker;
 }
 
 const NO_AUTHORITY: Authority = { freshUntil: brandAs<Deadline>(0), mayRenew: false };
@@ -66,15 +69,16 @@
   private readonly drains: Reply<null>[] = [];
   private tokens = 0;
   private tickAt: Deadline = NEVER;
+  private tickAlarm: Alarm | undefined;
   private isCaughtUp = false;
   private logSilentSince: Instant | undefined;
 
   constructor(private readonly parts: ShardParts) {
     super(`shard ${parts.shard}`, parts.environment.clock);
     const { environment, shard } = parts;
-    const { memberId: self, region } = environment.settings;
+    const { memberId: member, region } = environment.settings;
     this.owner = newOwner(environment, shard);
-    this.planner = new ClaimPlanner({ self, region, shard });
+    this.planner = new ClaimPlanner({ self: { member, region }, shard });
     this.stream = new Supervised(() => this.makeStream(), this.clock, parts.watcher);
     const reports = wrapped(
       this,
@@ -83,7 +87,8 @@
         report,
       }),
     );
-    this.links = new WorkerLinks(environment, reports, parts.watcher);
+    const { links: maker, watcher } = parts;
+    this.links = new WorkerLinks({ maker, reports, watcher, clock: this.clock });
   }
 
   protected override async opened(): Promise<void> {
@@ -356,6 +361,7 @@
       report: {
         shard,
         epoch: this.isCaughtUp ? this.owner.fold.epoch : undefined,
+        logAnswers: this.logSilentSince === undefined,
         hasUnresolvedClaim: this.planner.ledger.isUnresolved(shard),
         load: isOwned ? { running: live.size, waiting: context.ordering.size } : undefined,
         at: this.clock.now(),
@@ -384,8 +390,9 @@
 
   private wakeAt(deadline: Deadline): void {
     if (deadline < this.tickAt) {
+      this.tickAlarm?.cancel();
       this.tickAt = deadline;
-      this.postAt(deadline, { kind: 'tick' });
+      this.tickAlarm = this.postAt(deadline, { kind: 'tick' });
     }
   }
 
@@ -393,6 +400,7 @@
     const { cell, shard } = this.parts;
     match(output)
       .with({ kind: 'append' }, ({ records }) => {
+        this.noteRelease(records);
         this.stream.post({ kind: 'append', records });
       })
       .with({ kind: 'withdraw' }, ({ sequence }) => {
@@ -434,6 +442,13 @@
       .exhaustive();
   }
 
+  /** A successor after a release does not wait, so that ownership ends before the append. */
+  private noteRelease(records: readonly Stamped<ShardRecord>[]): void {
+    if (records.some(({ record }) => record.kind === 'release')) {
+      this.planner.releasing();
+    }
+  }
+
   private reply(token: Token, result: Result<Response>): void {
     const reply = this.replies.get(token);
     this.replies.delete(token);
@@ -447,7 +462,6 @@
   }
 
   private releaseDone(): void {
-    this.planner.releasing();
     for (const reply of this.drains.splice(0)) {
       reply(null);
     }
--- a/packages/policy/src/waiting-teams.ts
+++ b/packages/policy/src/waiting-teams.ts
@@ -1,13 +1,11 @@
-/** The set of waiting work, by team, urgency and size. */
+/** The set of waiting work, by team and urgency. */
 
 import type { QueueId, TeamId, WorkId } from '@bamboowell/types/ids';
+import { fits } from '@bamboowell/types/resources';
 import type { Urgency } from '@bamboowell/types/work';
-import { capacityKeyOf } from './fleet-index.js';
+import { Lane } from './lane.js';
 import type { Candidate } from './ordering.js';
-import { WaitingList, type WaitingEntry } from './waiting-list.js';
-
-/** Waiting work of one team, urgency and size, by its key. */
-export type Lane = Map<string, WaitingList>;
+import type { WaitingEntry } from './waiting-list.js';
 
 /** Waiting work of one team. */
 export interface WaitingTeam {
@@ -42,14 +40,18 @@
     return this.queueSizes.get(queue) ?? 0;
   }
 
-  /** Adds a candidate or replaces the one of the same work. */
+  /** Adds a candidate or replaces the one of the same work; an equal one keeps its place. */
   put(candidate: Candidate): void {
+    const earlier = this.entries.get(candidate.work)?.candidate;
+    if (earlier !== undefined && isSame(earlier, candidate)) {
+      return;
+    }
     this.remove(candidate.work);
     const entry = { candidate, sequence: this.nextSequence, waiting: true };
     this.nextSequence += 1;
     this.entries.set(candidate.work, entry);
     const team = this.teamOf(candidate.team);
-    listOf(team.lanes[candidate.urgency], candidate).insert(entry);
+    team.lanes[candidate.urgency].insert(entry);
     team.size += 1;
     this.queueSizes.set(candidate.queue, this.waitingIn(candidate.queue) + 1);
   }
@@ -67,7 +69,7 @@
   private teamOf(id: TeamId): WaitingTeam {
     const team = this.byTeam.get(id) ?? {
       team: id,
-      lanes: { urgent: new Map(), ordinary: new Map(), patient: new Map() },
+      lanes: { urgent: new Lane(), ordinary: new Lane(), patient: new Lane() },
       size: 0,
     };
     this.byTeam.set(id, team);
@@ -77,12 +79,7 @@
   private removeFromTeam(entry: WaitingEntry): void {
     const { candidate } = entry;
     const team = this.teamOf(candidate.team);
-    const lane = team.lanes[candidate.urgency];
-    const list = listOf(lane, candidate);
-    list.remove(entry);
-    if (list.size === 0) {
-      lane.delete(sizeKeyOf(candidate));
-    }
+    team.lanes[candidate.urgency].remove(entry);
     team.size -= 1;
     if (team.size === 0) {
       this.byTeam.delete(candidate.team);
@@ -98,13 +95,14 @@
   }
 }
 
-function listOf(lane: Lane, candidate: Candidate): WaitingList {
-  const key = sizeKeyOf(candidate);
-  const list = lane.get(key) ?? new WaitingList();
-  lane.set(key, list);
-  return list;
-}
-
-function sizeKeyOf(candidate: Candidate): string {
-  return `${capacityKeyOf(candidate.demand)}x${candidate.together}`;
+function isSame(left: Candidate, right: Candidate): boolean {
+  return (
+    left.team === right.team &&
+    left.queue === right.queue &&
+    left.urgency === right.urgency &&
+    left.together === right.together &&
+    left.waitingSince === right.waitingSince &&
+    fits(left.demand, right.demand) &&
+    fits(right.demand, left.demand)
+  );
 }
