Test that a late answer does not concern the next append

Cause: of 19 guards taken out of the log client one by one, this was the only one whose absence no test noticed. Change: a test in which the answer of a settled append comes while the next one is in flight. Conclusion: it fails without the guard; now each of the 19 is noticed.

--- a/packages/log/src/stream-task.test.ts
+++ b/packages/log/src/stream-task.test.ts
@@ -476,3 +476,15 @@
   await pass(clock, 5000);
   t.deepEqual(delivered(subscriber.events), [[count + 1]]);
 });
+
+test('a late answer to an append that was read back does not concern the next one', async (t) => {
+  const { clock, log, task } = await runningStream();
+  log.failNext('answer_lost', 'request_lost');
+  await post(task, 1);
+  await pass(clock, 1900);
+  await post(task, 2);
+  await pass(clock, 1900);
+  t.is(log.appends, 2);
+  await pass(clock, 1000);
+  t.is(log.appends, 3);
+});
