Let teams that were above their share wait

Cause: on a shard of the two-year size small teams came out up to 10.1% off their share at 120%: a gang or a hold takes them far above it, and order by the present share alone never evens that out. Change: teams are ordered by the mean of the present share and its average over about five minutes, within bounds. The waiting measurement has a shard of the two-year size with 77 teams.

--- a/packages/bench/src/demand.ts
+++ b/packages/bench/src/demand.ts
@@ -108,6 +108,34 @@
   classes: SCANS,
 };
 
+/** Weights of the two-year teams, in turn. */
+const WEIGHTS = [8, 4, 2, 1, 1, 1, 1];
+/** What each of these teams asks for, in relation to its weight, in turn. */
+const EAGERNESS = [1.3, 0.7, 1, 0.5, 1.5];
+const TWO_YEAR_TEAMS = 77;
+
+/** One shard of the two-year size: 200 workers and 77 teams with long batch work. */
+export const TWO_YEAR_SHARD_PROFILE: UserProfile = {
+  name: 'two-year-shard',
+  fleet: { name: 'two-year-shard', kinds: [{ workers: 200, capacity: amountOf(64, 128) }] },
+  teams: twoYearTeams(),
+  classes: [...SHARED_CLASSES, planClass('batch', 'ordinary', 0.95, 120_000)],
+};
+
+function twoYearTeams(): TeamDemand[] {
+  const teams = Array.from({ length: TWO_YEAR_TEAMS }, (_, number) => ({
+    team: brandAs<TeamId>(`team-${number}`),
+    weight: WEIGHTS[number % WEIGHTS.length] ?? 1,
+    eagerness: EAGERNESS[number % EAGERNESS.length] ?? 1,
+  }));
+  const total = teams.reduce((sum, { weight, eagerness }) => sum + weight * eagerness, 0);
+  return teams.map(({ team, weight, eagerness }) => ({
+    team,
+    weight,
+    part: (weight * eagerness) / total,
+  }));
+}
+
 function planClass(name: string, urgency: Urgency, part: number, meanRunMillis: number): WorkClass {
   return {
     name,
--- a/packages/bench/src/waiting.ts
+++ b/packages/bench/src/waiting.ts
@@ -8,6 +8,7 @@
 import {
   arrivalsOf,
   TALLOWGUM_PROFILE,
+  TWO_YEAR_SHARD_PROFILE,
   UPEPO_PROFILE,
   type Arrival,
   type UserProfile,
@@ -24,7 +25,7 @@
 const TARGET = { shareError: 0.05, urgentP99Millis: 3000 };
 
 export function measureWaiting(): object {
-  const runs = [UPEPO_PROFILE, TALLOWGUM_PROFILE].flatMap((profile) =>
+  const runs = [UPEPO_PROFILE, TALLOWGUM_PROFILE, TWO_YEAR_SHARD_PROFILE].flatMap((profile) =>
     LOADS.flatMap((load) => {
       const arrivals = arrivalsOf(profile, load, MEASURE_UNTIL_MILLIS, SEED);
       return rulesFor(profile).map((rules) => measureRules(profile, load, rules, arrivals));
--- a/packages/policy/src/dominant-shares.ts
+++ b/packages/policy/src/dominant-shares.ts
@@ -2,13 +2,22 @@
 
 import type { TeamId } from '@bamboowell/types/ids';
 import { add, DIMENSIONS, NOTHING, type Resources } from '@bamboowell/types/resources';
+import type { Instant } from '@bamboowell/types/time';
 import type { TeamUsage } from './ordering.js';
 
+/** Length of time over which the average of a team's share mostly forms. */
+const AVERAGE_MILLIS = 300_000;
+/** The average counts as at least and at most this part of the present share. */
+const LEAST_AVERAGE_PART = 0.5;
+const MOST_AVERAGE_PART = 2;
+
 interface TeamAccount {
   here: Resources;
   elsewhere: Resources;
   weight: number;
+  /** Present share, and its exponentially weighted average over time. */
   share: number;
+  average: number;
 }
 
 const NEW_ACCOUNT: Readonly<TeamAccount> = {
@@ -16,33 +25,42 @@
   elsewhere: NOTHING,
   weight: 1,
   share: 0,
+  average: 0,
 };
 
 /** What each team has running, as the largest part of any dimension, divided by its weight. */
 export class DominantShares {
   private readonly accounts = new Map<TeamId, TeamAccount>();
   private capacity: Resources = NOTHING;
+  private averagedAt: Instant | undefined;
 
   /** The team's weighted dominant share; 1 is the whole fleet at weight 1. */
   of(team: TeamId): number {
     return this.accounts.get(team)?.share ?? 0;
   }
 
+  /** Carries the averages on to `now`; changes until the next call count as made at `now`. */
+  advance(now: Instant): void {
+    const part = 1 - Math.exp(-(now - (this.averagedAt ?? now)) / AVERAGE_MILLIS);
+    this.averagedAt = now;
+    for (const account of this.accounts.values()) {
+      account.average += (account.share - account.average) * part;
+    }
+  }
+
   /**
-   * The team's share with half of the amount added. Ordering by it does not favour teams whose
-   * tasks are large for their weight.
+   * What teams are ordered by: the mean of the present share, with half of the next task added, and
+   * the average share. The half keeps teams from gaining by tasks that are large for their weight,
+   * the average lets a team that was above its share wait, and one that was below it catch up.
    */
-  withHalf(team: TeamId, amount: Resources): number {
+  rankOf(team: TeamId, nextTask: Resources): number {
     const account = this.accounts.get(team) ?? NEW_ACCOUNT;
-    let largest = 0;
-    for (const dimension of DIMENSIONS) {
-      const capacity = this.capacity[dimension];
-      if (capacity > 0) {
-        const running = account.here[dimension] + account.elsewhere[dimension];
-        largest = Math.max(largest, (running + amount[dimension] / 2) / capacity);
-      }
-    }
-    return largest / account.weight;
+    const present = this.withHalf(account, nextTask);
+    const average = Math.min(
+      Math.max(account.average, present * LEAST_AVERAGE_PART),
+      present * MOST_AVERAGE_PART,
+    );
+    return (present + average) / 2;
   }
 
   /**
@@ -94,6 +112,18 @@
     this.refreshAll();
   }
 
+  private withHalf(account: TeamAccount, amount: Resources): number {
+    let largest = 0;
+    for (const dimension of DIMENSIONS) {
+      const capacity = this.capacity[dimension];
+      if (capacity > 0) {
+        const running = account.here[dimension] + account.elsewhere[dimension];
+        largest = Math.max(largest, (running + amount[dimension] / 2) / capacity);
+      }
+    }
+    return largest / account.weight;
+  }
+
   private accountOf(team: TeamId): TeamAccount {
     const account = this.accounts.get(team) ?? { ...NEW_ACCOUNT };
     this.accounts.set(team, account);
--- a/packages/policy/src/fair-round.ts
+++ b/packages/policy/src/fair-round.ts
@@ -121,7 +121,7 @@
       if (head === undefined) {
         continue;
       }
-      const share = this.context.shares.withHalf(pass.team.team, head.entry.candidate.demand);
+      const share = this.context.shares.rankOf(pass.team.team, head.entry.candidate.demand);
       if (share < bestShare || (share === bestShare && olderOf(best, head) === head)) {
         best = head;
         bestShare = share;
--- a/packages/policy/src/fair-share.test.ts
+++ b/packages/policy/src/fair-share.test.ts
@@ -5,9 +5,9 @@
 import { OVERDUE_MILLIS, OVERDUE_TURN, type FairShare } from './fair-share.js';
 
 /** Starts what the round returns until `count` units of work run; counts them by team. */
-function startUnits(ordering: FairShare, count: number): Map<TeamId, number> {
+function startUnits(ordering: FairShare, count: number, now = 0): Map<TeamId, number> {
   const started = new Map<TeamId, number>();
-  const round = ordering.round(at(0));
+  const round = ordering.round(at(now));
   for (let unit = 0; unit < count; unit += 1) {
     const next = round.next();
     if (next === undefined) {
@@ -80,6 +80,24 @@
   }
 });
 
+test('a team that was above its share lets one that was below it catch up, within bounds', (t) => {
+  const ordering = orderingOf(...manyOf('a', 100), ...manyOf('b', 100));
+  ordering.round(at(0));
+  ordering.addUsage(team('a'), cores(90));
+  ordering.round(at(OVERDUE_MILLIS));
+  ordering.addUsage(team('a'), cores(-90));
+  ordering.addUsage(team('a'), cores(1));
+  ordering.addUsage(team('b'), cores(1));
+  const started = startUnits(ordering, 60, OVERDUE_MILLIS);
+  t.deepEqual(
+    started,
+    new Map([
+      [team('a'), 20],
+      [team('b'), 40],
+    ]),
+  );
+});
+
 test('excess is told against the level that all teams have together', (t) => {
   const ordering = orderingOf();
   ordering.setShares(new Map([[team('a'), 3]]));
--- a/packages/policy/src/fair-share.ts
+++ b/packages/policy/src/fair-share.ts
@@ -59,6 +59,7 @@
 
   round(now: Instant): Round {
     this.roundAt = now;
+    this.shares.advance(now);
     this.refreshHold(now);
     return new FairRound({
       waiting: this.waiting,
