--- /dev/null
+++ b/packages/replay/src/checks/checks.test.ts
@@ -0,0 +1,206 @@
+import test from 'ava';
+import type { Observation } from '../observation.js';
+import { POINTS, type Point } from '../trace.js';
+import { judgeAll } from './all-checks.js';
+
+const SMALL = { millicores: 1000, memoryMib: 512, accelerators: 0, slots: 1 };
+const LARGE = { millicores: 8000, memoryMib: 8192, accelerators: 0, slots: 8 };
+
+function worker(capacity = LARGE, name = 'w1'): Observation {
+  return { at: 0, saw: 'worker', worker: name, capacity };
+}
+
+function configuration(
+  changes: Partial<Extract<Observation, { saw: 'configuration' }>> = {},
+): Observation {
+  return {
+    at: 1,
+    saw: 'configuration',
+    daemon: 'e1',
+    version: 1,
+    limits: { lab: LARGE },
+    keys: { key: 'lab' },
+    openQueues: [],
+    ...changes,
+  };
+}
+
+function request(changes: Partial<Extract<Observation, { saw: 'request' }>> = {}): Observation {
+  return {
+    at: 2,
+    saw: 'request',
+    request: 'r1',
+    daemon: 'e1',
+    key: 'key',
+    queue: 'runs',
+    kind: 'call',
+    ...changes,
+  };
+}
+
+function run(changes: Partial<Extract<Observation, { saw: 'run' }>> = {}): Observation {
+  return {
+    at: 3,
+    saw: 'run',
+    worker: 'w1',
+    attempt: 't/0#1',
+    task: 't/0',
+    team: 'lab',
+    request: 'r1',
+    demand: SMALL,
+    idempotent: false,
+    ...changes,
+  };
+}
+
+function runEnded(answer: string | null = 'whole', attempt = 't/0#1'): Observation {
+  return { at: 4, saw: 'run_ended', worker: 'w1', attempt, answer };
+}
+
+function answer(changes: Partial<Extract<Observation, { saw: 'answer' }>> = {}): Observation {
+  return {
+    at: 5,
+    saw: 'answer',
+    request: 'r1',
+    verdict: 'done',
+    reason: null,
+    answer: 'whole',
+    work: null,
+    ...changes,
+  };
+}
+
+function daemon(is: Extract<Observation, { saw: 'daemon' }>['is'], at = 0): Observation {
+  return { at, saw: 'daemon', daemon: 'e1', is };
+}
+
+/** A run in which all points hold. */
+function soundRun(): Observation[] {
+  return [worker(), daemon('up'), configuration(), request(), run(), runEnded(), answer()];
+}
+
+/** For each point, a run that breaks it. */
+const BROKEN: Readonly<Record<Point, () => Observation[]>> = {
+  no_overcommit: () => [
+    worker(SMALL),
+    configuration(),
+    request(),
+    run(),
+    run({ attempt: 't/1#1', task: 't/1' }),
+  ],
+  one_place: () => [
+    worker(),
+    worker(LARGE, 'w2'),
+    configuration(),
+    request(),
+    run(),
+    run({ worker: 'w2', attempt: 't/0#2', idempotent: true }),
+  ],
+  key_only: () => [worker(), configuration(), request({ key: null }), run(), runEnded(), answer()],
+  team_limit: () => [
+    worker(),
+    configuration({ limits: { lab: SMALL } }),
+    request(),
+    run(),
+    run({ attempt: 't/1#1', task: 't/1' }),
+  ],
+  own_answer: () => [
+    worker(),
+    configuration(),
+    request(),
+    run(),
+    runEnded('whole'),
+    answer({ answer: 'who' }),
+  ],
+  not_run_true: () => [
+    worker(),
+    configuration(),
+    request(),
+    run(),
+    answer({ verdict: 'not_run', answer: null }),
+  ],
+  at_most_once: () => [
+    worker(),
+    configuration(),
+    request(),
+    run(),
+    runEnded(null),
+    run({ attempt: 't/0#2' }),
+  ],
+  leaving: () => [
+    worker(),
+    configuration(),
+    { at: 2, saw: 'leaving', worker: 'w1' },
+    request(),
+    run({ at: 5003 }),
+  ],
+  graceful: () => [
+    worker(),
+    daemon('up'),
+    configuration(),
+    request(),
+    daemon('stopping', 3),
+    daemon('ended', 4),
+  ],
+  configuration: () => [
+    daemon('up'),
+    configuration({ version: 2 }),
+    configuration({ version: 1, at: 2 }),
+  ],
+};
+
+test('a sound run breaks no point', (t) => {
+  t.deepEqual(judgeAll(soundRun()), []);
+});
+
+for (const point of POINTS) {
+  test(`the check of ${point} sees a violation, and only that check does`, (t) => {
+    const found = judgeAll(BROKEN[point]());
+    t.deepEqual([...new Set(found.map((violation) => violation.point))], [point]);
+  });
+}
+
+test('a withdrawn key that is taken after the bound is a violation, before it is not', (t) => {
+  const withdrawn = configuration({ at: 10, version: 2, keys: {} });
+  const late = [
+    configuration(),
+    withdrawn,
+    request({ at: 5011 }),
+    answer({ at: 5012, answer: null }),
+  ];
+  const early = [
+    configuration(),
+    withdrawn,
+    request({ at: 5009 }),
+    answer({ at: 5012, answer: null }),
+  ];
+  t.deepEqual(
+    judgeAll(late).map(({ point }) => point),
+    ['key_only'],
+  );
+  t.deepEqual(judgeAll(early), []);
+});
+
+test('a version that is not in force everywhere in time is a violation', (t) => {
+  const seen: Observation[] = [
+    daemon('up'),
+    configuration(),
+    { at: 2, saw: 'applied', version: 2 },
+    configuration({ at: 8003, daemon: 'e2', version: 2 }),
+  ];
+  t.deepEqual(
+    judgeAll(seen).map(({ point }) => point),
+    ['configuration'],
+  );
+});
+
+test('work that a lowered limit forbids may not go on running', (t) => {
+  const lowered = configuration({ at: 10, version: 2, limits: { lab: { ...SMALL, slots: 0 } } });
+  const seen = [worker(), configuration(), request(), run(), lowered, runEnded(null, 'other')];
+  t.deepEqual(judgeAll(seen), []);
+  const later: Observation = { at: 9000, saw: 'leaving', worker: 'w9' };
+  t.deepEqual(
+    judgeAll([...seen, later]).map(({ point }) => point),
+    ['team_limit'],
+  );
+});
--- /dev/null
+++ b/packages/replay/src/traces.test.ts
@@ -0,0 +1,39 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+import { replay } from './replay.js';
+
+const TRACES = fileURLToPath(new URL('../traces/', import.meta.url));
+
+function tracesIn(folder: string): string[] {
+  return readdirSync(folder).filter((name) => name.endsWith('.jsonl'));
+}
+
+for (const name of tracesIn(TRACES)) {
+  test(`the trace ${name} comes out as stated`, async (t) => {
+    const { problems } = await replay(readFileSync(`${TRACES}${name}`, 'utf8'));
+    t.deepEqual(problems, []);
+  });
+}
+
+test('an expectation that does not hold is a problem that names its line', async (t) => {
+  const [name = ''] = tracesIn(TRACES).filter((each) => each.startsWith('owner-killed'));
+  const text = readFileSync(`${TRACES}${name}`, 'utf8').trimEnd();
+  const wrong = JSON.stringify({ at: 60_000, expect: 'version', daemon: 'e1', is: 99 });
+  const { problems } = await replay(`${text}\n${wrong}`);
+  t.is(problems.length, 1);
+  t.regex(problems[0] ?? '', /^line \d+: daemon e1 has version 1, expected 99$/);
+});
+
+test('a recorded trace whose stated violation is not there is a problem', async (t) => {
+  const header = {
+    trace: 'empty',
+    point: 'one_place',
+    failure: 'none',
+    text: 'Nothing was seen.',
+    mode: 'recorded',
+    outcome: { flagged: ['one_place'] },
+  };
+  const { problems } = await replay(JSON.stringify(header));
+  t.is(problems.length, 1);
+});
