Take a chunk of every limit ahead, and keep upkeep out of most steps

Cause: a trace with the log down showed that quick calls of a team that had run none before were refused for want of a holding; and each step of an owner went over all workers, calls and limits. Change: owners keep a chunk of each team's limit while less than half of it is held; work that goes over all state is done when it is due.

--- a/packages/owner/src/limits.ts
+++ b/packages/owner/src/limits.ts
@@ -3,6 +3,7 @@
 import type { Epoch, TeamId } from '@bamboowell/types/ids';
 import {
   add,
+  fits,
   isNothing,
   NOTHING,
   positivePart,
@@ -11,7 +12,7 @@
   type Resources,
 } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
-import { amountToTake, IdleHoldings, type TeamHolding } from '@bamboowell/policy/holdings';
+import { amountToTake, chunkOf, IdleHoldings, type TeamHolding } from '@bamboowell/policy/holdings';
 import type { Context } from './context.js';
 import type { LiveAttempts } from './live-attempts.js';
 
@@ -74,6 +75,22 @@
     return positivePart(subtract(this.live.runningOf(team), this.allowedOf(team)));
   }
 
+  /**
+   * Takes a chunk ahead for every team, so that starts go on while the log is down. None where half
+   * of the limit is held already: the rest is for those that need it.
+   */
+  takeAhead(): void {
+    if (!this.context.holdsLimits || !this.context.mayStart) {
+      return;
+    }
+    for (const team of this.context.cell?.configuration.teams.keys() ?? []) {
+      const floor = this.floorOf(team);
+      if (!fits(floor, this.roomOf(team))) {
+        this.want(team, floor);
+      }
+    }
+  }
+
   /** Gives back at once what a lowered limit takes away, and later what stays idle. */
   giveBackIdle(): void {
     if (!this.context.holdsLimits || !this.context.mayStart) {
@@ -82,7 +99,7 @@
     const holdings: TeamHolding[] = [];
     for (const team of this.context.cell?.holdings.keys() ?? []) {
       this.giveBackSurplus(team);
-      holdings.push({ team, held: this.usableOf(team), inUse: this.live.runningOf(team) });
+      holdings.push({ team, held: this.spareOf(team), inUse: this.live.runningOf(team) });
     }
     for (const { team, amount } of this.idle.due(holdings, this.context.now)) {
       this.giveBack(team, amount);
@@ -139,6 +156,18 @@
     }
   }
 
+  /** What is kept of the team's limit also while nothing of it is used. */
+  private floorOf(team: TeamId): Resources {
+    const limit = this.context.cell?.configuration.teams.get(team)?.limit ?? NOTHING;
+    const total = this.context.cell?.holdings.get(team)?.total ?? NOTHING;
+    return fits(add(total, total), limit) ? chunkOf(limit) : NOTHING;
+  }
+
+  /** The holding without what is kept. */
+  private spareOf(team: TeamId): Resources {
+    return positivePart(subtract(this.usableOf(team), this.floorOf(team)));
+  }
+
   private allowedOf(team: TeamId): Resources {
     return this.context.cell?.holdings.get(team)?.allowed ?? NOTHING;
   }
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -36,6 +36,7 @@
 import { Starts } from './starts.js';
 import { Stops } from './stops.js';
 import { Submissions } from './submissions.js';
+import { Upkeep } from './upkeep.js';
 import { Waiting } from './waiting.js';
 
 export class ShardOwner {
@@ -56,6 +57,7 @@
   private readonly reports: Reports;
   /** Work may be left that could be placed without further input. */
   private hasMore = false;
+  private readonly upkeep = new Upkeep();
   private releasing = false;
   private vms: readonly ShardVm[] = [];
 
@@ -106,25 +108,21 @@
   step(input: Input, now: Instant): Output[] {
     this.context.now = now;
     this.receive(input);
-    this.progress();
+    if ('deadline' in input) {
+      this.upkeep.noteDeadline(input.deadline);
+    }
+    if (this.upkeep.isDue(input, now)) {
+      this.keepUp();
+    }
+    if (Upkeep.mayFreeWork(input)) {
+      this.startWork();
+    }
     return this.context.takeOutputs();
   }
 
   /** When to step with `tick` at the latest. */
   nextDeadline(): Deadline {
-    if (this.hasMore) {
-      return brandAs<Deadline>(this.context.now);
-    }
-    const deadlines = [
-      this.sessions.nextDeadline(),
-      this.submissions.nextDeadline(),
-      this.calls.nextDeadline(),
-      this.cancels.nextDeadline(),
-      this.limits.nextDeadline(),
-      this.health.nextDeadline(),
-      this.waiting.nextDeadline(),
-    ];
-    return brandAs<Deadline>(Math.min(...deadlines.map((deadline) => deadline ?? NEVER)));
+    return this.hasMore ? brandAs<Deadline>(this.context.now) : this.upkeep.deadline;
   }
 
   /** What a team has running here. */
@@ -203,15 +201,18 @@
       .exhaustive();
   }
 
-  /** Does all that the input and the time now allow. */
-  private progress(): void {
+  /** Does all that is due by now. */
+  private keepUp(): void {
     this.submissions.expire();
     this.calls.expire();
     this.cancels.expire();
-    if (this.context.ownedEpoch === undefined) {
-      this.hasMore = false;
-      return;
+    if (this.context.ownedEpoch !== undefined) {
+      this.keepUpOwned();
     }
+    this.upkeep.done(this.nextDue(), this.context.now);
+  }
+
+  private keepUpOwned(): void {
     this.reports.lapse();
     this.sessions.wakeRested();
     this.health.endQuarantines();
@@ -219,11 +220,33 @@
     this.sessions.renewDue();
     this.stops.shedAll();
     this.limits.giveBackIdle();
+    this.limits.takeAhead();
+  }
+
+  /** Starts what the input may have made room for. */
+  private startWork(): void {
+    if (this.context.ownedEpoch === undefined) {
+      this.hasMore = false;
+      return;
+    }
     this.calls.place();
     this.hasMore = this.starts.place();
     this.release();
   }
 
+  private nextDue(): Deadline {
+    const deadlines = [
+      this.sessions.nextDeadline(),
+      this.submissions.nextDeadline(),
+      this.calls.nextDeadline(),
+      this.cancels.nextDeadline(),
+      this.limits.nextDeadline(),
+      this.health.nextDeadline(),
+      this.waiting.nextDeadline(),
+    ];
+    return brandAs<Deadline>(Math.min(...deadlines.map((deadline) => deadline ?? NEVER)));
+  }
+
   private restore(snapshot: ShardSnapshot | undefined): void {
     this.disown();
     this.context.fold = snapshot === undefined ? new ShardFold() : ShardFold.restore(snapshot);
--- a/packages/policy/src/holdings.ts
+++ b/packages/policy/src/holdings.ts
@@ -51,7 +51,8 @@
   );
 }
 
-function chunkOf(limit: Resources): Resources {
+/** The part of a limit that a shard takes ahead at a time. */
+export function chunkOf(limit: Resources): Resources {
   return resourcesOf((dimension) => Math.ceil(limit[dimension] / CHUNKS_OF_LIMIT));
 }
 
--- a/packages/replay/src/player.ts
+++ b/packages/replay/src/player.ts
@@ -230,7 +230,7 @@
         this.sawDaemon(daemon, 'killed');
       })
       .with('paused', () => {
-        staged.gate.pause();
+        this.stage.pause(daemon);
         this.sawDaemon(daemon, 'paused');
       })
       .with('resumed', () => {
--- a/packages/replay/src/stage/stage.ts
+++ b/packages/replay/src/stage/stage.ts
@@ -29,6 +29,8 @@
 const STEP_MILLIS = 20;
 /** Turns of the event loop in which all messages of a step are delivered. */
 const TURNS_A_STEP = 6;
+/** A connection on which nothing comes for this long is ended, milliseconds. */
+const SILENCE_MILLIS = 5_000;
 const WORKER_PORT = 10_000;
 const UINT32 = 2 ** 32;
 
@@ -165,6 +167,19 @@
     }
   }
 
+  /** Stops a daemon from doing anything; others end their connections to it as silent. */
+  pause(id: string): void {
+    const daemon = this.daemon(id);
+    daemon.gate.pause();
+    this.clock.wakeAt(brandAs(this.clock.now() + SILENCE_MILLIS), () => {
+      if (!daemon.gate.isOpen) {
+        for (const connection of daemon.connections) {
+          connection.other?.close();
+        }
+      }
+    });
+  }
+
   daemon(id: string): StagedDaemon {
     const daemon = this.daemons.get(id);
     if (daemon === undefined) {
@@ -228,8 +243,7 @@
   }
 
   private endSilentLinksLater(worker: string): void {
-    const silenceMillis = 5_000;
-    this.clock.wakeAt(brandAs(this.clock.now() + silenceMillis), () => {
+    this.clock.wakeAt(brandAs(this.clock.now() + SILENCE_MILLIS), () => {
       this.dropLinks((link) => link.worker === worker && link.silent);
     });
   }
