--- a/packages/replay/src/checks/caller-checks.ts
+++ b/packages/replay/src/checks/caller-checks.ts
@@ -153,11 +153,14 @@
     }
   }
 
-  private answered({ at, request, verdict }: Seen<'answer'>): void {
+  /** An answer that a change of the owner made unknown counts as cut off while a daemon stops. */
+  private answered({ at, request, verdict, reason }: Seen<'answer'>): void {
     const asked = this.inHand.get(request);
     this.inHand.delete(request);
-    if (verdict === 'lost' && asked !== undefined && this.stopping.has(asked.daemon)) {
-      this.violated(at, `request ${request} was cut off by the stop of ${asked.daemon}`);
+    const isUnknown = verdict === 'may_have_run' && reason === 'owner_changed';
+    const isLost = verdict === 'lost' && asked !== undefined && this.stopping.has(asked.daemon);
+    if (isLost || (isUnknown && this.stopping.size > 0)) {
+      this.violated(at, `request ${request} was cut off by the stop of a daemon`);
     }
   }
 
--- a/packages/replay/src/main.ts
+++ b/packages/replay/src/main.ts
@@ -1,9 +1,12 @@
 /** The program behind `npm run replay`: replays traces and prints what they prove. */
 
-import { readdir, readFile } from 'node:fs/promises';
+import { readdir, readFile, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { parseArgs } from 'node:util';
+import { record } from './record.js';
 import { replay } from './replay.js';
+import { POINTS } from './trace.js';
 
 const OWN_TRACES = fileURLToPath(new URL('../traces', import.meta.url));
 const HEADINGS = ['point', 'failure', 'trace', 'outcome'] as const;
@@ -36,8 +39,28 @@
   }
 }
 
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: { record: { type: 'string' }, without: { type: 'string' } },
+});
+
 async function main(): Promise<number> {
-  const files = process.argv.length > 2 ? process.argv.slice(2) : await ownTraces();
+  return values.record === undefined ? replayAll() : recordOne(values.record);
+}
+
+async function recordOne(out: string): Promise<number> {
+  const [file] = positionals;
+  const without = POINTS.find((point) => point === values.without);
+  if (file === undefined || (values.without !== undefined && without === undefined)) {
+    process.stderr.write(`expected --record OUT [--without ${POINTS.join('|')}] FILE\n`);
+    return 1;
+  }
+  await writeFile(out, await record(await readFile(file, 'utf8'), without));
+  return 0;
+}
+
+async function replayAll(): Promise<number> {
+  const files = positionals.length > 0 ? positionals : await ownTraces();
   const rows: Row[] = [];
   for (const file of files) {
     const row = await rowOf(file);
