--- a/packages/config/src/declarations/describe.ts
+++ b/packages/config/src/declarations/describe.ts
@@ -80,12 +80,14 @@
   return { for: team === null ? 'operators' : `team ${team}`, withdrawn: withdrawn ? 'yes' : 'no' };
 }
 
-/** An amount in the units of the declarations, as in `12.5 cores, 64 GiB, 4 accelerators, 16 slots`. */
+/** An amount in the units of the declarations, as in `12.5 cores, 64 GiB`; zeros are left out. */
 export function describeResources(amount: Resources): string {
-  return [
-    `${amount.millicores / MILLICORES_PER_CORE} cores`,
-    `${amount.memoryMib / MIB_PER_GIB} GiB`,
-    `${amount.accelerators} accelerators`,
-    `${amount.slots} slots`,
-  ].join(', ');
+  const parts: [number, string][] = [
+    [amount.millicores / MILLICORES_PER_CORE, 'cores'],
+    [amount.memoryMib / MIB_PER_GIB, 'GiB'],
+    [amount.accelerators, 'accelerators'],
+    [amount.slots, 'slots'],
+  ];
+  const texts = parts.filter(([size]) => size > 0).map(([size, unit]) => `${size} ${unit}`);
+  return texts.length === 0 ? 'nothing' : texts.join(', ');
 }
