Bound the turns of overdue work by time

Cause: every 32nd turn of a team went to overdue work, which runs far longer than a quick call and so took much of the team's part. Change: a team's oldest overdue work goes before the rest at most once a minute. Tests: the test of the turn now checks that it comes once in its time.

--- a/packages/policy/src/fair-round.ts
+++ b/packages/policy/src/fair-round.ts
@@ -20,8 +20,10 @@
   isOverdue(candidate: Candidate): boolean;
   /** Whether the team has had no start for as long as makes work overdue. */
   isWithoutStart(team: TeamId): boolean;
-  /** Whether it is the turn of the team's oldest overdue candidate; counts the call. */
+  /** Whether the team's oldest overdue candidate may go before its other work. */
   isOverdueTurn(team: TeamId): boolean;
+  /** It did. */
+  tookOverdueTurn(team: TeamId): void;
   /** Work that was first in the order, or of a team without a start, fits nowhere. */
   firstIsBlocked(candidate: Candidate): void;
 }
@@ -152,8 +154,13 @@
 
   /** The oldest overdue work of the head's team if it is its turn, otherwise the head. */
   private overdueInTurn(head: Head): Head {
-    const isTurn = this.context.isOverdueTurn(head.team.team.team);
-    return (isTurn ? this.overdueHeadOf(head.team) : undefined) ?? head;
+    const { team } = head.team.team;
+    const overdue = this.context.isOverdueTurn(team) ? this.overdueHeadOf(head.team) : undefined;
+    if (overdue === undefined || overdue.entry === head.entry) {
+      return head;
+    }
+    this.context.tookOverdueTurn(team);
+    return overdue;
   }
 
   private overdueHeadOf(pass: TeamPass): Head | undefined {
--- a/packages/policy/src/fair-share.test.ts
+++ b/packages/policy/src/fair-share.test.ts
@@ -2,7 +2,7 @@
 import { brandAs, type TeamId, type WorkId } from '@bamboowell/types/ids';
 import { NOTHING } from '@bamboowell/types/resources';
 import { at, candidateOf, cores, drain, manyOf, orderingOf, team } from './candidates.fixture.js';
-import { OVERDUE_MILLIS, OVERDUE_TURN, type FairShare } from './fair-share.js';
+import { OVERDUE_MILLIS, OVERDUE_TURN_MILLIS, type FairShare } from './fair-share.js';
 
 /** Starts what the round returns until `count` units of work run; counts them by team. */
 function startUnits(ordering: FairShare, count: number, now = 0): Map<TeamId, number> {
@@ -115,15 +115,23 @@
   t.deepEqual(drain(ordering.round(at(0))), ['a1', 'b1']);
 });
 
-test('overdue patient work has a turn among ordinary work of its team', (t) => {
+test('overdue patient work goes before ordinary work of its team, one piece at a time', (t) => {
   const ordering = orderingOf(
-    candidateOf('patient', 'a', { urgency: 'patient' }),
+    ...manyOf('a', 2, { urgency: 'patient' }).map((other, index) => ({
+      ...other,
+      work: brandAs<WorkId>(`patient${index}`),
+    })),
     ...manyOf('a', 100, { waitingSince: at(OVERDUE_MILLIS) }),
   );
   ordering.round(at(OVERDUE_MILLIS - 1));
   ordering.addUsage(team('a'), cores(1));
-  t.is(drain(ordering.round(at(OVERDUE_MILLIS - 1))).indexOf('patient'), 100);
-  t.true(drain(ordering.round(at(OVERDUE_MILLIS))).indexOf('patient') < OVERDUE_TURN);
+  t.is(drain(ordering.round(at(OVERDUE_MILLIS - 1))).indexOf('patient0'), 100);
+  const first = drain(ordering.round(at(OVERDUE_MILLIS)));
+  t.deepEqual([first.indexOf('patient0'), first.indexOf('patient1')], [0, 101]);
+  ordering.remove(brandAs<WorkId>('patient0'));
+  const nextTurn = OVERDUE_MILLIS + OVERDUE_TURN_MILLIS;
+  t.is(drain(ordering.round(at(nextTurn - 1))).indexOf('patient1'), 100);
+  t.is(drain(ordering.round(at(nextTurn))).indexOf('patient1'), 0);
 });
 
 test('a team without a start goes before others once its work is overdue, for one start', (t) => {
--- a/packages/policy/src/fair-share.ts
+++ b/packages/policy/src/fair-share.ts
@@ -13,14 +13,14 @@
 export const OVERDUE_MILLIS = 300_000;
 /** Age from which room may be held for a candidate that fits nowhere. */
 export const HOLD_AFTER_MILLIS = 60_000;
-/** One in so many turns of a team goes to its oldest overdue candidate. */
-export const OVERDUE_TURN = 32;
+/** Length of time after which a team's oldest overdue candidate goes before its other work again. */
+export const OVERDUE_TURN_MILLIS = 60_000;
 
 /**
  * Weighted dominant-resource fairness. Urgent work goes first; then the team with the smallest
- * weighted dominant share; within a team ordinary before patient, then the oldest. Overdue work
- * has every `OVERDUE_TURN`-th turn of its team, and goes before all other teams if its team has had
- * no start for as long. First work that has waited and fits nowhere holds back other work for a
+ * weighted dominant share; within a team ordinary before patient, then the oldest. The oldest
+ * overdue work goes before the rest of its team from time to time, and before all other teams if its
+ * team has had no start for as long. First work that has waited and fits nowhere holds back other work for a
  * bounded time, so that gangs and large tasks are not starved by small ones.
  */
 export class FairShare extends Ordering {
@@ -29,7 +29,8 @@
   private held: Hold | undefined;
   /** Work whose hold ended without a start, and until when it gets no other. */
   private readonly noHoldUntil = new Map<WorkId, Deadline>();
-  private readonly turns = new Map<TeamId, number>();
+  /** When each team's overdue work has its next turn. */
+  private readonly overdueTurns = new Map<TeamId, Deadline>();
   private readonly lastStarts = new Map<TeamId, Instant>();
   private roundAt: Instant = brandAs<Instant>(0);
 
@@ -67,7 +68,10 @@
       hold: () => this.held,
       isOverdue: (candidate) => hasWaited(candidate, OVERDUE_MILLIS, now),
       isWithoutStart: (team) => this.isWithoutStart(team, now),
-      isOverdueTurn: (team) => this.isOverdueTurn(team),
+      isOverdueTurn: (team) => this.isOverdueTurn(team, now),
+      tookOverdueTurn: (team) => {
+        this.overdueTurns.set(team, deadlineAfter(now, OVERDUE_TURN_MILLIS));
+      },
       firstIsBlocked: (candidate) => {
         this.beginHold(candidate, now);
       },
@@ -109,10 +113,9 @@
     return this.shares.excessOf(team);
   }
 
-  private isOverdueTurn(team: TeamId): boolean {
-    const turn = ((this.turns.get(team) ?? 0) + 1) % OVERDUE_TURN;
-    this.turns.set(team, turn);
-    return turn === 0;
+  private isOverdueTurn(team: TeamId, now: Instant): boolean {
+    const next = this.overdueTurns.get(team);
+    return next === undefined || hasPassed(next, now);
   }
 
   private isWithoutStart(team: TeamId, now: Instant): boolean {
