--- a/packages/log/src/stream-task.ts
+++ b/packages/log/src/stream-task.ts
@@ -17,6 +17,7 @@
   type WriterId,
 } from '@bamboowell/types/ids';
 import type { Stamped } from '@bamboowell/types/records';
+import { MILLIS_PER_MINUTE } from '@bamboowell/types/time';
 import { AppendLoop, type AppendLoopMessage } from './append-loop.js';
 import { AppendPace, appendShare } from './append-pace.js';
 import { Backoff } from './backoff.js';
@@ -38,7 +39,8 @@
 /** Busy streams of the cell, unless the settings say what part of the appends this one has. */
 const BUSY_STREAMS = 6;
 
-const UNLIMITED: LogRetention = { entries: null, millis: null };
+/** Assumed where the settings say nothing, so that history is not lost for want of a setting. */
+export const ASSUMED_RETENTION: LogRetention = { entries: 100_000, millis: 60 * MILLIS_PER_MINUTE };
 
 /** What a stream task is made from. */
 export interface StreamSettings<Entry> {
@@ -52,7 +54,7 @@
   readonly codec: Codec<Entry>;
   /** The stream's part of the appends; see `appendShare`. */
   readonly appendsPerSecond?: number;
-  /** How long the log keeps entries; without it, no `checkpoint_due` is told. */
+  /** How long the log keeps entries; `ASSUMED_RETENTION` if left out. */
   readonly retention?: LogRetention;
   /** Numbers from 0 to below 1, for the jitter of retries. */
   readonly random?: () => number;
@@ -86,7 +88,7 @@
     };
     this.codec = codec;
     this.checkpointWriter = brandAs<WriterId>(`${writer}.checkpoint`);
-    this.watch = new CheckpointWatch(settings.retention ?? UNLIMITED);
+    this.watch = new CheckpointWatch(settings.retention ?? ASSUMED_RETENTION);
     this.appends = new AppendLoop(stream, log, clock, pace, new Backoff(random), self);
     this.reads = new ReadLoop(
       stream,
