Check exactly-once effects over generated faults of the log

Cause: single cases don't show that no sequence of faults loses, doubles or reorders a record, or writes one that was withdrawn. Change: 500 generated runs with a fixed seed against the log in memory; two clients that misread an outcome must be found out.

--- /dev/null
+++ b/packages/log/src/append-faults.test.ts
@@ -0,0 +1,120 @@
+/** Every record has exactly one effect, whatever the log does with its appends and answers. */
+
+import test from 'ava';
+import fc from 'fast-check';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import type { StreamName } from '@bamboowell/types/ids';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Appended } from './log.js';
+import { MemoryLog, type AppendFault } from './memory-log.js';
+import { delivered, effective, newStream, pass, post, settle, withdraw } from './stream.fixture.js';
+
+const RUNS = { seed: 20_261_204, numRuns: 500 };
+const RECOVERY_MILLIS = 70_000;
+
+type Step =
+  | { readonly kind: 'append'; readonly count: number }
+  | { readonly kind: 'withdraw'; readonly back: number }
+  | { readonly kind: 'fault'; readonly fault: AppendFault }
+  | { readonly kind: 'down'; readonly isDown: boolean }
+  | { readonly kind: 'release' }
+  | { readonly kind: 'pass'; readonly millis: number };
+
+const fault = fc.constantFrom<AppendFault>('refused', 'answer_lost', 'request_lost', 'late');
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ kind: fc.constant('append' as const), count: fc.integer({ min: 1, max: 3 }) }),
+  fc.record({ kind: fc.constant('withdraw' as const), back: fc.nat(4) }),
+  fc.record({ kind: fc.constant('fault' as const), fault }),
+  fc.record({ kind: fc.constant('down' as const), isDown: fc.boolean() }),
+  fc.record({ kind: fc.constant('release' as const) }),
+  fc.record({ kind: fc.constant('pass' as const), millis: fc.constantFrom(1, 60, 2100) }),
+);
+
+const steps = fc.array(step, { minLength: 5, maxLength: 25, size: 'max' });
+
+/** Plays the steps, lets the log recover, and returns what was wrong. */
+async function play(played: readonly Step[], make: (clock: ManualClock) => MemoryLog) {
+  const clock = new ManualClock(1000);
+  const { log, subscriber, task } = newStream(1000, clock, make(clock));
+  const wanted = new Set<number>();
+  let last = 0;
+  await task.start();
+  await settle();
+  for (const each of played) {
+    switch (each.kind) {
+      case 'append':
+        for (let count = 0; count < each.count; count += 1) {
+          last += 1;
+          wanted.add(last);
+          await post(task, last);
+        }
+        break;
+      case 'withdraw':
+        if (
+          wanted.has(last - each.back) &&
+          (await withdraw(task, last - each.back)) === 'withdrawn'
+        ) {
+          wanted.delete(last - each.back);
+        }
+        break;
+      case 'fault':
+        log.failNext(each.fault);
+        break;
+      case 'down':
+        log.setDown(each.isDown);
+        break;
+      case 'release':
+        log.releaseLate();
+        break;
+      case 'pass':
+        await pass(clock, each.millis, 60);
+    }
+  }
+  log.recover();
+  await pass(clock, RECOVERY_MILLIS, 5000);
+  await task.stop();
+  return { effects: effective(delivered(subscriber.events).flat()), wanted: [...wanted] };
+}
+
+function exactlyOnce(make: (clock: ManualClock) => MemoryLog) {
+  return fc.asyncProperty(steps, async (played) => {
+    const { effects, wanted } = await play(played, make);
+    return JSON.stringify(effects) === JSON.stringify(wanted);
+  });
+}
+
+/** A log of which the client takes an outcome for another than it is. */
+function misread(from: Appended['kind'], to: Appended) {
+  return (clock: ManualClock) =>
+    new (class extends MemoryLog {
+      override async append(
+        stream: StreamName,
+        body: string,
+        deadline: Deadline,
+      ): Promise<Appended> {
+        const appended = await super.append(stream, body, deadline);
+        return appended.kind === from ? to : appended;
+      }
+    })(clock);
+}
+
+test('every record that was not withdrawn takes effect once and in order, the others never', async (t) => {
+  const result = await fc.check(
+    exactlyOnce((clock) => new MemoryLog(clock)),
+    RUNS,
+  );
+  t.false(result.failed, fc.defaultReportMessage(result) ?? '');
+});
+
+const MISREADINGS: readonly (readonly [string, (clock: ManualClock) => MemoryLog])[] = [
+  ['an unknown outcome for a refusal', misread('unknown', { kind: 'refused', detail: '' })],
+  ['a refusal for success', misread('refused', { kind: 'appended', offset: 0 as never })],
+];
+
+for (const [name, make] of MISREADINGS) {
+  test(`the check notices a client that takes ${name}`, async (t) => {
+    const result = await fc.check(exactlyOnce(make), { ...RUNS, endOnFailure: true });
+    t.true(result.failed);
+  });
+}
--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -47,6 +47,13 @@
     this.wakeReaders();
   }
 
+  /** Ends all faults; late appends take their effect. */
+  recover(): void {
+    this.faults = [];
+    this.releaseLate();
+    this.setDown(false);
+  }
+
   /** Gives all late appends their effect. */
   releaseLate(): void {
     for (const release of this.late.splice(0)) {
--- a/packages/log/src/stream.fixture.ts
+++ b/packages/log/src/stream.fixture.ts
@@ -144,6 +144,16 @@
   }));
 }
 
+/** The sequences that take effect: repeats and what comes after a higher one do not. */
+export function effective(sequences: readonly number[]): number[] {
+  let highest = 0;
+  return sequences.filter((sequence) => {
+    const isNew = sequence > highest;
+    highest = Math.max(highest, sequence);
+    return isNew;
+  });
+}
+
 /** Lets one round of messages run. */
 export async function settleBriefly(): Promise<void> {
   await new Promise((resolve) => setImmediate(resolve));
