End handshakes in progress when a listener closes

Cause: a test of a close during a handshake hung. A connection whose TLS handshake ended after the close had begun was accepted and never drained, and idle handshakes held the close up. Change: such a connection is not accepted, all sockets end at the deadline of the close, and a refused or late handshake frees its socket. Late handshakes have a counter of their own.

--- a/packages/wire/src/listener.test.ts
+++ b/packages/wire/src/listener.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import { createServer } from 'node:net';
+import { once } from 'node:events';
+import { connect as connectTcp, createServer } from 'node:net';
 import { deadlineAfter } from '@bamboowell/types/time';
 import {
   identityOfMember1,
@@ -147,6 +148,34 @@
   t.deepEqual(result, { kind: 'unreachable', detail: 'the peer is named member-1, not member-3' });
 });
 
+test('a close does not wait for a handshake beyond its deadline', async (t) => {
+  const meter = new MemoryMeter();
+  const { clock, listener } = tlsListener(meter);
+  const address = await listener.listen();
+  const idle = connectTcp(address);
+  await once(idle, 'connect');
+  // The listener has taken the first connection when it takes the second one.
+  await opened(t, clock, address, new MemoryMeter(), identityOfMember2());
+  const closed = listener.close(deadlineAfter(clock.now(), 100));
+  clock.advance(100);
+  await closed;
+  t.is(meter.read('wire.tls_timeouts'), 0);
+});
+
+test('a close leaves no connection open whose handshake ends meanwhile', async (t) => {
+  const { clock, listener } = tlsListener();
+  const address = await listener.listen();
+  const deadline = farDeadline(clock);
+  const connecting = connect({ address, clock, deadline, tls: identityOfMember2() });
+  const plain = connectTcp(address);
+  await once(plain, 'connect');
+  plain.destroy();
+  const closed = listener.close(deadline);
+  const late = await connecting;
+  await closed;
+  t.not('kind' in late ? 'unreachable' : await late.ended, 'silent');
+});
+
 test('new keys are used without a restart, and open connections go on', async (t) => {
   const { clock, listener } = tlsListener();
   const address = await listener.listen();
--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -35,11 +35,18 @@
 
 export class Listener<Accepted extends TcpConnection = TcpConnection> {
   private readonly server: Server;
+  private isClosing = false;
   private readonly connections = new Set<Accepted>();
+  /** All open sockets, also those whose TLS handshake goes on. */
+  private readonly sockets = new Set<Socket>();
 
   constructor(private readonly options: ListenerOptions<Accepted>) {
     this.server = this.makeServer();
     this.server.maxConnections = MAX_CONNECTIONS;
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   /** Starts to accept. Rejects if the address is taken. */
@@ -63,13 +70,18 @@
 
   /** Accepts no more and lets requests in progress end; the deadline ends what is left. */
   async close(deadline: Deadline): Promise<void> {
+    this.isClosing = true;
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
       });
     });
+    const alarm = this.options.clock.wakeAt(deadline, () => {
+      this.sockets.forEach((socket) => socket.destroy());
+    });
     await Promise.all([...this.connections].map((connection) => connection.drain(deadline)));
     await closed;
+    alarm.cancel();
   }
 
   private makeServer(): Server {
@@ -88,12 +100,18 @@
     const server = createTlsServer(options, (socket) => {
       this.accept(socket, peerNameOf(socket));
     });
-    return server.on('tlsClientError', () => {
-      this.options.meter?.count('wire.tls_refused', 1);
+    return server.on('tlsClientError', (error: NodeJS.ErrnoException, socket) => {
+      socket.destroy();
+      const isTimeout = error.code === 'ERR_TLS_HANDSHAKE_TIMEOUT';
+      this.options.meter?.count(isTimeout ? 'wire.tls_timeouts' : 'wire.tls_refused', 1);
     });
   }
 
   private accept(socket: Socket, peer: string | undefined): void {
+    if (this.isClosing) {
+      socket.destroy();
+      return;
+    }
     const connection = this.make(socket, peer);
     this.connections.add(connection);
     void connection.ended.then(() => {
