Count a lease as lapsed by the epoch that fenced the worker

Cause: the lapse of a worker's leases started at the longest time that an earlier owner may renew in an outage (2 h) and only ever moved on, also after the worker had refused earlier epochs; work of a lost worker was started again only when the worker came back. Ruled out: the timers of the links; the detached reports came as they should. Change: attaching sets the lapse to one lease from now.

--- a/packages/daemon/src/shards-task.ts
+++ b/packages/daemon/src/shards-task.ts
@@ -17,6 +17,7 @@
   private lastCell: CellEvent | undefined;
   private lastView: MembersEvent | undefined;
   private vms: readonly WorkerVm[] = [];
+  private isListed = false;
 
   constructor(private readonly parts: ShardsParts) {
     super('shards', parts.environment.clock);
@@ -41,6 +42,7 @@
       })
       .with({ kind: 'workers_listed' }, ({ vms }) => {
         this.vms = vms;
+        this.isListed = true;
         for (const [shard, task] of this.shards) {
           task.post({ kind: 'workers', vms: this.vmsOf(shard) });
         }
@@ -88,7 +90,9 @@
     if (this.lastView !== undefined) {
       task.post({ kind: 'members', event: this.lastView });
     }
-    task.post({ kind: 'workers', vms: this.vmsOf(shard) });
+    if (this.isListed) {
+      task.post({ kind: 'workers', vms: this.vmsOf(shard) });
+    }
   }
 
   private vmsOf(shard: ShardId): WorkerVm[] {
--- a/packages/owner/src/context.ts
+++ b/packages/owner/src/context.ts
@@ -46,6 +46,8 @@
   /** The epoch that this node owns, once its claim was read back. */
   ownedEpoch: Epoch | undefined;
   draining = false;
+  /** Workers that the VM list shows; unknown before it was read. */
+  workersListed: number | undefined;
   private outputs: Output[] = [];
   private sequence: Sequence = brandAs<Sequence>(0);
 
--- a/packages/owner/src/health.ts
+++ b/packages/owner/src/health.ts
@@ -1,7 +1,7 @@
 /** Learns from how attempts end which workers and which work to keep apart. */
 
-import type { WorkerId } from '@bamboowell/types/ids';
-import type { Deadline } from '@bamboowell/types/time';
+import type { WorkerId, WorkId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { Outcome, Work } from '@bamboowell/types/work';
 import { JobHealth } from '@bamboowell/policy/job-health';
 import type { Backoff } from '@bamboowell/policy/retry';
@@ -10,9 +10,18 @@
 import type { Sessions } from './sessions.js';
 import type { Waiting } from './waiting.js';
 
+/** Ends of a service's replicas within this time count together, milliseconds. */
+const RESTART_WINDOW_MILLIS = 60_000;
+
+interface Restarts {
+  readonly count: number;
+  readonly countsUntil: Deadline;
+}
+
 export class Health {
   private readonly workers = new WorkerHealth();
   private readonly jobs = new JobHealth();
+  private readonly restarts = new Map<WorkId, Restarts>();
 
   constructor(
     private readonly context: Context,
@@ -23,6 +32,9 @@
 
   /** An attempt of the work ended on a worker. `failures` counts those of its task. */
   ended(work: Work, worker: WorkerId, outcome: Outcome, failures: number): void {
+    if (work.shape.kind === 'service' && outcome.kind === 'succeeded') {
+      this.holdRestart(work);
+    }
     if (outcome.kind === 'succeeded') {
       this.jobs.succeeded(work.id);
       this.note(this.workers.succeeded(worker, work.queue));
@@ -52,6 +64,16 @@
     return this.workers.nextDeadline();
   }
 
+  /** A replica that has ended by itself starts again after a delay that grows while it goes on. */
+  private holdRestart(work: Work): void {
+    const { now } = this.context;
+    const before = this.restarts.get(work.id);
+    const isAgain = before !== undefined && !hasPassed(before.countsUntil, now);
+    const count = isAgain ? before.count + 1 : 1;
+    this.restarts.set(work.id, { count, countsUntil: deadlineAfter(now, RESTART_WINDOW_MILLIS) });
+    this.waiting.hold(work.id, this.backoff.retryAt(count, now));
+  }
+
   private failed(work: Work, worker: WorkerId, failures: number): void {
     const isGood = this.workers.isGood(worker, work.queue);
     const isSetAside = this.jobs.failed(work.id, worker, isGood);
--- a/packages/owner/src/reports.ts
+++ b/packages/owner/src/reports.ts
@@ -9,7 +9,7 @@
   type Incarnation,
   type WorkerId,
 } from '@bamboowell/types/ids';
-import { add, NOTHING, type Resources } from '@bamboowell/types/resources';
+import { add, multiply, NOTHING, type Resources } from '@bamboowell/types/resources';
 import type { WorkerInstant } from '@bamboowell/types/time';
 import type { Attempt, Outcome } from '@bamboowell/types/work';
 import type { AttemptReport, WorkerReport } from '@bamboowell/types/worker-messages';
@@ -128,12 +128,14 @@
     this.parts.sessions.renew(session);
   }
 
+  /** The whole fleet's, taking the other shards to be like this one. */
   private capacity(): Resources {
     let sum = NOTHING;
     for (const { profile } of this.context.fleet.all()) {
       sum = add(sum, profile.capacity);
     }
-    return sum;
+    const shards = this.context.cell?.configuration.dataCentres.size ?? 1;
+    return multiply(sum, Math.max(1, shards));
   }
 
   /** The attempts known to be on a worker take up room on it from now on. */
--- a/packages/owner/src/sessions.ts
+++ b/packages/owner/src/sessions.ts
@@ -97,6 +97,8 @@
     }
     this.context.fleet.put(profile, false);
     this.heard(session, workerNow);
+    // The worker refuses earlier epochs from here on, so that no earlier lease outlasts a new one.
+    session.lapseAt = deadlineAfter(this.context.now, longestOf(this.context.settings.leaseMillis));
     this.refresh(session);
     return session;
   }
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -410,6 +410,7 @@
 
   private setWorkers(vms: readonly ShardVm[]): void {
     this.vms = vms;
+    this.context.workersListed = vms.length;
     this.health.setWorkerCount(vms.length);
     if (this.context.ownedEpoch === undefined) {
       return;
--- a/packages/owner/src/submissions.ts
+++ b/packages/owner/src/submissions.ts
@@ -174,6 +174,12 @@
         detail: `needs more than the upper limit of team ${work.team} in ${short}`,
       };
     }
+    if (this.context.workersListed === 0) {
+      return {
+        reason: 'no_worker_fits',
+        detail: `data centre ${this.context.options.shard} has no workers; name another one`,
+      };
+    }
     if (!this.context.fleet.isEmpty() && !this.context.fleet.couldEverHold(work.demand)) {
       return {
         reason: 'impossible_size',
--- a/packages/replay/src/stage/stage.ts
+++ b/packages/replay/src/stage/stage.ts
@@ -66,7 +66,8 @@
   private shown: readonly Vm[] = [];
   private list: ListState = 'up';
   private links: OpenLink[] = [];
-  private readonly mutedWorkers = new Map<string, 'silent' | 'cut'>();
+  /** Workers to which new links fall silent as well. */
+  private readonly mutedWorkers = new Set<string>();
   private cuts: { readonly from: readonly string[]; readonly to: readonly string[] }[] = [];
   private readonly generator;
   private uniques = 0;
@@ -207,6 +208,7 @@
     for (const link of this.links) {
       link.silent ||= this.isCut(link.from.plan.daemon, link.worker);
     }
+    this.endSilentLinksLater();
   }
 
   /** Ends all cuts; connections that lost messages end, as their pings make them. */
@@ -227,14 +229,13 @@
       this.dropLinks((link) => link.worker === worker && link.silent);
       return;
     }
-    this.mutedWorkers.set(worker, state);
+    if (state === 'cut') {
+      this.mutedWorkers.add(worker);
+    }
     for (const link of this.links.filter((each) => each.worker === worker)) {
       link.silent = true;
     }
-    if (state === 'silent') {
-      this.mutedWorkers.delete(worker);
-      this.endSilentLinksLater(worker);
-    }
+    this.endSilentLinksLater();
   }
 
   /** Ends the links to a worker, as when its process ends. */
@@ -242,9 +243,10 @@
     this.dropLinks((link) => link.worker === worker);
   }
 
-  private endSilentLinksLater(worker: string): void {
+  /** Pings make a silent link end. */
+  private endSilentLinksLater(): void {
     this.clock.wakeAt(brandAs(this.clock.now() + SILENCE_MILLIS), () => {
-      this.dropLinks((link) => link.worker === worker && link.silent);
+      this.dropLinks((link) => link.silent);
     });
   }
 
@@ -289,6 +291,9 @@
       },
     };
     this.links.push(link);
+    if (link.silent) {
+      this.endSilentLinksLater();
+    }
     const target = this.workers.get(worker);
     const close = (): void => {
       this.links = this.links.filter((each) => each !== link);
--- a/packages/state/src/task-state.ts
+++ b/packages/state/src/task-state.ts
@@ -58,13 +58,18 @@
   if (goesOn(work, next, outcome, cancelled)) {
     return { ...next, state: { kind: 'waiting' } };
   }
-  const endedAs =
-    cancelled && outcome.kind !== 'succeeded' && outcome.kind !== 'lost' ? CANCELLED : outcome;
+  const endedAs = cancelled && !tellsMore(work, outcome) ? CANCELLED : outcome;
   return { ...next, state: { kind: 'ended', outcome: endedAs } };
 }
 
 const CANCELLED = { kind: 'cancelled' } as const;
 
+/** Whether the outcome of a cancelled task is to be kept: it ran to its end, or is lost. */
+function tellsMore(work: Work, outcome: Outcome): boolean {
+  const hasFinished = outcome.kind === 'succeeded' && work.shape.kind !== 'service';
+  return hasFinished || outcome.kind === 'lost';
+}
+
 function savedState(entry: TaskEntry, outcome: Outcome): string | null {
   return (outcome.kind === 'stopped' ? outcome.checkpoint : undefined) ?? entry.checkpoint;
 }
