--- a/packages/state/src/work-table.test.ts
+++ b/packages/state/src/work-table.test.ts
@@ -66,6 +66,7 @@
   t.is(table.works.size, MAX_ENDED_KEPT);
   t.false(table.works.has(workOf(0).id));
   t.true(table.works.has(workOf(1).id));
+  t.true(JSON.stringify(table.snapshot()).length < MAX_ENDED_CHARACTERS);
 });
 
 test('keeps the newest ended works up to the length of their answers', (t) => {
--- a/packages/state/src/work-table.ts
+++ b/packages/state/src/work-table.ts
@@ -15,15 +15,16 @@
 import { NEW_TASK, type TaskEntry } from './task-state.js';
 
 /** Bounds of the ended work that is kept, so that `get` is answered. */
-export const MAX_ENDED_KEPT = 20_000;
-/** Characters of payloads, answers and details, with an allowance for each task. */
+export const MAX_ENDED_KEPT = 10_000;
+/** Characters of a snapshot, counted by the texts and an allowance for each work and task. */
 export const MAX_ENDED_CHARACTERS = 8_000_000;
 
 /** Requests of forgotten work that are kept, so that a repeat does not run again. */
 export const MAX_FORGOTTEN_KEPT = 50_000;
 
-/** What a task takes in a snapshot besides its texts, characters. */
-const TASK_CHARACTERS = 100;
+/** What a work and a task take in a snapshot besides their texts, characters. */
+const WORK_CHARACTERS = 450;
+const TASK_CHARACTERS = 250;
 
 /** One accepted piece of work. Its fields change as records are applied. */
 export interface WorkEntry {
@@ -241,7 +242,7 @@
 
 /** What an ended work takes in a snapshot. */
 function charactersOf({ work, tasks }: WorkEntry): number {
-  let characters = work.payload.length + TASK_CHARACTERS;
+  let characters = work.payload.length + WORK_CHARACTERS;
   for (const { state, checkpoint } of tasks) {
     characters += TASK_CHARACTERS + (checkpoint?.length ?? 0);
     characters += state.kind === 'ended' ? textLengthOf(state.outcome) : 0;
