End a stopped daemon once its requests are answered

Cause: the alarm of the drain's deadline was never cancelled and kept the process alive, so that each graceful stop took the whole 30 s. A trace of the services showed that all of them stopped within 1.1 s; that ruled out the shards, the transport and the log.

Change: the alarm is cancelled when the drain is over.

--- a/packages/daemon/src/front-service.ts
+++ b/packages/daemon/src/front-service.ts
@@ -2,6 +2,7 @@
 
 import { readFile } from 'node:fs/promises';
 import { ask } from '@bamboowell/kernel/ask';
+import type { Alarm } from '@bamboowell/kernel/clock';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import { Service, type Directory } from '@bamboowell/kernel/service';
 import { buildApp } from '@bamboowell/front/app';
@@ -24,6 +25,7 @@
   readonly key = FRONT;
   readonly needs = [EVENTS, MEMBERS, CELL, SHARDS, ROUTING, ROUTER];
   private server: HttpServer | undefined;
+  private drainAlarm: Alarm | undefined;
   private isStopping = false;
   private leave: () => void = () => undefined;
 
@@ -62,11 +64,19 @@
     this.isStopping = true;
     this.leave();
     await clock.sleepUntil(deadlineAfter(clock.now(), UNREADY_MILLIS));
-    const drained = this.server?.drain();
-    await Promise.race([drained, clock.sleepUntil(deadline)]);
+    await this.drainBy(deadline);
     this.server?.abort();
   }
 
+  /** The alarm is cancelled once all is answered, so that it does not keep the process alive. */
+  private async drainBy(deadline: Deadline): Promise<void> {
+    const late = new Promise<void>((resolve) => {
+      this.drainAlarm = this.environment.clock.wakeAt(deadline, resolve);
+    });
+    await Promise.race([this.server?.drain(), late]);
+    this.drainAlarm?.cancel();
+  }
+
   /** Ready while the configuration can be relied on and no stop was asked for. */
   private async canServe(routing: Address<RoutingMessage>): Promise<boolean> {
     const { clock } = this.environment;
