Keep a repeated start from being reported as not sent while its first sending is open

Cause: after a lost connection the owner repeats a start under the same attempt id. If the repeat could not be sent it was reported start_refused, not_sent, which says that the attempt will never start; but the first sending may still wait in front of a paused worker and start in time, so the task could run in two places. Change: the link keeps the starts that were sent without an answer until the worker answers, lists the attempt, or its clock has passed startBy; a repeat of such a start is taken and not reported.

--- a/packages/worker/src/remote-worker.test.ts
+++ b/packages/worker/src/remote-worker.test.ts
@@ -125,6 +125,26 @@
   t.like(await script.got.next(), { method: 'start', params: { attempt: 'w/1#1' } });
 });
 
+test('a repeated start whose first sending is open is never reported as not sent', async (t) => {
+  const { script, held } = await scriptedHeld(t);
+  const connection = await attached(script);
+  script.link.send(startOf('w/0#1'));
+  await script.got.next();
+  const gate = later<undefined>();
+  const ended = held.holdFromEndOn(gate.value);
+  connection.close();
+  await ended;
+  t.like(script.link.send(startOf('w/0#1')), { kind: 'done' });
+  gate.give(undefined);
+  t.like(await script.reports.next(), { kind: 'detached' });
+  t.like(script.link.send(startOf('w/0#1')), { kind: 'done' });
+  t.like(script.link.send(startOf('w/1#1')), { kind: 'refused' });
+  script.clock.advance(1000);
+  const again = await script.got.next();
+  again.connection.notify('attached', attachedOf({ workerNow: 1 }));
+  t.like(await script.reports.next(), { kind: 'attached' });
+});
+
 test('a silent worker is detached, and a new connection is opened', async (t) => {
   const script = await scripted(t);
   await attached(script);
--- a/packages/worker/src/remote-worker.ts
+++ b/packages/worker/src/remote-worker.ts
@@ -19,6 +19,7 @@
 } from './remote-worker-messages.js';
 import { ReportQueue } from './report-queue.js';
 import type { WorkerLink } from './worker-link.js';
+import { SentStarts } from './sent-starts.js';
 import { WorkerSession } from './worker-session.js';
 
 const CONNECT_MILLIS = 3000;
@@ -33,6 +34,7 @@
   private readonly meter: Meter;
   private readonly backoff: Backoff;
   private readonly queue: ReportQueue<WorkerReport>;
+  private readonly sentStarts = new SentStarts();
   private session: WorkerSession | undefined;
   private lastAttach: AttachCommand | undefined;
   private isAttached = false;
@@ -47,11 +49,17 @@
     this.queue = new ReportQueue(options.reports);
   }
 
-  /** `attach` is kept and sent on each connection; other commands need an attached worker. */
+  /**
+   * `attach` is kept and sent on each connection; other commands need an attached worker. A start
+   * that was sent before without an answer is not refused: only `detached` and the next
+   * `attached` tell its fate.
+   */
   send(command: WorkerCommand): Result<null> {
     if (command.kind !== 'attach' && !this.isAttached) {
       this.meter.count(`worker.refused.${command.kind}`, 1);
-      return refused('worker_lost', `the worker ${this.options.worker} is not attached`);
+      return this.isOpenStart(command)
+        ? done(null)
+        : refused('worker_lost', `the worker ${this.options.worker} is not attached`);
     }
     return match(this.post({ kind: 'command', command }))
       .with('accepted', () => done(null))
@@ -170,18 +178,24 @@
     const sent = this.isAttached ? this.session?.send(command) : 'not_sent';
     if (sent !== 'sent') {
       this.notSent(command);
+    } else if (command.kind === 'start') {
+      this.sentStarts.sent(command);
     }
   }
 
   private notSent(command: WorkerCommand): void {
     this.meter.count(`worker.not_sent.${command.kind}`, 1);
-    if (command.kind === 'start') {
+    if (command.kind === 'start' && !this.isOpenStart(command)) {
       const { attempt } = command;
       const { worker } = this.options;
       this.report({ kind: 'start_refused', worker, attempt, why: 'not_sent' });
     }
   }
 
+  private isOpenStart(command: WorkerCommand): boolean {
+    return command.kind === 'start' && this.sentStarts.has(command.attempt);
+  }
+
   /** Runs when the session has a report, outside the turn of this task. */
   private hear(session: WorkerSession, report: WorkerReport | undefined): void {
     if (this.post({ kind: 'heard', session, report }) !== 'accepted') {
@@ -202,6 +216,7 @@
 
   /** Keeps what a report says about the link itself. */
   private note(report: WorkerReport): void {
+    this.sentStarts.reported(report);
     if (report.kind === 'attached') {
       this.isAttached = true;
       this.backoff.reset();
--- /dev/null
+++ b/packages/worker/src/sent-starts.ts
@@ -0,0 +1,54 @@
+/**
+ * Starts that were sent and not answered. Their bytes may still reach the worker after the
+ * connection is lost, so that a repeat which isn't sent proves nothing about the attempt.
+ */
+
+import type { AttemptId } from '@bamboowell/types/ids';
+import type { WorkerInstant } from '@bamboowell/types/time';
+import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+
+type Start = Extract<WorkerCommand, { kind: 'start' }>;
+type Attached = Extract<WorkerReport, { kind: 'attached' }>;
+
+export class SentStarts {
+  /** The latest instant at which the attempt may start. */
+  private readonly startBys = new Map<AttemptId, WorkerInstant>();
+
+  /** Whether the attempt may still start, or run, by what was sent before. */
+  has(attempt: AttemptId): boolean {
+    return this.startBys.has(attempt);
+  }
+
+  sent({ attempt, startBy }: Start): void {
+    const earlier = this.startBys.get(attempt);
+    this.startBys.set(attempt, earlier === undefined || startBy > earlier ? startBy : earlier);
+  }
+
+  /** Takes in an answer of the worker. */
+  reported(report: WorkerReport): void {
+    switch (report.kind) {
+      case 'started':
+      case 'start_refused':
+      case 'ended':
+        this.startBys.delete(report.attempt);
+        break;
+      case 'attached':
+        this.attached(report);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** Forgets what the worker lists and what it can't start any more. */
+  private attached({ attempts, workerNow }: Attached): void {
+    for (const { attempt } of attempts) {
+      this.startBys.delete(attempt);
+    }
+    for (const [attempt, startBy] of this.startBys) {
+      if (startBy < workerNow) {
+        this.startBys.delete(attempt);
+      }
+    }
+  }
+}
