--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -118,7 +118,8 @@
       return 0;
     }
     const group = this.parts.waiting.firstOf(candidate.work, candidate.together);
-    if (!this.tryGroup(candidate, entry, group, round)) {
+    const isWhole = group.length === candidate.together;
+    if (!isWhole || !this.tryGroup(candidate, entry, group, round)) {
       return 0;
     }
     this.parts.waiting.update(candidate.work);
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -102,7 +102,9 @@
       next: () => inOrder.shift(),
       blocked: () => undefined,
       again: (candidate) => {
-        inOrder.unshift(candidate);
+        if (this.waiting.has(candidate.work)) {
+          inOrder.unshift(candidate);
+        }
       },
     };
   }
