Let quick calls tell of workers that fail everything

Cause: only ends of durable work counted for a worker's health, so that a worker that failed every quick call was never quarantined; being always free it took nearly all of them.

Change: the end of a quick call counts for its worker as an end of a task does. An end that tells nothing also refreshes the worker's session, which had stayed held back after a trial.

Ruled out: the policy (it finds the worker by four failures of a queue that succeeds elsewhere). Left: where all calls go to the broken worker, no success elsewhere shows, and it is not found.

--- a/packages/owner/src/calls.ts
+++ b/packages/owner/src/calls.ts
@@ -9,6 +9,7 @@
 import { NO_SPREAD } from '@bamboowell/policy/fleet';
 import { WaitEstimate, type Backlog } from '@bamboowell/policy/wait-estimate';
 import type { Context } from './context.js';
+import type { Health } from './health.js';
 import type { Limits } from './limits.js';
 import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
 import type { RetryReason, Token } from './messages.js';
@@ -28,6 +29,15 @@
   mayHaveRun: boolean;
 }
 
+/** What quick calls work with. */
+export interface CallsParts {
+  readonly live: LiveAttempts;
+  readonly limits: Limits;
+  readonly sessions: Sessions;
+  readonly submissions: Submissions;
+  readonly health: Health;
+}
+
 type StartRefusal = Extract<WorkerReport, { kind: 'start_refused' }>['why'];
 
 export class Calls {
@@ -37,10 +47,7 @@
 
   constructor(
     private readonly context: Context,
-    private readonly live: LiveAttempts,
-    private readonly limits: Limits,
-    private readonly sessions: Sessions,
-    private readonly submissions: Submissions,
+    private readonly parts: CallsParts,
   ) {}
 
   /** Calls that have not been answered. */
@@ -49,7 +56,7 @@
   }
 
   call(work: Work, deadline: Deadline, token: Token): void {
-    const objection = this.submissions.objectionTo(work);
+    const objection = this.parts.submissions.objectionTo(work);
     if (objection !== undefined) {
       this.context.refuse(token, 'not_run', objection.reason, objection.detail);
       return;
@@ -97,13 +104,16 @@
 
   ended(live: LiveAttempt, outcome: Outcome): void {
     const call = this.takeRunning(live);
+    const { worker } = live.attempt;
     if (call === undefined) {
+      this.parts.health.endedOtherwise(worker);
       return;
     }
+    this.parts.health.callEnded(call.work, worker, outcome);
     const { token } = call;
     match(outcome)
       .with({ kind: 'succeeded' }, ({ answer }) => {
-        const { id, worker } = live.attempt;
+        const { id } = live.attempt;
         this.context.respond(token, { kind: 'called', answer, worker, attempt: id });
       })
       .with({ kind: 'failed' }, ({ detail }) => {
@@ -124,6 +134,7 @@
   /** The worker said that the attempt did not and will not start. */
   startRefused(live: LiveAttempt, why: StartRefusal): void {
     const call = this.takeRunning(live);
+    this.parts.health.endedOtherwise(live.attempt.worker);
     if (call !== undefined) {
       this.context.event('start_refused', {
         attempt: live.attempt.id,
@@ -137,7 +148,7 @@
   /** Sends the start again: the worker runs an attempt id at most once. */
   startAgain(live: LiveAttempt): void {
     const call = this.running.get(live.attempt.id);
-    const session = this.sessions.get(live.attempt.worker);
+    const session = this.parts.sessions.get(live.attempt.worker);
     if (call !== undefined && session !== undefined && this.context.mayStart) {
       this.sendStart(live, call, session);
     }
@@ -210,8 +221,8 @@
 
   private tryStart(call: Call): boolean {
     const { team, demand } = call.work;
-    if (!fits(demand, this.limits.roomOf(team))) {
-      this.limits.want(team, demand);
+    if (!fits(demand, this.parts.limits.roomOf(team))) {
+      this.parts.limits.want(team, demand);
       return false;
     }
     const worker = this.context.options.placement.choose(this.context.fleet, demand, NO_SPREAD);
@@ -223,7 +234,7 @@
   }
 
   private start(call: Call, worker: WorkerId): void {
-    const session = this.sessions.get(worker);
+    const session = this.parts.sessions.get(worker);
     if (session === undefined) {
       throw new Error(`worker ${worker} was chosen without being attached`);
     }
@@ -234,8 +245,8 @@
 
   private sendStart(live: LiveAttempt, call: Call, session: Session): void {
     const epoch = this.context.ownedEpoch;
-    const startBy = this.sessions.startBy(session);
-    const leaseUntil = this.sessions.grantLease(session);
+    const startBy = this.parts.sessions.startBy(session);
+    const leaseUntil = this.parts.sessions.grantLease(session);
     if (epoch === undefined || startBy === undefined || leaseUntil === undefined) {
       throw new Error(`worker ${session.worker} was chosen without being attached`);
     }
@@ -257,7 +268,7 @@
     const { work } = call;
     const task = taskIdOf(work.id, 0);
     const id = attemptIdOf(task, call.attempts);
-    const incarnation = this.sessions.get(worker)?.incarnation;
+    const incarnation = this.parts.sessions.get(worker)?.incarnation;
     if (incarnation === undefined) {
       throw new Error(`worker ${worker} was chosen without being attached`);
     }
@@ -272,7 +283,7 @@
       since: this.context.now,
       startBy: undefined,
     };
-    this.live.add(live);
+    this.parts.live.add(live);
     this.running.set(id, call);
     return live;
   }
@@ -280,7 +291,7 @@
   private takeRunning(live: LiveAttempt): Call | undefined {
     const call = this.running.get(live.attempt.id);
     this.running.delete(live.attempt.id);
-    this.live.remove(live);
+    this.parts.live.remove(live);
     return call;
   }
 
@@ -315,7 +326,7 @@
       );
       return;
     }
-    const short = !fits(call.work.demand, this.limits.roomOf(call.work.team));
+    const short = !fits(call.work.demand, this.parts.limits.roomOf(call.work.team));
     const reason = short ? 'team_limit_reached' : 'no_worker_fits';
     const detail = short
       ? `team ${call.work.team} had no room below its upper limit in time`
--- a/packages/owner/src/health.ts
+++ b/packages/owner/src/health.ts
@@ -41,7 +41,24 @@
     } else if (outcome.kind === 'failed') {
       this.failed(work, worker, failures);
     } else {
-      this.workers.endedOtherwise(worker);
+      this.endedOtherwise(worker);
+    }
+  }
+
+  /** An attempt on the worker ended without telling anything about the worker. */
+  endedOtherwise(worker: WorkerId): void {
+    this.workers.endedOtherwise(worker);
+    this.refresh(worker);
+  }
+
+  /** An attempt of a quick call ended on a worker. Calls are never set aside or held. */
+  callEnded(call: Work, worker: WorkerId, outcome: Outcome): void {
+    if (outcome.kind === 'succeeded') {
+      this.note(this.workers.succeeded(worker, call.queue));
+    } else if (outcome.kind === 'failed') {
+      this.note(this.workers.failed(worker, call.queue, call.id, this.context.now));
+    } else {
+      this.endedOtherwise(worker);
     }
   }
 
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -75,8 +75,9 @@
     const { live, limits, sessions, waiting, health, preemptions, overuses, stops } = this;
     this.starts = new Starts(context, { live, limits, sessions, waiting, health, preemptions });
     this.ends = new Ends(context, this.live);
-    this.submissions = new Submissions(context);
-    this.calls = new Calls(context, this.live, this.limits, this.sessions, this.submissions);
+    const submissions = new Submissions(context);
+    this.submissions = submissions;
+    this.calls = new Calls(context, { live, limits, sessions, submissions, health });
     this.cancels = new Cancels(context, this.live, this.waiting);
     const { starts, ends, calls } = this;
     this.reports = new Reports(context, {
