--- a/packages/demo/src/bench.fixture.ts
+++ b/packages/demo/src/bench.fixture.ts
@@ -233,12 +233,16 @@
   return ({ tasks }) => tasks.length > 0 && tasks.every((task) => task.state === state);
 }
 
-/** How a daemon sees the shard that tests put work into. */
-export async function shardSeen({ cell }: Bench, through: string): Promise<ShardStatus> {
+/** How a daemon sees a shard. */
+export async function shardSeen(
+  { cell }: Bench,
+  through: string,
+  id = SHARD,
+): Promise<ShardStatus> {
   const { shards } = await cell.operators(through).getStatus({});
-  const shard = shards.find((each) => each.shard === SHARD);
+  const shard = shards.find((each) => each.shard === id);
   if (shard === undefined) {
-    throw new Error(`${through} shows no shard ${SHARD}`);
+    throw new Error(`${through} shows no shard ${id}`);
   }
   return shard;
 }
--- a/packages/demo/src/cell.ts
+++ b/packages/demo/src/cell.ts
@@ -117,13 +117,18 @@
     return this.runningDaemon(id).child;
   }
 
-  /** Starts a daemon, also one that was killed before. */
+  /** Starts a daemon, also one that was killed before, and waits until it is ready. */
   async startDaemon(id: string): Promise<void> {
+    await this.launchDaemon(id);
+    await this.untilReady(id);
+  }
+
+  /** Starts a daemon and waits until it listens. */
+  async launchDaemon(id: string): Promise<void> {
     const daemon = this.runningDaemon(id);
     const file = join(this.directory, `${id}.json`);
     await writeFile(file, JSON.stringify(this.settingsOf(daemon)));
     daemon.child = await Child.start(id, 'daemon', ['--settings', file]);
-    await this.untilReady(id);
   }
 
   async startWorker(worker: WorkerPlan): Promise<void> {
@@ -147,6 +152,11 @@
     await this.publishVms();
   }
 
+  /** Sets switches of the VM list's stand-in. */
+  async switchVms(switches: object): Promise<void> {
+    await put(this.vms.address, '/switches', switches);
+  }
+
   /** Sets the platform's list to what runs. */
   async publishVms(): Promise<void> {
     const daemons = [...this.running.values()].map(({ plan, peerPort }) => ({
@@ -169,9 +179,9 @@
     await put(this.vms.address, '/vms', { vms: [...daemons, ...workers] });
   }
 
-  /** Sets switches of the log's stand-in. */
-  async switchLog(switches: object): Promise<void> {
-    await put(this.log.address, '/switches', switches);
+  /** Sets switches of the log's stand-in and answers all of them. */
+  switchLog(switches: object): Promise<object> {
+    return put(this.log.address, '/switches', switches);
   }
 
   operators(daemon: string): Client<typeof OperatorService> {
@@ -198,7 +208,8 @@
     await rm(this.directory, { recursive: true, force: true });
   }
 
-  private async untilReady(id: string): Promise<void> {
+  /** Waits until the daemon says that it may be sent requests. */
+  async untilReady(id: string): Promise<void> {
     for (let attempt = 0; attempt < READY_TRIES; attempt += 1) {
       const { statusCode, body } = await request(`http://${this.callerAddress(id)}/readyz`);
       await body.dump();
@@ -252,7 +263,7 @@
   return `http://${host}:${port}`;
 }
 
-async function put(address: Address, path: string, body: object): Promise<void> {
+async function put(address: Address, path: string, body: object): Promise<object> {
   const { statusCode, body: answer } = await request(`${urlOf(address)}${path}`, {
     method: 'PUT',
     headers: { 'content-type': 'application/json' },
@@ -262,4 +273,5 @@
   if (statusCode >= 300) {
     throw new Error(`PUT ${path} was answered ${statusCode}: ${text}`);
   }
+  return JSON.parse(text) as object;
 }
--- a/packages/demo/src/setup.ts
+++ b/packages/demo/src/setup.ts
@@ -89,7 +89,8 @@
   throw last;
 }
 
-async function untilInForce(cell: Cell, version: number): Promise<void> {
+/** Waits until the version is in force on every daemon. */
+export async function untilInForce(cell: Cell, version: number): Promise<void> {
   for (let attempt = 0; attempt < IN_FORCE_TRIES; attempt += 1) {
     const [daemon = ''] = cell.daemonIds.filter((id) => cell.daemon(id).isRunning);
     const { everywhere } = await cell.operators(daemon).getEnforcement({ version });
