Name the field of work that no worker or limit could hold

Cause: the owner's refusals carried no field, though callers are to learn which one is wrong.

Change: an objection may name its field; impossible sizes name demand, a data centre without workers names dataCentre.

Result: bad-input.test.ts found the empty field before and passes after.

--- a/packages/owner/src/calls.ts
+++ b/packages/owner/src/calls.ts
@@ -58,7 +58,7 @@
   call(work: Work, deadline: Deadline, token: Token): void {
     const objection = this.parts.submissions.objectionTo(work);
     if (objection !== undefined) {
-      this.context.refuse(token, 'not_run', objection.reason, objection.detail);
+      this.context.object(token, objection);
       return;
     }
     if (this.waiting.length >= MAX_WAITING_CALLS) {
--- a/packages/owner/src/context.ts
+++ b/packages/owner/src/context.ts
@@ -37,6 +37,14 @@
 
 const NO_AUTHORITY: Authority = { freshUntil: brandAs<Deadline>(0), mayRenew: false };
 
+/** Why a request can't be taken. */
+export interface Objection {
+  readonly reason: Reason;
+  readonly detail: string;
+  /** Path of the offending field, where there is one. */
+  readonly field?: string;
+}
+
 export class Context {
   fold = new ShardFold();
   readonly fleet = new Fleet();
@@ -109,6 +117,11 @@
     this.emit({ kind: 'refuse', token, refusal: work === null ? refusal : { ...refusal, work } });
   }
 
+  /** Refuses a request before anything of it has run. */
+  object(token: Token, { reason, detail, field }: Objection): void {
+    this.emit({ kind: 'refuse', token, refusal: refusalOf('not_run', reason, detail, field) });
+  }
+
   event(name: string, fields: OwnerEvent['fields']): void {
     this.emit({ kind: 'event', event: { name, fields: { shard: this.options.shard, ...fields } } });
   }
--- a/packages/owner/src/submissions.ts
+++ b/packages/owner/src/submissions.ts
@@ -9,7 +9,7 @@
 import type { Reason } from '@bamboowell/types/verdict';
 import { taskCountOf, type Work } from '@bamboowell/types/work';
 import { admit } from '@bamboowell/policy/admission';
-import type { Context } from './context.js';
+import type { Context, Objection } from './context.js';
 import type { Token } from './messages.js';
 
 interface Submission {
@@ -20,12 +20,6 @@
   answered: boolean;
 }
 
-/** Why work is not taken. */
-export interface Objection {
-  readonly reason: Reason;
-  readonly detail: string;
-}
-
 export class Submissions {
   private readonly pending = new Map<Sequence, Submission>();
 
@@ -39,8 +33,7 @@
     const epoch = this.context.ownedEpoch;
     const objection = this.objectionTo(work);
     if (objection !== undefined || epoch === undefined) {
-      const { reason, detail } = objection ?? NOT_OWNER;
-      this.context.refuse(token, 'not_run', reason, detail);
+      this.context.object(token, objection ?? NOT_OWNER);
       return;
     }
     const earlier = this.context.fold.findRequest(work.team, work.requestId);
@@ -172,18 +165,21 @@
       return {
         reason: 'impossible_size',
         detail: `needs more than the upper limit of team ${work.team} in ${short}`,
+        field: 'demand',
       };
     }
     if (this.context.workersListed === 0) {
       return {
         reason: 'no_worker_fits',
         detail: `data centre ${this.context.options.shard} has no workers; name another one`,
+        field: 'dataCentre',
       };
     }
     if (!this.context.fleet.isEmpty() && !this.context.fleet.couldEverHold(work.demand)) {
       return {
         reason: 'impossible_size',
         detail: 'no worker of the shard could hold one task, even when empty',
+        field: 'demand',
       };
     }
     return undefined;
