Test the front end and name every field that it refuses

Cause: packages/front had no tests. Conclusion: every refusal of the decoder carries not_run and its field.

--- /dev/null
+++ b/packages/front/src/app.test.ts
@@ -0,0 +1,173 @@
+import test from 'ava';
+import { done, refusalOf, refused } from '@bamboowell/types/verdict';
+import { brandAs, type MemberId, type Version } from '@bamboowell/types/ids';
+import {
+  CALLER,
+  failureOf,
+  front,
+  OPERATOR,
+  post,
+  submission,
+  WORK,
+  workView,
+} from './front.fixture.js';
+
+test('health is told always, readiness by the daemon', async (t) => {
+  const ready = front().app;
+  const unready = front({}, false).app;
+  t.is((await ready.request('/healthz')).status, 200);
+  t.is((await unready.request('/healthz')).status, 200);
+  t.is((await ready.request('/readyz')).status, 200);
+  t.is((await unready.request('/readyz')).status, 503);
+});
+
+test('an unknown path says that nothing was run', async (t) => {
+  const { status, body } = await post(front().app, '/bamboowell.v1.CallerService/Fly', {});
+  t.is(status, 404);
+  t.regex(String(body.message), /^not run/);
+});
+
+test('the key of the header reaches the backend, and no header is no key', async (t) => {
+  const { app, asked } = front();
+  await post(app, `${CALLER}Submit`, submission(), { authorization: 'Bearer k1.s.e.cret' });
+  await post(app, `${CALLER}Submit`, submission());
+  t.deepEqual(
+    asked.map(({ sender }) => sender),
+    [{ key: brandAs('k1'), secret: 's.e.cret' }, null],
+  );
+});
+
+for (const header of ['Bearer', 'Bearer k1', 'Basic k1.secret', 'Bearer K1.secret', 'Bearer .s']) {
+  test(`the header "${header}" is refused`, async (t) => {
+    const { app, asked } = front();
+    const { status, body } = await post(app, `${CALLER}Submit`, submission(), {
+      authorization: header,
+    });
+    t.is(status, 400);
+    t.like(failureOf(body), { verdict: 'NOT_RUN', reason: 'malformed', field: 'authorization' });
+    t.is(asked.length, 0);
+  });
+}
+
+test('a deadline follows from the timeout, within a bound', async (t) => {
+  const { app, asked } = front();
+  for (const timeoutMillis of [0, 250, 86_400_000]) {
+    await post(app, `${CALLER}Submit`, submission({ timeoutMillis }));
+  }
+  t.deepEqual(
+    asked.map(({ deadline }) => Number(deadline)),
+    [11_000, 1_250, 301_000],
+  );
+});
+
+test('every call answers what the backend answered', async (t) => {
+  const { app, asked } = front();
+  const read = async (path: string, body: object = {}) => {
+    const answer = await post(app, path, body);
+    t.is(answer.status, 200, path);
+    return answer.body;
+  };
+  t.like(await read(`${CALLER}Submit`, submission()), { workId: WORK });
+  t.like(await read(`${CALLER}Call`, { queue: 'q', requestId: 'r' }), {
+    answer: 'yes',
+    worker: 'w-1',
+    attemptId: `${WORK}/0#1`,
+  });
+  t.like(await read(`${CALLER}Get`, { workId: WORK }), { status: { workId: WORK } });
+  t.deepEqual(await read(`${CALLER}Cancel`, { workIds: [WORK] }), {
+    outcomes: [{ workId: WORK, verdict: 'VERDICT_RAN' }],
+  });
+  t.like(await read(`${CALLER}Explain`, { workId: WORK }), { sentences: ['It waits for room.'] });
+  t.like(await read(`${OPERATOR}GetConfiguration`), { fresh: true });
+  t.deepEqual(await read(`${OPERATOR}ApplyChanges`, { base: 6 }), { version: 7 });
+  t.like(await read(`${OPERATOR}GetEnforcement`, { version: 7 }), { everywhere: true });
+  t.like(await read(`${OPERATOR}GetStatus`), { member: 'entry-1', version: 7 });
+  t.is(asked.length, 9);
+});
+
+test('a change is in force everywhere only where each member is reachable and has it', async (t) => {
+  const versions = (version: number, reachable: boolean) =>
+    done([{ member: brandAs<MemberId>('entry-2'), version: brandAs<Version>(version), reachable }]);
+  for (const enforcement of [versions(6, true), versions(7, false)]) {
+    const { app } = front({ enforcement });
+    const { body } = await post(app, `${OPERATOR}GetEnforcement`, { version: 7 });
+    t.not(body.everywhere, true);
+  }
+});
+
+test('a refusal of the backend reaches the caller whole', async (t) => {
+  const refusal = {
+    ...refusalOf('may_have_run', 'owner_unreachable', 'no answer', 'demand'),
+    work: WORK,
+  };
+  const { app } = front({ submit: { kind: 'refused', refusal } });
+  const { status, body } = await post(app, `${CALLER}Submit`, submission());
+  t.is(status, 503);
+  t.is(body.message, 'may have run: no answer');
+  t.deepEqual(failureOf(body), {
+    verdict: 'MAY_HAVE_RUN',
+    reason: 'owner_unreachable',
+    field: 'demand',
+    detail: 'no answer',
+    work: WORK,
+  });
+});
+
+/** Splits a stream of the Connect protocol: a byte of flags, four of length, then JSON. */
+function envelopes(bytes: Buffer): { readonly flags: number; readonly body: object }[] {
+  const found = [];
+  for (let at = 0; at < bytes.length;) {
+    const end = at + 5 + bytes.readUInt32BE(at + 1);
+    const body = JSON.parse(bytes.subarray(at + 5, end).toString()) as object;
+    found.push({ flags: bytes.readUInt8(at), body });
+    at = end;
+  }
+  return found;
+}
+
+async function watched(app: ReturnType<typeof front>['app'], text: string) {
+  const body = Buffer.from(text);
+  const head = Buffer.alloc(5);
+  head.writeUInt32BE(body.length, 1);
+  const response = await app.request(`${CALLER}Watch`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/connect+json' },
+    body: Buffer.concat([head, body]),
+  });
+  t200(response.status);
+  return envelopes(Buffer.from(await response.arrayBuffer()));
+}
+
+function t200(status: number): void {
+  if (status !== 200) {
+    throw new Error(`expected status 200, found ${status}`);
+  }
+}
+
+test('watching yields each view and ends', async (t) => {
+  const views = await watched(front().app, JSON.stringify({ workId: WORK }));
+  t.deepEqual(
+    views.map(({ flags }) => flags),
+    [0, 0, 2],
+  );
+  t.like(views[1]?.body, { status: { ended: true } });
+});
+
+test('a refusal while watching ends the stream with a failure', async (t) => {
+  const { app } = front({ watch: [done(workView()), refused('no_owner', 'none')] });
+  const views = await watched(app, JSON.stringify({ workId: WORK }));
+  const { error } = views.at(-1)?.body as { error: Record<string, unknown> };
+  t.like(failureOf(error), { verdict: 'NOT_RUN', reason: 'no_owner' });
+});
+
+for (const [text, reason] of [
+  ['{"workId": 1}', 'malformed'],
+  ['{"colour": "red"}', 'unknown_field'],
+  ['{"workId": "', 'malformed'],
+] as const) {
+  test(`a malformed request to watch, ${text}, ends the stream with a failure`, async (t) => {
+    const views = await watched(front().app, text);
+    const { error } = views.at(-1)?.body as { error: Record<string, unknown> };
+    t.like(failureOf(error), { verdict: 'NOT_RUN', reason });
+  });
+}
--- a/packages/front/src/app.ts
+++ b/packages/front/src/app.ts
@@ -1,7 +1,7 @@
 /** The HTTP application: the Connect calls, health and readiness, mounted in hono. */
 
 import { Hono } from 'hono';
-import { Code, ConnectError, createConnectRouter } from '@connectrpc/connect';
+import { Code, ConnectError, createConnectRouter, type Interceptor } from '@connectrpc/connect';
 import { errorToJson } from '@connectrpc/connect/protocol-connect';
 import {
   universalServerRequestFromFetch,
@@ -45,11 +45,24 @@
   const router = createConnectRouter({
     readMaxBytes: maxBodyBytes,
     jsonOptions: { ignoreUnknownFields: false },
+    interceptors: [describingStreams],
   });
   registerRoutes(router, backend, clock);
   return router.handlers;
 }
 
+/** Adds a Failure to errors of the decoder within a stream; `withFailure` sees only whole answers. */
+const describingStreams: Interceptor = (next) => (request) =>
+  next(request.stream ? { ...request, message: described(request.message) } : request);
+
+async function* described<Message>(messages: AsyncIterable<Message>): AsyncIterable<Message> {
+  try {
+    yield* messages;
+  } catch (error) {
+    throw errorOf(refusalOfDecoding(ConnectError.from(error)));
+  }
+}
+
 async function serve(handler: UniversalHandler, request: Request): Promise<Response> {
   const answer = await handler(universalServerRequestFromFetch(request, {}));
   const response = universalServerResponseToFetch(answer);
--- a/packages/front/src/failure.ts
+++ b/packages/front/src/failure.ts
@@ -62,6 +62,8 @@
 
 const UNKNOWN_KEY = /key "([^"]+)" is unknown/;
 const BAD_FIELD = /cannot decode field ([\w.]+) from JSON/;
+/** The decoder names the enumeration only; each field that holds one has its name. */
+const BAD_ENUMERATION = /cannot decode enum ([\w.]+) from JSON/;
 
 /** What is wrong with a request that the protocol's decoder refused, before it reached a handler. */
 export function refusalOfDecoding(error: ConnectError): Refusal {
@@ -73,6 +75,13 @@
   if (error.code === Code.ResourceExhausted) {
     return refusalOf('not_run', 'body_too_large', text);
   }
-  const field = BAD_FIELD.exec(text)?.[1]?.split('.').at(-1);
-  return refusalOf('not_run', 'malformed', text, field);
+  const [, path] = BAD_FIELD.exec(text) ?? BAD_ENUMERATION.exec(text) ?? [];
+  const field = path?.split('.').at(-1);
+  return refusalOf('not_run', 'malformed', text, field && jsonNameOf(field));
+}
+
+/** `timeout_millis` of the schema is `timeoutMillis` in JSON. */
+function jsonNameOf(name: string): string {
+  const joined = name.replace(/_(\w)/g, (_, letter: string) => letter.toUpperCase());
+  return joined.charAt(0).toLowerCase() + joined.slice(1);
 }
--- a/packages/front/src/routes.ts
+++ b/packages/front/src/routes.ts
@@ -16,7 +16,8 @@
 import { done, refused, type Result } from '@bamboowell/types/verdict';
 import type { WorkId } from '@bamboowell/types/ids';
 import type { Backend, Sender } from './backend.js';
-import { changesFrom, orderOfCall, orderOfSubmit, workIdFromText } from './decode.js';
+import { changesFrom } from './decode-changes.js';
+import { orderOfCall, orderOfSubmit, workIdFromText } from './decode.js';
 import { configurationTo, statusTo, verdictTo, workTo } from './encode.js';
 import { errorOf } from './failure.js';
 
