--- a/packages/daemon/src/peer-messages.ts
+++ b/packages/daemon/src/peer-messages.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import type { Work } from '@bamboowell/types/work';
 import type { ShardId, WorkId } from '@bamboowell/types/ids';
-import type { Result } from '@bamboowell/types/verdict';
+import { REASONS, type Result } from '@bamboowell/types/verdict';
 
 /** Method that carries every request to a shard. */
 export const SHARD_METHOD = 'shard';
@@ -71,7 +71,7 @@
     kind: z.literal('refused'),
     refusal: z.looseObject({
       verdict: z.enum(['not_run', 'may_have_run', 'ran']),
-      reason: id,
+      reason: z.enum(REASONS),
       detail: z.string(),
     }),
   }),
