Measure the slopes of an owner's processor time and heap

Cause: docs/CAPACITY.md has to be worked out from slopes that a committed command measures. Change: `npm run bench -- capacity` drives a ShardOwner against a log in memory, at three or four sizes each, and prints the least-squares line with its residual.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs the measurement that is named on the command line and prints its figures as JSON. */
 
+import { measureCapacity } from './capacity.js';
 import { measurePacking } from './packing.js';
 import { measurePlacement } from './placement.js';
 import { measureWaiting } from './waiting.js';
@@ -11,6 +12,7 @@
   ['placement', measurePlacement],
   ['waiting', measureWaiting],
   ['packing', measurePacking],
+  ['capacity', measureCapacity],
 ]);
 
 const name = process.argv[2] ?? '';
--- /dev/null
+++ b/packages/bench/src/owner-slopes.ts
@@ -0,0 +1,214 @@
+/** Processor time and heap of a shard's owner against what it carries. */
+
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { brandAs, type ShardId } from '@bamboowell/types/ids';
+import type { Shape } from '@bamboowell/types/work';
+import { directRun, settle, type DirectRun } from './direct-log.js';
+import { amountOf, batchDemand } from './fleets.js';
+import { fitLine, rounded, type Point } from './line-fit.js';
+import { cpuMicrosOf, heapBytes } from './usage.js';
+
+/** Workers of one of six shards of the two-year plan. */
+export const SHARD_WORKERS = 1_134;
+/** Running on one of six shards of the two-year plan. */
+export const SHARD_RUNNING = 8_334;
+
+const SHARD = brandAs<ShardId>('data-centre-1');
+const WORKER_SIZES = [200, 600, SHARD_WORKERS, 2_268];
+const RUNNING_SIZES = [2_000, 5_000, SHARD_RUNNING, 12_000];
+const WAITING_SIZES = [0, 1_000, 3_000, 10_000];
+const HEAP_SIZES = [2_000, 4_000, 8_000];
+const MEASURED_STARTS = 4_000;
+/** Starts that share an entry of the log: 153 a second over 30 appends. */
+const STARTS_AN_ENTRY = 5;
+const HEARTBEAT_ROUNDS = 20;
+const UPKEEP_SECONDS = 20;
+const STEP_MILLIS = 10;
+const MILLIS_PER_SECOND = 1_000;
+const TICKS = 500;
+const WORKERS_OF_WAITING = 100;
+
+const BATCH: Shape = { kind: 'batch', tasks: 1 };
+const CAPACITY = amountOf(64, 128, 8);
+/** Of a worker's accelerators; all of them, so that one runs on each worker. */
+const ALL_ACCELERATORS = amountOf(1, 1, 8, 0);
+const SIZES_OF_WAITING = 50;
+const SEED = 20_261_204;
+
+export function measureOwnerSlopes(): object {
+  warmUp();
+  return {
+    startMicrosByWorkers: slopeOf(WORKER_SIZES, (workers) =>
+      startMicros(workers, usualRunning(workers), 0),
+    ),
+    startMicrosByRunning: slopeOf(RUNNING_SIZES, (running) =>
+      startMicros(SHARD_WORKERS, running, 0),
+    ),
+    startMicrosByWaiting: slopeOf(WAITING_SIZES, (waiting) =>
+      startMicros(WORKERS_OF_WAITING, usualRunning(WORKERS_OF_WAITING), waiting),
+    ),
+    heartbeatMicrosByWorkers: slopeOf(WORKER_SIZES, heartbeatMicros),
+    upkeepMicrosASecondByWorkers: slopeOf(WORKER_SIZES, upkeepMicros),
+    tickMicrosByWaiting: slopeOf(WAITING_SIZES, tickMicros),
+    heapBytesByWorkers: slopeOf([500, 1_000, 2_000], heapOfWorkers),
+    heapBytesByRunning: slopeOf(HEAP_SIZES, heapOfRunning),
+    heapBytesByWaiting: slopeOf(HEAP_SIZES, heapOfWaiting),
+    heapBytesByEnded: slopeOf(HEAP_SIZES, heapOfEnded),
+  };
+}
+
+/** The measured points with the line through them. */
+export function slopeOf(sizes: readonly number[], measure: (size: number) => number) {
+  const points = sizes.map((x): Point => ({ x, y: rounded(measure(x)) }));
+  return { points, fit: fitLine(points) };
+}
+
+/** Lets the compiler see the code before anything is measured. */
+function warmUp(): void {
+  startMicros(200, 1_000, 100);
+  heartbeatMicros(200);
+}
+
+function runOf(workers: number, isCopying = false): DirectRun {
+  return directRun({ shard: SHARD, workers, capacity: CAPACITY }, isCopying);
+}
+
+/** What runs on so many workers when the shard of the two-year plan runs its part. */
+function usualRunning(workers: number): number {
+  return Math.round((workers * SHARD_RUNNING) / SHARD_WORKERS);
+}
+
+/** Starts batch tasks of random sizes. */
+function fill(direct: DirectRun, running: number, random: RandomGenerator): void {
+  for (let count = 1; count <= running; count += 1) {
+    direct.run.submit(batchDemand(random), BATCH);
+    if (count % STARTS_AN_ENTRY === 0) {
+      settle(direct);
+    }
+  }
+  settle(direct);
+}
+
+/** Adds work of some sizes that needs accelerators, all of which are taken for good. */
+function addWaiting(direct: DirectRun, workers: number, waiting: number): void {
+  for (let count = 0; count < workers + waiting; count += 1) {
+    const millicores = 1_000 + (count % SIZES_OF_WAITING);
+    direct.run.submit({ ...ALL_ACCELERATORS, millicores }, BATCH);
+    settle(direct);
+  }
+  direct.run.keepRunning();
+}
+
+/** Accept, place, start, started, ended and forget of one task, the clock standing still. */
+function startMicros(workers: number, running: number, waiting: number): number {
+  const direct = runOf(workers);
+  const random = xoroshiro128plus(SEED);
+  if (waiting > 0) {
+    addWaiting(direct, workers, waiting);
+  }
+  fill(direct, running, random);
+  const micros = cpuMicrosOf(() => {
+    for (let count = 0; count < MEASURED_STARTS; count += STARTS_AN_ENTRY) {
+      for (let one = 0; one < STARTS_AN_ENTRY; one += 1) {
+        direct.run.submit(batchDemand(random), BATCH);
+        direct.run.endOldest();
+      }
+      settle(direct);
+    }
+  });
+  return micros / MEASURED_STARTS;
+}
+
+function heartbeatMicros(workers: number): number {
+  const direct = runOf(workers);
+  fill(direct, usualRunning(workers), xoroshiro128plus(SEED));
+  const micros = cpuMicrosOf(() => {
+    for (let round = 0; round < HEARTBEAT_ROUNDS; round += 1) {
+      for (let worker = 0; worker < workers; worker += 1) {
+        direct.run.heartbeat(worker);
+      }
+    }
+  });
+  return micros / (HEARTBEAT_ROUNDS * workers);
+}
+
+/** A second without starts: heartbeats spread evenly, renewals and upkeep as they become due. */
+function upkeepMicros(workers: number): number {
+  const direct = runOf(workers);
+  fill(direct, usualRunning(workers), xoroshiro128plus(SEED));
+  passSeconds(direct, workers, UPKEEP_SECONDS / 2);
+  const micros = cpuMicrosOf(() => {
+    passSeconds(direct, workers, UPKEEP_SECONDS);
+  });
+  return micros / UPKEEP_SECONDS;
+}
+
+function passSeconds({ run }: DirectRun, workers: number, seconds: number): void {
+  const steps = (seconds * MILLIS_PER_SECOND) / STEP_MILLIS;
+  const from = run.now;
+  let heard = 0;
+  for (let step = 1; step <= steps; step += 1) {
+    run.now = brandAs(from + step * STEP_MILLIS);
+    const due = Math.floor((step * STEP_MILLIS * workers) / MILLIS_PER_SECOND);
+    for (; heard < due; heard += 1) {
+      run.heartbeat(heard % workers);
+    }
+    run.tickIfDue();
+  }
+}
+
+/** A step that looks for work to start, while that which waits fits nowhere. */
+function tickMicros(waiting: number): number {
+  const direct = runOf(WORKERS_OF_WAITING);
+  addWaiting(direct, WORKERS_OF_WAITING, waiting);
+  const micros = cpuMicrosOf(() => {
+    for (let tick = 0; tick < TICKS; tick += 1) {
+      direct.run.step({ kind: 'tick' });
+    }
+  });
+  return micros / TICKS;
+}
+
+function heapOfWorkers(workers: number): number {
+  return heapOf(() => runOf(workers, true));
+}
+
+function heapOfRunning(running: number): number {
+  return heapOf(() => {
+    const direct = runOf(SHARD_WORKERS * 2, true);
+    fill(direct, running, xoroshiro128plus(SEED));
+    return direct;
+  });
+}
+
+function heapOfWaiting(waiting: number): number {
+  return heapOf(() => {
+    const direct = runOf(1, true);
+    addWaiting(direct, 1, waiting);
+    return direct;
+  });
+}
+
+function heapOfEnded(ended: number): number {
+  return heapOf(() => {
+    const direct = runOf(WORKERS_OF_WAITING, true);
+    const random = xoroshiro128plus(SEED);
+    for (let count = 0; count < ended; count += 1) {
+      direct.run.submit(batchDemand(random), BATCH);
+      settle(direct);
+      direct.run.endOldest();
+    }
+    settle(direct);
+    return direct;
+  });
+}
+
+/** Heap that is in use with what was built beyond what was without it. */
+function heapOf(build: () => DirectRun): number {
+  const before = heapBytes();
+  const built = build();
+  const after = heapBytes();
+  // The use after the measurement keeps what was built alive until then.
+  return built.run.owner.fold.works.size < 0 ? 0 : after - before;
+}
