Match an owner's most frequent messages first

Cause: matching a message costs time for each case before its own, and reports and batches came after nine and one others. A profile of starts showed a fifth of the time in matching. Change: order of cases only, in the owner, what it applies, and the reports of workers.

--- a/packages/owner/src/reports.ts
+++ b/packages/owner/src/reports.ts
@@ -49,6 +49,16 @@
       return;
     }
     match(report)
+      .with({ kind: 'usage' }, ({ worker, workerNow, attempts, leaving }) => {
+        this.heard(worker, workerNow, leaving);
+        this.parts.overuses.reported(attempts);
+      })
+      .with({ kind: 'started' }, ({ attempt }) => {
+        this.started(attempt);
+      })
+      .with({ kind: 'ended' }, ({ worker, attempt, outcome }) => {
+        this.ended(worker, attempt, outcome);
+      })
       .with({ kind: 'attached' }, (attached) => {
         this.attached(attached);
       })
@@ -56,19 +66,9 @@
         this.context.event('worker_fenced', { worker, epoch });
         this.parts.sessions.detached(worker);
       })
-      .with({ kind: 'started' }, ({ attempt }) => {
-        this.started(attempt);
-      })
       .with({ kind: 'start_refused' }, (refusal) => {
         this.startRefused(refusal);
       })
-      .with({ kind: 'ended' }, ({ worker, attempt, outcome }) => {
-        this.ended(worker, attempt, outcome);
-      })
-      .with({ kind: 'usage' }, ({ worker, workerNow, attempts, leaving }) => {
-        this.heard(worker, workerNow, leaving);
-        this.parts.overuses.reported(attempts);
-      })
       .with({ kind: 'detached' }, ({ worker }) => {
         this.context.event('worker_detached', { worker });
         this.parts.sessions.detached(worker);
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -144,12 +144,18 @@
 
   private receive(input: Input): void {
     match(input)
-      .with({ kind: 'restored' }, ({ snapshot }) => {
-        this.restore(snapshot);
+      .with({ kind: 'report' }, ({ report }) => {
+        this.reports.receive(report);
       })
       .with({ kind: 'batch' }, ({ batch }) => {
         this.applyBatch(batch);
       })
+      .with({ kind: 'submit' }, ({ work, deadline, token }) => {
+        this.submissions.submit(work, deadline, token);
+      })
+      .with({ kind: 'restored' }, ({ snapshot }) => {
+        this.restore(snapshot);
+      })
       .with({ kind: 'rejected' }, ({ sequences }) => {
         for (const sequence of sequences) {
           this.submissions.rejected(sequence);
@@ -179,12 +185,6 @@
       .with({ kind: 'workers' }, ({ vms }) => {
         this.setWorkers(vms);
       })
-      .with({ kind: 'report' }, ({ report }) => {
-        this.reports.receive(report);
-      })
-      .with({ kind: 'submit' }, ({ work, deadline, token }) => {
-        this.submissions.submit(work, deadline, token);
-      })
       .with({ kind: 'call' }, ({ work, deadline, token }) => {
         this.calls.call(work, deadline, token);
       })
@@ -279,18 +279,9 @@
 
   private applied({ writer, record }: Stamped<ShardRecord>): void {
     match(record)
-      .with({ kind: 'claim' }, ({ epoch }) => {
-        this.claimed(writer === this.context.options.writer, epoch);
-      })
-      .with({ kind: 'release' }, () => {
-        this.released();
-      })
       .with({ kind: 'accept' }, ({ work }) => {
         this.accepted(work.id);
       })
-      .with({ kind: 'cancel' }, ({ works }) => {
-        this.cancels.applied(works);
-      })
       .with({ kind: 'place' }, ({ attempts }) => {
         for (const attempt of attempts) {
           this.context.emit({ kind: 'changed', work: workOfTask(attempt.task) });
@@ -299,6 +290,15 @@
       .with({ kind: 'end' }, ({ attempt, outcome }) => {
         this.ended(attempt, outcome);
       })
+      .with({ kind: 'claim' }, ({ epoch }) => {
+        this.claimed(writer === this.context.options.writer, epoch);
+      })
+      .with({ kind: 'release' }, () => {
+        this.released();
+      })
+      .with({ kind: 'cancel' }, ({ works }) => {
+        this.cancels.applied(works);
+      })
       .with({ kind: 'checkpoint' }, () => undefined)
       .exhaustive();
   }
