--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 const CODECS = ['@bufbuild/*', '@connectrpc/*', 'json-rpc-2.0', 'zod', '@bamboowell/schema/*'];
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/generated/**', 'eslint.config.js'] },
+  { ignores: ['**/dist/**', '**/generated/**', 'eslint.config.js', 'tools/**'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
