--- a/packages/state/src/cell-fold.ts
+++ b/packages/state/src/cell-fold.ts
@@ -8,14 +8,11 @@
 import {
   brandAs,
   type Epoch,
-  type Offset,
-  type Sequence,
   type ShardId,
   type TeamId,
   type Version,
-  type WriterId,
 } from '@bamboowell/types/ids';
-import type { CellRecord, Effect, Stamped, VoidReason } from '@bamboowell/types/records';
+import type { CellRecord, VoidReason } from '@bamboowell/types/records';
 import {
   add,
   fits,
@@ -27,16 +24,12 @@
 } from '@bamboowell/types/resources';
 import { amountsToShed } from '@bamboowell/policy/holdings';
 import { applyChanges, EMPTY_CONFIGURATION } from './configuration.js';
-import { Writers } from './writers.js';
+import { Fold, type FoldPosition } from './fold.js';
 
 type FoldedRecord = Exclude<CellRecord, { kind: 'checkpoint' }>;
 
-const APPLIED: Effect = { kind: 'applied' };
-const REPEATED: Effect = { kind: 'repeated' };
-
 /** A plain copy of the state, fit for a checkpoint. Taken between entries, not within one. */
-export interface CellSnapshot {
-  readonly upTo: Offset;
+export interface CellSnapshot extends FoldPosition {
   readonly version: Version;
   readonly teams: readonly Team[];
   readonly queues: readonly Queue[];
@@ -45,13 +38,10 @@
   readonly epochs: readonly (readonly [ShardId, Epoch])[];
   readonly holdings: readonly (readonly [ShardId, readonly (readonly [TeamId, Resources])[]])[];
   readonly ceilings: readonly (readonly [TeamId, readonly (readonly [ShardId, Resources])[]])[];
-  readonly writers: readonly (readonly [WriterId, Sequence])[];
 }
 
-export class CellFold {
+export class CellFold extends Fold<FoldedRecord> {
   private current: Configuration = EMPTY_CONFIGURATION;
-  private next: Offset = brandAs<Offset>(0);
-  private writers = new Writers();
   private readonly epochs = new Map<ShardId, Epoch>();
   private readonly holdings = new Map<ShardId, Map<TeamId, Resources>>();
   /** Where a lowered limit is passed: the most that each shard may go on using. */
@@ -61,11 +51,6 @@
     return this.current;
   }
 
-  /** The offset below which all entries are folded. */
-  get upTo(): Offset {
-    return this.next;
-  }
-
   /** The part of the team's limit that the shard holds. */
   holdingOf(shard: ShardId, team: TeamId): Resources {
     return this.holdings.get(shard)?.get(team) ?? NOTHING;
@@ -102,21 +87,9 @@
     return this.epochs.get(shard) ?? brandAs<Epoch>(0);
   }
 
-  apply(stamped: Stamped<CellRecord>, offset: Offset): Effect {
-    this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
-    if (stamped.record.kind === 'checkpoint') {
-      return APPLIED;
-    }
-    if (!this.writers.admit(stamped.writer, stamped.sequence)) {
-      return REPEATED;
-    }
-    const problem = this.effectOf(stamped.record);
-    return problem === undefined ? APPLIED : { kind: 'void', reason: problem };
-  }
-
   snapshot(): CellSnapshot {
     return {
-      upTo: this.next,
+      ...this.position(),
       version: this.current.version,
       teams: [...this.current.teams.values()],
       queues: [...this.current.queues.values()],
@@ -125,13 +98,12 @@
       epochs: [...this.epochs],
       holdings: [...this.holdings].map(([shard, held]) => [shard, [...held]]),
       ceilings: [...this.ceilings].map(([team, ofShards]) => [team, [...ofShards]]),
-      writers: this.writers.entries(),
     };
   }
 
   static restore(snapshot: CellSnapshot): CellFold {
     const fold = new CellFold();
-    fold.next = snapshot.upTo;
+    fold.restorePosition(snapshot);
     fold.current = {
       version: snapshot.version,
       teams: byId(snapshot.teams),
@@ -139,7 +111,6 @@
       keys: byId(snapshot.keys),
       dataCentres: byId(snapshot.dataCentres),
     };
-    fold.writers = new Writers(snapshot.writers);
     for (const [shard, epoch] of snapshot.epochs) {
       fold.epochs.set(shard, epoch);
     }
@@ -152,7 +123,7 @@
     return fold;
   }
 
-  private effectOf(record: FoldedRecord): VoidReason | undefined {
+  protected override effectOf(record: FoldedRecord): VoidReason | undefined {
     return match(record)
       .with({ kind: 'change' }, (change) => this.change(change))
       .with({ kind: 'inherit' }, ({ shard, epoch }) => this.inherit(shard, epoch))
--- /dev/null
+++ b/packages/state/src/fold.ts
@@ -0,0 +1,57 @@
+/** What the folds of all streams share: positions, repeats and checkpoints. */
+
+import { brandAs, type Offset, type Sequence, type WriterId } from '@bamboowell/types/ids';
+import type { CheckpointPart, Effect, Stamped, VoidReason } from '@bamboowell/types/records';
+import { Writers } from './writers.js';
+
+const APPLIED: Effect = { kind: 'applied' };
+const REPEATED: Effect = { kind: 'repeated' };
+
+/** Where a fold stands in its stream; part of every snapshot. */
+export interface FoldPosition {
+  readonly upTo: Offset;
+  readonly writers: readonly (readonly [WriterId, Sequence])[];
+}
+
+/**
+ * A deterministic fold of one stream's records. Every reader that applies the same entries in
+ * order has the same state. Subclasses differ in what a record does.
+ */
+export abstract class Fold<Entry extends { readonly kind: string }> {
+  private next: Offset = brandAs<Offset>(0);
+  private writers = new Writers();
+
+  /** The offset below which all entries are folded. */
+  get upTo(): Offset {
+    return this.next;
+  }
+
+  /** Folds one record. A checkpoint part changes nothing; a repeated record has no second effect. */
+  apply({ writer, sequence, record }: Stamped<Entry | CheckpointPart>, offset: Offset): Effect {
+    this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
+    if (isCheckpoint(record)) {
+      return APPLIED;
+    }
+    if (!this.writers.admit(writer, sequence)) {
+      return REPEATED;
+    }
+    const problem = this.effectOf(record);
+    return problem === undefined ? APPLIED : { kind: 'void', reason: problem };
+  }
+
+  /** Gives the record its effect, or tells why it has none. */
+  protected abstract effectOf(record: Entry): VoidReason | undefined;
+
+  protected position(): FoldPosition {
+    return { upTo: this.next, writers: this.writers.entries() };
+  }
+
+  protected restorePosition({ upTo, writers }: FoldPosition): void {
+    this.next = upTo;
+    this.writers = new Writers(writers);
+  }
+}
+
+function isCheckpoint(record: { readonly kind: string }): record is CheckpointPart {
+  return record.kind === 'checkpoint';
+}
--- a/packages/state/src/shard-fold.ts
+++ b/packages/state/src/shard-fold.ts
@@ -12,40 +12,30 @@
   type AttemptId,
   type Epoch,
   type MemberId,
-  type Offset,
   type RequestId,
-  type Sequence,
   type TaskId,
   type TeamId,
   type WorkId,
-  type WriterId,
 } from '@bamboowell/types/ids';
-import type { Effect, ShardRecord, Stamped, VoidReason } from '@bamboowell/types/records';
+import type { ShardRecord, VoidReason } from '@bamboowell/types/records';
 import type { Attempt, Outcome, Work } from '@bamboowell/types/work';
 import { afterEnd, afterPlace, type TaskEntry } from './task-state.js';
 import { WorkTable, type TableSnapshot, type WorkEntry } from './work-table.js';
-import { Writers } from './writers.js';
+import { Fold, type FoldPosition } from './fold.js';
 
 export { hasEnded, type WorkEntry } from './work-table.js';
 
 type FoldedRecord = Exclude<ShardRecord, { kind: 'checkpoint' }>;
 
-const APPLIED: Effect = { kind: 'applied' };
-const REPEATED: Effect = { kind: 'repeated' };
-
 /** A plain copy of the state, fit for a checkpoint. Taken between entries, not within one. */
-export interface ShardSnapshot extends TableSnapshot {
-  readonly upTo: Offset;
+export interface ShardSnapshot extends FoldPosition, TableSnapshot {
   readonly epoch: Epoch;
   readonly owner: MemberId | null;
-  readonly writers: readonly (readonly [WriterId, Sequence])[];
 }
 
-export class ShardFold {
+export class ShardFold extends Fold<FoldedRecord> {
   private currentEpoch: Epoch = brandAs<Epoch>(0);
   private currentOwner: MemberId | null = null;
-  private next: Offset = brandAs<Offset>(0);
-  private writers = new Writers();
   private table = new WorkTable();
 
   get epoch(): Epoch {
@@ -57,11 +47,6 @@
     return this.currentOwner;
   }
 
-  /** The offset below which all entries are folded. */
-  get upTo(): Offset {
-    return this.next;
-  }
-
   get works(): ReadonlyMap<WorkId, WorkEntry> {
     return this.table.works;
   }
@@ -82,39 +67,25 @@
     return this.table.task(id);
   }
 
-  apply(stamped: Stamped<ShardRecord>, offset: Offset): Effect {
-    this.next = brandAs<Offset>(Math.max(this.next, offset + 1));
-    if (stamped.record.kind === 'checkpoint') {
-      return APPLIED;
-    }
-    if (!this.writers.admit(stamped.writer, stamped.sequence)) {
-      return REPEATED;
-    }
-    const problem = this.effectOf(stamped.record);
-    return problem === undefined ? APPLIED : { kind: 'void', reason: problem };
-  }
-
   snapshot(): ShardSnapshot {
     return {
-      upTo: this.next,
+      ...this.position(),
       epoch: this.currentEpoch,
       owner: this.currentOwner,
       ...this.table.snapshot(),
-      writers: this.writers.entries(),
     };
   }
 
   static restore(snapshot: ShardSnapshot): ShardFold {
     const fold = new ShardFold();
-    fold.next = snapshot.upTo;
+    fold.restorePosition(snapshot);
     fold.currentEpoch = snapshot.epoch;
     fold.currentOwner = snapshot.owner;
-    fold.writers = new Writers(snapshot.writers);
     fold.table = WorkTable.restore(snapshot);
     return fold;
   }
 
-  private effectOf(record: FoldedRecord): VoidReason | undefined {
+  protected override effectOf(record: FoldedRecord): VoidReason | undefined {
     if (record.kind === 'claim') {
       return this.claim(record.epoch, record.owner);
     }
