Answer a repeat before any objection

Cause: a repeat of an accepted submission was refused "not run" when its queue had become full (or the daemon drained, or was not fresh), though its work was accepted and might run.

Change: the owner looks for the earlier request first.

Before: the test of configuration.test.ts that repeats a request while the queue is full got queue_full. After: the first work id, repeated, through both daemons.

--- a/packages/owner/src/submissions.ts
+++ b/packages/owner/src/submissions.ts
@@ -31,16 +31,21 @@
 
   submit(work: Work, deadline: Deadline, token: Token): void {
     const epoch = this.context.ownedEpoch;
-    const objection = this.objectionTo(work);
-    if (objection !== undefined || epoch === undefined) {
-      this.context.object(token, objection ?? NOT_OWNER);
+    if (epoch === undefined) {
+      this.context.object(token, NOT_OWNER);
       return;
     }
+    // Comes before objections: "not run" would be untrue of a request that was accepted before.
     const earlier = this.context.fold.findRequest(work.team, work.requestId);
     if (earlier !== undefined) {
       this.context.respond(token, { kind: 'accepted', work: earlier, repeated: true });
       return;
     }
+    const objection = this.objectionTo(work);
+    if (objection !== undefined) {
+      this.context.object(token, objection);
+      return;
+    }
     const sequence = this.context.append({ kind: 'accept', epoch, work });
     this.pending.set(sequence, { token, work, deadline, withdrawing: false, answered: false });
   }
