Wait for a fresh configuration by the caller's deadline

Cause: after an outage of the log a daemon that had not read the log again yet, while others said that it answers, refused submissions and calls at once, though it could decide a moment later. A request for an owner that is not fresh was retried already.

Change: submissions and quick calls are decided again, with the same backoff, while the only obstacle is the configuration's age; the retries have a counter.

--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -137,7 +137,7 @@
   }
 
   /** Sleeps with full jitter; false if the deadline comes first. */
-  private async backOff(attempt: number, deadline: Deadline): Promise<boolean> {
+  async backOff(attempt: number, deadline: Deadline): Promise<boolean> {
     const { clock, random } = this.parts;
     if (hasPassed(deadline, clock.now())) {
       return false;
--- a/packages/daemon/src/router-backend.ts
+++ b/packages/daemon/src/router-backend.ts
@@ -17,7 +17,7 @@
   type WorkView,
 } from '@bamboowell/front/backend';
 import type { Counters } from '@bamboowell/metrics/counters';
-import { refusalCounter } from '@bamboowell/metrics/names';
+import { refusalCounter, retryCounter } from '@bamboowell/metrics/names';
 import type { Response } from '@bamboowell/owner/messages';
 import { shardForCall, shardForWork, type ShardLoad } from '@bamboowell/policy/routing';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
@@ -76,7 +76,7 @@
   }
 
   async submit(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Acceptance>> {
-    const work = await this.workOf(sender, order);
+    const work = await this.workOf(sender, order, deadline);
     if (work.kind === 'refused') {
       return this.counted(work);
     }
@@ -89,7 +89,7 @@
   }
 
   async call(sender: Sender, order: Order, deadline: Deadline): Promise<Result<CallAnswer>> {
-    const work = await this.workOf(sender, order);
+    const work = await this.workOf(sender, order, deadline);
     if (work.kind === 'refused') {
       return this.counted(work);
     }
@@ -253,7 +253,20 @@
     )) as Result<Value>;
   }
 
-  private async workOf(sender: Sender, order: Order): Promise<Result<Work>> {
+  /** Waits until the configuration can be relied on, as far as the deadline allows. */
+  private async workOf(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Work>> {
+    const { forwarder, counters } = this.parts;
+    for (let attempt = 0; ; attempt += 1) {
+      const work = await this.workNow(sender, order);
+      const isStale = work.kind === 'refused' && work.refusal.reason === 'configuration_stale';
+      if (!isStale || !(await forwarder.backOff(attempt, deadline))) {
+        return work;
+      }
+      counters.increment(retryCounter('configuration_stale'));
+    }
+  }
+
+  private async workNow(sender: Sender, order: Order): Promise<Result<Work>> {
     const table = await this.parts.forwarder.table();
     if (table.kind === 'refused') {
       return table;
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -13,6 +13,7 @@
   'owner_unknown',
   'owner_changed',
   'owner_not_fresh',
+  'configuration_stale',
   'owner_shutting_down',
   'worker_unreachable',
   'worker_refused',
