Authenticate peers by certificate and reload certificates without a restart

Cause: any certificate of the authority could speak for any member, and new keys needed a restart. Change: a dial names the member that the list shows, and its certificate must have that name; a heartbeat must carry the name in the accepted connection's certificate. Conclusion: peers are who the list says that they are.

--- /dev/null
+++ b/packages/daemon/src/certificates-service.ts
@@ -0,0 +1,54 @@
+/** The service that keeps the certificates of the settings' files in use. */
+
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { Service, type Directory } from '@bamboowell/kernel/service';
+import { Supervised } from '@bamboowell/kernel/supervisor';
+import { CallerCertificates, PeerCertificates } from './certificate-sets.js';
+import {
+  CertificatesTask,
+  type CertificateSet,
+  type CertificatesMessage,
+} from './certificates-task.js';
+import type { Environment } from './environment.js';
+import { CERTIFICATES, COUNTERS, EVENTS, FRONT, TRANSPORT } from './keys.js';
+import { watcherOf } from './services.js';
+
+export class CertificatesService extends Service<Address<CertificatesMessage>> {
+  readonly key = CERTIFICATES;
+  readonly needs = [EVENTS, COUNTERS, TRANSPORT, FRONT];
+  private task: Supervised<CertificatesMessage> | undefined;
+
+  constructor(private readonly environment: Environment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Address<CertificatesMessage>> {
+    const { clock } = this.environment;
+    const parts = {
+      sets: this.setsOf(directory),
+      events: directory.find(EVENTS),
+      counters: directory.find(COUNTERS),
+    };
+    const make = () => new CertificatesTask(parts, clock);
+    this.task = new Supervised(make, clock, watcherOf(directory));
+    await this.task.start();
+    return this.task;
+  }
+
+  async stop(): Promise<void> {
+    await this.task?.stop();
+  }
+
+  private setsOf(directory: Directory): readonly CertificateSet[] {
+    const { callers, peers } = this.environment.settings;
+    const sets: CertificateSet[] = [];
+    if (callers.tls !== undefined) {
+      sets.push(new CallerCertificates(callers.tls, directory.find(FRONT).setTls));
+    }
+    const { setIdentity } = directory.find(TRANSPORT);
+    if (peers.tls !== undefined && setIdentity !== undefined) {
+      sets.push(new PeerCertificates(peers.tls, setIdentity));
+    }
+    return sets;
+  }
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,7 @@
 import { Kernel } from '@bamboowell/kernel/kernel';
 import { brandAs, type Incarnation } from '@bamboowell/types/ids';
 import type { DaemonSettings } from '@bamboowell/config/daemon-settings';
+import { CertificatesService } from './certificates-service.js';
 import type { Environment } from './environment.js';
 import { FrontService } from './front-service.js';
 import { LinksService, LogService, TransportService, VmListService } from './platform-services.js';
@@ -44,6 +45,7 @@
   kernel.register(new LinksService(environment));
   registerCore(kernel, environment);
   kernel.register(new FrontService(environment));
+  kernel.register(new CertificatesService(environment));
   return kernel;
 }
 
--- a/packages/daemon/src/front-service.ts
+++ b/packages/daemon/src/front-service.ts
@@ -1,14 +1,14 @@
 /** The service that serves callers and operators, and other daemons' requests for shards. */
 
-import { readFile } from 'node:fs/promises';
 import { ask } from '@bamboowell/kernel/ask';
 import type { Alarm } from '@bamboowell/kernel/clock';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import { Service, type Directory } from '@bamboowell/kernel/service';
 import { buildApp } from '@bamboowell/front/app';
-import { HttpServer, type TlsIdentity } from '@bamboowell/front/http-server';
+import { HttpServer } from '@bamboowell/front/http-server';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { refusalOf, type Result } from '@bamboowell/types/verdict';
+import { readCallerIdentity } from './certificate-files.js';
 import type { Environment } from './environment.js';
 import { CELL, EVENTS, FRONT, MEMBERS, ROUTER, ROUTING, SHARDS, type FrontHandle } from './keys.js';
 import { LocalShards } from './local-shards.js';
@@ -41,21 +41,27 @@
       maxBodyBytes: callers.maxBodyBytes,
       isReady: () => this.canServe(directory.find(ROUTING)),
     });
-    this.server = new HttpServer(app, {
+    const server = new HttpServer(app, {
       host: callers.host,
       port: callers.port,
-      tls: await this.readIdentity(),
+      tls: callers.tls === undefined ? null : await readCallerIdentity(callers.tls),
       maxConnections: callers.maxConnections,
       headersMillis: callers.headerMillis,
       requestMillis: callers.requestMillis,
     });
+    this.server = server;
     this.servePeers(directory);
-    const address = await this.server.listen();
+    const address = await server.listen();
     this.leave = () => {
       directory.find(MEMBERS).post({ kind: 'leave' });
     };
     directory.find(EVENTS).event('daemon.listening', { host: address.host, port: address.port });
-    return address;
+    return {
+      ...address,
+      setTls: (tls) => {
+        server.setTls(tls);
+      },
+    };
   }
 
   /** Unready first, then no new connection, then every request in hand is answered. */
@@ -109,16 +115,4 @@
     };
     directory.find(MEMBERS).post({ kind: 'serve', method: SHARD_METHOD, handler });
   }
-
-  private async readIdentity(): Promise<TlsIdentity | null> {
-    const { tls } = this.environment.settings.callers;
-    if (tls === undefined) {
-      return null;
-    }
-    const [cert, key] = await Promise.all([
-      readFile(tls.certFile, 'utf8'),
-      readFile(tls.keyFile, 'utf8'),
-    ]);
-    return { cert, key };
-  }
 }
--- a/packages/daemon/src/keys.ts
+++ b/packages/daemon/src/keys.ts
@@ -3,17 +3,20 @@
 import { ServiceKey } from '@bamboowell/kernel/service';
 import type { Address } from '@bamboowell/kernel/mailbox';
 import type { Backend } from '@bamboowell/front/backend';
+import type { TlsIdentity } from '@bamboowell/front/http-server';
 import type { Log } from '@bamboowell/log/log';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { MembersMessage } from '@bamboowell/membership/members-messages';
 import type { VmList } from '@bamboowell/membership/vm-list';
 import type { Counters } from '@bamboowell/metrics/counters';
+import type { CertificatesMessage } from './certificates-task.js';
 import type { CellMessage } from './cell-messages.js';
 import type { LinkMaker, Transport } from './platform.js';
 import type { ReporterMessage } from './reporter-task.js';
 import type { RoutingMessage } from './routing-task.js';
 import type { ShardsMessage } from './shard-messages.js';
 
+export const CERTIFICATES = new ServiceKey<Address<CertificatesMessage>>('certificates');
 export const EVENTS = new ServiceKey<EventLog>('events');
 export const COUNTERS = new ServiceKey<Counters>('counters');
 export const LOG = new ServiceKey<Log>('log');
@@ -32,4 +35,6 @@
 export interface FrontHandle {
   readonly host: string;
   readonly port: number;
+  /** Uses another certificate for new connections. */
+  readonly setTls: (tls: TlsIdentity) => void;
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -7,7 +7,7 @@
 import { enableEvents } from '@bamboowell/logger/logger';
 import { deadlineAfter, MILLIS_PER_SECOND } from '@bamboowell/types/time';
 import { buildDaemon, systemEnvironment } from './daemon.js';
-import { FRONT } from './keys.js';
+import { CERTIFICATES, FRONT } from './keys.js';
 
 /** Requests in hand get this long to end when the daemon is asked to stop. */
 const STOP_MILLIS = 30 * MILLIS_PER_SECOND;
@@ -70,6 +70,9 @@
     }
     const { host, port } = kernel.find(FRONT);
     this.context.stdout.write(`listening host=${host} port=${port}\n`);
+    process.on('SIGHUP', () => {
+      kernel.find(CERTIFICATES).post({ kind: 'reload' });
+    });
     await stopSignal();
     await kernel.stop(stopBy());
     return OK;
--- a/packages/daemon/src/members-service.ts
+++ b/packages/daemon/src/members-service.ts
@@ -27,8 +27,12 @@
     this.task = task;
     this.transport = transport;
     await task.start();
-    await transport.listen((connection) => {
-      task.post({ kind: 'accepted', connection });
+    await transport.listen((connection, certified) => {
+      task.post({
+        kind: 'accepted',
+        connection,
+        ...(certified === undefined ? {} : { certified }),
+      });
     });
     directory.find(REPORTER).post({ kind: 'attach', members: task });
     return task;
--- a/packages/daemon/src/platform-services.ts
+++ b/packages/daemon/src/platform-services.ts
@@ -1,14 +1,14 @@
 /** The services by which a daemon reaches the platform and other processes. */
 
-import { readFile } from 'node:fs/promises';
-import { Service, type ServiceKey } from '@bamboowell/kernel/service';
+import { Service, type Directory, type ServiceKey } from '@bamboowell/kernel/service';
 import { HttpLog } from '@bamboowell/log/http-log';
 import type { Log } from '@bamboowell/log/log';
 import { HttpVmList } from '@bamboowell/membership/http-vm-list';
 import type { VmList } from '@bamboowell/membership/vm-list';
-import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
+import type { Address } from '@bamboowell/types/vm';
+import { readPeerIdentity } from './certificate-files.js';
 import type { Environment } from './environment.js';
-import { LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
+import { EVENTS, LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
 import type { LinkMaker, Transport } from './platform.js';
 import { TcpLinkMaker, TcpTransport } from './tcp-platform.js';
 
@@ -54,33 +54,26 @@
 
 export class TransportService extends Service<Transport> {
   readonly key = TRANSPORT;
-  readonly needs = NOTHING_NEEDED;
+  readonly needs = [EVENTS];
 
   constructor(private readonly environment: Environment) {
     super();
   }
 
-  async start(): Promise<Transport> {
+  async start(directory: Directory): Promise<Transport> {
     const { settings, clock } = this.environment;
-    const { host, port } = settings.peers;
-    return new TcpTransport({ host, port, clock, tls: await this.readIdentity() });
+    const { host, port, tls: files } = settings.peers;
+    const events = directory.find(EVENTS);
+    const tls = files === undefined ? undefined : await readPeerIdentity(files);
+    const unreachable = (address: Address, detail: string): void => {
+      events.event('peer.unreachable', { host: address.host, port: address.port, detail });
+    };
+    return new TcpTransport({ host, port, clock, tls, unreachable });
   }
 
   stop(): Promise<void> {
     return Promise.resolve();
   }
-
-  private async readIdentity(): Promise<TlsIdentity | undefined> {
-    const { tls } = this.environment.settings.peers;
-    if (tls === undefined) {
-      return undefined;
-    }
-    return {
-      certificateAuthority: await readFile(tls.caFile, 'utf8'),
-      certificate: await readFile(tls.certFile, 'utf8'),
-      privateKey: await readFile(tls.keyFile, 'utf8'),
-    };
-  }
 }
 
 export class LinksService extends Service<LinkMaker> {
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -2,19 +2,26 @@
 
 import type { Address as MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { Dialler } from '@bamboowell/membership/dialler';
-import type { WorkerId } from '@bamboowell/types/ids';
+import type { MemberId, WorkerId } from '@bamboowell/types/ids';
 import type { Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import type { WorkerReport } from '@bamboowell/types/worker-messages';
 import type { Connection } from '@bamboowell/wire/connection';
+import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
 import type { WorkerLink } from '@bamboowell/worker/worker-link';
 
+/** Takes a connection, with the name in its certificate where there is one. */
+export type Accept = (connection: Connection, certified?: MemberId) => void;
+
 /** Connections between daemons, in both directions. */
 export abstract class Transport {
   abstract readonly dialler: Dialler;
 
   /** Hands over every connection that another daemon opens. */
-  abstract listen(accept: (connection: Connection) => void): Promise<void>;
+  abstract listen(accept: Accept): Promise<unknown>;
+
+  /** Uses other keys for new connections; absent where a transport has none. */
+  readonly setIdentity: ((identity: TlsIdentity) => void) | undefined = undefined;
 
   /** Takes no further connections; requests in hand may end until the deadline. */
   abstract close(deadline: Deadline): Promise<void>;
--- /dev/null
+++ b/packages/daemon/src/tcp-platform.test.ts
@@ -0,0 +1,115 @@
+import test, { type ExecutionContext } from 'ava';
+import { SystemClock } from '@bamboowell/kernel/clock';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { Connection } from '@bamboowell/wire/connection';
+import {
+  identityOfMember1,
+  identityOfMember2,
+  identityOfStranger,
+} from '@bamboowell/wire/certificates.fixture';
+import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
+import { TcpTransport } from './tcp-platform.js';
+
+const clock = new SystemClock();
+const MEMBER_1 = brandAs<MemberId>('member-1');
+const MEMBER_2 = brandAs<MemberId>('member-2');
+
+function soon() {
+  return deadlineAfter(clock.now(), 5_000);
+}
+
+interface Accepted {
+  readonly connection: Connection;
+  readonly certified: MemberId | undefined;
+}
+
+/** A transport that listens; `accepted` hands over its connections in order. */
+async function listening(t: ExecutionContext, tls: TlsIdentity | undefined) {
+  const waiting: ((accepted: Accepted) => void)[] = [];
+  const arrived: Accepted[] = [];
+  const details: string[] = [];
+  const transport = new TcpTransport({
+    host: '127.0.0.1',
+    port: 0,
+    clock,
+    tls,
+    unreachable: (_, detail) => details.push(detail),
+  });
+  const address = await transport.listen((connection, certified) => {
+    const take = waiting.shift();
+    if (take === undefined) {
+      arrived.push({ connection, certified });
+    } else {
+      take({ connection, certified });
+    }
+  });
+  t.teardown(() => transport.close(clock.now() as number as ReturnType<typeof soon>));
+  const accepted = () =>
+    new Promise<Accepted>((resolve) => {
+      const [first] = arrived.splice(0, 1);
+      if (first === undefined) {
+        waiting.push(resolve);
+      } else {
+        resolve(first);
+      }
+    });
+  return { transport, address, accepted, details };
+}
+
+test('both ends know each other by their certificates', async (t) => {
+  const server = await listening(t, identityOfMember2());
+  const client = await listening(t, identityOfMember1());
+  const connection = await client.transport.dialler.dial(server.address, soon(), MEMBER_2);
+  const { connection: far, certified } = await server.accepted();
+  t.is(certified, MEMBER_1);
+  far.handle('hello', () => 'there');
+  const answer = await connection?.request('hello', null, soon());
+  t.deepEqual(answer, { kind: 'answered', value: 'there' });
+  connection?.close();
+});
+
+test('a daemon with another name than the list shows is not reached', async (t) => {
+  const server = await listening(t, identityOfMember2());
+  const client = await listening(t, identityOfMember1());
+  const expected = brandAs<MemberId>('member-3');
+  t.is(await client.transport.dialler.dial(server.address, soon(), expected), undefined);
+  t.deepEqual(client.details, ['the peer is named member-2, not member-3']);
+});
+
+test('a daemon of another authority is not reached', async (t) => {
+  const server = await listening(t, identityOfStranger());
+  const client = await listening(t, identityOfMember1());
+  t.is(await client.transport.dialler.dial(server.address, soon(), MEMBER_2), undefined);
+  t.is(client.details.length, 1);
+});
+
+test('a daemon of another authority is not accepted', async (t) => {
+  const server = await listening(t, identityOfMember1());
+  const stranger = await listening(t, identityOfStranger());
+  const connection = await stranger.transport.dialler.dial(server.address, soon(), MEMBER_1);
+  await connection?.ended;
+  const friend = await listening(t, identityOfMember2());
+  const known = await friend.transport.dialler.dial(server.address, soon(), MEMBER_1);
+  t.is((await server.accepted()).certified, MEMBER_2);
+  known?.close();
+});
+
+test('other keys are used from then on, in both directions', async (t) => {
+  const server = await listening(t, identityOfStranger());
+  const client = await listening(t, identityOfMember1());
+  t.is(await client.transport.dialler.dial(server.address, soon(), MEMBER_2), undefined);
+  server.transport.setIdentity(identityOfMember2());
+  client.transport.setIdentity(identityOfMember2());
+  const connection = await client.transport.dialler.dial(server.address, soon(), MEMBER_2);
+  t.is((await server.accepted()).certified, MEMBER_2);
+  connection?.close();
+});
+
+test('without keys nobody is certified', async (t) => {
+  const server = await listening(t, undefined);
+  const client = await listening(t, undefined);
+  const connection = await client.transport.dialler.dial(server.address, soon(), MEMBER_2);
+  t.is((await server.accepted()).certified, undefined);
+  connection?.close();
+});
--- a/packages/daemon/src/tcp-platform.ts
+++ b/packages/daemon/src/tcp-platform.ts
@@ -2,9 +2,10 @@
 
 import type { Clock } from '@bamboowell/kernel/clock';
 import { Dialler } from '@bamboowell/membership/dialler';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
 import type { Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
-import { connect } from '@bamboowell/wire/connect';
+import { connect, type Target } from '@bamboowell/wire/connect';
 import type { Connection } from '@bamboowell/wire/connection';
 import { Listener } from '@bamboowell/wire/listener';
 import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
@@ -12,50 +13,80 @@
 import type { Result } from '@bamboowell/types/verdict';
 import type { WorkerCommand } from '@bamboowell/types/worker-messages';
 import { WorkerLink } from '@bamboowell/worker/worker-link';
-import { LinkMaker, Transport, type LinkPlan } from './platform.js';
+import { LinkMaker, Transport, type Accept, type LinkPlan } from './platform.js';
 
 export interface TcpTransportOptions {
   readonly host: string;
   readonly port: number;
   readonly clock: Clock;
   readonly tls: TlsIdentity | undefined;
+  /** Hears why another daemon could not be reached. */
+  readonly unreachable: (address: Address, detail: string) => void;
 }
 
 class TcpDialler extends Dialler {
   constructor(
-    private readonly clock: Clock,
-    private readonly tls: TlsIdentity | undefined,
+    private readonly options: TcpTransportOptions,
+    /** Of new connections. */
+    private tls: TlsIdentity | undefined,
   ) {
     super();
   }
 
-  async dial(address: Address, deadline: Deadline): Promise<Connection | undefined> {
-    const { clock, tls } = this;
-    const target = { address, clock, deadline, ...(tls === undefined ? {} : { tls }) };
-    const connection = await connect(target);
-    return 'kind' in connection ? undefined : connection;
+  setIdentity(tls: TlsIdentity): void {
+    this.tls = tls;
+  }
+
+  async dial(
+    address: Address,
+    deadline: Deadline,
+    expected?: MemberId,
+  ): Promise<Connection | undefined> {
+    const { clock, unreachable } = this.options;
+    const connection = await connect({ address, clock, deadline, ...this.proof(expected) });
+    if ('kind' in connection) {
+      unreachable(address, connection.detail);
+      return undefined;
+    }
+    return connection;
+  }
+
+  private proof(expected: MemberId | undefined): Partial<Target> {
+    const { tls } = this;
+    if (tls === undefined) {
+      return {};
+    }
+    return expected === undefined ? { tls } : { tls, expectedPeer: expected };
   }
 }
 
 export class TcpTransport extends Transport {
-  readonly dialler: Dialler;
+  readonly dialler: TcpDialler;
+  override readonly setIdentity = (identity: TlsIdentity): void => {
+    this.dialler.setIdentity(identity);
+    this.listener?.setTls(identity);
+  };
   private listener: Listener | undefined;
 
   constructor(private readonly options: TcpTransportOptions) {
     super();
-    this.dialler = new TcpDialler(options.clock, options.tls);
+    this.dialler = new TcpDialler(options, options.tls);
   }
 
-  async listen(accept: (connection: Connection) => void): Promise<void> {
+  /** Resolves to the address that it listens on. */
+  async listen(accept: Accept): Promise<Address> {
     const { host, port, clock, tls } = this.options;
     this.listener = new Listener({
       host,
       port,
       clock,
-      accept,
+      accept: (connection) => {
+        const { peer } = connection;
+        accept(connection, peer === undefined ? undefined : brandAs<MemberId>(peer));
+      },
       ...(tls === undefined ? {} : { tls }),
     });
-    await this.listener.listen();
+    return this.listener.listen();
   }
 
   async close(deadline: Deadline): Promise<void> {
--- a/packages/membership/src/links.ts
+++ b/packages/membership/src/links.ts
@@ -22,6 +22,8 @@
   private readonly handlers: Map<string, Handler>;
   /** Connections whose other end has not told its name yet. */
   private readonly unnamed = new Set<Connection>();
+  /** The names in the certificates of accepted connections. */
+  private readonly certified = new WeakMap<Connection, MemberId>();
 
   constructor(
     private readonly settings: MembersSettings,
@@ -69,7 +71,7 @@
     }
     peer.dialling = true;
     const deadline = deadlineAfter(now, DIAL_MILLIS);
-    void this.settings.dialler.dial(listed.address, deadline).then((opened) => {
+    void this.settings.dialler.dial(listed.address, deadline, peer.member).then((opened) => {
       const posted = this.post({ kind: 'dialled', member: peer.member, connection: opened });
       if (posted !== 'accepted') {
         opened?.close();
@@ -91,8 +93,11 @@
   }
 
   /** Listens to a connection whose other end is not known yet. */
-  adopt(connection: Connection): void {
+  adopt(connection: Connection, certified?: MemberId): void {
     this.unnamed.add(connection);
+    if (certified !== undefined) {
+      this.certified.set(connection, certified);
+    }
     for (const [method, handler] of this.handlers) {
       connection.handle(method, handler);
     }
@@ -107,10 +112,11 @@
     });
   }
 
-  /** Whether the connection may carry this name: each carries one, and never our own. */
+  /** Whether the connection may carry this name: each carries one, its own, and never ours. */
   mayCarry(connection: Connection, member: MemberId): boolean {
-    const named = this.peers.byConnection(connection);
-    return member !== this.settings.member && (named === undefined || named.member === member);
+    const known = this.peers.byConnection(connection)?.member ?? member;
+    const certified = this.certified.get(connection) ?? member;
+    return member !== this.settings.member && known === member && certified === member;
   }
 
   /** Makes an unnamed connection the peer's own. Returns whether it was unnamed. */
--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -58,8 +58,12 @@
   | { readonly kind: 'leave' }
   /** This member owns and claims nothing any more; it is told at once. */
   | { readonly kind: 'left' }
-  /** A connection that another process opened. */
-  | { readonly kind: 'accepted'; readonly connection: Connection }
+  /** A connection that another process opened; `certified` is the name in its certificate. */
+  | {
+      readonly kind: 'accepted';
+      readonly connection: Connection;
+      readonly certified?: MemberId;
+    }
   | OwnMessage;
 
 /** Messages that the task posts to itself. */
--- a/packages/membership/src/members-task.test.ts
+++ b/packages/membership/src/members-task.test.ts
@@ -5,6 +5,7 @@
 import type { Handler, WireAnswer } from '@bamboowell/wire/connection';
 import {
   cellOf,
+  connectionPair,
   entryVm,
   lastView,
   memberIn,
@@ -211,3 +212,24 @@
   t.like(viewOn(a, 'b'), { connected: true, suspected: false });
   t.true((a.counts.get('list_unavailable') ?? 0) >= 3);
 });
+
+test('a connection carries the name in its certificate and no other', async (t) => {
+  const cell = await cellOf(t, ['a', 'b']);
+  const a = memberIn(cell, 'a');
+  const sent = cell.connections.find(({ connection }) => connection.other !== undefined)?.connection
+    .other?.lastSent;
+  const claim = async (certified: string): Promise<void> => {
+    const [near, far] = connectionPair([]);
+    a.task.post({ kind: 'accepted', connection: far, certified: memberOf(certified) });
+    await settle();
+    near.notify('details', sent?.get('details'));
+    near.notify('heartbeat', sent?.get('heartbeat'));
+    await settle();
+  };
+  await claim('c');
+  t.is(a.counts.get('heartbeats_malformed'), 1);
+  t.is(a.counts.get('connections_replaced') ?? 0, 0);
+  await claim('b');
+  t.is(a.counts.get('heartbeats_malformed'), 1);
+  t.is(a.counts.get('connections_replaced'), 1);
+});
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -79,8 +79,8 @@
       .with({ kind: 'left' }, () => {
         this.enter('left');
       })
-      .with({ kind: 'accepted' }, ({ connection }) => {
-        this.links.adopt(connection);
+      .with({ kind: 'accepted' }, ({ connection, certified }) => {
+        this.links.adopt(connection, certified);
       })
       .with({ kind: 'beat' }, () => {
         this.beat();
--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -71,6 +71,8 @@
   metric('worker.quarantined', 'counter', 'workers', 'Workers put into quarantine.'),
   metric('task.restarted', 'counter', 'tasks', 'Tasks of the process restarted by a supervisor.'),
   metric('peer.events', 'counter', 'events', 'Events of the connections to daemons, by `event`.'),
+  metric('certificates.replaced', 'counter', 'sets', 'Sets of certificates put into use.'),
+  metric('certificates.refused', 'counter', 'sets', 'Sets that were unusable; the old one stays.'),
   metric('mailbox.full', 'counter', 'messages', 'Messages refused by a full mailbox, by `task`.'),
 ] as const;
 
