--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import { CertificatesService } from './certificates-service.js';
 import type { Environment } from './environment.js';
 import { FrontService } from './front-service.js';
+import { GaugesService } from './gauges-service.js';
 import { LinksService, LogService, TransportService, VmListService } from './platform-services.js';
 import { MembersService } from './members-service.js';
 import {
@@ -46,6 +47,7 @@
   registerCore(kernel, environment);
   kernel.register(new FrontService(environment));
   kernel.register(new CertificatesService(environment));
+  kernel.register(new GaugesService(environment));
   return kernel;
 }
 
--- a/packages/daemon/src/front-service.ts
+++ b/packages/daemon/src/front-service.ts
@@ -10,7 +10,17 @@
 import { refusalOf, type Result } from '@bamboowell/types/verdict';
 import { readCallerIdentity } from './certificate-files.js';
 import type { Environment } from './environment.js';
-import { CELL, EVENTS, FRONT, MEMBERS, ROUTER, ROUTING, SHARDS, type FrontHandle } from './keys.js';
+import {
+  CELL,
+  COUNTERS,
+  EVENTS,
+  FRONT,
+  MEMBERS,
+  ROUTER,
+  ROUTING,
+  SHARDS,
+  type FrontHandle,
+} from './keys.js';
 import { LocalShards } from './local-shards.js';
 import { parseShardAsk, SHARD_METHOD } from './peer-messages.js';
 import type { RoutingMessage, RoutingTable } from './routing-task.js';
@@ -23,7 +33,7 @@
 
 export class FrontService extends Service<FrontHandle> {
   readonly key = FRONT;
-  readonly needs = [EVENTS, MEMBERS, CELL, SHARDS, ROUTING, ROUTER];
+  readonly needs = [EVENTS, COUNTERS, MEMBERS, CELL, SHARDS, ROUTING, ROUTER];
   private server: HttpServer | undefined;
   private drainAlarm: Alarm | undefined;
   private isStopping = false;
@@ -38,6 +48,7 @@
     const app = buildApp({
       backend: directory.find(ROUTER),
       clock: this.environment.clock,
+      counters: directory.find(COUNTERS),
       maxBodyBytes: callers.maxBodyBytes,
       isReady: () => this.canServe(directory.find(ROUTING)),
     });
--- /dev/null
+++ b/packages/daemon/src/gauges-task.ts
@@ -0,0 +1,66 @@
+/** The task that sends the gauges at a fixed interval, from what the routing table shows. */
+
+import { ask } from '@bamboowell/kernel/ask';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import { Task } from '@bamboowell/kernel/task';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { deadlineAfter, hasPassed, MILLIS_PER_SECOND } from '@bamboowell/types/time';
+import type { RoutingMessage, RoutingTable } from './routing-task.js';
+
+/** Interval between two rounds, milliseconds. */
+export const GAUGES_MILLIS = 10 * MILLIS_PER_SECOND;
+
+/** How long the routing table may take to answer, milliseconds. */
+const TABLE_MILLIS = MILLIS_PER_SECOND;
+
+export interface GaugesMessage {
+  readonly kind: 'send';
+}
+
+export class GaugesTask extends Task<GaugesMessage> {
+  constructor(
+    private readonly routing: Address<RoutingMessage>,
+    private readonly counters: Counters,
+    clock: Clock,
+  ) {
+    super('gauges', clock);
+  }
+
+  protected override opened(): void {
+    this.post({ kind: 'send' });
+  }
+
+  protected override async receive(): Promise<void> {
+    this.postAt(deadlineAfter(this.clock.now(), GAUGES_MILLIS), { kind: 'send' });
+    const answer = await ask<RoutingMessage, RoutingTable>(
+      this.routing,
+      (reply) => ({ kind: 'read', reply }),
+      deadlineAfter(this.clock.now(), TABLE_MILLIS),
+      this.clock,
+    );
+    if (answer.kind === 'answered') {
+      this.send(answer.value);
+    }
+  }
+
+  private send({ configuration, freshUntil, local, members }: RoutingTable): void {
+    const { counters } = this;
+    const places = [...local.values()];
+    const isFresh = !hasPassed(freshUntil, this.clock.now());
+    counters.gauge('configuration.version', configuration.version);
+    counters.gauge('configuration.fresh', isFresh ? 1 : 0);
+    counters.gauge('shard.owned', places.length);
+    counters.gauge('work.running', sum(places.map(({ running }) => running)));
+    counters.gauge('work.waiting', sum(places.map(({ waiting }) => waiting)));
+    counters.gauge('member.reachable', members.filter(isReachable).length);
+  }
+}
+
+function isReachable({ connected, suspected }: RoutingTable['members'][number]): boolean {
+  return connected && !suspected;
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, each) => total + each, 0);
+}
--- a/packages/daemon/src/platform-services.ts
+++ b/packages/daemon/src/platform-services.ts
@@ -7,8 +7,9 @@
 import type { VmList } from '@bamboowell/membership/vm-list';
 import type { Address } from '@bamboowell/types/vm';
 import { readPeerIdentity } from './certificate-files.js';
+import { CountingMeter } from './counting-meter.js';
 import type { Environment } from './environment.js';
-import { EVENTS, LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
+import { COUNTERS, EVENTS, LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
 import type { LinkMaker, Transport } from './platform.js';
 import { TcpLinkMaker, TcpTransport } from './tcp-platform.js';
 
@@ -54,7 +55,7 @@
 
 export class TransportService extends Service<Transport> {
   readonly key = TRANSPORT;
-  readonly needs = [EVENTS];
+  readonly needs = [EVENTS, COUNTERS];
 
   constructor(private readonly environment: Environment) {
     super();
@@ -68,7 +69,8 @@
     const unreachable = (address: Address, detail: string): void => {
       events.event('peer.unreachable', { host: address.host, port: address.port, detail });
     };
-    return new TcpTransport({ host, port, clock, tls, unreachable });
+    const meter = new CountingMeter('peer', directory.find(COUNTERS));
+    return new TcpTransport({ host, port, clock, tls, meter, unreachable });
   }
 
   stop(): Promise<void> {
@@ -78,15 +80,16 @@
 
 export class LinksService extends Service<LinkMaker> {
   readonly key = LINKS;
-  readonly needs = NOTHING_NEEDED;
+  readonly needs = [COUNTERS];
 
   constructor(private readonly environment: Environment) {
     super();
   }
 
-  start(): Promise<LinkMaker> {
+  start(directory: Directory): Promise<LinkMaker> {
     const { clock, random } = this.environment;
-    return Promise.resolve(new TcpLinkMaker(clock, random));
+    const meter = new CountingMeter('worker', directory.find(COUNTERS));
+    return Promise.resolve(new TcpLinkMaker(clock, random, meter));
   }
 
   stop(): Promise<void> {
--- a/packages/daemon/src/tcp-platform.ts
+++ b/packages/daemon/src/tcp-platform.ts
@@ -8,6 +8,7 @@
 import { connect, type Target } from '@bamboowell/wire/connect';
 import type { Connection } from '@bamboowell/wire/connection';
 import { Listener } from '@bamboowell/wire/listener';
+import type { Meter } from '@bamboowell/wire/meter';
 import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
 import { RemoteWorker } from '@bamboowell/worker/remote-worker';
 import type { Result } from '@bamboowell/types/verdict';
@@ -20,6 +21,7 @@
   readonly port: number;
   readonly clock: Clock;
   readonly tls: TlsIdentity | undefined;
+  readonly meter: Meter;
   /** Hears why another daemon could not be reached. */
   readonly unreachable: (address: Address, detail: string) => void;
 }
@@ -42,8 +44,8 @@
     deadline: Deadline,
     expected?: MemberId,
   ): Promise<Connection | undefined> {
-    const { clock, unreachable } = this.options;
-    const connection = await connect({ address, clock, deadline, ...this.proof(expected) });
+    const { clock, meter, unreachable } = this.options;
+    const connection = await connect({ address, clock, meter, deadline, ...this.proof(expected) });
     if ('kind' in connection) {
       unreachable(address, connection.detail);
       return undefined;
@@ -75,11 +77,12 @@
 
   /** Resolves to the address that it listens on. */
   async listen(accept: Accept): Promise<Address> {
-    const { host, port, clock, tls } = this.options;
+    const { host, port, clock, meter, tls } = this.options;
     this.listener = new Listener({
       host,
       port,
       clock,
+      meter,
       accept: (connection) => {
         const { peer } = connection;
         accept(connection, peer === undefined ? undefined : brandAs<MemberId>(peer));
@@ -113,13 +116,14 @@
   constructor(
     private readonly clock: Clock,
     private readonly random: () => number,
+    private readonly meter: Meter,
   ) {
     super();
   }
 
   open({ worker, address, reports, failed }: LinkPlan): WorkerLink {
-    const { clock, random } = this;
-    const task = new RemoteWorker({ worker, address, clock, reports, random });
+    const { clock, random, meter } = this;
+    const task = new RemoteWorker({ worker, address, clock, reports, random, meter });
     void task.start(failed);
     return new TaskLink(task);
   }
--- a/packages/front/src/app.test.ts
+++ b/packages/front/src/app.test.ts
@@ -171,3 +171,29 @@
     t.like(failureOf(error), { verdict: 'NOT_RUN', reason });
   });
 }
+
+test('requests, what they came to and what was refused are counted', async (t) => {
+  const { app, counters } = front();
+  await post(app, `${CALLER}Submit`, submission());
+  await post(app, `${CALLER}Submit`, submission({ queue: '' }));
+  await post(app, `${CALLER}Submit`, submission({ colour: 'red' }));
+  await post(app, `${CALLER}Call`, { queue: 'q', requestId: 'r' });
+  await post(app, `${CALLER}Cancel`, { workIds: [WORK] });
+  await post(app, `${CALLER}Get`, { workId: WORK }, { authorization: 'Basic' });
+  await watched(app, '{');
+  t.is(counters.count('request.received'), 7);
+  t.is(counters.count('request.received', { method: 'Submit' }), 3);
+  t.is(counters.timed('request.millis')?.count, 7);
+  t.is(counters.count('work.accepted', { kind: 'batch' }), 1);
+  t.is(counters.count('work.cancelled', { verdict: 'ran' }), 1);
+  t.is(counters.count('call.answered'), 1);
+  t.is(counters.count('refusal.malformed'), 3);
+  t.is(counters.count('refusal.unknown_field'), 1);
+});
+
+test('a repeat counts as one, not as accepted work', async (t) => {
+  const { app, counters } = front({ submit: done({ work: WORK, repeated: true }) });
+  await post(app, `${CALLER}Submit`, submission());
+  t.is(counters.count('work.repeated'), 1);
+  t.is(counters.count('work.accepted'), 0);
+});
--- a/packages/front/src/app.ts
+++ b/packages/front/src/app.ts
@@ -9,6 +9,9 @@
   type UniversalHandler,
 } from '@connectrpc/connect/protocol';
 import type { Clock } from '@bamboowell/kernel/clock';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { refusalCounter } from '@bamboowell/metrics/names';
+import type { Refusal } from '@bamboowell/types/verdict';
 import type { Backend } from './backend.js';
 import { errorOf, refusalOfDecoding } from './failure.js';
 import { registerRoutes } from './routes.js';
@@ -17,6 +20,7 @@
 export interface AppOptions {
   readonly backend: Backend;
   readonly clock: Clock;
+  readonly counters: Counters;
   readonly maxBodyBytes: number;
   /** Whether the balancer may send requests here. */
   readonly isReady: () => Promise<boolean>;
@@ -33,7 +37,7 @@
     (await options.isReady()) ? context.text('ready', OK) : context.text('not ready', NOT_READY),
   );
   for (const handler of handlersOf(options)) {
-    app.all(handler.requestPath, (context) => serve(handler, context.req.raw));
+    app.all(handler.requestPath, (context) => serve(handler, context.req.raw, options));
   }
   app.notFound((context) =>
     context.json({ code: 'not_found', message: 'not run: there is no such call' }, 404),
@@ -41,33 +45,60 @@
   return app;
 }
 
-function handlersOf({ backend, clock, maxBodyBytes }: AppOptions): UniversalHandler[] {
+function handlersOf({ backend, clock, counters, maxBodyBytes }: AppOptions): UniversalHandler[] {
   const router = createConnectRouter({
     readMaxBytes: maxBodyBytes,
     jsonOptions: { ignoreUnknownFields: false },
-    interceptors: [describingStreams],
+    interceptors: [describingStreams(counters)],
   });
-  registerRoutes(router, backend, clock);
+  registerRoutes(router, { backend, clock, counters });
   return router.handlers;
 }
 
 /** Adds a Failure to errors of the decoder within a stream; `withFailure` sees only whole answers. */
-const describingStreams: Interceptor = (next) => (request) =>
-  next(request.stream ? { ...request, message: described(request.message) } : request);
+function describingStreams(counters: Counters): Interceptor {
+  return (next) => (request) =>
+    next(request.stream ? { ...request, message: described(request.message, counters) } : request);
+}
 
-async function* described<Message>(messages: AsyncIterable<Message>): AsyncIterable<Message> {
+async function* described<Message>(
+  messages: AsyncIterable<Message>,
+  counters: Counters,
+): AsyncIterable<Message> {
   try {
     yield* messages;
   } catch (error) {
-    throw errorOf(refusalOfDecoding(ConnectError.from(error)));
+    throw errorOf(counted(refusalOfDecoding(ConnectError.from(error)), counters));
   }
 }
 
-async function serve(handler: UniversalHandler, request: Request): Promise<Response> {
+function counted(refusal: Refusal, counters: Counters): Refusal {
+  counters.increment(refusalCounter(refusal.reason));
+  return refusal;
+}
+
+async function serve(
+  handler: UniversalHandler,
+  request: Request,
+  { clock, counters }: AppOptions,
+): Promise<Response> {
+  const method = handler.method.name;
+  const begun = clock.now();
+  counters.increment('request.received', { method });
+  const response = await answered(handler, request, counters);
+  counters.timing('request.millis', clock.now() - begun, { method });
+  return response;
+}
+
+async function answered(
+  handler: UniversalHandler,
+  request: Request,
+  counters: Counters,
+): Promise<Response> {
   const answer = await handler(universalServerRequestFromFetch(request, {}));
   const response = universalServerResponseToFetch(answer);
   const isError = response.status !== OK && response.headers.get('content-type') === JSON_TYPE;
-  return isError ? withFailure(response) : response;
+  return isError ? withFailure(response, counters) : response;
 }
 
 interface ErrorBody {
@@ -77,9 +108,9 @@
 }
 
 /** Adds a Failure to errors that the decoder made before any handler ran. */
-async function withFailure(response: Response): Promise<Response> {
+async function withFailure(response: Response, counters: Counters): Promise<Response> {
   const body = (await response.json()) as ErrorBody;
-  const complete = body.details === undefined ? describe(body) : body;
+  const complete = body.details === undefined ? describe(body, counters) : body;
   return new Response(JSON.stringify(complete), {
     status: response.status,
     headers: { 'content-type': JSON_TYPE },
@@ -91,8 +122,8 @@
   resource_exhausted: Code.ResourceExhausted,
 };
 
-function describe(body: ErrorBody): unknown {
+function describe(body: ErrorBody, counters: Counters): unknown {
   const code = DECODER_CODES[body.code] ?? Code.Internal;
   const refusal = refusalOfDecoding(new ConnectError(body.message ?? '', code));
-  return errorToJson(errorOf(refusal), {});
+  return errorToJson(errorOf(counted(refusal, counters)), {});
 }
--- a/packages/front/src/front.fixture.ts
+++ b/packages/front/src/front.fixture.ts
@@ -3,6 +3,7 @@
 import { fromBinary } from '@bufbuild/protobuf';
 import type { Hono } from 'hono';
 import { FailureSchema, Verdict } from '@bamboowell/schema/generated/bamboowell/v1/bamboowell_pb';
+import { MemoryCounters } from '@bamboowell/metrics/counters';
 import { ManualClock } from '@bamboowell/kernel/manual-clock';
 import type { Change, Configuration } from '@bamboowell/types/declarations';
 import {
@@ -163,19 +164,22 @@
   readonly app: Hono;
   readonly asked: readonly Asked[];
   readonly clock: ManualClock;
+  readonly counters: MemoryCounters;
 }
 
 /** An application whose backend gives the usual answers, but for those given. */
 export function front(answers: Partial<Answers> = {}, isReady = true): Front {
   const backend = new FakeBackend({ ...usualAnswers(), ...answers });
   const clock = new ManualClock(1_000);
+  const counters = new MemoryCounters();
   const app = buildApp({
     backend,
     clock,
+    counters,
     maxBodyBytes: MAX_BODY_BYTES,
     isReady: () => Promise.resolve(isReady),
   });
-  return { app, asked: backend.asked, clock };
+  return { app, asked: backend.asked, clock, counters };
 }
 
 const PACKAGE = '/bamboowell.v1.';
--- a/packages/front/src/routes.ts
+++ b/packages/front/src/routes.ts
@@ -6,6 +6,8 @@
   OperatorService,
 } from '@bamboowell/schema/generated/bamboowell/v1/bamboowell_pb';
 import type { Clock } from '@bamboowell/kernel/clock';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { refusalCounter } from '@bamboowell/metrics/names';
 import { brandAs, type KeyId, type Version } from '@bamboowell/types/ids';
 import {
   deadlineAfter,
@@ -15,7 +17,7 @@
 } from '@bamboowell/types/time';
 import { done, refused, type Result } from '@bamboowell/types/verdict';
 import type { WorkId } from '@bamboowell/types/ids';
-import type { Backend, Sender } from './backend.js';
+import type { Acceptance, Backend, Order, Sender } from './backend.js';
 import { changesFrom } from './decode-changes.js';
 import { orderOfCall, orderOfSubmit, workIdFromText } from './decode.js';
 import { configurationTo, statusTo, verdictTo, workTo } from './encode.js';
@@ -25,41 +27,58 @@
 const MAX_TIMEOUT_MILLIS = 5 * MILLIS_PER_MINUTE;
 const MAX_CANCELLED_AT_ONCE = 10_000;
 
+/** What the calls are served with. */
+export interface RouteParts {
+  readonly backend: Backend;
+  readonly clock: Clock;
+  readonly counters: Counters;
+}
+
 /** Registers both services. */
-export function registerRoutes(router: ConnectRouter, backend: Backend, clock: Clock): void {
-  registerCallers(router, backend, clock);
-  registerOperators(router, backend, clock);
+export function registerRoutes(router: ConnectRouter, parts: RouteParts): void {
+  registerCallers(router, parts);
+  registerOperators(router, parts);
 }
 
-function registerCallers(router: ConnectRouter, backend: Backend, clock: Clock): void {
+function registerCallers(router: ConnectRouter, { backend, clock, counters }: RouteParts): void {
+  const decoded = decoderFor(counters);
   const deadlineOf = (millis: number) => deadlineFrom(clock, millis);
   router.service(CallerService, {
     async submit(request, context) {
-      const order = valueOf(orderOfSubmit(request));
+      const order = decoded(orderOfSubmit(request));
       const deadline = deadlineOf(request.timeoutMillis);
-      const accepted = valueOf(await backend.submit(senderOf(context), order, deadline));
+      const accepted = valueOf(await backend.submit(decoded(senderOf(context)), order, deadline));
+      countAcceptance(counters, order, accepted);
       return { workId: accepted.work, repeated: accepted.repeated };
     },
     async call(request, context) {
-      const order = valueOf(orderOfCall(request));
+      const order = decoded(orderOfCall(request));
       const deadline = deadlineOf(request.timeoutMillis);
-      const called = valueOf(await backend.call(senderOf(context), order, deadline));
+      const begun = clock.now();
+      const called = valueOf(await backend.call(decoded(senderOf(context)), order, deadline));
+      counters.increment('call.answered');
+      counters.timing('call.millis', clock.now() - begun);
       return { answer: called.answer, worker: called.worker, attemptId: called.attempt };
     },
     async get(request, context) {
-      const work = valueOf(workIdFromText(request.workId, 'workId'));
-      const view = valueOf(await backend.get(senderOf(context), work, deadlineOf(0)));
+      const work = decoded(workIdFromText(request.workId, 'workId'));
+      const view = valueOf(await backend.get(decoded(senderOf(context)), work, deadlineOf(0)));
       return { status: workTo(view) };
     },
     async *watch(request, context) {
-      const work = valueOf(workIdFromText(request.workId, 'workId'));
-      for await (const view of backend.watch(senderOf(context), work, context.signal)) {
+      const work = decoded(workIdFromText(request.workId, 'workId'));
+      for await (const view of backend.watch(decoded(senderOf(context)), work, context.signal)) {
         yield { status: workTo(valueOf(view)) };
       }
     },
     async cancel(request, context) {
-      const works = valueOf(workIdsFrom(request.workIds));
-      const outcomes = valueOf(await backend.cancel(senderOf(context), works, deadlineOf(0)));
+      const works = decoded(workIdsFrom(request.workIds));
+      const outcomes = valueOf(
+        await backend.cancel(decoded(senderOf(context)), works, deadlineOf(0)),
+      );
+      for (const { verdict } of outcomes) {
+        counters.increment('work.cancelled', { verdict });
+      }
       return {
         outcomes: outcomes.map(({ work, verdict, reason }) => ({
           workId: work,
@@ -69,36 +88,43 @@
       };
     },
     async explain(request, context) {
-      const work = valueOf(workIdFromText(request.workId, 'workId'));
+      const work = decoded(workIdFromText(request.workId, 'workId'));
       const { view, sentences } = valueOf(
-        await backend.explain(senderOf(context), work, deadlineOf(0)),
+        await backend.explain(decoded(senderOf(context)), work, deadlineOf(0)),
       );
       return { status: workTo(view), sentences: [...sentences] };
     },
   });
 }
 
-function registerOperators(router: ConnectRouter, backend: Backend, clock: Clock): void {
+function registerOperators(router: ConnectRouter, { backend, clock, counters }: RouteParts): void {
+  const decoded = decoderFor(counters);
   router.service(OperatorService, {
     async getConfiguration(_request, context) {
-      const { configuration, fresh } = valueOf(await backend.configuration(senderOf(context)));
+      const { configuration, fresh } = valueOf(
+        await backend.configuration(decoded(senderOf(context))),
+      );
       return { configuration: configurationTo(configuration), fresh };
     },
     async applyChanges(request, context) {
-      const changes = valueOf(changesFrom(request.changes));
+      const changes = decoded(changesFrom(request.changes));
       const base = brandAs<Version>(request.base);
       const deadline = deadlineFrom(clock, request.timeoutMillis);
-      const version = valueOf(await backend.apply(senderOf(context), base, changes, deadline));
+      const version = valueOf(
+        await backend.apply(decoded(senderOf(context)), base, changes, deadline),
+      );
       return { version };
     },
     async getEnforcement(request, context) {
       const version = brandAs<Version>(request.version);
-      const members = valueOf(await backend.enforcement(senderOf(context), version));
+      const members = valueOf(await backend.enforcement(decoded(senderOf(context)), version));
       const everywhere = members.every((member) => member.reachable && member.version >= version);
       return { everywhere, members: [...members] };
     },
     async getStatus(_request, context) {
-      return statusTo(valueOf(await backend.status(senderOf(context), deadlineFrom(clock, 0))));
+      return statusTo(
+        valueOf(await backend.status(decoded(senderOf(context)), deadlineFrom(clock, 0))),
+      );
     },
   });
 }
@@ -125,22 +151,39 @@
 
 const BEARER = /^Bearer ([a-z0-9-]+)\.(\S+)$/;
 
-/** The key in the request's header; throws if there is a header that holds none. */
-function senderOf(context: HandlerContext): Sender {
+/** The key in the request's header, if there is a header. */
+function senderOf(context: HandlerContext): Result<Sender> {
   const header = context.requestHeader.get('authorization');
   if (header === null) {
-    return null;
+    return done(null);
   }
   const [, key, secret] = BEARER.exec(header) ?? [];
   if (key === undefined || secret === undefined) {
-    throw errorOf({
-      verdict: 'not_run',
-      reason: 'malformed',
-      detail: 'expected the header Authorization: Bearer <key id>.<secret>',
-      field: 'authorization',
-    });
+    return refused(
+      'malformed',
+      'expected the header Authorization: Bearer <key id>.<secret>',
+      'authorization',
+    );
   }
-  return { key: brandAs<KeyId>(key), secret };
+  return done({ key: brandAs<KeyId>(key), secret });
+}
+
+function countAcceptance(counters: Counters, { shape }: Order, { repeated }: Acceptance): void {
+  if (repeated) {
+    counters.increment('work.repeated');
+  } else {
+    counters.increment('work.accepted', { kind: shape.kind });
+  }
+}
+
+/** Counts what this module itself refuses; the backend counts its own refusals. */
+function decoderFor(counters: Counters) {
+  return <Value>(result: Result<Value>): Value => {
+    if (result.kind === 'refused') {
+      counters.increment(refusalCounter(result.refusal.reason));
+    }
+    return valueOf(result);
+  };
 }
 
 /** The value, or the refusal thrown as an error of the protocol. */
--- a/packages/metrics/src/counters.ts
+++ b/packages/metrics/src/counters.ts
@@ -10,7 +10,7 @@
 export abstract class Counters {
   abstract increment(name: CounterName, tags?: Tags, by?: number): void;
   abstract gauge(name: GaugeName, value: number): void;
-  abstract timing(name: TimingName, millis: number): void;
+  abstract timing(name: TimingName, millis: number, tags?: Tags): void;
 
   /** Sends what is buffered and releases the socket. */
   abstract close(): Promise<void>;
@@ -51,8 +51,8 @@
     this.client.gauge(name, value);
   }
 
-  timing(name: TimingName, millis: number): void {
-    this.client.timing(name, millis);
+  timing(name: TimingName, millis: number, tags: Tags = {}): void {
+    this.client.timing(name, millis, { ...tags });
   }
 
   close(): Promise<void> {
@@ -64,7 +64,10 @@
   }
 }
 
-/** Keeps sums in memory, for the status page and for tests. A count is kept for each combination of tags. */
+/**
+ * Keeps sums in memory, for tests and where there is no receiver. A count is kept for each
+ * combination of tags, a timing for each name.
+ */
 export class MemoryCounters extends Counters {
   private readonly counts: Count[] = [];
   private readonly gauges = new Map<GaugeName, number>();
