Measure what control costs at the peak of the two-year plan

Cause: the target is at most 300 appends a second at 920 starts a second, and docs/CAPACITY.md needs bytes by kind. Change: `npm run bench -- control-cost` drives six owners on a virtual clock, each with a StreamTask over one log in memory, and counts appends, records and the messages with 1,134 workers each, against one append a record and one a start in the same run; heartbeats between members are counted too.

--- /dev/null
+++ b/packages/bench/src/control-cost.ts
@@ -0,0 +1,177 @@
+/**
+ * What control costs at the peak of the two-year plan: six owners with real decision code on a
+ * virtual clock, each with its stream over one log in memory, against one append for each record.
+ */
+
+import { setImmediate as turn } from 'node:timers/promises';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { CELL_APPENDS_PER_SECOND } from '@bamboowell/log/append-pace';
+import type { StreamStats } from '@bamboowell/log/stream-messages';
+import { brandAs, type ShardId } from '@bamboowell/types/ids';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { DelayedLog } from './delayed-log.js';
+import { amountOf, batchDemand } from './fleets.js';
+import { rounded } from './line-fit.js';
+import { measureMembersTraffic } from './members-traffic.js';
+import { OwnerTask } from './owner-task.js';
+import { SHARD_WORKERS } from './owner-slopes.js';
+
+const SEED = 20_261_204;
+const SHARDS = 6;
+const PEAK_STARTS_PER_SECOND = 920;
+/** The daemon's setting of the appends of one stream. */
+const APPENDS_PER_SECOND = 30;
+const LATENCY_MILLIS = 20;
+const CLAIM_MILLIS = 1_000;
+const STEP_MILLIS = 10;
+const WARM_MILLIS = 5_000;
+const MEASURED_MILLIS = 10_000;
+const LIFE_MILLIS = 2_000;
+const TURNS_A_STEP = 8;
+const MILLIS_PER_SECOND = 1_000;
+const SECONDS = MEASURED_MILLIS / MILLIS_PER_SECOND;
+const CAPACITY = amountOf(64, 128, 8);
+/** Tasks of one piece of work: the most records a start, and a usual batch. */
+const TASK_COUNTS = [1, 20];
+
+export async function measureControlCost(): Promise<object> {
+  const runs: object[] = [];
+  for (const tasks of TASK_COUNTS) {
+    runs.push(await measureRun(tasks));
+  }
+  const members = await measureMembersTraffic();
+  return { seed: SEED, target: { appendsPerSecond: CELL_APPENDS_PER_SECOND }, runs, members };
+}
+
+async function measureRun(tasksOfWork: number): Promise<object> {
+  const clock = new ManualClock();
+  const log = new DelayedLog(clock, LATENCY_MILLIS);
+  const owners = Array.from({ length: SHARDS }, (_, number) => {
+    const shard = brandAs<ShardId>(`data-centre-${number + 1}`);
+    const plan = { shard, workers: SHARD_WORKERS, capacity: CAPACITY };
+    return new OwnerTask(plan, log, clock, APPENDS_PER_SECOND);
+  });
+  await Promise.all(owners.map((owner) => owner.start(raise)));
+  await claimAll(clock);
+  const driver = new Driver(owners, clock, tasksOfWork);
+  await driver.pass(WARM_MILLIS);
+  const before = await statsOf(owners);
+  for (const owner of owners) {
+    owner.clear();
+  }
+  await driver.pass(MEASURED_MILLIS);
+  const after = await statsOf(owners);
+  const figures = figuresOf(owners, before, after);
+  await Promise.all(owners.map((owner) => owner.stop()));
+  return { tasksOfWork, startsPerSecond: PEAK_STARTS_PER_SECOND, ...figures };
+}
+
+/** A failure of a task ends the measurement. */
+function raise(error: unknown): never {
+  throw error;
+}
+
+/** Passes the time until the owners have read their claims back. */
+async function claimAll(clock: ManualClock): Promise<void> {
+  for (let passed = 0; passed < CLAIM_MILLIS; passed += STEP_MILLIS) {
+    clock.advance(STEP_MILLIS);
+    await settle();
+  }
+}
+
+/** Submits, ends and heartbeats at even rates. */
+class Driver {
+  private readonly random: RandomGenerator = xoroshiro128plus(SEED);
+  private readonly startedAt: number;
+
+  constructor(
+    private readonly owners: readonly OwnerTask[],
+    private readonly clock: ManualClock,
+    private readonly tasksOfWork: number,
+  ) {
+    this.startedAt = clock.now();
+  }
+
+  async pass(millis: number): Promise<void> {
+    const until = this.clock.now() + millis;
+    while (this.clock.now() < until) {
+      this.clock.advance(STEP_MILLIS);
+      for (const owner of this.owners) {
+        this.drive(owner);
+      }
+      await settle();
+    }
+  }
+
+  private drive(owner: OwnerTask): void {
+    const perOwner = PEAK_STARTS_PER_SECOND / SHARDS;
+    const shape = { kind: 'batch' as const, tasks: this.tasksOfWork };
+    const submits = this.countDue(perOwner / this.tasksOfWork, 0);
+    owner.post({
+      kind: 'drive',
+      submits: submits.map(() => ({ demand: batchDemand(this.random), shape })),
+      ends: this.countDue(perOwner, LIFE_MILLIS).length,
+      heartbeats: this.countDue(SHARD_WORKERS, 0).map((number) => number % SHARD_WORKERS),
+    });
+  }
+
+  /** The numbers of the events that became due in this step, at an even rate after `delay`. */
+  private countDue(perSecond: number, delay: number): number[] {
+    const now = this.clock.now() - this.startedAt - delay;
+    const upTo = (millis: number): number =>
+      Math.floor((Math.max(0, millis) * perSecond) / MILLIS_PER_SECOND);
+    const first = upTo(now - STEP_MILLIS);
+    return Array.from({ length: upTo(now) - first }, (_, index) => first + index);
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let count = 0; count < TURNS_A_STEP; count += 1) {
+    await turn();
+  }
+}
+
+async function statsOf(owners: readonly OwnerTask[]): Promise<StreamStats[]> {
+  return Promise.all(owners.map((owner) => owner.stats()));
+}
+
+function figuresOf(
+  owners: readonly OwnerTask[],
+  before: readonly StreamStats[],
+  after: readonly StreamStats[],
+) {
+  const rateOf = (part: (stats: StreamStats) => number): number =>
+    rounded((sumOf(after.map(part)) - sumOf(before.map(part))) / SECONDS);
+  const rateOfOwners = (part: (owner: OwnerTask) => number): number =>
+    rounded(sumOf(owners.map(part)) / SECONDS);
+  return {
+    cell: {
+      appendsPerSecond: rateOf(({ appends }) => appends),
+      appendedBytesPerSecond: rateOf(({ appendedBytes }) => appendedBytes),
+      readsPerSecondByOwners: rateOf(({ reads }) => reads),
+      recordsPerSecond: rateOfOwners(({ records }) => records.messages),
+      recordBytesPerSecond: rateOfOwners(({ records }) => records.bytes),
+      workerLinkBytesPerSecond: rateOfOwners(({ links }) => links.bytes),
+    },
+    oneAppendARecord: {
+      appendsPerSecond: rateOfOwners(({ alone }) => alone.messages),
+      appendedBytesPerSecond: rateOfOwners(({ alone }) => alone.bytes),
+    },
+    oneAppendAStart: {
+      appendsPerSecond: rateOfOwners(({ alone }) => alone.of('place').messages),
+      appendedBytesPerSecond: rateOfOwners(({ alone }) => alone.of('place').bytes),
+    },
+    shard: {
+      workers: SHARD_WORKERS,
+      records: owners[0]?.records.rates(SECONDS),
+      workerLinks: owners[0]?.links.rates(SECONDS),
+    },
+    queuedAtEnd: sumOf(after.map(({ queued }) => queued)),
+    rejected: sumOf(after.map(({ rejected }) => rejected)),
+  };
+}
+
+function sumOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** Runs the measurement that is named on the command line and prints its figures as JSON. */
 
 import { measureCapacity } from './capacity.js';
+import { measureControlCost } from './control-cost.js';
 import { measurePacking } from './packing.js';
 import { measurePlacement } from './placement.js';
 import { measureWaiting } from './waiting.js';
@@ -13,6 +14,7 @@
   ['waiting', measureWaiting],
   ['packing', measurePacking],
   ['capacity', measureCapacity],
+  ['control-cost', measureControlCost],
 ]);
 
 const name = process.argv[2] ?? '';
--- a/packages/bench/src/owner-slopes.ts
+++ b/packages/bench/src/owner-slopes.ts
@@ -14,6 +14,9 @@
 /** Running on one of six shards of the two-year plan. */
 export const SHARD_RUNNING = 8_334;
 
+/** Starts a second of one of six shards at the peak of the two-year plan. */
+const SHARD_STARTS = 920 / 6;
+
 const SHARD = brandAs<ShardId>('data-centre-1');
 const WORKER_SIZES = [200, 600, SHARD_WORKERS, 2_268];
 const RUNNING_SIZES = [2_000, 5_000, SHARD_RUNNING, 12_000];
@@ -23,8 +26,11 @@
 /** Starts that share an entry of the log: 153 a second over 30 appends. */
 const STARTS_AN_ENTRY = 5;
 const HEARTBEAT_ROUNDS = 20;
-const UPKEEP_SECONDS = 20;
+const SPREADING_SECONDS = 8;
+const MEASURED_SECONDS = 10;
 const STEP_MILLIS = 10;
+/** From one entry of the log to the next, at 30 appends a second. */
+const ENTRY_MILLIS = 30;
 const MILLIS_PER_SECOND = 1_000;
 const TICKS = 500;
 const WORKERS_OF_WAITING = 100;
@@ -49,7 +55,8 @@
       startMicros(WORKERS_OF_WAITING, usualRunning(WORKERS_OF_WAITING), waiting),
     ),
     heartbeatMicrosByWorkers: slopeOf(WORKER_SIZES, heartbeatMicros),
-    upkeepMicrosASecondByWorkers: slopeOf(WORKER_SIZES, upkeepMicros),
+    quietSecondMicrosByWorkers: slopeOf(WORKER_SIZES, (workers) => secondMicros(workers, 'quiet')),
+    peakSecondMicrosByWorkers: slopeOf(WORKER_SIZES, (workers) => secondMicros(workers, 'peak')),
     tickMicrosByWaiting: slopeOf(WAITING_SIZES, tickMicros),
     heapBytesByWorkers: slopeOf([500, 1_000, 2_000], heapOfWorkers),
     heapBytesByRunning: slopeOf(HEAP_SIZES, heapOfRunning),
@@ -133,27 +140,42 @@
   return micros / (HEARTBEAT_ROUNDS * workers);
 }
 
-/** A second without starts: heartbeats spread evenly, renewals and upkeep as they become due. */
-function upkeepMicros(workers: number): number {
+/** A second with heartbeats and renewals spread evenly, and starts and ends in proportion or none. */
+function secondMicros(workers: number, load: 'quiet' | 'peak'): number {
   const direct = runOf(workers);
-  fill(direct, usualRunning(workers), xoroshiro128plus(SEED));
-  passSeconds(direct, workers, UPKEEP_SECONDS / 2);
+  const random = xoroshiro128plus(SEED);
+  fill(direct, usualRunning(workers), random);
+  passSeconds(direct, workers, random, 'peak', SPREADING_SECONDS);
   const micros = cpuMicrosOf(() => {
-    passSeconds(direct, workers, UPKEEP_SECONDS);
+    passSeconds(direct, workers, random, load, MEASURED_SECONDS);
   });
-  return micros / UPKEEP_SECONDS;
+  return micros / MEASURED_SECONDS;
 }
 
-function passSeconds({ run }: DirectRun, workers: number, seconds: number): void {
-  const steps = (seconds * MILLIS_PER_SECOND) / STEP_MILLIS;
+function passSeconds(
+  direct: DirectRun,
+  workers: number,
+  random: RandomGenerator,
+  load: 'quiet' | 'peak',
+  seconds: number,
+): void {
+  const { run } = direct;
   const from = run.now;
+  const startsPerSecond = load === 'peak' ? (workers * SHARD_STARTS) / SHARD_WORKERS : 0;
   let heard = 0;
-  for (let step = 1; step <= steps; step += 1) {
-    run.now = brandAs(from + step * STEP_MILLIS);
-    const due = Math.floor((step * STEP_MILLIS * workers) / MILLIS_PER_SECOND);
-    for (; heard < due; heard += 1) {
+  let started = 0;
+  for (let millis = STEP_MILLIS; millis <= seconds * MILLIS_PER_SECOND; millis += STEP_MILLIS) {
+    run.now = brandAs(from + millis);
+    for (; heard < (millis * workers) / MILLIS_PER_SECOND; heard += 1) {
       run.heartbeat(heard % workers);
     }
+    for (; started < (millis * startsPerSecond) / MILLIS_PER_SECOND; started += 1) {
+      run.submit(batchDemand(random), BATCH);
+      run.endOldest();
+    }
+    if (millis % ENTRY_MILLIS === 0) {
+      settle(direct);
+    }
     run.tickIfDue();
   }
 }
--- /dev/null
+++ b/packages/bench/src/owner-task.ts
@@ -0,0 +1,137 @@
+/** A task that owns a shard's owner and the stream that it appends to and reads back. */
+
+import { match } from 'ts-pattern';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { Task } from '@bamboowell/kernel/task';
+import type { Log } from '@bamboowell/log/log';
+import { shardCodec } from '@bamboowell/log/record-codecs';
+import type { StreamEvent, StreamMessage, StreamStats } from '@bamboowell/log/stream-messages';
+import { StreamTask } from '@bamboowell/log/stream-task';
+import { encodedRecord, packEntry } from '@bamboowell/log/entry-format';
+import { brandAs, type ShardId, type WriterId } from '@bamboowell/types/ids';
+import { streamOfShard, type ShardRecord, type Stamped } from '@bamboowell/types/records';
+import type { Resources } from '@bamboowell/types/resources';
+import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+import type { Shape } from '@bamboowell/types/work';
+import { OwnerRun, OwnerWatcher, type OwnerRunPlan } from './owner-run.js';
+import { Traffic } from './traffic.js';
+import { commandBytes, reportBytes } from './worker-traffic.js';
+
+export type OwnerTaskMessage =
+  | { readonly kind: 'stream'; readonly event: StreamEvent<ShardRecord> }
+  /** What callers and workers do by now. */
+  | {
+      readonly kind: 'drive';
+      readonly submits: readonly { readonly demand: Resources; readonly shape: Shape }[];
+      readonly ends: number;
+      readonly heartbeats: readonly number[];
+    };
+
+export class OwnerTask extends Task<OwnerTaskMessage> {
+  readonly records = new Traffic();
+  /** What each record would cost in an append of its own. */
+  readonly alone = new Traffic();
+  readonly links = new Traffic();
+  private readonly codec = shardCodec();
+  private readonly run: OwnerRun;
+  private readonly stream: StreamTask<ShardRecord>;
+
+  constructor(plan: OwnerRunPlan, log: Log, clock: Clock, appendsPerSecond: number) {
+    super(`owner ${plan.shard}`, clock);
+    this.run = new OwnerRun(plan, this.newWatcher());
+    this.stream = this.newStream(plan.shard, log, appendsPerSecond);
+  }
+
+  stats(): Promise<StreamStats> {
+    return new Promise((resolve) => {
+      this.stream.post({ kind: 'stats', reply: resolve });
+    });
+  }
+
+  clear(): void {
+    for (const traffic of [this.records, this.alone, this.links]) {
+      traffic.clear();
+    }
+  }
+
+  protected override async opened(): Promise<void> {
+    await this.stream.start();
+    this.run.now = this.clock.now();
+    this.run.claim();
+  }
+
+  protected override closed(): Promise<void> {
+    return this.stream.stop();
+  }
+
+  protected receive(message: OwnerTaskMessage): void {
+    this.run.now = this.clock.now();
+    match(message)
+      .with({ kind: 'stream' }, ({ event }) => {
+        this.read(event);
+      })
+      .with({ kind: 'drive' }, ({ submits, ends, heartbeats }) => {
+        for (const { demand, shape } of submits) {
+          this.run.submit(demand, shape);
+        }
+        for (let end = 0; end < ends; end += 1) {
+          this.run.endOldest();
+        }
+        for (const worker of heartbeats) {
+          this.run.heartbeat(worker);
+        }
+      })
+      .exhaustive();
+    this.run.tickIfDue();
+  }
+
+  private read(event: StreamEvent<ShardRecord>): void {
+    if (event.kind === 'batch') {
+      this.run.step(event);
+    }
+  }
+
+  private newStream(shard: ShardId, log: Log, appendsPerSecond: number) {
+    return new StreamTask<ShardRecord>({
+      name: `stream ${shard}`,
+      stream: streamOfShard(shard),
+      writer: brandAs<WriterId>(`entry-vm-00.0f8e2a4c.${shard}`),
+      log,
+      clock: this.clock,
+      subscriber: { post: (event) => this.post({ kind: 'stream', event }) },
+      codec: this.codec,
+      appendsPerSecond,
+      random: () => 0.5,
+    });
+  }
+
+  private newWatcher(): OwnerWatcher {
+    const append = (records: readonly Stamped<ShardRecord>[]): void => {
+      this.append(records);
+    };
+    const count = (kind: string, bytes: number): void => {
+      this.links.add(kind, bytes);
+    };
+    return new (class extends OwnerWatcher {
+      appended(records: readonly Stamped<ShardRecord>[]): void {
+        append(records);
+      }
+      commanded(command: WorkerCommand): void {
+        count(`to worker: ${command.kind}`, commandBytes(command));
+      }
+      reported(report: WorkerReport): void {
+        count(`from worker: ${report.kind}`, reportBytes(report));
+      }
+    })();
+  }
+
+  private append(records: readonly Stamped<ShardRecord>[]): void {
+    const message: StreamMessage<ShardRecord> = { kind: 'append', records };
+    this.stream.post(message);
+    for (const { writer, sequence, record } of records) {
+      const encoded = encodedRecord(writer, sequence, this.codec.encode(record));
+      this.records.add(record.kind, Buffer.byteLength(encoded.text));
+      this.alone.add(record.kind, Buffer.byteLength(packEntry([encoded])));
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/worker-traffic.ts
@@ -0,0 +1,35 @@
+/** Sizes of what an owner and a worker say, as `WorkerSession` and a worker encode it. */
+
+import { createHash } from 'node:crypto';
+import type { Outcome } from '@bamboowell/types/work';
+import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
+import { notificationBytes } from './traffic.js';
+
+export function commandBytes(command: WorkerCommand): number {
+  const { kind, ...params } = command;
+  return notificationBytes(kind, params);
+}
+
+/** The worker leaves out its id, and what is empty or false in `usage`. */
+export function reportBytes(report: WorkerReport): number {
+  if (report.kind === 'usage') {
+    const { workerNow, attempts } = report;
+    return notificationBytes(
+      'usage',
+      attempts.length === 0 ? { workerNow } : { workerNow, attempts },
+    );
+  }
+  const { kind, ...params } = { ...report, worker: undefined };
+  return report.kind === 'ended'
+    ? notificationBytes(kind, { ...params, outcome: signedOutcome(report.outcome) })
+    : notificationBytes(kind, params);
+}
+
+/** An answer travels with its length and digest. */
+function signedOutcome(outcome: Outcome): object {
+  if (outcome.kind !== 'succeeded') {
+    return outcome;
+  }
+  const sha256 = createHash('sha256').update(outcome.answer).digest('hex');
+  return { ...outcome, bytes: Buffer.byteLength(outcome.answer), sha256 };
+}
