Look for teams above their limit by team, not by attempt

A profile of a shard with 16,668 running showed a quarter of the time there and much of the garbage. Change: LiveAttempts tells the teams that it counts.

--- a/packages/owner/src/live-attempts.ts
+++ b/packages/owner/src/live-attempts.ts
@@ -57,6 +57,11 @@
     return [...(this.byWorker.get(worker) ?? [])];
   }
 
+  /** Teams that have had something running here. */
+  teams(): IterableIterator<TeamId> {
+    return this.byTeam.keys();
+  }
+
   runningOf(team: TeamId): Resources {
     return this.byTeam.get(team) ?? NOTHING;
   }
--- a/packages/owner/src/stops.ts
+++ b/packages/owner/src/stops.ts
@@ -24,8 +24,7 @@
     if (!this.context.holdsLimits || !this.context.mayStart) {
       return;
     }
-    const teams = new Set([...this.live.all()].map((live) => live.team));
-    for (const team of teams) {
+    for (const team of this.live.teams()) {
       const excess = this.limits.excessOf(team);
       if (!isNothing(excess)) {
         this.shed(team, excess);
