Tell of running work that was cancelled that it ran; a tour that fits its cell

Cause: tried as a new user from the README, applying the printed example took the data centres of the tour's own workers away, and cancelling a running service was answered with "may have run".

--- a/packages/config/src/examples.test.ts
+++ b/packages/config/src/examples.test.ts
@@ -18,7 +18,7 @@
   });
 }
 
-for (const profile of ['upepo', 'tallowgum']) {
+for (const profile of ['upepo', 'tallowgum', 'tour']) {
   test(`the declarations of ${profile} are valid and refer to the schema`, async (t) => {
     const files = await readFolder(fileURLToPath(new URL(profile, EXAMPLES)));
     t.is(parseDeclarations(files).kind, 'valid');
--- a/packages/demo/src/tour.ts
+++ b/packages/demo/src/tour.ts
@@ -61,8 +61,8 @@
   say('\nThe cell stays up. Try, in another terminal:');
   say(`  export ${environment}`);
   say('  npx bamboowell status');
-  say('  npx bamboowell plan examples/upepo');
-  say('  npx bamboowell apply examples/upepo --wait');
+  say('  npx bamboowell plan examples/tour');
+  say('  npx bamboowell apply examples/tour --wait');
   say('  npx bamboowell key grant --team aero-labs');
   say('  npx bamboowell --help');
   say('Press Ctrl-C to end it.');
--- a/packages/owner/src/cancels.ts
+++ b/packages/owner/src/cancels.ts
@@ -1,5 +1,6 @@
 /** Cancels work, many pieces in one record, and tells for each whether it had run. */
 
+import { match } from 'ts-pattern';
 import type { Sequence, WorkId } from '@bamboowell/types/ids';
 import type { Effect } from '@bamboowell/types/records';
 import { hasPassed, type Deadline } from '@bamboowell/types/time';
@@ -136,17 +137,25 @@
     const entry = this.context.fold.get(work);
     return entry === undefined
       ? { work, verdict: 'not_run', reason: 'unknown_work' }
-      : { work, verdict: verdictOf(entry), reason: null };
+      : { work, verdict: this.verdictOf(entry), reason: null };
+  }
+
+  /** What had happened to the work by the time that it was cancelled. */
+  private verdictOf(entry: WorkEntry): Cancellation['verdict'] {
+    if (entry.tasks.every((task) => task.attempts === 0)) {
+      return 'not_run';
+    }
+    return entry.tasks.some((task) => this.hasRun(task)) ? 'ran' : 'may_have_run';
   }
-}
 
-/** What had happened to the work by the time that it was cancelled. */
-function verdictOf(entry: WorkEntry): Cancellation['verdict'] {
-  if (entry.tasks.every((task) => task.attempts === 0)) {
-    return 'not_run';
+  private hasRun({ state }: WorkEntry['tasks'][number]): boolean {
+    return match(state)
+      .with({ kind: 'waiting' }, () => false)
+      .with({ kind: 'placed' }, ({ attempt }) => this.live.get(attempt.id)?.phase === 'running')
+      .with(
+        { kind: 'ended' },
+        ({ outcome }) => outcome.kind === 'succeeded' || outcome.kind === 'failed',
+      )
+      .exhaustive();
   }
-  const hasFinished = entry.tasks.some(
-    (task) => task.state.kind === 'ended' && task.state.outcome.kind === 'succeeded',
-  );
-  return hasFinished ? 'ran' : 'may_have_run';
 }
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { AttemptId } from '@bamboowell/types/ids';
 import { multiply } from '@bamboowell/types/resources';
+import { NEVER } from '@bamboowell/types/time';
 import {
   CAPACITY,
   commandsOf,
@@ -281,3 +282,23 @@
   });
   t.deepEqual(startedAttempts(bench.submit(workOf())), []);
 });
+
+test('a cancellation tells for each piece of work whether it had run', (t) => {
+  const bench = owningBench(multiply(SMALL, 1));
+  const attempt = firstStart(bench.submit(workOf()));
+  bench.report({ kind: 'started', worker: WORKER, attempt });
+  const waiting = workOf({ requestId: requestNamed('waiting') });
+  bench.submit(waiting);
+  const works = [workOf().id, waiting.id, workOf({ requestId: requestNamed('absent') }).id];
+  const cancel = { kind: 'cancel' as const, works, deadline: NEVER, token: 99 as never };
+  const [response] = responsesOf(bench.step(cancel));
+  const outcomes = response?.kind === 'cancelled' ? response.outcomes : [];
+  t.deepEqual(
+    outcomes.map(({ verdict, reason }) => [verdict, reason]),
+    [
+      ['ran', null],
+      ['not_run', null],
+      ['not_run', 'unknown_work'],
+    ],
+  );
+});
