--- a/packages/demo/src/configuration.test.ts
+++ b/packages/demo/src/configuration.test.ts
@@ -23,6 +23,7 @@
 } from './bench.fixture.js';
 import { apply, LIMIT, untilInForce } from './setup.js';
 
+const IMPATIENT_MILLIS = 1500;
 const READ_MILLIS = 50;
 const ROUNDS = 5;
 
@@ -111,7 +112,7 @@
     await bench.cell.switchLog({ down: 'refuse' });
     await bench.cell.daemon(third).kill();
     await bench.cell.launchDaemon(third);
-    const refusal = await call(bench, third);
+    const refusal = await call(bench, third, { timeoutMillis: IMPATIENT_MILLIS });
     t.is(refusal.kind === 'refused' && refusal.reason, 'configuration_stale');
     await bench.cell.switchLog({ down: 'no' });
     await bench.cell.untilReady(third);
--- /dev/null
+++ b/packages/demo/src/log-failure.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import { TaskState } from '@bamboowell/schema/generated/bamboowell/v1/bamboowell_pb';
+import type { WorkId } from '@bamboowell/types/ids';
+import {
+  accepted,
+  allIn,
+  buildBench,
+  faultsOf,
+  rolesOf,
+  submit,
+  untilWork,
+  type Bench,
+} from './bench.fixture.js';
+import { outage } from './outage.fixture.js';
+import { readRecords } from './worker-control.fixture.js';
+
+let bench: Bench;
+
+test.before(async () => {
+  bench = await buildBench();
+});
+
+test.after.always(async () => {
+  await bench.cell.stop();
+});
+
+/** How often each task of the cell ran. */
+async function runsOf(work: string): Promise<number> {
+  const records = await readRecords(bench.cell);
+  const runs = records.flatMap((record) => record.runs);
+  return runs.filter(({ attempt }) => attempt.startsWith(`${work}/`)).length;
+}
+
+test.serial('while the log refuses, work runs on and refusals are true', async (t) => {
+  await outage(t, bench, 'refuse');
+});
+
+const NO_FAULTS = {
+  loseAnswers: { count: 0, how: 'cut' },
+  lateEffect: { count: 0, afterAppends: 1 },
+};
+/** What the log's switches hold once all faults have happened. */
+const ALL_HAPPENED = { loseAnswers: { count: 0 }, lateEffect: { count: 0 } };
+
+for (const [name, fault] of Object.entries({
+  cut: { loseAnswers: { count: 3, how: 'cut' } },
+  dropped: { loseAnswers: { count: 1, how: 'drop' } },
+  'late effect': { lateEffect: { count: 1, afterAppends: 2 } },
+})) {
+  test.serial(`a lost answer of the log (${name}) leaves one effect of a submission`, async (t) => {
+    const { owner, other } = await rolesOf(bench);
+    t.teardown(() => bench.cell.switchLog(NO_FAULTS));
+    await bench.cell.switchLog(fault);
+    const requests = ['1', '2', '3', '4'].map((number) => `${name}-${number}`);
+    // One after the other, so that each has appends of its own.
+    const first: WorkId[] = [];
+    for (const requestId of requests) {
+      first.push(await accepted(bench, other, 'batch', 2, { requestId }));
+    }
+    t.like(await bench.cell.switchLog({}), ALL_HAPPENED);
+    const again = await Promise.all(
+      requests.map((requestId) => submit(bench, owner, 'batch', 2, { requestId })),
+    );
+    t.deepEqual(
+      again.map((outcome) => outcome.kind === 'answered' && [outcome.work, outcome.repeated]),
+      first.map((work) => [work, true]),
+    );
+    for (const work of first) {
+      const ended = await untilWork(bench, owner, work, (status) => status.ended);
+      t.true(allIn(TaskState.SUCCEEDED)(ended));
+      t.is(await runsOf(work), 2);
+    }
+    t.deepEqual(await faultsOf(bench), []);
+  });
+}
