--- a/packages/front/src/app.ts
+++ b/packages/front/src/app.ts
@@ -4,6 +4,7 @@
 import { Code, ConnectError, createConnectRouter, type Interceptor } from '@connectrpc/connect';
 import { errorToJson } from '@connectrpc/connect/protocol-connect';
 import {
+  createAsyncIterable,
   universalServerRequestFromFetch,
   universalServerResponseToFetch,
   type UniversalHandler,
@@ -11,8 +12,9 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { Counters } from '@bamboowell/metrics/counters';
 import { refusalCounter } from '@bamboowell/metrics/names';
-import type { Refusal } from '@bamboowell/types/verdict';
+import { refusalOf, type Refusal } from '@bamboowell/types/verdict';
 import type { Backend } from './backend.js';
+import { readBody, type Body } from './body.js';
 import { errorOf, refusalOfDecoding } from './failure.js';
 import { registerRoutes } from './routes.js';
 
@@ -28,6 +30,9 @@
 
 const OK = 200;
 const NOT_READY = 503;
+const BAD_REQUEST = 400;
+/** The Connect protocol's status of `resource_exhausted`. */
+const TOO_LARGE = 429;
 const JSON_TYPE = 'application/json';
 
 export function buildApp(options: AppOptions): Hono {
@@ -80,12 +85,13 @@
 async function serve(
   handler: UniversalHandler,
   request: Request,
-  { clock, counters }: AppOptions,
+  options: AppOptions,
 ): Promise<Response> {
+  const { clock, counters } = options;
   const method = handler.method.name;
   const begun = clock.now();
   counters.increment('request.received', { method });
-  const response = await answered(handler, request, counters);
+  const response = await answered(handler, request, options);
   counters.timing('request.millis', clock.now() - begun, { method });
   return response;
 }
@@ -93,14 +99,37 @@
 async function answered(
   handler: UniversalHandler,
   request: Request,
-  counters: Counters,
+  { counters, maxBodyBytes }: AppOptions,
 ): Promise<Response> {
-  const answer = await handler(universalServerRequestFromFetch(request, {}));
+  const body = await readBody(request.body, maxBodyBytes);
+  if (body.kind !== 'whole') {
+    return refusedBody(body, maxBodyBytes, counters);
+  }
+  const answer = await handler({
+    ...universalServerRequestFromFetch(request, {}),
+    body: createAsyncIterable([...body.chunks]),
+  });
   const response = universalServerResponseToFetch(answer);
   const isError = response.status !== OK && response.headers.get('content-type') === JSON_TYPE;
   return isError ? withFailure(response, counters) : response;
 }
 
+function refusedBody(
+  body: Exclude<Body, { kind: 'whole' }>,
+  maxBodyBytes: number,
+  counters: Counters,
+): Response {
+  const refusal =
+    body.kind === 'broken'
+      ? refusalOf('not_run', 'malformed', 'the body of the request did not arrive whole')
+      : refusalOf('not_run', 'body_too_large', `expected a body of at most ${maxBodyBytes} bytes`);
+  const isReusable = body.kind === 'too_large' && body.isRead;
+  return new Response(JSON.stringify(errorToJson(errorOf(counted(refusal, counters)), {})), {
+    status: body.kind === 'broken' ? BAD_REQUEST : TOO_LARGE,
+    headers: { 'content-type': JSON_TYPE, ...(isReusable ? {} : { connection: 'close' }) },
+  });
+}
+
 interface ErrorBody {
   readonly code: string;
   readonly message?: string;
--- a/packages/front/src/http-server.ts
+++ b/packages/front/src/http-server.ts
@@ -24,6 +24,12 @@
   readonly requestMillis: number;
 }
 
+/** Longest headers of one request, bytes. */
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/** The server looks for connections over their time this often at least, milliseconds. */
+const MAX_CHECK_MILLIS = 1_000;
+
 export class HttpServer {
   private readonly server: Server;
 
@@ -32,7 +38,7 @@
     private readonly options: HttpServerOptions,
   ) {
     const listener = getRequestListener(app.fetch);
-    const bounds = { headersTimeout: options.headersMillis, requestTimeout: options.requestMillis };
+    const bounds = boundsOf(options);
     this.server =
       options.tls === null
         ? createHttpServer(bounds, (request, response) => void listener(request, response))
@@ -78,3 +84,12 @@
     this.server.closeAllConnections();
   }
 }
+
+function boundsOf({ headersMillis, requestMillis }: HttpServerOptions) {
+  return {
+    headersTimeout: headersMillis,
+    requestTimeout: requestMillis,
+    connectionsCheckingInterval: Math.min(headersMillis, MAX_CHECK_MILLIS),
+    maxHeaderSize: MAX_HEADER_BYTES,
+  };
+}
