--- a/packages/metrics/src/names.ts
+++ b/packages/metrics/src/names.ts
@@ -8,6 +8,7 @@
   'owner_unknown',
   'owner_changed',
   'owner_not_fresh',
+  'configuration_stale',
   'owner_shutting_down',
   'worker_refused',
   'lease_lapsed',
