Renew the leases that are due soon together

Cause: with renewals spread over time, 227 a second fall due one by one at 1,134 workers, and each begins a round of upkeep over all workers and teams. Change: when one lease is due, those due within 200 ms are renewed with it. A renewal comes at most 200 ms of 5 s early; nothing depends on its being late.

--- a/packages/owner/src/owner.fixture.ts
+++ b/packages/owner/src/owner.fixture.ts
@@ -73,6 +73,10 @@
   };
 }
 
+export function workerNamed(name: string): WorkerId {
+  return brandAs<WorkerId>(name);
+}
+
 export function requestNamed(name: string): RequestId {
   return brandAs<RequestId>(name);
 }
@@ -161,13 +165,26 @@
   }
 
   attach(attempts: readonly AttemptReport[] = [], incarnation = 'w1-1'): Output[] {
+    return this.attachWorker(WORKER, attempts, incarnation);
+  }
+
+  /** Attaches another worker, on which nothing runs. */
+  attachAs(name: string): Output[] {
+    return this.attachWorker(workerNamed(name), [], `${name}-1`);
+  }
+
+  private attachWorker(
+    worker: WorkerId,
+    attempts: readonly AttemptReport[],
+    incarnation: string,
+  ): Output[] {
     return this.report({
       kind: 'attached',
-      worker: WORKER,
+      worker,
       incarnation: brandAs<Incarnation>(incarnation),
       epoch: EPOCH,
       profile: {
-        id: WORKER,
+        id: worker,
         dataCentre: brandAs<DataCentreId>('a'),
         rack: brandAs<RackId>('k1'),
         capacity: CAPACITY,
--- a/packages/owner/src/sessions.ts
+++ b/packages/owner/src/sessions.ts
@@ -40,6 +40,9 @@
 /** How long a worker gets no new work after it refused a start for want of room. */
 const REST_MILLIS = 1_000;
 
+/** Leases that are due within this are renewed in one round, so that rounds stay few. */
+const RENEW_TOGETHER_MILLIS = 200;
+
 export class Sessions {
   private readonly byWorker = new Map<WorkerId, Session>();
 
@@ -162,14 +165,18 @@
       : brandAs<WorkerInstant>(reading.worker + this.context.settings.startMillis);
   }
 
-  /** Renews the leases on attached workers that are due. */
+  /** Renews the leases on attached workers that are due, and with them those that soon will be. */
   renewDue(): void {
     const epoch = this.context.ownedEpoch;
     if (epoch === undefined || !this.context.authority.mayRenew) {
       return;
     }
+    if (!this.isRenewalDue()) {
+      return;
+    }
+    const soon = brandAs<Instant>(this.context.now + RENEW_TOGETHER_MILLIS);
     for (const session of this.byWorker.values()) {
-      if (session.attached && hasPassed(session.renewAt, this.context.now)) {
+      if (session.attached && hasPassed(session.renewAt, soon)) {
         this.renew(session);
       }
     }
@@ -225,6 +232,15 @@
     this.byWorker.clear();
   }
 
+  private isRenewalDue(): boolean {
+    for (const session of this.byWorker.values()) {
+      if (session.attached && hasPassed(session.renewAt, this.context.now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private longestEarlierLease(): Deadline {
     const { outageRenewalMillis, leaseMillis } = this.context.settings;
     return deadlineAfter(this.context.now, outageRenewalMillis + longestOf(leaseMillis));
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -14,11 +14,12 @@
   startedAttempts,
   TEAM,
   WORKER,
+  workerNamed,
   workOf,
 } from './owner.fixture.js';
 import { DEFAULT_OWNER_SETTINGS, longestOf } from './settings.js';
 
-const { leaseMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
+const { leaseMillis, renewMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
 
 function firstStart(outputs: Parameters<typeof startedAttempts>[0]): AttemptId {
   const [attempt] = startedAttempts(outputs);
@@ -281,3 +282,16 @@
   });
   t.deepEqual(startedAttempts(bench.submit(workOf())), []);
 });
+
+test('leases that are due soon are renewed with the one that is due, later ones are not', (t) => {
+  const bench = owningBench();
+  bench.pass(100);
+  bench.attachAs('w2');
+  bench.pass(400);
+  bench.attachAs('w3');
+  const outputs = bench.pass(renewMillis - 500);
+  const renewed = outputs.flatMap((output) =>
+    output.kind === 'command' && output.command.kind === 'renew' ? [output.worker] : [],
+  );
+  t.deepEqual(renewed, [WORKER, workerNamed('w2')]);
+});
