--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -15,11 +15,12 @@
   startedAttempts,
   TEAM,
   WORKER,
+  workerNamed,
   workOf,
 } from './owner.fixture.js';
 import { DEFAULT_OWNER_SETTINGS, longestOf } from './settings.js';
 
-const { leaseMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
+const { leaseMillis, renewMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
 
 function firstStart(outputs: Parameters<typeof startedAttempts>[0]): AttemptId {
   const [attempt] = startedAttempts(outputs);
@@ -302,3 +303,16 @@
     ],
   );
 });
+
+test('leases that are due soon are renewed with the one that is due, later ones are not', (t) => {
+  const bench = owningBench();
+  bench.pass(100);
+  bench.attachAs('w2');
+  bench.pass(400);
+  bench.attachAs('w3');
+  const outputs = bench.pass(renewMillis - 500);
+  const renewed = outputs.flatMap((output) =>
+    output.kind === 'command' && output.command.kind === 'renew' ? [output.worker] : [],
+  );
+  t.deepEqual(renewed, [WORKER, workerNamed('w2')]);
+});
