--- a/packages/log/src/memory-log.ts
+++ b/packages/log/src/memory-log.ts
@@ -3,7 +3,7 @@
 import { match } from 'ts-pattern';
 import type { Clock } from '@bamboowell/kernel/clock';
 import { brandAs, type Offset, type StreamName } from '@bamboowell/types/ids';
-import type { Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import { Log, type Appended, type LogEntry, type Page } from './log.js';
 
 /** What happens to one append. The outcome of the last three is unknown at its deadline. */
@@ -25,6 +25,7 @@
   private faults: AppendFault[] = [];
   private wakers: (() => void)[] = [];
   private isDown = false;
+  private delayMillis = 0;
   private appendCount = 0;
 
   constructor(private readonly clock: Clock) {
@@ -47,6 +48,11 @@
     this.wakeReaders();
   }
 
+  /** Sets how long the log takes over each append and read, milliseconds. */
+  setDelay(millis: number): void {
+    this.delayMillis = millis;
+  }
+
   /** Ends all faults; late appends take their effect. */
   recover(): void {
     this.faults = [];
@@ -73,6 +79,9 @@
 
   async append(stream: StreamName, body: string, deadline: Deadline): Promise<Appended> {
     this.appendCount += 1;
+    if (this.delayMillis > 0) {
+      await this.delay();
+    }
     if (this.isDown) {
       return { kind: 'refused', detail: 'down' };
     }
@@ -95,6 +104,9 @@
     if (this.isAtEnd(stream, from) && !this.isDown && this.clock.now() < waitUntil) {
       await this.wakeUp(waitUntil);
     }
+    if (this.delayMillis > 0) {
+      await this.delay();
+    }
     if (this.isDown) {
       return { kind: 'unavailable', detail: 'down' };
     }
@@ -111,6 +123,10 @@
     return Promise.resolve();
   }
 
+  private delay(): Promise<void> {
+    return this.clock.sleepUntil(deadlineAfter(this.clock.now(), this.delayMillis));
+  }
+
   private entriesOf(stream: StreamName): LogEntry[] {
     const known = this.streams.get(stream) ?? [];
     this.streams.set(stream, known);
--- a/packages/replay/src/checks/caller-checks.ts
+++ b/packages/replay/src/checks/caller-checks.ts
@@ -157,7 +157,8 @@
   private answered({ at, request, verdict, reason }: Seen<'answer'>): void {
     const asked = this.inHand.get(request);
     this.inHand.delete(request);
-    const isUnknown = verdict === 'may_have_run' && reason === 'owner_changed';
+    const isUnknown =
+      verdict === 'may_have_run' && (reason === 'owner_changed' || reason === 'owner_unreachable');
     const isLost = verdict === 'lost' && asked !== undefined && this.stopping.has(asked.daemon);
     if (isLost || (isUnknown && this.stopping.size > 0)) {
       this.violated(at, `request ${request} was cut off by the stop of a daemon`);
@@ -187,23 +188,45 @@
   readonly point = 'configuration';
   private readonly versions = new Map<string, number>();
   private readonly up = new Set<string>();
+  /** Versions that a daemon had in force before it was started again. */
+  private readonly before = new Map<string, number>();
+  private readonly cutOff = new Set<string>();
+  private readonly requests = new Map<string, Seen<'request'>>();
+  private readonly publishedAt = new Map<number, number>();
+  private openQueues: readonly string[] = [];
   private readonly applied: { readonly version: number; readonly due: number }[] = [];
 
   see(observation: Observation): void {
+    this.judgeDue(observation.at);
     if (observation.saw === 'daemon') {
       this.changed(observation);
     } else if (observation.saw === 'applied') {
       this.applied.push({ version: observation.version, due: observation.at + IN_FORCE_MILLIS });
     } else if (observation.saw === 'configuration') {
       this.inForce(observation);
+    } else if (observation.saw === 'request') {
+      this.requests.set(observation.request, observation);
+    } else if (observation.saw === 'answer') {
+      this.judgeAnswer(observation);
     }
-    this.judgeDue(observation.at);
   }
 
-  private changed({ daemon, is }: Seen<'daemon'>): void {
+  private changed({ at, daemon, is }: Seen<'daemon'>): void {
     if (is === 'up') {
       this.up.add(daemon);
+      this.before.set(
+        daemon,
+        Math.max(this.versions.get(daemon) ?? 0, this.before.get(daemon) ?? 0),
+      );
       this.versions.delete(daemon);
+    } else if (is === 'cut_off') {
+      this.cutOff.add(daemon);
+    } else if (is === 'reached') {
+      this.cutOff.delete(daemon);
+      this.applied.push({
+        version: Math.max(0, ...this.publishedAt.keys()),
+        due: at + IN_FORCE_MILLIS,
+      });
     } else if (is !== 'resumed' && is !== 'stopping') {
       this.up.delete(daemon);
     } else if (is === 'resumed') {
@@ -211,8 +234,32 @@
     }
   }
 
-  private inForce({ at, daemon, version }: Seen<'configuration'>): void {
-    const before = this.versions.get(daemon) ?? 0;
+  /** A daemon that has an old version in force may not take work by it. */
+  private judgeAnswer({ at, request, verdict }: Seen<'answer'>): void {
+    const asked = this.requests.get(request);
+    const isOpen = asked === undefined || this.openQueues.includes(asked.queue);
+    if (isOpen || verdict !== 'done') {
+      return;
+    }
+    const version = this.versions.get(asked.daemon) ?? 0;
+    for (const [newer, since] of this.publishedAt) {
+      if (newer > version && asked.at > since + IN_FORCE_MILLIS) {
+        this.violated(
+          at,
+          `daemon ${asked.daemon} took ${request} by version ${version}, not ${newer}`,
+        );
+      }
+    }
+  }
+
+  /** A process that was started again begins with none, never with an older one. */
+  private inForce({ at, daemon, version, openQueues }: Seen<'configuration'>): void {
+    if (!this.publishedAt.has(version)) {
+      this.publishedAt.set(version, at);
+      this.openQueues = openQueues;
+    }
+    const earlier = version === 0 ? 0 : (this.before.get(daemon) ?? 0);
+    const before = Math.max(this.versions.get(daemon) ?? 0, earlier);
     if (version < before) {
       this.violated(at, `daemon ${daemon} went back from version ${before} to ${version}`);
     }
@@ -222,7 +269,9 @@
   private judgeDue(at: number): void {
     const due = this.applied.filter((each) => each.due < at);
     for (const { version } of due) {
-      const late = [...this.up].filter((daemon) => (this.versions.get(daemon) ?? 0) < version);
+      const late = [...this.up].filter(
+        (daemon) => !this.cutOff.has(daemon) && (this.versions.get(daemon) ?? 0) < version,
+      );
       if (late.length > 0) {
         this.violated(at, `version ${version} is not in force on ${late.join(', ')} in time`);
       }
--- a/packages/replay/src/checks/checks.test.ts
+++ b/packages/replay/src/checks/checks.test.ts
@@ -194,6 +194,80 @@
   );
 });
 
+function frozen(is: 'frozen' | 'resumed', at: number): Observation {
+  return { at, saw: 'worker_is', worker: 'w1', is };
+}
+
+function runTwice(...between: readonly Observation[]): Observation[] {
+  const second = run({ at: 6, worker: 'w2', attempt: 't/0#2', idempotent: true });
+  return [
+    worker(),
+    worker(LARGE, 'w2'),
+    request(),
+    run({ idempotent: true }),
+    frozen('frozen', 5),
+    second,
+    ...between,
+  ];
+}
+
+test('what is on a frozen worker counts as running once the worker goes on with it', (t) => {
+  const stopped = [frozen('resumed', 9), { ...runEnded(null), at: 9 }, daemon('up', 10)];
+  t.deepEqual(judgeAll([configuration(), ...runTwice(...stopped)]), []);
+  t.deepEqual(
+    judgeAll([configuration(), ...runTwice(frozen('resumed', 9))]).map(({ point }) => point),
+    ['one_place'],
+  );
+});
+
+test('a daemon that was cut off may lag behind, but takes no work by its old version', (t) => {
+  const cut = [daemon('up'), configuration(), daemon('cut_off', 2)];
+  const newer = configuration({ at: 3, daemon: 'e2', version: 2 });
+  const late = [request({ at: 9_000 }), run({ at: 9_001 }), runEnded(), answer({ at: 9_002 })];
+  const applied: Observation = { at: 3, saw: 'applied', version: 2 };
+  t.deepEqual(judgeAll([worker(), ...cut, newer, applied, daemon('paused', 20_000)]), []);
+  t.deepEqual(
+    judgeAll([worker(), ...cut, newer, applied, ...late]).map(({ point }) => point),
+    ['configuration'],
+  );
+});
+
+test('a daemon that was cut off has the latest version in time after it is reached', (t) => {
+  const cut = [daemon('up'), configuration(), daemon('cut_off', 2)];
+  const newer = configuration({ at: 3, daemon: 'e2', version: 2 });
+  t.deepEqual(
+    judgeAll([...cut, newer, daemon('reached', 20_000), daemon('up', 28_001)]).map(
+      ({ point }) => point,
+    ),
+    ['configuration'],
+  );
+});
+
+test('a daemon that was started again shows no older version than before', (t) => {
+  const before = [
+    daemon('up'),
+    configuration({ version: 2 }),
+    daemon('killed', 2),
+    daemon('up', 3),
+  ];
+  const none = configuration({ at: 4, version: 0 });
+  t.deepEqual(judgeAll([...before, none, configuration({ at: 5, version: 2 })]), []);
+  t.deepEqual(
+    judgeAll([...before, none, configuration({ at: 5, version: 1 })]).map(({ point }) => point),
+    ['configuration'],
+  );
+});
+
+test('an answer that an unreachable owner made unknown counts as cut off while a daemon stops', (t) => {
+  const unknown = answer({ verdict: 'may_have_run', reason: 'owner_unreachable', answer: null });
+  t.deepEqual(
+    judgeAll([worker(), configuration(), request(), daemon('stopping', 3), unknown]).map(
+      ({ point }) => point,
+    ),
+    ['graceful'],
+  );
+});
+
 test('work that a lowered limit forbids may not go on running', (t) => {
   const lowered = configuration({ at: 10, version: 2, limits: { lab: { ...SMALL, slots: 0 } } });
   const seen = [worker(), configuration(), request(), run(), lowered, runEnded(null, 'other')];
--- a/packages/replay/src/checks/worker-checks.ts
+++ b/packages/replay/src/checks/worker-checks.ts
@@ -39,19 +39,54 @@
 export class OnePlace extends Check {
   readonly point = 'one_place';
   private readonly running = new Running();
+  private readonly frozen = new Set<string>();
+  /** Workers that go on; what runs there is judged once their first turn is over. */
+  private readonly woken = new Map<string, number>();
 
   see(observation: Observation): void {
+    this.judgeWoken(observation.at);
+    if (observation.saw === 'worker_is') {
+      this.changed(observation);
+    }
     if (observation.saw === 'run') {
-      const others = this.running.where(({ task }) => task === observation.task);
-      for (const other of others) {
-        this.violated(
-          observation.at,
-          `task ${observation.task} runs on ${other.worker} and ${observation.worker}`,
-        );
-      }
+      this.judge(observation);
     }
     this.running.see(observation);
   }
+
+  override end(): void {
+    this.judgeWoken(Infinity);
+  }
+
+  private changed({ at, worker, is }: Seen<'worker_is'>): void {
+    if (is === 'frozen') {
+      this.frozen.add(worker);
+    } else {
+      this.frozen.delete(worker);
+      this.woken.set(worker, at);
+    }
+  }
+
+  private judgeWoken(now: number): void {
+    for (const [worker, at] of this.woken) {
+      if (at < now) {
+        this.woken.delete(worker);
+        for (const run of this.running.where((each) => each.worker === worker)) {
+          this.judge({ ...run, at });
+        }
+      }
+    }
+  }
+
+  /** What is on a frozen worker does not run until the worker goes on. */
+  private judge({ at, task, attempt, worker }: Seen<'run'>): void {
+    const others = this.running.where(
+      (other) => other.task === task && other.attempt !== attempt && !this.frozen.has(other.worker),
+    );
+    for (const other of others) {
+      this.violated(at, `task ${task} runs on ${other.worker} and ${worker}`);
+    }
+  }
 }
 
 /** A request marked as non-idempotent runs at most once. */
--- a/packages/replay/src/observation.ts
+++ b/packages/replay/src/observation.ts
@@ -69,14 +69,21 @@
   }),
   /** An operator was told that a version was applied. */
   z.object({ at, saw: z.literal('applied'), version: z.number() }),
+  /** A worker, with all that runs on it, is frozen or goes on. */
+  z.object({
+    at,
+    saw: z.literal('worker_is'),
+    worker: z.string(),
+    is: z.enum(['frozen', 'resumed']),
+  }),
   /** The platform shows a worker as leaving. */
   z.object({ at, saw: z.literal('leaving'), worker: z.string() }),
-  /** A daemon was started, asked to stop, ended, killed, paused or resumed. */
+  /** A daemon was started, asked to stop, ended, killed, paused or resumed, or is cut from the log. */
   z.object({
     at,
     saw: z.literal('daemon'),
     daemon: z.string(),
-    is: z.enum(['up', 'stopping', 'ended', 'killed', 'paused', 'resumed']),
+    is: z.enum(['up', 'stopping', 'ended', 'killed', 'paused', 'resumed', 'cut_off', 'reached']),
   }),
   /** A daemon owns a shard from now on. */
   z.object({
--- a/packages/replay/src/player.ts
+++ b/packages/replay/src/player.ts
@@ -41,6 +41,8 @@
   private readonly recorder: Recorder;
   private readonly works = new Map<string, WorkId>();
   private readonly applied = new Map<string, Result<Version>>();
+  private readonly repeated = new Map<string, boolean>();
+  private readonly cutOff = new Set<string>();
   private readonly disappointments: Disappointment[] = [];
 
   constructor(private readonly trace: Trace) {
@@ -75,8 +77,8 @@
         this.recorder.add({ at: step.at, saw: 'worker', worker, capacity });
       })
       .with({ do: 'add_daemon' }, async ({ daemon, region, dataCentre }) => {
-        await stage.addDaemon({ daemon, region, dataCentre });
         this.sawDaemon(daemon, 'up');
+        await stage.addDaemon({ daemon, region, dataCentre });
       })
       .with({ do: 'apply' }, (apply) => {
         this.apply(apply);
@@ -99,14 +101,22 @@
           stage.log.setDown(is === 'down');
         }
       })
+      .with({ do: 'log_delay' }, ({ millis }) => {
+        stage.log.setDelay(millis);
+      })
+      .with({ do: 'pace' }, ({ stepMillis }) => {
+        stage.setStep(stepMillis);
+      })
       .with({ do: 'fail_appends' }, ({ as }) => {
         stage.log.failNext(...as);
       })
       .with({ do: 'cut' }, ({ from, to }) => {
         stage.cut(from, to);
+        this.sawCutOff();
       })
       .with({ do: 'heal' }, () => {
         stage.heal();
+        this.sawCutOff();
       })
       .with({ do: 'link' }, ({ worker, is }) => {
         stage.setLink(worker, is);
@@ -117,6 +127,9 @@
       .with({ do: 'list' }, ({ is }) => {
         stage.setList(is);
       })
+      .with({ do: 'list_gone' }, ({ id }) => {
+        stage.listGone(id);
+      })
       .with({ do: 'list_leaving' }, ({ id }) => {
         stage.listLeaving(id);
         this.recorder.add({ at: step.at, saw: 'leaving', worker: id });
@@ -145,11 +158,16 @@
   private submit(submit: Submit): void {
     this.sawRequest(submit, 'submit');
     const order = this.orderOf(submit, submit.shape);
-    const { backend } = this.stage.daemon(submit.through);
-    void backend
-      .submit(senderOf(submit.key), order, this.deadline(submit.timeoutMillis))
+    const daemon = this.stage.daemon(submit.through);
+    void daemon
+      .serve(
+        daemon.backend.submit(senderOf(submit.key), order, this.deadline(submit.timeoutMillis)),
+      )
       .then((result) => {
         const work = result.kind === 'done' ? result.value.work : (result.refusal.work ?? null);
+        if (result.kind === 'done') {
+          this.repeated.set(submit.request, result.value.repeated);
+        }
         if (work !== null) {
           this.works.set(submit.request, work);
         }
@@ -159,10 +177,10 @@
 
   private call(call: Call): void {
     this.sawRequest(call, 'call');
-    const { backend } = this.stage.daemon(call.through);
+    const daemon = this.stage.daemon(call.through);
     const order = this.orderOf(call, { kind: 'quick_call' });
-    void backend
-      .call(senderOf(call.key), order, this.deadline(call.timeoutMillis))
+    void daemon
+      .serve(daemon.backend.call(senderOf(call.key), order, this.deadline(call.timeoutMillis)))
       .then((result) => {
         this.sawAnswer(call, result, result.kind === 'done' ? result.value.answer : null, null);
       });
@@ -172,16 +190,17 @@
     if (step.idempotent) {
       this.recorder.markIdempotent(step.request);
     }
+    const requestId = (step.do === 'submit' ? step.requestId : null) ?? step.request;
     return {
       queue: brandAs<QueueId>(step.queue),
-      requestId: brandAs<RequestId>(step.request),
+      requestId: brandAs<RequestId>(requestId),
       shape,
       urgency: step.urgency,
       demand: step.demand,
       expectedMillis: 0,
       idempotent: step.idempotent,
       checkpointable: step.checkpointable,
-      payload: Recorder.payloadOf(step.request, step.payload),
+      payload: Recorder.payloadOf(requestId, step.payload),
       dataCentre: step.dataCentre === null ? null : brandAs<DataCentreId>(step.dataCentre),
     };
   }
@@ -244,8 +263,8 @@
         });
       })
       .with('started', async () => {
-        await this.stage.addDaemon(staged.plan);
         this.sawDaemon(daemon, 'up');
+        await this.stage.addDaemon(staged.plan);
       })
       .exhaustive();
   }
@@ -276,15 +295,34 @@
         worker.remove();
         this.stage.setLink(id, 'cut');
       })
+      .with('repeating', () => {
+        worker.repeatReports();
+      })
+      .with('unthrottled', () => {
+        worker.ignoreThrottle();
+      })
       .with('frozen', () => {
         worker.freeze();
+        this.recorder.add({ at: this.now(), saw: 'worker_is', worker: id, is: 'frozen' });
       })
       .with('resumed', () => {
         worker.resume();
+        this.recorder.add({ at: this.now(), saw: 'worker_is', worker: id, is: 'resumed' });
       })
       .exhaustive();
   }
 
+  /** Which daemons are cut from the log now, as far as that has changed. */
+  private sawCutOff(): void {
+    for (const daemon of this.stage.daemons.keys()) {
+      const isCut = this.stage.isCutFromLog(daemon);
+      if (isCut !== this.cutOff.has(daemon)) {
+        this.sawDaemon(daemon, isCut ? 'cut_off' : 'reached');
+        this.cutOff[isCut ? 'add' : 'delete'](daemon);
+      }
+    }
+  }
+
   private sawDaemon(daemon: string, is: Seen<'daemon'>['is']): void {
     this.recorder.add({ at: this.now(), saw: 'daemon', daemon, is });
   }
@@ -299,6 +337,7 @@
       .with({ expect: 'version' }, ({ daemon, is }) => this.judgeVersion(daemon, is))
       .with({ expect: 'applied' }, (expected) => this.judgeApplied(expected))
       .with({ expect: 'running' }, (expected) => this.judgeRunning(expected))
+      .with({ expect: 'logged' }, (expected) => this.judgeLogged(expected))
       .exhaustive();
     if (detail !== undefined) {
       this.disappointments.push({ line: expectation.line, detail });
@@ -310,6 +349,7 @@
     verdict,
     reason,
     answer,
+    repeated,
   }: Extract<Expectation, { expect: 'answer' }>): string | undefined {
     const seen = this.seen('answer').filter((each) => each.request === request);
     const [first] = seen;
@@ -327,6 +367,9 @@
     if (reason !== undefined && first.reason !== reason) {
       return `request ${request} was refused for ${first.reason ?? ''}, expected ${reason}`;
     }
+    if (repeated !== undefined && this.repeated.get(request) !== repeated) {
+      return `request ${request} was${repeated ? ' not' : ''} told to be repeated`;
+    }
     return answer !== undefined && first.answer !== answer
       ? `request ${request} got the answer ${first.answer ?? ''}, expected ${answer}`
       : undefined;
@@ -432,6 +475,21 @@
       : undefined;
   }
 
+  private judgeLogged({
+    event,
+    fields,
+    atLeast,
+    atMost,
+  }: Extract<Expectation, { expect: 'logged' }>): string | undefined {
+    const wanted = Object.entries(fields);
+    const count = this.recorder.events.filter(
+      (each) => each.name === event && wanted.every(([name, value]) => each.fields[name] === value),
+    ).length;
+    return count < atLeast || (atMost !== undefined && count > atMost)
+      ? `the event ${event} was logged ${count} times`
+      : undefined;
+  }
+
   private seen<Kind extends 'run' | 'run_ended' | 'answer' | 'owner' | 'configuration'>(
     kind: Kind,
   ): Seen<Kind>[] {
--- a/packages/replay/src/recorder.ts
+++ b/packages/replay/src/recorder.ts
@@ -11,8 +11,15 @@
 /** A trace's payload names the request that it came with. */
 const marked = z.object({ request: z.string() });
 
+export interface LoggedEvent {
+  readonly name: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
 export class Recorder implements StageWatcher {
   readonly observations: Observation[] = [];
+  /** Events that the daemons have logged. */
+  readonly events: LoggedEvent[] = [];
   private readonly idempotent = new Set<string>();
 
   constructor(private readonly now: () => number) {}
@@ -31,6 +38,7 @@
   }
 
   event(daemon: string, name: string, fields: Readonly<Record<string, unknown>>): void {
+    this.events.push({ name, fields });
     if (name === 'shard_owned') {
       this.add({
         at: this.now(),
--- a/packages/replay/src/stage/gated.ts
+++ b/packages/replay/src/stage/gated.ts
@@ -42,16 +42,45 @@
   constructor(
     private readonly log: Log,
     private readonly gate: Gate,
+    private readonly clock: Clock,
+    private readonly isCut: () => boolean,
   ) {
     super();
   }
 
   append(stream: StreamName, body: string, deadline: Deadline): Promise<Appended> {
-    return this.gate.through(this.log.append(stream, body, deadline));
+    return this.gate.through(this.appendUnlessCut(stream, body, deadline));
   }
 
   read(stream: StreamName, from: Offset, waitUntil: Deadline): Promise<Page> {
-    return this.gate.through(this.log.read(stream, from, waitUntil));
+    return this.gate.through(this.readUnlessCut(stream, from, waitUntil));
+  }
+
+  /** A request or an answer that meets the cut is lost. */
+  private async appendUnlessCut(
+    stream: StreamName,
+    body: string,
+    deadline: Deadline,
+  ): Promise<Appended> {
+    const appended = this.isCut() ? undefined : await this.log.append(stream, body, deadline);
+    if (appended !== undefined && !this.isCut()) {
+      return appended;
+    }
+    await this.clock.sleepUntil(deadline);
+    return { kind: 'unknown', detail: 'nothing passes between the daemon and the log' };
+  }
+
+  private async readUnlessCut(
+    stream: StreamName,
+    from: Offset,
+    waitUntil: Deadline,
+  ): Promise<Page> {
+    const page = this.isCut() ? undefined : await this.log.read(stream, from, waitUntil);
+    if (page !== undefined && !this.isCut()) {
+      return page;
+    }
+    await this.clock.sleepUntil(waitUntil);
+    return { kind: 'unavailable', detail: 'nothing passes between the daemon and the log' };
   }
 
   close(): Promise<void> {
--- a/packages/replay/src/stage/stage.ts
+++ b/packages/replay/src/stage/stage.ts
@@ -25,8 +25,11 @@
 import { StagedDaemon, type DaemonPlan } from './staged-daemon.js';
 import { StagedWorker, type RunWatcher, type StagedLink } from './staged-worker.js';
 
-/** Smallest step of time, milliseconds. */
+/** Step of time unless the trace sets another, milliseconds. */
 const STEP_MILLIS = 20;
+/** Names that stand for the log and the VM list in a cut. */
+const LOG_NAME = 'log';
+const LIST_NAME = 'list';
 /** Turns of the event loop in which all messages of a step are delivered. */
 const TURNS_A_STEP = 6;
 /** A connection on which nothing comes for this long is ended, milliseconds. */
@@ -71,6 +74,7 @@
   private cuts: { readonly from: readonly string[]; readonly to: readonly string[] }[] = [];
   private readonly generator;
   private uniques = 0;
+  private stepMillis = STEP_MILLIS;
 
   constructor(
     private readonly watcher: StageWatcher,
@@ -82,11 +86,16 @@
   /** Lets time pass until `millis` since the start, with all messages delivered in between. */
   async passUntil(millis: number): Promise<void> {
     while (this.clock.now() < millis) {
-      this.clock.advance(Math.min(STEP_MILLIS, millis - this.clock.now()));
+      this.clock.advance(Math.min(this.stepMillis, millis - this.clock.now()));
       await this.settle();
     }
   }
 
+  /** Sets the step of time in which messages are delivered. */
+  setStep(millis: number): void {
+    this.stepMillis = millis;
+  }
+
   async settle(): Promise<void> {
     for (let count = 0; count < TURNS_A_STEP; count += 1) {
       await turn();
@@ -98,7 +107,8 @@
     const daemon = new StagedDaemon(plan, port, {
       clock: this.clock,
       log: this.log,
-      showVms: () => this.showVms(),
+      showVms: (name) => this.showVms(name),
+      isCutFromLog: (name) => this.isCutFromLog(name),
       random: () => this.random(),
       unique: () => this.unique(),
       dial: (from, target) => this.dial(from, target),
@@ -158,6 +168,12 @@
     }
   }
 
+  /** The list shows the VM no more. */
+  listGone(id: string): void {
+    this.listed.delete(id);
+    this.refreshList();
+  }
+
   /** Ends a daemon at once; its connections end. */
   kill(id: string): void {
     const daemon = this.daemon(id);
@@ -342,6 +358,11 @@
     return near;
   }
 
+  /** Whether nothing passes between the daemon and the log. */
+  isCutFromLog(daemon: string): boolean {
+    return this.isCut(daemon, LOG_NAME);
+  }
+
   private isCutConnection(connection: MemoryConnection): boolean {
     const ends = [...this.daemons.values()].filter(
       (daemon) =>
@@ -361,8 +382,8 @@
     );
   }
 
-  private showVms(): VmListing {
-    return this.list === 'down'
+  private showVms(daemon: string): VmListing {
+    return this.list === 'down' || this.isCut(daemon, LIST_NAME)
       ? { kind: 'unavailable', detail: 'the list is down' }
       : { kind: 'listed', vms: this.shown };
   }
--- a/packages/replay/src/stage/staged-daemon.ts
+++ b/packages/replay/src/stage/staged-daemon.ts
@@ -51,7 +51,10 @@
 export interface StageParts {
   readonly clock: Clock;
   readonly log: Log;
-  readonly showVms: () => VmListing;
+  /** What the list shows to a daemon. */
+  readonly showVms: (daemon: string) => VmListing;
+  /** Whether nothing passes between a daemon and the log. */
+  readonly isCutFromLog: (daemon: string) => boolean;
   readonly random: () => number;
   readonly unique: () => string;
   /** Opens a connection to another daemon, seen from this one. */
@@ -103,6 +106,7 @@
   readonly gate = new Gate();
   readonly counters = new MemoryCounters();
   readonly connections: MemoryConnection[] = [];
+  private readonly inHand = new Set<Promise<unknown>>();
   private readonly kernel = new Kernel();
   private readonly clock: GatedClock;
   private accept: (connection: Connection) => void = () => undefined;
@@ -129,9 +133,16 @@
     cell.post({ kind: 'subscribe', subscriber });
   }
 
-  /** A graceful stop. */
+  /** Keeps a request of a caller in hand until it is answered. */
+  serve<Value>(answer: Promise<Value>): Promise<Value> {
+    this.inHand.add(answer);
+    return answer.finally(() => this.inHand.delete(answer));
+  }
+
+  /** A graceful stop: as the front does, it answers every request in hand first. */
   async stop(): Promise<void> {
     this.kernel.find(MEMBERS).post({ kind: 'leave' });
+    await Promise.allSettled(this.inHand);
     await this.kernel.stop(this.stopBy());
   }
 
@@ -152,13 +163,20 @@
     const { parts, gate, kernel, counters } = this;
     kernel.register(new Given(EVENTS, this.eventLog()));
     kernel.register(new Given(COUNTERS, counters));
-    kernel.register(new Given(LOG, new GatedLog(parts.log, gate)));
-    kernel.register(new Given(VM_LIST, new GatedVmList(parts.showVms, gate)));
+    kernel.register(new Given(LOG, this.gatedLog()));
+    kernel.register(
+      new Given(VM_LIST, new GatedVmList(() => parts.showVms(this.plan.daemon), gate)),
+    );
     kernel.register(new Given(TRANSPORT, this.transport()));
     kernel.register(new Given(LINKS, this.linkMaker()));
     registerCore(kernel, this.environment());
   }
 
+  private gatedLog(): Log {
+    const { log, clock, isCutFromLog } = this.parts;
+    return new GatedLog(log, this.gate, clock, () => isCutFromLog(this.plan.daemon));
+  }
+
   private environment(): Environment {
     const { random, unique } = this.parts;
     const incarnation = brandAs<Incarnation>(unique());
--- a/packages/replay/src/stage/staged-worker.ts
+++ b/packages/replay/src/stage/staged-worker.ts
@@ -5,6 +5,7 @@
 import { WorkerClock } from '@bamboowell/stand-ins/worker-clock';
 import { WorkerMachine } from '@bamboowell/stand-ins/worker-machine';
 import { NO_FAULTS, type Switches } from '@bamboowell/stand-ins/worker-protocol';
+import { UsageReports } from '@bamboowell/stand-ins/worker-reports';
 import type { EndedAttempt } from '@bamboowell/stand-ins/worker-runs';
 import { brandAs, type AttemptId, type Epoch, type Incarnation } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
@@ -12,6 +13,14 @@
 import type { WorkerCommand, WorkerReport } from '@bamboowell/types/worker-messages';
 
 const HEARTBEAT_MILLIS = 1000;
+/** When a repeated report arrives the second time, milliseconds. */
+const REPEAT_AFTER_MILLIS = 1_500;
+
+/** Faults that the machine itself does not have. */
+interface ReportFaults {
+  repeats: boolean;
+  ignoresThrottle: boolean;
+}
 
 /** Told of every run. */
 export interface RunWatcher {
@@ -36,6 +45,8 @@
   private owner: StagedLink | undefined;
   private isGone = false;
   private held: (() => void)[] | undefined;
+  private usage = new UsageReports();
+  private readonly faults: ReportFaults = { repeats: false, ignoresThrottle: false };
 
   constructor(
     readonly profile: WorkerProfile,
@@ -71,7 +82,17 @@
     this.owner = undefined;
   }
 
-  /** Does nothing until it is resumed; what runs goes on running. */
+  /** From now on each report arrives at once and again later, after newer ones. */
+  repeatReports(): void {
+    this.faults.repeats = true;
+  }
+
+  /** From now on throttling has no effect. */
+  ignoreThrottle(): void {
+    this.faults.ignoresThrottle = true;
+  }
+
+  /** Does nothing until it is resumed, like all that runs on it. */
   freeze(): void {
     this.held ??= [];
   }
@@ -79,11 +100,22 @@
   resume(): void {
     const held = this.held ?? [];
     this.held = undefined;
+    this.stopLapsed();
     for (const run of held) {
       this.turn(run);
     }
   }
 
+  /** The first thing that a worker does when it wakes. */
+  private stopLapsed(): void {
+    for (const attempt of [...this.machine.runs.running.keys()]) {
+      const checked = this.machine.checkLease(attempt);
+      if (typeof checked === 'object') {
+        this.ended(checked);
+      }
+    }
+  }
+
   private turn(run: () => void): void {
     if (this.isGone) {
       return;
@@ -128,7 +160,9 @@
         this.ended(this.machine.stop(attempt, checkpoint));
       })
       .with({ kind: 'throttle' }, ({ attempt }) => {
-        this.machine.throttle(attempt);
+        if (!this.faults.ignoresThrottle) {
+          this.machine.throttle(attempt);
+        }
       })
       .with({ kind: 'forget' }, ({ attempts }) => {
         this.machine.runs.forget(attempts);
@@ -138,6 +172,7 @@
 
   private attach(link: StagedLink, epoch: Epoch): void {
     this.owner = link;
+    this.usage.reset();
     const { running, ended } = this.machine.runs;
     this.say(link, {
       kind: 'attached',
@@ -224,7 +259,7 @@
         kind: 'usage',
         worker: this.profile.id,
         workerNow: this.workerClock.now(),
-        attempts: [],
+        attempts: this.usage.next(this.machine.runs.running.values()),
         leaving,
       });
     }
@@ -240,8 +275,16 @@
   }
 
   private say(link: StagedLink, report: WorkerReport): void {
-    if (!link.silent) {
-      link.report(report);
+    if (link.silent) {
+      return;
+    }
+    link.report(report);
+    if (this.faults.repeats) {
+      this.clock.wakeAt(deadlineAfter(this.clock.now(), REPEAT_AFTER_MILLIS), () => {
+        if (!link.silent) {
+          link.report(report);
+        }
+      });
     }
   }
 }
--- a/packages/replay/src/trace.ts
+++ b/packages/replay/src/trace.ts
@@ -80,7 +80,14 @@
     changes: z.array(change),
     name: id.default('apply'),
   }),
-  z.strictObject({ at, do: z.literal('submit'), shape, ...workFields }),
+  /** `requestId` is what the daemon is told; another name than `request` tells two sendings apart. */
+  z.strictObject({
+    at,
+    do: z.literal('submit'),
+    shape,
+    requestId: id.nullable().default(null),
+    ...workFields,
+  }),
   z.strictObject({ at, do: z.literal('call'), ...workFields }),
   z.strictObject({
     at,
@@ -97,6 +104,10 @@
   }),
   /** `lost`: the next append takes effect and its answer is lost; `late`: it takes effect at `release`. */
   z.strictObject({ at, do: z.literal('log'), is: z.enum(['down', 'up', 'release']) }),
+  /** How long the log takes over each append and read. */
+  z.strictObject({ at, do: z.literal('log_delay'), millis: count }),
+  /** The step of time in which messages are delivered. */
+  z.strictObject({ at, do: z.literal('pace'), stepMillis: z.int().min(1).max(200) }),
   z.strictObject({
     at,
     do: z.literal('fail_appends'),
@@ -109,10 +120,22 @@
     at,
     do: z.literal('worker'),
     worker: id,
-    is: z.enum(['failing', 'working', 'restarted', 'leaving', 'gone', 'slow', 'frozen', 'resumed']),
+    is: z.enum([
+      'failing',
+      'working',
+      'restarted',
+      'leaving',
+      'gone',
+      'slow',
+      'frozen',
+      'resumed',
+      'repeating',
+      'unthrottled',
+    ]),
   }),
   z.strictObject({ at, do: z.literal('list'), is: z.enum(['down', 'up', 'lagging']) }),
   z.strictObject({ at, do: z.literal('list_leaving'), id }),
+  z.strictObject({ at, do: z.literal('list_gone'), id }),
 ]);
 
 const expectation = z.discriminatedUnion('expect', [
@@ -123,6 +146,7 @@
     verdict: z.enum(['done', 'not_run', 'may_have_run', 'ran', 'lost', 'none_yet']),
     reason: z.string().optional(),
     answer: z.string().optional(),
+    repeated: z.boolean().optional(),
   }),
   /** How many attempts of the request's work have begun to run, and where. */
   z.strictObject({
@@ -162,6 +186,15 @@
     atMost: resources.optional(),
     tasks: count.optional(),
   }),
+  /** How many events with these fields the daemons have logged. */
+  z.strictObject({
+    at,
+    expect: z.literal('logged'),
+    event: id,
+    fields: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])).default({}),
+    atLeast: count.default(0),
+    atMost: count.optional(),
+  }),
 ]);
 
 export const POINTS = [
