Keep the room that preemption makes for the urgent work that asked for it

Cause: victims end one by one, and after each end the freed room went to waiting patient work, as the urgent task did not fit yet. Urgent work larger than one victim preempted again and again. Ruled out: limits (64 cores free), the order (urgent is tried first, but does not fit yet). Conclusion: while room is made on a worker, other durable work is not placed there, and no second urgent work preempts there; the wait is bounded by 2 s.

--- a/packages/owner/src/preemptions.ts
+++ b/packages/owner/src/preemptions.ts
@@ -1,6 +1,6 @@
 /** Makes room for urgent tasks that fit nowhere, by stopping work that can go on later. */
 
-import type { AttemptId, WorkId } from '@bamboowell/types/ids';
+import type { AttemptId, WorkerId, WorkId } from '@bamboowell/types/ids';
 import { hasPassed, deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import { taskCountOf } from '@bamboowell/types/work';
 import type { Candidate } from '@bamboowell/policy/ordering';
@@ -16,9 +16,15 @@
 /** Room that was made for a task is awaited for this long before more is made, milliseconds. */
 const AWAIT_MILLIS = 2_000;
 
+/** Room that is being made on one worker. */
+interface Awaited {
+  readonly worker: WorkerId;
+  readonly until: Deadline;
+}
+
 export class Preemptions {
   /** Work for which room is being made. */
-  private readonly awaited = new Map<WorkId, Deadline>();
+  private readonly awaited = new Map<WorkId, Awaited>();
 
   constructor(
     private readonly context: Context,
@@ -28,15 +34,11 @@
 
   /** Stops the cheapest attempts on one worker, unless room is being made already. */
   makeRoomFor(candidate: Candidate): void {
-    const until = this.awaited.get(candidate.work);
-    if (
-      candidate.urgency !== 'urgent' ||
-      (until !== undefined && !hasPassed(until, this.context.now))
-    ) {
+    if (candidate.urgency !== 'urgent' || this.isAwaiting(candidate.work)) {
       return;
     }
     const victims = chooseVictims(
-      this.occupied(),
+      this.occupied(candidate.work),
       candidate.demand,
       (team) => this.context.ordering.excessOf(team),
       this.context.now,
@@ -44,12 +46,23 @@
     if (victims === undefined) {
       return;
     }
-    this.awaited.set(candidate.work, deadlineAfter(this.context.now, AWAIT_MILLIS));
+    const until = deadlineAfter(this.context.now, AWAIT_MILLIS);
+    this.awaited.set(candidate.work, { worker: victims.worker, until });
     for (const { attempt, checkpointable } of victims.attempts) {
       this.preempt(attempt, checkpointable, candidate.work);
     }
   }
 
+  /** Whether room is being made on the worker for other work, which would lose it. */
+  isKeptForOther(worker: WorkerId, work: WorkId): boolean {
+    for (const [other, awaited] of this.awaited) {
+      if (other !== work && awaited.worker === worker && this.isAwaiting(other)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The work has started or is gone. */
   settled(work: WorkId): void {
     this.awaited.delete(work);
@@ -68,11 +81,16 @@
     }
   }
 
-  private *occupied(): Iterable<OccupiedWorker> {
+  private isAwaiting(work: WorkId): boolean {
+    const awaited = this.awaited.get(work);
+    return awaited !== undefined && !hasPassed(awaited.until, this.context.now);
+  }
+
+  private *occupied(work: WorkId): Iterable<OccupiedWorker> {
     const { fleet } = this.context;
     for (const machine of fleet.all()) {
-      if (machine.usable) {
-        const worker = machine.profile.id;
+      const worker = machine.profile.id;
+      if (machine.usable && !this.isKeptForOther(worker, work)) {
         const attempts = this.live.on(worker).flatMap((live) => this.runningOf(live) ?? []);
         yield { worker, free: fleet.freeOf(machine), attempts };
       }
--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -159,7 +159,7 @@
         candidate.demand,
         spread,
       );
-      if (worker === undefined || !this.context.fleet.reserve(worker, candidate.demand)) {
+      if (worker === undefined || !this.take(worker, candidate)) {
         this.release(chosen, candidate);
         return undefined;
       }
@@ -168,6 +168,12 @@
     return chosen;
   }
 
+  /** Reserves room unless it is being made for urgent work. */
+  private take(worker: WorkerId, { work, demand }: Candidate): boolean {
+    const isKept = this.parts.preemptions.isKeptForOther(worker, work);
+    return !isKept && this.context.fleet.reserve(worker, demand);
+  }
+
   private release(workers: readonly WorkerId[], candidate: Candidate): void {
     for (const worker of workers) {
       this.context.fleet.release(worker, candidate.demand);
