Try a failed task on another worker than the one it failed on

Cause: a worker that fails all it starts has room all the time, so the retry of a task went back to it until its five attempts were used up, while the good workers were full for a second. At most a tenth of the shard is quarantined, so a second such worker of six stays in use. Ruled out: the quarantine (works for the first one), placement ties (the good workers were full). Conclusion: a failed task goes elsewhere if it can, and waits if all others that could hold it are full; other work is placed meanwhile.

--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -29,6 +29,8 @@
 
 export class Starts {
   private readonly placing = new Map<Sequence, readonly LiveAttempt[]>();
+  /** Recorded as placed while the owner was not fresh; started once it is. */
+  private readonly unsent = new Set<LiveAttempt>();
 
   constructor(
     private readonly context: Context,
@@ -40,6 +42,7 @@
     if (!this.context.mayStart || !this.context.holdsLimits || this.context.draining) {
       return false;
     }
+    this.startUnsent();
     const round = this.context.ordering.round(this.context.now);
     let placed = 0;
     for (let next = round.next(); next !== undefined; next = round.next()) {
@@ -55,7 +58,7 @@
   confirmed(sequence: Sequence): void {
     for (const attempt of this.takePlacing(sequence)) {
       attempt.phase = 'placed';
-      this.start(attempt);
+      this.startOrKeep(attempt);
     }
   }
 
@@ -67,18 +70,21 @@
     }
   }
 
-  /** Sends a start, also a repeated one: a worker runs an attempt id at most once. */
-  start(attempt: LiveAttempt): void {
+  /**
+   * Sends a start, also a repeated one: a worker runs an attempt id at most once. False if it can't
+   * be sent now.
+   */
+  start(attempt: LiveAttempt): boolean {
     const epoch = this.context.ownedEpoch;
     const session = this.parts.sessions.get(attempt.attempt.worker);
     if (epoch === undefined || !this.context.mayStart || session?.attached !== true) {
-      return;
+      return false;
     }
     const startBy = this.parts.sessions.startBy(session);
     const leaseUntil = this.parts.sessions.grantLease(session);
     const entry = this.context.fold.get(attempt.work);
     if (startBy === undefined || leaseUntil === undefined || entry === undefined) {
-      return;
+      return false;
     }
     attempt.phase = 'starting';
     attempt.startBy = startBy;
@@ -95,19 +101,39 @@
       leaseUntil,
       ...(typeof checkpoint === 'string' ? { checkpoint } : {}),
     });
+    return true;
   }
 
   /** Sends the starts that could not be sent when their record was read back. */
   startPlaced(worker: WorkerId): void {
     for (const attempt of this.parts.live.on(worker)) {
       if (attempt.phase === 'placed') {
-        this.start(attempt);
+        this.startOrKeep(attempt);
       }
     }
   }
 
   clear(): void {
     this.placing.clear();
+    this.unsent.clear();
+  }
+
+  private startOrKeep(attempt: LiveAttempt): void {
+    if (this.start(attempt)) {
+      this.unsent.delete(attempt);
+    } else {
+      this.unsent.add(attempt);
+    }
+  }
+
+  /** Sends what could not be sent before, unless it has ended or its worker detached since. */
+  private startUnsent(): void {
+    for (const attempt of this.unsent) {
+      const isLive = this.parts.live.get(attempt.attempt.id) === attempt;
+      if (!isLive || attempt.phase !== 'placed' || this.start(attempt)) {
+        this.unsent.delete(attempt);
+      }
+    }
   }
 
   /** Places one task of the candidate, or all of a gang's; returns how many. */
@@ -138,7 +164,11 @@
       round.blocked(candidate, 'team_limit_reached');
       return false;
     }
-    const workers = this.reserve(candidate, entry, group.length);
+    const workers = this.reserve(candidate, entry, group);
+    if (workers !== undefined && this.hasFailedOn(entry, group, workers)) {
+      this.release(workers, candidate);
+      return false;
+    }
     if (workers === undefined) {
       round.blocked(candidate, 'no_worker_fits');
       this.parts.preemptions.makeRoomFor(candidate);
@@ -150,10 +180,14 @@
   }
 
   /** Reserves room for all tasks of the group or for none. */
-  private reserve(candidate: Candidate, entry: WorkEntry, count: number): WorkerId[] | undefined {
+  private reserve(
+    candidate: Candidate,
+    entry: WorkEntry,
+    group: readonly number[],
+  ): WorkerId[] | undefined {
     const chosen: WorkerId[] = [];
-    for (let task = 0; task < count; task += 1) {
-      const spread = entry.work.shape.kind === 'service' ? this.spreadOf(entry, chosen) : NO_SPREAD;
+    for (const index of group) {
+      const spread = this.spreadFor(entry, index, chosen);
       const worker = this.context.options.placement.choose(
         this.context.fleet,
         candidate.demand,
@@ -180,6 +214,37 @@
     }
   }
 
+  /**
+   * Whether one task would go back to the worker on which it failed, while others that could hold it
+   * are full. It waits for those: a worker that fails everything has room all the time.
+   */
+  private hasFailedOn(
+    entry: WorkEntry,
+    group: readonly number[],
+    workers: readonly WorkerId[],
+  ): boolean {
+    const [worker] = workers;
+    const task = entry.tasks[group[0] ?? 0];
+    if (group.length > 1 || task === undefined || task.failures === 0 || task.worker !== worker) {
+      return false;
+    }
+    const { demand } = entry.work;
+    return [...this.context.fleet.all()].some(
+      ({ usable, profile }) => usable && profile.id !== worker && fits(demand, profile.capacity),
+    );
+  }
+
+  /** Replicas spread; a task that has failed goes to another worker where there is one. */
+  private spreadFor(entry: WorkEntry, index: number, chosen: readonly WorkerId[]): Spread {
+    if (entry.work.shape.kind === 'service') {
+      return this.spreadOf(entry, chosen);
+    }
+    const task = entry.tasks[index];
+    return task === undefined || task.failures === 0 || task.worker === null
+      ? NO_SPREAD
+      : { workers: new Map([[task.worker, 1]]), racks: NO_SPREAD.racks };
+  }
+
   private spreadOf(entry: WorkEntry, chosen: readonly WorkerId[]): Spread {
     const workers = new Map<WorkerId, number>();
     const racks = new Map(NO_SPREAD.racks);
