Hand the configuration to a daemon that starts while the log is down

Change: a daemon asks a member that is ahead for its state of the cell; what is in force is the newest of what was read and handed over, so it never goes back. Expected members come from the membership package, which also counts those that only others hear.

--- /dev/null
+++ b/packages/daemon/src/cell-handover.ts
@@ -0,0 +1,72 @@
+/** Carries the state of the cell from one daemon to another while the log does not answer. */
+
+import { z } from 'zod';
+import { ask } from '@bamboowell/kernel/ask';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { MembersMessage } from '@bamboowell/membership/members-messages';
+import type { CellSnapshot } from '@bamboowell/state/cell-fold';
+import type { MemberId } from '@bamboowell/types/ids';
+import { deadlineAfter, MILLIS_PER_SECOND } from '@bamboowell/types/time';
+import type { WireAnswer } from '@bamboowell/wire/connection';
+import type { CellMessage } from './cell-messages.js';
+
+/** Method by which a daemon asks another for its state of the cell. */
+export const CELL_METHOD = 'cell';
+
+/** How long a handover may take, milliseconds. */
+const HANDOVER_MILLIS = 3 * MILLIS_PER_SECOND;
+
+const list = z.array(z.unknown());
+const snapshotSchema = z.looseObject({
+  upTo: z.int().min(0),
+  version: z.int().min(0),
+  teams: list,
+  queues: list,
+  keys: list,
+  dataCentres: list,
+  epochs: list,
+  holdings: list,
+  ceilings: list,
+  writers: list,
+});
+
+/** Serves this daemon's state of the cell to others. */
+export function serveCell(
+  members: Address<MembersMessage>,
+  cell: Address<CellMessage>,
+  clock: Clock,
+): void {
+  const handler = async (): Promise<unknown> => {
+    const deadline = deadlineAfter(clock.now(), HANDOVER_MILLIS);
+    const answer = await ask<CellMessage, CellSnapshot>(
+      cell,
+      (reply) => ({ kind: 'snapshot', reply }),
+      deadline,
+      clock,
+    );
+    return answer.kind === 'answered' ? answer.value : null;
+  };
+  members.post({ kind: 'serve', method: CELL_METHOD, handler });
+}
+
+/** Asks a member for its state; nothing if it gives none that can be read. */
+export async function askForCell(
+  members: Address<MembersMessage>,
+  member: MemberId,
+  clock: Clock,
+): Promise<CellSnapshot | undefined> {
+  const now = clock.now();
+  const deadline = deadlineAfter(now, HANDOVER_MILLIS);
+  const answer = await ask<MembersMessage, WireAnswer>(
+    members,
+    (reply) => ({ kind: 'request', member, method: CELL_METHOD, params: {}, deadline, reply }),
+    deadlineAfter(now, HANDOVER_MILLIS + MILLIS_PER_SECOND),
+    clock,
+  );
+  if (answer.kind !== 'answered' || answer.value.kind !== 'answered') {
+    return undefined;
+  }
+  const parsed = snapshotSchema.safeParse(answer.value.value);
+  return parsed.success ? (parsed.data as unknown as CellSnapshot) : undefined;
+}
--- a/packages/daemon/src/cell-messages.ts
+++ b/packages/daemon/src/cell-messages.ts
@@ -4,6 +4,7 @@
 import type { Address } from '@bamboowell/kernel/mailbox';
 import type { StreamEvent } from '@bamboowell/log/stream-messages';
 import type { MembersEvent } from '@bamboowell/membership/members-messages';
+import type { CellSnapshot } from '@bamboowell/state/cell-fold';
 import type { CellView } from '@bamboowell/owner/messages';
 import type { Change, Configuration } from '@bamboowell/types/declarations';
 import type { Epoch, Sequence, ShardId, TeamId, Version } from '@bamboowell/types/ids';
@@ -31,6 +32,9 @@
     }
   | { readonly kind: 'members'; readonly event: MembersEvent }
   | { readonly kind: 'stream'; readonly event: StreamEvent<CellRecord> }
+  | { readonly kind: 'snapshot'; readonly reply: Reply<CellSnapshot> }
+  /** What another member gave; nothing if it gave none. */
+  | { readonly kind: 'handed_over'; readonly snapshot: CellSnapshot | undefined }
   /** Looks at the freshness again and reports. */
   | { readonly kind: 'report' }
   | { readonly kind: 'expire'; readonly sequence: Sequence }
--- a/packages/daemon/src/cell-task.ts
+++ b/packages/daemon/src/cell-task.ts
@@ -12,14 +12,20 @@
 import type { StreamEvent, StreamMessage } from '@bamboowell/log/stream-messages';
 import { StreamTask } from '@bamboowell/log/stream-task';
 import type { EventLog } from '@bamboowell/logger/logger';
-import type { MembersEvent, MemberView } from '@bamboowell/membership/members-messages';
+import type {
+  MembersEvent,
+  MembersMessage,
+  MemberView,
+} from '@bamboowell/membership/members-messages';
+import { configurationStatementOf, expectedMembers } from '@bamboowell/membership/ownership-inputs';
 import { REPORT_INTERVAL_MILLIS } from '@bamboowell/ownership/bounds';
 import { ConfigurationFreshness } from '@bamboowell/ownership/configuration-freshness';
-import { CellFold, type CellSnapshot } from '@bamboowell/state/cell-fold';
+import type { CellFold, CellSnapshot } from '@bamboowell/state/cell-fold';
 import { applyChanges } from '@bamboowell/state/configuration';
 import {
   brandAs,
   nextSequence,
+  type MemberId,
   type Sequence,
   type Version,
   type WriterId,
@@ -35,6 +41,8 @@
 import { done, refusalOf, refused, type Result } from '@bamboowell/types/verdict';
 import { wrapped } from './adapter.js';
 import type { CellEvent, CellMessage } from './cell-messages.js';
+import { askForCell } from './cell-handover.js';
+import { CellState } from './cell-state.js';
 import { viewsOf } from './cell-views.js';
 import { newWriter, type Environment } from './environment.js';
 import type { ReporterMessage } from './reporter-task.js';
@@ -51,10 +59,11 @@
   readonly events: EventLog;
   readonly watcher: Watcher;
   readonly reporter: Address<ReporterMessage>;
+  readonly members: Address<MembersMessage>;
 }
 
 export class CellTask extends Task<CellMessage> {
-  private fold = new CellFold();
+  private readonly state = new CellState();
   private readonly writer: WriterId;
   private readonly stream: Supervised<StreamMessage<CellRecord>>;
   private readonly freshness: ConfigurationFreshness;
@@ -64,6 +73,7 @@
   private freshUntil = NOT_FRESH;
   private logAnswers = true;
   private isFirstMember = true;
+  private isAsking = false;
 
   constructor(private readonly parts: CellParts) {
     super('cell', parts.environment.clock);
@@ -107,6 +117,12 @@
         this.updateFreshness();
         this.postAt(deadlineAfter(this.clock.now(), REPORT_INTERVAL_MILLIS), { kind: 'report' });
       })
+      .with({ kind: 'snapshot' }, ({ reply }) => {
+        reply(this.fold.snapshot());
+      })
+      .with({ kind: 'handed_over' }, ({ snapshot }) => {
+        this.handedOver(snapshot);
+      })
       .with({ kind: 'expire' }, ({ sequence }) => {
         this.expire(sequence);
       })
@@ -116,6 +132,10 @@
       .exhaustive();
   }
 
+  private get fold(): CellFold {
+    return this.state.inForce;
+  }
+
   private makeStream(): StreamTask<CellRecord> {
     const { environment, log } = this.parts;
     return new StreamTask<CellRecord>({
@@ -195,10 +215,9 @@
   private streamEvent(event: StreamEvent<CellRecord>): void {
     match(event)
       .with({ kind: 'restored' }, ({ snapshot }) => {
-        this.fold =
-          snapshot === undefined
-            ? new CellFold()
-            : CellFold.restore(JSON.parse(snapshot) as CellSnapshot);
+        this.state.restart(
+          snapshot === undefined ? undefined : (JSON.parse(snapshot) as CellSnapshot),
+        );
         this.publishCell();
       })
       .with({ kind: 'batch' }, ({ batch }) => {
@@ -234,7 +253,7 @@
   private applyBatch(batch: Batch<CellRecord>): void {
     let hasChanged = false;
     for (const stamped of batch.records) {
-      const effect = this.fold.apply(stamped, batch.offset);
+      const effect = this.state.apply(stamped, batch.offset);
       hasChanged ||= effect.kind === 'applied' && stamped.record.kind !== 'checkpoint';
       this.settle(stamped, effect);
     }
@@ -270,10 +289,10 @@
 
   private membersEvent(event: MembersEvent): void {
     match(event)
-      .with({ kind: 'view' }, ({ members }) => {
-        this.freshness.expect(members.filter(isExpected).map(({ member }) => member));
-        const { memberId } = this.parts.environment.settings;
-        this.isFirstMember = !members.some((view) => isLive(view) && view.member < memberId);
+      .with({ kind: 'view' }, (view) => {
+        const { memberId, region } = this.parts.environment.settings;
+        this.freshness.expect(expectedMembers(view, { member: memberId, region }).cell);
+        this.isFirstMember = !view.members.some((one) => isLive(one) && one.member < memberId);
       })
       .with({ kind: 'heard' }, ({ view }) => {
         this.heard(view);
@@ -285,16 +304,32 @@
     this.updateFreshness();
   }
 
-  private heard({ member, heard }: MemberView): void {
-    if (heard?.madeAfter !== undefined) {
-      const { logAnswers, cellUpTo, phase } = heard.heartbeat;
-      this.freshness.memberSays({
-        member,
-        at: heard.madeAfter,
-        logAnswers,
-        upTo: cellUpTo,
-        left: phase === 'left',
-      });
+  private heard(view: MemberView): void {
+    const statement = configurationStatementOf(view);
+    if (statement !== undefined) {
+      this.freshness.memberSays(statement);
+    }
+    const upTo = view.heard?.heartbeat.cellUpTo ?? 0;
+    if (!this.logAnswers && upTo > this.fold.upTo && !this.isAsking) {
+      this.askFor(view.member);
+    }
+  }
+
+  /** Asks a member for the state of the cell that the log does not give. */
+  private askFor(member: MemberId): void {
+    this.isAsking = true;
+    void askForCell(this.parts.members, member, this.clock).then((snapshot) => {
+      this.post({ kind: 'handed_over', snapshot });
+    });
+  }
+
+  private handedOver(snapshot: CellSnapshot | undefined): void {
+    this.isAsking = false;
+    if (snapshot !== undefined && this.state.handOver(snapshot)) {
+      const { version } = this.fold.configuration;
+      this.parts.events.event('configuration.handed_over', { version, upTo: snapshot.upTo });
+      this.freshness.handedOver(snapshot.upTo);
+      this.publishCell();
     }
   }
 
@@ -342,11 +377,6 @@
   return heard !== undefined && !suspected;
 }
 
-/** A member that has left owns and accepts nothing, so that its silence is no obstacle. */
-function isExpected({ heard }: MemberView): boolean {
-  return heard?.heartbeat.phase !== 'left';
-}
-
 function conflict(base: Version, current: Version): Result<Version> {
   return refused(
     'configuration_conflict',
--- a/packages/daemon/src/services.ts
+++ b/packages/daemon/src/services.ts
@@ -11,6 +11,7 @@
 import type { Deadline } from '@bamboowell/types/time';
 import { wrapped } from './adapter.js';
 import type { CellEvent, CellMessage } from './cell-messages.js';
+import { serveCell } from './cell-handover.js';
 import { CellTask } from './cell-task.js';
 import type { Environment } from './environment.js';
 import { Forwarder } from './forwarder.js';
@@ -134,6 +135,7 @@
       log: directory.find(LOG),
       events: directory.find(EVENTS),
       reporter: directory.find(REPORTER),
+      members: directory.find(MEMBERS),
       watcher,
     };
     const task = new Supervised<CellMessage>(
@@ -147,6 +149,7 @@
       kind: 'subscribe',
       subscriber: wrapped<MembersEvent, CellMessage>(task, (event) => ({ kind: 'members', event })),
     });
+    serveCell(directory.find(MEMBERS), task, this.environment.clock);
     return task;
   }
 
