Check settings with the files that they name, and drop settings without a use

Cause: check-settings told no line or column; an unreadable certificate showed only when the daemon started; freshness and heartbeat changed nothing; a lease could be longer than ownership bears; headers with more time than their request threw at start. Conclusion: what is wrong with settings is told before anything starts.

--- a/packages/config/src/daemon-settings-schema.ts
+++ b/packages/config/src/daemon-settings-schema.ts
@@ -1,6 +1,7 @@
 /** Schema of the daemon's settings. */
 
 import { z } from 'zod';
+import { LONGEST_LEASE_MILLIS } from '@bamboowell/ownership/bounds';
 import {
   brandAs,
   type DataCentreId,
@@ -28,6 +29,9 @@
   maxConnections: wholeNumber(1, 100_000).default(1000),
   requestMillis: millis.default(60_000),
   headerMillis: millis.default(5000),
+}).refine(({ headerMillis, requestMillis }) => headerMillis <= requestMillis, {
+  path: ['headerMillis'],
+  error: 'at most callers.requestMillis',
 });
 
 const peers = objectOf({
@@ -37,21 +41,13 @@
 });
 
 const leases = objectOf({
-  leaseMillis: millis.default(10_000),
+  leaseMillis: wholeNumber(1, LONGEST_LEASE_MILLIS).default(10_000),
   renewMillis: millis.default(3000),
 }).refine(({ leaseMillis, renewMillis }) => renewMillis < leaseMillis, {
   path: ['renewMillis'],
   error: 'less than leases.leaseMillis',
 });
 
-const heartbeat = objectOf({
-  intervalMillis: millis.default(500),
-  suspectMillis: millis.default(2500),
-}).refine(({ intervalMillis, suspectMillis }) => intervalMillis < suspectMillis, {
-  path: ['intervalMillis'],
-  error: 'less than heartbeat.suspectMillis',
-});
-
 /** The settings of one daemon, as they stand in its file. */
 export const daemonSettingsSchema = objectOf({
   $schema: text('the path of the JSON Schema').optional(),
@@ -69,8 +65,6 @@
   placement: oneOf(['best_fit', 'first_fit']).default('best_fit'),
   ordering: oneOf(['fair_share', 'first_come_first_served']).default('fair_share'),
   leases: leases.prefault({}),
-  freshness: objectOf({ freshMillis: millis.default(3000) }).prefault({}),
-  heartbeat: heartbeat.prefault({}),
 });
 
 /** Valid settings with all defaults filled in. Keys named `…Millis` are lengths of time. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,13 +1,13 @@
 #!/usr/bin/env node
 /** The binary `bamboowelld`. */
 
-import { readFile } from 'node:fs/promises';
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { parseSettings, type DaemonSettings } from '@bamboowell/config/daemon-settings';
+import type { DaemonSettings } from '@bamboowell/config/daemon-settings';
 import { enableEvents } from '@bamboowell/logger/logger';
 import { deadlineAfter, MILLIS_PER_SECOND } from '@bamboowell/types/time';
 import { buildDaemon, systemEnvironment } from './daemon.js';
 import { CERTIFICATES, FRONT } from './keys.js';
+import { readSettingsFile } from './settings-file.js';
 
 /** Requests in hand get this long to end when the daemon is asked to stop. */
 const STOP_MILLIS = 30 * MILLIS_PER_SECOND;
@@ -16,23 +16,17 @@
 const BAD_SETTINGS = 1;
 const FAILED = 2;
 
+/** The settings of the file, or nothing after every problem was written as a line. */
 async function readSettings(
   file: string,
-  complain: (line: string) => void,
+  write: (line: string) => void,
 ): Promise<DaemonSettings | undefined> {
-  const text = await readFile(file, 'utf8').catch((error: unknown) => {
-    complain(`${file}: ${error instanceof Error ? error.message : String(error)}`);
-    return undefined;
-  });
-  if (text === undefined) {
-    return undefined;
-  }
-  const parsed = parseSettings(text, process.env);
-  if (parsed.kind === 'valid') {
-    return parsed.settings;
+  const read = await readSettingsFile(file, process.env);
+  if (read.kind === 'usable') {
+    return read.settings;
   }
-  for (const { path, expected, found } of parsed.problems) {
-    complain(`${file}: ${path}: expected ${expected}, found ${found}`);
+  for (const line of read.lines) {
+    write(line);
   }
   return undefined;
 }
