--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { AttemptId } from '@bamboowell/types/ids';
 import { multiply } from '@bamboowell/types/resources';
+import { NEVER } from '@bamboowell/types/time';
 import {
   CAPACITY,
   commandsOf,
@@ -14,11 +15,12 @@
   startedAttempts,
   TEAM,
   WORKER,
+  workerNamed,
   workOf,
 } from './owner.fixture.js';
 import { DEFAULT_OWNER_SETTINGS, longestOf } from './settings.js';
 
-const { leaseMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
+const { leaseMillis, renewMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
 
 function firstStart(outputs: Parameters<typeof startedAttempts>[0]): AttemptId {
   const [attempt] = startedAttempts(outputs);
@@ -281,3 +283,36 @@
   });
   t.deepEqual(startedAttempts(bench.submit(workOf())), []);
 });
+
+test('a cancellation tells for each piece of work whether it had run', (t) => {
+  const bench = owningBench(multiply(SMALL, 1));
+  const attempt = firstStart(bench.submit(workOf()));
+  bench.report({ kind: 'started', worker: WORKER, attempt });
+  const waiting = workOf({ requestId: requestNamed('waiting') });
+  bench.submit(waiting);
+  const works = [workOf().id, waiting.id, workOf({ requestId: requestNamed('absent') }).id];
+  const cancel = { kind: 'cancel' as const, works, deadline: NEVER, token: 99 as never };
+  const [response] = responsesOf(bench.step(cancel));
+  const outcomes = response?.kind === 'cancelled' ? response.outcomes : [];
+  t.deepEqual(
+    outcomes.map(({ verdict, reason }) => [verdict, reason]),
+    [
+      ['ran', null],
+      ['not_run', null],
+      ['not_run', 'unknown_work'],
+    ],
+  );
+});
+
+test('leases that are due soon are renewed with the one that is due, later ones are not', (t) => {
+  const bench = owningBench();
+  bench.pass(100);
+  bench.attachAs('w2');
+  bench.pass(400);
+  bench.attachAs('w3');
+  const outputs = bench.pass(renewMillis - 500);
+  const renewed = outputs.flatMap((output) =>
+    output.kind === 'command' && output.command.kind === 'renew' ? [output.worker] : [],
+  );
+  t.deepEqual(renewed, [WORKER, workerNamed('w2')]);
+});
