--- a/packages/bench/src/owner-run.ts
+++ b/packages/bench/src/owner-run.ts
@@ -129,7 +129,8 @@
   step(input: Input): void {
     this.carryOut(this.owner.step(input, this.now));
     for (let report = this.reports.shift(); report !== undefined; report = this.reports.shift()) {
-      this.tell(report);
+      this.watcher.reported(report);
+      this.carryOut(this.owner.step({ kind: 'report', report }, this.now));
     }
   }
 
--- a/packages/bench/src/owner-slopes.ts
+++ b/packages/bench/src/owner-slopes.ts
@@ -6,7 +6,7 @@
 import type { Shape } from '@bamboowell/types/work';
 import { directRun, settle, type DirectRun } from './direct-log.js';
 import { amountOf, batchDemand } from './fleets.js';
-import { fitLine, rounded, type Point } from './line-fit.js';
+import { slopeOf } from './slope.js';
 import { cpuMicrosOf, heapBytes } from './usage.js';
 
 /** Workers of one of six shards of the two-year plan. */
@@ -58,19 +58,13 @@
     quietSecondMicrosByWorkers: slopeOf(WORKER_SIZES, (workers) => secondMicros(workers, 'quiet')),
     peakSecondMicrosByWorkers: slopeOf(WORKER_SIZES, (workers) => secondMicros(workers, 'peak')),
     tickMicrosByWaiting: slopeOf(WAITING_SIZES, tickMicros),
-    heapBytesByWorkers: slopeOf([500, 1_000, 2_000], heapOfWorkers),
+    heapBytesByWorkers: slopeOf(HEAP_SIZES, heapOfWorkers),
     heapBytesByRunning: slopeOf(HEAP_SIZES, heapOfRunning),
     heapBytesByWaiting: slopeOf(HEAP_SIZES, heapOfWaiting),
     heapBytesByEnded: slopeOf(HEAP_SIZES, heapOfEnded),
   };
 }
 
-/** The measured points with the line through them. */
-export function slopeOf(sizes: readonly number[], measure: (size: number) => number) {
-  const points = sizes.map((x): Point => ({ x, y: rounded(measure(x)) }));
-  return { points, fit: fitLine(points) };
-}
-
 /** Lets the compiler see the code before anything is measured. */
 function warmUp(): void {
   startMicros(200, 1_000, 100);
--- /dev/null
+++ b/packages/bench/src/slope.ts
@@ -0,0 +1,14 @@
+/** A measurement at several sizes and the line through it. */
+
+import { fitLine, rounded, type Line, type Point } from './line-fit.js';
+
+export interface Slope {
+  readonly points: readonly Point[];
+  readonly fit: Line;
+}
+
+/** Measures at each size, in order. */
+export function slopeOf(sizes: readonly number[], measure: (size: number) => number): Slope {
+  const points = sizes.map((x): Point => ({ x, y: rounded(measure(x)) }));
+  return { points, fit: fitLine(points) };
+}
