Append ends that had no room again at the next upkeep, and bound kept answers

Cause: an end whose record was rejected was appended again at once, without end if it was longer than the log takes (1 MB) or while the queue was full. Change: it waits for the next upkeep; an answer beyond 200,000 characters is kept as a failure that says so; a rejected placement is not tried in the same step. Measured: two tests that failed before (one did not end, one kept the answer whole and was rejected for ever) pass.

--- a/packages/owner/src/ends.ts
+++ b/packages/owner/src/ends.ts
@@ -5,6 +5,9 @@
 import type { Context } from './context.js';
 import type { LiveAttempt, LiveAttempts } from './live-attempts.js';
 
+/** Longest answer of durable work that is kept, characters. */
+export const MAX_ANSWER_CHARACTERS = 200_000;
+
 interface Ending {
   readonly outcome: Outcome;
   readonly attempt: AttemptId;
@@ -12,7 +15,11 @@
 }
 
 export class Ends {
-  private readonly ending = new Map<Sequence, Ending>();
+  /** On the way to the log. */
+  private readonly sent = new Map<Sequence, Ending>();
+  private readonly attempts = new Set<AttemptId>();
+  /** Had no room on the way to the log; appended again at the next upkeep. */
+  private unsent: Ending[] = [];
 
   constructor(
     private readonly context: Context,
@@ -21,53 +28,76 @@
 
   /** A durable attempt lives no more: its room is free at once, its task moves on by the record. */
   end(live: LiveAttempt, outcome: Outcome): void {
-    const epoch = this.context.ownedEpoch;
-    if (epoch === undefined || live.phase === 'ending') {
+    if (this.context.ownedEpoch === undefined || live.phase === 'ending') {
       return;
     }
     live.phase = 'ending';
     this.live.remove(live);
-    this.record(live.attempt.id, live.attempt.worker, outcome);
+    this.endPlaced(live.attempt.id, live.attempt.worker, outcome);
   }
 
   /** An ended attempt that only the fold knows of. */
   endPlaced(attempt: AttemptId, worker: WorkerId, outcome: Outcome): void {
-    this.record(attempt, worker, outcome);
+    this.attempts.add(attempt);
+    this.append({ attempt, worker, outcome: bounded(outcome) });
   }
 
   /** Whether the end of this attempt is on the way to the log. */
   isEnding(attempt: AttemptId): boolean {
-    return [...this.ending.values()].some((ending) => ending.attempt === attempt);
+    return this.attempts.has(attempt);
   }
 
   settled(sequence: Sequence): void {
-    const ending = this.ending.get(sequence);
+    const ending = this.take(sequence);
     const epoch = this.context.ownedEpoch;
-    this.ending.delete(sequence);
     if (ending !== undefined && epoch !== undefined) {
+      this.attempts.delete(ending.attempt);
       this.context.command(ending.worker, { kind: 'forget', epoch, attempts: [ending.attempt] });
     }
   }
 
-  /** The record was never sent: tries again. */
+  /** The record was never sent. */
   rejected(sequence: Sequence): void {
-    const ending = this.ending.get(sequence);
-    this.ending.delete(sequence);
+    const ending = this.take(sequence);
     if (ending !== undefined) {
-      this.record(ending.attempt, ending.worker, ending.outcome);
+      this.unsent.push(ending);
+    }
+  }
+
+  /** Appends again what had no room. */
+  retry(): void {
+    for (const ending of this.unsent.splice(0)) {
+      this.append(ending);
     }
   }
 
   clear(): void {
-    this.ending.clear();
+    this.sent.clear();
+    this.attempts.clear();
+    this.unsent = [];
   }
 
-  private record(attempt: AttemptId, worker: WorkerId, outcome: Outcome): void {
+  private take(sequence: Sequence): Ending | undefined {
+    const ending = this.sent.get(sequence);
+    this.sent.delete(sequence);
+    return ending;
+  }
+
+  private append(ending: Ending): void {
     const epoch = this.context.ownedEpoch;
-    if (epoch === undefined) {
-      return;
+    if (epoch !== undefined) {
+      const { attempt, outcome } = ending;
+      this.sent.set(this.context.append({ kind: 'end', epoch, attempt, outcome }), ending);
     }
-    const sequence = this.context.append({ kind: 'end', epoch, attempt, outcome });
-    this.ending.set(sequence, { attempt, worker, outcome });
   }
 }
+
+/** An answer that is too long is not kept in part: the attempt counts as failed, and says why. */
+function bounded(outcome: Outcome): Outcome {
+  if (outcome.kind !== 'succeeded' || outcome.answer.length <= MAX_ANSWER_CHARACTERS) {
+    return outcome;
+  }
+  const found = outcome.answer.length;
+  const detail = `the answer has ${found} characters, and at most ${MAX_ANSWER_CHARACTERS} are kept`;
+  return { kind: 'failed', detail };
+}
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -18,6 +18,7 @@
   workerNamed,
   workOf,
 } from './owner.fixture.js';
+import { MAX_ANSWER_CHARACTERS } from './ends.js';
 import { DEFAULT_OWNER_SETTINGS, longestOf } from './settings.js';
 
 const { leaseMillis, renewMillis, startMillis } = DEFAULT_OWNER_SETTINGS;
@@ -316,3 +317,31 @@
   );
   t.deepEqual(renewed, [WORKER, workerNamed('w2')]);
 });
+
+test('an end that had no room on the way to the log is appended again, later', (t) => {
+  const bench = owningBench();
+  const attempt = firstStart(bench.submit(workOf()));
+  bench.isLogUp = false;
+  bench.report({
+    kind: 'ended',
+    worker: WORKER,
+    attempt,
+    outcome: { kind: 'succeeded', answer: 'ok' },
+  });
+  const sequences = bench.unread.splice(0).map(({ sequence }) => sequence);
+  bench.step({ kind: 'rejected', sequences });
+  t.is(bench.unread.length, 0);
+  bench.pass(1_000);
+  t.is(bench.unread.length, 1);
+  bench.isLogUp = true;
+  t.is(commandsOf(bench.readBack(), 'forget').length, 1);
+});
+
+test('an answer that is too long to keep is not kept in part', (t) => {
+  const bench = owningBench();
+  const attempt = firstStart(bench.submit(workOf()));
+  const answer = 'x'.repeat(MAX_ANSWER_CHARACTERS + 1);
+  bench.report({ kind: 'ended', worker: WORKER, attempt, outcome: { kind: 'succeeded', answer } });
+  const state = bench.owner.fold.get(workOf().id)?.tasks[0]?.state;
+  t.like(state, { kind: 'ended', outcome: { kind: 'failed' } });
+});
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -215,6 +215,7 @@
 
   private keepUpOwned(): void {
     this.reports.lapse();
+    this.ends.retry();
     this.sessions.wakeRested();
     this.health.endQuarantines();
     this.waiting.releaseHeld();
--- a/packages/owner/src/upkeep.ts
+++ b/packages/owner/src/upkeep.ts
@@ -30,9 +30,10 @@
 
   /** Whether an input of this kind may let waiting work start. */
   static mayFreeWork(input: Input): boolean {
-    return (
-      input.kind !== 'report' || (input.report.kind !== 'usage' && input.report.kind !== 'started')
-    );
+    if (input.kind === 'report') {
+      return input.report.kind !== 'usage' && input.report.kind !== 'started';
+    }
+    return input.kind !== 'rejected';
   }
 
   isDue(input: Input, now: Instant): boolean {
