--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -4,6 +4,7 @@
 import { measureLogSlopes } from './log-slopes.js';
 import { measureMembersSlopes } from './members-slopes.js';
 import { measureOwnerSlopes } from './owner-slopes.js';
+import { measureVmListSlopes } from './vm-list-slopes.js';
 
 export async function measureCapacity(): Promise<object> {
   return {
@@ -11,5 +12,6 @@
     log: measureLogSlopes(),
     cell: measureCellSlopes(),
     members: await measureMembersSlopes(),
+    vmList: await measureVmListSlopes(),
   };
 }
