--- a/packages/replay/src/guards.ts
+++ b/packages/replay/src/guards.ts
@@ -11,10 +11,11 @@
 import { Submissions } from '@bamboowell/owner/submissions';
 import { BestFit } from '@bamboowell/policy/best-fit';
 import { Fleet } from '@bamboowell/policy/fleet';
+import { ConfigurationFreshness } from '@bamboowell/ownership/configuration-freshness';
 import { WorkerMachine } from '@bamboowell/stand-ins/worker-machine';
 import { WorkerRuns } from '@bamboowell/stand-ins/worker-runs';
 import { CellFold } from '@bamboowell/state/cell-fold';
-import type { Point } from './trace.js';
+import { POINTS, type Point } from './trace.js';
 
 /** A method by its name, whatever its visibility. */
 type Method = (this: never, ...args: never[]) => unknown;
@@ -147,8 +148,24 @@
   });
 }
 
+/** Takes a detached worker's leases for lapsed at once. */
+function forgetLeases(): void {
+  replaceMethod(Sessions, 'lapsed', function (this: never) {
+    const { byWorker } = this as { byWorker: Map<string, { attached: boolean }> };
+    return [...byWorker.values()].filter(({ attached }) => !attached);
+  });
+}
+
+/** Relies on the configuration, however long ago the log was read. */
+function trustOldConfiguration(): void {
+  replaceMethod(ConfigurationFreshness, 'standing', () => ({
+    kind: 'fresh',
+    freshUntil: Number.MAX_SAFE_INTEGER,
+  }));
+}
+
 /** What takes the guards of each point out. */
-export const GUARD_REMOVALS: Readonly<Record<Point, () => void>> = {
+const GUARD_REMOVALS: Readonly<Record<Point, () => void>> = {
   no_overcommit: overcommit,
   one_place: outlastLeases,
   key_only: withholdChanges,
@@ -160,3 +177,26 @@
   graceful: releaseAtOnce,
   configuration: ignoreBase,
 };
+
+/** A guard, and the point whose check sees that it is missing. */
+export interface Guard {
+  readonly point: Point;
+  readonly remove: () => void;
+}
+
+/** Single guards, by name. */
+const GUARDS: ReadonlyMap<string, Guard> = new Map([
+  ['lapse_bound', { point: 'one_place', remove: forgetLeases }],
+  ['configuration_freshness', { point: 'key_only', remove: trustOldConfiguration }],
+]);
+
+/** The guard, or all guards of the point, of that name. */
+export function guardOf(name: string): Guard | undefined {
+  const point = POINTS.find((each) => each === name);
+  return point === undefined ? GUARDS.get(name) : { point, remove: GUARD_REMOVALS[point] };
+}
+
+/** All names that `guardOf` knows. */
+export function guardNames(): string[] {
+  return [...POINTS, ...GUARDS.keys()];
+}
--- a/packages/replay/src/main.ts
+++ b/packages/replay/src/main.ts
@@ -4,9 +4,9 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
+import { guardNames, guardOf } from './guards.js';
 import { record } from './record.js';
 import { replay } from './replay.js';
-import { POINTS } from './trace.js';
 
 const OWN_TRACES = fileURLToPath(new URL('../traces', import.meta.url));
 const HEADINGS = ['point', 'failure', 'trace', 'outcome'] as const;
@@ -50,9 +50,9 @@
 
 async function recordOne(out: string): Promise<number> {
   const [file] = positionals;
-  const without = POINTS.find((point) => point === values.without);
-  if (file === undefined || (values.without !== undefined && without === undefined)) {
-    process.stderr.write(`expected --record OUT [--without ${POINTS.join('|')}] FILE\n`);
+  const { without } = values;
+  if (file === undefined || (without !== undefined && guardOf(without) === undefined)) {
+    process.stderr.write(`expected --record OUT [--without ${guardNames().join('|')}] FILE\n`);
     return 1;
   }
   await writeFile(out, await record(await readFile(file, 'utf8'), without));
