Look for work to start only once submitted work was read back

Cause: a submission made the owner go over the waiting work, but it frees no room, and the new work itself waits only from the read-back on. Change: a submission begins no round of the ordering.

--- a/packages/owner/src/upkeep.ts
+++ b/packages/owner/src/upkeep.ts
@@ -30,9 +30,11 @@
 
   /** Whether an input of this kind may let waiting work start. */
   static mayFreeWork(input: Input): boolean {
-    return (
-      input.kind !== 'report' || (input.report.kind !== 'usage' && input.report.kind !== 'started')
-    );
+    if (input.kind === 'report') {
+      return input.report.kind !== 'usage' && input.report.kind !== 'started';
+    }
+    // Submitted work waits only once its record was read back, which is another input.
+    return input.kind !== 'submit';
   }
 
   isDue(input: Input, now: Instant): boolean {
