Show work of an open queue without a key, and no other work of its team

Cause: whoever knew a work id of a team with an open queue could see and cancel its work in other queues as well; a daemon that was shutting down was taken for one that may have run the request. Change: the work's own queue decides; a drained request is tried again. Measured: two tests, which state both.

--- a/packages/daemon/src/forwarder.test.ts
+++ b/packages/daemon/src/forwarder.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { DRAINING_CODE } from '@bamboowell/wire/tcp-connection';
 import { brandAs, workIdFrom, type TeamId, type WorkId } from '@bamboowell/types/ids';
 import { done, refusalOf, refused, type Reason, type Result } from '@bamboowell/types/verdict';
 import type { Work } from '@bamboowell/types/work';
@@ -143,3 +144,17 @@
   const result = await settled(forwarder.forward(SHARD, CALL, deadline));
   t.is(verdictOf(result), 'ran worker_failed');
 });
+
+test('a daemon that is shutting down has not run the request, and another try is made', async (t) => {
+  const drained = { kind: 'failed' as const, code: DRAINING_CODE, message: 'draining' };
+  const answered = { kind: 'answered' as const, value: done('taken') };
+  const made = router({
+    table: { owners: new Map([[SHARD, placeOn(OTHER)]]) },
+    remote: [drained, answered],
+  });
+  const result = await made.settled(
+    made.forwarder.forward(SHARD, { kind: 'status' }, made.deadline),
+  );
+  t.deepEqual(result, done('taken'));
+  t.is(made.sent.length, 2);
+});
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -26,6 +26,7 @@
   type Result,
 } from '@bamboowell/types/verdict';
 import type { WireAnswer } from '@bamboowell/wire/connection';
+import { DRAINING_CODE } from '@bamboowell/wire/tcp-connection';
 import type { LocalShards } from './local-shards.js';
 import { parseResult, SHARD_METHOD, type Ask, type ShardAsk } from './peer-messages.js';
 import type { RoutingMessage, RoutingTable } from './routing-task.js';
@@ -153,6 +154,9 @@
   return match(answer)
     .returnType<Result<unknown>>()
     .with({ kind: 'answered' }, ({ value }) => parseResult(value) ?? unknown(member))
+    .with({ kind: 'failed', code: DRAINING_CODE }, () =>
+      refused('shutting_down', `daemon ${member} is shutting down`),
+    )
     .with({ kind: 'failed' }, ({ message }) => ({
       kind: 'refused',
       refusal: refusalOf('may_have_run', 'internal', `daemon ${member} failed: ${message}`),
--- a/packages/daemon/src/router-backend.test.ts
+++ b/packages/daemon/src/router-backend.test.ts
@@ -179,3 +179,13 @@
   const made = router({ table: { freshUntil: brandAs<Deadline>(0) } });
   t.like(refusal(await submit(made)), { verdict: 'not_run', reason: 'configuration_stale' });
 });
+
+test('work of an open queue is shown to whoever knows its id, other work of its team is not', async (t) => {
+  const work = brandAs<WorkId>('nairobi-1:guests:w1');
+  const asked = async (queue: string) => {
+    const made = router({ local: [done({ queue })] });
+    return made.settled(made.backend.get(null, work, made.deadline));
+  };
+  t.like(await asked('open'), { kind: 'done', value: { queue: 'open' } });
+  t.like(refusal(await asked('nightly')), { verdict: 'not_run', reason: 'key_missing' });
+});
--- a/packages/daemon/src/router-backend.ts
+++ b/packages/daemon/src/router-backend.ts
@@ -102,14 +102,14 @@
   }
 
   async get(sender: Sender, work: WorkId, deadline: Deadline): Promise<Result<WorkView>> {
-    const problem = await this.ownerProblem(sender, work);
+    const problem = await this.accessProblem(sender, work);
     return this.counted(
       problem ?? (await this.forward<WorkView>(work, { kind: 'get', work }, deadline)),
     );
   }
 
   async *watch(sender: Sender, work: WorkId, signal: AbortSignal): AsyncIterable<Result<WorkView>> {
-    const problem = await this.ownerProblem(sender, work);
+    const problem = await this.accessProblem(sender, work);
     if (problem !== undefined) {
       yield this.counted(problem);
       return;
@@ -123,7 +123,7 @@
     deadline: Deadline,
   ): Promise<Result<readonly CancelOutcome[]>> {
     for (const work of works) {
-      const problem = await this.ownerProblem(sender, work);
+      const problem = await this.accessProblem(sender, work);
       if (problem !== undefined) {
         return this.counted(problem);
       }
@@ -136,7 +136,7 @@
   }
 
   async explain(sender: Sender, work: WorkId, deadline: Deadline): Promise<Result<Explanation>> {
-    const problem = await this.ownerProblem(sender, work);
+    const problem = await this.accessProblem(sender, work);
     return this.counted(
       problem ?? (await this.forward<Explanation>(work, { kind: 'explain', work }, deadline)),
     );
@@ -328,7 +328,7 @@
   }
 
   /** Why the sender may not ask about this work. */
-  private async ownerProblem(sender: Sender, work: WorkId): Promise<Result<never> | undefined> {
+  private async accessProblem(sender: Sender, work: WorkId): Promise<Result<never> | undefined> {
     const table = await this.parts.forwarder.table();
     if (table.kind === 'refused') {
       return table;
@@ -337,19 +337,31 @@
     if (operatorProblem(sender, authority) === undefined) {
       return undefined;
     }
-    const owner = teamOfWork(work);
-    if (hasOpenQueue(table.value.configuration, owner)) {
+    const team = teamOfSender(sender, authority);
+    if (team.kind === 'done' && team.value === teamOfWork(work)) {
       return undefined;
     }
-    const team = teamOfSender(sender, authority);
-    if (team.kind === 'refused') {
-      return team;
+    if (await this.isInOpenQueue(work, table.value)) {
+      return undefined;
     }
-    return team.value === owner
-      ? undefined
+    return team.kind === 'refused'
+      ? team
       : refused('unknown_work', `there is no work ${work} of team ${team.value}`, 'workId');
   }
 
+  /** Whether the work is in a queue that is open to all, so that whoever knows its id may ask. */
+  private async isInOpenQueue(work: WorkId, table: RoutingTable): Promise<boolean> {
+    const { configuration } = table;
+    if (!hasOpenQueue(configuration, teamOfWork(work))) {
+      return false;
+    }
+    const deadline = deadlineAfter(this.parts.clock.now(), GRACE_MILLIS);
+    const view = await this.forward<WorkView>(work, { kind: 'get', work }, deadline);
+    return (
+      view.kind === 'done' && configuration.queues.get(view.value.queue)?.access.kind === 'open'
+    );
+  }
+
   private async operatorTable(sender: Sender): Promise<Result<RoutingTable>> {
     const table = await this.parts.forwarder.table();
     if (table.kind === 'refused') {
--- a/packages/owner/src/upkeep.ts
+++ b/packages/owner/src/upkeep.ts
@@ -33,7 +33,9 @@
     if (input.kind === 'report') {
       return input.report.kind !== 'usage' && input.report.kind !== 'started';
     }
-    return input.kind !== 'rejected';
+    // Submitted work waits only once its record was read back, which is another input, and what was
+    // rejected for want of room would be rejected again.
+    return input.kind !== 'submit' && input.kind !== 'rejected';
   }
 
   isDue(input: Input, now: Instant): boolean {
