End the processes of a cell that fails to start

Cause: if one process did not start, the others stayed for good.

Change: the cell is stopped before the error goes on.

--- a/packages/demo/src/cell.ts
+++ b/packages/demo/src/cell.ts
@@ -93,19 +93,12 @@
     const log = await Child.start('log', 'log', ['--port', '0']);
     const vms = await Child.start('vms', 'vms', ['--port', '0']);
     const cell = new Cell(plan, directory, log, vms);
-    for (const worker of plan.workers) {
-      await cell.startWorker(worker);
+    try {
+      await cell.startAll();
+    } catch (error) {
+      await cell.stop();
+      throw error;
     }
-    for (const daemon of plan.daemons) {
-      cell.running.set(daemon.id, {
-        plan: daemon,
-        peerPort: await freePort(),
-        callerPort: await freePort(),
-        child: vms,
-      });
-    }
-    await cell.publishVms();
-    await Promise.all(plan.daemons.map(({ id }) => cell.startDaemon(id)));
     return cell;
   }
 
@@ -208,6 +201,22 @@
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  private async startAll(): Promise<void> {
+    for (const worker of this.plan.workers) {
+      await this.startWorker(worker);
+    }
+    for (const daemon of this.plan.daemons) {
+      this.running.set(daemon.id, {
+        plan: daemon,
+        peerPort: await freePort(),
+        callerPort: await freePort(),
+        child: this.vms,
+      });
+    }
+    await this.publishVms();
+    await Promise.all(this.plan.daemons.map(({ id }) => this.startDaemon(id)));
+  }
+
   /** Waits until the daemon says that it may be sent requests. */
   async untilReady(id: string): Promise<void> {
     for (let attempt = 0; attempt < READY_TRIES; attempt += 1) {
