--- a/packages/front/src/app.ts
+++ b/packages/front/src/app.ts
@@ -4,12 +4,17 @@
 import { Code, ConnectError, createConnectRouter, type Interceptor } from '@connectrpc/connect';
 import { errorToJson } from '@connectrpc/connect/protocol-connect';
 import {
+  createAsyncIterable,
   universalServerRequestFromFetch,
   universalServerResponseToFetch,
   type UniversalHandler,
 } from '@connectrpc/connect/protocol';
 import type { Clock } from '@bamboowell/kernel/clock';
+import type { Counters } from '@bamboowell/metrics/counters';
+import { refusalCounter } from '@bamboowell/metrics/names';
+import { refusalOf, type Refusal } from '@bamboowell/types/verdict';
 import type { Backend } from './backend.js';
+import { readBody, type Body } from './body.js';
 import { errorOf, refusalOfDecoding } from './failure.js';
 import { registerRoutes } from './routes.js';
 
@@ -17,6 +22,7 @@
 export interface AppOptions {
   readonly backend: Backend;
   readonly clock: Clock;
+  readonly counters: Counters;
   readonly maxBodyBytes: number;
   /** Whether the balancer may send requests here. */
   readonly isReady: () => Promise<boolean>;
@@ -24,6 +30,9 @@
 
 const OK = 200;
 const NOT_READY = 503;
+const BAD_REQUEST = 400;
+/** The Connect protocol's status of `resource_exhausted`. */
+const TOO_LARGE = 429;
 const JSON_TYPE = 'application/json';
 
 export function buildApp(options: AppOptions): Hono {
@@ -33,7 +42,7 @@
     (await options.isReady()) ? context.text('ready', OK) : context.text('not ready', NOT_READY),
   );
   for (const handler of handlersOf(options)) {
-    app.all(handler.requestPath, (context) => serve(handler, context.req.raw));
+    app.all(handler.requestPath, (context) => serve(handler, context.req.raw, options));
   }
   app.notFound((context) =>
     context.json({ code: 'not_found', message: 'not run: there is no such call' }, 404),
@@ -41,33 +50,84 @@
   return app;
 }
 
-function handlersOf({ backend, clock, maxBodyBytes }: AppOptions): UniversalHandler[] {
+function handlersOf({ backend, clock, counters, maxBodyBytes }: AppOptions): UniversalHandler[] {
   const router = createConnectRouter({
     readMaxBytes: maxBodyBytes,
     jsonOptions: { ignoreUnknownFields: false },
-    interceptors: [describingStreams],
+    interceptors: [describingStreams(counters)],
   });
-  registerRoutes(router, backend, clock);
+  registerRoutes(router, { backend, clock, counters });
   return router.handlers;
 }
 
 /** Adds a Failure to errors of the decoder within a stream; `withFailure` sees only whole answers. */
-const describingStreams: Interceptor = (next) => (request) =>
-  next(request.stream ? { ...request, message: described(request.message) } : request);
+function describingStreams(counters: Counters): Interceptor {
+  return (next) => (request) =>
+    next(request.stream ? { ...request, message: described(request.message, counters) } : request);
+}
 
-async function* described<Message>(messages: AsyncIterable<Message>): AsyncIterable<Message> {
+async function* described<Message>(
+  messages: AsyncIterable<Message>,
+  counters: Counters,
+): AsyncIterable<Message> {
   try {
     yield* messages;
   } catch (error) {
-    throw errorOf(refusalOfDecoding(ConnectError.from(error)));
+    throw errorOf(counted(refusalOfDecoding(ConnectError.from(error)), counters));
   }
 }
 
-async function serve(handler: UniversalHandler, request: Request): Promise<Response> {
-  const answer = await handler(universalServerRequestFromFetch(request, {}));
+function counted(refusal: Refusal, counters: Counters): Refusal {
+  counters.increment(refusalCounter(refusal.reason));
+  return refusal;
+}
+
+async function serve(
+  handler: UniversalHandler,
+  request: Request,
+  options: AppOptions,
+): Promise<Response> {
+  const { clock, counters } = options;
+  const method = handler.method.name;
+  const begun = clock.now();
+  counters.increment('request.received', { method });
+  const response = await answered(handler, request, options);
+  counters.timing('request.millis', clock.now() - begun, { method });
+  return response;
+}
+
+async function answered(
+  handler: UniversalHandler,
+  request: Request,
+  { counters, maxBodyBytes }: AppOptions,
+): Promise<Response> {
+  const body = await readBody(request.body, maxBodyBytes);
+  if (body.kind !== 'whole') {
+    return refusedBody(body, maxBodyBytes, counters);
+  }
+  const answer = await handler({
+    ...universalServerRequestFromFetch(request, {}),
+    body: createAsyncIterable([...body.chunks]),
+  });
   const response = universalServerResponseToFetch(answer);
   const isError = response.status !== OK && response.headers.get('content-type') === JSON_TYPE;
-  return isError ? withFailure(response) : response;
+  return isError ? withFailure(response, counters) : response;
+}
+
+function refusedBody(
+  body: Exclude<Body, { kind: 'whole' }>,
+  maxBodyBytes: number,
+  counters: Counters,
+): Response {
+  const refusal =
+    body.kind === 'broken'
+      ? refusalOf('not_run', 'malformed', 'the body of the request did not arrive whole')
+      : refusalOf('not_run', 'body_too_large', `expected a body of at most ${maxBodyBytes} bytes`);
+  const isReusable = body.kind === 'too_large' && body.isRead;
+  return new Response(JSON.stringify(errorToJson(errorOf(counted(refusal, counters)), {})), {
+    status: body.kind === 'broken' ? BAD_REQUEST : TOO_LARGE,
+    headers: { 'content-type': JSON_TYPE, ...(isReusable ? {} : { connection: 'close' }) },
+  });
 }
 
 interface ErrorBody {
@@ -77,9 +137,9 @@
 }
 
 /** Adds a Failure to errors that the decoder made before any handler ran. */
-async function withFailure(response: Response): Promise<Response> {
+async function withFailure(response: Response, counters: Counters): Promise<Response> {
   const body = (await response.json()) as ErrorBody;
-  const complete = body.details === undefined ? describe(body) : body;
+  const complete = body.details === undefined ? describe(body, counters) : body;
   return new Response(JSON.stringify(complete), {
     status: response.status,
     headers: { 'content-type': JSON_TYPE },
@@ -91,8 +151,8 @@
   resource_exhausted: Code.ResourceExhausted,
 };
 
-function describe(body: ErrorBody): unknown {
+function describe(body: ErrorBody, counters: Counters): unknown {
   const code = DECODER_CODES[body.code] ?? Code.Internal;
   const refusal = refusalOfDecoding(new ConnectError(body.message ?? '', code));
-  return errorToJson(errorOf(refusal), {});
+  return errorToJson(errorOf(counted(refusal, counters)), {});
 }
--- a/packages/owner/src/upkeep.ts
+++ b/packages/owner/src/upkeep.ts
@@ -34,7 +34,7 @@
       return input.report.kind !== 'usage' && input.report.kind !== 'started';
     }
     // Submitted work waits only once its record was read back, which is another input.
-    return input.kind !== 'submit';
+    return input.kind !== 'submit' && input.kind !== 'rejected';
   }
 
   isDue(input: Input, now: Instant): boolean {
