--- a/packages/daemon/src/platform-services.ts
+++ b/packages/daemon/src/platform-services.ts
@@ -1,14 +1,15 @@
 /** The services by which a daemon reaches the platform and other processes. */
 
-import { readFile } from 'node:fs/promises';
-import { Service, type ServiceKey } from '@bamboowell/kernel/service';
+import { Service, type Directory, type ServiceKey } from '@bamboowell/kernel/service';
 import { HttpLog } from '@bamboowell/log/http-log';
 import type { Log } from '@bamboowell/log/log';
 import { HttpVmList } from '@bamboowell/membership/http-vm-list';
 import type { VmList } from '@bamboowell/membership/vm-list';
-import type { TlsIdentity } from '@bamboowell/wire/tls-identity';
+import type { Address } from '@bamboowell/types/vm';
+import { readPeerIdentity } from './certificate-files.js';
+import { CountingMeter } from './counting-meter.js';
 import type { Environment } from './environment.js';
-import { LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
+import { COUNTERS, EVENTS, LINKS, LOG, TRANSPORT, VM_LIST } from './keys.js';
 import type { LinkMaker, Transport } from './platform.js';
 import { TcpLinkMaker, TcpTransport } from './tcp-platform.js';
 
@@ -54,46 +55,41 @@
 
 export class TransportService extends Service<Transport> {
   readonly key = TRANSPORT;
-  readonly needs = NOTHING_NEEDED;
+  readonly needs = [EVENTS, COUNTERS];
 
   constructor(private readonly environment: Environment) {
     super();
   }
 
-  async start(): Promise<Transport> {
+  async start(directory: Directory): Promise<Transport> {
     const { settings, clock } = this.environment;
-    const { host, port } = settings.peers;
-    return new TcpTransport({ host, port, clock, tls: await this.readIdentity() });
+    const { host, port, tls: files } = settings.peers;
+    const events = directory.find(EVENTS);
+    const tls = files === undefined ? undefined : await readPeerIdentity(files);
+    const unreachable = (address: Address, detail: string): void => {
+      events.event('peer.unreachable', { host: address.host, port: address.port, detail });
+    };
+    const meter = new CountingMeter('peer', directory.find(COUNTERS));
+    return new TcpTransport({ host, port, clock, tls, meter, unreachable });
   }
 
   stop(): Promise<void> {
     return Promise.resolve();
   }
-
-  private async readIdentity(): Promise<TlsIdentity | undefined> {
-    const { tls } = this.environment.settings.peers;
-    if (tls === undefined) {
-      return undefined;
-    }
-    return {
-      certificateAuthority: await readFile(tls.caFile, 'utf8'),
-      certificate: await readFile(tls.certFile, 'utf8'),
-      privateKey: await readFile(tls.keyFile, 'utf8'),
-    };
-  }
 }
 
 export class LinksService extends Service<LinkMaker> {
   readonly key = LINKS;
-  readonly needs = NOTHING_NEEDED;
+  readonly needs = [COUNTERS];
 
   constructor(private readonly environment: Environment) {
     super();
   }
 
-  start(): Promise<LinkMaker> {
+  start(directory: Directory): Promise<LinkMaker> {
     const { clock, random } = this.environment;
-    return Promise.resolve(new TcpLinkMaker(clock, random));
+    const meter = new CountingMeter('worker', directory.find(COUNTERS));
+    return Promise.resolve(new TcpLinkMaker(clock, random, meter));
   }
 
   stop(): Promise<void> {
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -75,8 +75,9 @@
     const { live, limits, sessions, waiting, health, preemptions, overuses, stops } = this;
     this.starts = new Starts(context, { live, limits, sessions, waiting, health, preemptions });
     this.ends = new Ends(context, this.live);
-    this.submissions = new Submissions(context);
-    this.calls = new Calls(context, this.live, this.limits, this.sessions, this.submissions);
+    const submissions = new Submissions(context);
+    this.submissions = submissions;
+    this.calls = new Calls(context, { live, limits, sessions, submissions, health });
     this.cancels = new Cancels(context, this.live, this.waiting);
     const { starts, ends, calls } = this;
     this.reports = new Reports(context, {
@@ -144,12 +145,18 @@
 
   private receive(input: Input): void {
     match(input)
-      .with({ kind: 'restored' }, ({ snapshot }) => {
-        this.restore(snapshot);
+      .with({ kind: 'report' }, ({ report }) => {
+        this.reports.receive(report);
       })
       .with({ kind: 'batch' }, ({ batch }) => {
         this.applyBatch(batch);
       })
+      .with({ kind: 'submit' }, ({ work, deadline, token }) => {
+        this.submissions.submit(work, deadline, token);
+      })
+      .with({ kind: 'restored' }, ({ snapshot }) => {
+        this.restore(snapshot);
+      })
       .with({ kind: 'rejected' }, ({ sequences }) => {
         for (const sequence of sequences) {
           this.submissions.rejected(sequence);
@@ -179,12 +186,6 @@
       .with({ kind: 'workers' }, ({ vms }) => {
         this.setWorkers(vms);
       })
-      .with({ kind: 'report' }, ({ report }) => {
-        this.reports.receive(report);
-      })
-      .with({ kind: 'submit' }, ({ work, deadline, token }) => {
-        this.submissions.submit(work, deadline, token);
-      })
       .with({ kind: 'call' }, ({ work, deadline, token }) => {
         this.calls.call(work, deadline, token);
       })
@@ -214,6 +215,7 @@
 
   private keepUpOwned(): void {
     this.reports.lapse();
+    this.ends.retry();
     this.sessions.wakeRested();
     this.health.endQuarantines();
     this.waiting.releaseHeld();
@@ -279,18 +281,9 @@
 
   private applied({ writer, record }: Stamped<ShardRecord>): void {
     match(record)
-      .with({ kind: 'claim' }, ({ epoch }) => {
-        this.claimed(writer === this.context.options.writer, epoch);
-      })
-      .with({ kind: 'release' }, () => {
-        this.released();
-      })
       .with({ kind: 'accept' }, ({ work }) => {
         this.accepted(work.id);
       })
-      .with({ kind: 'cancel' }, ({ works }) => {
-        this.cancels.applied(works);
-      })
       .with({ kind: 'place' }, ({ attempts }) => {
         for (const attempt of attempts) {
           this.context.emit({ kind: 'changed', work: workOfTask(attempt.task) });
@@ -299,6 +292,15 @@
       .with({ kind: 'end' }, ({ attempt, outcome }) => {
         this.ended(attempt, outcome);
       })
+      .with({ kind: 'claim' }, ({ epoch }) => {
+        this.claimed(writer === this.context.options.writer, epoch);
+      })
+      .with({ kind: 'release' }, () => {
+        this.released();
+      })
+      .with({ kind: 'cancel' }, ({ works }) => {
+        this.cancels.applied(works);
+      })
       .with({ kind: 'checkpoint' }, () => undefined)
       .exhaustive();
   }
