--- a/packages/replay/src/player.ts
+++ b/packages/replay/src/player.ts
@@ -1,7 +1,7 @@
-/** Plays the steps of a trace on a stage, and asks it whether expectations hold. */
+/** Plays the steps of a trace on a stage. */
 
 import { match } from 'ts-pattern';
-import type { Order, Sender, WorkView } from '@bamboowell/front/backend';
+import type { Order, Sender } from '@bamboowell/front/backend';
 import type { Change } from '@bamboowell/types/declarations';
 import {
   brandAs,
@@ -11,13 +11,12 @@
   type RequestId,
   type TeamId,
   type Version,
-  type WorkId,
 } from '@bamboowell/types/ids';
-import { add, fits, NOTHING, type Resources } from '@bamboowell/types/resources';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { Result } from '@bamboowell/types/verdict';
 import type { Shape } from '@bamboowell/types/work';
 import type { Seen } from './observation.js';
+import { Examiner, type Told } from './examiner.js';
 import { Recorder } from './recorder.js';
 import { OPERATOR, secretHashOf } from './stage/staged-daemon.js';
 import { Stage } from './stage/stage.js';
@@ -39,15 +38,15 @@
 export class Player {
   private readonly stage: Stage;
   private readonly recorder: Recorder;
-  private readonly works = new Map<string, WorkId>();
-  private readonly applied = new Map<string, Result<Version>>();
-  private readonly repeated = new Map<string, boolean>();
+  private readonly told: Told = { works: new Map(), applied: new Map(), repeated: new Map() };
+  private readonly examiner: Examiner;
   private readonly cutOff = new Set<string>();
   private readonly disappointments: Disappointment[] = [];
 
   constructor(private readonly trace: Trace) {
     this.recorder = new Recorder(() => this.stage.clock.now());
     this.stage = new Stage(this.recorder, trace.header.seed);
+    this.examiner = new Examiner(this.stage, this.recorder, this.told);
   }
 
   get observations() {
@@ -90,7 +89,7 @@
         this.call(call);
       })
       .with({ do: 'cancel' }, ({ through, key, requests }) => {
-        const works = requests.flatMap((request) => this.works.get(request) ?? []);
+        const works = requests.flatMap((request) => this.told.works.get(request) ?? []);
         void stage.daemon(through).backend.cancel(senderOf(key), works, this.deadline(GET_MILLIS));
       })
       .with({ do: 'daemon' }, (change) => this.changeDaemon(change))
@@ -148,7 +147,7 @@
       return backend.apply(operator, from, changes.map(changeOf), this.deadline(GET_MILLIS));
     };
     void run().then((result) => {
-      this.applied.set(name, result);
+      this.told.applied.set(name, result);
       if (result.kind === 'done') {
         this.recorder.add({ at: this.now(), saw: 'applied', version: result.value });
       }
@@ -166,10 +165,10 @@
       .then((result) => {
         const work = result.kind === 'done' ? result.value.work : (result.refusal.work ?? null);
         if (result.kind === 'done') {
-          this.repeated.set(submit.request, result.value.repeated);
+          this.told.repeated.set(submit.request, result.value.repeated);
         }
         if (work !== null) {
-          this.works.set(submit.request, work);
+          this.told.works.set(submit.request, work);
         }
         this.sawAnswer(submit, result, null, work);
       });
@@ -328,187 +327,12 @@
   }
 
   private async judge(expectation: Line<Expectation>): Promise<void> {
-    const detail = await match(expectation)
-      .returnType<string | undefined | Promise<string | undefined>>()
-      .with({ expect: 'answer' }, (expected) => this.judgeAnswer(expected))
-      .with({ expect: 'runs' }, (expected) => this.judgeRuns(expected))
-      .with({ expect: 'state' }, ({ request, phases }) => this.judgeState(request, phases))
-      .with({ expect: 'owner' }, (expected) => this.judgeOwner(expected))
-      .with({ expect: 'version' }, ({ daemon, is }) => this.judgeVersion(daemon, is))
-      .with({ expect: 'applied' }, (expected) => this.judgeApplied(expected))
-      .with({ expect: 'running' }, (expected) => this.judgeRunning(expected))
-      .with({ expect: 'logged' }, (expected) => this.judgeLogged(expected))
-      .exhaustive();
+    const detail = await this.examiner.judge(expectation);
     if (detail !== undefined) {
       this.disappointments.push({ line: expectation.line, detail });
     }
   }
 
-  private judgeAnswer({
-    request,
-    verdict,
-    reason,
-    answer,
-    repeated,
-  }: Extract<Expectation, { expect: 'answer' }>): string | undefined {
-    const seen = this.seen('answer').filter((each) => each.request === request);
-    const [first] = seen;
-    if (first === undefined) {
-      return verdict === 'none_yet'
-        ? undefined
-        : `request ${request} has no answer, expected ${verdict}`;
-    }
-    if (seen.length > 1) {
-      return `request ${request} was answered ${seen.length} times`;
-    }
-    if (first.verdict !== verdict) {
-      return `request ${request} was answered ${first.verdict} (${first.reason ?? ''}), expected ${verdict}`;
-    }
-    if (reason !== undefined && first.reason !== reason) {
-      return `request ${request} was refused for ${first.reason ?? ''}, expected ${reason}`;
-    }
-    if (repeated !== undefined && this.repeated.get(request) !== repeated) {
-      return `request ${request} was${repeated ? ' not' : ''} told to be repeated`;
-    }
-    return answer !== undefined && first.answer !== answer
-      ? `request ${request} got the answer ${first.answer ?? ''}, expected ${answer}`
-      : undefined;
-  }
-
-  private judgeRuns({
-    request,
-    count,
-    atMost,
-    worker,
-    notOn,
-  }: Extract<Expectation, { expect: 'runs' }>): string | undefined {
-    const runs = this.seen('run').filter((run) => run.request === request);
-    if (count !== undefined && runs.length !== count) {
-      return `request ${request} ran ${runs.length} times, expected ${count}`;
-    }
-    if (atMost !== undefined && runs.length > atMost) {
-      return `request ${request} ran ${runs.length} times, expected at most ${atMost}`;
-    }
-    if (worker !== undefined && runs.some((run) => run.worker !== worker)) {
-      return `request ${request} ran elsewhere than on ${worker}`;
-    }
-    return notOn !== undefined && runs.some((run) => run.worker === notOn)
-      ? `request ${request} ran on ${notOn}`
-      : undefined;
-  }
-
-  private async judgeState(
-    request: string,
-    phases: Readonly<Record<string, number>>,
-  ): Promise<string | undefined> {
-    const work = this.works.get(request);
-    const through = [...this.stage.daemons.values()].find((daemon) => daemon.gate.isOpen);
-    if (work === undefined || through === undefined) {
-      return `request ${request} was accepted as no work that can be asked for`;
-    }
-    const view = await this.awaited(through.backend.get(operator, work, this.deadline(GET_MILLIS)));
-    if (view?.kind !== 'done') {
-      return `the state of request ${request} can't be had`;
-    }
-    const counts = countPhases(view.value);
-    const wrong = Object.entries(phases).find(
-      ([phase, count]) => (counts.get(phase) ?? 0) !== count,
-    );
-    return wrong === undefined
-      ? undefined
-      : `request ${request} has ${counts.get(wrong[0]) ?? 0} tasks ${wrong[0]}, expected ${wrong[1]}`;
-  }
-
-  private judgeOwner({
-    shard,
-    daemon,
-    not,
-  }: Extract<Expectation, { expect: 'owner' }>): string | undefined {
-    const owner = this.seen('owner').findLast((each) => each.shard === shard);
-    if (daemon !== undefined && owner?.daemon !== daemon) {
-      return `shard ${shard} is owned by ${owner?.daemon ?? 'nobody'}, expected ${daemon}`;
-    }
-    return not !== undefined && owner?.daemon === not
-      ? `shard ${shard} is owned by ${not}`
-      : undefined;
-  }
-
-  private judgeVersion(daemon: string, is: number): string | undefined {
-    const version = this.seen('configuration').findLast((each) => each.daemon === daemon)?.version;
-    return version === is
-      ? undefined
-      : `daemon ${daemon} has version ${version ?? 0}, expected ${is}`;
-  }
-
-  private judgeApplied({
-    name,
-    version,
-    reason,
-  }: Extract<Expectation, { expect: 'applied' }>): string | undefined {
-    const result = this.applied.get(name);
-    if (result === undefined) {
-      return `the change ${name} has no answer`;
-    }
-    if (result.kind === 'done') {
-      return reason === undefined && (version === undefined || result.value === version)
-        ? undefined
-        : `the change ${name} was applied as version ${result.value}`;
-    }
-    return result.refusal.reason === reason
-      ? undefined
-      : `the change ${name} was refused for ${result.refusal.reason}`;
-  }
-
-  private judgeRunning({
-    team,
-    atMost,
-    tasks,
-  }: Extract<Expectation, { expect: 'running' }>): string | undefined {
-    const ended = new Set(this.seen('run_ended').map(({ attempt }) => attempt));
-    const running = this.seen('run').filter((run) => run.team === team && !ended.has(run.attempt));
-    const sum = running.reduce<Resources>((total, { demand }) => add(total, demand), NOTHING);
-    if (tasks !== undefined && running.length !== tasks) {
-      return `team ${team} runs ${running.length} tasks, expected ${tasks}`;
-    }
-    return atMost !== undefined && !fits(sum, atMost)
-      ? `team ${team} runs ${JSON.stringify(sum)}`
-      : undefined;
-  }
-
-  private judgeLogged({
-    event,
-    fields,
-    atLeast,
-    atMost,
-  }: Extract<Expectation, { expect: 'logged' }>): string | undefined {
-    const wanted = Object.entries(fields);
-    const count = this.recorder.events.filter(
-      (each) => each.name === event && wanted.every(([name, value]) => each.fields[name] === value),
-    ).length;
-    return count < atLeast || (atMost !== undefined && count > atMost)
-      ? `the event ${event} was logged ${count} times`
-      : undefined;
-  }
-
-  private seen<Kind extends 'run' | 'run_ended' | 'answer' | 'owner' | 'configuration'>(
-    kind: Kind,
-  ): Seen<Kind>[] {
-    return this.recorder.observations.filter((each): each is Seen<Kind> => each.saw === kind);
-  }
-
-  /** Lets time pass until the promise settles, for as long as a question may take. */
-  private async awaited<Value>(promise: Promise<Value>): Promise<Value | undefined> {
-    let value: Value | undefined;
-    void promise.then((settled) => {
-      value = settled;
-    });
-    const until = this.now() + GET_MILLIS;
-    while (value === undefined && this.now() < until) {
-      await this.stage.passUntil(this.now() + 1);
-    }
-    return value;
-  }
-
   private now(): number {
     return this.stage.clock.now();
   }
@@ -536,11 +360,3 @@
     }))
     .otherwise((plain) => plain as Change);
 }
-
-function countPhases({ tasks }: WorkView): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const { phase } of tasks) {
-    counts.set(phase, (counts.get(phase) ?? 0) + 1);
-  }
-  return counts;
-}
