Split the router's backend and a shard's task, and measure recovery by name

Choosing the shard, admitting work, answering questions and telling watchers were further jobs of two large modules.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Runs the measurement that is named on the command line and prints its figures as JSON. */
 
+import { measureRecovery } from '@bamboowell/demo/recovery';
 import { measureCapacity } from './capacity.js';
 import { measureControlCost } from './control-cost.js';
 import { measurePacking } from './packing.js';
@@ -15,6 +16,7 @@
   ['packing', measurePacking],
   ['capacity', measureCapacity],
   ['control-cost', measureControlCost],
+  ['recovery', measureRecovery],
 ]);
 
 const name = process.argv[2] ?? '';
--- a/packages/daemon/src/router-backend.ts
+++ b/packages/daemon/src/router-backend.ts
@@ -17,17 +17,13 @@
   type WorkView,
 } from '@bamboowell/front/backend';
 import type { Counters } from '@bamboowell/metrics/counters';
-import { refusalCounter, retryCounter } from '@bamboowell/metrics/names';
+import { refusalCounter } from '@bamboowell/metrics/names';
 import type { Response } from '@bamboowell/owner/messages';
-import { shardForCall, shardForWork, type ShardLoad } from '@bamboowell/policy/routing';
-import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Change, Configuration } from '@bamboowell/types/declarations';
 import {
   brandAs,
   shardOfWork,
   teamOfWork,
-  workIdFrom,
   type MemberId,
   type RegionId,
   type ShardId,
@@ -37,17 +33,12 @@
 } from '@bamboowell/types/ids';
 import { deadlineAfter, hasPassed, MILLIS_PER_SECOND, type Deadline } from '@bamboowell/types/time';
 import { done, refusalOf, refused, type Result } from '@bamboowell/types/verdict';
-import type { Work } from '@bamboowell/types/work';
-import {
-  operatorProblem,
-  teamForQueue,
-  teamOfSender,
-  type Authority,
-  type OperatorKey,
-} from './authorise.js';
+import { operatorProblem, teamOfSender, type Authority, type OperatorKey } from './authorise.js';
 import type { CellMessage } from './cell-messages.js';
 import type { Forwarder } from './forwarder.js';
 import type { RoutingTable } from './routing-task.js';
+import { ShardChoice } from './shard-choice.js';
+import { WorkAdmission } from './work-admission.js';
 import { watchWork, type WatchParts } from './watch-work.js';
 
 export interface RouterParts {
@@ -68,15 +59,16 @@
 const GRACE_MILLIS = MILLIS_PER_SECOND;
 
 export class RouterBackend extends Backend {
-  private readonly generator: RandomGenerator;
+  private readonly admission: WorkAdmission;
 
   constructor(private readonly parts: RouterParts) {
     super();
-    this.generator = xoroshiro128plus(parts.seed);
+    const choice = new ShardChoice(parts.region, parts.seed);
+    this.admission = new WorkAdmission({ ...parts, choice });
   }
 
   async submit(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Acceptance>> {
-    const work = await this.workOf(sender, order, deadline);
+    const work = await this.admission.workOf(sender, order, deadline);
     if (work.kind === 'refused') {
       return this.counted(work);
     }
@@ -89,7 +81,7 @@
   }
 
   async call(sender: Sender, order: Order, deadline: Deadline): Promise<Result<CallAnswer>> {
-    const work = await this.workOf(sender, order, deadline);
+    const work = await this.admission.workOf(sender, order, deadline);
     if (work.kind === 'refused') {
       return this.counted(work);
     }
@@ -253,80 +245,6 @@
     )) as Result<Value>;
   }
 
-  /** Waits until the configuration can be relied on, as far as the deadline allows. */
-  private async workOf(sender: Sender, order: Order, deadline: Deadline): Promise<Result<Work>> {
-    const { forwarder, counters } = this.parts;
-    for (let attempt = 0; ; attempt += 1) {
-      const work = await this.workNow(sender, order);
-      const isStale = work.kind === 'refused' && work.refusal.reason === 'configuration_stale';
-      if (!isStale || !(await forwarder.backOff(attempt, deadline))) {
-        return work;
-      }
-      counters.increment(retryCounter('configuration_stale'));
-    }
-  }
-
-  private async workNow(sender: Sender, order: Order): Promise<Result<Work>> {
-    const table = await this.parts.forwarder.table();
-    if (table.kind === 'refused') {
-      return table;
-    }
-    const team = teamForQueue(sender, order.queue, this.authority(table.value));
-    if (team.kind === 'refused') {
-      return team;
-    }
-    const shard = this.shardFor(order, team.value, table.value);
-    if (shard.kind === 'refused') {
-      return shard;
-    }
-    const { queue, requestId, shape, urgency, demand, payload } = order;
-    const { expectedMillis, idempotent, checkpointable } = order;
-    const id = workIdFrom(shard.value, team.value, this.parts.unique());
-    return done({
-      id,
-      team: team.value,
-      queue,
-      requestId,
-      shape,
-      urgency,
-      demand,
-      expectedMillis,
-      idempotent,
-      checkpointable,
-      payload,
-    });
-  }
-
-  /**
-   * A repeat of durable work must reach the same shard, so that its choice rests on the request's
-   * id alone. A quick call goes where there is less to do.
-   */
-  private shardFor(order: Order, team: TeamId, table: RoutingTable): Result<ShardId> {
-    const { configuration } = table;
-    if (order.dataCentre !== null) {
-      return configuration.dataCentres.has(order.dataCentre)
-        ? done(brandAs<ShardId>(order.dataCentre))
-        : refused('malformed', `there is no data centre ${order.dataCentre}`, 'dataCentre');
-    }
-    const shards = [...configuration.dataCentres.values()]
-      .filter(({ region }) => region === this.parts.region)
-      .map(({ id }) => brandAs<ShardId>(id));
-    const isCall = order.shape.kind === 'quick_call';
-    const chosen = isCall ? shardForCall(this.loadsOf(shards, table), this.generator) : undefined;
-    const shard = chosen ?? shardForWork(team, order.requestId, shards);
-    return shard === undefined
-      ? refused('no_owner', `no data centre of region ${this.parts.region} is declared`)
-      : done(shard);
-  }
-
-  private loadsOf(shards: readonly ShardId[], { owners, local }: RoutingTable): ShardLoad[] {
-    return shards.map((shard) => {
-      const place = owners.get(shard) ?? local.get(shard);
-      const load = place === undefined ? 0 : place.running + place.waiting;
-      return { shard, reachable: place !== undefined, load };
-    });
-  }
-
   /** Why the sender may not ask about this work. */
   private async accessProblem(sender: Sender, work: WorkId): Promise<Result<never> | undefined> {
     const table = await this.parts.forwarder.table();
--- a/packages/daemon/src/shard-task.ts
+++ b/packages/daemon/src/shard-task.ts
@@ -21,28 +21,21 @@
 import type { Authority, Input, Output, Response, Token } from '@bamboowell/owner/messages';
 import { ShardOwner } from '@bamboowell/owner/shard-owner';
 import type { ShardSnapshot } from '@bamboowell/state/shard-fold';
-import { brandAs, type Epoch, type ShardId, type WorkId } from '@bamboowell/types/ids';
+import { brandAs, type Epoch, type ShardId } from '@bamboowell/types/ids';
 import { streamOfShard, type ShardRecord, type Stamped } from '@bamboowell/types/records';
 import { deadlineAfter, NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
-import { done, refused, type Result } from '@bamboowell/types/verdict';
+import { done, type Result } from '@bamboowell/types/verdict';
 import { wrapped } from './adapter.js';
 import type { CellEvent, CellMessage } from './cell-messages.js';
 import { ClaimPlanner } from './claim-planner.js';
 import { newWriter, type Environment } from './environment.js';
-import { explain } from './explain.js';
 import { newOwner } from './new-owner.js';
 import type { LinkMaker } from './platform.js';
 import type { ReporterMessage } from './reporter-task.js';
-import type {
-  ShardMessage,
-  ShardQuestion,
-  ShardRequest,
-  WorkChange,
-  WorkerVm,
-} from './shard-messages.js';
-import { shardViewOf } from './shard-view.js';
+import type { ShardMessage, ShardQuestion, ShardRequest, WorkerVm } from './shard-messages.js';
+import { answerQuestion } from './shard-questions.js';
+import { Watchers } from './watchers.js';
 import { WorkerLinks } from './worker-links.js';
-import { workViewOf } from './work-views.js';
 
 /** What the task works with. */
 export interface ShardParts {
@@ -65,7 +58,7 @@
   private readonly stream: Supervised<StreamMessage<ShardRecord>>;
   private readonly links: WorkerLinks;
   private readonly replies = new Map<Token, Reply<Result<Response>>>();
-  private readonly watchers = new Map<WorkId, Set<Address<WorkChange>>>();
+  private readonly watchers = new Watchers();
   private readonly drains: Reply<null>[] = [];
   private tokens = 0;
   private tickAt: Deadline = NEVER;
@@ -110,11 +103,10 @@
         this.answer(question);
       })
       .with({ kind: 'watch' }, ({ work, watcher }) => {
-        const watchers = this.watchers.get(work) ?? new Set<Address<WorkChange>>();
-        this.watchers.set(work, watchers.add(watcher));
+        this.watchers.add(work, watcher);
       })
       .with({ kind: 'unwatch' }, ({ work, watcher }) => {
-        this.unwatch(work, watcher);
+        this.watchers.remove(work, watcher);
       })
       .with({ kind: 'stream' }, ({ event }) => {
         this.streamEvent(event);
@@ -169,40 +161,10 @@
   }
 
   private answer(question: ShardQuestion): void {
-    match(question)
-      .with({ kind: 'status' }, ({ reply }) => {
-        this.step({ kind: 'tick' });
-        reply(done(shardViewOf(this.owner)));
-      })
-      .with({ kind: P.union('get', 'explain') }, (about) => {
-        this.answerAbout(about);
-      })
-      .exhaustive();
-  }
-
-  private answerAbout(question: Extract<ShardQuestion, { kind: 'get' | 'explain' }>): void {
-    const entry = this.owner.fold.get(question.work);
-    if (entry === undefined) {
-      question.reply(refused('unknown_work', `there is no work ${question.work}`, 'workId'));
-      return;
-    }
-    const view = workViewOf(this.owner, entry);
-    match(question)
-      .with({ kind: 'get' }, ({ reply }) => {
-        reply(done(view));
-      })
-      .with({ kind: 'explain' }, ({ reply }) => {
-        reply(done({ view, sentences: explain(this.owner, entry) }));
-      })
-      .exhaustive();
-  }
-
-  private unwatch(work: WorkId, watcher: Address<WorkChange>): void {
-    const watchers = this.watchers.get(work);
-    watchers?.delete(watcher);
-    if (watchers?.size === 0) {
-      this.watchers.delete(work);
+    if (question.kind === 'status') {
+      this.step({ kind: 'tick' });
     }
+    answerQuestion(this.owner, question);
   }
 
   private streamEvent(event: StreamEvent<ShardRecord>): void {
@@ -428,7 +390,7 @@
         cell.post({ ...change, shard });
       })
       .with({ kind: 'changed' }, ({ work }) => {
-        this.tellWatchers(work);
+        this.watchers.changed(work);
       })
       .with({ kind: 'event' }, ({ event }) => {
         this.event(event.name, event.fields);
@@ -455,12 +417,6 @@
     reply?.(result);
   }
 
-  private tellWatchers(work: WorkId): void {
-    for (const watcher of this.watchers.get(work) ?? []) {
-      watcher.post({ work });
-    }
-  }
-
   private releaseDone(): void {
     for (const reply of this.drains.splice(0)) {
       reply(null);
--- /dev/null
+++ b/packages/daemon/src/watchers.ts
@@ -0,0 +1,28 @@
+/** Who is told when a piece of work changes. */
+
+import type { Address } from '@bamboowell/kernel/mailbox';
+import type { WorkId } from '@bamboowell/types/ids';
+import type { WorkChange } from './shard-messages.js';
+
+export class Watchers {
+  private readonly byWork = new Map<WorkId, Set<Address<WorkChange>>>();
+
+  add(work: WorkId, watcher: Address<WorkChange>): void {
+    const watchers = this.byWork.get(work) ?? new Set<Address<WorkChange>>();
+    this.byWork.set(work, watchers.add(watcher));
+  }
+
+  remove(work: WorkId, watcher: Address<WorkChange>): void {
+    const watchers = this.byWork.get(work);
+    watchers?.delete(watcher);
+    if (watchers?.size === 0) {
+      this.byWork.delete(work);
+    }
+  }
+
+  changed(work: WorkId): void {
+    for (const watcher of this.byWork.get(work) ?? []) {
+      watcher.post({ work });
+    }
+  }
+}
--- a/packages/demo/src/recovery.ts
+++ b/packages/demo/src/recovery.ts
@@ -1,6 +1,6 @@
 /**
  * Measures on a cell of real processes how long it takes from a fault or a change until the cell
- * works by it, and prints the figures as JSON. Ends by itself.
+ * works by it, and returns the figures.
  */
 
 import { randomUUID } from 'node:crypto';
@@ -173,23 +173,20 @@
   return since(start, left);
 }
 
-async function main(): Promise<void> {
+/** Starts a cell of processes, measures how fast it recovers, and ends it. */
+export async function measureRecovery(): Promise<object> {
   const cell = await Cell.start(PLAN);
   try {
     await declare(cell, () => undefined);
     const key = await grantKey(cell, TEAM);
-    const figures = {
-      name: 'recovery',
+    return {
       killToNextPlacement: await figure(() => afterKill(cell, key)),
       freezeToNextPlacement: await figure(() => afterFreeze(cell, key)),
       configurationToInForce: await figure((run) => afterChange(cell, run), IN_FORCE_TARGET_MILLIS),
       leavingToInForce: await figure((run) => afterLeaving(cell, run), LEAVING_TARGET_MILLIS),
       withdrawalToInForce: await figure(() => afterWithdrawal(cell), WITHDRAWAL_TARGET_MILLIS),
     };
-    process.stdout.write(`${JSON.stringify(figures, undefined, 2)}\n`);
   } finally {
     await cell.stop();
   }
 }
-
-await main();
