Hold failed work by its team's retry budget, and find ports that stay free

Cause: retry budgets were decided but asked by nobody; and the process tests sometimes failed to start a daemon (EADDRINUSE on 32799), since a port that was free could be given to an outgoing connection before the daemon listened.

--- a/packages/demo/src/cell.ts
+++ b/packages/demo/src/cell.ts
@@ -2,7 +2,6 @@
 
 import { createHash, randomBytes } from 'node:crypto';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -15,6 +14,7 @@
 import type { Address } from '@bamboowell/types/vm';
 import { request } from 'undici';
 import { Child } from './child.js';
+import { freePort } from './free-port.js';
 
 /** One worker of the cell. */
 export interface WorkerPlan {
@@ -66,15 +66,6 @@
   return { secret, hash: createHash('sha256').update(secret).digest('hex') };
 }
 
-/** A port that was free a moment ago. */
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 export class Cell {
   readonly operator = newSecret();
   readonly workers = new Map<string, Child>();
--- a/packages/owner/src/health.ts
+++ b/packages/owner/src/health.ts
@@ -4,7 +4,7 @@
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { Outcome, Work } from '@bamboowell/types/work';
 import { JobHealth } from '@bamboowell/policy/job-health';
-import type { Backoff } from '@bamboowell/policy/retry';
+import { RetryBudgets, type Backoff } from '@bamboowell/policy/retry';
 import { WorkerHealth, type HealthChange } from '@bamboowell/policy/worker-health';
 import type { Context } from './context.js';
 import type { Sessions } from './sessions.js';
@@ -21,6 +21,7 @@
 export class Health {
   private readonly workers = new WorkerHealth();
   private readonly jobs = new JobHealth();
+  private readonly budgets = new RetryBudgets();
   private readonly restarts = new Map<WorkId, Restarts>();
 
   constructor(
@@ -72,6 +73,7 @@
   }
 
   endQuarantines(): void {
+    this.budgets.sweep(this.context.now);
     for (const change of this.workers.endQuarantines(this.context.now)) {
       this.note(change);
     }
@@ -100,7 +102,18 @@
       this.waiting.setAside(work.id);
       return;
     }
-    this.waiting.hold(work.id, this.backoff.retryAt(Math.max(1, failures), this.context.now));
+    this.waiting.hold(work.id, this.retryAt(work, Math.max(1, failures)));
+  }
+
+  /** After the backoff, and once the team's retry budget allows it. */
+  private retryAt(work: Work, failures: number): Deadline {
+    const { now } = this.context;
+    const backedOff = this.backoff.retryAt(failures, now);
+    if (this.budgets.spend(work.team, now)) {
+      return backedOff;
+    }
+    const budgeted = this.budgets.nextAt(work.team, now);
+    return budgeted > backedOff ? budgeted : backedOff;
   }
 
   private note(change: HealthChange | undefined): void {
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { BUDGET_RETRIES } from '@bamboowell/policy/retry';
 import type { AttemptId } from '@bamboowell/types/ids';
 import { multiply } from '@bamboowell/types/resources';
 import { NEVER } from '@bamboowell/types/time';
@@ -345,3 +346,26 @@
   const state = bench.owner.fold.get(workOf().id)?.tasks[0]?.state;
   t.like(state, { kind: 'ended', outcome: { kind: 'failed' } });
 });
+
+test('a team whose work fails again and again uses up its retry budget', (t) => {
+  const bench = owningBench(multiply(CAPACITY, 100));
+  let retriedAtOnce = 0;
+  for (let index = 0; index <= BUDGET_RETRIES; index += 1) {
+    const work = workOf({ requestId: requestNamed(`r${index}`), idempotent: true });
+    const attempt = firstStart(bench.submit(work));
+    const failed = { kind: 'failed' as const, detail: 'no' };
+    bench.report({ kind: 'ended', worker: WORKER, attempt, outcome: failed });
+    const again = startedAttempts(bench.step({ kind: 'tick' }));
+    retriedAtOnce += again.length;
+    bench.step({ kind: 'cancel', works: [work.id], deadline: NEVER, token: 0 as never });
+    for (const started of again) {
+      bench.report({
+        kind: 'ended',
+        worker: WORKER,
+        attempt: started,
+        outcome: { kind: 'stopped' },
+      });
+    }
+  }
+  t.is(retriedAtOnce, BUDGET_RETRIES);
+});
