Attach workers that are listed after their shard was claimed

Cause: an owner that claimed before it had read the VM list opened sessions for the workers of placed tasks, and took them for attached when they were listed later; their work was then neither renewed nor ended. Found by reading. Change: each listed worker is asked to attach once in an epoch. A test of the takeover lists the worker first now, since a command to a worker without an address reached nobody; what it asks of the owner stays.

--- a/packages/owner/src/owner.fixture.ts
+++ b/packages/owner/src/owner.fixture.ts
@@ -240,7 +240,7 @@
     return { freshUntil: NEVER, mayRenew: true };
   }
 
-  private listedWorker() {
+  listedWorker() {
     const vm = {
       role: 'worker' as const,
       worker: WORKER,
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -162,6 +162,7 @@
     kind: 'authority',
     authority: { freshUntil: Number.MAX_SAFE_INTEGER as never, mayRenew: true },
   });
+  bench.step({ kind: 'workers', vms: [bench.listedWorker()] });
   const outputs = bench.step({ kind: 'claim', epoch: 2 as never, votes: [] });
   t.is(bench.owner.ownedEpoch, 2 as never);
   t.is(commandsOf(outputs, 'attach').length, 1);
@@ -369,3 +370,17 @@
   }
   t.is(retriedAtOnce, BUDGET_RETRIES);
 });
+
+test('a worker with work of an earlier owner is attached when it is listed after the claim', (t) => {
+  const earlier = owningBench();
+  earlier.submit(workOf());
+  const bench = new OwnerBench('e2/1/1');
+  bench.step({ kind: 'restored', snapshot: earlier.owner.fold.snapshot() });
+  bench.step({ kind: 'authority', authority: { freshUntil: NEVER, mayRenew: true } });
+  const claimed = bench.step({ kind: 'claim', epoch: 2 as never, votes: [] });
+  t.is(commandsOf(claimed, 'attach').length, 0);
+  const listed = bench.step({ kind: 'workers', vms: [bench.listedWorker()] });
+  t.is(commandsOf(listed, 'attach').length, 1);
+  const again = bench.step({ kind: 'workers', vms: [bench.listedWorker()] });
+  t.is(commandsOf(again, 'attach').length, 0);
+});
--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -13,6 +13,7 @@
   type ShardId,
   type TaskId,
   type TeamId,
+  type WorkerId,
   type WorkId,
 } from '@bamboowell/types/ids';
 import type { Outcome } from '@bamboowell/types/work';
@@ -60,6 +61,8 @@
   private readonly upkeep = new Upkeep();
   private releasing = false;
   private vms: readonly ShardVm[] = [];
+  /** Workers that were asked to attach under the owned epoch. */
+  private readonly asked = new Set<WorkerId>();
 
   constructor(options: OwnerOptions) {
     const context = new Context(options);
@@ -340,13 +343,10 @@
     this.context.ownedEpoch = epoch;
     this.context.event('shard_owned', { epoch });
     this.context.emit({ kind: 'inherit', epoch });
-    this.sessions.listed(this.vms);
     for (const entry of this.context.fold.works.values()) {
       this.resume(entry.work.id);
     }
-    for (const session of this.sessions.all()) {
-      this.attach(session.worker);
-    }
+    this.attachListed();
   }
 
   /** Takes over a piece of work from the fold: what waits, and what may run. */
@@ -363,9 +363,19 @@
     }
   }
 
-  private attach(worker: ShardVm['worker']): void {
+  /** Attaches each worker once its address is known, also one that holds work of an earlier owner. */
+  private attachListed(): void {
+    this.sessions.listed(this.vms);
+    for (const { worker } of this.vms) {
+      this.attach(worker);
+    }
+  }
+
+  /** The link repeats the command on each new connection, so that once is enough. */
+  private attach(worker: WorkerId): void {
     const epoch = this.context.ownedEpoch;
-    if (epoch !== undefined) {
+    if (epoch !== undefined && !this.asked.has(worker)) {
+      this.asked.add(worker);
       const { shard, member } = this.context.options;
       this.context.command(worker, { kind: 'attach', epoch, shard, member });
     }
@@ -397,6 +407,7 @@
     this.preemptions.clear();
     this.overuses.clear();
     this.sessions.clear();
+    this.asked.clear();
     this.releasing = false;
     this.context.ownedEpoch = undefined;
   }
@@ -414,13 +425,8 @@
     this.vms = vms;
     this.context.workersListed = vms.length;
     this.health.setWorkerCount(vms.length);
-    if (this.context.ownedEpoch === undefined) {
-      return;
-    }
-    const unknown = vms.filter(({ worker }) => this.sessions.get(worker) === undefined);
-    this.sessions.listed(vms);
-    for (const { worker } of unknown) {
-      this.attach(worker);
+    if (this.context.ownedEpoch !== undefined) {
+      this.attachListed();
     }
   }
 
