Append a shard's record in the cell's stream again when it had no room

Cause: a take, give-back or inherit whose record was rejected by the stream was never settled; the owner then waited for it for ever and took no more of that team's limit. Found by reading. Change: such records wait for the next report interval and are appended again.

--- /dev/null
+++ b/packages/daemon/src/cell-task.test.ts
@@ -0,0 +1,169 @@
+import test, { type ExecutionContext } from 'ava';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { MemoryLog } from '@bamboowell/log/memory-log';
+import { EventLog } from '@bamboowell/logger/logger';
+import { parseSettings, type DaemonSettings } from '@bamboowell/config/daemon-settings';
+import {
+  brandAs,
+  type Epoch,
+  type Incarnation,
+  type Sequence,
+  type ShardId,
+  type TeamId,
+  type Version,
+} from '@bamboowell/types/ids';
+import { CELL_STREAM } from '@bamboowell/types/records';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { Result } from '@bamboowell/types/verdict';
+import type { CellEvent } from './cell-messages.js';
+import { CellTask } from './cell-task.js';
+
+const SHARD = brandAs<ShardId>('a');
+const LAB = brandAs<TeamId>('lab');
+const LIMIT = { millicores: 8000, memoryMib: 8192, accelerators: 0, slots: 8 };
+
+function settingsOf(member: string): DaemonSettings {
+  const parsed = parseSettings(
+    JSON.stringify({
+      memberId: member,
+      region: 'r',
+      dataCentre: 'a',
+      log: { url: 'http://127.0.0.1:1' },
+      vmList: { url: 'http://127.0.0.1:1' },
+    }),
+    {},
+  );
+  if (parsed.kind === 'invalid') {
+    throw new Error(JSON.stringify(parsed.problems));
+  }
+  return parsed.settings;
+}
+
+class SilentLog extends EventLog {
+  event(): void {
+    return undefined;
+  }
+}
+
+const nobody = { post: () => 'accepted' as const };
+
+/** A cell task over a log in memory, with what it told its subscriber. */
+async function cellOverMemory(t: ExecutionContext) {
+  const clock = new ManualClock(1_000);
+  const log = new MemoryLog(clock);
+  let uniques = 0;
+  const unique = () => `u${(uniques += 1)}`;
+  const incarnation = brandAs<Incarnation>('i1');
+  const environment = { settings: settingsOf('e1'), clock, incarnation, random: () => 0.5, unique };
+  const watcher = { restarted: () => undefined, gaveUp: () => undefined };
+  const task = new CellTask({
+    environment,
+    log,
+    events: new SilentLog(),
+    watcher,
+    reporter: nobody,
+    members: nobody,
+  });
+  const told: CellEvent[] = [];
+  await task.start();
+  t.teardown(() => task.stop());
+  task.post({
+    kind: 'subscribe',
+    subscriber: {
+      post: (event) => {
+        told.push(event);
+        return 'accepted';
+      },
+    },
+  });
+  const pass = async (millis: number) => {
+    for (let passed = 0; passed < millis; passed += 50) {
+      clock.advance(50);
+      for (let turn = 0; turn < 6; turn += 1) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    }
+  };
+  await pass(200);
+  return { task, clock, log, told, pass };
+}
+
+type Cell = Awaited<ReturnType<typeof cellOverMemory>>;
+
+async function applied(
+  { task, clock, pass }: Cell,
+  base: number,
+): Promise<Result<Version> | undefined> {
+  let result: Result<Version> | undefined;
+  task.post({
+    kind: 'apply',
+    base: brandAs<Version>(base),
+    changes: [{ kind: 'put_team', team: { id: LAB, share: 1, limit: LIMIT } }],
+    deadline: deadlineAfter(clock.now(), 5_000),
+    reply: (value) => {
+      result = value;
+    },
+  });
+  await pass(500);
+  return result;
+}
+
+function recordsIn(log: MemoryLog, kind: string): number {
+  const bodies = log.entries(CELL_STREAM).map(({ body }) => body);
+  return bodies.join('').split(`"kind":"${kind}"`).length - 1;
+}
+
+test('a change is answered with the version that it made, a stale one with both versions', async (t) => {
+  const cell = await cellOverMemory(t);
+  t.deepEqual(await applied(cell, 0), { kind: 'done', value: brandAs<Version>(1) });
+  const late = await applied(cell, 0);
+  t.like(late, {
+    kind: 'refused',
+    refusal: { verdict: 'not_run', reason: 'configuration_conflict' },
+  });
+  t.regex(late?.kind === 'refused' ? late.refusal.detail : '', /version 0.*version 1/);
+});
+
+test('a change that the log does not take in time was withdrawn and did not run', async (t) => {
+  const cell = await cellOverMemory(t);
+  cell.log.setDown(true);
+  let result: Result<Version> | undefined;
+  cell.task.post({
+    kind: 'apply',
+    base: brandAs<Version>(0),
+    changes: [],
+    deadline: deadlineAfter(cell.clock.now(), 1_000),
+    reply: (value) => {
+      result = value;
+    },
+  });
+  await cell.pass(2_000);
+  t.like(result, { kind: 'refused', refusal: { verdict: 'not_run', reason: 'log_unavailable' } });
+});
+
+test('a record of a shard that had no room is appended again', async (t) => {
+  const cell = await cellOverMemory(t);
+  await applied(cell, 0);
+  cell.log.setDown(true);
+  cell.task.post({ kind: 'inherit', shard: SHARD, epoch: brandAs<Epoch>(1) });
+  cell.task.post({
+    kind: 'stream',
+    event: { kind: 'rejected', sequences: [brandAs<Sequence>(2)] },
+  });
+  cell.log.setDown(false);
+  await cell.pass(3_000);
+  // The stream holds the first one all the same, since only the word of its rejection was made up.
+  t.is(recordsIn(cell.log, 'inherit'), 2);
+});
+
+test('a take is settled once its record was judged', async (t) => {
+  const cell = await cellOverMemory(t);
+  await applied(cell, 0);
+  const epoch = brandAs<Epoch>(1);
+  cell.task.post({ kind: 'inherit', shard: SHARD, epoch });
+  cell.task.post({ kind: 'take', shard: SHARD, epoch, team: LAB, amount: LIMIT });
+  cell.task.post({ kind: 'take', shard: SHARD, epoch, team: LAB, amount: LIMIT });
+  await cell.pass(1_000);
+  const settled = cell.told.flatMap((event) => (event.kind === 'settled' ? [event.applied] : []));
+  t.deepEqual(settled, [true, false]);
+});
--- a/packages/daemon/src/cell-task.ts
+++ b/packages/daemon/src/cell-task.ts
@@ -48,6 +48,7 @@
 import type { ReporterMessage } from './reporter-task.js';
 
 type Apply = Extract<CellMessage, { kind: 'apply' }>;
+type ShardCellRecord = Extract<CellRecord, { kind: 'inherit' | 'take' | 'give_back' }>;
 type HoldingChange = Extract<CellMessage, { kind: 'take' | 'give_back' }>;
 
 const NOT_FRESH = brandAs<Deadline>(0);
@@ -69,6 +70,10 @@
   private readonly freshness: ConfigurationFreshness;
   private readonly subscribers = new Set<Address<CellEvent>>();
   private readonly applies = new Map<Sequence, Apply>();
+  /** Records of shards on the way to the log. */
+  private readonly forShards = new Map<Sequence, ShardCellRecord>();
+  /** Had no room on the way to the log. */
+  private readonly unsent: ShardCellRecord[] = [];
   private sequence = brandAs<Sequence>(0);
   private freshUntil = NOT_FRESH;
   private logAnswers = true;
@@ -101,11 +106,8 @@
       .with({ kind: 'apply' }, (apply) => {
         this.apply(apply);
       })
-      .with({ kind: 'inherit' }, ({ shard, epoch }) => {
-        this.append({ kind: 'inherit', shard, epoch });
-      })
-      .with({ kind: P.union('take', 'give_back') }, (change) => {
-        this.append(change);
+      .with({ kind: P.union('inherit', 'take', 'give_back') }, (record) => {
+        this.appendForShard(record);
       })
       .with({ kind: 'members' }, ({ event }) => {
         this.membersEvent(event);
@@ -114,6 +116,7 @@
         this.streamEvent(event);
       })
       .with({ kind: 'report' }, () => {
+        this.retryUnsent();
         this.updateFreshness();
         this.postAt(deadlineAfter(this.clock.now(), REPORT_INTERVAL_MILLIS), { kind: 'report' });
       })
@@ -161,6 +164,26 @@
     return this.sequence;
   }
 
+  private appendForShard(record: ShardCellRecord): void {
+    this.forShards.set(this.append(record), record);
+  }
+
+  /** The record was never sent. Shards wait for theirs, so that it is appended again, later. */
+  private rejected(sequence: Sequence): void {
+    const record = this.forShards.get(sequence);
+    this.forShards.delete(sequence);
+    if (record !== undefined) {
+      this.unsent.push(record);
+    }
+    this.withdrawn(sequence, 'withdrawn');
+  }
+
+  private retryUnsent(): void {
+    for (const record of this.unsent.splice(0)) {
+      this.appendForShard(record);
+    }
+  }
+
   private apply(apply: Apply): void {
     const objection = this.objectionTo(apply);
     if (objection !== undefined) {
@@ -235,7 +258,7 @@
       })
       .with({ kind: 'rejected' }, ({ sequences }) => {
         for (const sequence of sequences) {
-          this.withdrawn(sequence, 'withdrawn');
+          this.rejected(sequence);
         }
       })
       .with({ kind: 'skipped' }, ({ offset }) => {
@@ -266,6 +289,7 @@
     if (writer !== this.writer || effect.kind === 'repeated') {
       return;
     }
+    this.forShards.delete(sequence);
     const applied = effect.kind === 'applied';
     match(record)
       .with({ kind: 'change' }, ({ base }) => {
