--- a/packages/owner/src/shard-owner.ts
+++ b/packages/owner/src/shard-owner.ts
@@ -13,7 +13,6 @@
   type ShardId,
   type TaskId,
   type TeamId,
-  type WorkerId,
   type WorkId,
 } from '@bamboowell/types/ids';
 import type { Outcome } from '@bamboowell/types/work';
@@ -29,7 +28,7 @@
 import { Health } from './health.js';
 import { Limits } from './limits.js';
 import { LiveAttempts } from './live-attempts.js';
-import type { CellView, Input, Output, ShardVm } from './messages.js';
+import type { CellView, Input, Output } from './messages.js';
 import { Overuses } from './overuses.js';
 import { Preemptions } from './preemptions.js';
 import { Reports } from './reports.js';
@@ -37,6 +36,7 @@
 import { Starts } from './starts.js';
 import { Stops } from './stops.js';
 import { Submissions } from './submissions.js';
+import { Takeover } from './takeover.js';
 import { Upkeep } from './upkeep.js';
 import { Waiting } from './waiting.js';
 
@@ -56,13 +56,11 @@
   private readonly preemptions: Preemptions;
   private readonly overuses: Overuses;
   private readonly reports: Reports;
+  private readonly takeover: Takeover;
   /** Work may be left that could be placed without further input. */
   private hasMore = false;
   private readonly upkeep = new Upkeep();
   private releasing = false;
-  private vms: readonly ShardVm[] = [];
-  /** Workers that were asked to attach under the owned epoch. */
-  private readonly asked = new Set<WorkerId>();
 
   constructor(options: OwnerOptions) {
     const context = new Context(options);
@@ -93,6 +91,8 @@
       health,
       overuses,
     });
+    const { reports } = this;
+    this.takeover = new Takeover(context, { sessions, reports, waiting });
   }
 
   get shard(): ShardId {
@@ -187,7 +187,8 @@
         this.limits.settled(team, change, amount, applied);
       })
       .with({ kind: 'workers' }, ({ vms }) => {
-        this.setWorkers(vms);
+        this.health.setWorkerCount(vms.length);
+        this.takeover.listed(vms);
       })
       .with({ kind: 'call' }, ({ work, deadline, token }) => {
         this.calls.call(work, deadline, token);
@@ -337,47 +338,8 @@
 
   private claimed(isOurs: boolean, epoch: Epoch): void {
     this.disown();
-    if (!isOurs) {
-      return;
-    }
-    this.context.ownedEpoch = epoch;
-    this.context.event('shard_owned', { epoch });
-    this.context.emit({ kind: 'inherit', epoch });
-    for (const entry of this.context.fold.works.values()) {
-      this.resume(entry.work.id);
-    }
-    this.attachListed();
-  }
-
-  /** Takes over a piece of work from the fold: what waits, and what may run. */
-  private resume(work: WorkId): void {
-    const entry = this.context.fold.get(work);
-    for (const task of entry?.tasks ?? []) {
-      if (task.state.kind === 'placed') {
-        this.sessions.open(task.state.attempt.worker);
-        this.reports.adoptPlaced(task.state.attempt, 'starting');
-      }
-    }
-    if (entry !== undefined) {
-      this.waiting.resume(entry);
-    }
-  }
-
-  /** Attaches each worker once its address is known, also one that holds work of an earlier owner. */
-  private attachListed(): void {
-    this.sessions.listed(this.vms);
-    for (const { worker } of this.vms) {
-      this.attach(worker);
-    }
-  }
-
-  /** The link repeats the command on each new connection, so that once is enough. */
-  private attach(worker: WorkerId): void {
-    const epoch = this.context.ownedEpoch;
-    if (epoch !== undefined && !this.asked.has(worker)) {
-      this.asked.add(worker);
-      const { shard, member } = this.context.options;
-      this.context.command(worker, { kind: 'attach', epoch, shard, member });
+    if (isOurs) {
+      this.takeover.takeOver(epoch);
     }
   }
 
@@ -407,7 +369,7 @@
     this.preemptions.clear();
     this.overuses.clear();
     this.sessions.clear();
-    this.asked.clear();
+    this.takeover.clear();
     this.releasing = false;
     this.context.ownedEpoch = undefined;
   }
@@ -421,15 +383,6 @@
     this.context.ordering.setElsewhere(usageElsewhere(view));
   }
 
-  private setWorkers(vms: readonly ShardVm[]): void {
-    this.vms = vms;
-    this.context.workersListed = vms.length;
-    this.health.setWorkerCount(vms.length);
-    if (this.context.ownedEpoch !== undefined) {
-      this.attachListed();
-    }
-  }
-
   /** Releases the shard once nothing that callers wait for is in hand. */
   private release(): void {
     const epoch = this.context.ownedEpoch;
--- /dev/null
+++ b/packages/owner/src/takeover.ts
@@ -0,0 +1,82 @@
+/** Takes over a shard: its work from the fold, its workers from the VM list. */
+
+import type { Epoch, WorkerId, WorkId } from '@bamboowell/types/ids';
+import type { Context } from './context.js';
+import type { ShardVm } from './messages.js';
+import type { Reports } from './reports.js';
+import type { Sessions } from './sessions.js';
+import type { Waiting } from './waiting.js';
+
+/** The parts that a takeover fills. */
+export interface TakeoverParts {
+  readonly sessions: Sessions;
+  readonly reports: Reports;
+  readonly waiting: Waiting;
+}
+
+export class Takeover {
+  private vms: readonly ShardVm[] = [];
+  /** Workers that were asked to attach under the owned epoch. */
+  private readonly asked = new Set<WorkerId>();
+
+  constructor(
+    private readonly context: Context,
+    private readonly parts: TakeoverParts,
+  ) {}
+
+  /** This node owns the shard from now on. */
+  takeOver(epoch: Epoch): void {
+    this.context.ownedEpoch = epoch;
+    this.context.event('shard_owned', { epoch });
+    this.context.emit({ kind: 'inherit', epoch });
+    for (const entry of this.context.fold.works.values()) {
+      this.resume(entry.work.id);
+    }
+    this.attachListed();
+  }
+
+  /** The workers that the VM list shows now. */
+  listed(vms: readonly ShardVm[]): void {
+    this.vms = vms;
+    this.context.workersListed = vms.length;
+    if (this.context.ownedEpoch !== undefined) {
+      this.attachListed();
+    }
+  }
+
+  clear(): void {
+    this.asked.clear();
+  }
+
+  /** Takes over a piece of work from the fold: what waits, and what may run. */
+  private resume(work: WorkId): void {
+    const entry = this.context.fold.get(work);
+    for (const task of entry?.tasks ?? []) {
+      if (task.state.kind === 'placed') {
+        this.parts.sessions.open(task.state.attempt.worker);
+        this.parts.reports.adoptPlaced(task.state.attempt, 'starting');
+      }
+    }
+    if (entry !== undefined) {
+      this.parts.waiting.resume(entry);
+    }
+  }
+
+  /** Attaches each worker once its address is known, also one that holds work of an earlier owner. */
+  private attachListed(): void {
+    this.parts.sessions.listed(this.vms);
+    for (const { worker } of this.vms) {
+      this.attach(worker);
+    }
+  }
+
+  /** The link repeats the command on each new connection, so that once is enough. */
+  private attach(worker: WorkerId): void {
+    const epoch = this.context.ownedEpoch;
+    if (epoch !== undefined && !this.asked.has(worker)) {
+      this.asked.add(worker);
+      const { shard, member } = this.context.options;
+      this.context.command(worker, { kind: 'attach', epoch, shard, member });
+    }
+  }
+}
