Spread replicas of a service also over placements on their way to the log

Ruled out: the best-fit rule, which puts the spread first. Change: what is being placed counts too; a method that nothing called is gone.

--- a/packages/owner/src/owner.fixture.ts
+++ b/packages/owner/src/owner.fixture.ts
@@ -2,7 +2,7 @@
 
 import { Backoff } from '@bamboowell/policy/retry';
 import { FirstComeFirstServed } from '@bamboowell/policy/ordering';
-import { FirstFit } from '@bamboowell/policy/placement';
+import { FirstFit, type Placement } from '@bamboowell/policy/placement';
 import { EMPTY_CONFIGURATION } from '@bamboowell/state/configuration';
 import type { Configuration } from '@bamboowell/types/declarations';
 import {
@@ -107,12 +107,12 @@
   private tokens = 0;
 
   /** @param writer differs between owners that fold the same stream. */
-  constructor(writer = 'e1/1/1') {
+  constructor(writer = 'e1/1/1', placement: Placement = new FirstFit()) {
     this.owner = new ShardOwner({
       shard: SHARD,
       member: brandAs<MemberId>('e1'),
       writer: brandAs<WriterId>(writer),
-      placement: new FirstFit(),
+      placement,
       ordering: new FirstComeFirstServed(),
       backoff: new NoDelay(),
       settings: DEFAULT_OWNER_SETTINGS,
@@ -255,8 +255,8 @@
 }
 
 /** An owner that owns its shard. */
-export function owningBench(limit?: Resources): OwnerBench {
-  const bench = new OwnerBench();
+export function owningBench(limit?: Resources, placement?: Placement): OwnerBench {
+  const bench = new OwnerBench('e1/1/1', placement);
   bench.own(limit);
   return bench;
 }
--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { BestFit } from '@bamboowell/policy/best-fit';
 import { BUDGET_RETRIES } from '@bamboowell/policy/retry';
 import type { AttemptId } from '@bamboowell/types/ids';
 import { multiply } from '@bamboowell/types/resources';
@@ -384,3 +385,13 @@
   const again = bench.step({ kind: 'workers', vms: [bench.listedWorker()] });
   t.is(commandsOf(again, 'attach').length, 0);
 });
+
+test('replicas of a service that are placed one after the other spread over workers', (t) => {
+  const bench = owningBench(CAPACITY, new BestFit());
+  bench.attachAs('w2');
+  const outputs = bench.submit(workOf({ shape: { kind: 'service', replicas: 2 } }));
+  const workers = outputs.flatMap((output) =>
+    output.kind === 'command' && output.command.kind === 'start' ? [output.worker] : [],
+  );
+  t.is(new Set(workers).size, 2);
+});
--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -1,6 +1,12 @@
 /** Chooses workers for waiting tasks, records the choice, then sends the starts. */
 
-import { attemptIdOf, taskIdOf, type Sequence, type WorkerId } from '@bamboowell/types/ids';
+import {
+  attemptIdOf,
+  taskIdOf,
+  type Sequence,
+  type WorkerId,
+  type WorkId,
+} from '@bamboowell/types/ids';
 import { fits, multiply } from '@bamboowell/types/resources';
 import type { Attempt } from '@bamboowell/types/work';
 import type { WorkEntry } from '@bamboowell/state/shard-fold';
@@ -104,15 +110,6 @@
     return true;
   }
 
-  /** Sends the starts that could not be sent when their record was read back. */
-  startPlaced(worker: WorkerId): void {
-    for (const attempt of this.parts.live.on(worker)) {
-      if (attempt.phase === 'placed') {
-        this.startOrKeep(attempt);
-      }
-    }
-  }
-
   clear(): void {
     this.placing.clear();
     this.unsent.clear();
@@ -252,7 +249,7 @@
     const placed = entry.tasks.flatMap((task) =>
       task.state.kind === 'placed' ? [task.state.attempt.worker] : [],
     );
-    for (const worker of [...placed, ...chosen]) {
+    for (const worker of [...placed, ...this.beingPlaced(entry.work.id), ...chosen]) {
       workers.set(worker, (workers.get(worker) ?? 0) + 1);
       const rack = this.context.fleet.get(worker)?.profile.rack;
       if (rack !== undefined) {
@@ -262,6 +259,12 @@
     return { workers, racks };
   }
 
+  /** Workers of the work's tasks whose records are on the way to the log. */
+  private beingPlaced(work: WorkId): WorkerId[] {
+    const attempts = [...this.placing.values()].flat();
+    return attempts.filter((live) => live.work === work).map(({ attempt }) => attempt.worker);
+  }
+
   private record(entry: WorkEntry, group: readonly number[], workers: readonly WorkerId[]): void {
     const epoch = this.context.ownedEpoch;
     if (epoch === undefined) {
