Let the owner of a removed data centre go on hearing of the configuration

Cause: a view was made for declared data centres only, so that the owner of a removed one kept its last view and would have run on above a lowered limit. Found by reading. Change: every shard that had an owner gets a view.

--- a/packages/daemon/src/cell-views.ts
+++ b/packages/daemon/src/cell-views.ts
@@ -5,7 +5,10 @@
 import type { Resources } from '@bamboowell/types/resources';
 import type { CellView, Holding } from '@bamboowell/owner/messages';
 
-/** One view for each data centre; every data centre is a shard. */
+/**
+ * One view for each shard. Every data centre is one; the owner of a removed one must still hear of
+ * lowered limits.
+ */
 export function viewsOf(fold: CellFold): ReadonlyMap<ShardId, CellView> {
   const { configuration } = fold;
   const totals = new Map<TeamId, Resources>();
@@ -13,8 +16,8 @@
     totals.set(team, fold.heldOf(team));
   }
   const views = new Map<ShardId, CellView>();
-  for (const id of configuration.dataCentres.keys()) {
-    const shard = brandAs<ShardId>(id);
+  const declared = [...configuration.dataCentres.keys()].map((id) => brandAs<ShardId>(id));
+  for (const shard of new Set([...declared, ...fold.ownedShards])) {
     views.set(shard, {
       configuration,
       epoch: fold.epochOf(shard),
--- a/packages/state/src/cell-fold.ts
+++ b/packages/state/src/cell-fold.ts
@@ -51,6 +51,11 @@
     return this.current;
   }
 
+  /** Shards that had an owner, also of data centres that were removed. */
+  get ownedShards(): IterableIterator<ShardId> {
+    return this.epochs.keys();
+  }
+
   /** The part of the team's limit that the shard holds. */
   holdingOf(shard: ShardId, team: TeamId): Resources {
     return this.holdings.get(shard)?.get(team) ?? NOTHING;
