Give a restarted task the subscriptions that its address holds

Cause: a supervisor makes a failed task anew under the same address, but what others had posted once, such as subscriptions and handlers, was gone with the first one. After one failure of the cell's, the members' or the reporter's task a daemon would have gone stale and refused work until it was restarted. Found by reading the three places that subscribe. Change: a supervised address keeps the messages that are named as lasting and posts them to every later task. No test restarts the daemon's own tasks.

--- a/packages/daemon/src/members-service.ts
+++ b/packages/daemon/src/members-service.ts
@@ -61,6 +61,11 @@
       subscribers: [],
       handlers: new Map(),
     };
-    return new Supervised(() => new MembersTask(options, clock), clock, watcherOf(directory));
+    return new Supervised<MembersMessage>(
+      () => new MembersTask(options, clock),
+      clock,
+      watcherOf(directory),
+      ({ kind }) => kind === 'subscribe' || kind === 'serve',
+    );
   }
 }
--- a/packages/daemon/src/services.ts
+++ b/packages/daemon/src/services.ts
@@ -109,7 +109,12 @@
 
   async start(directory: Directory): Promise<Address<ReporterMessage>> {
     const { clock } = this.environment;
-    this.task = new Supervised(() => new ReporterTask(clock), clock, watcherOf(directory));
+    this.task = new Supervised<ReporterMessage>(
+      () => new ReporterTask(clock),
+      clock,
+      watcherOf(directory),
+      ({ kind }) => kind === 'attach' || kind === 'route',
+    );
     await this.task.start();
     return this.task;
   }
@@ -142,6 +147,7 @@
       () => new CellTask(parts),
       this.environment.clock,
       watcher,
+      ({ kind }) => kind === 'subscribe',
     );
     this.task = task;
     await task.start();
--- a/packages/kernel/src/supervisor.ts
+++ b/packages/kernel/src/supervisor.ts
@@ -16,21 +16,32 @@
   gaveUp(task: string, error: unknown): void;
 }
 
-/** A task with a stable address, made anew after each failure. */
+/**
+ * A task with a stable address, made anew after each failure.
+ *
+ * `isLasting` names messages, such as subscriptions, that hold for as long as the address does: a
+ * task that is made anew gets them again.
+ */
 export class Supervised<Message> implements Address<Message> {
   private current: Task<Message> | undefined;
   private failures: Deadline[] = [];
   private stopping = false;
+  /** Accepted messages that every later task gets again, in order. */
+  private readonly lasting: Message[] = [];
 
   constructor(
     private readonly make: () => Task<Message>,
     private readonly clock: Clock,
     private readonly watcher: Watcher,
+    private readonly isLasting: (message: Message) => boolean = () => false,
   ) {}
 
   async start(): Promise<void> {
     const task = this.make();
     this.current = task;
+    for (const message of this.lasting) {
+      task.post(message);
+    }
     await task.start((error) => {
       this.failed(task.name, error);
     });
@@ -42,7 +53,11 @@
   }
 
   post(message: Message): Posted {
-    return this.current?.post(message) ?? 'stopped';
+    const posted = this.current?.post(message) ?? 'stopped';
+    if (posted === 'accepted' && this.isLasting(message)) {
+      this.lasting.push(message);
+    }
+    return posted;
   }
 
   private failed(name: string, error: unknown): void {
--- a/packages/kernel/src/task.test.ts
+++ b/packages/kernel/src/task.test.ts
@@ -174,3 +174,21 @@
   t.is(events.at(-1), 'gave up');
   t.is(supervised.post({ kind: 'note', text: 'lost' }), 'stopped');
 });
+
+test('a restarted task gets lasting messages again, and no others', async (t) => {
+  const clock = new ManualClock();
+  const journal: string[] = [];
+  const watcher = { restarted: () => undefined, gaveUp: () => undefined };
+  const supervised = new Supervised<Message>(
+    () => notebookTask(clock, 16, journal),
+    clock,
+    watcher,
+    (message) => message.kind === 'note' && message.text === 'lasting',
+  );
+  await supervised.start();
+  supervised.post({ kind: 'note', text: 'lasting' });
+  supervised.post({ kind: 'note', text: 'once' });
+  supervised.post({ kind: 'crash' });
+  await settle();
+  t.deepEqual(journal, ['opened', 'lasting', 'once', 'closed', 'opened', 'lasting']);
+});
