--- /dev/null
+++ b/packages/jobs/src/lifecycle.ts
@@ -0,0 +1,270 @@
+/** The life of a job: accepted, its steps in order, done, failed or cancelled, and forgotten. */
+
+import { brandAs, type QueueId } from '@bamboowell/types/ids';
+import {
+  NO_PROGRESS,
+  type JobId,
+  type JobPlan,
+  type JobState,
+  type RunNumber,
+  type WallInstant,
+} from '@bamboowell/types/job';
+import type { JobContext } from './context.js';
+import type { JobAnswer, JobToken } from './messages.js';
+import {
+  isEnded,
+  isStepDone,
+  isStepReady,
+  newJob,
+  newOccurrence,
+  waitingTasks,
+  type Job,
+  type Run,
+  type Step,
+  type Task,
+  type Worker,
+} from './model.js';
+
+/** Jobs that are kept at once, open ones and ended ones; bounds memory at about 100 MB. */
+export const MAX_JOBS = 40_000;
+/** An ended job's state can be asked for so long, milliseconds; the platform asks for 120 s. */
+const ENDED_KEPT_MILLIS = 150_000;
+
+export class Lifecycle {
+  /** Steps with tasks to start. */
+  readonly ready = new Set<Step>();
+  private readonly repeating = new Set<Job>();
+
+  constructor(
+    private readonly context: JobContext,
+    private readonly stopRun: (run: Run) => void,
+  ) {}
+
+  submit(plan: JobPlan, token: JobToken): void {
+    const { context } = this;
+    const known = context.jobs.get(plan.id);
+    if (known !== undefined) {
+      this.answerAfterCommit(known, token, { kind: 'accepted', repeated: true });
+      return;
+    }
+    const queue = context.queue(plan.queue);
+    if (queue === undefined || context.jobs.size >= MAX_JOBS) {
+      const reason = queue === undefined ? 'unknown_queue' : 'overloaded';
+      context.event('job.refused', { job: plan.id, queue: plan.queue, reason });
+      context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason } });
+      return;
+    }
+    const job = newJob(plan, queue, context.wall);
+    context.addNew(job);
+    context.event('job.taken', {
+      job: job.id,
+      queue: plan.queue,
+      team: plan.team ?? '',
+      steps: plan.steps.length,
+      tasks: plan.steps.reduce((sum, { count }) => sum + count, 0),
+      configuration: context.configuration?.version ?? 0,
+    });
+    this.answerAfterCommit(job, token, { kind: 'accepted', repeated: false });
+    this.open(job, plan);
+  }
+
+  cancel(id: JobId, token: JobToken): void {
+    const job = this.context.jobs.get(id);
+    if (job === undefined) {
+      this.context.emit({ kind: 'answer', token, answer: { kind: 'unknown_job' } });
+      return;
+    }
+    if (!isEnded(job.state)) {
+      this.end(job, 'cancelled', 'asked');
+    }
+    this.answerAfterCommit(job, token, { kind: 'cancelled' });
+  }
+
+  query(id: JobId, token: JobToken): void {
+    const job = this.context.jobs.get(id);
+    const answer: JobAnswer =
+      job === undefined ? { kind: 'unknown_job' } : { kind: 'state', state: job.shownState };
+    this.context.emit({ kind: 'answer', token, answer });
+  }
+
+  count(queue: QueueId, token: JobToken): void {
+    let waiting = 0;
+    for (const job of this.context.jobs.values()) {
+      const isWaiting = !isEnded(job.state) && !job.hasStarted;
+      if (isWaiting && job.plan?.queue === queue && job.plan.repetition === undefined) {
+        waiting += 1;
+      }
+    }
+    this.context.emit({ kind: 'answer', token, answer: { kind: 'count', waiting } });
+  }
+
+  /** Takes a job up that the store had. */
+  resume(job: Job): void {
+    this.context.jobs.set(job.id, job);
+    if (job.plan !== undefined && !isEnded(job.state)) {
+      this.open(job, job.plan);
+    }
+  }
+
+  /** The task has to be started again, once nothing of it runs. */
+  refresh(step: Step): void {
+    if (!isEnded(step.job.state) && isStepReady(step) && !isStepDone(step)) {
+      step.readySince ??= this.context.now;
+      this.ready.add(step);
+    }
+  }
+
+  /** A run ended well. A gang is done with any of its members. */
+  done(task: Task, number: RunNumber): void {
+    const { step } = task;
+    const members = step.plan.isGang ? step.tasks : [task];
+    for (const member of members) {
+      this.markDone(member, number);
+    }
+    if (isStepDone(step)) {
+      this.ready.delete(step);
+      step.occurrence.steps.forEach((later) => {
+        this.refresh(later);
+      });
+    }
+    this.context.change(step.job);
+    this.completeIfDone(step.job);
+  }
+
+  /** A run failed. A gang's run counts once. */
+  failed(task: Task, worker: Worker, number: RunNumber): void {
+    const { step } = task;
+    task.failedOn.add(worker.id);
+    if (step.plan.isGang && step.failedRun === number) {
+      return;
+    }
+    step.failedRun = number;
+    const counted = step.plan.isGang ? (step.tasks[0] ?? task) : task;
+    counted.failures += 1;
+    this.context.change(step.job);
+    const { attempts } = step.job.queue;
+    if (!step.plan.isLasting && counted.failures >= attempts && !isEnded(step.job.state)) {
+      this.end(step.job, 'failed', `${counted.failures} runs of ${task.id} failed`);
+    }
+  }
+
+  /** Starts the occurrences that are due, and forgets jobs that ended long ago. */
+  keepUp(): void {
+    for (const job of this.repeating) {
+      this.openDue(job);
+    }
+    for (const job of this.context.jobs.values()) {
+      if (job.endedAt === undefined || job.endedAt + ENDED_KEPT_MILLIS > this.context.wall) {
+        continue;
+      }
+      this.context.forget(job);
+    }
+  }
+
+  private answerAfterCommit(job: Job, token: JobToken, answer: JobAnswer): void {
+    this.context.change(job);
+    this.context.afterCommit(() => {
+      this.context.emit({ kind: 'answer', token, answer });
+    });
+  }
+
+  private open(job: Job, plan: JobPlan): void {
+    if (plan.repetition !== undefined) {
+      this.repeating.add(job);
+      this.openDue(job);
+    } else if (job.occurrences.length === 0) {
+      job.occurrences.push(newOccurrence(job, plan, 0));
+    }
+    job.occurrences.forEach(({ steps }) => {
+      steps.forEach((step) => {
+        this.refresh(step);
+      });
+    });
+    this.context.hasNews = true;
+    this.completeIfDone(job);
+  }
+
+  private openDue(job: Job): void {
+    const { plan } = job;
+    if (plan?.repetition === undefined || isEnded(job.state)) {
+      this.repeating.delete(job);
+      return;
+    }
+    const { count, firstAt, intervalMillis } = plan.repetition;
+    while (
+      job.occurrences.length < count &&
+      firstAt + job.occurrences.length * intervalMillis <= this.context.wall
+    ) {
+      const occurrence = newOccurrence(job, plan, job.occurrences.length);
+      job.occurrences.push(occurrence);
+      occurrence.steps.forEach((step) => {
+        this.refresh(step);
+      });
+      this.context.change(job);
+      this.context.hasNews = true;
+    }
+  }
+
+  private markDone(task: Task, number: RunNumber): void {
+    if (task.isDone) {
+      return;
+    }
+    task.isDone = true;
+    task.saved = NO_PROGRESS;
+    task.step.doneCount += 1;
+    for (const run of [...task.runs]) {
+      if (task.step.plan.isGang && run.number === number) {
+        // Members end together: this one's end is still to be listed, and holds its room until then.
+        run.phase = 'stopping';
+        run.confirmedAt ??= this.context.now;
+      } else {
+        this.stopRun(run);
+      }
+    }
+  }
+
+  private completeIfDone(job: Job): void {
+    const { plan } = job;
+    if (plan === undefined || isEnded(job.state)) {
+      return;
+    }
+    const expected = plan.repetition?.count ?? 1;
+    const isDone =
+      job.occurrences.length >= expected &&
+      job.occurrences.every(({ steps }) => steps.every(isStepDone));
+    if (isDone) {
+      this.end(job, 'completed', 'all tasks done');
+    }
+  }
+
+  private end(job: Job, state: JobState, reason: string): void {
+    job.state = state;
+    job.endedAt = brandAs<WallInstant>(this.context.wall);
+    this.repeating.delete(job);
+    for (const { steps } of job.occurrences) {
+      for (const step of steps) {
+        this.ready.delete(step);
+        step.tasks.flatMap(({ runs }) => [...runs]).forEach((run) => {
+          this.stopRun(run);
+        });
+      }
+    }
+    this.context.change(job);
+    this.context.afterCommit(() => {
+      job.shownState = state;
+    });
+    this.context.hasNews = true;
+    this.context.event('job.ended', {
+      job: job.id,
+      queue: job.plan?.queue ?? '',
+      state,
+      reason,
+      afterMillis: this.context.wall - job.acceptedAt,
+    });
+  }
+}
+
+/** Whether the step has a task to start now. */
+export function hasWaiting(step: Step): boolean {
+  return waitingTasks(step).length > 0;
+}
--- /dev/null
+++ b/packages/jobs/src/messages.ts
@@ -0,0 +1,145 @@
+/** What the owner of a cluster's jobs is told, and what it asks to be done. */
+
+import type { Branded, MemberId, QueueId, WorkerId } from '@bamboowell/types/ids';
+import type {
+  AdviceTerms,
+  EndedEntry,
+  EndNumber,
+  JobConfiguration,
+  JobId,
+  JobPlan,
+  JobState,
+  LifeId,
+  RunningEntry,
+  RunNumber,
+  SavedProgress,
+  StepId,
+  StepTaskId,
+  Ticket,
+  WorkerNotice,
+} from '@bamboowell/types/job';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+
+/** Names one request that waits for its answer. */
+export type JobToken = Branded<number, 'JobToken'>;
+
+/** What a worker said to an order. */
+export type OrderAnswer =
+  | { readonly kind: 'done' }
+  /** A higher term has given orders there. */
+  | { readonly kind: 'fenced' }
+  /** The run, or a later one, was stopped or ended there. */
+  | { readonly kind: 'outdated' }
+  | { readonly kind: 'late' }
+  | { readonly kind: 'no_room' }
+  | { readonly kind: 'no_ticket' }
+  /** It did nothing. */
+  | { readonly kind: 'unwell' }
+  | { readonly kind: 'malformed' }
+  /** Another life of the worker answered. */
+  | { readonly kind: 'other_life' };
+
+export interface WorkerReport {
+  readonly life: LifeId;
+  /** When the question was sent; what happened later may be missing. */
+  readonly askedAt: Instant;
+  readonly running: readonly RunningEntry[];
+  readonly ended: readonly EndedEntry[];
+}
+
+export type JobInput =
+  | { readonly kind: 'submit'; readonly plan: JobPlan; readonly token: JobToken }
+  | { readonly kind: 'cancel'; readonly job: JobId; readonly token: JobToken }
+  | { readonly kind: 'query'; readonly job: JobId; readonly token: JobToken }
+  | { readonly kind: 'count'; readonly queue: QueueId; readonly token: JobToken }
+  | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
+  | { readonly kind: 'worker'; readonly notice: WorkerNotice }
+  | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
+  | { readonly kind: 'report'; readonly report: WorkerReport }
+  /** Nothing runs there from `lapsesAt` on, unless it answers before. */
+  | { readonly kind: 'unreachable'; readonly life: LifeId; readonly lapsesAt: Deadline }
+  | { readonly kind: 'other_life'; readonly life: LifeId }
+  | {
+      readonly kind: 'order_answered';
+      readonly order: 'start' | 'stop';
+      readonly life: LifeId;
+      readonly task: StepTaskId;
+      readonly run: RunNumber;
+      readonly answer: OrderAnswer;
+    }
+  | {
+      readonly kind: 'advice';
+      readonly step: StepId;
+      readonly granted: readonly { readonly worker: WorkerId; readonly ticket: Ticket }[];
+      readonly until: Deadline;
+      readonly tookMillis: number;
+    }
+  /** The member can ask for advice; `extraMillis` guesses its way there and back. */
+  | { readonly kind: 'adviser'; readonly member: MemberId; readonly extraMillis: number }
+  | { readonly kind: 'adviser_gone'; readonly member: MemberId }
+  | { readonly kind: 'no_advice'; readonly step: StepId }
+  | { readonly kind: 'committed'; readonly batch: number }
+  /** Places what can be placed. */
+  | { readonly kind: 'place' };
+
+export type JobAnswer =
+  | { readonly kind: 'accepted'; readonly repeated: boolean }
+  | { readonly kind: 'refused'; readonly reason: 'unknown_queue' | 'overloaded' }
+  | { readonly kind: 'state'; readonly state: JobState }
+  | { readonly kind: 'unknown_job' }
+  | { readonly kind: 'cancelled' }
+  | { readonly kind: 'count'; readonly waiting: number };
+
+export interface StartOrder {
+  readonly kind: 'start';
+  readonly task: StepTaskId;
+  readonly run: RunNumber;
+  readonly payload: string;
+  readonly saved: SavedProgress;
+  readonly ticket: Ticket | undefined;
+}
+
+export interface StopOrder {
+  readonly kind: 'stop';
+  readonly task: StepTaskId;
+  readonly run: RunNumber;
+}
+
+export type JobOutput =
+  | { readonly kind: 'answer'; readonly token: JobToken; readonly answer: JobAnswer }
+  | { readonly kind: 'order'; readonly life: LifeId; readonly order: StartOrder | StopOrder }
+  /** The order needs no answer any more. */
+  | {
+      readonly kind: 'withdraw';
+      readonly life: LifeId;
+      readonly task: StepTaskId;
+      readonly run: RunNumber;
+    }
+  | { readonly kind: 'acknowledge'; readonly life: LifeId; readonly upTo: EndNumber }
+  | {
+      readonly kind: 'ask_advice';
+      readonly member: MemberId;
+      readonly step: StepId;
+      readonly workers: readonly WorkerId[];
+      readonly terms: AdviceTerms;
+    }
+  /** Talk to this worker from now on. */
+  | { readonly kind: 'meet'; readonly notice: WorkerNotice; readonly lapsesAt: Deadline }
+  | { readonly kind: 'part'; readonly life: LifeId }
+  | {
+      readonly kind: 'event';
+      readonly name: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
+
+/** One write to the store; without a value the key is dropped. */
+export interface JobWrite {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** Writes that go together, by number in order. */
+export interface JobBatch {
+  readonly number: number;
+  readonly writes: readonly JobWrite[];
+}
--- /dev/null
+++ b/packages/jobs/src/placing.ts
@@ -0,0 +1,285 @@
+/** Finds workers for steps and asks for the advice that their starts need. */
+
+import type { MemberId, TeamId, WorkerId } from '@bamboowell/types/ids';
+import type { StepId } from '@bamboowell/types/job';
+import { add, fits, subtract, type Resources } from '@bamboowell/types/resources';
+import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
+import type { AdviceDesk } from './advice-desk.js';
+import type { JobContext } from './context.js';
+import type { Lifecycle } from './lifecycle.js';
+import { roomOf, waitingTasks, type Grant, type Step, type Task, type Worker } from './model.js';
+import type { JobOrdering } from './ordering.js';
+import type { Assignment, Orders } from './orders.js';
+import type { Trust } from './trust.js';
+
+/** A ticket with less time left than this, milliseconds, isn't used: the start must be recorded and travel first. */
+const TICKET_MARGIN_MILLIS = 250;
+/** Most workers that one call for advice names; the platform takes no more. */
+const MAX_NAMED_WORKERS = 100;
+
+/** A worker that may get work in this pass, and the room that is left on it. */
+interface Site {
+  readonly worker: Worker;
+  room: Resources;
+}
+
+export class Placing {
+  constructor(
+    private readonly context: JobContext,
+    private readonly lifecycle: Lifecycle,
+    private readonly orders: Orders,
+    private readonly trust: Trust,
+    private readonly desk: AdviceDesk,
+    private readonly ordering: JobOrdering,
+  ) {}
+
+  place(): void {
+    const sites = this.openSites();
+    for (const step of this.ordering.sorted(this.lifecycle.ready, this.context)) {
+      const waiting = waitingTasks(step);
+      if (waiting.length > 0) {
+        this.placeStep(step, waiting, sites);
+      }
+    }
+  }
+
+  adviserGone(member: MemberId): void {
+    this.desk.remove(member).forEach((step) => {
+      this.noAdvice(step);
+    });
+  }
+
+  noAdvice(id: StepId): void {
+    this.desk.close(id, undefined);
+    const step = this.context.step(id);
+    if (step !== undefined) {
+      step.isAsking = false;
+    }
+    this.context.hasNews = true;
+  }
+
+  private openSites(): Site[] {
+    const sites: Site[] = [];
+    for (const worker of this.context.workers.values()) {
+      if (this.isOpen(worker)) {
+        sites.push({ worker, room: subtract(worker.notice.capacity, worker.used) });
+      }
+    }
+    return sites;
+  }
+
+  private isOpen(worker: Worker): boolean {
+    return (
+      worker.isMet &&
+      worker.isReachable &&
+      worker.isListed &&
+      !worker.notice.isDraining &&
+      worker.strangers === 0 &&
+      hasPassed(worker.restsUntil, this.context.now) &&
+      this.trust.mayPlace(worker.id)
+    );
+  }
+
+  private placeStep(step: Step, waiting: readonly Task[], sites: readonly Site[]): void {
+    const fitting = sites.filter(({ worker }) => suits(worker, step));
+    const allowed = this.withTicket(step, fitting);
+    if (allowed.length === 0) {
+      this.ask(step);
+      return;
+    }
+    const assignments = step.plan.isGang
+      ? this.assignGang(step, waiting, allowed)
+      : this.assignEach(step, waiting, allowed);
+    if (assignments.length > 0) {
+      assignments.forEach(({ worker }) => {
+        this.trust.placed(worker.id);
+      });
+      this.orders.start(step, assignments);
+    }
+  }
+
+  private withTicket(step: Step, sites: readonly Site[]): readonly Site[] {
+    if (step.job.queue.advice === undefined) {
+      return sites;
+    }
+    const usableAt = deadlineAfter(this.context.now, TICKET_MARGIN_MILLIS);
+    return sites.filter(({ worker }) => {
+      const grant = step.grants.get(worker.id);
+      return grant !== undefined && grant.until > usableAt;
+    });
+  }
+
+  /** Asks which workers may run the step, unless a ticket or a call for it is there. */
+  private ask(step: Step): void {
+    const terms = step.job.queue.advice;
+    if (terms === undefined || step.isAsking) {
+      return;
+    }
+    const named = this.candidates(step);
+    if (named.length === 0) {
+      return;
+    }
+    const member = this.desk.open(step.id, terms, named.length);
+    if (member === undefined) {
+      return;
+    }
+    step.isAsking = true;
+    named.forEach((id) => step.askedAbout.add(id));
+    this.context.emit({ kind: 'ask_advice', member, step: step.id, workers: named, terms });
+  }
+
+  /** Workers known to be allowed, and those never asked about. */
+  private candidates(step: Step): WorkerId[] {
+    const named: WorkerId[] = [];
+    for (const worker of this.context.workers.values()) {
+      const { id } = worker;
+      const isOpen = worker.isListed && worker.isReachable && !worker.notice.isDraining;
+      const mayBeAllowed = step.grants.has(id) || !step.askedAbout.has(id);
+      if (isOpen && mayBeAllowed && suits(worker, step)) {
+        named.push(id);
+      }
+    }
+    return named.slice(0, MAX_NAMED_WORKERS);
+  }
+
+  private assignEach(step: Step, waiting: readonly Task[], sites: readonly Site[]): Assignment[] {
+    const assignments: Assignment[] = [];
+    const demand = roomOf(step.plan);
+    const onWorker = runsByWorker(step);
+    let toStart = this.withinLimit(step, waiting.length);
+    for (const task of waiting) {
+      if (toStart === 0) {
+        break;
+      }
+      const site = bestSite(step, task, demand, sites, onWorker);
+      if (site === undefined) {
+        continue;
+      }
+      toStart -= 1;
+      take(site, demand, onWorker);
+      assignments.push({ task, worker: site.worker, grant: this.grantOf(step, site) });
+    }
+    return assignments;
+  }
+
+  private assignGang(step: Step, waiting: readonly Task[], sites: readonly Site[]): Assignment[] {
+    const isWhole = waiting.length === step.tasks.length;
+    if (!isWhole || this.withinLimit(step, waiting.length) < waiting.length) {
+      return [];
+    }
+    const demand = roomOf(step.plan);
+    const trial = sites.map((site) => ({ ...site }));
+    const onWorker = runsByWorker(step);
+    const assignments: Assignment[] = [];
+    for (const task of waiting) {
+      const site = bestSite(step, task, demand, trial, onWorker);
+      if (site === undefined) {
+        return [];
+      }
+      take(site, demand, onWorker);
+      assignments.push({ task, worker: site.worker, grant: this.grantOf(step, site) });
+    }
+    sites.forEach((site, index) => {
+      site.room = trial[index]?.room ?? site.room;
+    });
+    return assignments;
+  }
+
+  private grantOf(step: Step, { worker }: Site): Grant | undefined {
+    return step.grants.get(worker.id);
+  }
+
+  /** How many of the tasks the team may start: the last one may pass its limit by a part of itself. */
+  private withinLimit(step: Step, wanted: number): number {
+    const team = step.job.plan?.team;
+    const limit = team === undefined ? undefined : this.context.team(team)?.limit;
+    if (team === undefined || limit === undefined) {
+      return wanted;
+    }
+    return this.startable(team, limit, roomOf(step.plan), wanted);
+  }
+
+  private startable(team: TeamId, limit: Resources, demand: Resources, wanted: number): number {
+    const bound = withoutZeros(limit);
+    let running = this.context.runningOf(team);
+    let startable = 0;
+    while (startable < wanted && fits(running, bound)) {
+      running = add(running, demand);
+      startable += 1;
+    }
+    return startable;
+  }
+}
+
+/** A limit of zero is none. */
+function withoutZeros(limit: Resources): Resources {
+  const orNone = (amount: number): number => (amount === 0 ? Number.MAX_SAFE_INTEGER : amount);
+  return {
+    millicores: orNone(limit.millicores),
+    memoryMib: orNone(limit.memoryMib),
+    accelerators: orNone(limit.accelerators),
+    slots: orNone(limit.slots),
+  };
+}
+
+function suits({ notice }: Worker, { plan, job }: Step): boolean {
+  return (
+    notice.service === job.queue.service &&
+    (plan.requiredLabel === undefined || notice.labels.includes(plan.requiredLabel)) &&
+    fits(roomOf(plan), notice.capacity)
+  );
+}
+
+function runsByWorker(step: Step): Map<WorkerId, number> {
+  const counts = new Map<WorkerId, number>();
+  for (const { worker } of step.tasks.flatMap(({ runs }) => runs)) {
+    counts.set(worker.id, (counts.get(worker.id) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function take(site: Site, demand: Resources, onWorker: Map<WorkerId, number>): void {
+  site.room = subtract(site.room, demand);
+  onWorker.set(site.worker.id, (onWorker.get(site.worker.id) ?? 0) + 1);
+}
+
+/** The fullest worker that holds the task, rather near its data and not where it failed. */
+function bestSite(
+  step: Step,
+  task: Task,
+  demand: Resources,
+  sites: readonly Site[],
+  onWorker: ReadonlyMap<WorkerId, number>,
+): Site | undefined {
+  const { maxPerWorker } = step.plan;
+  let best: Site | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const site of sites) {
+    const isFull = maxPerWorker > 0 && (onWorker.get(site.worker.id) ?? 0) >= maxPerWorker;
+    if (isFull || !fits(demand, site.room)) {
+      continue;
+    }
+    const score = scoreOf(step, task, site, onWorker);
+    if (score < bestScore) {
+      best = site;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** Cores by which a worker off the data's rack, or one on which the task failed, ranks behind. */
+const FAR_PENALTY_MILLICORES = 1_000_000;
+
+function scoreOf(
+  { plan }: Step,
+  task: Task,
+  { worker, room }: Site,
+  onWorker: ReadonlyMap<WorkerId, number>,
+): number {
+  const isFar = plan.dataRack !== undefined && !worker.notice.labels.includes(plan.dataRack);
+  const leavesRack = plan.prefersOneRack && onWorker.size > 0 && !onWorker.has(worker.id);
+  const hasFailed = task.failedOn.has(worker.id);
+  const penalties = Number(isFar) + Number(leavesRack) + 2 * Number(hasFailed);
+  return room.millicores + penalties * FAR_PENALTY_MILLICORES;
+}
--- /dev/null
+++ b/packages/jobs/src/records.ts
@@ -0,0 +1,175 @@
+/** The form in which jobs are kept in the store, and the way back. */
+
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import type {
+  JobId,
+  JobPlan,
+  JobQueue,
+  JobState,
+  LifeId,
+  RunNumber,
+  SavedProgress,
+  WallInstant,
+} from '@bamboowell/types/job';
+import { GONE_QUEUE, isEnded, newJob, newOccurrence, type Job, type Task } from './model.js';
+
+const SPEC_PREFIX = 'spec/';
+const PROGRESS_PREFIX = 'progress/';
+
+/** A run that may be going on: the worker's life and id, and the number. */
+type RunRow = readonly [life: LifeId, worker: WorkerId, run: RunNumber];
+
+/** A task that differs from an untouched one. */
+type TaskRow = readonly [
+  occurrence: number,
+  step: number,
+  index: number,
+  isDone: 0 | 1,
+  lastRun: RunNumber,
+  failures: number,
+  saved: SavedProgress,
+  runs: readonly RunRow[],
+];
+
+export interface ProgressRecord {
+  readonly state: JobState;
+  readonly acceptedAt: WallInstant;
+  readonly endedAt?: WallInstant;
+  readonly occurrences: number;
+  readonly tasks: readonly TaskRow[];
+}
+
+export interface SpecRecord {
+  readonly plan: JobPlan;
+  /** The queue as it was when the job was accepted, for when no configuration has it any more. */
+  readonly queue: JobQueue;
+  readonly acceptedAt: WallInstant;
+}
+
+export function specKey(job: JobId): string {
+  return SPEC_PREFIX + job;
+}
+
+export function progressKey(job: JobId): string {
+  return PROGRESS_PREFIX + job;
+}
+
+export function progressOf(job: Job): ProgressRecord {
+  const tasks = isEnded(job.state)
+    ? []
+    : job.occurrences.flatMap(({ steps }) => steps.flatMap((step) => step.tasks));
+  return {
+    state: job.state,
+    acceptedAt: job.acceptedAt,
+    ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }),
+    occurrences: job.occurrences.length,
+    tasks: tasks.filter(isTouched).map(rowOf),
+  };
+}
+
+function isTouched(task: Task): boolean {
+  return task.isDone || task.lastRun > 0;
+}
+
+function rowOf(task: Task): TaskRow {
+  const { step } = task;
+  return [
+    step.occurrence.index,
+    step.index,
+    task.index,
+    task.isDone ? 1 : 0,
+    task.lastRun,
+    task.failures,
+    task.saved,
+    task.runs.map((run) => [run.worker.life, run.worker.id, run.number] as const),
+  ];
+}
+
+/** A run that the store has of an earlier owner. */
+export interface RestoredRun {
+  readonly task: Task;
+  readonly life: LifeId;
+  readonly worker: WorkerId;
+  readonly number: RunNumber;
+}
+
+export interface Restored {
+  readonly jobs: Job[];
+  readonly runs: RestoredRun[];
+}
+
+/** Builds jobs from the newest record of each key. Records without their counterpart are left out. */
+export function restoreJobs(entries: Iterable<readonly [key: string, value: unknown]>): Restored {
+  const specs = new Map<JobId, SpecRecord>();
+  const progress = new Map<JobId, ProgressRecord>();
+  for (const [key, value] of entries) {
+    if (key.startsWith(SPEC_PREFIX)) {
+      specs.set(brandAs<JobId>(key.slice(SPEC_PREFIX.length)), value as SpecRecord);
+    } else if (key.startsWith(PROGRESS_PREFIX)) {
+      progress.set(brandAs<JobId>(key.slice(PROGRESS_PREFIX.length)), value as ProgressRecord);
+    }
+  }
+  const restored: Restored = { jobs: [], runs: [] };
+  for (const [id, spec] of specs) {
+    restoreOpen(restored, spec, progress.get(id));
+  }
+  for (const [id, record] of progress) {
+    if (!specs.has(id) && isEnded(record.state)) {
+      restored.jobs.push(endedJob(id, record));
+    }
+  }
+  return restored;
+}
+
+function restoreOpen(
+  restored: Restored,
+  { plan, queue, acceptedAt }: SpecRecord,
+  record: ProgressRecord | undefined,
+): void {
+  const job = newJob(plan, queue, acceptedAt);
+  restored.jobs.push(job);
+  if (record === undefined) {
+    return;
+  }
+  job.state = record.state;
+  job.shownState = record.state;
+  job.endedAt = record.endedAt;
+  job.hasStarted = record.tasks.some(([, , , , lastRun]) => lastRun > 0);
+  for (let index = 0; index < record.occurrences; index += 1) {
+    job.occurrences.push(newOccurrence(job, plan, index));
+  }
+  for (const row of record.tasks) {
+    restoreTask(restored, job, row);
+  }
+}
+
+function restoreTask(restored: Restored, job: Job, row: TaskRow): void {
+  const [occurrence, stepIndex, index, isDone, lastRun, failures, saved, runs] = row;
+  const step = job.occurrences[occurrence]?.steps[stepIndex];
+  const task = step?.tasks[index];
+  if (step === undefined || task === undefined) {
+    return;
+  }
+  task.isDone = isDone === 1;
+  step.doneCount += isDone;
+  task.lastRun = lastRun;
+  task.failures = failures;
+  task.saved = saved;
+  for (const [life, worker, number] of runs) {
+    restored.runs.push({ task, life, worker, number });
+  }
+}
+
+function endedJob(id: JobId, record: ProgressRecord): Job {
+  return {
+    id,
+    plan: undefined,
+    queue: GONE_QUEUE,
+    state: record.state,
+    shownState: record.state,
+    acceptedAt: record.acceptedAt,
+    endedAt: record.endedAt ?? record.acceptedAt,
+    occurrences: [],
+    hasStarted: true,
+  };
+}
--- /dev/null
+++ b/packages/jobs/src/reports.ts
@@ -0,0 +1,223 @@
+/** What workers say of themselves: runs, ends, silence, and lives that are over. */
+
+import { NO_PROGRESS, type EndedEntry, type EndNumber, type RunningEntry } from '@bamboowell/types/job';
+import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import type { JobContext } from './context.js';
+import type { Lifecycle } from './lifecycle.js';
+import type { WorkerReport } from './messages.js';
+import { isEnded, runKey, type Run, type Task, type Worker } from './model.js';
+import type { Orders } from './orders.js';
+import type { Trust } from './trust.js';
+
+/** Ends that a worker lists at a time; a full list may leave ends out. */
+const LISTED_ENDS = 500;
+
+export class Reports {
+  constructor(
+    private readonly context: JobContext,
+    private readonly lifecycle: Lifecycle,
+    private readonly orders: Orders,
+    private readonly trust: Trust,
+  ) {}
+
+  receive(report: WorkerReport): void {
+    const worker = this.context.workers.get(report.life);
+    if (worker === undefined) {
+      return;
+    }
+    if (!worker.isReachable) {
+      this.context.event('worker.regained', { worker: worker.id });
+    }
+    worker.isReachable = true;
+    const listed = new Set<string>();
+    worker.strangers = 0;
+    for (const entry of report.running) {
+      listed.add(runKey(entry.task, entry.run));
+      this.noteRunning(worker, entry);
+    }
+    this.takeEnds(worker, report.ended);
+    const isComplete = report.ended.length < LISTED_ENDS;
+    if (!worker.isMet) {
+      this.meet(worker, listed);
+    } else if (isComplete) {
+      this.dropVanished(worker, listed, report);
+    }
+    this.context.hasNews = true;
+  }
+
+  /** Its runs go on until `lapsesAt`; after that they are gone. */
+  unreachable(worker: Worker, lapsesAt: Deadline): void {
+    if (worker.isReachable) {
+      this.context.event('worker.unreachable', {
+        worker: worker.id,
+        runs: worker.runs.size,
+        lapsesInMillis: Math.round(lapsesAt - this.context.now),
+      });
+    }
+    worker.isReachable = false;
+    worker.lapsesAt = lapsesAt;
+  }
+
+  /** Takes up what has lapsed by now. */
+  lapse(): void {
+    for (const worker of this.context.workers.values()) {
+      if (!worker.isReachable && hasPassed(worker.lapsesAt, this.context.now)) {
+        this.dropRuns(worker, 'lapsed');
+        if (!worker.isListed) {
+          this.remove(worker);
+        }
+      }
+    }
+  }
+
+  /** The life is over: nothing runs there. */
+  over(worker: Worker, reason: string): void {
+    this.dropRuns(worker, reason);
+    this.remove(worker);
+  }
+
+  private remove(worker: Worker): void {
+    this.context.workers.delete(worker.life);
+    if (this.context.lives.get(worker.id) === worker) {
+      this.context.lives.delete(worker.id);
+    }
+    this.trust.forget(worker.id);
+    this.context.emit({ kind: 'part', life: worker.life });
+    this.context.event('worker.over', { worker: worker.id, life: worker.life });
+  }
+
+  /** The first answer to this owner: what it doesn't list never started there and never will. */
+  private meet(worker: Worker, listed: ReadonlySet<string>): void {
+    worker.isMet = true;
+    for (const run of [...worker.runs.values()]) {
+      if (!listed.has(runKey(run.task.id, run.number))) {
+        this.lost(run, 'not_started');
+      }
+    }
+    this.context.event('worker.met', { worker: worker.id, runs: worker.runs.size });
+  }
+
+  private noteRunning(worker: Worker, entry: RunningEntry): void {
+    const run = worker.runs.get(runKey(entry.task, entry.run));
+    if (run === undefined) {
+      worker.strangers += 1;
+      this.orders.sendStop(worker.life, entry.task, entry.run);
+      this.context.event('run.unknown', { worker: worker.id, task: entry.task, run: entry.run });
+      return;
+    }
+    if (run.phase === 'ordered' || run.phase === 'recorded') {
+      run.phase = 'running';
+    }
+    run.confirmedAt ??= this.context.now;
+    if (entry.percent !== run.percent) {
+      run.percent = entry.percent;
+      run.movedAt = this.context.now;
+    }
+    if (entry.saved !== NO_PROGRESS && !run.task.isDone) {
+      this.save(run.task, entry.saved);
+    }
+  }
+
+  private takeEnds(worker: Worker, ended: readonly EndedEntry[]): void {
+    const fresh = ended.filter(({ number }) => number > worker.endsTaken);
+    if (fresh.length === 0) {
+      return;
+    }
+    fresh.sort((left, right) => left.number - right.number);
+    for (const entry of fresh) {
+      this.takeEnd(worker, entry);
+    }
+    const upTo = fresh.at(-1)?.number ?? worker.endsTaken;
+    worker.endsTaken = upTo;
+    this.acknowledgeAfterCommit(worker, upTo);
+  }
+
+  private acknowledgeAfterCommit(worker: Worker, upTo: EndNumber): void {
+    this.context.afterCommit(() => {
+      this.context.emit({ kind: 'acknowledge', life: worker.life, upTo });
+    });
+  }
+
+  private takeEnd(worker: Worker, entry: EndedEntry): void {
+    const task = this.context.task(entry.task);
+    const run = worker.runs.get(runKey(entry.task, entry.run));
+    this.context.event('task.ended', {
+      task: entry.task,
+      run: entry.run,
+      worker: worker.id,
+      end: entry.end,
+      number: entry.number,
+    });
+    if (run !== undefined) {
+      this.context.detach(run);
+      this.context.change(run.task.step.job);
+    }
+    if (task !== undefined && !isEnded(task.step.job.state) && !task.isDone) {
+      this.settle(task, entry, worker, run);
+    }
+  }
+
+  private settle(task: Task, entry: EndedEntry, worker: Worker, run: Run | undefined): void {
+    const queue = task.step.job.plan?.queue;
+    if (entry.end === 'done' && !task.step.plan.isLasting) {
+      this.trust.succeeded(worker.id, queue);
+      this.lifecycle.done(task, entry.run);
+      return;
+    }
+    if (entry.saved !== NO_PROGRESS) {
+      this.save(task, entry.saved);
+    }
+    if (entry.end === 'failed' && run !== undefined) {
+      this.trust.failed(worker.id, queue, task.step.job.id, this.context.now);
+      this.lifecycle.failed(task, worker, entry.run);
+    }
+    this.lifecycle.refresh(task.step);
+  }
+
+  /** Progress of any member of a gang is good for all of them. */
+  private save(task: Task, saved: RunningEntry['saved']): void {
+    const members = task.step.plan.isGang ? task.step.tasks : [task];
+    members.forEach((member) => {
+      member.saved = saved;
+    });
+  }
+
+  /** Runs that a later list leaves out are gone. */
+  private dropVanished(worker: Worker, listed: ReadonlySet<string>, report: WorkerReport): void {
+    for (const run of [...worker.runs.values()]) {
+      const wasThere = run.confirmedAt !== undefined && run.confirmedAt < report.askedAt;
+      if (wasThere && !listed.has(runKey(run.task.id, run.number))) {
+        this.lost(run, 'vanished');
+      }
+    }
+  }
+
+  private dropRuns(worker: Worker, reason: string): void {
+    for (const run of [...worker.runs.values()]) {
+      const { task, number } = run;
+      if (run.phase === 'ordered' || run.phase === 'stopping') {
+        this.context.emit({ kind: 'withdraw', life: worker.life, task: task.id, run: number });
+      }
+      this.lost(run, reason);
+    }
+    worker.strangers = 0;
+  }
+
+  private lost(run: Run, reason: string): void {
+    const { task } = run;
+    this.context.detach(run);
+    this.context.change(task.step.job);
+    this.context.event('run.lost', {
+      task: task.id,
+      run: run.number,
+      worker: run.worker.id,
+      reason,
+    });
+    if (!isEnded(task.step.job.state)) {
+      this.lifecycle.refresh(task.step);
+    }
+    if (task.step.plan.isGang) {
+      this.orders.stopGang(task.step, run.number);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/scheduler.ts
@@ -0,0 +1,289 @@
+/**
+ * The state machine of the owner of a cluster's jobs. It takes typed inputs with the time and
+ * returns what is to be done; it does no I/O, so that recorded inputs replay to the same outputs.
+ */
+
+import { match } from 'ts-pattern';
+import type { JobConfiguration, LifeId, WallInstant, WorkerNotice } from '@bamboowell/types/job';
+import { NOTHING } from '@bamboowell/types/resources';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+import { AdviceDesk } from './advice-desk.js';
+import { JobContext } from './context.js';
+import { Lifecycle } from './lifecycle.js';
+import type { JobBatch, JobInput, JobOutput } from './messages.js';
+import { newWorker, type Run, type Worker } from './model.js';
+import type { JobOrdering } from './ordering.js';
+import { Orders } from './orders.js';
+import { Placing } from './placing.js';
+import type { RestoredRun, Restored } from './records.js';
+import { Reports } from './reports.js';
+import { Trust } from './trust.js';
+
+export interface JobSchedulerOptions {
+  readonly ordering: JobOrdering;
+  readonly configuration: JobConfiguration;
+  /** Every lease that an earlier owner gave has lapsed by then. */
+  readonly earlierLeasesEnd: Deadline;
+  readonly restored: Restored;
+  readonly workers: readonly WorkerNotice[];
+}
+
+/** Both clocks of the process. */
+export interface Times {
+  readonly now: Instant;
+  readonly wall: WallInstant;
+}
+
+export class JobScheduler {
+  private readonly context = new JobContext();
+  private readonly trust = new Trust();
+  private readonly desk = new AdviceDesk();
+  private readonly lifecycle: Lifecycle;
+  private readonly orders: Orders;
+  private readonly reports: Reports;
+  private readonly placing: Placing;
+  private readonly earlierLeasesEnd: Deadline;
+
+  constructor(options: JobSchedulerOptions, times: Times) {
+    const { context, trust } = this;
+    this.setTimes(times);
+    this.earlierLeasesEnd = options.earlierLeasesEnd;
+    this.orders = new Orders(
+      context,
+      (task, worker, number) => {
+        this.lifecycle.failed(task, worker, number);
+      },
+      (worker) => {
+        this.reports.over(worker, 'other_life');
+      },
+    );
+    this.lifecycle = new Lifecycle(context, (run) => {
+      this.orders.stop(run);
+    });
+    this.reports = new Reports(context, this.lifecycle, this.orders, trust);
+    this.placing = new Placing(
+      context,
+      this.lifecycle,
+      this.orders,
+      trust,
+      this.desk,
+      options.ordering,
+    );
+    context.setConfiguration(options.configuration);
+    options.workers.forEach((notice) => {
+      this.noteWorker(notice);
+    });
+    this.restore(options.restored);
+  }
+
+  /** Takes one input and returns what is to be done, in order. */
+  step(input: JobInput, times: Times): JobOutput[] {
+    this.setTimes(times);
+    this.receive(input);
+    return this.context.takeOutputs();
+  }
+
+  /** What was asked for while it was built. */
+  takeOutputs(): JobOutput[] {
+    return this.context.takeOutputs();
+  }
+
+  /** The writes that are due; `committed` with its number follows once the store has them. */
+  takeBatch(): JobBatch | undefined {
+    return this.context.takeBatch();
+  }
+
+  /** Whether a pass of placement may start something. */
+  get wantsPlacement(): boolean {
+    return this.context.hasNews;
+  }
+
+  /** Figures for metrics and the log. */
+  figures(): { readonly jobs: number; readonly waitingSteps: number; readonly runs: number } {
+    let runs = 0;
+    for (const worker of this.context.workers.values()) {
+      runs += worker.runs.size;
+    }
+    return { jobs: this.context.jobs.size, waitingSteps: this.lifecycle.ready.size, runs };
+  }
+
+  private setTimes({ now, wall }: Times): void {
+    this.context.now = now;
+    this.context.wall = wall;
+  }
+
+  private receive(input: JobInput): void {
+    match(input)
+      .with({ kind: 'submit' }, ({ plan, token }) => {
+        this.lifecycle.submit(plan, token);
+      })
+      .with({ kind: 'cancel' }, ({ job, token }) => {
+        this.lifecycle.cancel(job, token);
+      })
+      .with({ kind: 'query' }, ({ job, token }) => {
+        this.lifecycle.query(job, token);
+      })
+      .with({ kind: 'count' }, ({ queue, token }) => {
+        this.lifecycle.count(queue, token);
+      })
+      .with({ kind: 'configuration' }, ({ configuration }) => {
+        this.context.setConfiguration(configuration);
+      })
+      .with({ kind: 'worker' }, ({ notice }) => {
+        this.noteWorker(notice);
+      })
+      .with({ kind: 'worker_gone' }, ({ worker }) => {
+        this.workerGone(worker);
+      })
+      .with({ kind: 'report' }, ({ report }) => {
+        this.reports.receive(report);
+      })
+      .with({ kind: 'unreachable' }, ({ life, lapsesAt }) => {
+        this.withWorker(life, (worker) => {
+          this.reports.unreachable(worker, lapsesAt);
+        });
+      })
+      .with({ kind: 'other_life' }, ({ life }) => {
+        this.withWorker(life, (worker) => {
+          this.reports.over(worker, 'other_life');
+        });
+      })
+      .with({ kind: 'order_answered' }, ({ order, life, task, run, answer }) => {
+        this.withWorker(life, (worker) => {
+          this.orders.answered(order, worker, task, run, answer);
+        });
+      })
+      .with({ kind: 'adviser' }, ({ member, extraMillis }) => {
+        this.desk.add(member, extraMillis);
+        this.context.hasNews = true;
+      })
+      .with({ kind: 'adviser_gone' }, ({ member }) => {
+        this.placing.adviserGone(member);
+      })
+      .with({ kind: 'advice' }, (advice) => {
+        this.takeAdvice(advice);
+      })
+      .with({ kind: 'no_advice' }, ({ step }) => {
+        this.placing.noAdvice(step);
+      })
+      .with({ kind: 'committed' }, ({ batch }) => {
+        this.context.committed(batch);
+      })
+      .with({ kind: 'place' }, () => {
+        this.place();
+      })
+      .exhaustive();
+  }
+
+  private place(): void {
+    this.lifecycle.keepUp();
+    this.reports.lapse();
+    this.trust.endQuarantines(this.context.now);
+    this.context.hasNews = false;
+    this.placing.place();
+  }
+
+  private takeAdvice(advice: Extract<JobInput, { kind: 'advice' }>): void {
+    this.desk.close(advice.step, advice.tookMillis);
+    const step = this.context.step(advice.step);
+    if (step === undefined) {
+      return;
+    }
+    step.isAsking = false;
+    for (const { worker, ticket } of advice.granted) {
+      step.grants.set(worker, { ticket, until: advice.until });
+    }
+    this.context.hasNews = true;
+    this.context.event('advice.taken', {
+      step: advice.step,
+      granted: advice.granted.length,
+      tookMillis: Math.round(advice.tookMillis),
+    });
+  }
+
+  private noteWorker(notice: WorkerNotice): void {
+    const known = this.context.workers.get(notice.life);
+    if (known !== undefined) {
+      known.notice = notice;
+      known.isListed = true;
+      this.context.hasNews = true;
+      return;
+    }
+    const earlier = this.context.lives.get(notice.id);
+    if (earlier !== undefined) {
+      this.reports.over(earlier, 'born_again');
+    }
+    const worker = newWorker(notice, this.earlierLeasesEnd);
+    this.context.workers.set(worker.life, worker);
+    this.context.lives.set(worker.id, worker);
+    this.trust.setWorkerCount(this.context.lives.size);
+    this.context.emit({ kind: 'meet', notice, lapsesAt: this.earlierLeasesEnd });
+  }
+
+  private workerGone(id: WorkerNotice['id']): void {
+    const worker = this.context.lives.get(id);
+    if (worker !== undefined) {
+      worker.isListed = false;
+      this.context.event('worker.unlisted', { worker: id, runs: worker.runs.size });
+    }
+  }
+
+  private withWorker(life: LifeId, act: (worker: Worker) => void): void {
+    const worker = this.context.workers.get(life);
+    if (worker !== undefined) {
+      act(worker);
+    }
+  }
+
+  private restore({ jobs, runs }: Restored): void {
+    runs.forEach((run) => {
+      this.restoreRun(run);
+    });
+    jobs.forEach((job) => {
+      this.lifecycle.resume(job);
+    });
+  }
+
+  /** A run that an earlier owner recorded; its worker's first answer tells what became of it. */
+  private restoreRun({ task, life, worker: id, number }: RestoredRun): void {
+    const current = this.context.lives.get(id);
+    if (current !== undefined && current.life !== life) {
+      return;
+    }
+    const worker = current ?? this.departed(life, id);
+    const run: Run = {
+      task,
+      number,
+      worker,
+      ticket: undefined,
+      phase: 'ordered',
+      confirmedAt: undefined,
+      percent: 0,
+      movedAt: this.context.now,
+    };
+    this.context.attach(run);
+  }
+
+  /** A worker that the store lists no more; its leases may still run. */
+  private departed(life: LifeId, id: WorkerNotice['id']): Worker {
+    const known = this.context.workers.get(life);
+    if (known !== undefined) {
+      return known;
+    }
+    const notice: WorkerNotice = {
+      id,
+      life,
+      address: '',
+      service: '',
+      zone: '',
+      isDraining: true,
+      capacity: NOTHING,
+      labels: [],
+    };
+    const worker = newWorker(notice, this.earlierLeasesEnd);
+    worker.isListed = false;
+    worker.isReachable = false;
+    this.context.workers.set(life, worker);
+    return worker;
+  }
+}
--- /dev/null
+++ b/packages/member/src/gate.ts
@@ -0,0 +1,283 @@
+/** Where callers' requests come in: checks them, hands them to the owner, and answers in time. */
+
+import { match } from 'ts-pattern';
+import type { Reply } from '@bamboowell/kernel/ask';
+import { Task } from '@bamboowell/kernel/task';
+import type { Alarm, Clock } from '@bamboowell/kernel/clock';
+import type { EventLog } from '@bamboowell/logger/logger';
+import type { JobAnswer } from '@bamboowell/jobs/messages';
+import type { TeamId } from '@bamboowell/types/ids';
+import { deadlineAfter, millisUntil, type Deadline, type Instant } from '@bamboowell/types/time';
+import { isJobId, type GateMessage, type JobReply, type JobRequest } from './gate-messages.js';
+import type { OwnerChannel, OwnerReply, OwnerRequest } from './owner-channel.js';
+import { Routes, type Route } from './routes.js';
+
+/** The answer must reach the caller before it stops waiting: it leaves so much earlier, milliseconds. */
+const ANSWER_AHEAD_MILLIS = 120;
+/** Pause before an owner that takes nothing yet is asked again, milliseconds. */
+const ASK_AGAIN_MILLIS = 60;
+/** One try with an owner is given up after this, milliseconds; the request goes to the next one. */
+const TRY_MILLIS = 1500;
+/** Requests in hand; more are refused. */
+const MAX_PENDING = 4000;
+/** A member without an owner for so long, milliseconds, is not ready: others may reach one. */
+const OWNERLESS_MILLIS = 2500;
+/** When a refused caller should come back, seconds: about the time of a change of owner. */
+const RETRY_AFTER_SECONDS = 1;
+
+interface Pending {
+  readonly request: OwnerRequest;
+  readonly name: string;
+  readonly version: number;
+  readonly reply: Reply<JobReply>;
+  readonly since: Instant;
+  readonly deadline: Deadline;
+  readonly alarm: Alarm;
+  /** Whether some owner may have taken it. */
+  mayHaveRun: boolean;
+  isAsked: boolean;
+  tries: number;
+}
+
+export class GateTask extends Task<GateMessage> {
+  private routes: Routes | undefined;
+  private channel: OwnerChannel | undefined;
+  private ownerlessSince: Instant | undefined;
+  private wasOwned = false;
+  private isDraining = false;
+  private lastId = 0;
+  private readonly pending = new Map<number, Pending>();
+
+  constructor(
+    private readonly events: EventLog,
+    clock: Clock,
+  ) {
+    super('gate', clock, GATE_MAILBOX);
+    this.ownerlessSince = clock.now();
+  }
+
+  protected receive(message: GateMessage): void {
+    match(message)
+      .with({ kind: 'request' }, ({ request, reply }) => {
+        this.take(request, reply);
+      })
+      .with({ kind: 'configuration' }, ({ configuration }) => {
+        this.routes = new Routes(configuration);
+      })
+      .with({ kind: 'owner' }, ({ channel }) => {
+        this.setChannel(channel);
+      })
+      .with({ kind: 'ready' }, ({ reply }) => {
+        reply(this.isReady());
+      })
+      .with({ kind: 'settled' }, ({ id, reply }) => {
+        this.settled(id, reply);
+      })
+      .with({ kind: 'again' }, ({ id }) => {
+        const pending = this.pending.get(id);
+        if (pending !== undefined) {
+          this.ask(id, pending);
+        }
+      })
+      .with({ kind: 'expired' }, ({ id }) => {
+        this.expire(id);
+      })
+      .with({ kind: 'drain' }, () => {
+        this.isDraining = true;
+      })
+      .with({ kind: 'idle' }, ({ reply }) => {
+        reply(this.pending.size === 0);
+      })
+      .exhaustive();
+  }
+
+  private isReady(): boolean {
+    const now = this.clock.now();
+    const since = this.ownerlessSince;
+    const hasOwner = since === undefined || (this.wasOwned && now - since < OWNERLESS_MILLIS);
+    return this.routes !== undefined && hasOwner && !this.isDraining;
+  }
+
+  private setChannel(channel: OwnerChannel | undefined): void {
+    this.channel = channel;
+    if (channel === undefined) {
+      this.ownerlessSince ??= this.clock.now();
+      return;
+    }
+    this.ownerlessSince = undefined;
+    this.wasOwned = true;
+    for (const [id, pending] of this.pending) {
+      this.ask(id, pending);
+    }
+  }
+
+  private take(request: JobRequest, reply: Reply<JobReply>): void {
+    const { routes } = this;
+    if (routes === undefined) {
+      this.refuse(request, reply, 'no_configuration');
+      return;
+    }
+    const checked = check(routes, request);
+    if (checked.kind !== 'request') {
+      this.log(request.path, request.verb, checked.kind, routes.configuration.version, 0);
+      reply(checked);
+      return;
+    }
+    if (this.pending.size >= MAX_PENDING) {
+      this.refuse(request, reply, 'overloaded');
+      return;
+    }
+    this.hold(checked.request, checked.route, request, reply);
+  }
+
+  private refuse(
+    request: JobRequest,
+    reply: Reply<JobReply>,
+    reason: Extract<JobReply, { kind: 'refused' }>['reason'],
+  ): void {
+    this.log(request.path, request.verb, reason, this.routes?.configuration.version ?? 0, 0);
+    reply({ kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS });
+  }
+
+  private hold(
+    ownerRequest: OwnerRequest,
+    { queue }: Route,
+    request: JobRequest,
+    reply: Reply<JobReply>,
+  ): void {
+    this.lastId += 1;
+    const id = this.lastId;
+    const now = this.clock.now();
+    const wait = Math.min(request.waitMillis ?? queue.timeoutMillis, queue.timeoutMillis);
+    const deadline = deadlineAfter(now, Math.max(wait - ANSWER_AHEAD_MILLIS, wait / 2));
+    const pending: Pending = {
+      request: ownerRequest,
+      name: request.path,
+      version: this.routes?.configuration.version ?? 0,
+      reply,
+      since: now,
+      deadline,
+      alarm: this.postAt(deadline, { kind: 'expired', id }),
+      mayHaveRun: false,
+      isAsked: false,
+      tries: 0,
+    };
+    this.pending.set(id, pending);
+    this.ask(id, pending);
+  }
+
+  private ask(id: number, pending: Pending): void {
+    const { channel } = this;
+    if (channel === undefined || pending.isAsked) {
+      return;
+    }
+    pending.isAsked = true;
+    pending.tries += 1;
+    const now = this.clock.now();
+    const limit = deadlineAfter(now, Math.min(TRY_MILLIS, millisUntil(pending.deadline, now)));
+    void channel.ask(pending.request, limit).then((reply) => {
+      this.post({ kind: 'settled', id, reply });
+    });
+  }
+
+  private settled(id: number, reply: OwnerReply): void {
+    const pending = this.pending.get(id);
+    if (pending === undefined) {
+      return;
+    }
+    pending.isAsked = false;
+    if (reply.kind === 'answered') {
+      this.finish(id, pending, replyOf(reply.answer));
+      return;
+    }
+    pending.mayHaveRun ||= reply.kind === 'unknown';
+    this.postAt(deadlineAfter(this.clock.now(), ASK_AGAIN_MILLIS), { kind: 'again', id });
+  }
+
+  private expire(id: number): void {
+    const pending = this.pending.get(id);
+    if (pending === undefined) {
+      return;
+    }
+    const isUndecided = pending.mayHaveRun || pending.isAsked;
+    this.finish(
+      id,
+      pending,
+      isUndecided
+        ? { kind: 'undecided' }
+        : { kind: 'refused', reason: 'no_owner', retryAfterSeconds: RETRY_AFTER_SECONDS },
+    );
+  }
+
+  private finish(id: number, pending: Pending, reply: JobReply): void {
+    this.pending.delete(id);
+    pending.alarm.cancel();
+    const outcome = reply.kind === 'refused' ? reply.reason : reply.kind;
+    const millis = Math.round(this.clock.now() - pending.since);
+    if (reply.kind !== 'state' && reply.kind !== 'count') {
+      this.log(pending.name, pending.request.kind, outcome, pending.version, millis, pending.tries);
+    }
+    pending.reply(reply);
+  }
+
+  private log(
+    path: string,
+    verb: string,
+    outcome: string,
+    configuration: number,
+    millis: number,
+    tries = 0,
+  ): void {
+    this.events.event('request.answered', { path, verb, outcome, configuration, millis, tries });
+  }
+}
+
+/** Requests that may wait to be looked at. */
+const GATE_MAILBOX = 16_384;
+
+type Checked =
+  | { readonly kind: 'request'; readonly request: OwnerRequest; readonly route: Route }
+  | Extract<JobReply, { kind: 'unknown_queue' | 'unknown_key' | 'unknown_job' | 'malformed' }>;
+
+function check(routes: Routes, request: JobRequest): Checked {
+  const route = routes.route(request.host, request.path);
+  if (route === undefined) {
+    return { kind: 'unknown_queue' };
+  }
+  const team = request.key === undefined ? undefined : routes.teamOf(request.key);
+  if (team === undefined && !route.queue.isPublic) {
+    return { kind: 'unknown_key' };
+  }
+  return checkVerb(request, route, team);
+}
+
+function checkVerb(request: JobRequest, route: Route, team: TeamId | undefined): Checked {
+  const { rest, queue } = route;
+  if (request.verb === 'query' && rest === '') {
+    return { kind: 'request', request: { kind: 'count', queue: queue.id }, route };
+  }
+  if (!isJobId(rest)) {
+    return request.verb === 'submit'
+      ? { kind: 'malformed', detail: 'the id of a job is 16 hexadecimal digits' }
+      : { kind: 'unknown_job' };
+  }
+  if (request.verb !== 'submit') {
+    return { kind: 'request', request: { kind: request.verb, job: rest }, route };
+  }
+  if (request.body?.kind !== 'decoded') {
+    return { kind: 'malformed', detail: request.body?.detail ?? 'no body' };
+  }
+  const plan = { ...request.body.value, id: rest, queue: queue.id, team };
+  return { kind: 'request', request: { kind: 'submit', plan }, route };
+}
+
+function replyOf(answer: JobAnswer): JobReply {
+  return match(answer)
+    .returnType<JobReply>()
+    .with({ kind: 'refused' }, ({ reason }) =>
+      reason === 'unknown_queue'
+        ? { kind: 'unknown_queue' }
+        : { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS },
+    )
+    .otherwise((other) => other);
+}
--- /dev/null
+++ b/packages/member/src/keys.ts
@@ -0,0 +1,25 @@
+/** Names under which the services of a member find each other. */
+
+import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
+import { ServiceKey } from '@bamboowell/kernel/service';
+import type { EventLog } from '@bamboowell/logger/logger';
+import type { ConfigurationMessage } from './configuration-task.js';
+import type { GateMessage } from './gate-messages.js';
+import type { OwnerMessage } from './owner-messages.js';
+import type { OwnershipMessage } from './ownership-messages.js';
+import type { Peers } from './peers.js';
+import type { AdvicePort, Documents, WorkerPort } from './ports.js';
+import type { Store } from './store.js';
+
+export const EVENTS = new ServiceKey<EventLog>('member.events');
+export const STORE = new ServiceKey<Store>('member.store');
+export const WORKERS = new ServiceKey<WorkerPort>('member.workers');
+export const ADVICE = new ServiceKey<AdvicePort>('member.advice');
+export const DOCUMENTS = new ServiceKey<Documents>('member.documents');
+export const GATE = new ServiceKey<MailAddress<GateMessage>>('member.gate');
+export const OWNER = new ServiceKey<MailAddress<OwnerMessage>>('member.owner');
+export const OWNERSHIP = new ServiceKey<MailAddress<OwnershipMessage>>('member.ownership');
+export const PEERS = new ServiceKey<Peers>('member.peers');
+export const CONFIGURATION = new ServiceKey<MailAddress<ConfigurationMessage>>(
+  'member.configuration',
+);
--- /dev/null
+++ b/packages/member/src/owner-messages.ts
@@ -0,0 +1,56 @@
+/** What the owner's task is told. */
+
+import type { Reply } from '@bamboowell/kernel/ask';
+import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
+import type { WorkerId } from '@bamboowell/types/ids';
+import type { JobConfiguration, StepId, Term, WorkerNotice } from '@bamboowell/types/job';
+import type { Instant } from '@bamboowell/types/time';
+import type { JobInput } from '@bamboowell/jobs/messages';
+import type { Restored } from '@bamboowell/jobs/records';
+import type { MemberPort } from './member-port.js';
+import type { OwnerReply, OwnerRequest } from './owner-channel.js';
+import type { OwnershipMessage } from './ownership-messages.js';
+import type { AdviceAnswer } from './ports.js';
+import type { AppendOutcome } from './store.js';
+
+export type OwnerMessage =
+  /** Who is told when this member begins or ceases to own the work. */
+  | { readonly kind: 'attach'; readonly ownership: MailAddress<OwnershipMessage> }
+  /** This member holds the term. */
+  | { readonly kind: 'elected'; readonly term: Term }
+  /** This member holds the work no more. */
+  | { readonly kind: 'superseded'; readonly term: Term }
+  | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
+  | { readonly kind: 'worker'; readonly notice: WorkerNotice }
+  | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
+  | { readonly kind: 'workers_read' }
+  | { readonly kind: 'loaded'; readonly term: Term; readonly restored: Restored }
+  | {
+      readonly kind: 'request';
+      readonly request: OwnerRequest;
+      readonly reply: Reply<OwnerReply>;
+    }
+  | { readonly kind: 'input'; readonly input: JobInput }
+  /** A worker has seen a higher term. */
+  | { readonly kind: 'fenced' }
+  | { readonly kind: 'member'; readonly port: MemberPort }
+  | { readonly kind: 'member_gone'; readonly port: MemberPort }
+  | {
+      readonly kind: 'advised';
+      readonly term: Term;
+      readonly step: StepId;
+      readonly answer: AdviceAnswer;
+      readonly tookMillis: number;
+    }
+  | {
+      readonly kind: 'appended';
+      readonly term: Term;
+      readonly outcome: AppendOutcome;
+      readonly sentAt: Instant;
+      readonly sentAtWallMillis: number;
+    }
+  | { readonly kind: 'append'; readonly term: Term }
+  | { readonly kind: 'pass' }
+  | { readonly kind: 'beat' }
+  /** Hands the work over once what is on its way to the store has arrived. */
+  | { readonly kind: 'resign'; readonly reply: Reply<Term | undefined> };
--- /dev/null
+++ b/packages/member/src/services.ts
@@ -0,0 +1,221 @@
+/** The services of a member; each runs one task and publishes where messages for it are posted. */
+
+import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
+import type { Clock } from '@bamboowell/kernel/clock';
+import { Service, type Directory, type ServiceKey } from '@bamboowell/kernel/service';
+import type { Task } from '@bamboowell/kernel/task';
+import { ask } from '@bamboowell/kernel/ask';
+import type { Deadline } from '@bamboowell/types/time';
+import { SmallestFirst } from '@bamboowell/jobs/ordering';
+import { ConfigurationTask, type ConfigurationMessage } from './configuration-task.js';
+import type { GateMessage } from './gate-messages.js';
+import { GateTask } from './gate.js';
+import {
+  ADVICE,
+  CONFIGURATION,
+  DOCUMENTS,
+  EVENTS,
+  GATE,
+  OWNER,
+  OWNERSHIP,
+  PEERS,
+  STORE,
+  WORKERS,
+} from './keys.js';
+import { MeasuredStore } from './measured-store.js';
+import { LocalMember } from './member-port.js';
+import { OwnerChannel, type OwnerReply, type OwnerRequest } from './owner-channel.js';
+import type { OwnerMessage } from './owner-messages.js';
+import { OwnerTask } from './owner-task.js';
+import type { OwnershipMessage } from './ownership-messages.js';
+import { OwnershipTask } from './ownership-task.js';
+import { Peers } from './peers.js';
+import type { MemberSettings } from './settings.js';
+import { Succession } from './succession.js';
+
+/** A store that answers faster than this, milliseconds, is in this region: less than one way between regions. */
+const NEAR_STORE_MILLIS = 25;
+
+/** What the services of one process share. */
+export interface MemberEnvironment {
+  readonly settings: MemberSettings;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Milliseconds since 1970 by the time of day. */
+  readonly wallMillis: () => number;
+  /** A failure that a task can't handle. */
+  readonly onFailure: (task: string, error: unknown) => void;
+}
+
+abstract class TaskService<Message> extends Service<MailAddress<Message>> {
+  private task: Task<Message> | undefined;
+
+  constructor(protected readonly environment: MemberEnvironment) {
+    super();
+  }
+
+  protected abstract make(directory: Directory): Task<Message>;
+
+  /** Runs once the task takes messages. */
+  protected started(_directory: Directory, _task: Task<Message>): void {
+    return undefined;
+  }
+
+  async start(directory: Directory): Promise<MailAddress<Message>> {
+    const task = this.make(directory);
+    this.task = task;
+    await task.start((error) => {
+      this.environment.onFailure(task.name, error);
+    });
+    this.started(directory, task);
+    return task;
+  }
+
+  async stop(): Promise<void> {
+    await this.task?.stop();
+  }
+}
+
+export class ConfigurationService extends TaskService<ConfigurationMessage> {
+  readonly key = CONFIGURATION;
+  readonly needs = [EVENTS, STORE, DOCUMENTS];
+
+  protected make(directory: Directory): Task<ConfigurationMessage> {
+    const options = {
+      store: directory.find(STORE),
+      documents: directory.find(DOCUMENTS),
+      events: directory.find(EVENTS),
+    };
+    return new ConfigurationTask(options, this.environment.clock);
+  }
+}
+
+export class GateService extends TaskService<GateMessage> {
+  readonly key = GATE;
+  readonly needs = [EVENTS, CONFIGURATION];
+
+  protected make(directory: Directory): Task<GateMessage> {
+    return new GateTask(directory.find(EVENTS), this.environment.clock);
+  }
+
+  protected override started(directory: Directory, task: Task<GateMessage>): void {
+    directory.find(CONFIGURATION).post({ kind: 'subscribe', subscriber: task });
+  }
+}
+
+export class OwnerService extends TaskService<OwnerMessage> {
+  readonly key = OWNER;
+  readonly needs: readonly ServiceKey<unknown>[] = [
+    EVENTS,
+    STORE,
+    DOCUMENTS,
+    WORKERS,
+    ADVICE,
+    CONFIGURATION,
+  ];
+
+  protected make(directory: Directory): Task<OwnerMessage> {
+    const { settings, clock, wallMillis } = this.environment;
+    return new OwnerTask(
+      {
+        settings,
+        store: directory.find(STORE),
+        workers: directory.find(WORKERS),
+        documents: directory.find(DOCUMENTS),
+        events: directory.find(EVENTS),
+        ordering: new SmallestFirst(),
+        self: new LocalMember(settings.member, settings.region, directory.find(ADVICE), clock),
+        wallMillis,
+      },
+      clock,
+    );
+  }
+
+  protected override started(directory: Directory, task: Task<OwnerMessage>): void {
+    directory.find(CONFIGURATION).post({ kind: 'subscribe', subscriber: task });
+  }
+}
+
+export class PeersService extends Service<Peers> {
+  readonly key = PEERS;
+  readonly needs = [ADVICE, OWNER, CONFIGURATION];
+  private peers: Peers | undefined;
+
+  constructor(private readonly environment: MemberEnvironment) {
+    super();
+  }
+
+  async start(directory: Directory): Promise<Peers> {
+    const { settings, clock } = this.environment;
+    const configuration = directory.find(CONFIGURATION);
+    const self = new LocalMember(
+      settings.member,
+      settings.region,
+      directory.find(ADVICE),
+      clock,
+    );
+    const peers = new Peers({ settings, clock, self, owner: directory.find(OWNER), configuration });
+    this.peers = peers;
+    await peers.listen();
+    configuration.post({
+      kind: 'spread_by',
+      spread: (document) => {
+        peers.spread(document);
+      },
+    });
+    return peers;
+  }
+
+  async stop(deadline: Deadline): Promise<void> {
+    await this.peers?.close(deadline);
+  }
+}
+
+export class OwnershipService extends TaskService<OwnershipMessage> {
+  readonly key = OWNERSHIP;
+  readonly needs = [EVENTS, STORE, PEERS, OWNER, GATE];
+
+  protected make(directory: Directory): Task<OwnershipMessage> {
+    const { settings, clock, random } = this.environment;
+    const owner = directory.find(OWNER);
+    const store = new MeasuredStore(directory.find(STORE), clock);
+    const isNear = (): boolean => store.fastestMillis < NEAR_STORE_MILLIS;
+    return new OwnershipTask(
+      {
+        settings,
+        store,
+        events: directory.find(EVENTS),
+        peers: directory.find(PEERS),
+        succession: new Succession({ isNear, random }),
+        owner,
+        localOwner: new LocalOwner(owner, clock),
+        gate: directory.find(GATE),
+      },
+      clock,
+    );
+  }
+
+  protected override started(directory: Directory, task: Task<OwnershipMessage>): void {
+    directory.find(OWNER).post({ kind: 'attach', ownership: task });
+  }
+}
+
+/** The owner is this process. */
+class LocalOwner extends OwnerChannel {
+  constructor(
+    private readonly owner: MailAddress<OwnerMessage>,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  async ask(request: OwnerRequest, limit: Deadline): Promise<OwnerReply> {
+    const answer = await ask<OwnerMessage, OwnerReply>(
+      this.owner,
+      (reply) => ({ kind: 'request', request, reply }),
+      limit,
+      this.clock,
+    );
+    return answer.kind === 'answered' ? answer.value : { kind: 'unknown' };
+  }
+}
--- /dev/null
+++ b/packages/member/src/succession.ts
@@ -0,0 +1,130 @@
+/** Decides when a member claims the cluster's work. Pure: the time and all news are arguments. */
+
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import type { Offset } from '@bamboowell/types/ids';
+import { brandAs } from '@bamboowell/types/ids';
+
+/**
+ * Between two looks at the work log of a silent owner, milliseconds. More than the pause after
+ * which an idle owner appends a keep-alive, and the store's usual answer.
+ */
+export const LOOK_GAP_MILLIS = 400;
+/** A member far from the store lets near ones claim first, milliseconds. */
+export const FAR_DELAY_MILLIS = 250;
+/** Spread of claims of members that learn of a vacancy together, milliseconds: several answers of the store. */
+const SPREAD_MILLIS = 60;
+/** A claim that shows no effect is made again after this, milliseconds. */
+const CLAIM_AGAIN_MILLIS = 600;
+
+export type SuccessionAction = 'none' | 'look' | 'claim';
+
+export interface SuccessionOptions {
+  /** Whether the store is in this member's region. */
+  readonly isNear: () => boolean;
+  /** From 0 to 1. */
+  readonly random: () => number;
+}
+
+/** What is known of the owner. */
+type Owner =
+  | { readonly kind: 'unknown' }
+  /** Nobody owns the work: no claim yet, or the last owner released it. */
+  | { readonly kind: 'vacant'; readonly claimAt: Deadline }
+  | { readonly kind: 'connected' }
+  | { readonly kind: 'in_trouble'; readonly looksGood: number; readonly lookAt: Deadline }
+  | {
+      readonly kind: 'silent';
+      readonly seen: { readonly end: Offset; readonly at: Instant } | undefined;
+      readonly lookAt: Deadline;
+    };
+
+/** Looks that must succeed, one after the other, before an owner that can't write is replaced. */
+const GOOD_LOOKS = 2;
+
+export class Succession {
+  private owner: Owner = { kind: 'unknown' };
+
+  constructor(private readonly options: SuccessionOptions) {}
+
+  /** The claims were read: the work is nobody's. */
+  vacant(now: Instant): void {
+    if (this.owner.kind !== 'vacant') {
+      this.owner = { kind: 'vacant', claimAt: deadlineAfter(now, this.delay()) };
+    }
+  }
+
+  /** The owner answers this member. */
+  connected(): void {
+    this.owner = { kind: 'connected' };
+  }
+
+  /** The owner is not reached, or not any more. */
+  silent(now: Instant): void {
+    if (this.owner.kind !== 'silent') {
+      this.owner = { kind: 'silent', seen: undefined, lookAt: deadlineAfter(now, 0) };
+    }
+  }
+
+  /** The owner says whether it can write. */
+  trouble(isTroubled: boolean, now: Instant): void {
+    if (isTroubled && this.owner.kind === 'connected') {
+      const lookAt = deadlineAfter(now, this.delay());
+      this.owner = { kind: 'in_trouble', looksGood: 0, lookAt };
+    } else if (!isTroubled && this.owner.kind === 'in_trouble') {
+      this.owner = { kind: 'connected' };
+    }
+  }
+
+  /** A look showed where the work log ends, or failed. */
+  looked(end: Offset | undefined, now: Instant): SuccessionAction {
+    const { owner } = this;
+    if (owner.kind === 'silent') {
+      return this.lookedAtSilent(owner.seen, end, now);
+    }
+    if (owner.kind === 'in_trouble') {
+      const looksGood = end === undefined ? 0 : owner.looksGood + 1;
+      this.owner = { ...owner, looksGood, lookAt: deadlineAfter(now, LOOK_GAP_MILLIS) };
+      return looksGood >= GOOD_LOOKS ? 'claim' : 'none';
+    }
+    return 'none';
+  }
+
+  /** What is due. */
+  next(now: Instant): SuccessionAction {
+    const { owner } = this;
+    if (owner.kind === 'vacant' && hasPassed(owner.claimAt, now)) {
+      this.owner = { kind: 'vacant', claimAt: deadlineAfter(now, CLAIM_AGAIN_MILLIS) };
+      return 'claim';
+    }
+    const looks = owner.kind === 'silent' || owner.kind === 'in_trouble';
+    if (looks && hasPassed(owner.lookAt, now)) {
+      this.owner = { ...owner, lookAt: deadlineAfter(now, LOOK_GAP_MILLIS) };
+      return 'look';
+    }
+    return 'none';
+  }
+
+  /** A log that doesn't move between two looks has no living owner. */
+  private lookedAtSilent(
+    seen: { readonly end: Offset; readonly at: Instant } | undefined,
+    end: Offset | undefined,
+    now: Instant,
+  ): SuccessionAction {
+    const lookAt = deadlineAfter(now, LOOK_GAP_MILLIS);
+    if (end === undefined) {
+      this.owner = { kind: 'silent', seen: undefined, lookAt };
+      return 'none';
+    }
+    const stands = seen?.end === end && now - seen.at >= LOOK_GAP_MILLIS * 0.9;
+    this.owner = { kind: 'silent', seen: { end, at: now }, lookAt };
+    return stands ? 'claim' : 'none';
+  }
+
+  private delay(): number {
+    const far = this.options.isNear() ? 0 : FAR_DELAY_MILLIS;
+    return far + this.options.random() * SPREAD_MILLIS;
+  }
+}
+
+/** An offset before which nothing was appended. */
+export const LOG_START: Offset = brandAs<Offset>(0);
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -39,6 +39,21 @@
   readonly standing: Standing['kind'];
 }
 
+/** The bounds of a cell; a user of the class with other faults may set its own. */
+export interface HealthBounds {
+  readonly quarantineMillis: number;
+  readonly longestQuarantineMillis: number;
+  readonly maxQuarantinedPart: number;
+  readonly failedWorks: number;
+}
+
+const DEFAULT_BOUNDS: HealthBounds = {
+  quarantineMillis: QUARANTINE_MILLIS,
+  longestQuarantineMillis: LONGEST_QUARANTINE_MILLIS,
+  maxQuarantinedPart: MAX_QUARANTINED_PART,
+  failedWorks: FAILED_WORKS,
+};
+
 const HEALTHY: Standing = { kind: 'healthy', failures: new Map() };
 
 /**
@@ -53,6 +68,8 @@
   private quarantined = 0;
   private workers = 0;
 
+  constructor(private readonly bounds: HealthBounds = DEFAULT_BOUNDS) {}
+
   /** Number of workers in the shard. */
   setWorkerCount(workers: number): void {
     this.workers = workers;
@@ -157,7 +174,7 @@
     work: WorkId,
   ): QueueFailures {
     const works = new Set(earlier?.works);
-    if (works.size < FAILED_WORKS) {
+    if (works.size < this.bounds.failedWorks) {
       works.add(work);
     }
     const successesBefore = earlier?.successesBefore ?? this.suspicion.successesOf(queue);
@@ -170,7 +187,7 @@
       telling.length >= FAILED_QUEUES ||
       telling.some(
         ([queue, { works, successesBefore }]) =>
-          works.size >= FAILED_WORKS && this.suspicion.successesOf(queue) > successesBefore,
+          works.size >= this.bounds.failedWorks && this.suspicion.successesOf(queue) > successesBefore,
       )
     );
   }
@@ -189,12 +206,15 @@
   }
 
   private quarantine(worker: WorkerId, times: number, now: Instant): HealthChange | undefined {
-    const most = Math.max(1, Math.floor(this.workers * MAX_QUARANTINED_PART));
+    const most = Math.max(1, Math.floor(this.workers * this.bounds.maxQuarantinedPart));
     if (this.quarantined >= most) {
       return undefined;
     }
     this.quarantined += 1;
-    const millis = Math.min(LONGEST_QUARANTINE_MILLIS, QUARANTINE_MILLIS * 2 ** (times - 1));
+    const millis = Math.min(
+      this.bounds.longestQuarantineMillis,
+      this.bounds.quarantineMillis * 2 ** (times - 1),
+    );
     this.standings.set(worker, { kind: 'quarantined', until: deadlineAfter(now, millis), times });
     return { worker, standing: 'quarantined' };
   }
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -4,6 +4,7 @@
 import { TLSSocket, connect as connectTls } from 'node:tls';
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { Deadline } from '@bamboowell/types/time';
+import type { PulseTimes } from './heartbeat.js';
 import type { Meter } from './meter.js';
 import type { Address } from '@bamboowell/types/vm';
 import { TcpConnection } from './tcp-connection.js';
@@ -15,6 +16,7 @@
   /** No connection by then: unreachable. */
   readonly deadline: Deadline;
   readonly meter?: Meter;
+  readonly pulse?: PulseTimes;
   readonly tls?: TlsIdentity;
   /** The name that the other end's certificate must have. */
   readonly expectedPeer?: string;
@@ -57,6 +59,7 @@
   return new TcpConnection(socket, {
     clock: target.clock,
     ...(target.meter === undefined ? {} : { meter: target.meter }),
+    ...(target.pulse === undefined ? {} : { pulse: target.pulse }),
     ...(peer === undefined ? {} : { peer }),
   });
 }
--- a/packages/wire/src/heartbeat.ts
+++ b/packages/wire/src/heartbeat.ts
@@ -12,6 +12,17 @@
 /** An alarm that comes later than this shows that the process itself was paused. */
 const LATE_ALARM_MILLIS = 500;
 
+/** How often a connection pings, and how long it bears silence. */
+export interface PulseTimes {
+  readonly pingMillis: number;
+  readonly silenceMillis: number;
+}
+
+export const DEFAULT_PULSE: PulseTimes = {
+  pingMillis: PING_INTERVAL_MILLIS,
+  silenceMillis: SILENCE_MILLIS,
+};
+
 /** What the heartbeat asks of its connection. */
 export interface Pulse {
   ping(): void;
@@ -27,20 +38,21 @@
   constructor(
     private readonly clock: Clock,
     private readonly pulse: Pulse,
+    private readonly times: PulseTimes = DEFAULT_PULSE,
   ) {
-    this.pingAt = deadlineAfter(clock.now(), PING_INTERVAL_MILLIS);
-    this.silentAt = deadlineAfter(clock.now(), SILENCE_MILLIS);
+    this.pingAt = deadlineAfter(clock.now(), times.pingMillis);
+    this.silentAt = deadlineAfter(clock.now(), times.silenceMillis);
     this.alarm = this.schedule();
   }
 
   /** A message was sent. */
   sent(): void {
-    this.pingAt = deadlineAfter(this.clock.now(), PING_INTERVAL_MILLIS);
+    this.pingAt = deadlineAfter(this.clock.now(), this.times.pingMillis);
   }
 
   /** A message was received. */
   received(): void {
-    this.silentAt = deadlineAfter(this.clock.now(), SILENCE_MILLIS);
+    this.silentAt = deadlineAfter(this.clock.now(), this.times.silenceMillis);
   }
 
   /** Reading has stopped on purpose: silence proves nothing until `resume`. */
--- a/packages/wire/src/tcp-connection.ts
+++ b/packages/wire/src/tcp-connection.ts
@@ -66,12 +66,13 @@
       this.resolveEnded = resolve;
     });
     this.rpc = this.makeRpc();
-    this.heartbeat = new Heartbeat(this.clock, {
+    const pulse = {
       ping: () => this.notify(PING, undefined),
       silent: () => {
         this.end('silent');
       },
-    });
+    };
+    this.heartbeat = new Heartbeat(this.clock, pulse, options.pulse);
     this.handle(PING, () => null);
     this.socket = this.makeSocket(socket);
   }
--- /dev/null
+++ b/tools/bundle.mjs
@@ -0,0 +1,19 @@
+/** Bundles the member for the platform into one file under target/. */
+
+import { build } from 'esbuild';
+
+const root = new URL('../', import.meta.url).pathname;
+
+await build({
+  entryPoints: [`${root}platform/dist/main.js`],
+  outfile: `${root}target/bamboowelld.mjs`,
+  bundle: true,
+  minify: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  // Bundled CommonJS packages call require.
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+});
