--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -1,8 +1,8 @@
 /** Finds workers for steps and asks for the advice that their starts need. */
 
-import type { MemberId, TeamId, WorkerId } from '@bamboowell/types/ids';
+import type { MemberId, WorkerId } from '@bamboowell/types/ids';
 import type { StepId } from '@bamboowell/types/job';
-import { add, fits, subtract, type Resources } from '@bamboowell/types/resources';
+import { add, fits, isNothing, subtract, type Resources } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
 import type { AdviceDesk } from './advice-desk.js';
 import type { JobContext } from './context.js';
@@ -189,23 +189,20 @@
     return step.grants.get(worker.id);
   }
 
-  /** How many of the tasks the team may start: the last one may pass its limit by a part of itself. */
+  /** How many of the tasks the team may start within its limit; one that passes it alone may run alone. */
   private withinLimit(step: Step, wanted: number): number {
     const team = step.job.plan?.team;
     const limit = team === undefined ? undefined : this.context.team(team)?.limit;
     if (team === undefined || limit === undefined) {
       return wanted;
     }
-    return this.startable(team, limit, roomOf(step.plan), wanted);
-  }
-
-  private startable(team: TeamId, limit: Resources, demand: Resources, wanted: number): number {
+    const demand = roomOf(step.plan);
     const bound = withoutZeros(limit);
-    let running = this.context.runningOf(team);
-    let startable = 0;
-    while (startable < wanted && fits(running, bound)) {
+    let running = add(this.context.runningOf(team), demand);
+    let startable = isNothing(this.context.runningOf(team)) ? 1 : 0;
+    for (let count = 1; count <= wanted && fits(running, bound); count += 1) {
+      startable = count;
       running = add(running, demand);
-      startable += 1;
     }
     return startable;
   }
--- /dev/null
+++ b/packages/jobs/src/scheduler.test.ts
@@ -0,0 +1,444 @@
+import test from 'ava';
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import {
+  lifeIdOf,
+  type RunNumber,
+  type StepId,
+  type StepTaskId,
+  type WallInstant,
+} from '@bamboowell/types/job';
+import type { Deadline } from '@bamboowell/types/time';
+import {
+  configurationOf,
+  cores,
+  EARLIER_LEASES_MILLIS,
+  jobId,
+  jobPlan,
+  jobQueue,
+  QUEUE,
+  runningEntry,
+  schedulerBench,
+  stepPlan,
+  workerNotice,
+  type SeenStart,
+} from './scheduler.fixture.js';
+
+const W1 = workerNotice('w1');
+const W2 = workerNotice('w2');
+
+function first(starts: readonly SeenStart[]): SeenStart {
+  const [start] = starts;
+  if (start === undefined) {
+    throw new Error('nothing was started');
+  }
+  return start;
+}
+
+/** A bench whose workers have answered. */
+function readyBench(options: Parameters<typeof schedulerBench>[0] = {}) {
+  const bench = schedulerBench(options);
+  bench.meetAll();
+  return bench;
+}
+
+test('a job is accepted once the store has it, and a repeat is the same job', (t) => {
+  const bench = readyBench();
+  const token = bench.submit(jobPlan(1));
+  t.is(bench.answers.get(token), undefined);
+  bench.commit();
+  t.deepEqual(bench.answers.get(token), { kind: 'accepted', repeated: false });
+  const again = bench.submit(jobPlan(1));
+  bench.commit();
+  t.deepEqual(bench.answers.get(again), { kind: 'accepted', repeated: true });
+  t.is(bench.place().length, 1);
+});
+
+test('a start is sent only after its record, and not if the job was cancelled between', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.send({ kind: 'place' });
+  t.deepEqual(bench.starts(), []);
+  bench.cancel(jobId(1));
+  bench.commit();
+  t.deepEqual(bench.starts(), []);
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'cancelled' });
+});
+
+test('a job is shown as completed and its end acknowledged only after the record', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const start = first(bench.place());
+  bench.answerStart(start);
+  bench.end(start, 'done');
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'running' });
+  t.deepEqual(bench.of('acknowledge'), []);
+  bench.commit();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+  t.is(bench.of('acknowledge').length, 1);
+});
+
+test('a step waits for all tasks of the steps before it', (t) => {
+  const bench = readyBench();
+  const steps = [stepPlan({ count: 2 }), stepPlan({ after: [0] })];
+  bench.submit(jobPlan(1, { steps }));
+  bench.commit();
+  const [one, two] = bench.place();
+  if (one === undefined || two === undefined) {
+    t.fail('two tasks should have started');
+    return;
+  }
+  bench.end(one, 'done');
+  t.deepEqual(bench.place(), []);
+  bench.end(two, 'done');
+  t.deepEqual(
+    bench.place().map(({ task }) => task),
+    [brandAs<StepTaskId>(`${jobId(1)}.0.1.0`)],
+  );
+});
+
+test('a worker never gets more than it has room for, and stopping runs hold theirs', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 9, demand: cores(1) })] }));
+  bench.commit();
+  t.is(bench.place().length, 4);
+  bench.cancel(jobId(1));
+  bench.submit(jobPlan(2, { steps: [stepPlan({ count: 4 })] }));
+  bench.commit();
+  t.is(bench.stops().length, 4);
+  t.deepEqual(bench.place(), []);
+});
+
+test('a gang starts whole or not at all, under one run number', (t) => {
+  const bench = readyBench();
+  const steps = [stepPlan({ count: 9, isGang: true })];
+  bench.submit(jobPlan(1, { steps }));
+  bench.submit(jobPlan(2, { steps: [stepPlan({ count: 8, isGang: true })] }));
+  bench.commit();
+  const starts = bench.place();
+  t.is(starts.length, 8);
+  t.deepEqual([...new Set(starts.map(({ run }) => run as number))], [1]);
+  t.true(starts.every(({ task }) => task.startsWith(jobId(2))));
+});
+
+test('a gang of which one member is rejected is stopped and started again with a higher run', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 2, isGang: true })] }));
+  bench.commit();
+  const [one, two] = bench.place();
+  if (one === undefined || two === undefined) {
+    t.fail('the gang should have started');
+    return;
+  }
+  bench.answerStart(one);
+  bench.answerStart(two, { kind: 'unwell' });
+  t.deepEqual(
+    bench.stops().map(({ task }) => task),
+    [one.task],
+  );
+  bench.advance(1000);
+  t.deepEqual(bench.place(), []);
+  bench.end(one, 'stopped');
+  t.deepEqual(
+    bench.place().map(({ run }) => run as number),
+    [2, 2],
+  );
+});
+
+test('the end of one member of a gang stands for all, and their room is held until they end', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 2, demand: cores(2), isGang: true })] }));
+  bench.commit();
+  const [one, two] = bench.place();
+  if (one === undefined || two === undefined) {
+    t.fail('the gang should have started');
+    return;
+  }
+  bench.end(one, 'done');
+  bench.submit(jobPlan(2, { steps: [stepPlan({ demand: cores(3) })] }));
+  bench.commit();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+  t.deepEqual(bench.place(), []);
+  bench.end(two, 'done');
+  t.is(bench.place().length, 1);
+  t.deepEqual(bench.stops(), []);
+});
+
+test('a task fails its job after as many failed runs as the queue allows, and no other ends count', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.end(first(bench.place()), 'stopped');
+  bench.end(first(bench.place()), 'failed');
+  bench.end(first(bench.place()), 'lapsed');
+  const last = first(bench.place());
+  t.is(last.run as number, 4);
+  bench.end(last, 'failed');
+  bench.commit();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
+  t.deepEqual(bench.place(), []);
+});
+
+test('a run that ended early goes on from what it saved', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ savesProgress: true })] }));
+  bench.commit();
+  const start = first(bench.place());
+  t.is(start.saved as string, '');
+  bench.report(start.life, [runningEntry(start, 'half')]);
+  bench.end(start, 'lapsed');
+  t.is(first(bench.place()).saved as string, 'half');
+});
+
+test('an unknown job is not known, and a cancelled one stays cancelled when it is sent again', (t) => {
+  const bench = readyBench();
+  t.deepEqual(bench.stateOf(jobId(9)), { kind: 'unknown_job' });
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const token = bench.cancel(jobId(1));
+  t.is(bench.answers.get(token), undefined);
+  bench.commit();
+  t.deepEqual(bench.answers.get(token), { kind: 'cancelled' });
+  bench.submit(jobPlan(1));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+});
+
+test('jobs of which nothing was started count as waiting', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ demand: cores(4) })] }));
+  bench.submit(jobPlan(2, { steps: [stepPlan({ demand: cores(4) })] }));
+  bench.commit();
+  t.deepEqual(bench.waitingIn(QUEUE), { kind: 'count', waiting: 2 });
+  bench.place();
+  t.deepEqual(bench.waitingIn(QUEUE), { kind: 'count', waiting: 1 });
+});
+
+test('a team starts nothing once it runs its limit', (t) => {
+  const configuration = configurationOf([jobQueue()], { limit: cores(2, 10_000) });
+  const bench = readyBench({ configuration });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 8 })] }));
+  bench.commit();
+  t.is(bench.place().length, 2);
+});
+
+test('a step starts only where a ticket allows it, and while the ticket is good', (t) => {
+  const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const bench = readyBench({ configuration: configurationOf([jobQueue({ advice })]) });
+  bench.addAdviser('m1');
+  bench.submit(jobPlan(1));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+  const [question] = bench.of('ask_advice');
+  t.deepEqual(question?.workers, [W1.id, W2.id]);
+  const step = brandAs<StepId>(`${jobId(1)}.0.0`);
+  bench.grant(step, [W2.id], 2500);
+  bench.advance(2400);
+  t.deepEqual(bench.place(), []);
+  t.deepEqual(bench.of('ask_advice').at(-1)?.workers, [W2.id]);
+  bench.grant(step, [W2.id], 2500);
+  const start = first(bench.place());
+  t.is(start.life, W2.life);
+  t.is(start.ticket as string | undefined, 'ticket w2');
+});
+
+test('calls for advice go to the member with the least in hand, long ones to others than short ones', (t) => {
+  const short = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const long = { baseMillis: 600, perWorkerMillis: 6, validMillis: 2500 };
+  const plans = jobQueue({ id: brandAs('long'), advice: long });
+  const bench = readyBench({ configuration: configurationOf([jobQueue({ advice: short }), plans]) });
+  ['m1', 'm2', 'm3'].forEach((name) => bench.addAdviser(name));
+  [1, 2, 3].forEach((number) => bench.submit(jobPlan(number)));
+  [4, 5].forEach((number) => bench.submit(jobPlan(number, { queue: plans.id })));
+  bench.commit();
+  bench.place();
+  const asked = bench.of('ask_advice').map(({ member, step }) => `${member} ${step.slice(15, 16)}`);
+  t.deepEqual(asked.sort(), ['m1 1', 'm1 2', 'm1 3', 'm2 4', 'm3 5']);
+});
+
+test('nothing is placed on a worker that drains, is unreachable, or has another life', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.send({ kind: 'worker', notice: { ...W1, isDraining: true } });
+  t.deepEqual(bench.place(), []);
+  bench.send({ kind: 'worker', notice: W1 });
+  bench.send({ kind: 'unreachable', life: W1.life, lapsesAt: brandAs<Deadline>(bench.now() + 4000) });
+  t.deepEqual(bench.place(), []);
+  bench.send({ kind: 'worker', notice: { ...W1, life: lifeIdOf(W1.id, 2) } });
+  t.deepEqual(bench.place(), []);
+  bench.report(lifeIdOf(W1.id, 2));
+  t.is(bench.place().length, 1);
+});
+
+test('the runs of an unreachable worker start elsewhere only when its lease has lapsed', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const start = first(bench.place());
+  bench.answerStart(start);
+  const lapsesAt = brandAs<Deadline>(bench.now() + 4000);
+  bench.send({ kind: 'unreachable', life: start.life, lapsesAt });
+  bench.advance(3999);
+  t.deepEqual(bench.place(), []);
+  bench.advance(1);
+  const again = first(bench.place());
+  t.not(again.life, start.life);
+  t.is(again.run as number, 2);
+});
+
+test('the runs of a life that is over start elsewhere at once', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const start = first(bench.place());
+  bench.send({ kind: 'other_life', life: start.life });
+  t.is(first(bench.place()).run as number, 2);
+});
+
+test('a run that a later list leaves out is started again, but not on a list asked for before', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const start = first(bench.place());
+  bench.answerStart(start);
+  bench.report(W1.life);
+  t.deepEqual(bench.place(), []);
+  bench.advance(10);
+  bench.report(W1.life);
+  t.is(first(bench.place()).run as number, 2);
+});
+
+test('a run that nobody knows is stopped, and its worker gets nothing until it is gone', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  const stranger = {
+    task: brandAs<StepTaskId>('00000000000000ff.0.0.0'),
+    run: brandAs<RunNumber>(3),
+  };
+  bench.report(W1.life, [runningEntry(stranger)]);
+  t.is(bench.stops().length, 1);
+  bench.submit(jobPlan(1));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+  bench.report(W1.life);
+  t.is(bench.place().length, 1);
+});
+
+test('a new owner goes on with what the store has and starts nothing twice', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 3 }), stepPlan({ after: [0] })] }));
+  bench.commit();
+  const [one, two, three] = bench.place();
+  if (one === undefined || two === undefined || three === undefined) {
+    t.fail('three tasks should have started');
+    return;
+  }
+  bench.end(one, 'done');
+  bench.commit();
+  bench.takeOver();
+  t.deepEqual(bench.place(), []);
+  const mine = [two, three].filter(({ life }) => life === two.life);
+  // The worker of the third start never got it: its first list to the new owner shows that.
+  bench.report(two.life, [runningEntry(two)]);
+  t.is(mine.length, 2);
+  const again = bench.place();
+  t.deepEqual(
+    again.map(({ task, run }) => [task, run as number]),
+    [[three.task, 2]],
+  );
+});
+
+test('a new owner waits out the leases of a worker that it cannot reach', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  const start = first(bench.place());
+  bench.takeOver();
+  const other = start.life === W1.life ? W2 : W1;
+  bench.report(other.life);
+  bench.send({
+    kind: 'unreachable',
+    life: start.life,
+    lapsesAt: brandAs<Deadline>(bench.now() + EARLIER_LEASES_MILLIS),
+  });
+  bench.advance(EARLIER_LEASES_MILLIS - 1);
+  t.deepEqual(bench.place(), []);
+  bench.advance(1);
+  t.is(first(bench.place()).life, other.life);
+});
+
+test('an ended job is still known to a new owner, without its payload', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.end(first(bench.place()), 'done');
+  bench.commit();
+  t.deepEqual([...bench.store.keys()], [`progress/${jobId(1)}`]);
+  bench.takeOver();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+  bench.advance(200_000);
+  bench.place();
+  t.deepEqual([...bench.store.keys()], []);
+});
+
+test('occurrences start when they are due, and complete the job together', (t) => {
+  const bench = readyBench();
+  const firstAt = brandAs<WallInstant>(1_700_000_000_000 + 2000);
+  const repetition = { count: 2, firstAt, intervalMillis: 500 };
+  bench.submit(jobPlan(1, { repetition }));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+  bench.advance(1000);
+  const one = first(bench.place());
+  t.is(one.task as string, `${jobId(1)}.0.0.0`);
+  bench.advance(500);
+  const two = first(bench.place());
+  t.is(two.task as string, `${jobId(1)}.1.0.0`);
+  bench.end(one, 'done');
+  bench.commit();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'running' });
+  bench.end(two, 'done');
+  bench.commit();
+  t.deepEqual(bench.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+});
+
+test('a lasting task is started again however it ends', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ isLasting: true })] }));
+  bench.commit();
+  bench.end(first(bench.place()), 'done');
+  bench.end(first(bench.place()), 'failed');
+  bench.end(first(bench.place()), 'failed');
+  t.is(first(bench.place()).run as number, 4);
+});
+
+test('labels and the bound of tasks on a worker are kept', (t) => {
+  const fast = workerNotice('fast', { labels: ['b', 'r2'] });
+  const bench = readyBench({ workers: [W1, fast] });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 4, requiredLabel: 'b', maxPerWorker: 2 })] }));
+  bench.commit();
+  t.deepEqual(
+    bench.place().map(({ life }) => life),
+    [fast.life, fast.life],
+  );
+});
+
+test('a worker that fails the jobs of several gets nothing for a while', (t) => {
+  const id = brandAs<WorkerId>('bad');
+  const bad = workerNotice('bad', { capacity: cores(1, 1000) });
+  const good = workerNotice('good', { capacity: cores(1, 1000) });
+  const configuration = configurationOf([jobQueue({ attempts: 9 })]);
+  const bench = readyBench({ configuration, workers: [bad, good] });
+  [1, 2, 3, 4, 5, 6].forEach((number) => bench.submit(jobPlan(number)));
+  bench.commit();
+  const started: WorkerId[] = [];
+  for (let round = 0; round < 8; round += 1) {
+    for (const start of bench.place()) {
+      const isBad = start.life === bad.life;
+      started.push(isBad ? bad.id : good.id);
+      bench.end(start, isBad ? 'failed' : 'done');
+    }
+  }
+  t.true(started.filter((worker) => worker === id).length <= 3);
+});
--- /dev/null
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -0,0 +1,336 @@
+/** Whole members over an emulated platform, on one manual clock: seeds decide what goes wrong. */
+
+import { Kernel } from '@bamboowell/kernel/kernel';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { Service, type ServiceKey } from '@bamboowell/kernel/service';
+import { ask } from '@bamboowell/kernel/ask';
+import { EventLog } from '@bamboowell/logger/logger';
+import type { Fields } from '@bamboowell/logger/line';
+import { lineOf } from '@bamboowell/logger/line';
+import {
+  brandAs,
+  type Incarnation,
+  type MemberId,
+  type Offset,
+  type WorkerId,
+} from '@bamboowell/types/ids';
+import type {
+  JobConfiguration,
+  JobId,
+  JobPlan,
+  StepId,
+  Ticket,
+  WorkerNotice,
+} from '@bamboowell/types/job';
+import { NOTHING } from '@bamboowell/types/resources';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { GateMessage, JobReply, JobRequest } from './gate-messages.js';
+import { EmulatedNetwork, EmulatedPeers } from './emulated-peers.fixture.js';
+import { CALM, EmulatedStore, EmulatedStorePort, type StoreFaults } from './emulated-store.fixture.js';
+import {
+  EmulatedWorker,
+  EmulatedWorkerPort,
+  type WorkerFaults,
+} from './emulated-workers.fixture.js';
+import { GatedClock } from './gated-clock.fixture.js';
+import { ADVICE, DOCUMENTS, EVENTS, GATE, OWNER, OWNERSHIP, STORE, WORKERS } from './keys.js';
+import { KnownJobs } from './known-jobs.fixture.js';
+import { AdvicePort, Documents, type AdviceAnswer, type Decoded } from './ports.js';
+import { retire } from './retire.js';
+import {
+  ConfigurationService,
+  GateService,
+  OwnerService,
+  OwnershipService,
+  PeersService,
+} from './services.js';
+
+const START_WALL = 1_700_000_000_000;
+const LONGEST_LEASE_MILLIS = 6000;
+/** A member that doesn't move is noticed by the others after this. */
+const SILENCE_MILLIS = 1100;
+
+class GivenService<Handle> extends Service<Handle> {
+  readonly needs = [];
+
+  constructor(
+    readonly key: ServiceKey<Handle>,
+    private readonly handle: Handle,
+  ) {
+    super();
+  }
+
+  start(): Promise<Handle> {
+    return Promise.resolve(this.handle);
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class JsonDocuments extends Documents {
+  configuration(key: string, value: string): Decoded<JobConfiguration> | undefined {
+    return key === 'config'
+      ? { kind: 'decoded', value: JSON.parse(value) as JobConfiguration }
+      : undefined;
+  }
+
+  worker(_key: string, value: string): Decoded<WorkerNotice> {
+    return { kind: 'decoded', value: JSON.parse(value) as WorkerNotice };
+  }
+
+  workerId(key: string): WorkerId {
+    return brandAs<WorkerId>(key);
+  }
+}
+
+/** Grants every worker that is named. */
+class GenerousAdvice extends AdvicePort {
+  constructor(private readonly clock: GatedClock) {
+    super();
+  }
+
+  async ask(
+    step: StepId,
+    workers: readonly WorkerId[],
+    _limit: Deadline,
+  ): Promise<AdviceAnswer> {
+    await this.clock.sleepUntil(deadlineAfter(this.clock.now(), 15));
+    const ticket = brandAs<Ticket>(`ticket ${step}`);
+    return {
+      kind: 'granted',
+      granted: workers.map((worker) => ({ worker, ticket })),
+      validMillis: 2500,
+    };
+  }
+}
+
+class ListLog extends EventLog {
+  constructor(
+    private readonly member: string,
+    private readonly lines: string[],
+    private readonly now: () => number,
+  ) {
+    super();
+  }
+
+  event(name: string, fields: Fields = {}): void {
+    this.lines.push(`${Math.round(this.now())} ${this.member} ${lineOf(name, fields)}`);
+  }
+}
+
+/** One process of a member; a restart makes another one. */
+export interface EmulatedMember {
+  readonly name: string;
+  readonly clock: GatedClock;
+  readonly kernel: Kernel;
+  readonly store: StoreFaults;
+  readonly workers: WorkerFaults;
+  /** Set before the kernel starts its peers. */
+  peers: EmulatedPeers | undefined;
+}
+
+export interface ClusterOptions {
+  readonly members?: number;
+  readonly workers?: readonly { readonly name: string; readonly capacity: typeof NOTHING }[];
+  readonly configuration: JobConfiguration;
+  /** From 0 to 1. */
+  readonly random?: () => number;
+}
+
+export function emulatedCluster(options: ClusterOptions) {
+  const clock = new ManualClock(1000);
+  const now = (): number => clock.now();
+  const random = options.random ?? (() => 0.5);
+  const store = new EmulatedStore();
+  const network = new EmulatedNetwork();
+  const jobs = new KnownJobs(now);
+  const log: string[] = [];
+  const workers = new Map<WorkerId, EmulatedWorker>();
+  for (const { name, capacity } of options.workers ?? []) {
+    const worker = new EmulatedWorker(name, capacity, now, jobs, random);
+    workers.set(worker.id, worker);
+  }
+  jobs.setWorkers(workers.values());
+  const members = new Map<string, EmulatedMember>();
+  let incarnations = 0;
+
+  const write = (topic: 'operator' | 'workers', key: string, value: string | undefined): void => {
+    const end = brandAs<Offset>(store.topic(topic).records.length);
+    store.append(topic, [{ key, value }], { kind: 'end_is', end });
+  };
+  const list = (worker: EmulatedWorker): void => {
+    write('workers', worker.id, JSON.stringify(worker.notice()));
+  };
+
+  const launch = async (name: string): Promise<EmulatedMember> => {
+    incarnations += 1;
+    const gated = new GatedClock(clock);
+    const kernel = new Kernel();
+    const member: EmulatedMember = {
+      name,
+      clock: gated,
+      kernel,
+      store: { ...CALM },
+      workers: { cut: new Set(), lateOrders: 0 },
+      peers: undefined,
+    };
+    const environment = {
+      settings: {
+        member: brandAs<MemberId>(name),
+        incarnation: brandAs<Incarnation>(`${name}-${incarnations}`),
+        region: 'r1',
+        peerAddress: { host: name, port: 1 },
+        longestLeaseMillis: LONGEST_LEASE_MILLIS,
+        stopMillis: 6000,
+      },
+      clock: gated,
+      random,
+      wallMillis: () => START_WALL + clock.now(),
+      onFailure: (task: string, error: unknown) => {
+        jobs.note(`task ${task} of ${name} failed: ${String(error)} ${stackOf(error)}`);
+      },
+    };
+    kernel.register(new GivenService(EVENTS, new ListLog(name, log, now)));
+    kernel.register(
+      new GivenService(STORE, new EmulatedStorePort(store, gated, member.store, random)),
+    );
+    kernel.register(
+      new GivenService(WORKERS, new EmulatedWorkerPort(workers, gated, member.workers, random)),
+    );
+    kernel.register(new GivenService(ADVICE, new GenerousAdvice(gated)));
+    kernel.register(new GivenService(DOCUMENTS, new JsonDocuments()));
+    kernel.register(new ConfigurationService(environment));
+    kernel.register(new GateService(environment));
+    kernel.register(new OwnerService(environment));
+    kernel.register(
+      new PeersService(environment, (peersOptions) => {
+        member.peers = new EmulatedPeers(peersOptions, gated, network);
+        return member.peers;
+      }),
+    );
+    kernel.register(new OwnershipService(environment));
+    members.set(name, member);
+    await kernel.start(deadlineAfter(gated.now(), 1000));
+    return member;
+  };
+
+  const flush = (): Promise<void> =>
+    new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+
+  const cluster = {
+    clock,
+    now,
+    store,
+    jobs,
+    log,
+    workers,
+    members,
+    launch,
+    list,
+    /** Removes the worker's entry, as when it left or was silent for long. */
+    unlist: (worker: EmulatedWorker): void => {
+      write('workers', worker.id, undefined);
+    },
+    declare: (configuration: JobConfiguration): void => {
+      write('operator', 'config', JSON.stringify(configuration));
+    },
+    /** Lets time pass in small steps, so that everybody acts in order. */
+    run: async (millis: number): Promise<void> => {
+      const until = clock.now() + millis;
+      while (clock.now() < until) {
+        clock.advance(STEP_MILLIS);
+        workers.forEach((worker) => {
+          worker.tick();
+        });
+        await flush();
+      }
+    },
+    kill: (name: string): void => {
+      const member = members.get(name);
+      member?.clock.end();
+      member?.peers?.vanish();
+      members.delete(name);
+    },
+    freeze: (name: string): void => {
+      const member = members.get(name);
+      member?.clock.freeze();
+      clock.wakeAt(deadlineAfter(clock.now(), SILENCE_MILLIS), () => {
+        if (member?.clock.state === 'frozen') {
+          member.peers?.fallSilent();
+        }
+      });
+    },
+    thaw: (name: string): void => {
+      const member = members.get(name);
+      if (member?.clock.state === 'frozen') {
+        member.clock.thaw();
+      }
+    },
+    /** SIGTERM: resolves when the process has ended. */
+    retire: async (name: string): Promise<void> => {
+      const member = members.get(name);
+      if (member === undefined) {
+        return;
+      }
+      await retire({
+        clock: member.clock,
+        gate: member.kernel.find(GATE),
+        owner: member.kernel.find(OWNER),
+        ownership: member.kernel.find(OWNERSHIP),
+        lastRequestsAt: deadlineAfter(member.clock.now(), 1000),
+        deadline: deadlineAfter(member.clock.now(), 5000),
+      });
+      cluster.kill(name);
+    },
+    /** One request at one member; undefined if the process ended before it answered. */
+    request: async (
+      name: string,
+      verb: JobRequest['verb'],
+      job: JobId,
+      plan?: JobPlan,
+    ): Promise<JobReply | undefined> => {
+      const member = members.get(name);
+      if (member === undefined) {
+        return undefined;
+      }
+      if (plan !== undefined) {
+        jobs.plans.set(job, plan);
+      }
+      const request: JobRequest = {
+        verb,
+        host: 'example',
+        path: `/plans/${job}`,
+        key: 'key',
+        waitMillis: 3000,
+        body: plan === undefined ? undefined : { kind: 'decoded', value: plan },
+      };
+      const answer = await ask<GateMessage, JobReply>(
+        member.kernel.find(GATE),
+        (reply) => ({ kind: 'request', request, reply }),
+        deadlineAfter(clock.now(), 5000),
+        clock,
+      );
+      return answer.kind === 'answered' ? answer.value : undefined;
+    },
+    /** The member that serves as owner, by its log. */
+    ownerName: (): string | undefined =>
+      log
+        .findLast((line) => line.includes('event=owner.ready'))
+        ?.split(' ')
+        .at(1),
+  };
+  cluster.declare(options.configuration);
+  workers.forEach(list);
+  return cluster;
+}
+
+/** Time between two steps; below the way of a message. */
+const STEP_MILLIS = 2;
+
+function stackOf(error: unknown): string {
+  return error instanceof Error ? (error.stack ?? '') : '';
+}
--- /dev/null
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -0,0 +1,170 @@
+/** Connections between members in memory. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { Address } from '@bamboowell/types/vm';
+import {
+  Connection,
+  type CloseReason,
+  type Handler,
+  type WireAnswer,
+} from '@bamboowell/wire/connection';
+import { Peers, type Dialled, type PeersOptions } from './peers.js';
+
+const WAY_MILLIS = 1;
+
+/** Who listens where. */
+export class EmulatedNetwork {
+  readonly listeners = new Map<string, EmulatedPeers>();
+}
+
+export class EmulatedPeers extends Peers {
+  private readonly ends = new Set<EmulatedConnection>();
+
+  constructor(
+    options: PeersOptions,
+    readonly clock: Clock,
+    private readonly network: EmulatedNetwork,
+  ) {
+    super(options);
+  }
+
+  listen(): Promise<void> {
+    this.network.listeners.set(nameOf(this.options.settings.peerAddress), this);
+    return Promise.resolve();
+  }
+
+  dial(address: Address, _deadline: Deadline): Promise<Dialled> {
+    const other = this.network.listeners.get(nameOf(address));
+    if (other === undefined) {
+      return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens' });
+    }
+    const mine = new EmulatedConnection(this.clock);
+    const theirs = new EmulatedConnection(other.clock);
+    mine.join(theirs);
+    theirs.join(mine);
+    this.ends.add(mine);
+    other.ends.add(theirs);
+    other.accept(theirs);
+    return Promise.resolve({ kind: 'connected', connection: mine });
+  }
+
+  /** The process ended: the other ends see that at once. */
+  vanish(): void {
+    this.network.listeners.delete(nameOf(this.options.settings.peerAddress));
+    this.loseAll('reset');
+  }
+
+  /** The other ends noticed that nothing comes any more. */
+  fallSilent(): void {
+    this.loseAll('silent');
+  }
+
+  private loseAll(reason: CloseReason): void {
+    this.ends.forEach((end) => {
+      end.lose(reason);
+    });
+    this.ends.clear();
+  }
+}
+
+function nameOf({ host, port }: Address): string {
+  return `${host}:${port}`;
+}
+
+class EmulatedConnection extends Connection {
+  readonly ended: Promise<CloseReason>;
+  private isEnded = false;
+  private other: EmulatedConnection | undefined;
+  private resolveEnded: (reason: CloseReason) => void = () => undefined;
+  private readonly handlers = new Map<string, Handler>();
+  private readonly unsettled = new Set<() => void>();
+
+  constructor(private readonly clock: Clock) {
+    super();
+    this.ended = new Promise((resolve) => {
+      this.resolveEnded = resolve;
+    });
+  }
+
+  join(other: EmulatedConnection): void {
+    this.other = other;
+  }
+
+  request(method: string, params: unknown, deadline: Deadline): Promise<WireAnswer> {
+    const { other } = this;
+    if (this.isEnded || other === undefined) {
+      return Promise.resolve({ kind: 'not_sent' });
+    }
+    return new Promise((resolve) => {
+      const settle = (answer: WireAnswer): void => {
+        this.unsettled.delete(giveUp);
+        resolve(answer);
+      };
+      const giveUp = (): void => {
+        settle({ kind: 'unknown' });
+      };
+      this.unsettled.add(giveUp);
+      this.clock.wakeAt(deadline, giveUp);
+      other.deliver(async () => {
+        const value = await other.handlers.get(method)?.(copyOf(params));
+        this.deliver(() => {
+          settle({ kind: 'answered', value: copyOf(value) });
+        });
+      });
+    });
+  }
+
+  notify(method: string, params: unknown): 'sent' | 'closed' {
+    const { other } = this;
+    if (this.isEnded || other === undefined) {
+      return 'closed';
+    }
+    other.deliver(() => {
+      other.handlers.get(method)?.(copyOf(params));
+    });
+    return 'sent';
+  }
+
+  handle(method: string, handler: Handler): void {
+    this.handlers.set(method, handler);
+  }
+
+  close(): void {
+    this.lose('closed');
+  }
+
+  /** Both ends learn that it is over. */
+  lose(reason: CloseReason): void {
+    this.endHere(reason);
+    const { other } = this;
+    other?.deliver(() => {
+      other.endHere(reason);
+    });
+  }
+
+  private endHere(reason: CloseReason): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.isEnded = true;
+    [...this.unsettled].forEach((giveUp) => {
+      giveUp();
+    });
+    this.resolveEnded(reason);
+  }
+
+  /** Runs on this end's side, once the way is done and its process runs. */
+  private deliver(act: () => unknown): void {
+    this.clock.wakeAt(deadlineAfter(this.clock.now(), WAY_MILLIS), () => {
+      if (!this.isEnded) {
+        act();
+      }
+    });
+  }
+}
+
+/** What goes over the wire is text. */
+function copyOf(value: unknown): unknown {
+  return value === undefined ? undefined : (JSON.parse(JSON.stringify(value)) as unknown);
+}
--- /dev/null
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -0,0 +1,211 @@
+/** The platform's store in memory, and one member's way to it, with the faults that a test sets. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type Offset } from '@bamboowell/types/ids';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import {
+  Store,
+  type AppendCondition,
+  type AppendOutcome,
+  type Expired,
+  type LogPart,
+  type NewestPage,
+  type StoreEntry,
+  type StoreWrite,
+  type Topic,
+  type Unavailable,
+} from './store.js';
+
+/** Entries of one page. */
+const PAGE_ENTRIES = 50;
+/** Records that a log keeps for readers. */
+const KEPT_RECORDS = 3000;
+
+interface TopicState {
+  readonly records: StoreWrite[];
+  first: number;
+  epoch: number;
+  sequence: number;
+  /** Answers of the last appends of the epoch, by sequence. */
+  readonly answers: Map<number, AppendOutcome>;
+  waiting: (() => void)[];
+}
+
+export class EmulatedStore {
+  private readonly topics = new Map<Topic, TopicState>();
+
+  topic(name: Topic): TopicState {
+    let topic = this.topics.get(name);
+    if (topic === undefined) {
+      topic = { records: [], first: 0, epoch: -1, sequence: 0, answers: new Map(), waiting: [] };
+      this.topics.set(name, topic);
+    }
+    return topic;
+  }
+
+  append(name: Topic, writes: readonly StoreWrite[], condition: AppendCondition): AppendOutcome {
+    const topic = this.topic(name);
+    if (condition.kind === 'end_is') {
+      return condition.end === topic.records.length
+        ? this.take(topic, writes)
+        : { kind: 'moved', end: endOf(topic) };
+    }
+    const { epoch, sequence } = condition;
+    if (epoch < topic.epoch) {
+      return { kind: 'fenced' };
+    }
+    if (epoch > topic.epoch) {
+      topic.epoch = epoch;
+      topic.sequence = sequence - 1;
+      topic.answers.clear();
+    }
+    const earlier = topic.answers.get(sequence);
+    if (earlier !== undefined) {
+      return earlier;
+    }
+    if (sequence !== topic.sequence + 1) {
+      return { kind: 'out_of_sequence', expected: brandAs(topic.sequence + 1) };
+    }
+    topic.sequence = sequence;
+    const outcome = this.take(topic, writes);
+    topic.answers.set(sequence, outcome);
+    topic.answers.delete(sequence - 5);
+    return outcome;
+  }
+
+  /** The newest record of each key, sorted by key. */
+  newest(name: Topic): StoreEntry[] {
+    const byKey = new Map<string, StoreEntry>();
+    this.topic(name).records.forEach(({ key, value }, index) => {
+      if (value === undefined) {
+        byKey.delete(key);
+      } else {
+        byKey.set(key, { key, value, offset: brandAs<Offset>(index) });
+      }
+    });
+    return [...byKey.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
+  }
+
+  private take(topic: TopicState, writes: readonly StoreWrite[]): AppendOutcome {
+    topic.records.push(...writes);
+    topic.first = Math.max(topic.first, topic.records.length - KEPT_RECORDS);
+    const waiting = topic.waiting;
+    topic.waiting = [];
+    waiting.forEach((wake) => {
+      wake();
+    });
+    return { kind: 'appended', end: endOf(topic) };
+  }
+}
+
+function endOf(topic: TopicState): Offset {
+  return brandAs<Offset>(topic.records.length);
+}
+
+/** How the store treats one member. */
+export interface StoreFaults {
+  mode: 'up' | 'silent' | 'refusing';
+  latencyMillis: number;
+  /** Part of the appends that are done and not answered. */
+  lostAnswers: number;
+  /** Part of the appends that are done seconds later, after their caller has given up. */
+  lateAppends: number;
+}
+
+export const CALM: StoreFaults = {
+  mode: 'up',
+  latencyMillis: 4,
+  lostAnswers: 0,
+  lateAppends: 0,
+};
+
+const LATE_MILLIS = 2500;
+
+export class EmulatedStorePort extends Store {
+  constructor(
+    private readonly store: EmulatedStore,
+    private readonly clock: Clock,
+    private readonly faults: StoreFaults,
+    private readonly random: () => number,
+  ) {
+    super();
+  }
+
+  append(
+    topic: Topic,
+    writes: readonly StoreWrite[],
+    condition: AppendCondition,
+    limit: Deadline,
+  ): Promise<AppendOutcome> {
+    const act = (): AppendOutcome => this.store.append(topic, writes, condition);
+    const draw = this.random();
+    if (this.faults.mode === 'up' && draw < this.faults.lateAppends) {
+      this.clock.wakeAt(deadlineAfter(this.clock.now(), LATE_MILLIS), act);
+      return this.silence(limit);
+    }
+    if (this.faults.mode === 'up' && draw < this.faults.lateAppends + this.faults.lostAnswers) {
+      act();
+      return this.silence(limit);
+    }
+    return this.answer(limit, act);
+  }
+
+  newest(
+    topic: Topic,
+    after: string | undefined,
+    limit: Deadline,
+  ): Promise<NewestPage | Unavailable> {
+    return this.answer<NewestPage>(limit, () => {
+      const all = this.store.newest(topic);
+      const rest = after === undefined ? all : all.filter(({ key }) => key > after);
+      const entries = rest.slice(0, PAGE_ENTRIES);
+      const next = rest.length > PAGE_ENTRIES ? entries.at(-1)?.key : undefined;
+      return { kind: 'page', entries, next, end: endOf(this.store.topic(topic)) };
+    });
+  }
+
+  async read(
+    name: Topic,
+    from: Offset,
+    waitMillis: number,
+    limit: Deadline,
+  ): Promise<LogPart | Expired | Unavailable> {
+    const topic = this.store.topic(name);
+    if (topic.records.length <= from && this.faults.mode === 'up') {
+      const wakeAt = deadlineAfter(this.clock.now(), waitMillis);
+      await new Promise<void>((resolve) => {
+        topic.waiting.push(resolve);
+        this.clock.wakeAt(wakeAt, resolve);
+      });
+    }
+    return this.answer<LogPart | Expired>(limit, () => {
+      if (from < topic.first) {
+        return { kind: 'expired' };
+      }
+      const entries = topic.records
+        .slice(from)
+        .map((record, index) => ({ ...record, offset: brandAs<Offset>(from + index) }));
+      return { kind: 'part', entries, end: endOf(topic) };
+    });
+  }
+
+  private async answer<Value>(limit: Deadline, act: () => Value): Promise<Value | Unavailable> {
+    const { faults, clock } = this;
+    if (faults.mode === 'silent') {
+      return this.silence(limit);
+    }
+    const way = faults.latencyMillis / 2;
+    await clock.sleepUntil(deadlineAfter(clock.now(), way));
+    if (faults.mode !== 'up') {
+      return { kind: 'unavailable', how: 'refused', detail: 'status 503' };
+    }
+    const value = act();
+    await clock.sleepUntil(deadlineAfter(clock.now(), way));
+    return clock.now() > limit ? { kind: 'unavailable', how: 'silent', detail: 'late' } : value;
+  }
+
+  private async silence(limit: Deadline): Promise<Unavailable> {
+    await this.clock.sleepUntil(limit);
+    return { kind: 'unavailable', how: 'silent', detail: 'no answer' };
+  }
+}
--- /dev/null
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -0,0 +1,379 @@
+/** Workers of the platform in memory, with what must never happen on them. */
+
+import type { Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import {
+  lifeIdOf,
+  type EndedEntry,
+  type EndNumber,
+  type LifeId,
+  type RunEnd,
+  type RunNumber,
+  type SavedProgress,
+  type StepTaskId,
+  type Term,
+  type WorkerNotice,
+} from '@bamboowell/types/job';
+import { fits, NOTHING, add, type Resources } from '@bamboowell/types/resources';
+import { deadlineAfter, type Deadline, type WorkerInstant } from '@bamboowell/types/time';
+import type { OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
+import { roomOf } from '@bamboowell/jobs/model';
+import {
+  WorkerPort,
+  type HoldAnswer,
+  type HoldQuestion,
+  type StopQuestion,
+  type Unanswered,
+  type WorkerTarget,
+} from './ports.js';
+import type { KnownJobs } from './known-jobs.fixture.js';
+
+/** A stop takes at most this long. */
+const STOP_MILLIS = 200;
+const LONGEST_LEASE_MILLIS = 6000;
+/** A gang whose members aren't all there after this ends. */
+const GANG_MILLIS = 3000;
+
+interface WorkerRun {
+  readonly task: StepTaskId;
+  readonly run: RunNumber;
+  readonly endsAt: number;
+  readonly startedAt: number;
+  stopsAt: number;
+  hasSaved: boolean;
+}
+
+/** One machine; a restart gives it a new life. */
+export class EmulatedWorker {
+  readonly id: WorkerId;
+  life: LifeId;
+  isUp = true;
+  isDraining = false;
+  /** Fails all that it starts. */
+  isGrey = false;
+  private born = 1;
+  private term = 0;
+  private leaseEnd = 0;
+  private runs = new Map<string, WorkerRun>();
+  private ended: EndedEntry[] = [];
+  private ends = 0;
+  private readonly highest = new Map<StepTaskId, RunNumber>();
+  private waiting: (() => void)[] = [];
+
+  constructor(
+    name: string,
+    readonly capacity: Resources,
+    private readonly now: () => number,
+    private readonly jobs: KnownJobs,
+    private readonly random: () => number,
+  ) {
+    this.id = brandAs<WorkerId>(name);
+    this.life = lifeIdOf(this.id, this.born);
+  }
+
+  notice(): WorkerNotice {
+    const { id, life, capacity, isDraining } = this;
+    const address = `${id}:80`;
+    const labels = ['a', 'r1'];
+    return { id, life, address, service: 'tunnels', zone: 'west', isDraining, capacity, labels };
+  }
+
+  crash(): void {
+    this.isUp = false;
+    this.runs.clear();
+  }
+
+  restart(): void {
+    this.born += 1;
+    this.life = lifeIdOf(this.id, this.born);
+    this.isUp = true;
+    this.isDraining = false;
+    this.term = 0;
+    this.leaseEnd = 0;
+    this.runs = new Map();
+    this.ended = [];
+    this.ends = 0;
+    this.highest.clear();
+  }
+
+  /** Tasks that run now. */
+  running(): StepTaskId[] {
+    return [...this.runs.values()].map(({ task }) => task);
+  }
+
+  /** Lets time pass on this worker. */
+  tick(): void {
+    if (!this.isUp) {
+      return;
+    }
+    const now = this.now();
+    if (now > this.leaseEnd) {
+      [...this.runs.values()].forEach((run) => {
+        this.end(run, 'lapsed');
+      });
+    }
+    for (const run of [...this.runs.values()]) {
+      this.tickRun(run, now);
+    }
+  }
+
+  hold(question: HoldQuestion): HoldAnswer {
+    if (question.term < this.term) {
+      return { kind: 'fenced' };
+    }
+    this.term = question.term;
+    this.extend(question.leaseEnd);
+    for (const entry of this.ended) {
+      if (entry.number <= question.acknowledged) {
+        this.jobs.noted(entry);
+      }
+    }
+    this.ended = this.ended.filter(({ number }) => number > question.acknowledged);
+    return {
+      kind: 'held',
+      life: this.life,
+      workerNow: brandAs<WorkerInstant>(Math.round(this.now())),
+      running: [...this.runs.values()].map(({ task, run, hasSaved }) => ({
+        task,
+        run,
+        saved: brandAs<SavedProgress>(hasSaved ? `saved ${task}` : ''),
+        percent: 50,
+      })),
+      ended: this.ended.slice(0, 500),
+    };
+  }
+
+  start(order: StartOrder, term: Term, leaseEnd: WorkerInstant): OrderAnswer {
+    if (term < this.term) {
+      return { kind: 'fenced' };
+    }
+    this.term = term;
+    if (leaseEnd < this.now()) {
+      return { kind: 'late' };
+    }
+    this.extend(leaseEnd);
+    if (this.runs.has(keyOf(order))) {
+      return { kind: 'done' };
+    }
+    if (order.run <= (this.highest.get(order.task) ?? 0)) {
+      return { kind: 'outdated' };
+    }
+    this.begin(order);
+    return { kind: 'done' };
+  }
+
+  stop({ term, task, run }: StopQuestion): OrderAnswer {
+    if (term < this.term) {
+      return { kind: 'fenced' };
+    }
+    this.term = term;
+    this.highest.set(task, brandAs<RunNumber>(Math.max(run, this.highest.get(task) ?? 0)));
+    const found = this.runs.get(keyOf({ task, run }));
+    if (found !== undefined) {
+      found.stopsAt = Math.min(found.stopsAt, this.now() + STOP_MILLIS * this.random());
+    }
+    return { kind: 'done' };
+  }
+
+  /** Resolves when an end is there to be listed. */
+  whenEnded(): Promise<void> {
+    return new Promise((resolve) => {
+      this.waiting.push(resolve);
+    });
+  }
+
+  get hasEnds(): boolean {
+    return this.ended.length > 0;
+  }
+
+  private begin(order: StartOrder): void {
+    const plan = this.jobs.stepOf(order.task);
+    const used = [...this.runs.values()].reduce(
+      (sum, { task }) => add(sum, roomOf(this.jobs.stepOf(task))),
+      NOTHING,
+    );
+    this.jobs.started(order, this.id, fits(add(used, roomOf(plan)), this.capacity));
+    this.highest.set(order.task, order.run);
+    const millis = plan.estimateMillis * (0.5 + this.random());
+    this.runs.set(keyOf(order), {
+      task: order.task,
+      run: order.run,
+      startedAt: this.now(),
+      endsAt: this.now() + millis * (order.saved === '' ? 1 : 0.5),
+      stopsAt: Number.POSITIVE_INFINITY,
+      hasSaved: plan.savesProgress,
+    });
+  }
+
+  private tickRun(run: WorkerRun, now: number): void {
+    if (now >= run.stopsAt) {
+      this.end(run, 'stopped');
+      return;
+    }
+    const plan = this.jobs.stepOf(run.task);
+    if (plan.isGang) {
+      this.tickMember(run, now);
+    } else if (now >= run.endsAt) {
+      this.end(run, this.fails(run) ? 'failed' : 'done');
+    }
+  }
+
+  /** Members work only while all are there, and end together. */
+  private tickMember(run: WorkerRun, now: number): void {
+    const state = this.jobs.gangState(run.task, run.run);
+    if (state === 'broken') {
+      this.end(run, 'broken');
+    } else if (state === 'done') {
+      this.end(run, 'done');
+    } else if (state === 'gathering' && now > run.startedAt + GANG_MILLIS) {
+      this.end(run, 'alone');
+    } else if (state === 'together' && now >= run.endsAt) {
+      this.end(run, this.fails(run) ? 'failed' : 'done');
+    }
+  }
+
+  private fails({ task }: WorkerRun): boolean {
+    return this.isGrey || this.jobs.isHopeless(task) || this.random() < 0.02;
+  }
+
+  private end({ task, run, hasSaved }: WorkerRun, end: RunEnd): void {
+    this.runs.delete(keyOf({ task, run }));
+    this.ends += 1;
+    const saved = brandAs<SavedProgress>(hasSaved && end !== 'done' ? `saved ${task}` : '');
+    const number = brandAs<EndNumber>(this.ends);
+    this.ended.push({ number, task, run, end, saved });
+    this.jobs.ended(task, run, end);
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((wake) => {
+      wake();
+    });
+  }
+
+  private extend(leaseEnd: WorkerInstant | undefined): void {
+    if (leaseEnd !== undefined) {
+      const longest = this.now() + LONGEST_LEASE_MILLIS;
+      this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, longest));
+    }
+  }
+}
+
+function keyOf({ task, run }: { readonly task: StepTaskId; readonly run: RunNumber }): string {
+  return `${task}#${run}`;
+}
+
+/** How the way from one member to the workers is. */
+export interface WorkerFaults {
+  /** Workers that this member can't reach. */
+  readonly cut: Set<WorkerId>;
+  /** Part of the orders that get no answer and are carried out seconds later. */
+  lateOrders: number;
+}
+
+const WAY_MILLIS = 1;
+const LATE_MILLIS = 3000;
+
+export class EmulatedWorkerPort extends WorkerPort {
+  constructor(
+    private readonly workers: ReadonlyMap<WorkerId, EmulatedWorker>,
+    private readonly clock: Clock,
+    private readonly faults: WorkerFaults,
+    private readonly random: () => number,
+  ) {
+    super();
+  }
+
+  async hold(
+    { id, life }: WorkerTarget,
+    question: HoldQuestion,
+    limit: Deadline,
+  ): Promise<HoldAnswer> {
+    await this.way();
+    const worker = this.reach(id);
+    if (worker === undefined) {
+      return this.silence(limit);
+    }
+    if (worker.life !== life) {
+      return { kind: 'other_life' };
+    }
+    const early = worker.hold(question);
+    if (early.kind !== 'held' || worker.hasEnds || question.waitMillis === 0) {
+      await this.way();
+      return early;
+    }
+    const until = deadlineAfter(this.clock.now(), question.waitMillis);
+    await Promise.race([worker.whenEnded(), this.clock.sleepUntil(until)]);
+    if (this.reach(id) === undefined) {
+      return this.silence(limit);
+    }
+    if (worker.life !== life) {
+      return { kind: 'other_life' };
+    }
+    const answer = worker.hold({ ...question, leaseEnd: undefined });
+    await this.way();
+    return answer;
+  }
+
+  start(
+    target: WorkerTarget,
+    order: StartOrder,
+    term: Term,
+    leaseEnd: WorkerInstant,
+    limit: Deadline,
+  ): Promise<OrderAnswer | Unanswered> {
+    return this.order(target, limit, (worker) => worker.start(order, term, leaseEnd));
+  }
+
+  stop(
+    target: WorkerTarget,
+    question: StopQuestion,
+    limit: Deadline,
+  ): Promise<OrderAnswer | Unanswered> {
+    return this.order(target, limit, (worker) => worker.stop(question));
+  }
+
+  forget(): void {
+    // There are no connections here.
+  }
+
+  private async order(
+    { id, life }: WorkerTarget,
+    limit: Deadline,
+    act: (worker: EmulatedWorker) => OrderAnswer,
+  ): Promise<OrderAnswer | Unanswered> {
+    await this.way();
+    const worker = this.reach(id);
+    if (worker === undefined) {
+      return this.silence(limit);
+    }
+    if (worker.life !== life) {
+      return { kind: 'other_life' };
+    }
+    if (this.random() < this.faults.lateOrders) {
+      const lateBy = LATE_MILLIS * (0.5 + this.random());
+      this.clock.wakeAt(deadlineAfter(this.clock.now(), lateBy), () => {
+        if (worker.isUp && worker.life === life) {
+          act(worker);
+        }
+      });
+      return this.silence(limit);
+    }
+    const answer = act(worker);
+    await this.way();
+    return answer;
+  }
+
+  private reach(id: WorkerId): EmulatedWorker | undefined {
+    const worker = this.workers.get(id);
+    return worker?.isUp === true && !this.faults.cut.has(id) ? worker : undefined;
+  }
+
+  private way(): Promise<void> {
+    return this.clock.sleepUntil(deadlineAfter(this.clock.now(), WAY_MILLIS));
+  }
+
+  private async silence(limit: Deadline): Promise<Unanswered> {
+    await this.clock.sleepUntil(limit);
+    return { kind: 'unanswered', detail: 'no answer' };
+  }
+}
--- /dev/null
+++ b/packages/member/src/gated-clock.fixture.ts
@@ -0,0 +1,65 @@
+/** A process's view of a manual clock: it can be suspended, as when its machine sleeps, or end. */
+
+import { brandAs } from '@bamboowell/types/ids';
+import { Clock, type Alarm } from '@bamboowell/kernel/clock';
+import type { ManualClock } from '@bamboowell/kernel/manual-clock';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+
+export class GatedClock extends Clock {
+  state: 'running' | 'frozen' | 'dead' = 'running';
+  private suspendedMillis = 0;
+  private frozenAt = 0;
+  private queued: (() => void)[] = [];
+
+  constructor(private readonly base: ManualClock) {
+    super();
+  }
+
+  /** Doesn't count the time for which the process was suspended. */
+  now(): Instant {
+    const now = this.state === 'frozen' ? this.frozenAt : this.base.now();
+    return brandAs<Instant>(now - this.suspendedMillis);
+  }
+
+  wakeAt(deadline: Deadline, wake: () => void): Alarm {
+    let isCancelled = false;
+    const alarm = this.base.wakeAt(brandAs<Deadline>(deadline + this.suspendedMillis), () => {
+      const run = (): void => {
+        if (!isCancelled && this.state !== 'dead') {
+          wake();
+        }
+      };
+      if (this.state === 'frozen') {
+        this.queued.push(run);
+      } else {
+        run();
+      }
+    });
+    return {
+      cancel: () => {
+        isCancelled = true;
+        alarm.cancel();
+      },
+    };
+  }
+
+  freeze(): void {
+    this.frozenAt = this.base.now();
+    this.state = 'frozen';
+  }
+
+  thaw(): void {
+    this.suspendedMillis += this.base.now() - this.frozenAt;
+    this.state = 'running';
+    const { queued } = this;
+    this.queued = [];
+    queued.forEach((run) => {
+      run();
+    });
+  }
+
+  end(): void {
+    this.state = 'dead';
+    this.queued = [];
+  }
+}
--- /dev/null
+++ b/packages/member/src/known-jobs.fixture.ts
@@ -0,0 +1,166 @@
+/** The jobs that a test submitted, what workers did for them, and the promises that were broken. */
+
+import { brandAs, type TeamId, type WorkerId } from '@bamboowell/types/ids';
+import type {
+  EndedEntry,
+  JobId,
+  JobPlan,
+  RunEnd,
+  RunNumber,
+  StepPlan,
+  StepTaskId,
+} from '@bamboowell/types/job';
+import type { StartOrder } from '@bamboowell/jobs/messages';
+import type { EmulatedWorker } from './emulated-workers.fixture.js';
+
+interface TaskHistory {
+  isDone: boolean;
+  isNotedDone: boolean;
+  readonly doneRuns: Set<RunNumber>;
+  readonly endedRuns: Set<RunNumber>;
+  failures: number;
+}
+
+export class KnownJobs {
+  readonly plans = new Map<JobId, JobPlan>();
+  readonly cancelledAt = new Map<JobId, number>();
+  readonly hopeless = new Set<JobId>();
+  /** Promises that were broken, in words. */
+  readonly broken: string[] = [];
+  starts = 0;
+  private readonly tasks = new Map<StepTaskId, TaskHistory>();
+  private readonly workers: EmulatedWorker[] = [];
+
+  constructor(private readonly now: () => number) {}
+
+  setWorkers(workers: Iterable<EmulatedWorker>): void {
+    this.workers.push(...workers);
+  }
+
+  stepOf(task: StepTaskId): StepPlan {
+    const [job = '', , step = ''] = task.split('.');
+    const plan = this.plans.get(brandAs<JobId>(job))?.steps[Number(step)];
+    if (plan === undefined) {
+      throw new Error(`no step for ${task}`);
+    }
+    return plan;
+  }
+
+  teamOf(task: StepTaskId): TeamId | undefined {
+    return this.plans.get(jobOf(task))?.team;
+  }
+
+  isHopeless(task: StepTaskId): boolean {
+    return this.hopeless.has(jobOf(task));
+  }
+
+  /** Checks a start as the worker carries it out. */
+  started({ task, run }: StartOrder, worker: WorkerId, hasRoom: boolean): void {
+    this.starts += 1;
+    const history = this.history(task);
+    const running = this.workers.filter((each) => each.isUp && each.running().includes(task));
+    if (running.length > 0) {
+      this.note(`${task} run ${run} on ${worker} beside one on ${running[0]?.id ?? ''}`);
+    }
+    if (history.isNotedDone) {
+      this.note(`${task} run ${run} on ${worker} after a noted end done`);
+    }
+    if (!hasRoom) {
+      this.note(`${task} run ${run} on ${worker} without room`);
+    }
+    this.checkOrder(task);
+    const cancelledAt = this.cancelledAt.get(jobOf(task));
+    if (cancelledAt !== undefined && this.now() > cancelledAt + 3000) {
+      this.note(`${task} run ${run} started long after its job was cancelled`);
+    }
+  }
+
+  ended(task: StepTaskId, run: RunNumber, end: RunEnd): void {
+    const history = this.history(task);
+    history.endedRuns.add(run);
+    if (end === 'done') {
+      history.isDone = true;
+      history.doneRuns.add(run);
+    }
+    history.failures += end === 'failed' ? 1 : 0;
+  }
+
+  /** The end was acknowledged. */
+  noted({ task, end }: EndedEntry): void {
+    if (end === 'done') {
+      this.history(task).isNotedDone = true;
+    }
+  }
+
+  gangState(task: StepTaskId, run: RunNumber): 'gathering' | 'together' | 'broken' | 'done' {
+    const stepId = task.slice(0, task.lastIndexOf('.'));
+    const members = Array.from({ length: this.stepOf(task).count }, (_, index) =>
+      brandAs<StepTaskId>(`${stepId}.${index}`),
+    );
+    if (members.some((member) => this.history(member).doneRuns.has(run))) {
+      return 'done';
+    }
+    if (members.some((member) => this.history(member).endedRuns.has(run))) {
+      return 'broken';
+    }
+    const present = members.filter((member) =>
+      this.workers.some((worker) => worker.isUp && worker.running().includes(member)),
+    );
+    return present.length === members.length ? 'together' : 'gathering';
+  }
+
+  /** Whether all tasks of the job have ended well. */
+  isDone(job: JobId): boolean {
+    const steps = this.plans.get(job)?.steps ?? [];
+    return steps.every((step, index) => this.isStepDone(job, step, index));
+  }
+
+  failuresOf(job: JobId): number {
+    const failures = [...this.tasks]
+      .filter(([task]) => jobOf(task) === job)
+      .map(([, history]) => history.failures);
+    return Math.max(0, ...failures);
+  }
+
+  note(text: string): void {
+    this.broken.push(`at ${Math.round(this.now())}: ${text}`);
+  }
+
+  private checkOrder(task: StepTaskId): void {
+    const job = jobOf(task);
+    const plan = this.plans.get(job);
+    for (const earlier of this.stepOf(task).after) {
+      const step = plan?.steps[earlier];
+      if (step !== undefined && !this.isStepDone(job, step, earlier)) {
+        this.note(`${task} started before step ${earlier} was done`);
+      }
+    }
+  }
+
+  /** One end of a gang stands for all. */
+  private isStepDone(job: JobId, step: StepPlan, index: number): boolean {
+    const done = Array.from({ length: step.count }, (_, task) =>
+      this.history(brandAs<StepTaskId>(`${job}.0.${index}.${task}`)),
+    ).filter(({ isDone }) => isDone);
+    return step.isGang ? done.length > 0 : done.length === step.count;
+  }
+
+  private history(task: StepTaskId): TaskHistory {
+    let history = this.tasks.get(task);
+    if (history === undefined) {
+      history = {
+        isDone: false,
+        isNotedDone: false,
+        doneRuns: new Set(),
+        endedRuns: new Set(),
+        failures: 0,
+      };
+      this.tasks.set(task, history);
+    }
+    return history;
+  }
+}
+
+function jobOf(task: StepTaskId): JobId {
+  return brandAs<JobId>(task.split('.')[0] ?? '');
+}
--- /dev/null
+++ b/packages/member/src/member.test.ts
@@ -0,0 +1,255 @@
+import test from 'ava';
+import { brandAs, type QueueId, type TeamId } from '@bamboowell/types/ids';
+import type { JobConfiguration, JobId, JobPlan, StepPlan } from '@bamboowell/types/job';
+import { NOTHING, type Resources } from '@bamboowell/types/resources';
+import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
+
+const QUEUE = brandAs<QueueId>('plans');
+const TEAM = brandAs<TeamId>('aero');
+
+function cores(count: number): Resources {
+  return { ...NOTHING, millicores: count * 1000, memoryMib: 100 };
+}
+
+function configuration(version = 1): JobConfiguration {
+  const queue = {
+    id: QUEUE,
+    host: 'example',
+    pathPrefix: '/plans/',
+    service: 'tunnels',
+    priority: 1,
+    attempts: 3,
+    slackFactor: 2,
+    targetLatencyMillis: 1000,
+    timeoutMillis: 3000,
+    advice: { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 },
+    isPublic: false,
+  };
+  const team = { id: TEAM, keys: ['key'], weight: 10, limit: NOTHING };
+  return { version, queues: [queue], teams: [team], maxBodyBytes: 10_000 };
+}
+
+function step(changes: Partial<StepPlan> = {}): StepPlan {
+  return {
+    count: 1,
+    demand: cores(1),
+    estimateMillis: 500,
+    after: [],
+    savesProgress: false,
+    isGang: false,
+    prefersOneRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerWorker: 0,
+    allowsCopies: false,
+    isLasting: false,
+    usesLeftovers: false,
+    maxUnavailable: 0,
+    ...changes,
+  };
+}
+
+function jobId(number: number): JobId {
+  return brandAs<JobId>(number.toString(16).padStart(16, '0'));
+}
+
+function plan(number: number, steps: readonly StepPlan[] = [step()]): JobPlan {
+  const id = jobId(number);
+  return { id, queue: QUEUE, team: TEAM, payload: `job ${number}`, steps, repetition: undefined };
+}
+
+const NAMES = ['m1', 'm2', 'm3'];
+
+/** A cluster of three members and four workers, with an owner that serves. */
+async function runningCluster(options: Partial<ClusterOptions> = {}) {
+  const workers = ['w1', 'w2', 'w3', 'w4'].map((name) => ({ name, capacity: cores(4) }));
+  const cluster = emulatedCluster({ workers, configuration: configuration(), ...options });
+  await Promise.all(NAMES.map((name) => cluster.launch(name)));
+  await cluster.run(800);
+  return cluster;
+}
+
+type Cluster = Awaited<ReturnType<typeof runningCluster>>;
+
+/** Runs the cluster until the request is answered. */
+async function during<Value>(cluster: Cluster, pending: Promise<Value>): Promise<Value> {
+  let isSettled = false;
+  void pending.then(() => {
+    isSettled = true;
+  });
+  for (let waited = 0; !isSettled && waited < 6000; waited += 20) {
+    await cluster.run(20);
+  }
+  return pending;
+}
+
+function follower(cluster: Cluster): string {
+  return NAMES.find((name) => name !== cluster.ownerName()) ?? '';
+}
+
+async function stateAt(cluster: Cluster, member: string, job: number) {
+  return during(cluster, cluster.request(member, 'query', jobId(job)));
+}
+
+test('a job is taken by any member, runs, and is shown as completed by all', async (t) => {
+  const cluster = await runningCluster();
+  const reply = await during(
+    cluster,
+    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+  );
+  t.deepEqual(reply, { kind: 'accepted', repeated: false });
+  await cluster.run(1500);
+  for (const name of NAMES) {
+    t.deepEqual(await stateAt(cluster, name, 1), { kind: 'state', state: 'completed' });
+  }
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('after the owner is killed another member serves within two seconds, and nothing runs twice', async (t) => {
+  const cluster = await runningCluster();
+  const steps = [step({ count: 6, estimateMillis: 3000 })];
+  await during(cluster, cluster.request(follower(cluster), 'submit', jobId(1), plan(1, steps)));
+  await cluster.run(500);
+  const owner = cluster.ownerName() ?? '';
+  const killedAt = cluster.now();
+  cluster.kill(owner);
+  const reply = await during(
+    cluster,
+    cluster.request(follower(cluster), 'submit', jobId(2), plan(2)),
+  );
+  t.like(reply, { kind: 'accepted' });
+  t.true(cluster.now() - killedAt < 2000, `served after ${cluster.now() - killedAt} ms`);
+  await cluster.run(6000);
+  t.deepEqual(await stateAt(cluster, cluster.ownerName() ?? '', 1), {
+    kind: 'state',
+    state: 'completed',
+  });
+  t.deepEqual(cluster.jobs.broken, []);
+  t.true(cluster.jobs.starts <= 8, 'running tasks were taken over, not started again');
+});
+
+test('a frozen owner is replaced within two seconds, and does no harm when it wakes', async (t) => {
+  const cluster = await runningCluster();
+  const owner = cluster.ownerName() ?? '';
+  cluster.freeze(owner);
+  const frozenAt = cluster.now();
+  const reply = await during(
+    cluster,
+    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+  );
+  t.like(reply, { kind: 'accepted' });
+  t.true(cluster.now() - frozenAt < 2500, `served after ${cluster.now() - frozenAt} ms`);
+  cluster.thaw(owner);
+  // The owner of before doesn't know the job, and must not say that there is none.
+  const state = await stateAt(cluster, owner, 1);
+  t.not(state?.kind, 'unknown_job');
+  await cluster.run(2000);
+  t.deepEqual(await stateAt(cluster, owner, 1), { kind: 'state', state: 'completed' });
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('all members without power at once: what was accepted is taken up again', async (t) => {
+  const cluster = await runningCluster();
+  const steps = [step({ count: 3, estimateMillis: 2000 }), step({ after: [0] })];
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  await cluster.run(300);
+  NAMES.forEach((name) => {
+    cluster.kill(name);
+  });
+  await cluster.run(7000);
+  await Promise.all(NAMES.map((name) => cluster.launch(name)));
+  await cluster.run(6000);
+  t.deepEqual(await stateAt(cluster, 'm2', 1), { kind: 'state', state: 'completed' });
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('an owner that the store refuses is replaced by a member that it serves', async (t) => {
+  const cluster = await runningCluster();
+  const owner = cluster.ownerName() ?? '';
+  const faults = cluster.members.get(owner)?.store;
+  if (faults !== undefined) {
+    faults.mode = 'refusing';
+  }
+  const reply = await during(
+    cluster,
+    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+  );
+  t.like(reply, { kind: 'accepted' });
+  t.not(cluster.ownerName(), owner);
+  // The member that the store refuses hands requests to the new owner.
+  t.like(await during(cluster, cluster.request(owner, 'submit', jobId(2), plan(2))), {
+    kind: 'accepted',
+  });
+  await cluster.run(2000);
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('with the store away running work goes on, and an acceptance is refused or undecided in time', async (t) => {
+  const cluster = await runningCluster();
+  const steps = [step({ count: 2, estimateMillis: 9000 })];
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  await cluster.run(300);
+  cluster.members.forEach(({ store }) => {
+    store.mode = 'silent';
+  });
+  const reply = await during(cluster, cluster.request('m1', 'submit', jobId(2), plan(2)));
+  t.is(reply?.kind, 'undecided');
+  await cluster.run(5000);
+  const running = [...cluster.workers.values()].flatMap((worker) => worker.running());
+  t.is(running.length, 2);
+  cluster.members.forEach(({ store }) => {
+    store.mode = 'up';
+  });
+  await cluster.run(9000);
+  t.deepEqual(await stateAt(cluster, 'm1', 1), { kind: 'state', state: 'completed' });
+  // It was handed in and never refused: it ran.
+  t.deepEqual(await stateAt(cluster, 'm1', 2), { kind: 'state', state: 'completed' });
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('a member that retires answers what it has, and hands the work over at once', async (t) => {
+  const cluster = await runningCluster();
+  const owner = cluster.ownerName() ?? '';
+  const pending = cluster.request(owner, 'submit', jobId(1), plan(1));
+  const retired = cluster.retire(owner);
+  t.like(await during(cluster, pending), { kind: 'accepted' });
+  const reply = await during(
+    cluster,
+    cluster.request(follower(cluster), 'submit', jobId(2), plan(2)),
+  );
+  t.like(reply, { kind: 'accepted' });
+  await during(cluster, retired);
+  t.not(cluster.ownerName(), owner);
+  await cluster.run(1500);
+  t.deepEqual(await stateAt(cluster, cluster.ownerName() ?? '', 1), { kind: 'state', state: 'completed' });
+  t.deepEqual(cluster.jobs.broken, []);
+});
+
+test('a newer configuration reaches a member that the store refuses, through the owner', async (t) => {
+  const cluster = await runningCluster();
+  const member = follower(cluster);
+  const faults = cluster.members.get(member)?.store;
+  if (faults !== undefined) {
+    faults.mode = 'silent';
+  }
+  cluster.declare({ ...configuration(2), queues: [] });
+  await cluster.run(1000);
+  const reply = await during(cluster, cluster.request(member, 'submit', jobId(1), plan(1)));
+  t.deepEqual(reply, { kind: 'unknown_queue' });
+});
+
+test('a worker that only the owner cannot reach gets its tasks elsewhere after its lease', async (t) => {
+  const cluster = await runningCluster();
+  const steps = [step({ count: 1, estimateMillis: 1500 })];
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  await cluster.run(100);
+  const worker = [...cluster.workers.values()].find((each) => each.running().length > 0);
+  const owner = cluster.members.get(cluster.ownerName() ?? '');
+  t.truthy(worker);
+  if (worker !== undefined) {
+    owner?.workers.cut.add(worker.id);
+  }
+  await cluster.run(10_000);
+  t.deepEqual(await stateAt(cluster, 'm1', 1), { kind: 'state', state: 'completed' });
+  t.deepEqual(cluster.jobs.broken, []);
+});
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -30,6 +30,8 @@
   advise: 'advise',
   /** Owner to member, no answer: whether it can write to the store. */
   trouble: 'trouble',
+  /** Both ways, no answer: a `Claim` that the other end may not have seen. */
+  claim: 'claim',
   /** Both ways, no answer: an operator's document that the other end may lack. */
   configuration: 'configuration',
 } as const;
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -33,7 +33,13 @@
   | { readonly kind: 'input'; readonly input: JobInput }
   /** A worker has seen a higher term. */
   | { readonly kind: 'fenced' }
-  | { readonly kind: 'member'; readonly port: MemberPort }
+  /** A member greets the holder of a term; replies whether that is this one. */
+  | {
+      readonly kind: 'member';
+      readonly port: MemberPort;
+      readonly term: Term;
+      readonly reply: Reply<boolean>;
+    }
   | { readonly kind: 'member_gone'; readonly port: MemberPort }
   | {
       readonly kind: 'advised';
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -14,7 +14,7 @@
   WallInstant,
   WorkerNotice,
 } from '@bamboowell/types/job';
-import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { JobAnswer, JobInput, JobOutput, JobToken } from '@bamboowell/jobs/messages';
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import type { Restored } from '@bamboowell/jobs/records';
@@ -87,6 +87,8 @@
   lastAppendAt: Instant;
   /** When the append on its way was first sent. */
   appendingSince: Instant | undefined;
+  /** After a failed append the next one waits until then. */
+  appendAgainAt: Deadline;
   isTroubled: boolean;
   isFenced: boolean;
 }
@@ -166,10 +168,12 @@
       .with({ kind: 'fenced' }, () => {
         this.ownership?.post({ kind: 'doubt' });
       })
-      .with({ kind: 'member' }, ({ port }) => {
-        this.members.set(port.member, port);
-        this.input(this.adviserInput(port));
-        port.tellTrouble(this.tenure?.isTroubled ?? false);
+      .with({ kind: 'member' }, ({ port, term, reply }) => {
+        const isOwner = this.tenure?.term === term;
+        reply(isOwner);
+        if (isOwner) {
+          this.addMember(port);
+        }
       })
       .with({ kind: 'member_gone' }, ({ port }) => {
         if (this.members.get(port.member) === port) {
@@ -203,6 +207,12 @@
       .exhaustive();
   }
 
+  private addMember(port: MemberPort): void {
+    this.members.set(port.member, port);
+    this.input(this.adviserInput(port));
+    port.tellTrouble(this.tenure?.isTroubled ?? false);
+  }
+
   private times(): Times {
     return {
       now: this.clock.now(),
@@ -231,6 +241,7 @@
       proof: undefined,
       lastAppendAt: now,
       appendingSince: undefined,
+      appendAgainAt: deadlineAfter(now, 0),
       isTroubled: false,
       isFenced: false,
     };
@@ -455,7 +466,7 @@
         commits.addBatch(batch);
       }
     }
-    const planned = commits.next();
+    const planned = hasPassed(tenure.appendAgainAt, this.clock.now()) ? commits.next() : undefined;
     if (planned === undefined) {
       return;
     }
@@ -520,8 +531,8 @@
     const detail = 'detail' in outcome ? outcome.detail : '';
     this.options.events.event('append.failed', { outcome: outcome.kind, detail });
     tenure.commits.unanswered();
-    const again = deadlineAfter(this.clock.now(), APPEND_RETRY_MILLIS);
-    this.postAt(again, { kind: 'append', term: tenure.term });
+    tenure.appendAgainAt = deadlineAfter(this.clock.now(), APPEND_RETRY_MILLIS);
+    this.postAt(tenure.appendAgainAt, { kind: 'append', term: tenure.term });
   }
 
   private setTrouble(tenure: Tenure, isTroubled: boolean): void {
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -5,6 +5,7 @@
 import type { Term } from '@bamboowell/types/job';
 import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
+import type { Welcome } from './peers.js';
 import type { AppendOutcome } from './store.js';
 
 /** The newest record of who owns the work. */
@@ -20,8 +21,19 @@
 export type OwnershipMessage =
   | { readonly kind: 'claims'; readonly claim: Claim | undefined; readonly end: Offset }
   | { readonly kind: 'connected'; readonly term: Term; readonly connection: Connection }
+  | {
+      readonly kind: 'greeted';
+      readonly term: Term;
+      readonly connection: Connection;
+      readonly welcome: Welcome | undefined;
+    }
   | { readonly kind: 'unreachable'; readonly term: Term; readonly detail: string }
-  | { readonly kind: 'link_ended'; readonly term: Term; readonly reason: string }
+  | {
+      readonly kind: 'link_ended';
+      readonly term: Term;
+      readonly connection: Connection;
+      readonly reason: string;
+    }
   | { readonly kind: 'trouble'; readonly term: Term; readonly isTroubled: boolean }
   | { readonly kind: 'looked'; readonly end: Offset | undefined }
   | { readonly kind: 'claimed'; readonly outcome: AppendOutcome }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -14,7 +14,7 @@
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
-import type { Peers } from './peers.js';
+import type { Peers, Welcome } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import type { Store, StoreEntry } from './store.js';
 import { LOG_START, Succession } from './succession.js';
@@ -62,6 +62,9 @@
   }
 
   protected override opened(): void {
+    this.options.peers.onClaim((claim) => {
+      this.post({ kind: 'claims', claim, end: LOG_START });
+    });
     this.watch.start();
     this.post({ kind: 'beat' });
   }
@@ -81,14 +84,17 @@
       .with({ kind: 'connected' }, ({ term, connection }) => {
         this.connected(term, connection);
       })
+      .with({ kind: 'greeted' }, ({ term, connection, welcome }) => {
+        this.greeted(term, connection, welcome);
+      })
       .with({ kind: 'unreachable' }, ({ term, detail }) => {
         this.isDialling = false;
         if (this.claim?.term === term) {
           this.ownerSilent(detail);
         }
       })
-      .with({ kind: 'link_ended' }, ({ term, reason }) => {
-        if (this.claim?.term === term && this.connection !== undefined) {
+      .with({ kind: 'link_ended' }, ({ term, connection, reason }) => {
+        if (this.claim?.term === term && this.connection === connection) {
           this.connection = undefined;
           this.ownerSilent(reason);
         }
@@ -166,6 +172,8 @@
       return;
     }
     this.claim = claim;
+    // An owner that lost the store, and members that only it reaches, learn of the new one this way.
+    this.options.peers.announce(claim);
     this.connection?.close();
     this.connection = undefined;
     this.options.events.event('owner.known', { term: claim.term, member: claim.member });
@@ -176,7 +184,11 @@
     }
     this.options.owner.post({ kind: 'superseded', term: claim.term });
     this.publish(undefined);
-    this.dial(claim);
+    if (claim.member === this.options.settings.member) {
+      this.ownerEnded(claim);
+    } else {
+      this.dial(claim);
+    }
   }
 
   private vacant(claim: Claim | undefined): void {
@@ -219,25 +231,50 @@
   }
 
   private connected(term: Term, connection: Connection): void {
+    const trouble = (isTroubled: boolean): void => {
+      this.post({ kind: 'trouble', term, isTroubled });
+    };
+    void this.options.peers.greet(connection, term, trouble).then((welcome) => {
+      this.post({ kind: 'greeted', term, connection, welcome });
+    });
+  }
+
+  private greeted(term: Term, connection: Connection, welcome: Welcome | undefined): void {
     this.isDialling = false;
-    if (this.claim?.term !== term || this.isOurs(this.claim) || this.isLeaving) {
+    const { claim } = this;
+    const isCurrent = claim?.term === term && !claim.isReleased && !this.isOurs(claim);
+    if (!isCurrent || welcome?.isOwner !== true) {
       connection.close();
+      if (isCurrent) {
+        this.notWelcome(claim, welcome);
+      }
       return;
     }
     this.connection = connection;
-    this.options.peers.greet(connection, (isTroubled) => {
-      this.post({ kind: 'trouble', term, isTroubled });
-    });
     void connection.ended.then((reason) => {
-      if (this.connection === connection) {
-        this.post({ kind: 'link_ended', term, reason });
-      }
+      this.post({ kind: 'link_ended', term, connection, reason });
     });
     this.options.succession.connected();
     this.options.events.event('owner.connected', { term });
     this.publish(new RemoteOwner(connection));
   }
 
+  /** Where another process answers at the owner's address, the owner's has ended. */
+  private notWelcome(claim: Claim, welcome: Welcome | undefined): void {
+    if (welcome !== undefined && welcome.incarnation !== claim.incarnation) {
+      this.ownerEnded(claim);
+    } else {
+      this.ownerSilent('not_owner');
+    }
+  }
+
+  private ownerEnded(claim: Claim): void {
+    this.options.events.event('owner.ended', { term: claim.term, member: claim.member });
+    this.publish(undefined);
+    this.options.succession.vacant(this.clock.now());
+    this.redialAt = deadlineAfter(this.clock.now(), REDIAL_MILLIS);
+  }
+
   private ownerSilent(detail: string): void {
     this.options.events.event('owner.lost', { term: this.claim?.term ?? 0, detail });
     this.publish(undefined);
@@ -249,7 +286,10 @@
     const now = this.clock.now();
     const isAway = this.connection === undefined && !this.isDialling;
     const { claim } = this;
-    const isRemote = claim !== undefined && !claim.isReleased && !this.isOurs(claim);
+    const isRemote =
+      claim !== undefined &&
+      !claim.isReleased &&
+      claim.member !== this.options.settings.member;
     if (isRemote && isAway && hasPassed(this.redialAt, now)) {
       this.redialAt = deadlineAfter(now, REDIAL_MILLIS);
       this.dial(claim);
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -1,32 +1,26 @@
 /** Connections between members: every member keeps one to the owner. */
 
-import type { Socket } from 'node:net';
 import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
 import { ask } from '@bamboowell/kernel/ask';
 import type { Clock } from '@bamboowell/kernel/clock';
-import type { MemberId } from '@bamboowell/types/ids';
+import type { Incarnation, MemberId } from '@bamboowell/types/ids';
+import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
-import { connect } from '@bamboowell/wire/connect';
 import type { Connection } from '@bamboowell/wire/connection';
-import { Listener } from '@bamboowell/wire/listener';
-import { TcpConnection } from '@bamboowell/wire/tcp-connection';
 import type { ConfigurationMessage } from './configuration-task.js';
 import { RemoteMember, type AdviceQuestion, type MemberPort } from './member-port.js';
 import { METHODS, type OwnerReply, type OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage } from './owner-messages.js';
+import type { Claim } from './ownership-messages.js';
 import type { MemberSettings } from './settings.js';
 import type { StoreEntry } from './store.js';
 
-/** A member sends something at least this often, milliseconds. */
-const PING_MILLIS = 300;
-/** A member that sends nothing for so long, milliseconds, is silent: several pings, and the pauses of a slow machine. */
-const SILENCE_MILLIS = 1100;
+/** A greeting is given up after this, milliseconds. */
+const HELLO_MILLIS = 500;
 /** A request of another member is given up after this, milliseconds: longer than any caller waits. */
 const REQUEST_MILLIS = 10_000;
 
-const PULSE = { pingMillis: PING_MILLIS, silenceMillis: SILENCE_MILLIS };
-
 export type Dialled =
   | { readonly kind: 'connected'; readonly connection: Connection }
   | { readonly kind: 'unreachable'; readonly detail: string };
@@ -35,6 +29,15 @@
 interface Hello {
   readonly member: MemberId;
   readonly region: string;
+  /** The term that the other end should hold. */
+  readonly term: Term;
+}
+
+/** What the other end says to that. */
+export interface Welcome {
+  /** Whether it holds the term. */
+  readonly isOwner: boolean;
+  readonly incarnation: Incarnation;
 }
 
 export interface PeersOptions {
@@ -45,50 +48,55 @@
   readonly configuration: MailAddress<ConfigurationMessage>;
 }
 
-export class Peers {
-  private readonly listener: Listener;
+/** How members reach each other. Subclasses differ in what carries the connections. */
+export abstract class Peers {
   private readonly connections = new Set<Connection>();
+  private claimListener: (claim: Claim) => void = () => undefined;
 
-  constructor(private readonly options: PeersOptions) {
-    const { settings, clock } = options;
-    this.listener = new Listener({
-      ...settings.peerAddress,
-      clock,
-      make: (socket: Socket) => new TcpConnection(socket, { clock, pulse: PULSE }),
-      accept: (connection) => {
-        this.accept(connection);
-      },
-    });
-  }
+  constructor(protected readonly options: PeersOptions) {}
 
-  async listen(): Promise<void> {
-    await this.listener.listen();
-  }
+  /** Takes connections from now on; each is handed to `accept`. */
+  abstract listen(): Promise<void>;
+
+  /** Opens a connection to the owner. */
+  abstract dial(address: Address, deadline: Deadline): Promise<Dialled>;
 
-  async close(deadline: Deadline): Promise<void> {
+  /** Closes all connections and takes no more. */
+  close(_deadline: Deadline): Promise<void> {
     this.connections.forEach((connection) => {
       connection.close();
     });
-    await this.listener.close(deadline);
-  }
-
-  /** Opens a connection to the owner. */
-  async dial(address: Address, deadline: Deadline): Promise<Dialled> {
-    const { clock } = this.options;
-    const result = await connect({ address, clock, deadline, pulse: PULSE });
-    return result instanceof TcpConnection ? { kind: 'connected', connection: result } : result;
+    return Promise.resolve();
   }
 
-  /** Introduces this member to the owner and serves its questions. */
-  greet(connection: Connection, trouble: (isTroubled: boolean) => void): void {
-    const { settings, self } = this.options;
+  /** Introduces this member to the owner and serves its questions; nothing if it didn't answer. */
+  async greet(
+    connection: Connection,
+    term: Term,
+    trouble: (isTroubled: boolean) => void,
+  ): Promise<Welcome | undefined> {
+    const { settings, self, clock } = this.options;
     connection.handle(METHODS.advise, (params) => self.advise(params as AdviceQuestion));
     connection.handle(METHODS.trouble, (params) => {
       trouble((params as { readonly isTroubled: boolean }).isTroubled);
     });
     this.add(connection);
-    const hello: Hello = { member: settings.member, region: settings.region };
-    connection.notify(METHODS.hello, hello);
+    const hello: Hello = { member: settings.member, region: settings.region, term };
+    const limit = deadlineAfter(clock.now(), HELLO_MILLIS);
+    const answer = await connection.request(METHODS.hello, hello, limit);
+    return answer.kind === 'answered' ? (answer.value as Welcome) : undefined;
+  }
+
+  /** Tells all members that are connected who owns the work now. */
+  announce(claim: Claim): void {
+    this.connections.forEach((connection) => {
+      connection.notify(METHODS.claim, claim);
+    });
+  }
+
+  /** Who hears what other members announce. */
+  onClaim(listener: (claim: Claim) => void): void {
+    this.claimListener = listener;
   }
 
   /** Hands an operator's document to all members that are connected. */
@@ -98,11 +106,10 @@
     });
   }
 
-  private accept(connection: Connection): void {
+  /** Serves a member that connected. */
+  protected accept(connection: Connection): void {
     const { owner, clock } = this.options;
-    connection.handle(METHODS.hello, (params) => {
-      this.welcome(connection, params as Hello);
-    });
+    connection.handle(METHODS.hello, (params) => this.welcome(connection, params as Hello));
     connection.handle(METHODS.request, async (params): Promise<OwnerReply> => {
       const request = params as OwnerRequest;
       const limit = deadlineAfter(clock.now(), REQUEST_MILLIS);
@@ -117,13 +124,24 @@
     this.add(connection);
   }
 
-  private welcome(connection: Connection, { member, region }: Hello): void {
-    const { owner, clock } = this.options;
+  private async welcome(
+    connection: Connection,
+    { member, region, term }: Hello,
+  ): Promise<Welcome> {
+    const { owner, clock, settings } = this.options;
     const port = new RemoteMember(member, region, connection, clock);
-    owner.post({ kind: 'member', port });
+    const limit = deadlineAfter(clock.now(), HELLO_MILLIS);
+    const answer = await ask<OwnerMessage, boolean>(
+      owner,
+      (reply) => ({ kind: 'member', port, term, reply }),
+      limit,
+      clock,
+    );
     void connection.ended.then(() => {
       owner.post({ kind: 'member_gone', port });
     });
+    const isOwner = answer.kind === 'answered' && answer.value;
+    return { isOwner, incarnation: settings.incarnation };
   }
 
   /** Members that lost the store learn of the configuration from the others. */
@@ -131,6 +149,9 @@
     const { configuration } = this.options;
     this.connections.add(connection);
     void connection.ended.then(() => this.connections.delete(connection));
+    connection.handle(METHODS.claim, (params) => {
+      this.claimListener(params as Claim);
+    });
     connection.handle(METHODS.configuration, (params) => {
       configuration.post({ kind: 'offered', document: params as StoreEntry });
     });
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -29,7 +29,7 @@
 import { OwnerTask } from './owner-task.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import { OwnershipTask } from './ownership-task.js';
-import { Peers } from './peers.js';
+import type { Peers, PeersOptions } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import { Succession } from './succession.js';
 
@@ -141,7 +141,11 @@
   readonly needs = [ADVICE, OWNER, CONFIGURATION];
   private peers: Peers | undefined;
 
-  constructor(private readonly environment: MemberEnvironment) {
+  /** @param make chooses what carries the connections. */
+  constructor(
+    private readonly environment: MemberEnvironment,
+    private readonly make: (options: PeersOptions) => Peers,
+  ) {
     super();
   }
 
@@ -154,7 +158,8 @@
       directory.find(ADVICE),
       clock,
     );
-    const peers = new Peers({ settings, clock, self, owner: directory.find(OWNER), configuration });
+    const owner = directory.find(OWNER);
+    const peers = this.make({ settings, clock, self, owner, configuration });
     this.peers = peers;
     await peers.listen();
     configuration.post({
--- /dev/null
+++ b/packages/member/src/tcp-peers.ts
@@ -0,0 +1,48 @@
+/** Members reach each other by long-lived TCP connections. */
+
+import type { Socket } from 'node:net';
+import type { Deadline } from '@bamboowell/types/time';
+import type { Address } from '@bamboowell/types/vm';
+import { connect } from '@bamboowell/wire/connect';
+import { Listener } from '@bamboowell/wire/listener';
+import { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import { Peers, type Dialled, type PeersOptions } from './peers.js';
+
+/** A member sends something at least this often, milliseconds. */
+const PING_MILLIS = 300;
+/** A member that sends nothing for so long, milliseconds, is silent: several pings, and the pauses of a slow machine. */
+const SILENCE_MILLIS = 1100;
+
+const PULSE = { pingMillis: PING_MILLIS, silenceMillis: SILENCE_MILLIS };
+
+export class TcpPeers extends Peers {
+  private readonly listener: Listener;
+
+  constructor(options: PeersOptions) {
+    super(options);
+    const { settings, clock } = options;
+    this.listener = new Listener({
+      ...settings.peerAddress,
+      clock,
+      make: (socket: Socket) => new TcpConnection(socket, { clock, pulse: PULSE }),
+      accept: (connection) => {
+        this.accept(connection);
+      },
+    });
+  }
+
+  async listen(): Promise<void> {
+    await this.listener.listen();
+  }
+
+  override async close(deadline: Deadline): Promise<void> {
+    await super.close(deadline);
+    await this.listener.close(deadline);
+  }
+
+  async dial(address: Address, deadline: Deadline): Promise<Dialled> {
+    const { clock } = this.options;
+    const result = await connect({ address, clock, deadline, pulse: PULSE });
+    return result instanceof TcpConnection ? { kind: 'connected', connection: result } : result;
+  }
+}
