--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -211,8 +211,8 @@
       }),
     );
     kernel.register(new OwnershipService(environment));
-    members.set(name, member);
     await kernel.start(deadlineAfter(gated.now(), 1000));
+    members.set(name, member);
     return member;
   };
 
--- a/packages/member/src/known-jobs.fixture.ts
+++ b/packages/member/src/known-jobs.fixture.ts
@@ -18,7 +18,7 @@
   isNotedDone: boolean;
   readonly doneRuns: Set<RunNumber>;
   readonly endedRuns: Set<RunNumber>;
-  failures: number;
+  readonly failedRuns: Set<RunNumber>;
 }
 
 export class KnownJobs {
@@ -82,7 +82,9 @@
       history.isDone = true;
       history.doneRuns.add(run);
     }
-    history.failures += end === 'failed' ? 1 : 0;
+    if (end === 'failed') {
+      history.failedRuns.add(run);
+    }
   }
 
   /** The end was acknowledged. */
@@ -115,11 +117,19 @@
     return steps.every((step, index) => this.isStepDone(job, step, index));
   }
 
+  /** Most failed runs of one task, or of one gang. */
   failuresOf(job: JobId): number {
-    const failures = [...this.tasks]
-      .filter(([task]) => jobOf(task) === job)
-      .map(([, history]) => history.failures);
-    return Math.max(0, ...failures);
+    const steps = this.plans.get(job)?.steps ?? [];
+    const counts = steps.map((step, index) => {
+      const runs = Array.from(
+        { length: step.count },
+        (_, task) => this.history(brandAs<StepTaskId>(`${job}.0.${index}.${task}`)).failedRuns,
+      );
+      return step.isGang
+        ? new Set(runs.flatMap((each) => [...each])).size
+        : Math.max(...runs.map(({ size }) => size));
+    });
+    return Math.max(0, ...counts);
   }
 
   note(text: string): void {
@@ -153,7 +163,7 @@
         isNotedDone: false,
         doneRuns: new Set(),
         endedRuns: new Set(),
-        failures: 0,
+        failedRuns: new Set(),
       };
       this.tasks.set(task, history);
     }
--- /dev/null
+++ b/packages/member/src/troubles.fixture.ts
@@ -0,0 +1,352 @@
+/** A seed's worth of trouble on an emulated cluster: what goes wrong, who asks, what must hold after. */
+
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { brandAs, type QueueId, type TeamId } from '@bamboowell/types/ids';
+import type { JobConfiguration, JobId, JobPlan, StepPlan } from '@bamboowell/types/job';
+import { NOTHING, type Resources } from '@bamboowell/types/resources';
+import { emulatedCluster } from './emulated-cluster.fixture.js';
+
+export const QUEUE = brandAs<QueueId>('plans');
+export const TEAM = brandAs<TeamId>('aero');
+
+export function cores(count: number): Resources {
+  return { ...NOTHING, millicores: count * 1000, memoryMib: 100 };
+}
+
+export function configurationOf(version = 1): JobConfiguration {
+  const queue = {
+    id: QUEUE,
+    host: 'example',
+    pathPrefix: '/plans/',
+    service: 'tunnels',
+    priority: 1,
+    attempts: 3,
+    slackFactor: 2,
+    targetLatencyMillis: 1000,
+    timeoutMillis: 3000,
+    advice: { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 },
+    isPublic: false,
+  };
+  const team = { id: TEAM, keys: ['key'], weight: 10, limit: NOTHING };
+  return { version, queues: [queue], teams: [team], maxBodyBytes: 10_000 };
+}
+
+export function stepOf(changes: Partial<StepPlan> = {}): StepPlan {
+  return {
+    count: 1,
+    demand: cores(1),
+    estimateMillis: 500,
+    after: [],
+    savesProgress: false,
+    isGang: false,
+    prefersOneRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerWorker: 0,
+    allowsCopies: false,
+    isLasting: false,
+    usesLeftovers: false,
+    maxUnavailable: 0,
+    ...changes,
+  };
+}
+
+export function jobIdOf(number: number): JobId {
+  return brandAs<JobId>(number.toString(16).padStart(16, '0'));
+}
+
+export function planOf(number: number, steps: readonly StepPlan[] = [stepOf()]): JobPlan {
+  const id = jobIdOf(number);
+  return { id, queue: QUEUE, team: TEAM, payload: `job ${number}`, steps, repetition: undefined };
+}
+
+const MEMBERS = ['m1', 'm2', 'm3', 'm4'];
+const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
+/** Troubles come and jobs are sent for so long, milliseconds. */
+const TROUBLED_MILLIS = 14_000;
+/** All is calm for so long after, milliseconds. */
+const CALM_MILLIS = 30_000;
+const JOB_EVERY_MILLIS = 300;
+const TROUBLE_EVERY_MILLIS = 1100;
+const TRIES = 6;
+
+interface Submitted {
+  readonly id: JobId;
+  /** Some member said that the store has it. */
+  isAccepted: boolean;
+  /** Some try got no answer that decides it. */
+  isUndecided: boolean;
+  isCancelled: boolean;
+}
+
+export interface Verdict {
+  readonly broken: readonly string[];
+  readonly accepted: number;
+  readonly submitted: number;
+  readonly log: readonly string[];
+}
+
+/** Plays one seed and tells what was broken. */
+export async function playTroubles(seed: number): Promise<Verdict> {
+  const generator = xoroshiro128plus(seed);
+  const draw = (least: number, most: number): number => uniformInt(generator, least, most);
+  const random = (): number => draw(0, 999_999) / 1_000_000;
+  const pick = <Value>(values: readonly Value[]): Value =>
+    values[draw(0, values.length - 1)] as Value;
+  const workers = WORKERS.map((name) => ({ name, capacity: cores(4) }));
+  const cluster = emulatedCluster({ workers, configuration: configurationOf(), random });
+  const { jobs } = cluster;
+  const submitted: Submitted[] = [];
+  const pending: Promise<void>[] = [];
+  const story: string[] = [];
+  await Promise.all(MEMBERS.map((name) => cluster.launch(name)));
+  await cluster.run(600);
+
+  const drawSteps = (): StepPlan[] => {
+    const first = stepOf({
+      count: draw(1, 4),
+      demand: cores(draw(1, 2)),
+      estimateMillis: draw(100, 2500),
+      isGang: random() < 0.3,
+      savesProgress: random() < 0.3,
+    });
+    return random() < 0.3 ? [first, stepOf({ count: draw(1, 3), after: [0] })] : [first];
+  };
+
+  const submit = async (number: number): Promise<void> => {
+    const job = { id: jobIdOf(number), isAccepted: false, isUndecided: false, isCancelled: false };
+    submitted.push(job);
+    const plan = planOf(number, drawSteps());
+    if (random() < 0.04) {
+      jobs.hopeless.add(job.id);
+    }
+    for (let attempt = 0; attempt < TRIES && !job.isAccepted; attempt += 1) {
+      const reply = await cluster.request(pick(MEMBERS), 'submit', job.id, plan);
+      job.isAccepted = reply?.kind === 'accepted';
+      job.isUndecided ||= reply === undefined || reply.kind === 'undecided';
+      await cluster.clock.sleepUntil(brandAs(cluster.now() + 300));
+    }
+    if (job.isAccepted && random() < 0.1) {
+      const reply = await cluster.request(pick(MEMBERS), 'cancel', job.id);
+      if (reply?.kind === 'cancelled') {
+        job.isCancelled = true;
+        jobs.cancelledAt.set(job.id, cluster.now());
+      }
+    }
+  };
+
+  const later = (millis: number, act: () => void): void => {
+    cluster.clock.wakeAt(brandAs(cluster.now() + millis), act);
+  };
+  const startAgain = (name: string, millis: number): void => {
+    later(millis, () => void cluster.launch(name));
+  };
+  const troubles: Record<string, () => void> = {
+    kill: () => {
+      const name = pick(MEMBERS);
+      if (cluster.members.has(name)) {
+        cluster.kill(name);
+        startAgain(name, draw(100, 3000));
+      }
+    },
+    killOwner: () => {
+      const name = cluster.ownerName() ?? '';
+      if (cluster.members.has(name)) {
+        cluster.kill(name);
+        startAgain(name, draw(100, 3000));
+      }
+    },
+    killAll: () => {
+      for (const name of [...cluster.members.keys()]) {
+        cluster.kill(name);
+        startAgain(name, draw(300, 900));
+      }
+    },
+    freezeOwner: () => {
+      const name = cluster.ownerName() ?? '';
+      const member = cluster.members.get(name);
+      if (member?.clock.state === 'running') {
+        cluster.freeze(name);
+        later(draw(300, 4500), () => {
+          if (cluster.members.get(name) === member) {
+            cluster.thaw(name);
+          }
+        });
+      }
+    },
+    storeAway: () => {
+      const mode = random() < 0.5 ? ('silent' as const) : ('refusing' as const);
+      const hit = [...cluster.members.values()].filter(() => random() < 0.6);
+      hit.forEach(({ store }) => {
+        store.mode = mode;
+      });
+      later(draw(500, 5000), () => {
+        hit.forEach(({ store }) => {
+          store.mode = 'up';
+        });
+      });
+    },
+    storeSlow: () => {
+      const hit = [...cluster.members.values()];
+      hit.forEach(({ store }) => {
+        store.latencyMillis = 240;
+      });
+      later(draw(500, 4000), () => {
+        hit.forEach(({ store }) => {
+          store.latencyMillis = 4;
+        });
+      });
+    },
+    answersLost: () => {
+      const hit = [...cluster.members.values()];
+      hit.forEach(({ store }) => {
+        store.lostAnswers = 0.3;
+        store.lateAppends = 0.1;
+      });
+      later(draw(500, 4000), () => {
+        hit.forEach(({ store }) => {
+          store.lostAnswers = 0;
+          store.lateAppends = 0;
+        });
+      });
+    },
+    ordersLate: () => {
+      const hit = [...cluster.members.values()];
+      hit.forEach((member) => {
+        member.workers.lateOrders = 0.3;
+      });
+      later(draw(500, 4000), () => {
+        hit.forEach((member) => {
+          member.workers.lateOrders = 0;
+        });
+      });
+    },
+    workersCut: () => {
+      const hit = [...cluster.workers.keys()].filter(() => random() < 0.4);
+      const cut = [...cluster.members.values()].filter(() => random() < 0.7);
+      cut.forEach((member) => {
+        hit.forEach((id) => member.workers.cut.add(id));
+      });
+      later(draw(500, 7000), () => {
+        cut.forEach((member) => {
+          hit.forEach((id) => member.workers.cut.delete(id));
+        });
+      });
+    },
+    workerCrash: () => {
+      const worker = pick([...cluster.workers.values()]);
+      if (worker.isUp) {
+        worker.crash();
+        later(1500, () => {
+          cluster.unlist(worker);
+        });
+        later(draw(1600, 5000), () => {
+          worker.restart();
+          cluster.list(worker);
+        });
+      }
+    },
+    workerGrey: () => {
+      const worker = pick([...cluster.workers.values()]);
+      worker.isGrey = true;
+      later(draw(500, 4000), () => {
+        worker.isGrey = false;
+      });
+    },
+    workerDrains: () => {
+      const worker = pick([...cluster.workers.values()]);
+      worker.isDraining = true;
+      cluster.list(worker);
+      later(3000, () => {
+        worker.isDraining = false;
+        cluster.list(worker);
+      });
+    },
+    retire: () => {
+      const name = pick(MEMBERS);
+      if (cluster.members.get(name)?.clock.state === 'running') {
+        void cluster.retire(name).then(() => {
+          startAgain(name, draw(100, 1000));
+        });
+      }
+    },
+  };
+  const names = Object.keys(troubles);
+
+  let number = 0;
+  let nextTrouble = cluster.now() + draw(100, TROUBLE_EVERY_MILLIS);
+  const until = cluster.now() + TROUBLED_MILLIS;
+  while (cluster.now() < until) {
+    number += 1;
+    pending.push(submit(number));
+    if (cluster.now() >= nextTrouble) {
+      nextTrouble += draw(100, 2 * TROUBLE_EVERY_MILLIS);
+      const name = pick(names);
+      story.push(`${Math.round(cluster.now())} trouble ${name}`);
+      cluster.log.push(`${Math.round(cluster.now())} trouble ${name}`);
+      troubles[name]?.();
+    }
+    await cluster.run(JOB_EVERY_MILLIS);
+  }
+  await cluster.run(CALM_MILLIS);
+  await settle(cluster, pending);
+  const broken = [...jobs.broken, ...(await checkJobs(cluster, submitted))];
+  const accepted = submitted.filter(({ isAccepted }) => isAccepted).length;
+  return { broken, accepted, submitted: submitted.length, log: cluster.log };
+}
+
+type Cluster = ReturnType<typeof emulatedCluster>;
+
+async function settle(cluster: Cluster, pending: readonly Promise<void>[]): Promise<void> {
+  let isDone = false;
+  void Promise.all(pending).then(() => {
+    isDone = true;
+  });
+  for (let waited = 0; !isDone && waited < 30_000; waited += 500) {
+    await cluster.run(500);
+  }
+}
+
+/** Asks for each job at each member. */
+async function checkJobs(cluster: Cluster, submitted: readonly Submitted[]): Promise<string[]> {
+  const broken: string[] = [];
+  if (cluster.members.size < MEMBERS.length) {
+    broken.push(`only ${[...cluster.members.keys()].join(' ')} came back`);
+  }
+  for (const name of cluster.members.keys()) {
+    const asked = submitted.map(async (job) => {
+      const reply = await cluster.request(name, 'query', job.id);
+      const state = reply?.kind === 'state' ? reply.state : reply?.kind;
+      const problem = problemOf(cluster, job, state);
+      if (problem !== undefined) {
+        broken.push(`${job.id} at ${name}: ${problem}`);
+      }
+    });
+    await settle(cluster, asked);
+  }
+  return broken;
+}
+
+function problemOf(
+  { jobs }: Cluster,
+  { id, isAccepted, isUndecided, isCancelled }: Submitted,
+  state: string | undefined,
+): string | undefined {
+  if (!isAccepted && !isUndecided) {
+    return state === 'unknown_job' ? undefined : `refused by all, but is ${state ?? 'silent'}`;
+  }
+  if (!isAccepted && state === 'unknown_job') {
+    return undefined;
+  }
+  switch (state) {
+    case 'completed':
+      return jobs.isDone(id) ? undefined : 'shown as completed, and is not';
+    case 'failed':
+      return jobs.failuresOf(id) >= 3 ? undefined : `shown as failed after ${jobs.failuresOf(id)}`;
+    case 'cancelled':
+      return jobs.cancelledAt.has(id) || isCancelled ? undefined : 'shown as cancelled, and was not';
+    default:
+      return `is ${state ?? 'silent'} long after the end`;
+  }
+}
