Ask again for advice that got no answer; keep the platform's names in platform/ by lint

Cause: a step whose call for advice was lost was never asked about again (seeds 41 and 92 of the emulated cluster: a job pending for ever).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,18 @@
 import tseslint from 'typescript-eslint';
 
 /** Packages whose code makes decisions: no I/O, no codec, no timers. */
-const PURE_PACKAGES = ['types', 'state', 'policy', 'owner', 'ownership'];
+const PURE_PACKAGES = ['types', 'state', 'policy', 'owner', 'ownership', 'jobs'];
 
 const INPUT_OUTPUT = ['node:*', 'undici', 'hono', 'hono/*', '@hono/*', 'hot-shots', 'debug'];
 const CODECS = ['@bufbuild/*', '@connectrpc/*', 'json-rpc-2.0', 'zod', '@bamboowell/schema/*'];
 
+/** Names of the platform's formats and calls; only `platform/` may know them. */
+const PLATFORM_NAMES =
+  /run-start|run-stop|log-append|log-read|log-newest|log-join|machine-move|machine-upkeep|fencingToken|ackedUpto|deadlineMs|enforceCapacity|X-Lease-Holder|X-Expected-Instance|BAMBOOWELL_BOOT|keyed\.|grantToken|estimateMs|maxPerServer|speculative/;
+
+/** What the platform's folder may use of the product: types, ports and services, but no decisions. */
+const DECISIONS = ['@bamboowell/policy/*', '@bamboowell/owner/*', '@bamboowell/jobs/scheduler'];
+
 export default tseslint.config(
   { ignores: ['**/dist/**', '**/generated/**', 'eslint.config.js', 'tools/**'] },
   ...tseslint.configs.strictTypeChecked,
@@ -61,4 +68,38 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=${PLATFORM_NAMES}]`,
+          message: "The platform's names belong into platform/.",
+        },
+        {
+          selector: `Identifier[name=${PLATFORM_NAMES}]`,
+          message: "The platform's names belong into platform/.",
+        },
+        {
+          selector: `TemplateElement[value.raw=${PLATFORM_NAMES}]`,
+          message: "The platform's names belong into platform/.",
+        },
+      ],
+    },
+  },
+  {
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            { group: DECISIONS, message: 'The platform folder decides nothing.' },
+            { group: ['**/index', '**/index.js'], message: 'No index files.' },
+          ],
+        },
+      ],
+    },
+  },
 );
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -244,9 +244,11 @@
     for (const { steps } of job.occurrences) {
       for (const step of steps) {
         this.ready.delete(step);
-        step.tasks.flatMap(({ runs }) => [...runs]).forEach((run) => {
-          this.stopRun(run);
-        });
+        step.tasks
+          .flatMap(({ runs }) => [...runs])
+          .forEach((run) => {
+            this.stopRun(run);
+          });
       }
     }
     this.context.change(job);
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -72,9 +72,10 @@
   doneCount: number;
   /** By worker; an expired one still tells that the worker is allowed. */
   readonly grants: Map<WorkerId, Grant>;
-  /** Workers that advice was asked about. */
-  readonly askedAbout: Set<WorkerId>;
-  isAsking: boolean;
+  /** Workers on which there was advice. */
+  readonly advisedOn: Set<WorkerId>;
+  /** Workers named in the call for advice that is open, if one is. */
+  asking: readonly WorkerId[] | undefined;
   readySince: Instant | undefined;
   /** The last run of a gang that was counted as failed. */
   failedRun: RunNumber;
@@ -215,8 +216,8 @@
     tasks: [],
     doneCount: 0,
     grants: new Map(),
-    askedAbout: new Set(),
-    isAsking: false,
+    advisedOn: new Set(),
+    asking: undefined,
     readySince: undefined,
     failedRun: brandAs<RunNumber>(0),
   };
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -79,9 +79,11 @@
   /** Ends what is left of a gang's run. */
   stopGang(step: Step, number: RunNumber): void {
     for (const task of step.tasks) {
-      task.runs.filter((run) => run.number === number).forEach((run) => {
-        this.stop(run);
-      });
+      task.runs
+        .filter((run) => run.number === number)
+        .forEach((run) => {
+          this.stop(run);
+        });
     }
   }
 
@@ -137,6 +139,7 @@
       })
       .with({ kind: 'no_ticket' }, () => {
         run.task.step.grants.delete(run.worker.id);
+        run.task.step.advisedOn.delete(run.worker.id);
         this.rejected(run, answer.kind, 0);
       })
       .with({ kind: 'no_room' }, () => {
@@ -167,7 +170,12 @@
   /** The worker did nothing, and never will for this run. */
   private rejected(run: Run, reason: string, restMillis: number): void {
     const { worker, task } = run;
-    this.context.event('start.rejected', { task: task.id, run: run.number, worker: worker.id, reason });
+    this.context.event('start.rejected', {
+      task: task.id,
+      run: run.number,
+      worker: worker.id,
+      reason,
+    });
     if (restMillis > 0) {
       worker.restsUntil = deadlineAfter(this.context.now, restMillis);
     }
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -53,7 +53,7 @@
     this.desk.close(id, undefined);
     const step = this.context.step(id);
     if (step !== undefined) {
-      step.isAsking = false;
+      step.asking = undefined;
     }
     this.context.hasNews = true;
   }
@@ -112,7 +112,7 @@
   /** Asks which workers may run the step, unless a ticket or a call for it is there. */
   private ask(step: Step): void {
     const terms = step.job.queue.advice;
-    if (terms === undefined || step.isAsking) {
+    if (terms === undefined || step.asking !== undefined) {
       return;
     }
     const named = this.candidates(step);
@@ -123,18 +123,17 @@
     if (member === undefined) {
       return;
     }
-    step.isAsking = true;
-    named.forEach((id) => step.askedAbout.add(id));
+    step.asking = named;
     this.context.emit({ kind: 'ask_advice', member, step: step.id, workers: named, terms });
   }
 
-  /** Workers known to be allowed, and those never asked about. */
+  /** Workers known to be allowed, and those on which there was no advice yet. */
   private candidates(step: Step): WorkerId[] {
     const named: WorkerId[] = [];
     for (const worker of this.context.workers.values()) {
       const { id } = worker;
       const isOpen = worker.isListed && worker.isReachable && !worker.notice.isDraining;
-      const mayBeAllowed = step.grants.has(id) || !step.askedAbout.has(id);
+      const mayBeAllowed = step.grants.has(id) || !step.advisedOn.has(id);
       if (isOpen && mayBeAllowed && suits(worker, step)) {
         named.push(id);
       }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -1,6 +1,11 @@
 /** What workers say of themselves: runs, ends, silence, and lives that are over. */
 
-import { NO_PROGRESS, type EndedEntry, type EndNumber, type RunningEntry } from '@bamboowell/types/job';
+import {
+  NO_PROGRESS,
+  type EndedEntry,
+  type EndNumber,
+  type RunningEntry,
+} from '@bamboowell/types/job';
 import { hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -1,6 +1,12 @@
 /** Builds a scheduler with a store and workers that a test plays by hand. */
 
-import { brandAs, type MemberId, type QueueId, type TeamId, type WorkerId } from '@bamboowell/types/ids';
+import {
+  brandAs,
+  type MemberId,
+  type QueueId,
+  type TeamId,
+  type WorkerId,
+} from '@bamboowell/types/ids';
 import {
   lifeIdOf,
   NO_PROGRESS,
@@ -25,7 +31,14 @@
 } from '@bamboowell/types/job';
 import { NOTHING, type Resources } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
-import type { JobAnswer, JobInput, JobOutput, JobToken, OrderAnswer, StartOrder } from './messages.js';
+import type {
+  JobAnswer,
+  JobInput,
+  JobOutput,
+  JobToken,
+  OrderAnswer,
+  StartOrder,
+} from './messages.js';
 import { SmallestFirst } from './ordering.js';
 import { restoreJobs } from './records.js';
 import { JobScheduler, type Times } from './scheduler.js';
@@ -268,7 +281,10 @@
       return member;
     },
     grant: (step: StepId, ids: readonly WorkerId[], validMillis = 2500): void => {
-      const granted = ids.map((worker) => ({ worker, ticket: brandAs<Ticket>(`ticket ${worker}`) }));
+      const granted = ids.map((worker) => ({
+        worker,
+        ticket: brandAs<Ticket>(`ticket ${worker}`),
+      }));
       const until = brandAs<Deadline>(millis + validMillis);
       send({ kind: 'advice', step, granted, until, tookMillis: 10 });
     },
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -189,7 +189,8 @@
     if (step === undefined) {
       return;
     }
-    step.isAsking = false;
+    step.asking?.forEach((id) => step.advisedOn.add(id));
+    step.asking = undefined;
     for (const { worker, ticket } of advice.granted) {
       step.grants.set(worker, { ticket, until: advice.until });
     }
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -34,7 +34,7 @@
     return Promise.resolve();
   }
 
-  dial(address: Address, _deadline: Deadline): Promise<Dialled> {
+  dial(address: Address): Promise<Dialled> {
     const other = this.network.listeners.get(nameOf(address));
     if (other === undefined) {
       return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens' });
@@ -49,6 +49,11 @@
     return Promise.resolve({ kind: 'connected', connection: mine });
   }
 
+  close(): Promise<void> {
+    this.closeAll();
+    return Promise.resolve();
+  }
+
   /** The process ended: the other ends see that at once. */
   vanish(): void {
     this.network.listeners.delete(nameOf(this.options.settings.peerAddress));
--- a/packages/member/src/lease-clock.ts
+++ b/packages/member/src/lease-clock.ts
@@ -1,7 +1,12 @@
 /** Reckons with a worker's own clock: what lease to ask for, and when the longest one is over. */
 
 import { brandAs } from '@bamboowell/types/ids';
-import { MILLIS_PER_SECOND, type Deadline, type Instant, type WorkerInstant } from '@bamboowell/types/time';
+import {
+  MILLIS_PER_SECOND,
+  type Deadline,
+  type Instant,
+  type WorkerInstant,
+} from '@bamboowell/types/time';
 
 /** A worker's clock may run slow by this part, by the platform's word. */
 const SLOW_CLOCK_FACTOR = 1.02;
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -130,7 +130,7 @@
         this.begin(term);
       })
       .with({ kind: 'superseded' }, ({ term }) => {
-        if (this.tenure !== undefined && this.tenure.term < term) {
+        if ((this.tenure?.term ?? term) < term) {
           this.standDown('superseded');
         }
       })
@@ -458,7 +458,7 @@
     const { commits, scheduler } = tenure;
     if (commits.isIdle) {
       const batch = scheduler?.takeBatch();
-      if (batch !== undefined && batch.writes.length === 0) {
+      if (batch?.writes.length === 0) {
         this.input({ kind: 'committed', batch: batch.number });
         return;
       }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -287,9 +287,7 @@
     const isAway = this.connection === undefined && !this.isDialling;
     const { claim } = this;
     const isRemote =
-      claim !== undefined &&
-      !claim.isReleased &&
-      claim.member !== this.options.settings.member;
+      claim !== undefined && !claim.isReleased && claim.member !== this.options.settings.member;
     if (isRemote && isAway && hasPassed(this.redialAt, now)) {
       this.redialAt = deadlineAfter(now, REDIAL_MILLIS);
       this.dial(claim);
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -61,13 +61,8 @@
   /** Opens a connection to the owner. */
   abstract dial(address: Address, deadline: Deadline): Promise<Dialled>;
 
-  /** Closes all connections and takes no more. */
-  close(_deadline: Deadline): Promise<void> {
-    this.connections.forEach((connection) => {
-      connection.close();
-    });
-    return Promise.resolve();
-  }
+  /** Takes no more connections; what is in hand may end until the deadline. */
+  abstract close(deadline: Deadline): Promise<void>;
 
   /** Introduces this member to the owner and serves its questions; nothing if it didn't answer. */
   async greet(
@@ -106,6 +101,12 @@
     });
   }
 
+  protected closeAll(): void {
+    this.connections.forEach((connection) => {
+      connection.close();
+    });
+  }
+
   /** Serves a member that connected. */
   protected accept(connection: Connection): void {
     const { owner, clock } = this.options;
@@ -124,10 +125,7 @@
     this.add(connection);
   }
 
-  private async welcome(
-    connection: Connection,
-    { member, region, term }: Hello,
-  ): Promise<Welcome> {
+  private async welcome(connection: Connection, { member, region, term }: Hello): Promise<Welcome> {
     const { owner, clock, settings } = this.options;
     const port = new RemoteMember(member, region, connection, clock);
     const limit = deadlineAfter(clock.now(), HELLO_MILLIS);
--- a/packages/member/src/ports.ts
+++ b/packages/member/src/ports.ts
@@ -60,11 +60,7 @@
 
 export abstract class WorkerPort {
   /** Renews the lease and lists runs and ends. */
-  abstract hold(
-    target: WorkerTarget,
-    question: HoldQuestion,
-    limit: Deadline,
-  ): Promise<HoldAnswer>;
+  abstract hold(target: WorkerTarget, question: HoldQuestion, limit: Deadline): Promise<HoldAnswer>;
 
   abstract start(
     target: WorkerTarget,
@@ -94,11 +90,7 @@
   | Unanswered;
 
 export abstract class AdvicePort {
-  abstract ask(
-    step: StepId,
-    workers: readonly WorkerId[],
-    limit: Deadline,
-  ): Promise<AdviceAnswer>;
+  abstract ask(step: StepId, workers: readonly WorkerId[], limit: Deadline): Promise<AdviceAnswer>;
 }
 
 export type Decoded<Value> =
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -57,9 +57,7 @@
   protected abstract make(directory: Directory): Task<Message>;
 
   /** Runs once the task takes messages. */
-  protected started(_directory: Directory, _task: Task<Message>): void {
-    return undefined;
-  }
+  protected started?(directory: Directory, task: Task<Message>): void;
 
   async start(directory: Directory): Promise<MailAddress<Message>> {
     const task = this.make(directory);
@@ -67,7 +65,7 @@
     await task.start((error) => {
       this.environment.onFailure(task.name, error);
     });
-    this.started(directory, task);
+    this.started?.(directory, task);
     return task;
   }
 
@@ -152,12 +150,7 @@
   async start(directory: Directory): Promise<Peers> {
     const { settings, clock } = this.environment;
     const configuration = directory.find(CONFIGURATION);
-    const self = new LocalMember(
-      settings.member,
-      settings.region,
-      directory.find(ADVICE),
-      clock,
-    );
+    const self = new LocalMember(settings.member, settings.region, directory.find(ADVICE), clock);
     const owner = directory.find(OWNER);
     const peers = this.make({ settings, clock, self, owner, configuration });
     this.peers = peers;
--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -35,8 +35,8 @@
     await this.listener.listen();
   }
 
-  override async close(deadline: Deadline): Promise<void> {
-    await super.close(deadline);
+  async close(deadline: Deadline): Promise<void> {
+    this.closeAll();
     await this.listener.close(deadline);
   }
 
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -187,7 +187,8 @@
       telling.length >= FAILED_QUEUES ||
       telling.some(
         ([queue, { works, successesBefore }]) =>
-          works.size >= this.bounds.failedWorks && this.suspicion.successesOf(queue) > successesBefore,
+          works.size >= this.bounds.failedWorks &&
+          this.suspicion.successesOf(queue) > successesBefore,
       )
     );
   }
--- a/tools/test.mjs
+++ b/tools/test.mjs
@@ -9,7 +9,7 @@
 
 const AVA = new URL('../node_modules/ava/entrypoints/cli.mjs', import.meta.url).pathname;
 const RUNS = [
-  ['packages/!(demo)/dist/**/*.test.js'],
+  ['packages/!(demo)/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
   ['packages/demo/dist/**/*.test.js', '--concurrency', '1'],
 ];
 
