--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -185,5 +185,6 @@
 }
 
 function specOf(job: Job, plan: JobPlan): SpecRecord {
-  return { plan, queue: job.queue, acceptedAt: job.acceptedAt };
+  const { queue, acceptedAt, isExcess } = job;
+  return { plan, queue, acceptedAt, ...(isExcess ? { isExcess } : {}) };
 }
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -9,6 +9,7 @@
   type RunNumber,
   type WallInstant,
 } from '@bamboowell/types/job';
+import { Allowances } from './allowance.js';
 import type { JobContext } from './context.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
@@ -34,6 +35,7 @@
   /** Steps with tasks to start. */
   readonly ready = new Set<Step>();
   private readonly repeating = new Set<Job>();
+  private readonly allowances = new Allowances();
 
   constructor(
     private readonly context: JobContext,
@@ -55,6 +57,7 @@
       return;
     }
     const job = newJob(plan, queue, context.wall);
+    job.isExcess = !this.isPromised(plan);
     context.addNew(job);
     context.event('job.taken', {
       job: job.id,
@@ -62,6 +65,7 @@
       team: plan.team ?? '',
       steps: plan.steps.length,
       tasks: plan.steps.reduce((sum, { count }) => sum + count, 0),
+      excess: job.isExcess,
       configuration: context.configuration?.version ?? 0,
     });
     this.answerAfterCommit(job, token, { kind: 'accepted', repeated: false });
@@ -161,6 +165,11 @@
     }
   }
 
+  private isPromised({ team: id }: JobPlan): boolean {
+    const team = id === undefined ? undefined : this.context.team(id);
+    return team === undefined || this.allowances.take(team.id, team.weight, this.context.wall);
+  }
+
   private answerAfterCommit(job: Job, token: JobToken, answer: JobAnswer): void {
     this.context.change(job);
     this.context.afterCommit(() => {
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -99,6 +99,8 @@
   endedAt: WallInstant | undefined;
   occurrences: Occurrence[];
   hasStarted: boolean;
+  /** Whether its team sent it beyond the rate that it was promised. */
+  isExcess: boolean;
 }
 
 /** One life of a worker. */
@@ -194,6 +196,7 @@
     endedAt: undefined,
     occurrences: [],
     hasStarted: false,
+    isExcess: false,
   };
 }
 
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -36,8 +36,11 @@
 /** Up to this many times the objective a late job is still worth something. */
 const LATE_FACTOR = 3;
 
-/** What can be on time goes first, then what is late, then what is worth nothing any more. */
-type Band = 0 | 1 | 2;
+/**
+ * What can be on time goes first, then what is late, then what teams send beyond their promise,
+ * then what is worth nothing any more.
+ */
+type Band = 0 | 1 | 2 | 3;
 
 interface Ranked {
   readonly step: Step;
@@ -75,8 +78,11 @@
       : plan.repetition.firstAt + step.occurrence.index * plan.repetition.intervalMillis;
   const age = context.wall - from;
   const objective = onTimeMillis(step);
-  if (age <= objective) {
-    return 0;
+  if (age > LATE_FACTOR * objective) {
+    return 3;
   }
-  return age <= LATE_FACTOR * objective ? 1 : 2;
+  if (step.job.isExcess) {
+    return 2;
+  }
+  return age <= objective ? 0 : 1;
 }
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -44,6 +44,7 @@
   /** The queue as it was when the job was accepted, for when no configuration has it any more. */
   readonly queue: JobQueue;
   readonly acceptedAt: WallInstant;
+  readonly isExcess?: boolean;
 }
 
 export function specKey(job: JobId): string {
@@ -123,10 +124,11 @@
 
 function restoreOpen(
   restored: Restored,
-  { plan, queue, acceptedAt }: SpecRecord,
+  { plan, queue, acceptedAt, isExcess }: SpecRecord,
   record: ProgressRecord | undefined,
 ): void {
   const job = newJob(plan, queue, acceptedAt);
+  job.isExcess = isExcess === true;
   restored.jobs.push(job);
   if (record === undefined) {
     return;
@@ -171,5 +173,6 @@
     endedAt: record.endedAt ?? record.acceptedAt,
     occurrences: [],
     hasStarted: true,
+    isExcess: false,
   };
 }
--- a/packages/member/src/gate-messages.ts
+++ b/packages/member/src/gate-messages.ts
@@ -48,7 +48,9 @@
   | { readonly kind: 'expired'; readonly id: number }
   /** Says no more that it is ready. */
   | { readonly kind: 'drain' }
-  | { readonly kind: 'idle'; readonly reply: Reply<boolean> };
+  | { readonly kind: 'idle'; readonly reply: Reply<boolean> }
+  /** Answers all that is in hand at once: the process is about to end. */
+  | { readonly kind: 'finish' };
 
 /** The shape of a job's id. */
 export function isJobId(text: string): text is JobId {
--- a/packages/member/src/gate.ts
+++ b/packages/member/src/gate.ts
@@ -45,6 +45,7 @@
   private ownerlessSince: Instant | undefined;
   private wasOwned = false;
   private isDraining = false;
+  private isFinishing = false;
   private lastId = 0;
   private readonly pending = new Map<number, Pending>();
 
@@ -88,6 +89,12 @@
       .with({ kind: 'idle' }, ({ reply }) => {
         reply(this.pending.size === 0);
       })
+      .with({ kind: 'finish' }, () => {
+        this.isFinishing = true;
+        [...this.pending.keys()].forEach((id) => {
+          this.expire(id);
+        });
+      })
       .exhaustive();
   }
 
@@ -123,6 +130,10 @@
       reply(checked);
       return;
     }
+    if (this.isFinishing) {
+      this.refuse(request, reply, 'no_owner');
+      return;
+    }
     if (this.pending.size >= MAX_PENDING) {
       this.refuse(request, reply, 'overloaded');
       return;
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -256,3 +256,19 @@
   t.deepEqual(await stateAt(cluster, 'm1', 1), { kind: 'state', state: 'completed' });
   t.deepEqual(cluster.jobs.broken, []);
 });
+
+test('a member that must end answers what is in hand, also while nobody owns the work', async (t) => {
+  const cluster = await runningCluster();
+  const name = follower(cluster);
+  cluster.members.forEach(({ store }) => {
+    store.mode = 'silent';
+  });
+  cluster.kill(cluster.ownerName() ?? '');
+  const retired = cluster.retire(name);
+  await cluster.run(4000);
+  const late = cluster.request(name, 'submit', jobId(1), plan(1));
+  await cluster.run(1300);
+  const reply = await during(cluster, late);
+  t.like(reply, { kind: 'refused', reason: 'no_owner' });
+  await during(cluster, retired);
+});
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -183,6 +183,7 @@
       return;
     }
     this.options.owner.post({ kind: 'superseded', term: claim.term });
+    this.options.succession.claimed();
     this.publish(undefined);
     if (claim.member === this.options.settings.member) {
       this.ownerEnded(claim);
--- a/packages/member/src/retire.ts
+++ b/packages/member/src/retire.ts
@@ -11,6 +11,8 @@
 
 /** Handing the work over is given up after this, milliseconds. */
 const HAND_OVER_MILLIS = 800;
+/** The last answers get this long to leave, milliseconds. */
+const ANSWER_MILLIS = 200;
 /** How often it is looked whether requests are left, milliseconds. */
 const LOOK_MILLIS = 100;
 
@@ -26,7 +28,7 @@
 }
 
 export async function retire(retiring: Retiring): Promise<void> {
-  const { clock, gate, owner, ownership, lastRequestsAt, deadline } = retiring;
+  const { clock, gate, owner, ownership } = retiring;
   gate.post({ kind: 'drain' });
   const limit = deadlineAfter(clock.now(), HAND_OVER_MILLIS);
   const resigned = await ask<OwnerMessage, Term | undefined>(
@@ -42,6 +44,12 @@
     limit,
     clock,
   );
+  await untilIdle(retiring);
+  gate.post({ kind: 'finish' });
+  await clock.sleepUntil(deadlineAfter(clock.now(), ANSWER_MILLIS));
+}
+
+async function untilIdle({ clock, gate, lastRequestsAt, deadline }: Retiring): Promise<void> {
   while (!hasPassed(deadline, clock.now())) {
     await clock.sleepUntil(deadlineAfter(clock.now(), LOOK_MILLIS));
     const look = deadlineAfter(clock.now(), LOOK_MILLIS);
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -30,6 +30,8 @@
   | { readonly kind: 'unknown' }
   /** Nobody owns the work: no claim yet, or the last owner released it. */
   | { readonly kind: 'vacant'; readonly claimAt: Deadline }
+  /** A member has claimed the work and is being dialled. */
+  | { readonly kind: 'claimed' }
   | { readonly kind: 'connected' }
   | { readonly kind: 'in_trouble'; readonly looksGood: number; readonly lookAt: Deadline }
   | {
@@ -53,6 +55,11 @@
     }
   }
 
+  /** Another member has claimed; whether it answers will be seen. */
+  claimed(): void {
+    this.owner = { kind: 'claimed' };
+  }
+
   /** The owner answers this member. */
   connected(): void {
     this.owner = { kind: 'connected' };
