--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -271,8 +271,8 @@
         member.clock.thaw();
       }
     },
-    /** SIGTERM: resolves when the process has ended. */
-    retire: async (name: string): Promise<void> => {
+    /** SIGTERM, with this long until the process must end: resolves when it has ended. */
+    retire: async (name: string, graceMillis = 5000): Promise<void> => {
       const member = members.get(name);
       if (member === undefined) {
         return;
@@ -283,7 +283,7 @@
         owner: member.kernel.find(OWNER),
         ownership: member.kernel.find(OWNERSHIP),
         lastRequestsAt: deadlineAfter(member.clock.now(), 1000),
-        deadline: deadlineAfter(member.clock.now(), 5000),
+        deadline: deadlineAfter(member.clock.now(), graceMillis),
       });
       cluster.kill(name);
     },
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -264,11 +264,11 @@
     store.mode = 'silent';
   });
   cluster.kill(cluster.ownerName() ?? '');
-  const retired = cluster.retire(name);
-  await cluster.run(4000);
-  const late = cluster.request(name, 'submit', jobId(1), plan(1));
-  await cluster.run(1300);
-  const reply = await during(cluster, late);
+  const retired = cluster.retire(name, 2500);
+  await cluster.run(1000);
+  const askedAt = cluster.now();
+  const reply = await during(cluster, cluster.request(name, 'submit', jobId(1), plan(1)));
   t.like(reply, { kind: 'refused', reason: 'no_owner' });
+  t.true(cluster.now() - askedAt < 2500, 'sooner than its caller would have given up');
   await during(cluster, retired);
 });
