--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -112,6 +112,8 @@
   isMet: boolean;
   /** Whether its entry in the store is there. */
   isListed: boolean;
+  /** When its entry went; the store may drop entries of living workers and get them back. */
+  unlistedAt: Instant;
   isReachable: boolean;
   /** While unreachable: from then on nothing runs there. */
   lapsesAt: Deadline;
@@ -132,6 +134,7 @@
     notice,
     isMet: false,
     isListed: true,
+    unlistedAt: brandAs<Instant>(0),
     isReachable: true,
     lapsesAt,
     used: NOTHING,
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -1,6 +1,6 @@
 /** Finds workers for steps and asks for the advice that their starts need. */
 
-import type { MemberId, WorkerId } from '@bamboowell/types/ids';
+import type { MemberId, RackId, WorkerId } from '@bamboowell/types/ids';
 import type { StepId } from '@bamboowell/types/job';
 import { add, fits, isNothing, subtract, type Resources } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
@@ -17,6 +17,9 @@
 /** Most workers that one call for advice names; the platform takes no more. */
 const MAX_NAMED_WORKERS = 100;
 
+/** A worker that answers counts as there for so long after its entry went, milliseconds: the platform's word is about two seconds. */
+const RELIST_MILLIS = 2000;
+
 /** A worker that may get work in this pass, and the room that is left on it. */
 interface Site {
   readonly worker: Worker;
@@ -72,7 +75,7 @@
     return (
       worker.isMet &&
       worker.isReachable &&
-      worker.isListed &&
+      this.isThere(worker) &&
       !worker.notice.isDraining &&
       worker.strangers === 0 &&
       hasPassed(worker.restsUntil, this.context.now) &&
@@ -80,6 +83,12 @@
     );
   }
 
+  /** An entry that lapsed while the store was away comes back if its worker lives. */
+  private isThere({ isListed, unlistedAt }: Worker): boolean {
+    const goneAt = deadlineAfter(unlistedAt, RELIST_MILLIS);
+    return isListed || !hasPassed(goneAt, this.context.now);
+  }
+
   private placeStep(step: Step, waiting: readonly Task[], sites: readonly Site[]): void {
     const fitting = sites.filter(({ worker }) => suits(worker, step));
     const allowed = this.withTicket(step, fitting);
@@ -132,7 +141,7 @@
     const named: WorkerId[] = [];
     for (const worker of this.context.workers.values()) {
       const { id } = worker;
-      const isOpen = worker.isListed && worker.isReachable && !worker.notice.isDraining;
+      const isOpen = this.isThere(worker) && worker.isReachable && !worker.notice.isDraining;
       const mayBeAllowed = step.grants.has(id) || !step.advisedOn.has(id);
       if (isOpen && mayBeAllowed && suits(worker, step)) {
         named.push(id);
@@ -146,15 +155,17 @@
     const demand = roomOf(step.plan);
     const onWorker = runsByWorker(step);
     let toStart = this.withinLimit(step, waiting.length);
+    let rack = rackOf(step);
     for (const task of waiting) {
       if (toStart === 0) {
         break;
       }
-      const site = bestSite(step, task, demand, sites, onWorker);
+      const site = bestSite(step, task, demand, sites, onWorker, rack);
       if (site === undefined) {
         continue;
       }
       toStart -= 1;
+      rack ??= site.worker.notice.rack;
       take(site, demand, onWorker);
       assignments.push({ task, worker: site.worker, grant: this.grantOf(step, site) });
     }
@@ -166,12 +177,25 @@
     if (!isWhole || this.withinLimit(step, waiting.length) < waiting.length) {
       return [];
     }
+    const racks = step.plan.prefersOneRack ? racksOf(sites) : [];
+    for (const rack of racks) {
+      const near = sites.filter(({ worker }) => worker.notice.rack === rack);
+      const assignments = this.tryGang(step, waiting, near);
+      if (assignments.length > 0) {
+        return assignments;
+      }
+    }
+    return this.tryGang(step, waiting, sites);
+  }
+
+  /** Takes room for all of the gang or for none of it. */
+  private tryGang(step: Step, waiting: readonly Task[], sites: readonly Site[]): Assignment[] {
     const demand = roomOf(step.plan);
     const trial = sites.map((site) => ({ ...site }));
     const onWorker = runsByWorker(step);
     const assignments: Assignment[] = [];
     for (const task of waiting) {
-      const site = bestSite(step, task, demand, trial, onWorker);
+      const site = bestSite(step, task, demand, trial, onWorker, undefined);
       if (site === undefined) {
         return [];
       }
@@ -234,6 +258,21 @@
   return counts;
 }
 
+/** The rack on which tasks of the step run, if any do. */
+function rackOf(step: Step): RackId | undefined {
+  return step.tasks.flatMap(({ runs }) => runs).at(0)?.worker.notice.rack;
+}
+
+/** The racks of the sites, those with the most room first. */
+function racksOf(sites: readonly Site[]): (RackId | undefined)[] {
+  const rooms = new Map<RackId | undefined, number>();
+  for (const { worker, room } of sites) {
+    const { rack } = worker.notice;
+    rooms.set(rack, (rooms.get(rack) ?? 0) + room.millicores);
+  }
+  return [...rooms].sort(([, left], [, right]) => right - left).map(([rack]) => rack);
+}
+
 function take(site: Site, demand: Resources, onWorker: Map<WorkerId, number>): void {
   site.room = subtract(site.room, demand);
   onWorker.set(site.worker.id, (onWorker.get(site.worker.id) ?? 0) + 1);
@@ -246,6 +285,7 @@
   demand: Resources,
   sites: readonly Site[],
   onWorker: ReadonlyMap<WorkerId, number>,
+  rack: RackId | undefined,
 ): Site | undefined {
   const { maxPerWorker } = step.plan;
   let best: Site | undefined;
@@ -255,7 +295,7 @@
     if (isFull || !fits(demand, site.room)) {
       continue;
     }
-    const score = scoreOf(step, task, site, onWorker);
+    const score = scoreOf(step, task, site, rack);
     if (score < bestScore) {
       best = site;
       bestScore = score;
@@ -271,10 +311,10 @@
   { plan }: Step,
   task: Task,
   { worker, room }: Site,
-  onWorker: ReadonlyMap<WorkerId, number>,
+  rack: RackId | undefined,
 ): number {
-  const isFar = plan.dataRack !== undefined && !worker.notice.labels.includes(plan.dataRack);
-  const leavesRack = plan.prefersOneRack && onWorker.size > 0 && !onWorker.has(worker.id);
+  const isFar = plan.dataRack !== undefined && worker.notice.rack !== plan.dataRack;
+  const leavesRack = plan.prefersOneRack && rack !== undefined && worker.notice.rack !== rack;
   const hasFailed = task.failedOn.has(worker.id);
   const penalties = Number(isFar) + Number(leavesRack) + 2 * Number(hasFailed);
   return room.millicores + penalties * FAR_PENALTY_MILLICORES;
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -4,6 +4,7 @@
   brandAs,
   type MemberId,
   type QueueId,
+  type RackId,
   type TeamId,
   type WorkerId,
 } from '@bamboowell/types/ids';
@@ -126,6 +127,7 @@
     isDraining: false,
     capacity: cores(4, 10_000),
     labels: ['a', 'r1'],
+    rack: brandAs<RackId>('r1'),
     ...changes,
   };
 }
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { brandAs, type MemberId, type WorkerId } from '@bamboowell/types/ids';
+import { brandAs, type MemberId, type RackId, type WorkerId } from '@bamboowell/types/ids';
 import {
   lifeIdOf,
   type RunNumber,
@@ -469,3 +469,63 @@
   }
   t.true(started.filter((worker) => worker === id).length <= 3);
 });
+
+test('a run that stands still is stopped and started elsewhere, and goes on from what it saved', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ savesProgress: true })] }));
+  bench.commit();
+  const start = first(bench.place());
+  bench.answerStart(start);
+  for (let waited = 0; waited < 2400; waited += 800) {
+    bench.report(start.life, [runningEntry(start, 'part', 40)]);
+    bench.advance(800);
+  }
+  bench.place();
+  t.deepEqual(bench.stops(), []);
+  bench.advance(800);
+  bench.report(start.life, [runningEntry(start, 'part', 40)]);
+  bench.place();
+  t.is(bench.stops().length, 1);
+  bench.end(start, 'stopped', 'part');
+  const again = first(bench.place());
+  t.not(again.life, start.life);
+  t.is(String(again.saved), 'part');
+});
+
+test('a gang that waits for its members does not stand still', (t) => {
+  const bench = readyBench();
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 2, isGang: true })] }));
+  bench.commit();
+  const start = first(bench.place());
+  bench.answerStart(start);
+  bench.report(start.life, [runningEntry(start, '', 0)]);
+  bench.advance(5000);
+  bench.place();
+  t.deepEqual(bench.stops(), []);
+});
+
+test('a worker that answers keeps its work for a while after its entry went', (t) => {
+  const bench = readyBench({ workers: [W1] });
+  bench.advance(10_000);
+  bench.send({ kind: 'worker_gone', worker: W1.id });
+  bench.submit(jobPlan(1));
+  bench.submit(jobPlan(2));
+  bench.commit();
+  t.is(bench.place().length, 2);
+  bench.advance(2000);
+  bench.submit(jobPlan(3));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+});
+
+test('a step that prefers one rack is placed on one where that is possible', (t) => {
+  const racked = ['a', 'b', 'c', 'd'].map((name, index) =>
+    workerNotice(name, { rack: brandAs<RackId>(`r${index % 2}`), capacity: cores(2, 1000) }),
+  );
+  const bench = readyBench({ workers: racked });
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 4, isGang: true, prefersOneRack: true })] }));
+  bench.commit();
+  const racks = bench.place().map(({ life }) => racked.find((each) => each.life === life)?.rack);
+  t.is(racks.length, 4);
+  t.is(new Set(racks).size, 1);
+});
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -17,6 +17,7 @@
 import { Placing } from './placing.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
+import { Stalls } from './stalls.js';
 import { Trust } from './trust.js';
 
 export interface JobSchedulerOptions {
@@ -42,6 +43,7 @@
   private readonly orders: Orders;
   private readonly reports: Reports;
   private readonly placing: Placing;
+  private readonly stalls: Stalls;
   private readonly earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
@@ -61,6 +63,7 @@
       this.orders.stop(run);
     });
     this.reports = new Reports(context, this.lifecycle, this.orders, trust);
+    this.stalls = new Stalls(context, this.orders);
     this.placing = new Placing(
       context,
       this.lifecycle,
@@ -178,6 +181,7 @@
   private place(): void {
     this.lifecycle.keepUp();
     this.reports.lapse();
+    this.stalls.check();
     this.trust.endQuarantines(this.context.now);
     this.context.hasNews = false;
     this.placing.place();
@@ -225,6 +229,7 @@
     const worker = this.context.lives.get(id);
     if (worker !== undefined) {
       worker.isListed = false;
+      worker.unlistedAt = this.context.now;
       this.context.event('worker.unlisted', { worker: id, runs: worker.runs.size });
     }
   }
@@ -280,6 +285,7 @@
       isDraining: true,
       capacity: NOTHING,
       labels: [],
+      rack: undefined,
     };
     const worker = newWorker(notice, this.earlierLeasesEnd);
     worker.isListed = false;
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -1,7 +1,7 @@
 /** Workers of the platform in memory, with what must never happen on them. */
 
 import type { Clock } from '@bamboowell/kernel/clock';
-import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import { brandAs, type RackId, type WorkerId } from '@bamboowell/types/ids';
 import {
   lifeIdOf,
   type EndedEntry,
@@ -75,7 +75,9 @@
     const { id, life, capacity, isDraining } = this;
     const address = `${id}:80`;
     const labels = ['a', 'r1'];
-    return { id, life, address, service: 'tunnels', zone: 'west', isDraining, capacity, labels };
+    const rack = brandAs<RackId>('r1');
+    const place = { service: 'tunnels', zone: 'west', labels, rack };
+    return { id, life, address, isDraining, capacity, ...place };
   }
 
   crash(): void {
@@ -133,11 +135,11 @@
       kind: 'held',
       life: this.life,
       workerNow: brandAs<WorkerInstant>(Math.round(this.now())),
-      running: [...this.runs.values()].map(({ task, run, hasSaved }) => ({
-        task,
-        run,
-        saved: brandAs<SavedProgress>(hasSaved ? `saved ${task}` : ''),
-        percent: 50,
+      running: [...this.runs.values()].map((run) => ({
+        task: run.task,
+        run: run.run,
+        saved: brandAs<SavedProgress>(run.hasSaved ? `saved ${run.task}` : ''),
+        percent: this.percentOf(run),
       })),
       ended: this.ended.slice(0, 500),
     };
@@ -186,6 +188,14 @@
     return this.ended.length > 0;
   }
 
+  /** Members of a gang that wait for the others have no progress. */
+  private percentOf({ task, run, startedAt, endsAt }: WorkerRun): number {
+    const isWaiting =
+      this.jobs.stepOf(task).isGang && this.jobs.gangState(task, run) !== 'together';
+    const share = (this.now() - startedAt) / (endsAt - startedAt);
+    return isWaiting ? 0 : Math.min(100, Math.floor(100 * share));
+  }
+
   private begin(order: StartOrder): void {
     const plan = this.jobs.stepOf(order.task);
     const used = [...this.runs.values()].reduce(
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -52,6 +52,8 @@
 const ADVICE_SLACK_MILLIS = 1500;
 /** Way to a member of another region and back, milliseconds; a first guess that is learned. */
 const FAR_WAY_MILLIS = 60;
+/** The owner's figures are told this often, milliseconds. */
+const FIGURES_MILLIS = 5000;
 /** Key of the record by which an owner fences earlier ones and shows that it lives. */
 const ALIVE_KEY = 'alive';
 
@@ -89,6 +91,7 @@
   appendingSince: Instant | undefined;
   /** After a failed append the next one waits until then. */
   appendAgainAt: Deadline;
+  figuresAt: Deadline;
   isTroubled: boolean;
   isFenced: boolean;
 }
@@ -242,6 +245,7 @@
       lastAppendAt: now,
       appendingSince: undefined,
       appendAgainAt: deadlineAfter(now, 0),
+      figuresAt: deadlineAfter(now, 0),
       isTroubled: false,
       isFenced: false,
     };
@@ -511,6 +515,8 @@
     const isFirst = tenure.proof === undefined;
     tenure.proof = proof;
     tenure.lastAppendAt = this.clock.now();
+    const millis = tenure.lastAppendAt - (tenure.appendingSince ?? proof.at);
+    this.options.events.event('append.done', { millis });
     tenure.appendingSince = undefined;
     this.setTrouble(tenure, false);
     const batch = tenure.commits.appended();
@@ -558,12 +564,26 @@
     }
     if (tenure.scheduler !== undefined) {
       this.input({ kind: 'place' });
+      this.tellFigures(tenure, tenure.scheduler, now);
     }
     if (tenure.commits.isIdle && now - tenure.lastAppendAt >= KEEP_ALIVE_MILLIS) {
       this.keepAlive(tenure);
     }
   }
 
+  private tellFigures(tenure: Tenure, scheduler: JobScheduler, now: Instant): void {
+    if (!hasPassed(tenure.figuresAt, now)) {
+      return;
+    }
+    tenure.figuresAt = deadlineAfter(now, FIGURES_MILLIS);
+    this.options.events.event('owner.figures', {
+      term: tenure.term,
+      ...scheduler.figures(),
+      members: this.members.size,
+      pendingRequests: this.pending.size,
+    });
+  }
+
   private resignIfIdle(): void {
     const { resigning, tenure } = this;
     if (resigning === undefined) {
--- /dev/null
+++ b/packages/metrics/src/event-metrics.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import { EventLog } from '@bamboowell/logger/logger';
+import { EventMetrics } from './event-metrics.js';
+import { MetricsPage } from './metrics-page.js';
+
+function metricsOver() {
+  const names: string[] = [];
+  const log = new (class extends EventLog {
+    event(name: string): void {
+      names.push(name);
+    }
+  })();
+  return { metrics: new EventMetrics(log), names };
+}
+
+test('events are counted, passed on, and their times kept by outcome', async (t) => {
+  const { metrics, names } = metricsOver();
+  const fields = { verb: 'submit', outcome: 'accepted', millis: 30, path: '/plans/1' };
+  metrics.event('request.answered', fields);
+  metrics.event('request.answered', { ...fields, millis: 700 });
+  const text = await metrics.registry.metrics();
+  t.deepEqual(names, ['request.answered', 'request.answered']);
+  t.regex(text, /bamboowell_events_total\{event="request\.answered"\} 2/);
+  t.regex(text, /request_seconds_bucket\{le="0\.05",verb="submit",outcome="accepted"\} 1/);
+  t.regex(text, /request_seconds_count\{verb="submit",outcome="accepted"\} 2/);
+});
+
+test('appends are counted and timed without a line each', async (t) => {
+  const { metrics, names } = metricsOver();
+  metrics.event('append.done', { millis: 4 });
+  t.deepEqual(names, []);
+  t.regex(await metrics.registry.metrics(), /bamboowell_append_seconds_count 1/);
+});
+
+test("the owner's figures are gauges", async (t) => {
+  const { metrics } = metricsOver();
+  metrics.event('owner.figures', { waitingSteps: 3, term: 2 });
+  t.regex(await metrics.registry.metrics(), /bamboowell_owner_waiting_steps 3/);
+});
+
+test('the page serves the registry', async (t) => {
+  const { metrics } = metricsOver();
+  metrics.event('member.started');
+  const page = new MetricsPage(metrics.registry);
+  const port = 20_000 + (process.pid % 10_000);
+  await page.open({ host: '127.0.0.1', port });
+  t.teardown(() => {
+    page.close();
+  });
+  const answer = await fetch(`http://127.0.0.1:${port}/metrics`);
+  t.is(answer.status, 200);
+  t.regex(await answer.text(), /member\.started/);
+});
--- /dev/null
+++ b/packages/metrics/src/event-metrics.ts
@@ -0,0 +1,94 @@
+/** Counts events on their way to the log, and keeps histograms of the times that they carry. */
+
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { EventLog } from '@bamboowell/logger/logger';
+import type { Fields } from '@bamboowell/logger/line';
+
+const MILLIS_PER_SECOND = 1000;
+
+/** Upper ends of the buckets, seconds: from a store's answer to a caller's longest wait and a long job. */
+const BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
+
+/** Times in events, as histograms: the field that holds milliseconds, and the fields that split them. */
+const TIMES = {
+  'request.answered': { field: 'millis', name: 'request_seconds', labels: ['verb', 'outcome'] },
+  'advice.taken': { field: 'tookMillis', name: 'advice_seconds', labels: [] },
+  'append.done': { field: 'millis', name: 'append_seconds', labels: [] },
+  'job.ended': { field: 'afterMillis', name: 'job_seconds', labels: ['state'] },
+} as const;
+
+/** The event whose numbers are gauges. */
+const FIGURES = 'owner.figures';
+const PREFIX = 'bamboowell_';
+
+/** Events that are counted but would be too many lines. */
+const COUNTED_ONLY: ReadonlySet<string> = new Set(['append.done']);
+
+export class EventMetrics extends EventLog {
+  readonly registry = new Registry();
+  private readonly events = new Counter({
+    name: `${PREFIX}events_total`,
+    help: 'Events of the log, by name.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly gauges = new Map<string, Gauge>();
+
+  constructor(private readonly log: EventLog) {
+    super();
+    for (const [event, { name, labels }] of Object.entries(TIMES)) {
+      const histogram = new Histogram({
+        name: `${PREFIX}${name}`,
+        help: `Seconds, from the event ${event}.`,
+        labelNames: [...labels],
+        buckets: BUCKETS_SECONDS,
+        registers: [this.registry],
+      });
+      this.histograms.set(event, histogram);
+    }
+  }
+
+  event(name: string, fields: Fields = {}): void {
+    this.events.inc({ event: name });
+    this.observe(name, fields);
+    if (name === FIGURES) {
+      this.set(fields);
+    }
+    if (!COUNTED_ONLY.has(name)) {
+      this.log.event(name, fields);
+    }
+  }
+
+  private observe(name: string, fields: Fields): void {
+    if (!(name in TIMES)) {
+      return;
+    }
+    const { field, labels } = TIMES[name as keyof typeof TIMES];
+    const millis = fields[field];
+    if (typeof millis === 'number') {
+      const values = labels.map((label) => [label, String(fields[label] ?? '')] as const);
+      this.histograms.get(name)?.observe(Object.fromEntries(values), millis / MILLIS_PER_SECOND);
+    }
+  }
+
+  private set(fields: Fields): void {
+    for (const [name, value] of Object.entries(fields)) {
+      if (typeof value === 'number') {
+        this.gauge(name).set(value);
+      }
+    }
+  }
+
+  private gauge(field: string): Gauge {
+    const known = this.gauges.get(field);
+    if (known !== undefined) {
+      return known;
+    }
+    const name = `${PREFIX}owner_${field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`;
+    const help = `From the event ${FIGURES}.`;
+    const gauge = new Gauge({ name, help, registers: [this.registry] });
+    this.gauges.set(field, gauge);
+    return gauge;
+  }
+}
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -1,6 +1,13 @@
 /** Jobs: work in steps, as callers hand it in and as its owner keeps it. */
 
-import { brandAs, type Branded, type QueueId, type RackId, type TeamId, type WorkerId } from './ids.js';
+import {
+  brandAs,
+  type Branded,
+  type QueueId,
+  type RackId,
+  type TeamId,
+  type WorkerId,
+} from './ids.js';
 import type { Resources } from './resources.js';
 
 /** A caller's own name for a job; the same id again is the same job. */
@@ -89,7 +96,9 @@
   readonly zone: string;
   readonly isDraining: boolean;
   readonly capacity: Resources;
+  /** Its kind and its rack among them. */
   readonly labels: readonly string[];
+  readonly rack: RackId | undefined;
 }
 
 /** What a worker lists as running. */
