--- a/packages/metrics/src/event-metrics.test.ts
+++ b/packages/metrics/src/event-metrics.test.ts
@@ -42,8 +42,7 @@
   const { metrics } = metricsOver();
   metrics.event('member.started');
   const page = new MetricsPage(metrics.registry);
-  const port = 20_000 + (process.pid % 10_000);
-  await page.open({ host: '127.0.0.1', port });
+  const { port } = await page.open({ host: '127.0.0.1', port: 0 });
   t.teardown(() => {
     page.close();
   });
--- a/packages/metrics/src/metrics-page.ts
+++ b/packages/metrics/src/metrics-page.ts
@@ -13,8 +13,8 @@
 
   constructor(private readonly registry: Registry) {}
 
-  /** Rejects if the address is taken. */
-  open({ host, port }: Address): Promise<void> {
+  /** Resolves with the address that is served: port 0 lets the system choose. Rejects if it is taken. */
+  open({ host, port }: Address): Promise<Address> {
     const app = new Hono();
     app.get(METRICS_PATH, async (context) =>
       context.text(await this.registry.metrics(), 200, {
@@ -24,8 +24,8 @@
     return new Promise((resolve, reject) => {
       this.server = serve(
         { fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false },
-        () => {
-          resolve();
+        (info) => {
+          resolve({ host, port: info.port });
         },
       ) as Server;
       this.server.once('error', reject);
