Never wake before a deadline, tell stalls by what lists show, and ask for the next step's advice ahead

Ruled out: the lists of the worker, the fence. Second steps waited 0.7 to 0.9 s for advice that could have come before.

--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -34,6 +34,8 @@
 export class Lifecycle {
   /** Steps with tasks to start. */
   readonly ready = new Set<Step>();
+  /** Open jobs of more than one step. */
+  readonly stepped = new Set<Job>();
   private readonly repeating = new Set<Job>();
   private readonly allowances = new Allowances();
 
@@ -189,6 +191,9 @@
         this.refresh(step);
       });
     });
+    if (plan.steps.length > 1) {
+      this.stepped.add(job);
+    }
     this.context.hasNews = true;
     this.completeIfDone(job);
   }
@@ -250,6 +255,7 @@
     job.state = state;
     job.endedAt = brandAs<WallInstant>(this.context.wall);
     this.repeating.delete(job);
+    this.stepped.delete(job);
     for (const { steps } of job.occurrences) {
       for (const step of steps) {
         this.ready.delete(step);
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -38,9 +38,15 @@
   phase: RunPhase;
   /** When the worker first confirmed it. */
   confirmedAt: Instant | undefined;
-  percent: number;
-  /** When `percent` last rose. */
-  movedAt: Instant;
+  /** Progress by the worker's lists; absent before the first one that has it. */
+  progress: Progress | undefined;
+}
+
+/** Progress as lists showed it: only these tell how long it stood still. */
+export interface Progress {
+  readonly percent: number;
+  readonly firstSeenAt: Instant;
+  readonly lastSeenAt: Instant;
 }
 
 export interface Task {
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -41,8 +41,7 @@
         ticket: grant?.ticket,
         phase: 'recorded',
         confirmedAt: undefined,
-        percent: 0,
-        movedAt: context.now,
+        progress: undefined,
       };
       context.attach(run);
       context.afterCommit(() => {
@@ -163,7 +162,6 @@
     run.confirmedAt ??= this.context.now;
     if (run.phase === 'ordered') {
       run.phase = 'running';
-      run.movedAt = this.context.now;
     }
   }
 
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -46,6 +46,14 @@
     }
   }
 
+  /** Asks for advice that a step will need soon, unless it has some. */
+  askAhead(step: Step): void {
+    const sites = this.openSites().filter(({ worker }) => suits(worker, step));
+    if (this.withTicket(step, sites).length === 0) {
+      this.ask(step);
+    }
+  }
+
   adviserGone(member: MemberId): void {
     this.desk.remove(member).forEach((step) => {
       this.noAdvice(step);
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -114,10 +114,11 @@
       run.phase = 'running';
     }
     run.confirmedAt ??= this.context.now;
-    if (entry.percent !== run.percent) {
-      run.percent = entry.percent;
-      run.movedAt = this.context.now;
-    }
+    const { now } = this.context;
+    const { percent } = entry;
+    const known = run.progress;
+    const firstSeenAt = known?.percent === percent ? known.firstSeenAt : now;
+    run.progress = { percent, firstSeenAt, lastSeenAt: now };
     if (entry.saved !== NO_PROGRESS && !run.task.isDone) {
       this.save(run.task, entry.saved);
     }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -9,6 +9,7 @@
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import { AdviceDesk } from './advice-desk.js';
 import { JobContext } from './context.js';
+import { Foresight } from './foresight.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, type Run, type Worker } from './model.js';
@@ -44,6 +45,7 @@
   private readonly reports: Reports;
   private readonly placing: Placing;
   private readonly stalls: Stalls;
+  private readonly foresight: Foresight;
   private readonly earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
@@ -72,6 +74,7 @@
       this.desk,
       options.ordering,
     );
+    this.foresight = new Foresight(context, this.lifecycle, this.placing);
     context.setConfiguration(options.configuration);
     options.workers.forEach((notice) => {
       this.noteWorker(notice);
@@ -185,6 +188,7 @@
     this.trust.endQuarantines(this.context.now);
     this.context.hasNews = false;
     this.placing.place();
+    this.foresight.look();
   }
 
   private takeAdvice(advice: Extract<JobInput, { kind: 'advice' }>): void {
@@ -264,8 +268,7 @@
       ticket: undefined,
       phase: 'ordered',
       confirmedAt: undefined,
-      percent: 0,
-      movedAt: this.context.now,
+      progress: undefined,
     };
     this.context.attach(run);
   }
--- a/packages/jobs/src/stalls.ts
+++ b/packages/jobs/src/stalls.ts
@@ -1,6 +1,6 @@
 /** Finds runs that stand still and starts them elsewhere. */
 
-import { hasPassed, deadlineAfter } from '@bamboowell/types/time';
+import { deadlineAfter } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Run, Worker } from './model.js';
 import type { Orders } from './orders.js';
@@ -38,13 +38,13 @@
   /** A lasting task has no progress to show, and a gang may wait for its members. */
   private isStalled(run: Run): boolean {
     const { plan } = run.task.step;
-    const isGathering = plan.isGang && run.percent === 0;
-    return (
-      !plan.isLasting &&
-      !isGathering &&
-      run.percent < 100 &&
-      hasPassed(deadlineAfter(run.movedAt, STALL_MILLIS), this.context.now)
-    );
+    const { progress } = run;
+    if (progress === undefined || plan.isLasting) {
+      return false;
+    }
+    const { percent, firstSeenAt, lastSeenAt } = progress;
+    const isGathering = plan.isGang && percent === 0;
+    return !isGathering && percent < 100 && lastSeenAt - firstSeenAt >= STALL_MILLIS;
   }
 
   private giveUp(worker: Worker, run: Run): void {
@@ -53,8 +53,7 @@
       task: task.id,
       run: run.number,
       worker: worker.id,
-      percent: run.percent,
-      stillMillis: Math.round(this.context.now - run.movedAt),
+      percent: run.progress?.percent ?? 0,
     });
     task.failedOn.add(worker.id);
     worker.restsUntil = deadlineAfter(this.context.now, STALLED_REST_MILLIS);
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -1,7 +1,7 @@
 /** Clocks and alarms. Nothing in the project reads the time in another way. */
 
 import { brandAs } from '@bamboowell/types/ids';
-import { millisUntil, type Deadline, type Instant } from '@bamboowell/types/time';
+import { hasPassed, millisUntil, type Deadline, type Instant } from '@bamboowell/types/time';
 
 /** A wake-up that has been asked for. */
 export interface Alarm {
@@ -33,9 +33,20 @@
     return brandAs<Instant>(performance.timeOrigin + performance.now());
   }
 
+  /** Timers of the runtime may fire a fraction of a millisecond early: they are set again then. */
   wakeAt(deadline: Deadline, wake: () => void): Alarm {
-    const delay = Math.min(Math.ceil(millisUntil(deadline, this.now())), LONGEST_TIMER_MILLIS);
-    const timer = setTimeout(wake, delay);
+    let timer: NodeJS.Timeout;
+    const arm = (): void => {
+      const delay = Math.min(Math.ceil(millisUntil(deadline, this.now())), LONGEST_TIMER_MILLIS);
+      timer = setTimeout(() => {
+        if (hasPassed(deadline, this.now())) {
+          wake();
+        } else {
+          arm();
+        }
+      }, delay);
+    };
+    arm();
     return {
       cancel: () => {
         clearTimeout(timer);
