--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -40,6 +40,8 @@
 const KEEP_ALIVE_MILLIS = 200;
 /** One append is given up and repeated after this, milliseconds: far above the store's 4 ms. */
 const APPEND_MILLIS = 800;
+/** Writes are gathered for so long after the last append, milliseconds: calls of the store have a price. */
+const GATHER_MILLIS = 10;
 /** Pause before an append is repeated, milliseconds. */
 const APPEND_RETRY_MILLIS = 60;
 /** An append without an answer for so long, milliseconds, means that another member should try. */
@@ -92,6 +94,8 @@
   /** After a failed append the next one waits until then. */
   appendAgainAt: Deadline;
   figuresAt: Deadline;
+  /** The next append waits for more writes to come. */
+  isAppendDue: boolean;
   isTroubled: boolean;
   isFenced: boolean;
 }
@@ -192,6 +196,7 @@
       })
       .with({ kind: 'append' }, ({ term }) => {
         if (this.tenure?.term === term) {
+          this.tenure.isAppendDue = false;
           this.append(this.tenure);
         }
       })
@@ -246,6 +251,7 @@
       appendingSince: undefined,
       appendAgainAt: deadlineAfter(now, 0),
       figuresAt: deadlineAfter(now, 0),
+      isAppendDue: false,
       isTroubled: false,
       isFenced: false,
     };
@@ -460,6 +466,11 @@
   /** Sends what is due, unless an append is on its way. */
   private append(tenure: Tenure): void {
     const { commits, scheduler } = tenure;
+    const gatheredAt = deadlineAfter(tenure.lastAppendAt, GATHER_MILLIS);
+    if (commits.isIdle && !hasPassed(gatheredAt, this.clock.now())) {
+      this.appendLater(tenure, gatheredAt);
+      return;
+    }
     if (commits.isIdle) {
       const batch = scheduler?.takeBatch();
       if (batch?.writes.length === 0) {
@@ -486,6 +497,13 @@
       });
   }
 
+  private appendLater(tenure: Tenure, at: Deadline): void {
+    if (!tenure.isAppendDue) {
+      tenure.isAppendDue = true;
+      this.postAt(at, { kind: 'append', term: tenure.term });
+    }
+  }
+
   private appended(message: Extract<OwnerMessage, { kind: 'appended' }>): void {
     const { tenure } = this;
     if (tenure?.term !== message.term) {
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -28,6 +28,8 @@
     private readonly topic: Topic,
     private readonly clock: Clock,
     private readonly listener: TopicListener,
+    /** Pause after records came, milliseconds: what comes meanwhile is read in one call. */
+    private readonly gatherMillis = 0,
   ) {}
 
   start(): void {
@@ -80,11 +82,18 @@
     }
     if (part.entries.length > 0) {
       this.tell(part.entries, part.end, false);
+      await this.gather();
     }
     const last = part.entries.at(-1);
     return last === undefined ? from : ((last.offset + 1) as Offset);
   }
 
+  private async gather(): Promise<void> {
+    if (this.gatherMillis > 0) {
+      await this.clock.sleepUntil(deadlineAfter(this.clock.now(), this.gatherMillis));
+    }
+  }
+
   private tell(entries: readonly StoreEntry[], end: Offset, isWhole: boolean): void {
     if (!this.isStopped) {
       this.listener.entries(entries, end, isWhole);
--- a/packages/member/src/workers-watch.ts
+++ b/packages/member/src/workers-watch.ts
@@ -9,6 +9,9 @@
 import type { Store, StoreEntry } from './store.js';
 import { TopicWatch } from './topic-watch.js';
 
+/** Every worker writes about once a second: their entries are read together, this often, milliseconds. */
+const GATHER_MILLIS = 300;
+
 export class WorkersWatch {
   private readonly watch: TopicWatch;
   private readonly listed = new Set<WorkerId>();
@@ -22,14 +25,15 @@
     private readonly events: EventLog,
     private readonly owner: MailAddress<OwnerMessage>,
   ) {
-    this.watch = new TopicWatch(store, 'workers', clock, {
-      entries: (entries, _end, isWhole) => {
+    const listener = {
+      entries: (entries: readonly StoreEntry[], _end: unknown, isWhole: boolean) => {
         this.read(entries, isWhole);
       },
-      reachable: (isReachable, detail) => {
+      reachable: (isReachable: boolean, detail: string) => {
         events.event(isReachable ? 'store.regained' : 'store.lost', { topic: 'workers', detail });
       },
-    });
+    };
+    this.watch = new TopicWatch(store, 'workers', clock, listener, GATHER_MILLIS);
   }
 
   start(): void {
