--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -9,6 +9,7 @@
 import type { Lifecycle } from './lifecycle.js';
 import { roomOf, waitingTasks, type Grant, type Step, type Task, type Worker } from './model.js';
 import type { JobOrdering } from './ordering.js';
+import { Reservations } from './reservations.js';
 import type { Assignment, Orders } from './orders.js';
 import type { Trust } from './trust.js';
 
@@ -38,10 +39,11 @@
 
   place(): void {
     const sites = this.openSites();
+    const reservations = new Reservations(sites.length);
     for (const step of this.ordering.sorted(this.lifecycle.ready, this.context)) {
       const waiting = waitingTasks(step);
       if (waiting.length > 0) {
-        this.placeStep(step, waiting, sites);
+        this.placeStep(step, waiting, sites, reservations);
       }
     }
   }
@@ -97,12 +99,18 @@
     return isListed || !hasPassed(goneAt, this.context.now);
   }
 
-  private placeStep(step: Step, waiting: readonly Task[], sites: readonly Site[]): void {
-    const fitting = sites.filter(({ worker }) => suits(worker, step));
+  private placeStep(
+    step: Step,
+    waiting: readonly Task[],
+    sites: readonly Site[],
+    reservations: Reservations,
+  ): void {
+    const fitting = sites.filter(
+      ({ worker }) => suits(worker, step) && !reservations.isKept(worker),
+    );
     const allowed = this.withTicket(step, fitting);
     if (allowed.length === 0) {
       this.ask(step);
-      return;
     }
     const assignments = step.plan.isGang
       ? this.assignGang(step, waiting, allowed)
@@ -112,6 +120,8 @@
         this.trust.placed(worker.id);
       });
       this.orders.start(step, assignments);
+    } else if (step.plan.isGang && waiting.length === step.tasks.length) {
+      reservations.keep(step, this.knownAllowed(step, fitting));
     }
   }
 
@@ -126,6 +136,13 @@
     });
   }
 
+  /** Sites on which the step may run by all advice so far, also where the ticket ran out. */
+  private knownAllowed(step: Step, sites: readonly Site[]): readonly Site[] {
+    return step.job.queue.advice === undefined
+      ? sites
+      : sites.filter(({ worker }) => step.grants.has(worker.id));
+  }
+
   /** Asks which workers may run the step, unless a ticket or a call for it is there. */
   private ask(step: Step): void {
     const terms = step.job.queue.advice;
--- /dev/null
+++ b/packages/jobs/src/reservations.ts
@@ -0,0 +1,70 @@
+/** Keeps room for a gang that can't start yet, so that smaller work behind it doesn't take it piece by piece. */
+
+import { add, fits, subtract, type Resources } from '@bamboowell/types/resources';
+import { roomOf, type Step, type Worker } from './model.js';
+
+/** Part of the workers that may be kept in one pass: the rest goes on with what fits. */
+const MAX_KEPT_PART = 0.5;
+
+/** A worker and the room that is left on it in this pass. */
+export interface Roomy {
+  readonly worker: Worker;
+  readonly room: Resources;
+}
+
+export class Reservations {
+  private readonly kept = new Set<Worker>();
+
+  /** @param workers how many there are. */
+  constructor(private readonly workers: number) {}
+
+  /** Whether the worker is kept for a step that goes before. */
+  isKept(worker: Worker): boolean {
+    return this.kept.has(worker);
+  }
+
+  /** Keeps the workers on which the step will have room first, until they hold all of it. */
+  keep<Site extends Roomy>(step: Step, sites: readonly Site[]): void {
+    const ranked = sites
+      .filter(({ worker }) => !this.kept.has(worker))
+      .map((site) => ({ site, tasks: tasksThatFit(step, site) }))
+      .sort((left, right) => right.tasks - left.tasks || roomier(left.site, right.site));
+    let missing = step.plan.count;
+    for (const { site, tasks } of ranked) {
+      if (missing <= 0 || this.kept.size >= this.workers * MAX_KEPT_PART) {
+        return;
+      }
+      this.kept.add(site.worker);
+      missing -= tasks;
+    }
+  }
+}
+
+function roomier(left: Roomy, right: Roomy): number {
+  return right.room.millicores - left.room.millicores;
+}
+
+/** Tasks that fit once what is less urgent has ended. */
+function tasksThatFit(step: Step, { worker, room }: Roomy): number {
+  const { priority } = step.job.queue;
+  let free = room;
+  for (const { task } of worker.runs.values()) {
+    if (task.step.job.queue.priority > priority) {
+      free = add(free, roomOf(task.step.plan));
+    }
+  }
+  return countOf(roomOf(step.plan), free);
+}
+
+function countOf(demand: Resources, room: Resources): number {
+  let left = room;
+  let count = 0;
+  while (fits(demand, left) && count < MAX_COUNTED) {
+    left = subtract(left, demand);
+    count += 1;
+  }
+  return count;
+}
+
+/** Tasks without any demand fit without end. */
+const MAX_COUNTED = 1000;
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -563,3 +563,31 @@
   t.is(racks.length, 4);
   t.is(new Set(racks).size, 1);
 });
+
+test('room is kept for a gang that waits, and smaller work behind it goes elsewhere', (t) => {
+  const small = jobQueue({ id: brandAs('small'), priority: 2 });
+  const names = ['a', 'b', 'c', 'd'];
+  const workers = names.map((name) => workerNotice(name, { capacity: cores(4, 1000) }));
+  const bench = readyBench({ configuration: configurationOf([jobQueue(), small]), workers });
+  const fill = { queue: small.id, steps: [stepPlan({ count: 6, demand: cores(2) })] };
+  bench.submit(jobPlan(1, fill));
+  bench.commit();
+  const running = bench.place();
+  t.is(running.length, 6);
+  // Two whole workers are needed; one is free, the others run two small tasks each.
+  bench.submit(jobPlan(2, { steps: [stepPlan({ count: 2, demand: cores(4), isGang: true })] }));
+  bench.submit(jobPlan(3, fill));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+  const life = running[0]?.life;
+  running
+    .filter((start) => start.life === life)
+    .forEach((start) => {
+      bench.end(start, 'done');
+    });
+  const next = bench.place();
+  t.deepEqual(
+    next.filter(({ task }) => task.startsWith(jobId(2))).map(({ run }) => Number(run)),
+    [1, 1],
+  );
+});
