--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -24,7 +24,7 @@
   }
 
   /** Keeps the workers on which the step will have room first, until they hold all of it. */
-  keep<Site extends Roomy>(step: Step, sites: readonly Site[]): void {
+  keep(step: Step, sites: readonly Roomy[]): void {
     const ranked = sites
       .filter(({ worker }) => !this.kept.has(worker))
       .map((site) => ({ site, tasks: tasksThatFit(step, site) }))
--- /dev/null
+++ b/packages/member/src/gate.test.ts
@@ -0,0 +1,176 @@
+import test from 'ava';
+import { ask } from '@bamboowell/kernel/ask';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { EventLog } from '@bamboowell/logger/logger';
+import type { Fields } from '@bamboowell/logger/line';
+import { deadlineAfter } from '@bamboowell/types/time';
+import type { GateMessage, JobReply, JobRequest } from './gate-messages.js';
+import { GateTask } from './gate.js';
+import { OwnerChannel, type OwnerReply, type OwnerRequest } from './owner-channel.js';
+import { configurationOf, jobIdOf, planOf } from './troubles.fixture.js';
+
+/** An owner that replies as a test says, and never where the test says nothing. */
+class ScriptedOwner extends OwnerChannel {
+  readonly asked: OwnerRequest[] = [];
+
+  constructor(private readonly replies: (OwnerReply | 'silence')[]) {
+    super();
+  }
+
+  ask(request: OwnerRequest): Promise<OwnerReply> {
+    this.asked.push(request);
+    const reply = this.replies.shift() ?? 'silence';
+    return reply === 'silence' ? new Promise(() => undefined) : Promise.resolve(reply);
+  }
+}
+
+const ACCEPTED: OwnerReply = { kind: 'answered', answer: { kind: 'accepted', repeated: false } };
+
+async function openGate({ isConfigured = true } = {}) {
+  const clock = new ManualClock(1000);
+  const events: { readonly name: string; readonly fields: Fields }[] = [];
+  const log = new (class extends EventLog {
+    event(name: string, fields: Fields = {}): void {
+      events.push({ name, fields });
+    }
+  })();
+  const gate = new GateTask(log, clock);
+  await gate.start();
+  if (isConfigured) {
+    gate.post({ kind: 'configuration', configuration: configurationOf() });
+  }
+  const flush = () => new Promise((resolve) => setImmediate(resolve));
+  return {
+    gate,
+    events,
+    /** Lets time pass in steps. */
+    pass: async (millis: number): Promise<void> => {
+      for (let passed = 0; passed < millis; passed += 20) {
+        clock.advance(20);
+        await flush();
+      }
+    },
+    own: async (channel: OwnerChannel | undefined): Promise<void> => {
+      gate.post({ kind: 'owner', channel });
+      await flush();
+    },
+    request: async (
+      changes: Partial<JobRequest> = {},
+    ): Promise<{ value: JobReply | undefined }> => {
+      const reply: { value: JobReply | undefined } = { value: undefined };
+      const request: JobRequest = {
+        verb: 'submit',
+        host: 'example',
+        path: `/plans/${jobIdOf(1)}`,
+        key: 'key',
+        waitMillis: 3000,
+        body: { kind: 'decoded', value: planOf(1) },
+        ...changes,
+      };
+      gate.post({
+        kind: 'request',
+        request,
+        reply: (value) => {
+          reply.value = value;
+        },
+      });
+      await flush();
+      await flush();
+      return reply;
+    },
+    ready: async (): Promise<boolean> => {
+      const limit = deadlineAfter(clock.now(), 1000);
+      const build = (reply: (value: boolean) => void): GateMessage => ({ kind: 'ready', reply });
+      const answer = await ask<GateMessage, boolean>(gate, build, limit, clock);
+      return answer.kind === 'answered' && answer.value;
+    },
+  };
+}
+
+test('what the configuration does not allow never reaches the owner', async (t) => {
+  const { own, request } = await openGate();
+  const owner = new ScriptedOwner([]);
+  await own(owner);
+  t.like((await request({ host: 'other' })).value, { kind: 'unknown_queue' });
+  t.like((await request({ key: 'stolen' })).value, { kind: 'unknown_key' });
+  t.like((await request({ key: undefined })).value, { kind: 'unknown_key' });
+  t.like((await request({ path: '/plans/xyz' })).value, { kind: 'malformed' });
+  t.like((await request({ path: '/plans/xyz', verb: 'cancel' })).value, { kind: 'unknown_job' });
+  const body = { kind: 'unreadable', detail: 'phases' } as const;
+  t.like((await request({ body })).value, { kind: 'malformed', detail: 'phases' });
+  t.deepEqual(owner.asked, []);
+});
+
+test('a gate without a configuration refuses, and is not ready', async (t) => {
+  const { own, request, ready } = await openGate({ isConfigured: false });
+  await own(new ScriptedOwner([]));
+  t.like((await request()).value, { kind: 'refused', reason: 'no_configuration' });
+  t.false(await ready());
+});
+
+test('a request waits for an owner, and goes to the next one after one that did not answer', async (t) => {
+  const { own, request, pass } = await openGate();
+  const reply = await request();
+  await pass(500);
+  t.is(reply.value, undefined);
+  const lost = new ScriptedOwner([{ kind: 'unknown' }]);
+  await own(lost);
+  const next = new ScriptedOwner([ACCEPTED]);
+  await own(next);
+  await pass(200);
+  t.deepEqual(reply.value, { kind: 'accepted', repeated: false });
+  t.is(lost.asked.length, 1);
+  t.is(next.asked.length, 1);
+});
+
+test('an answer comes before the caller stops waiting: refused if no owner was asked', async (t) => {
+  const { request, pass } = await openGate();
+  const reply = await request({ waitMillis: 1000 });
+  await pass(860);
+  t.is(reply.value, undefined);
+  await pass(40);
+  t.like(reply.value, { kind: 'refused', reason: 'no_owner', retryAfterSeconds: 1 });
+});
+
+test('a request that an owner may have taken is undecided, and never said not to have run', async (t) => {
+  const { own, request, pass } = await openGate();
+  await own(new ScriptedOwner([{ kind: 'unknown' }]));
+  const reply = await request({ waitMillis: 1000 });
+  await own(undefined);
+  await pass(1000);
+  t.deepEqual(reply.value, { kind: 'undecided' });
+});
+
+test('a request that an owner did not take is refused in the end', async (t) => {
+  const { own, request, pass } = await openGate();
+  await own(new ScriptedOwner([{ kind: 'not_taken' }]));
+  const reply = await request({ waitMillis: 1000 });
+  await own(undefined);
+  await pass(1000);
+  t.like(reply.value, { kind: 'refused', reason: 'no_owner' });
+});
+
+test('a gate is ready with an owner and for a while after, until it drains', async (t) => {
+  const { gate, own, pass, ready } = await openGate();
+  t.false(await ready());
+  await own(new ScriptedOwner([]));
+  t.true(await ready());
+  await own(undefined);
+  await pass(1000);
+  t.true(await ready());
+  await pass(2000);
+  t.false(await ready());
+  await own(new ScriptedOwner([]));
+  gate.post({ kind: 'drain' });
+  t.false(await ready());
+});
+
+test('each answer is logged with the id, the version and the outcome', async (t) => {
+  const { own, request, events } = await openGate();
+  await own(new ScriptedOwner([ACCEPTED]));
+  await request();
+  t.like(events.at(-1), {
+    name: 'request.answered',
+    fields: { path: `/plans/${jobIdOf(1)}`, outcome: 'accepted', configuration: 1, tries: 1 },
+  });
+});
--- /dev/null
+++ b/packages/member/src/worker-link.test.ts
@@ -0,0 +1,215 @@
+import test from 'ava';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import {
+  lifeIdOf,
+  type EndedEntry,
+  type EndNumber,
+  type RunNumber,
+  type SavedProgress,
+  type StepTaskId,
+  type Term,
+} from '@bamboowell/types/job';
+import type { Deadline, WorkerInstant } from '@bamboowell/types/time';
+import type { OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
+import type { OwnerMessage } from './owner-messages.js';
+import { WorkerPort, type HoldAnswer, type HoldQuestion, type Unanswered } from './ports.js';
+import { WorkerLinkTask } from './worker-link.js';
+
+const ID = brandAs<WorkerId>('w1');
+const LIFE = lifeIdOf(ID, 1);
+
+type Answers<Value> = (Value | 'silence')[];
+
+/** A worker that answers as a test says; without a word it holds, or takes the order. */
+class ScriptedPort extends WorkerPort {
+  readonly questions: HoldQuestion[] = [];
+  readonly starts: { readonly order: StartOrder; readonly leaseEnd: WorkerInstant }[] = [];
+  readonly holds: Answers<HoldAnswer> = [];
+  readonly answers: Answers<OrderAnswer> = [];
+
+  constructor(private readonly clock: ManualClock) {
+    super();
+  }
+
+  async hold(_target: unknown, question: HoldQuestion, limit: Deadline): Promise<HoldAnswer> {
+    this.questions.push(question);
+    const scripted = this.holds.shift();
+    const waitsUntil = scripted === 'silence' ? limit : this.clock.now() + question.waitMillis;
+    await this.clock.sleepUntil(brandAs<Deadline>(waitsUntil));
+    return scripted === 'silence' ? silence() : (scripted ?? this.held());
+  }
+
+  async start(
+    _target: unknown,
+    order: StartOrder,
+    _term: Term,
+    leaseEnd: WorkerInstant,
+    limit: Deadline,
+  ): Promise<OrderAnswer | Unanswered> {
+    this.starts.push({ order, leaseEnd });
+    const scripted = this.answers.shift() ?? { kind: 'done' };
+    if (scripted === 'silence') {
+      await this.clock.sleepUntil(limit);
+      return silence();
+    }
+    return scripted;
+  }
+
+  stop(): Promise<OrderAnswer | Unanswered> {
+    return Promise.resolve({ kind: 'done' });
+  }
+
+  forget(): void {
+    // There are no connections here.
+  }
+
+  held(ended: readonly EndedEntry[] = []): HoldAnswer {
+    const workerNow = brandAs<WorkerInstant>(this.clock.now() + 100_000);
+    return { kind: 'held', life: LIFE, workerNow, running: [], ended };
+  }
+}
+
+function silence(): Unanswered {
+  return { kind: 'unanswered', detail: 'no answer' };
+}
+
+function end(number: number): EndedEntry {
+  return {
+    number: brandAs<EndNumber>(number),
+    task: brandAs<StepTaskId>('0000000000000001.0.0.0'),
+    run: brandAs<RunNumber>(1),
+    end: 'done',
+    saved: brandAs<SavedProgress>(''),
+  };
+}
+
+const START: StartOrder = {
+  kind: 'start',
+  task: brandAs<StepTaskId>('0000000000000001.0.0.0'),
+  run: brandAs<RunNumber>(1),
+  payload: 'text',
+  saved: brandAs<SavedProgress>(''),
+  ticket: undefined,
+};
+
+function linkBench() {
+  const clock = new ManualClock(1000);
+  const port = new ScriptedPort(clock);
+  const told: OwnerMessage[] = [];
+  const link = new WorkerLinkTask(
+    {
+      port,
+      target: { id: ID, life: LIFE, address: 'w1:80' },
+      term: brandAs<Term>(3),
+      owner: {
+        post: (message) => {
+          told.push(message);
+          return 'accepted';
+        },
+      },
+      earlierLeaseEnds: brandAs<Deadline>(7000),
+      longestLeaseMillis: 6000,
+      mayRenew: () => true,
+    },
+    clock,
+  );
+  return {
+    link,
+    port,
+    clock,
+    inputs: () => told.flatMap((message) => (message.kind === 'input' ? [message.input] : [])),
+    told,
+    pass: async (millis: number): Promise<void> => {
+      for (let passed = 0; passed < millis; passed += 10) {
+        clock.advance(10);
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    },
+  };
+}
+
+test('the first question only reads the clock, the next ones renew by it and wait', async (t) => {
+  const { link, port, pass } = linkBench();
+  await link.start();
+  await pass(2000);
+  const [first, second] = port.questions;
+  t.like(first, { leaseEnd: undefined, waitMillis: 0 });
+  t.true((second?.leaseEnd ?? 0) > 104_000);
+  t.true((second?.waitMillis ?? 0) > 0);
+});
+
+test('new ends are acknowledged by the next question, once their record is in the store', async (t) => {
+  const { link, port, pass } = linkBench();
+  port.holds.push(port.held(), port.held([end(1)]));
+  await link.start();
+  await pass(1000);
+  const asked = port.questions.length;
+  link.post({ kind: 'acknowledge', upTo: brandAs<EndNumber>(1) });
+  await pass(10);
+  t.is(port.questions.length, asked + 1);
+  t.is(Number(port.questions.at(-1)?.acknowledged), 1);
+});
+
+test('a lease goes on being renewed while a record takes long', async (t) => {
+  const { link, port, pass } = linkBench();
+  port.holds.push(port.held(), ...Array.from({ length: 20 }, () => port.held([end(1)])));
+  await link.start();
+  await pass(1000);
+  const asked = port.questions.length;
+  await pass(2000);
+  t.true(port.questions.length >= asked + 2);
+  t.true(port.questions.every(({ acknowledged }) => acknowledged === 0));
+});
+
+test('a silent worker is unreachable after two questions, and its lease is not asked for again', async (t) => {
+  const { link, port, pass, inputs } = linkBench();
+  port.holds.push(port.held(), 'silence', 'silence', 'silence');
+  await link.start();
+  await pass(3000);
+  const unreachable = inputs().find(({ kind }) => kind === 'unreachable');
+  t.truthy(unreachable);
+  t.not(port.questions[1]?.leaseEnd, undefined);
+  t.is(port.questions[2]?.leaseEnd, undefined);
+  if (unreachable?.kind === 'unreachable') {
+    // The lease of the second question, by a clock that is 2% slow.
+    t.true(unreachable.lapsesAt > 1000 + 4000 && unreachable.lapsesAt < 1000 + 4400);
+  }
+});
+
+test('an order without an answer is sent again until it is answered or withdrawn', async (t) => {
+  const { link, port, pass, inputs } = linkBench();
+  port.answers.push('silence', 'silence');
+  await link.start();
+  await pass(100);
+  link.post({ kind: 'order', order: START });
+  await pass(3000);
+  t.is(port.starts.length, 3);
+  t.is(inputs().filter(({ kind }) => kind === 'order_answered').length, 1);
+  port.answers.push('silence', 'silence');
+  const run = brandAs<RunNumber>(2);
+  link.post({ kind: 'order', order: { ...START, run } });
+  await pass(100);
+  link.post({ kind: 'withdraw', task: START.task, run });
+  await pass(3000);
+  t.is(port.starts.length, 4);
+});
+
+test('another life at the address ends the link', async (t) => {
+  const { link, port, pass, inputs } = linkBench();
+  port.holds.push(port.held(), { kind: 'other_life' });
+  await link.start();
+  await pass(1000);
+  const asked = port.questions.length;
+  t.is(inputs().at(-1)?.kind, 'other_life');
+  await pass(3000);
+  t.is(port.questions.length, asked);
+});
+
+test('a refusal by the fence makes the owner doubt', async (t) => {
+  const { link, port, pass, told } = linkBench();
+  port.holds.push({ kind: 'fenced' });
+  await link.start();
+  await pass(50);
+  t.true(told.some(({ kind }) => kind === 'fenced'));
+});
