--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -10,6 +10,7 @@
   type WallInstant,
 } from '@bamboowell/types/job';
 import { Allowances } from './allowance.js';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
@@ -30,6 +31,8 @@
 export const MAX_JOBS = 40_000;
 /** An ended job's state can be asked for so long, milliseconds; the platform asks for 120 s. */
 const ENDED_KEPT_MILLIS = 150_000;
+/** All jobs are looked through for old ones this often, milliseconds. */
+const FORGET_MILLIS = 1000;
 
 export class Lifecycle {
   /** Steps with tasks to start. */
@@ -38,6 +41,7 @@
   readonly stepped = new Set<Job>();
   private readonly repeating = new Set<Job>();
   private readonly allowances = new Allowances();
+  private forgetAt: Deadline = brandAs<Deadline>(0);
 
   constructor(
     private readonly context: JobContext,
@@ -159,11 +163,17 @@
     for (const job of this.repeating) {
       this.openDue(job);
     }
+    if (hasPassed(this.forgetAt, this.context.now)) {
+      this.forgetAt = deadlineAfter(this.context.now, FORGET_MILLIS);
+      this.forgetEnded();
+    }
+  }
+
+  private forgetEnded(): void {
     for (const job of this.context.jobs.values()) {
-      if (job.endedAt === undefined || job.endedAt + ENDED_KEPT_MILLIS > this.context.wall) {
-        continue;
+      if (job.endedAt !== undefined && job.endedAt + ENDED_KEPT_MILLIS <= this.context.wall) {
+        this.context.forget(job);
       }
-      this.context.forget(job);
     }
   }
 
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -33,8 +33,8 @@
 import type { MemberSettings } from './settings.js';
 import { Succession } from './succession.js';
 
-/** A store that answers faster than this, milliseconds, is in this region: less than one way between regions. */
-const NEAR_STORE_MILLIS = 25;
+/** A store that answers faster than this, milliseconds, is in this region: less than the way to another one and back. */
+const NEAR_STORE_MILLIS = 50;
 
 /** What the services of one process share. */
 export interface MemberEnvironment {
