--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -19,7 +19,6 @@
   isStepReady,
   newJob,
   newOccurrence,
-  waitingTasks,
   type Job,
   type Run,
   type Step,
@@ -290,8 +289,3 @@
     });
   }
 }
-
-/** Whether the step has a task to start now. */
-export function hasWaiting(step: Step): boolean {
-  return waitingTasks(step).length > 0;
-}
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -1,69 +1,13 @@
 import test from 'ava';
-import { brandAs, type QueueId, type TeamId } from '@bamboowell/types/ids';
-import type { JobConfiguration, JobId, JobPlan, StepPlan } from '@bamboowell/types/job';
-import { NOTHING, type Resources } from '@bamboowell/types/resources';
 import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
-
-const QUEUE = brandAs<QueueId>('plans');
-const TEAM = brandAs<TeamId>('aero');
-
-function cores(count: number): Resources {
-  return { ...NOTHING, millicores: count * 1000, memoryMib: 100 };
-}
-
-function configuration(version = 1): JobConfiguration {
-  const queue = {
-    id: QUEUE,
-    host: 'example',
-    pathPrefix: '/plans/',
-    service: 'tunnels',
-    priority: 1,
-    attempts: 3,
-    slackFactor: 2,
-    targetLatencyMillis: 1000,
-    timeoutMillis: 3000,
-    advice: { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 },
-    isPublic: false,
-  };
-  const team = { id: TEAM, keys: ['key'], weight: 10, limit: NOTHING };
-  return { version, queues: [queue], teams: [team], maxBodyBytes: 10_000 };
-}
-
-function step(changes: Partial<StepPlan> = {}): StepPlan {
-  return {
-    count: 1,
-    demand: cores(1),
-    estimateMillis: 500,
-    after: [],
-    savesProgress: false,
-    isGang: false,
-    prefersOneRack: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    maxPerWorker: 0,
-    allowsCopies: false,
-    isLasting: false,
-    usesLeftovers: false,
-    maxUnavailable: 0,
-    ...changes,
-  };
-}
-
-function jobId(number: number): JobId {
-  return brandAs<JobId>(number.toString(16).padStart(16, '0'));
-}
-
-function plan(number: number, steps: readonly StepPlan[] = [step()]): JobPlan {
-  const id = jobId(number);
-  return { id, queue: QUEUE, team: TEAM, payload: `job ${number}`, steps, repetition: undefined };
-}
+import { configurationOf, cores, jobIdOf, planOf, stepOf } from './troubles.fixture.js';
 
 const NAMES = ['m1', 'm2', 'm3'];
 
 /** A cluster of three members and four workers, with an owner that serves. */
 async function runningCluster(options: Partial<ClusterOptions> = {}) {
   const workers = ['w1', 'w2', 'w3', 'w4'].map((name) => ({ name, capacity: cores(4) }));
-  const cluster = emulatedCluster({ workers, configuration: configuration(), ...options });
+  const cluster = emulatedCluster({ workers, configuration: configurationOf(), ...options });
   await Promise.all(NAMES.map((name) => cluster.launch(name)));
   await cluster.run(800);
   return cluster;
@@ -88,14 +32,14 @@
 }
 
 async function stateAt(cluster: Cluster, member: string, job: number) {
-  return during(cluster, cluster.request(member, 'query', jobId(job)));
+  return during(cluster, cluster.request(member, 'query', jobIdOf(job)));
 }
 
 test('a job is taken by any member, runs, and is shown as completed by all', async (t) => {
   const cluster = await runningCluster();
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
   );
   t.deepEqual(reply, { kind: 'accepted', repeated: false });
   await cluster.run(1500);
@@ -107,15 +51,15 @@
 
 test('after the owner is killed another member serves within two seconds, and nothing runs twice', async (t) => {
   const cluster = await runningCluster();
-  const steps = [step({ count: 6, estimateMillis: 3000 })];
-  await during(cluster, cluster.request(follower(cluster), 'submit', jobId(1), plan(1, steps)));
+  const steps = [stepOf({ count: 6, estimateMillis: 3000 })];
+  await during(cluster, cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1, steps)));
   await cluster.run(500);
   const owner = cluster.ownerName() ?? '';
   const killedAt = cluster.now();
   cluster.kill(owner);
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobId(2), plan(2)),
+    cluster.request(follower(cluster), 'submit', jobIdOf(2), planOf(2)),
   );
   t.like(reply, { kind: 'accepted' });
   t.true(cluster.now() - killedAt < 2000, `served after ${cluster.now() - killedAt} ms`);
@@ -135,7 +79,7 @@
   const frozenAt = cluster.now();
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
   );
   t.like(reply, { kind: 'accepted' });
   t.true(cluster.now() - frozenAt < 2500, `served after ${cluster.now() - frozenAt} ms`);
@@ -150,8 +94,8 @@
 
 test('all members without power at once: what was accepted is taken up again', async (t) => {
   const cluster = await runningCluster();
-  const steps = [step({ count: 3, estimateMillis: 2000 }), step({ after: [0] })];
-  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  const steps = [stepOf({ count: 3, estimateMillis: 2000 }), stepOf({ after: [0] })];
+  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
   await cluster.run(300);
   NAMES.forEach((name) => {
     cluster.kill(name);
@@ -172,12 +116,12 @@
   }
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobId(1), plan(1)),
+    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
   );
   t.like(reply, { kind: 'accepted' });
   t.not(cluster.ownerName(), owner);
   // The member that the store refuses hands requests to the new owner.
-  t.like(await during(cluster, cluster.request(owner, 'submit', jobId(2), plan(2))), {
+  t.like(await during(cluster, cluster.request(owner, 'submit', jobIdOf(2), planOf(2))), {
     kind: 'accepted',
   });
   await cluster.run(2000);
@@ -186,13 +130,13 @@
 
 test('with the store away running work goes on, and an acceptance is refused or undecided in time', async (t) => {
   const cluster = await runningCluster();
-  const steps = [step({ count: 2, estimateMillis: 9000 })];
-  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  const steps = [stepOf({ count: 2, estimateMillis: 9000 })];
+  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
   await cluster.run(300);
   cluster.members.forEach(({ store }) => {
     store.mode = 'silent';
   });
-  const reply = await during(cluster, cluster.request('m1', 'submit', jobId(2), plan(2)));
+  const reply = await during(cluster, cluster.request('m1', 'submit', jobIdOf(2), planOf(2)));
   t.is(reply?.kind, 'undecided');
   await cluster.run(5000);
   const running = [...cluster.workers.values()].flatMap((worker) => worker.running());
@@ -210,12 +154,12 @@
 test('a member that retires answers what it has, and hands the work over at once', async (t) => {
   const cluster = await runningCluster();
   const owner = cluster.ownerName() ?? '';
-  const pending = cluster.request(owner, 'submit', jobId(1), plan(1));
+  const pending = cluster.request(owner, 'submit', jobIdOf(1), planOf(1));
   const retired = cluster.retire(owner);
   t.like(await during(cluster, pending), { kind: 'accepted' });
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobId(2), plan(2)),
+    cluster.request(follower(cluster), 'submit', jobIdOf(2), planOf(2)),
   );
   t.like(reply, { kind: 'accepted' });
   await during(cluster, retired);
@@ -235,16 +179,16 @@
   if (faults !== undefined) {
     faults.mode = 'silent';
   }
-  cluster.declare({ ...configuration(2), queues: [] });
+  cluster.declare({ ...configurationOf(2), queues: [] });
   await cluster.run(1000);
-  const reply = await during(cluster, cluster.request(member, 'submit', jobId(1), plan(1)));
+  const reply = await during(cluster, cluster.request(member, 'submit', jobIdOf(1), planOf(1)));
   t.deepEqual(reply, { kind: 'unknown_queue' });
 });
 
 test('a worker that only the owner cannot reach gets its tasks elsewhere after its lease', async (t) => {
   const cluster = await runningCluster();
-  const steps = [step({ count: 1, estimateMillis: 1500 })];
-  await during(cluster, cluster.request('m1', 'submit', jobId(1), plan(1, steps)));
+  const steps = [stepOf({ count: 1, estimateMillis: 1500 })];
+  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
   await cluster.run(100);
   const worker = [...cluster.workers.values()].find((each) => each.running().length > 0);
   const owner = cluster.members.get(cluster.ownerName() ?? '');
@@ -267,7 +211,7 @@
   const retired = cluster.retire(name, 2500);
   await cluster.run(1000);
   const askedAt = cluster.now();
-  const reply = await during(cluster, cluster.request(name, 'submit', jobId(1), plan(1)));
+  const reply = await during(cluster, cluster.request(name, 'submit', jobIdOf(1), planOf(1)));
   t.like(reply, { kind: 'refused', reason: 'no_owner' });
   t.true(cluster.now() - askedAt < 2500, 'sooner than its caller would have given up');
   await during(cluster, retired);
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -6,20 +6,12 @@
 import type { Reply } from '@bamboowell/kernel/ask';
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
-import { brandAs, type MemberId, type WorkerId } from '@bamboowell/types/ids';
-import type {
-  JobConfiguration,
-  LifeId,
-  Term,
-  WallInstant,
-  WorkerNotice,
-} from '@bamboowell/types/job';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
+import type { JobConfiguration, Term, WallInstant } from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { JobAnswer, JobInput, JobOutput, JobToken } from '@bamboowell/jobs/messages';
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
-import type { Restored } from '@bamboowell/jobs/records';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
-import { Commits } from './commits.js';
 import { allLeasesEnd } from './lease-clock.js';
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -29,7 +21,8 @@
 import type { Documents, WorkerPort } from './ports.js';
 import type { MemberSettings } from './settings.js';
 import type { AppendOutcome, Store } from './store.js';
-import { WorkerLinkTask } from './worker-link.js';
+import { isProved, newTenure, type Proof, type Tenure } from './tenure.js';
+import { WorkerLinks } from './worker-links.js';
 import { WorkersWatch } from './workers-watch.js';
 
 /** News is gathered for so long before a pass of placement, milliseconds: less than a store's answer. */
@@ -48,8 +41,6 @@
 const STORE_TROUBLE_MILLIS = 1000;
 /** An owner that heard neither the store nor a member for so long, milliseconds, renews no lease. */
 const ISOLATED_MILLIS = 2500;
-/** A proof of ownership is good for so long, milliseconds, to say that a job does not exist. */
-const PROOF_MILLIS = 1500;
 /** Advice that takes longer than its terms say by this, milliseconds, is given up. */
 const ADVICE_SLACK_MILLIS = 1500;
 /** Way to a member of another region and back, milliseconds; a first guess that is learned. */
@@ -70,36 +61,6 @@
   readonly wallMillis: () => number;
 }
 
-/** When the store last showed that the work is still ours, by both clocks. */
-interface Proof {
-  readonly at: Instant;
-  readonly wallMillis: number;
-}
-
-/** What a member has while it holds the work. */
-interface Tenure {
-  readonly term: Term;
-  readonly commits: Commits;
-  readonly watch: WorkersWatch;
-  readonly links: Map<LifeId, WorkerLinkTask>;
-  readonly notices: Map<WorkerId, WorkerNotice>;
-  readonly earlierLeasesEnd: Deadline;
-  areWorkersRead: boolean;
-  restored: Restored | undefined;
-  scheduler: JobScheduler | undefined;
-  proof: Proof | undefined;
-  lastAppendAt: Instant;
-  /** When the append on its way was first sent. */
-  appendingSince: Instant | undefined;
-  /** After a failed append the next one waits until then. */
-  appendAgainAt: Deadline;
-  figuresAt: Deadline;
-  /** The next append waits for more writes to come. */
-  isAppendDue: boolean;
-  isTroubled: boolean;
-  isFenced: boolean;
-}
-
 export class OwnerTask extends Task<OwnerMessage> {
   private tenure: Tenure | undefined;
   private ownership: MailAddress<OwnershipMessage> | undefined;
@@ -236,25 +197,19 @@
     this.standDown('elected_again');
     const { store, documents, events, settings } = this.options;
     const now = this.clock.now();
-    const tenure: Tenure = {
-      term,
-      commits: new Commits(term),
-      watch: new WorkersWatch(store, this.clock, documents, events, this),
-      links: new Map(),
-      notices: new Map(),
-      earlierLeasesEnd: allLeasesEnd(now, settings.longestLeaseMillis),
-      areWorkersRead: false,
-      restored: undefined,
-      scheduler: undefined,
-      proof: undefined,
-      lastAppendAt: now,
-      appendingSince: undefined,
-      appendAgainAt: deadlineAfter(now, 0),
-      figuresAt: deadlineAfter(now, 0),
-      isAppendDue: false,
-      isTroubled: false,
-      isFenced: false,
-    };
+    const links = new WorkerLinks(
+      {
+        port: this.options.workers,
+        term,
+        owner: this,
+        longestLeaseMillis: settings.longestLeaseMillis,
+        mayRenew: () => this.mayRenew(tenure),
+      },
+      this.clock,
+    );
+    const watch = new WorkersWatch(store, this.clock, documents, events, this);
+    const earlierLeasesEnd = allLeasesEnd(now, settings.longestLeaseMillis);
+    const tenure = newTenure({ term, watch, links, earlierLeasesEnd }, now);
     this.tenure = tenure;
     events.event('owner.elected', { term });
     tenure.watch.start();
@@ -359,24 +314,22 @@
         this.answer(tenure, token, answer);
       })
       .with({ kind: 'order' }, ({ life, order }) => {
-        tenure.links.get(life)?.post({ kind: 'order', order });
+        tenure.links.post(life, { kind: 'order', order });
       })
       .with({ kind: 'withdraw' }, ({ life, task, run }) => {
-        tenure.links.get(life)?.post({ kind: 'withdraw', task, run });
+        tenure.links.post(life, { kind: 'withdraw', task, run });
       })
       .with({ kind: 'acknowledge' }, ({ life, upTo }) => {
-        tenure.links.get(life)?.post({ kind: 'acknowledge', upTo });
+        tenure.links.post(life, { kind: 'acknowledge', upTo });
       })
       .with({ kind: 'ask_advice' }, (question) => {
         this.askAdvice(tenure, question);
       })
       .with({ kind: 'meet' }, ({ notice, lapsesAt }) => {
-        this.meet(tenure, notice, lapsesAt);
+        tenure.links.open(notice, lapsesAt);
       })
       .with({ kind: 'part' }, ({ life }) => {
-        const link = tenure.links.get(life);
-        tenure.links.delete(life);
-        void link?.stop();
+        tenure.links.close(life);
       })
       .with({ kind: 'event' }, ({ name, fields }) => {
         this.options.events.event(name, { ...fields, term: tenure.term });
@@ -385,7 +338,10 @@
   }
 
   private answer(tenure: Tenure, token: JobToken, answer: JobAnswer): void {
-    if (answer.kind === 'unknown_job' && !this.isProved(tenure)) {
+    if (
+      answer.kind === 'unknown_job' &&
+      !isProved(tenure, this.clock.now(), this.options.wallMillis())
+    ) {
       this.unproved.push(token);
       return;
     }
@@ -398,33 +354,6 @@
     pending?.(reply);
   }
 
-  /** Both clocks count: the steady one stands still while a machine is suspended. */
-  private isProved({ proof }: Tenure): boolean {
-    return (
-      proof !== undefined &&
-      this.clock.now() - proof.at < PROOF_MILLIS &&
-      Math.abs(this.options.wallMillis() - proof.wallMillis) < PROOF_MILLIS
-    );
-  }
-
-  private meet(tenure: Tenure, notice: WorkerNotice, lapsesAt: Deadline): void {
-    const { workers, settings } = this.options;
-    const link = new WorkerLinkTask(
-      {
-        port: workers,
-        target: { id: notice.id, life: notice.life, address: notice.address },
-        term: tenure.term,
-        owner: this,
-        earlierLeaseEnds: lapsesAt,
-        longestLeaseMillis: settings.longestLeaseMillis,
-        mayRenew: () => this.mayRenew(tenure),
-      },
-      this.clock,
-    );
-    tenure.links.set(notice.life, link);
-    void link.start();
-  }
-
   private mayRenew(tenure: Tenure): boolean {
     const lastProof = tenure.proof?.at ?? 0;
     const isHeard = this.members.size > 1 || this.clock.now() - lastProof < ISOLATED_MILLIS;
@@ -623,9 +552,7 @@
     this.tenure = undefined;
     tenure.isFenced = true;
     tenure.watch.stop();
-    tenure.links.forEach((link) => {
-      void link.stop();
-    });
+    tenure.links.closeAll();
     this.unproved.splice(0);
     [...this.pending.keys()].forEach((token) => {
       this.reply(token, { kind: 'unknown' });
--- /dev/null
+++ b/packages/member/src/worker-links.ts
@@ -0,0 +1,55 @@
+/** The owner's links to workers, by the life that each one is for. */
+
+import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
+import type { Clock } from '@bamboowell/kernel/clock';
+import type { LifeId, Term, WorkerNotice } from '@bamboowell/types/job';
+import type { Deadline } from '@bamboowell/types/time';
+import type { OwnerMessage } from './owner-messages.js';
+import type { WorkerPort } from './ports.js';
+import { WorkerLinkTask, type WorkerLinkMessage } from './worker-link.js';
+
+export interface WorkerLinksOptions {
+  readonly port: WorkerPort;
+  readonly term: Term;
+  readonly owner: MailAddress<OwnerMessage>;
+  readonly longestLeaseMillis: number;
+  /** Whether leases may still be renewed. */
+  readonly mayRenew: () => boolean;
+}
+
+export class WorkerLinks {
+  private readonly links = new Map<LifeId, WorkerLinkTask>();
+
+  constructor(
+    private readonly options: WorkerLinksOptions,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Begins to talk to a worker; an earlier owner's lease there may run until `lapsesAt`. */
+  open({ id, life, address }: WorkerNotice, lapsesAt: Deadline): void {
+    const target = { id, life, address };
+    const link = new WorkerLinkTask(
+      { ...this.options, target, earlierLeaseEnds: lapsesAt },
+      this.clock,
+    );
+    this.links.set(life, link);
+    void link.start();
+  }
+
+  /** Hands a message to the link of a life; one that is over needs none. */
+  post(life: LifeId, message: WorkerLinkMessage): void {
+    this.links.get(life)?.post(message);
+  }
+
+  close(life: LifeId): void {
+    const link = this.links.get(life);
+    this.links.delete(life);
+    void link?.stop();
+  }
+
+  closeAll(): void {
+    [...this.links.keys()].forEach((life) => {
+      this.close(life);
+    });
+  }
+}
