--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 
 /** Names of the platform's formats and calls; only `platform/` may know them. */
 const PLATFORM_NAMES =
-  /run-start|run-stop|log-append|log-read|log-newest|log-join|machine-move|machine-upkeep|fencingToken|ackedUpto|deadlineMs|enforceCapacity|X-Lease-Holder|X-Expected-Instance|BAMBOOWELL_BOOT|keyed\.|grantToken|estimateMs|maxPerServer|speculative/;
+  /run-start|run-stop|log-append|log-read|log-newest|log-join|machine-move|machine-upkeep|fencingToken|ackedUpto|deadlineMs|enforceCapacity|X-Lease-Holder|X-Expected-Instance|BAMBOOWELL_BOOT|keyed\.|grantToken|requiredLabel|dataRack|slackFactor|maxUnavailable|estimateMs|maxPerServer|speculative/;
 
 /** What the platform's folder may use of the product: types, ports and services, but no decisions. */
 const DECISIONS = ['@bamboowell/policy/*', '@bamboowell/owner/*', '@bamboowell/jobs/scheduler'];
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -159,7 +159,7 @@
   service: '',
   priority: 0,
   attempts: 0,
-  slackFactor: 0,
+  objectiveFactor: 0,
   targetLatencyMillis: 0,
   timeoutMillis: 0,
   advice: undefined,
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -19,7 +19,7 @@
   const { plan, queue } = step.job;
   const steps = plan?.steps ?? [];
   const chain = longestChainMillis(steps);
-  return queue.slackFactor * chain + queue.targetLatencyMillis;
+  return queue.objectiveFactor * chain + queue.targetLatencyMillis;
 }
 
 function longestChainMillis(
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -270,7 +270,7 @@
 function suits({ notice }: Worker, { plan, job }: Step): boolean {
   return (
     notice.service === job.queue.service &&
-    (plan.requiredLabel === undefined || notice.labels.includes(plan.requiredLabel)) &&
+    (plan.neededLabel === undefined || notice.labels.includes(plan.neededLabel)) &&
     fits(roomOf(plan), notice.capacity)
   );
 }
@@ -338,7 +338,7 @@
   { worker, room }: Site,
   rack: RackId | undefined,
 ): number {
-  const isFar = plan.dataRack !== undefined && worker.notice.rack !== plan.dataRack;
+  const isFar = plan.rackOfData !== undefined && worker.notice.rack !== plan.rackOfData;
   const leavesRack = plan.prefersOneRack && rack !== undefined && worker.notice.rack !== rack;
   const hasFailed = task.failedOn.has(worker.id);
   const penalties = Number(isFar) + Number(leavesRack) + 2 * Number(hasFailed);
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -463,9 +463,7 @@
 test('labels and the bound of tasks on a worker are kept', (t) => {
   const fast = workerNotice('fast', { labels: ['b', 'r2'] });
   const bench = readyBench({ workers: [W1, fast] });
-  bench.submit(
-    jobPlan(1, { steps: [stepPlan({ count: 4, requiredLabel: 'b', maxPerWorker: 2 })] }),
-  );
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 4, neededLabel: 'b', maxPerWorker: 2 })] }));
   bench.commit();
   t.deepEqual(
     bench.place().map(({ life }) => life),
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -49,9 +49,9 @@
   /** Whether tasks on more than one rack take longer. */
   readonly prefersOneRack: boolean;
   /** Label that a worker must have. */
-  readonly requiredLabel: string | undefined;
+  readonly neededLabel: string | undefined;
   /** Rack near the step's data. */
-  readonly dataRack: RackId | undefined;
+  readonly rackOfData: RackId | undefined;
   /** Most tasks of the step on one worker; zero for no bound. */
   readonly maxPerWorker: number;
   /** Whether copies of a task may run side by side. */
@@ -61,7 +61,7 @@
   /** Whether the tasks use only processor time that others leave, and take no room for it. */
   readonly usesLeftovers: boolean;
   /** Most lasting tasks that may be away through our own doing; zero for no bound. */
-  readonly maxUnavailable: number;
+  readonly mayBeAway: number;
 }
 
 /** When a job's steps run again. */
@@ -130,7 +130,7 @@
   /** Failed runs of a task after which its job has failed. */
   readonly attempts: number;
   /** A job is on time within this many times its longest chain of work, and the latency target more. */
-  readonly slackFactor: number;
+  readonly objectiveFactor: number;
   readonly targetLatencyMillis: number;
   readonly timeoutMillis: number;
   readonly advice: AdviceTerms | undefined;
