--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -6,7 +6,7 @@
 
 await build({
   entryPoints: [`${root}platform/src/main.ts`],
-  outfile: process.argv[2] ?? `${root}target/bamboowelld.mjs`,
+  outfile: `${root}target/bamboowelld.mjs`,
   bundle: true,
   minify: true,
   platform: 'node',
