Answer requests that arrived while the daemon stood still

Cause: after a suspension, the timers of idle connections come due before the sockets are read, so a daemon that wakes closes connections on which a request waits, and the caller gets a reset. Ruled out: the limits on headers and on whole requests, which are minutes, and the client's own idle limit, which starts again with the request. Change: an idle connection is closed a turn later, and only if nothing was read from it meanwhile. The platform's ingress keeps its connections 75 s and isn't changed.

--- a/packages/daemon/src/certificates.test.ts
+++ b/packages/daemon/src/certificates.test.ts
@@ -82,6 +82,7 @@
     maxConnections: 10,
     headersMillis: 5_000,
     requestMillis: 5_000,
+    idleMillis: 5_000,
   });
   const address = await server.listen();
   const events = new QueuedEvents();
--- a/packages/daemon/src/front-service.ts
+++ b/packages/daemon/src/front-service.ts
@@ -31,6 +31,9 @@
 /** How long the answer to a readiness check may take, milliseconds. */
 const READINESS_MILLIS = 1_000;
 
+/** How long callers' idle connections stay open, milliseconds: the default of Node's server. */
+const IDLE_MILLIS = 5_000;
+
 export class FrontService extends Service<FrontHandle> {
   readonly key = FRONT;
   readonly needs = [EVENTS, COUNTERS, MEMBERS, CELL, SHARDS, ROUTING, ROUTER];
@@ -59,6 +62,7 @@
       maxConnections: callers.maxConnections,
       headersMillis: callers.headerMillis,
       requestMillis: callers.requestMillis,
+      idleMillis: IDLE_MILLIS,
     });
     this.server = server;
     this.servePeers(directory);
--- a/packages/front/src/http-server.test.ts
+++ b/packages/front/src/http-server.test.ts
@@ -16,6 +16,7 @@
     maxConnections: 100,
     headersMillis: FAR_MILLIS,
     requestMillis: FAR_MILLIS,
+    idleMillis: 5_000,
     ...bounds,
   });
   const address = await server.listen();
@@ -82,6 +83,14 @@
   return caller;
 }
 
+/** Node's server closes an idle connection up to this long after its time, milliseconds. */
+const SERVER_MARGIN_MILLIS = 1_000;
+
+/** Holds the whole process, timers and sockets, as a suspension does. */
+function standStill(millis: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, millis);
+}
+
 const START = `POST ${CALLER}Submit HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n`;
 const HEALTH = 'GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n';
 const ALIVE = /HTTP\/1\.1 200 OK[\s\S]*?alive/;
@@ -157,6 +166,24 @@
   await servesOn(t, address);
 });
 
+test('an idle connection is ended', async (t) => {
+  const { address } = await served(t, { idleMillis: 50 });
+  const caller = await called(t, address);
+  caller.socket.write(HEALTH);
+  t.regex(await caller.rest(), ALIVE);
+});
+
+test('a request that arrived while the process stood still is answered', async (t) => {
+  const idleMillis = 200;
+  const { address } = await served(t, { idleMillis });
+  const caller = await called(t, address);
+  caller.socket.write(HEALTH);
+  t.regex(await caller.receive(ALIVE), ALIVE);
+  caller.socket.write(HEALTH);
+  standStill(idleMillis + 2 * SERVER_MARGIN_MILLIS);
+  t.regex(await caller.receive(ALIVE), ALIVE);
+});
+
 test('headers above their bound are refused', async (t) => {
   const { address } = await served(t);
   const caller = await called(t, address);
--- a/packages/front/src/http-server.ts
+++ b/packages/front/src/http-server.ts
@@ -2,7 +2,7 @@
 
 import { createServer as createHttpServer, type Server } from 'node:http';
 import { createServer as createHttpsServer } from 'node:https';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
 import type { Address } from '@bamboowell/types/vm';
@@ -22,6 +22,8 @@
   readonly headersMillis: number;
   /** Longest time that a whole request may take to arrive, milliseconds. */
   readonly requestMillis: number;
+  /** How long a connection stays open after an answer without a further request, milliseconds. */
+  readonly idleMillis: number;
 }
 
 /** Longest headers of one request, bytes. */
@@ -47,6 +49,7 @@
             (request, response) => void listener(request, response),
           );
     this.server.maxConnections = options.maxConnections;
+    this.server.on('timeout', closeIfSilent);
   }
 
   listen(): Promise<Address> {
@@ -85,10 +88,24 @@
   }
 }
 
-function boundsOf({ headersMillis, requestMillis }: HttpServerOptions) {
+/**
+ * Closes an idle connection unless a request waits on it. After the process stood still, its
+ * timers come due before it reads what arrived meanwhile; to close then would reset a request.
+ */
+function closeIfSilent(socket: Socket): void {
+  const before = socket.bytesRead;
+  setImmediate(() => {
+    if (socket.bytesRead === before) {
+      socket.destroy();
+    }
+  });
+}
+
+function boundsOf({ headersMillis, requestMillis, idleMillis }: HttpServerOptions) {
   return {
     headersTimeout: headersMillis,
     requestTimeout: requestMillis,
+    keepAliveTimeout: idleMillis,
     connectionsCheckingInterval: Math.min(headersMillis, MAX_CHECK_MILLIS),
     maxHeaderSize: MAX_HEADER_BYTES,
   };
