Pass over waiting steps before looking at workers

Logs of the overloaded seconds 5 to 8 show 25 to 40 starts a second with free room, started as soon as their advice came, and calls for advice that took 2.4 s instead of 0.8: the owner was busy. Ruled out: room (starts followed advice at once), the members' time for advice (9 open calls could have given 100 answers a second). Change: a step without a ticket, or bigger than what is left on any worker, costs no look at the workers; members' lanes and plans' chains are kept instead of worked out again; a pass is followed by a pause of its own length. Placing is split into asking, assigning and sites.

--- a/packages/jobs/src/advice-desk.ts
+++ b/packages/jobs/src/advice-desk.ts
@@ -28,20 +28,29 @@
 export class AdviceDesk {
   private readonly advisers = new Map<MemberId, Adviser>();
   private readonly calls = new Map<StepId, OpenCall>();
+  /** By nearness; sorted again when it is needed after a change. */
+  private sorted: readonly Adviser[] | undefined;
 
   /** A member can ask from now on; `extraMillis` is a first guess of its way there and back. */
   add(member: MemberId, extraMillis: number): void {
+    this.sorted = undefined;
     this.advisers.set(member, { member, extraMillis, openCalls: 0, openMillis: 0 });
   }
 
   /** The member is gone; returns the steps whose calls went with it. */
   remove(member: MemberId): StepId[] {
+    this.sorted = undefined;
     this.advisers.delete(member);
     const lost = [...this.calls].filter(([, { adviser }]) => adviser.member === member);
     lost.forEach(([step]) => this.calls.delete(step));
     return lost.map(([step]) => step);
   }
 
+  /** Whether a member can take a further call of such terms. */
+  isFree(terms: AdviceTerms): boolean {
+    return this.lane(terms).some(({ openCalls }) => openCalls < MAX_OPEN_CALLS);
+  }
+
   /** Opens a call with the member that will answer soonest, or nothing if all have enough to do. */
   open(step: StepId, terms: AdviceTerms, workers: number): MemberId | undefined {
     const millis = terms.baseMillis + terms.perWorkerMillis * workers;
@@ -72,15 +81,17 @@
     if (tookMillis !== undefined && adviser.openCalls === 0) {
       const extra = Math.max(0, tookMillis - millis);
       adviser.extraMillis += LEARNING_RATE * (extra - adviser.extraMillis);
+      this.sorted = undefined;
     }
   }
 
   /** The members that take calls of such terms: the nearest take the short ones. */
-  private lane(terms: AdviceTerms): Adviser[] {
-    const all = [...this.advisers.values()].sort(
+  private lane(terms: AdviceTerms): readonly Adviser[] {
+    this.sorted ??= [...this.advisers.values()].sort(
       (left, right) =>
         left.extraMillis - right.extraMillis || (left.member < right.member ? -1 : 1),
     );
+    const all = this.sorted;
     if (all.length < 2) {
       return all;
     }
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -78,6 +78,8 @@
   doneCount: number;
   /** By worker; an expired one still tells that the worker is allowed. */
   readonly grants: Map<WorkerId, Grant>;
+  /** The newest tickets hold until then. */
+  ticketsUntil: Deadline;
   /** Workers on which there was advice. */
   readonly advisedOn: Set<WorkerId>;
   /** Workers named in the call for advice that is open, if one is. */
@@ -228,6 +230,7 @@
     tasks: [],
     doneCount: 0,
     grants: new Map(),
+    ticketsUntil: brandAs<Deadline>(0),
     advisedOn: new Set(),
     asking: undefined,
     readySince: undefined,
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -1,5 +1,6 @@
 /** Which step is placed first. */
 
+import type { JobPlan, StepPlan } from '@bamboowell/types/job';
 import type { JobContext } from './context.js';
 import type { Step } from './model.js';
 
@@ -14,17 +15,26 @@
   return plan.count * Math.max(1, plan.demand.millicores / 1000) * Math.max(1, plan.estimateMillis);
 }
 
-/** When the job stops being on time, by its estimate: what it still needs counts from its start. */
-export function onTimeMillis(step: Step): number {
-  const { plan, queue } = step.job;
-  const steps = plan?.steps ?? [];
-  const chain = longestChainMillis(steps);
-  return queue.objectiveFactor * chain + queue.targetLatencyMillis;
+/** How long after its acceptance the job stops being on time, by its estimates, milliseconds. */
+export function onTimeMillis({ job }: Step): number {
+  const chain = job.plan === undefined ? 0 : chainOf(job.plan);
+  return job.queue.objectiveFactor * chain + job.queue.targetLatencyMillis;
 }
 
-function longestChainMillis(
-  steps: readonly { readonly estimateMillis: number; readonly after: readonly number[] }[],
-): number {
+/** Plans never change, and all waiting steps are ranked many times a second. */
+const chains = new WeakMap<JobPlan, number>();
+
+function chainOf(plan: JobPlan): number {
+  const known = chains.get(plan);
+  if (known !== undefined) {
+    return known;
+  }
+  const chain = longestChainMillis(plan.steps);
+  chains.set(plan, chain);
+  return chain;
+}
+
+function longestChainMillis(steps: readonly StepPlan[]): number {
   const ends: number[] = [];
   for (const { estimateMillis, after } of steps) {
     const begin = Math.max(0, ...after.map((index) => ends[index] ?? 0));
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -18,6 +18,11 @@
   /** @param workers how many there are. */
   constructor(private readonly workers: number) {}
 
+  /** Whether no more may be kept in this pass. */
+  get isFull(): boolean {
+    return this.kept.size >= this.workers * MAX_KEPT_PART;
+  }
+
   /** Whether the worker is kept for a step that goes before. */
   isKept(worker: Worker): boolean {
     return this.kept.has(worker);
@@ -31,7 +36,7 @@
       .sort((left, right) => right.tasks - left.tasks || roomier(left.site, right.site));
     let missing = step.plan.count;
     for (const { site, tasks } of ranked) {
-      if (missing <= 0 || this.kept.size >= this.workers * MAX_KEPT_PART) {
+      if (missing <= 0 || this.isFull) {
         return;
       }
       this.kept.add(site.worker);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -7,6 +7,7 @@
 import type { JobConfiguration, LifeId, WallInstant, WorkerNotice } from '@bamboowell/types/job';
 import { NOTHING } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
+import { Asking } from './asking.js';
 import { AdviceDesk } from './advice-desk.js';
 import { JobContext } from './context.js';
 import { Foresight } from './foresight.js';
@@ -43,6 +44,7 @@
   private readonly lifecycle: Lifecycle;
   private readonly orders: Orders;
   private readonly reports: Reports;
+  private readonly asking: Asking;
   private readonly placing: Placing;
   private readonly stalls: Stalls;
   private readonly foresight: Foresight;
@@ -66,12 +68,13 @@
     });
     this.reports = new Reports(context, this.lifecycle, this.orders, trust);
     this.stalls = new Stalls(context, this.orders);
+    this.asking = new Asking(context, this.desk, (worker) => this.placing.isThere(worker));
     this.placing = new Placing(
       context,
       this.lifecycle,
       this.orders,
       trust,
-      this.desk,
+      this.asking,
       options.ordering,
     );
     this.foresight = new Foresight(context, this.lifecycle, this.placing);
@@ -164,13 +167,13 @@
         this.context.hasNews = true;
       })
       .with({ kind: 'adviser_gone' }, ({ member }) => {
-        this.placing.adviserGone(member);
+        this.asking.adviserGone(member);
       })
       .with({ kind: 'advice' }, (advice) => {
-        this.takeAdvice(advice);
+        this.asking.take(advice);
       })
       .with({ kind: 'no_advice' }, ({ step }) => {
-        this.placing.noAdvice(step);
+        this.asking.noAdvice(step);
       })
       .with({ kind: 'committed' }, ({ batch }) => {
         this.context.committed(batch);
@@ -191,25 +194,6 @@
     this.foresight.look();
   }
 
-  private takeAdvice(advice: Extract<JobInput, { kind: 'advice' }>): void {
-    this.desk.close(advice.step, advice.tookMillis);
-    const step = this.context.step(advice.step);
-    if (step === undefined) {
-      return;
-    }
-    step.asking?.forEach((id) => step.advisedOn.add(id));
-    step.asking = undefined;
-    for (const { worker, ticket } of advice.granted) {
-      step.grants.set(worker, { ticket, until: advice.until });
-    }
-    this.context.hasNews = true;
-    this.context.event('advice.taken', {
-      step: advice.step,
-      granted: advice.granted.length,
-      tookMillis: Math.round(advice.tookMillis),
-    });
-  }
-
   private noteWorker(notice: WorkerNotice): void {
     const known = this.context.workers.get(notice.life);
     if (known !== undefined) {
--- /dev/null
+++ b/packages/jobs/src/sites.ts
@@ -0,0 +1,40 @@
+/** The workers that may get work in one pass of placement, and the room that is left on each. */
+
+import type { RackId, WorkerId } from '@bamboowell/types/ids';
+import { fits, subtract, type Resources } from '@bamboowell/types/resources';
+import { roomOf, type Step, type Worker } from './model.js';
+
+/** A worker that may get work in this pass, and the room that is left on it. */
+export interface Site {
+  readonly worker: Worker;
+  room: Resources;
+}
+
+export function siteOf(worker: Worker): Site {
+  return { worker, room: subtract(worker.notice.capacity, worker.used) };
+}
+
+/** Whether the worker could hold a task of the step if it were empty. */
+export function suits({ notice }: Worker, { plan, job }: Step): boolean {
+  return (
+    notice.service === job.queue.service &&
+    (plan.neededLabel === undefined || notice.labels.includes(plan.neededLabel)) &&
+    fits(roomOf(plan), notice.capacity)
+  );
+}
+
+/** Takes a task's room from the site and counts it among those of its step there. */
+export function take(site: Site, demand: Resources, onWorker: Map<WorkerId, number>): void {
+  site.room = subtract(site.room, demand);
+  onWorker.set(site.worker.id, (onWorker.get(site.worker.id) ?? 0) + 1);
+}
+
+/** The racks of the sites, those with the most room first. */
+export function racksOf(sites: readonly Site[]): (RackId | undefined)[] {
+  const rooms = new Map<RackId | undefined, number>();
+  for (const { worker, room } of sites) {
+    const { rack } = worker.notice;
+    rooms.set(rack, (rooms.get(rack) ?? 0) + room.millicores);
+  }
+  return [...rooms].sort(([, left], [, right]) => right - left).map(([rack]) => rack);
+}
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -8,7 +8,13 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import { brandAs, type MemberId } from '@bamboowell/types/ids';
 import type { JobConfiguration, Term, WallInstant } from '@bamboowell/types/job';
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import {
+  deadlineAfter,
+  hasPassed,
+  later,
+  type Deadline,
+  type Instant,
+} from '@bamboowell/types/time';
 import type { JobAnswer, JobInput, JobOutput, JobToken } from '@bamboowell/jobs/messages';
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
@@ -27,6 +33,8 @@
 
 /** News is gathered for so long before a pass of placement, milliseconds: less than a store's answer. */
 const PASS_GAP_MILLIS = 3;
+/** A pass is followed by a pause of its own length times this: leases and answers never wait for long. */
+const PASS_PAUSE_FACTOR = 1;
 /** What is due by time is looked at this often, milliseconds. */
 const BEAT_MILLIS = 100;
 /** An owner with nothing to write appends a keep-alive after this, milliseconds, so that it is seen to live. */
@@ -71,6 +79,7 @@
   private readonly unproved: JobToken[] = [];
   private lastToken = 0;
   private isPassDue = false;
+  private nextPassAt: Deadline = brandAs<Deadline>(0);
   private resigning: Reply<Term | undefined> | undefined;
 
   constructor(
@@ -163,7 +172,7 @@
       })
       .with({ kind: 'pass' }, () => {
         this.isPassDue = false;
-        this.input({ kind: 'place' });
+        this.pass();
       })
       .with({ kind: 'beat' }, () => {
         this.postAt(deadlineAfter(this.clock.now(), BEAT_MILLIS), { kind: 'beat' });
@@ -283,11 +292,19 @@
     this.afterInput(tenure);
   }
 
+  private pass(): void {
+    const startedAt = this.clock.now();
+    this.input({ kind: 'place' });
+    const now = this.clock.now();
+    this.nextPassAt = deadlineAfter(now, PASS_PAUSE_FACTOR * (now - startedAt));
+  }
+
   private afterInput(tenure: Tenure): void {
     this.append(tenure);
     if (tenure.scheduler?.wantsPlacement === true && !this.isPassDue) {
       this.isPassDue = true;
-      this.postAt(deadlineAfter(this.clock.now(), PASS_GAP_MILLIS), { kind: 'pass' });
+      const gatheredAt = deadlineAfter(this.clock.now(), PASS_GAP_MILLIS);
+      this.postAt(later(gatheredAt, this.nextPassAt), { kind: 'pass' });
     }
   }
 
--- a/packages/types/src/time.ts
+++ b/packages/types/src/time.ts
@@ -36,3 +36,8 @@
 export function earlier(left: Deadline, right: Deadline): Deadline {
   return left < right ? left : right;
 }
+
+/** The later of two. */
+export function later(left: Deadline, right: Deadline): Deadline {
+  return left >= right ? left : right;
+}
