Split appends, calls for advice and pending requests off the owner's task

What is brought into the store, with its repeats and its proof of ownership, is WorkAppends; members' calls for advice are AdviceCalls; requests without an answer are PendingRequests.

--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -15,9 +15,10 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
-import type { JobAnswer, JobInput, JobOutput, JobToken } from '@bamboowell/jobs/messages';
+import type { JobInput, JobOutput } from '@bamboowell/jobs/messages';
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
+import { AdviceCalls } from './advice-calls.js';
 import { allLeasesEnd } from './lease-clock.js';
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -26,8 +27,10 @@
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { Documents, WorkerPort } from './ports.js';
 import type { MemberSettings } from './settings.js';
-import type { AppendOutcome, Store } from './store.js';
-import { isProved, newTenure, type Proof, type Tenure } from './tenure.js';
+import type { Store } from './store.js';
+import { newTenure, type Tenure } from './tenure.js';
+import { WorkAppends, type AppendResult } from './work-appends.js';
+import { PendingRequests } from './pending-requests.js';
 import { WorkerLinks } from './worker-links.js';
 import { WorkersWatch } from './workers-watch.js';
 
@@ -37,27 +40,12 @@
 const PASS_PAUSE_FACTOR = 1;
 /** What is due by time is looked at this often, milliseconds. */
 const BEAT_MILLIS = 100;
-/** An owner with nothing to write appends a keep-alive after this, milliseconds, so that it is seen to live. */
-const KEEP_ALIVE_MILLIS = 200;
-/** One append is given up and repeated after this, milliseconds: far above the store's 4 ms. */
-const APPEND_MILLIS = 800;
-/** Writes are gathered for so long after the last append, milliseconds: calls of the store have a price. */
-const GATHER_MILLIS = 10;
-/** Pause before an append is repeated, milliseconds. */
-const APPEND_RETRY_MILLIS = 60;
-/** An append without an answer for so long, milliseconds, means that another member should try. */
-const STORE_TROUBLE_MILLIS = 1000;
 /** An owner that heard neither the store nor a member for so long, milliseconds, renews no lease. */
 const ISOLATED_MILLIS = 2500;
-/** Advice that takes longer than its terms say by this, milliseconds, is given up. */
-const ADVICE_SLACK_MILLIS = 1500;
 /** Way to a member of another region and back, milliseconds; a first guess that is learned. */
 const FAR_WAY_MILLIS = 60;
 /** The owner's figures are told this often, milliseconds. */
 const FIGURES_MILLIS = 5000;
-/** Key of the record by which an owner fences earlier ones and shows that it lives. */
-const ALIVE_KEY = 'alive';
-
 export interface OwnerOptions {
   readonly settings: MemberSettings;
   readonly store: Store;
@@ -74,10 +62,8 @@
   private ownership: MailAddress<OwnershipMessage> | undefined;
   private configuration: JobConfiguration | undefined;
   private readonly members = new Map<MemberId, MemberPort>();
-  private readonly pending = new Map<JobToken, Reply<OwnerReply>>();
-  /** Answers that a job does not exist, until the store has shown that the work is still ours. */
-  private readonly unproved: JobToken[] = [];
-  private lastToken = 0;
+  private readonly requests = new PendingRequests();
+  private readonly advice: AdviceCalls;
   private isPassDue = false;
   private nextPassAt: Deadline = brandAs<Deadline>(0);
   private resigning: Reply<Term | undefined> | undefined;
@@ -88,6 +74,7 @@
   ) {
     super('owner', clock, OWNER_MAILBOX);
     this.members.set(options.self.member, options.self);
+    this.advice = new AdviceCalls(clock, options.events, this);
   }
 
   protected override opened(): void {
@@ -166,8 +153,7 @@
       })
       .with({ kind: 'append' }, ({ term }) => {
         if (this.tenure?.term === term) {
-          this.tenure.isAppendDue = false;
-          this.append(this.tenure);
+          this.tenure.appends.reminded();
         }
       })
       .with({ kind: 'pass' }, () => {
@@ -218,17 +204,31 @@
     );
     const watch = new WorkersWatch(store, this.clock, documents, events, this);
     const earlierLeasesEnd = allLeasesEnd(now, settings.longestLeaseMillis);
-    const tenure = newTenure({ term, watch, links, earlierLeasesEnd }, now);
+    const appends = this.appendsOf(term);
+    const tenure = newTenure({ term, appends, watch, links, earlierLeasesEnd }, now);
     this.tenure = tenure;
     events.event('owner.elected', { term });
     tenure.watch.start();
-    this.keepAlive(tenure);
-  }
-
-  private keepAlive(tenure: Tenure): void {
-    const value = JSON.stringify({ term: tenure.term, member: this.options.settings.member });
-    tenure.commits.addWrites([{ key: ALIVE_KEY, value }]);
-    this.append(tenure);
+    appends.keepAlive(settings.member);
+  }
+
+  private appendsOf(term: Term): WorkAppends {
+    const { store, events, wallMillis } = this.options;
+    return new WorkAppends({
+      term,
+      store,
+      events,
+      wallMillis,
+      clock: this.clock,
+      owner: this,
+      remindAt: (at) => {
+        this.postAt(at, { kind: 'append', term });
+      },
+      takeBatch: () => this.tenure?.scheduler?.takeBatch(),
+      committed: (batch) => {
+        this.input({ kind: 'committed', batch });
+      },
+    });
   }
 
   private load(tenure: Tenure): void {
@@ -300,7 +300,7 @@
   }
 
   private afterInput(tenure: Tenure): void {
-    this.append(tenure);
+    tenure.appends.send();
     if (tenure.scheduler?.wantsPlacement === true && !this.isPassDue) {
       this.isPassDue = true;
       const gatheredAt = deadlineAfter(this.clock.now(), PASS_GAP_MILLIS);
@@ -313,10 +313,7 @@
       reply({ kind: 'not_taken' });
       return;
     }
-    this.lastToken += 1;
-    const token = brandAs<JobToken>(this.lastToken);
-    this.pending.set(token, reply);
-    this.input(inputOf(request, token));
+    this.input(this.requests.add(request, reply));
   }
 
   private carryOut(tenure: Tenure, outputs: readonly JobOutput[]): void {
@@ -328,7 +325,7 @@
   private carryOutOne(tenure: Tenure, output: JobOutput): void {
     match(output)
       .with({ kind: 'answer' }, ({ token, answer }) => {
-        this.answer(tenure, token, answer);
+        this.requests.answer(token, answer, tenure.appends.isProved);
       })
       .with({ kind: 'order' }, ({ life, order }) => {
         tenure.links.post(life, { kind: 'order', order });
@@ -340,7 +337,7 @@
         tenure.links.post(life, { kind: 'acknowledge', upTo });
       })
       .with({ kind: 'ask_advice' }, (question) => {
-        this.askAdvice(tenure, question);
+        this.advice.ask(tenure.term, this.members.get(question.member), question);
       })
       .with({ kind: 'meet' }, ({ notice, lapsesAt }) => {
         tenure.links.open(notice, lapsesAt);
@@ -354,99 +351,14 @@
       .exhaustive();
   }
 
-  private answer(tenure: Tenure, token: JobToken, answer: JobAnswer): void {
-    if (
-      answer.kind === 'unknown_job' &&
-      !isProved(tenure, this.clock.now(), this.options.wallMillis())
-    ) {
-      this.unproved.push(token);
-      return;
-    }
-    this.reply(token, { kind: 'answered', answer });
-  }
-
-  private reply(token: JobToken, reply: OwnerReply): void {
-    const pending = this.pending.get(token);
-    this.pending.delete(token);
-    pending?.(reply);
-  }
-
   private mayRenew(tenure: Tenure): boolean {
-    const lastProof = tenure.proof?.at ?? 0;
-    const isHeard = this.members.size > 1 || this.clock.now() - lastProof < ISOLATED_MILLIS;
+    const isHeard = this.members.size > 1 || tenure.appends.wasHeardWithin(ISOLATED_MILLIS);
     return this.tenure === tenure && !tenure.isFenced && isHeard;
   }
 
-  private askAdvice(
-    { term }: Tenure,
-    { member, step, workers, terms }: Extract<JobOutput, { kind: 'ask_advice' }>,
-  ): void {
-    const port = this.members.get(member);
-    const askedAt = this.clock.now();
-    const expected = terms.baseMillis + terms.perWorkerMillis * workers.length;
-    const waitMillis = Math.round(3 * expected + ADVICE_SLACK_MILLIS);
-    const answer =
-      port?.advise({ step, workers, waitMillis }) ??
-      Promise.resolve({ kind: 'unanswered' as const, detail: 'the member is gone' });
-    void answer.then((value) => {
-      const tookMillis = this.clock.now() - askedAt;
-      this.post({ kind: 'advised', term, step, answer: value, tookMillis });
-    });
-  }
-
   private advised(advised: Extract<OwnerMessage, { kind: 'advised' }>): void {
-    const { term, step, answer, tookMillis } = advised;
-    if (this.tenure?.term !== term) {
-      return;
-    }
-    if (answer.kind === 'granted') {
-      const until = deadlineAfter(this.clock.now(), answer.validMillis);
-      this.input({ kind: 'advice', step, granted: answer.granted, until, tookMillis });
-      return;
-    }
-    const detail = answer.kind === 'unanswered' ? answer.detail : '';
-    this.options.events.event('advice.missed', { step, answer: answer.kind, detail });
-    this.input({ kind: 'no_advice', step });
-  }
-
-  /** Sends what is due, unless an append is on its way. */
-  private append(tenure: Tenure): void {
-    const { commits, scheduler } = tenure;
-    const gatheredAt = deadlineAfter(tenure.lastAppendAt, GATHER_MILLIS);
-    if (commits.isIdle && !hasPassed(gatheredAt, this.clock.now())) {
-      this.appendLater(tenure, gatheredAt);
-      return;
-    }
-    if (commits.isIdle) {
-      const batch = scheduler?.takeBatch();
-      if (batch?.writes.length === 0) {
-        this.input({ kind: 'committed', batch: batch.number });
-        return;
-      }
-      if (batch !== undefined) {
-        commits.addBatch(batch);
-      }
-    }
-    const planned = hasPassed(tenure.appendAgainAt, this.clock.now()) ? commits.next() : undefined;
-    if (planned === undefined) {
-      return;
-    }
-    const sentAt = this.clock.now();
-    const sentAtWallMillis = this.options.wallMillis();
-    tenure.appendingSince ??= sentAt;
-    const limit = deadlineAfter(sentAt, APPEND_MILLIS);
-    const { term } = tenure;
-    void this.options.store
-      .append('work', planned.writes, planned.condition, limit)
-      .then((outcome) => {
-        this.post({ kind: 'appended', term, outcome, sentAt, sentAtWallMillis });
-      });
-  }
-
-  private appendLater(tenure: Tenure, at: Deadline): void {
-    if (!tenure.isAppendDue) {
-      tenure.isAppendDue = true;
-      this.postAt(at, { kind: 'append', term: tenure.term });
+    if (this.tenure?.term === advised.term) {
+      this.input(this.advice.inputOf(advised));
     }
   }
 
@@ -455,56 +367,34 @@
     if (tenure?.term !== message.term) {
       return;
     }
-    match(message.outcome)
-      .with({ kind: 'appended' }, () => {
-        this.recorded(tenure, { at: message.sentAt, wallMillis: message.sentAtWallMillis });
-      })
-      .with({ kind: 'fenced' }, () => {
-        this.standDown('fenced');
-        this.ownership?.post({ kind: 'doubt' });
-      })
-      .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
-        this.appendFailed(tenure, outcome);
+    match(tenure.appends.take(message))
+      .with({ kind: 'recorded' }, (result) => {
+        this.recorded(tenure, result);
       })
-      .with({ kind: 'out_of_sequence' }, (outcome) => {
-        // An earlier copy of this append was taken after all, and its answer is no longer kept.
-        this.options.events.event('append.out_of_sequence', { expected: outcome.expected });
-        this.standDown('out_of_sequence');
+      .with({ kind: 'lost' }, ({ reason }) => {
+        this.standDown(reason);
         this.ownership?.post({ kind: 'doubt' });
       })
+      .with({ kind: 'again' }, () => undefined)
       .exhaustive();
   }
 
-  private recorded(tenure: Tenure, proof: Proof): void {
-    const isFirst = tenure.proof === undefined;
-    tenure.proof = proof;
-    tenure.lastAppendAt = this.clock.now();
-    const millis = tenure.lastAppendAt - (tenure.appendingSince ?? proof.at);
-    this.options.events.event('append.done', { millis });
-    tenure.appendingSince = undefined;
+  private recorded(
+    tenure: Tenure,
+    { isFirst, batch }: Extract<AppendResult, { kind: 'recorded' }>,
+  ): void {
     this.setTrouble(tenure, false);
-    const batch = tenure.commits.appended();
     if (isFirst) {
       this.load(tenure);
     }
-    this.unproved.splice(0).forEach((token) => {
-      this.answer(tenure, token, { kind: 'unknown_job' });
-    });
+    this.requests.proved();
     if (batch !== undefined) {
       this.input({ kind: 'committed', batch });
     }
-    this.append(tenure);
+    tenure.appends.send();
     this.resignIfIdle();
   }
 
-  private appendFailed(tenure: Tenure, outcome: AppendOutcome): void {
-    const detail = 'detail' in outcome ? outcome.detail : '';
-    this.options.events.event('append.failed', { outcome: outcome.kind, detail });
-    tenure.commits.unanswered();
-    tenure.appendAgainAt = deadlineAfter(this.clock.now(), APPEND_RETRY_MILLIS);
-    this.postAt(tenure.appendAgainAt, { kind: 'append', term: tenure.term });
-  }
-
   private setTrouble(tenure: Tenure, isTroubled: boolean): void {
     if (tenure.isTroubled === isTroubled) {
       return;
@@ -522,16 +412,15 @@
       return;
     }
     const now = this.clock.now();
-    const since = tenure.appendingSince;
-    if (since !== undefined && now - since > STORE_TROUBLE_MILLIS) {
+    if (tenure.appends.isLate) {
       this.setTrouble(tenure, true);
     }
     if (tenure.scheduler !== undefined) {
       this.input({ kind: 'place' });
       this.tellFigures(tenure, tenure.scheduler, now);
     }
-    if (tenure.commits.isIdle && now - tenure.lastAppendAt >= KEEP_ALIVE_MILLIS) {
-      this.keepAlive(tenure);
+    if (tenure.appends.isQuiet) {
+      tenure.appends.keepAlive(this.options.settings.member);
     }
   }
 
@@ -544,7 +433,7 @@
       term: tenure.term,
       ...scheduler.figures(),
       members: this.members.size,
-      pendingRequests: this.pending.size,
+      pendingRequests: this.requests.size,
     });
   }
 
@@ -553,7 +442,7 @@
     if (resigning === undefined) {
       return;
     }
-    if (tenure === undefined || tenure.commits.isIdle) {
+    if (tenure === undefined || tenure.appends.isIdle) {
       const term = tenure?.term;
       this.standDown('resigned');
       resigning(term);
@@ -570,10 +459,7 @@
     tenure.isFenced = true;
     tenure.watch.stop();
     tenure.links.closeAll();
-    this.unproved.splice(0);
-    [...this.pending.keys()].forEach((token) => {
-      this.reply(token, { kind: 'unknown' });
-    });
+    this.requests.dropAll();
     this.options.events.event('owner.stood_down', { term: tenure.term, reason });
     this.ownership?.post({ kind: 'stood_down', term: tenure.term });
   }
@@ -581,16 +467,3 @@
 
 /** Messages that may wait; reports of a few hundred workers and their orders fit several times. */
 const OWNER_MAILBOX = 65_536;
-
-function inputOf(request: OwnerRequest, token: JobToken): JobInput {
-  switch (request.kind) {
-    case 'submit':
-      return { kind: 'submit', plan: request.plan, token };
-    case 'cancel':
-      return { kind: 'cancel', job: request.job, token };
-    case 'query':
-      return { kind: 'query', job: request.job, token };
-    case 'count':
-      return { kind: 'count', queue: request.queue, token };
-  }
-}
