Let appends follow one another while the store is slow

Seat-holds take 2.6 s instead of 1.1 and are late. Ruled out: room and advice, which are as fast as before in these seconds. Change: up to four appends are on their way. One follows another after a third of the last latency; the producer's sequence keeps their order, and an answer to one tells that those before it are stored. After a failure only the first is sent until it is answered. With a store that answers in milliseconds nothing changes.

--- a/packages/member/src/commits.ts
+++ b/packages/member/src/commits.ts
@@ -1,4 +1,4 @@
-/** The owner's appends: one on its way at a time, each repeated until its fate is known. */
+/** The owner's appends: a few on their way, in order, each repeated until its fate is known. */
 
 import { brandAs } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
@@ -8,74 +8,103 @@
 /** Most bytes of values in one append; the platform takes 2 MB in a call. */
 const MAX_APPEND_BYTES = 1_000_000;
 
-/** One append and what is known once it is in the store. */
+/** Appends on their way at once; the platform knows a repeat of the last five. */
+const MAX_ON_THEIR_WAY = 4;
+
+/** One append as it is sent. */
 export interface PlannedAppend {
+  readonly sequence: ProducerSequence;
   readonly writes: readonly StoreWrite[];
   readonly condition: AppendCondition;
 }
 
 interface Chunk {
+  readonly sequence: ProducerSequence;
   readonly writes: readonly StoreWrite[];
-  /** Set on the last chunk of a batch. */
-  readonly batch: number | undefined;
+  /** Batches that are complete with it. */
+  readonly batches: number[];
+  isSent: boolean;
 }
 
 export class Commits {
   private readonly chunks: Chunk[] = [];
-  private sequence = 1;
-  private isSent = false;
+  private lastSequence = 0;
+  /** After a failure only the first is sent, until it is answered. */
+  private isProbing = false;
 
   constructor(private readonly term: Term) {}
 
-  /** Whether nothing waits to be appended. */
+  /** Whether everything is in the store. */
   get isIdle(): boolean {
     return this.chunks.length === 0;
   }
 
+  /** Whether something has to be sent before more is taken in. */
+  get hasUnsent(): boolean {
+    return this.chunks.some(({ isSent }) => !isSent);
+  }
+
+  /** Whether one more may be on its way. */
+  get hasPlace(): boolean {
+    const onTheirWay = this.chunks.filter(({ isSent }) => isSent).length;
+    return onTheirWay < (this.isProbing ? 1 : MAX_ON_THEIR_WAY);
+  }
+
   /** Adds writes that belong to no batch. */
   addWrites(writes: readonly StoreWrite[]): void {
-    this.chunks.push({ writes, batch: undefined });
+    this.add(writes, []);
   }
 
+  /** A batch without writes is complete with what was added before it. */
   addBatch({ number, writes }: JobBatch): void {
+    const last = this.chunks.at(-1);
+    if (writes.length === 0 && last !== undefined) {
+      last.batches.push(number);
+      return;
+    }
     const texts = writes.map(({ key, value }) => ({
       key,
       value: value === undefined ? undefined : JSON.stringify(value),
     }));
     const parts = split(texts);
     parts.forEach((part, index) => {
-      this.chunks.push({ writes: part, batch: index === parts.length - 1 ? number : undefined });
+      this.add(part, index === parts.length - 1 ? [number] : []);
     });
   }
 
-  /** The append to send now, or nothing while one is on its way or none is due. */
+  /** The append to send now, or nothing while enough are on their way or none is due. */
   next(): PlannedAppend | undefined {
-    const chunk = this.chunks[0];
-    if (chunk === undefined || this.isSent) {
+    const chunk = this.chunks.find(({ isSent }) => !isSent);
+    const isTurn = chunk !== undefined && (!this.isProbing || chunk === this.chunks[0]);
+    if (!isTurn || !this.hasPlace) {
       return undefined;
     }
-    this.isSent = true;
-    return {
-      writes: chunk.writes,
-      condition: {
-        kind: 'producer',
-        epoch: brandAs<ProducerEpoch>(this.term),
-        sequence: brandAs<ProducerSequence>(this.sequence),
-      },
-    };
+    chunk.isSent = true;
+    const { sequence, writes } = chunk;
+    const epoch = brandAs<ProducerEpoch>(this.term);
+    return { sequence, writes, condition: { kind: 'producer', epoch, sequence } };
   }
 
   /** The append got no usable answer: the same one has to be sent again. */
-  unanswered(): void {
-    this.isSent = false;
+  unanswered(sequence: ProducerSequence): void {
+    const chunk = this.chunks.find((each) => each.sequence === sequence);
+    if (chunk !== undefined) {
+      chunk.isSent = false;
+      this.isProbing = true;
+    }
+  }
+
+  /** The store has it, and so all before it; returns the batches that are complete. */
+  appended(sequence: ProducerSequence): number[] {
+    this.isProbing = false;
+    const count = this.chunks.filter((each) => each.sequence <= sequence).length;
+    return this.chunks.splice(0, count).flatMap(({ batches }) => batches);
   }
 
-  /** The store has it; returns the batch that is complete with it. */
-  appended(): number | undefined {
-    const chunk = this.chunks.shift();
-    this.isSent = false;
-    this.sequence += 1;
-    return chunk?.batch;
+  private add(writes: readonly StoreWrite[], batches: number[]): void {
+    this.lastSequence += 1;
+    const sequence = brandAs<ProducerSequence>(this.lastSequence);
+    this.chunks.push({ sequence, writes, batches, isSent: false });
   }
 }
 
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -11,7 +11,7 @@
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { AdviceAnswer } from './ports.js';
-import type { AppendOutcome } from './store.js';
+import type { AppendOutcome, ProducerSequence } from './store.js';
 
 export type OwnerMessage =
   /** Who is told when this member begins or ceases to own the work. */
@@ -51,6 +51,7 @@
   | {
       readonly kind: 'appended';
       readonly term: Term;
+      readonly sequence: ProducerSequence;
       readonly outcome: AppendOutcome;
       readonly sentAt: Instant;
       readonly sentAtWallMillis: number;
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -381,16 +381,16 @@
 
   private recorded(
     tenure: Tenure,
-    { isFirst, batch }: Extract<AppendResult, { kind: 'recorded' }>,
+    { isFirst, batches }: Extract<AppendResult, { kind: 'recorded' }>,
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
       this.load(tenure);
     }
     this.requests.proved();
-    if (batch !== undefined) {
+    batches.forEach((batch) => {
       this.input({ kind: 'committed', batch });
-    }
+    });
     tenure.appends.send();
     this.resignIfIdle();
   }
--- a/packages/member/src/troubles.fixture.ts
+++ b/packages/member/src/troubles.fixture.ts
@@ -63,6 +63,8 @@
 
 const MEMBERS = ['m1', 'm2', 'm3', 'm4'];
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
+/** Memory of a worker, MiB: the processor time is what binds. */
+const WORKER_MIB = 1000;
 /** Troubles come and jobs are sent for so long, milliseconds. */
 const TROUBLED_MILLIS = 14_000;
 /** All is calm for so long after, milliseconds. */
@@ -95,7 +97,7 @@
   const random = (): number => draw(0, 999_999) / 1_000_000;
   const pick = <Value>(values: readonly Value[]): Value =>
     values[draw(0, values.length - 1)] as Value;
-  const workers = WORKERS.map((name) => ({ name, capacity: cores(4) }));
+  const workers = WORKERS.map((name) => ({ name, capacity: { ...cores(4), memoryMib: WORKER_MIB } }));
   const cluster = emulatedCluster({ workers, configuration: configurationOf(), random });
   const { jobs } = cluster;
   const submitted: Submitted[] = [];
--- a/packages/member/src/work-appends.ts
+++ b/packages/member/src/work-appends.ts
@@ -9,7 +9,7 @@
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import { Commits } from './commits.js';
 import type { OwnerMessage } from './owner-messages.js';
-import type { Store } from './store.js';
+import type { ProducerSequence, Store } from './store.js';
 
 /** An owner with nothing to write appends a keep-alive after this, milliseconds, so that it is seen to live. */
 const KEEP_ALIVE_MILLIS = 200;
@@ -17,6 +17,11 @@
 const APPEND_MILLIS = 800;
 /** Writes are gathered for so long after the last append, milliseconds: calls of the store have a price. */
 const GATHER_MILLIS = 10;
+/**
+ * Part of the time that the last append took after which the next one follows it unanswered: the
+ * store takes appends one at a time, which is about a third of what each takes.
+ */
+const FOLLOW_PART = 1 / 3;
 /** Pause before an append is repeated, milliseconds. */
 const APPEND_RETRY_MILLIS = 60;
 /** An append without an answer for so long, milliseconds, means that another member should try. */
@@ -45,7 +50,7 @@
 /** What became of an append. */
 export type AppendResult =
   /** The store has it, and has shown that the work is still ours. */
-  | { readonly kind: 'recorded'; readonly isFirst: boolean; readonly batch: number | undefined }
+  | { readonly kind: 'recorded'; readonly isFirst: boolean; readonly batches: readonly number[] }
   | { readonly kind: 'again' }
   /** Another owner has the work, or it can't be known what the store has of this one's. */
   | { readonly kind: 'lost'; readonly reason: 'fenced' | 'out_of_sequence' };
@@ -60,8 +65,11 @@
   private readonly commits: Commits;
   private proof: Proof | undefined;
   private lastAppendAt: Instant;
-  /** When the append on its way was first sent. */
-  private sendingSince: Instant | undefined;
+  private lastSentAt: Instant;
+  /** How long the last append took, milliseconds. */
+  private lastMillis = 0;
+  /** Since when an append has been on its way without any answer. */
+  private waitingSince: Instant | undefined;
   /** After a failed append the next one waits until then. */
   private againAt: Deadline;
   private isReminded = false;
@@ -70,6 +78,7 @@
     const now = options.clock.now();
     this.commits = new Commits(options.term);
     this.lastAppendAt = now;
+    this.lastSentAt = now;
     this.againAt = deadlineAfter(now, 0);
   }
 
@@ -85,7 +94,7 @@
 
   /** Whether the store has left an append unanswered for so long that another member should try. */
   get isLate(): boolean {
-    return this.sendingSince !== undefined && this.now - this.sendingSince > LATE_MILLIS;
+    return this.waitingSince !== undefined && this.now - this.waitingSince > LATE_MILLIS;
   }
 
   /** Both clocks count: the steady one stands still while a machine is suspended. */
@@ -117,27 +126,21 @@
     this.send();
   }
 
-  /** Sends what is due, unless an append is on its way. */
+  /** Sends what is due, unless enough is on its way. */
   send(): void {
     const { commits, now } = this;
-    if (commits.isIdle) {
-      const gatheredAt = deadlineAfter(this.lastAppendAt, GATHER_MILLIS);
-      if (!hasPassed(gatheredAt, now)) {
-        this.remindAt(gatheredAt);
-        return;
-      }
-      const batch = this.options.takeBatch();
-      if (batch?.writes.length === 0) {
-        this.options.committed(batch.number);
+    if (!hasPassed(this.againAt, now) || !commits.hasPlace) {
+      return;
+    }
+    if (!commits.hasUnsent) {
+      const dueAt = this.nextDueAt();
+      if (!hasPassed(dueAt, now)) {
+        this.remindAt(dueAt);
         return;
       }
-      if (batch !== undefined) {
-        commits.addBatch(batch);
-      }
-    }
-    if (hasPassed(this.againAt, now)) {
-      this.sendNext();
+      this.takeBatch();
     }
+    this.sendNext();
   }
 
   /** Takes the outcome of the append that was on its way. */
@@ -145,16 +148,17 @@
     return match(message.outcome)
       .returnType<AppendResult>()
       .with({ kind: 'appended' }, () =>
-        this.recorded({ at: message.sentAt, wallMillis: message.sentAtWallMillis }),
+        this.recorded(message.sequence, {
+          at: message.sentAt,
+          wallMillis: message.sentAtWallMillis,
+        }),
       )
       .with({ kind: 'fenced' }, () => ({ kind: 'lost', reason: 'fenced' }))
-      .with({ kind: 'out_of_sequence' }, ({ expected }) => {
-        // An earlier copy of this append was taken after all, and its answer is no longer kept.
-        this.options.events.event('append.out_of_sequence', { expected });
-        return { kind: 'lost', reason: 'out_of_sequence' };
-      })
+      .with({ kind: 'out_of_sequence' }, ({ expected }) =>
+        this.outOfSequence(message.sequence, expected),
+      )
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
-        this.failed(outcome.kind, 'detail' in outcome ? outcome.detail : '');
+        this.failed(message.sequence, outcome.kind, 'detail' in outcome ? outcome.detail : '');
         return { kind: 'again' };
       })
       .exhaustive();
@@ -164,18 +168,37 @@
     return this.options.clock.now();
   }
 
+  /** Until then writes are gathered. */
+  private nextDueAt(): Deadline {
+    if (this.commits.isIdle) {
+      return deadlineAfter(this.lastAppendAt, GATHER_MILLIS);
+    }
+    return deadlineAfter(this.lastSentAt, Math.max(GATHER_MILLIS, FOLLOW_PART * this.lastMillis));
+  }
+
+  private takeBatch(): void {
+    const batch = this.options.takeBatch();
+    if (batch?.writes.length === 0 && this.commits.isIdle) {
+      this.options.committed(batch.number);
+    } else if (batch !== undefined) {
+      this.commits.addBatch(batch);
+    }
+  }
+
   private sendNext(): void {
     const planned = this.commits.next();
     if (planned === undefined) {
       return;
     }
     const { term, store, owner, wallMillis } = this.options;
+    const { sequence } = planned;
     const sentAt = this.now;
     const sentAtWallMillis = wallMillis();
-    this.sendingSince ??= sentAt;
+    this.lastSentAt = sentAt;
+    this.waitingSince ??= sentAt;
     const limit = deadlineAfter(sentAt, APPEND_MILLIS);
     void store.append('work', planned.writes, planned.condition, limit).then((outcome) => {
-      owner.post({ kind: 'appended', term, outcome, sentAt, sentAtWallMillis });
+      owner.post({ kind: 'appended', term, sequence, outcome, sentAt, sentAtWallMillis });
     });
   }
 
@@ -186,19 +209,32 @@
     }
   }
 
-  private recorded(proof: Proof): AppendResult {
+  private recorded(sequence: ProducerSequence, proof: Proof): AppendResult {
     const isFirst = this.proof === undefined;
+    const { now } = this;
     this.proof = proof;
-    this.lastAppendAt = this.now;
-    const millis = this.lastAppendAt - (this.sendingSince ?? proof.at);
-    this.options.events.event('append.done', { millis });
-    this.sendingSince = undefined;
-    return { kind: 'recorded', isFirst, batch: this.commits.appended() };
+    this.lastAppendAt = now;
+    this.lastMillis = now - proof.at;
+    this.options.events.event('append.done', { millis: this.lastMillis });
+    const batches = this.commits.appended(sequence);
+    this.waitingSince = this.commits.isIdle ? undefined : now;
+    return { kind: 'recorded', isFirst, batches };
+  }
+
+  private outOfSequence(sequence: ProducerSequence, expected: ProducerSequence): AppendResult {
+    this.options.events.event('append.out_of_sequence', { sequence, expected });
+    if (expected > sequence) {
+      // An earlier copy of this append was taken after all, and its answer is no longer kept.
+      return { kind: 'lost', reason: 'out_of_sequence' };
+    }
+    // It came before one that was sent earlier and has no answer yet.
+    this.failed(sequence, 'out_of_sequence', '');
+    return { kind: 'again' };
   }
 
-  private failed(outcome: string, detail: string): void {
+  private failed(sequence: ProducerSequence, outcome: string, detail: string): void {
     this.options.events.event('append.failed', { outcome, detail });
-    this.commits.unanswered();
+    this.commits.unanswered(sequence);
     this.againAt = deadlineAfter(this.now, APPEND_RETRY_MILLIS);
     this.options.remindAt(this.againAt);
   }
