Dial a lost owner at once, and take its place where its machine refuses

Change: a connection that ended other than by silence is dialled again at once. A refusal by the owner's machine means that its process is gone, so the work is vacant and is claimed as after a release; epochs and the conditional append guard the claim as before. An owner that is silent, or whose machine can't be reached, is still judged by its log.

--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -37,7 +37,7 @@
   dial(address: Address): Promise<Dialled> {
     const other = this.network.listeners.get(nameOf(address));
     if (other === undefined) {
-      return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens' });
+      return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens', isRefused: true });
     }
     const mine = new EmulatedConnection(this.clock);
     const theirs = new EmulatedConnection(other.clock);
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -72,6 +72,14 @@
   t.true(cluster.jobs.starts <= 8, 'running tasks were taken over, not started again');
 });
 
+test('an owner whose process ended is replaced as soon as its machine says so', async (t) => {
+  const cluster = await runningCluster();
+  cluster.kill(cluster.ownerName() ?? '');
+  const killedAt = cluster.now();
+  await during(cluster, cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)));
+  t.true(cluster.now() - killedAt <= 300, `served after ${cluster.now() - killedAt} ms`);
+});
+
 test('a frozen owner is replaced within two seconds, and does no harm when it wakes', async (t) => {
   const cluster = await runningCluster();
   const owner = cluster.ownerName() ?? '';
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -4,7 +4,7 @@
 import type { Incarnation, MemberId, Offset } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import type { Address } from '@bamboowell/types/vm';
-import type { Connection } from '@bamboowell/wire/connection';
+import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { Welcome } from './peers.js';
 import type { AppendOutcome } from './store.js';
 
@@ -27,12 +27,17 @@
       readonly connection: Connection;
       readonly welcome: Welcome | undefined;
     }
-  | { readonly kind: 'unreachable'; readonly term: Term; readonly detail: string }
+  | {
+      readonly kind: 'unreachable';
+      readonly term: Term;
+      readonly detail: string;
+      readonly isRefused: boolean;
+    }
   | {
       readonly kind: 'link_ended';
       readonly term: Term;
       readonly connection: Connection;
-      readonly reason: string;
+      readonly reason: CloseReason;
     }
   | { readonly kind: 'trouble'; readonly term: Term; readonly isTroubled: boolean }
   | { readonly kind: 'looked'; readonly end: Offset | undefined }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -9,7 +9,7 @@
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
-import type { Connection } from '@bamboowell/wire/connection';
+import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { GateMessage } from './gate-messages.js';
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
 import type { OwnerMessage } from './owner-messages.js';
@@ -30,6 +30,8 @@
 const REDIAL_MILLIS = 250;
 const OWNER_KEY = 'owner';
 
+type Unreachable = Extract<OwnershipMessage, { kind: 'unreachable' }>;
+
 export interface OwnershipOptions {
   readonly settings: MemberSettings;
   readonly store: Store;
@@ -87,16 +89,15 @@
       .with({ kind: 'greeted' }, ({ term, connection, welcome }) => {
         this.greeted(term, connection, welcome);
       })
-      .with({ kind: 'unreachable' }, ({ term, detail }) => {
+      .with({ kind: 'unreachable' }, (answer) => {
         this.isDialling = false;
-        if (this.claim?.term === term) {
-          this.ownerSilent(detail);
-        }
+        this.unreachable(answer);
       })
       .with({ kind: 'link_ended' }, ({ term, connection, reason }) => {
         if (this.claim?.term === term && this.connection === connection) {
           this.connection = undefined;
           this.ownerSilent(reason);
+          this.dialAfter(reason, this.claim);
         }
       })
       .with({ kind: 'trouble' }, ({ term, isTroubled }) => {
@@ -226,7 +227,7 @@
       if (result.kind === 'connected') {
         this.post({ kind: 'connected', term: claim.term, connection: result.connection });
       } else {
-        this.post({ kind: 'unreachable', term: claim.term, detail: result.detail });
+        this.post({ ...result, term: claim.term });
       }
     });
   }
@@ -269,6 +270,25 @@
     }
   }
 
+  private unreachable({ term, detail, isRefused }: Unreachable): void {
+    const { claim } = this;
+    if (claim?.term !== term) {
+      return;
+    }
+    if (isRefused && !claim.isReleased && !this.isOurs(claim)) {
+      this.ownerEnded(claim);
+    } else {
+      this.ownerSilent(detail);
+    }
+  }
+
+  /** Where the owner's process is gone, its machine says so at once. */
+  private dialAfter(reason: CloseReason, claim: Claim): void {
+    if (reason !== 'silent' && !claim.isReleased && !this.isOurs(claim)) {
+      this.dial(claim);
+    }
+  }
+
   private ownerEnded(claim: Claim): void {
     this.options.events.event('owner.ended', { term: claim.term, member: claim.member });
     this.publish(undefined);
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -23,7 +23,8 @@
 
 export type Dialled =
   | { readonly kind: 'connected'; readonly connection: Connection }
-  | { readonly kind: 'unreachable'; readonly detail: string };
+  /** Refused: nobody listens at the address, so the member that did has ended. */
+  | { readonly kind: 'unreachable'; readonly detail: string; readonly isRefused: boolean };
 
 /** What a member says first on its connection to the owner. */
 interface Hello {
--- a/packages/member/src/troubles.fixture.ts
+++ b/packages/member/src/troubles.fixture.ts
@@ -97,7 +97,10 @@
   const random = (): number => draw(0, 999_999) / 1_000_000;
   const pick = <Value>(values: readonly Value[]): Value =>
     values[draw(0, values.length - 1)] as Value;
-  const workers = WORKERS.map((name) => ({ name, capacity: { ...cores(4), memoryMib: WORKER_MIB } }));
+  const workers = WORKERS.map((name) => ({
+    name,
+    capacity: { ...cores(4), memoryMib: WORKER_MIB },
+  }));
   const cluster = emulatedCluster({ workers, configuration: configurationOf(), random });
   const { jobs } = cluster;
   const submitted: Submitted[] = [];
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -26,22 +26,24 @@
 export interface Unreachable {
   readonly kind: 'unreachable';
   readonly detail: string;
+  /** The machine answered that nobody listens at the address. */
+  readonly isRefused: boolean;
 }
 
 /** Opens a connection. Never rejects. */
 export function connect(target: Target): Promise<TcpConnection | Unreachable> {
   const socket = open(target);
   return new Promise((resolve) => {
-    const giveUp = (detail: string): void => {
+    const giveUp = (detail: string, isRefused = false): void => {
       alarm.cancel();
       socket.destroy();
-      resolve({ kind: 'unreachable', detail });
+      resolve({ kind: 'unreachable', detail, isRefused });
     };
     const alarm = target.clock.wakeAt(target.deadline, () => {
       giveUp('no connection before the deadline');
     });
-    socket.once('error', (error) => {
-      giveUp(error.message);
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      giveUp(error.message, error.code === 'ECONNREFUSED');
     });
     socket.once(target.tls === undefined ? 'connect' : 'secureConnect', () => {
       const peer = socket instanceof TLSSocket ? peerNameOf(socket) : undefined;
--- a/packages/wire/src/listener.test.ts
+++ b/packages/wire/src/listener.test.ts
@@ -54,7 +54,10 @@
   const address = await listening(server);
   await new Promise((resolve) => server.close(resolve));
   const clock = new ManualClock();
-  t.like(await connect({ address, clock, deadline: farDeadline(clock) }), { kind: 'unreachable' });
+  t.like(await connect({ address, clock, deadline: farDeadline(clock) }), {
+    kind: 'unreachable',
+    isRefused: true,
+  });
 });
 
 test('an end that never finishes the handshake is unreachable at the deadline', async (t) => {
@@ -72,6 +75,7 @@
   t.deepEqual(await result, {
     kind: 'unreachable',
     detail: 'no connection before the deadline',
+    isRefused: false,
   });
 });
 
@@ -145,7 +149,11 @@
     tls: identityOfMember2(),
     expectedPeer: 'member-3',
   });
-  t.deepEqual(result, { kind: 'unreachable', detail: 'the peer is named member-1, not member-3' });
+  t.deepEqual(result, {
+    kind: 'unreachable',
+    detail: 'the peer is named member-1, not member-3',
+    isRefused: false,
+  });
 });
 
 test('a close does not wait for a handshake beyond its deadline', async (t) => {
