Explain a job from the logs of members

bamboowell explain JOB FILE... gathers the lines about a job from the logs of all members, splits the time of its tasks into advice, room, runs and lost runs, and names the last word about the owner or the store before a refusal.

--- a/packages/cli/src/commands/daemon-command.ts
+++ b/packages/cli/src/commands/daemon-command.ts
@@ -8,7 +8,7 @@
 import { EXIT_CODES, exitCodeOf, type ExitCode } from '../exit-code.js';
 import { FailedCallError } from '../failure.js';
 import { daemonUrls, keyFrom, quantity, UsageProblemError } from '../inputs.js';
-import { JsonOutput, PlainOutput, TerminalOutput, type Output } from '../output.js';
+import { outputFor, type Output } from '../output.js';
 
 /** What the process gives to a command. */
 export type ProgramContext = BaseContext & {
@@ -43,7 +43,7 @@
   protected abstract run(daemons: Daemons, output: Output): Promise<ExitCode>;
 
   override async execute(): Promise<ExitCode> {
-    const output = this.output();
+    const output = outputFor(this.isJson, this.context);
     try {
       const { env } = this.context;
       const urls = daemonUrls(this.daemonAddresses, env);
@@ -59,14 +59,6 @@
     const seconds = this.timeoutSeconds ?? DEFAULT_TIMEOUT_SECONDS;
     return deadlineAfter(this.context.clock.now(), seconds * MILLIS_PER_SECOND);
   }
-
-  private output(): Output {
-    const { stdout, stderr, isTerminal } = this.context;
-    if (this.isJson) {
-      return new JsonOutput(stdout, stderr);
-    }
-    return isTerminal ? new TerminalOutput(stdout, stderr) : new PlainOutput(stdout, stderr);
-  }
 }
 
 function exitCodeOfError(error: unknown, output: Output): ExitCode {
--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,84 @@
+/** The command `explain`. */
+
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
+import { Command, Option } from 'clipanion';
+import { Gathering } from '@bamboowell/explain/gathering';
+import { storyOf, type Story } from '@bamboowell/explain/story';
+import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from '../exit-code.js';
+import { outputFor } from '../output.js';
+import type { Report } from '../report.js';
+import { CATEGORIES, type ProgramContext } from './daemon-command.js';
+
+export class ExplainCommand extends Command<ProgramContext> {
+  static override paths = [['explain']];
+  static override usage = Command.Usage({
+    category: CATEGORIES.insight,
+    description: "tell from members' logs what became of a job",
+    details: `Reads the lines that members wrote to standard output, of all members together, from files or, if none is named, from standard input. Shows what they say about the job in order of time, then why a request was refused or the job was late or failed, as far as the lines tell. Asks no daemon and needs no key. Exits with 1 also where no line names the job. ${EXIT_CODES_HELP}`,
+    examples: [
+      ['From files', '$0 explain 5c0e7a21d94b36f8 west-1.log west-2.log east-1.log'],
+      ['From a pipe', 'zcat logs/*.gz | $0 explain 5c0e7a21d94b36f8'],
+    ],
+  });
+
+  readonly job = Option.String({ name: 'job' });
+  readonly files = Option.Rest({ name: 'file' });
+  readonly isJson = Option.Boolean('--json', false, { description: 'print JSON for programs' });
+
+  override async execute(): Promise<ExitCode> {
+    const output = outputFor(this.isJson, this.context);
+    const gathering = new Gathering(this.job);
+    for (const file of this.files) {
+      const problem = await readable(createReadStream(file), gathering);
+      if (problem !== undefined) {
+        output.problems([`bamboowell: can't read ${file}: ${problem}`]);
+        return EXIT_CODES.usage;
+      }
+    }
+    if (this.files.length === 0) {
+      await readable(this.context.stdin, gathering);
+    }
+    const story = storyOf(gathering);
+    output.report(reportOf(story));
+    return story.rows.length > 0 ? EXIT_CODES.done : EXIT_CODES.usage;
+  }
+}
+
+/** Hands all lines over; returns what went wrong. */
+async function readable(input: Readable, gathering: Gathering): Promise<string | undefined> {
+  const lines = createInterface({ input, crlfDelay: Number.POSITIVE_INFINITY });
+  const failed = new Promise<string>((resolve) => {
+    input.once('error', (error) => {
+      resolve(error.message);
+      lines.close();
+    });
+  });
+  const read = (async () => {
+    for await (const line of lines) {
+      gathering.add(line);
+    }
+    return input.errored === null ? undefined : await failed;
+  })();
+  return Promise.race([failed, read]);
+}
+
+function reportOf({ rows, findings }: Story): Report {
+  return {
+    json: { rows, findings },
+    sections: [
+      {
+        name: 'line',
+        columns: ['after ms', 'member', 'event', 'fields'],
+        rows: rows.map(({ afterMillis, member, event, detail }) => [
+          String(afterMillis),
+          member,
+          event,
+          detail,
+        ]),
+      },
+      { name: 'finding', columns: ['finding'], rows: findings.map((finding) => [finding]) },
+    ],
+  };
+}
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -27,6 +27,14 @@
   abstract progress(line: string): void;
 }
 
+/** What the process writes to. */
+export interface Destination {
+  readonly stdout: Writable;
+  readonly stderr: Writable;
+  /** Whether a person reads standard output. */
+  readonly isTerminal: boolean;
+}
+
 const VERDICT_WORDS = { not_run: 'not run', may_have_run: 'may have run', ran: 'ran' } as const;
 
 /** One line: verdict, reason, sentence and what else helps. */
@@ -118,6 +126,14 @@
   return cells.map((cell) => cell.replace(/[\t\r\n]/g, ' ')).join('\t');
 }
 
+/** The form that the user asked for, else the one that suits who reads. */
+export function outputFor(isJson: boolean, { stdout, stderr, isTerminal }: Destination): Output {
+  if (isJson) {
+    return new JsonOutput(stdout, stderr);
+  }
+  return isTerminal ? new TerminalOutput(stdout, stderr) : new PlainOutput(stdout, stderr);
+}
+
 /** One JSON document a line on standard output: results, failures and problems alike. */
 export class JsonOutput extends Output {
   report({ json }: Report): void {
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import { Builtins, Cli, type Command } from 'clipanion';
 import { ApplyCommand, DiffCommand, ExportCommand, PlanCommand } from './commands/configuration.js';
 import type { ProgramContext } from './commands/daemon-command.js';
+import { ExplainCommand } from './commands/explain.js';
 import { KeyGrantCommand, KeyListCommand, KeyWithdrawCommand } from './commands/keys.js';
 import { StatusCommand } from './commands/status.js';
 import {
@@ -35,6 +36,7 @@
   CancelCommand,
   StatusCommand,
   WhyCommand,
+  ExplainCommand,
 ];
 
 function commandLine(): Cli<ProgramContext> {
--- /dev/null
+++ b/packages/explain/src/log.fixture.ts
@@ -0,0 +1,36 @@
+/** Builds lines of members' logs. */
+
+import { lineOf, type Fields } from '@bamboowell/logger/line';
+import { Gathering } from './gathering.js';
+
+export const JOB = '5c0e7a21d94b36f8';
+
+/** A line of a member, some milliseconds after the start of the log. */
+export function logLine(at: number, member: string, name: string, fields: Fields = {}): string {
+  return lineOf(name, { at: 1_700_000_000_000 + at, member, ...fields });
+}
+
+/** What an owner writes about a job of one task that runs at once and ends well. */
+export function smoothJob(): string[] {
+  const task = `${JOB}.0.0.0`;
+  return [
+    logLine(0, 'm1', 'job.taken', { job: JOB, queue: 'q', excess: false }),
+    logLine(30, 'm1', 'advice.taken', { step: `${JOB}.0.0`, granted: 5 }),
+    logLine(50, 'm1', 'task.placed', { task, run: 1, worker: 'w1' }),
+    logLine(700, 'm1', 'task.ended', { task, run: 1, worker: 'w1', end: 'done' }),
+    logLine(701, 'm1', 'job.ended', {
+      job: JOB,
+      state: 'completed',
+      reason: 'all tasks done',
+      afterMillis: 701,
+    }),
+  ];
+}
+
+export function gathered(lines: readonly string[]): Gathering {
+  const gathering = new Gathering(JOB);
+  lines.forEach((line) => {
+    gathering.add(line);
+  });
+  return gathering;
+}
--- /dev/null
+++ b/packages/explain/src/story.test.ts
@@ -0,0 +1,137 @@
+import test from 'ava';
+import { gathered, JOB, logLine, smoothJob } from './log.fixture.js';
+import { taskTimesOf } from './phases.js';
+import { storyOf } from './story.js';
+
+const TASK = `${JOB}.0.0.0`;
+
+test('the lines of a job come in order of time, whichever member wrote them', (t) => {
+  const lines = [
+    ...smoothJob().reverse(),
+    logLine(20, 'm2', 'request.answered', {
+      path: `/q/${JOB}`,
+      verb: 'submit',
+      outcome: 'accepted',
+    }),
+    logLine(10, 'm2', 'request.answered', { path: '/q/00', verb: 'submit', outcome: 'no_owner' }),
+    'Listening on port 80',
+  ];
+  const { rows, findings } = storyOf(gathered(lines));
+  t.deepEqual(
+    rows.map(({ afterMillis, event }) => [afterMillis, event]),
+    [
+      [0, 'job.taken'],
+      [20, 'request.answered'],
+      [30, 'advice.taken'],
+      [50, 'task.placed'],
+      [700, 'task.ended'],
+      [701, 'job.ended'],
+    ],
+  );
+  t.deepEqual(findings, [
+    'the job ended as completed 701 ms after it was taken (all tasks done)',
+    `its slowest task, ${TASK}, waited 30 ms for advice and 20 ms for room, ran 650 ms, and lost 0 ms in runs that did not end well`,
+  ]);
+});
+
+test('the time of a task is split, and runs that did not end well are named', (t) => {
+  const [taken = '', advice = ''] = smoothJob();
+  const lines = [
+    taken,
+    advice,
+    logLine(100, 'm1', 'task.placed', { task: TASK, run: 1, worker: 'w1' }),
+    logLine(110, 'm1', 'start.rejected', { task: TASK, run: 1, worker: 'w1', reason: 'no_room' }),
+    logLine(200, 'm1', 'task.placed', { task: TASK, run: 2, worker: 'w2' }),
+    logLine(500, 'm1', 'task.ended', { task: TASK, run: 2, worker: 'w2', end: 'failed' }),
+    logLine(600, 'm1', 'task.placed', { task: TASK, run: 3, worker: 'w3' }),
+    logLine(900, 'm1', 'task.ended', { task: TASK, run: 3, worker: 'w3', end: 'done' }),
+  ];
+  t.deepEqual(taskTimesOf(gathered(lines).ofJob), [
+    {
+      task: TASK,
+      adviceMillis: 30,
+      roomMillis: 70 + 90 + 100,
+      runMillis: 300,
+      lostMillis: 310,
+      lostRuns: [
+        { run: '1', worker: 'w1', cause: 'no_room' },
+        { run: '2', worker: 'w2', cause: 'failed' },
+      ],
+      isDone: true,
+    },
+  ]);
+});
+
+test('a later step waits from the end of the step before', (t) => {
+  const later = `${JOB}.0.1.0`;
+  const lines = [
+    ...smoothJob().slice(0, 4),
+    logLine(650, 'm1', 'advice.taken', { step: `${JOB}.0.1`, granted: 3 }),
+    logLine(720, 'm1', 'task.placed', { task: later, run: 1, worker: 'w1' }),
+    logLine(1720, 'm1', 'task.ended', { task: later, run: 1, worker: 'w1', end: 'done' }),
+  ];
+  const times = taskTimesOf(gathered(lines).ofJob).find(({ task }) => task === later);
+  t.like(times, { adviceMillis: 0, roomMillis: 20, runMillis: 1000 });
+});
+
+test('a refused request is explained by the last word about the owner before it', (t) => {
+  const lines = [
+    logLine(0, 'm2', 'owner.lost', { term: 3, detail: 'silent' }),
+    logLine(40, 'm3', 'store.lost', { topic: 'work' }),
+    logLine(900, 'm2', 'request.answered', {
+      path: `/q/${JOB}`,
+      verb: 'submit',
+      outcome: 'no_owner',
+      millis: 880,
+    }),
+    logLine(950, 'm3', 'owner.ready', { term: 4 }),
+  ];
+  t.deepEqual(storyOf(gathered(lines)).findings, [
+    'm2 answered submit with no_owner after 880 ms: no owner was reached; 900 ms before, m2 logged owner.lost (detail=silent term=3)',
+    'no owner logged that it took the job',
+  ]);
+});
+
+test('a member that stops is the cause of its own refusals', (t) => {
+  const lines = [
+    logLine(0, 'm2', 'member.stopping'),
+    logLine(50, 'm1', 'member.stopping'),
+    logLine(60, 'm2', 'request.answered', {
+      path: `/q/${JOB}`,
+      verb: 'submit',
+      outcome: 'no_owner',
+      millis: 0,
+    }),
+  ];
+  t.is(
+    storyOf(gathered(lines)).findings[0],
+    'm2 answered submit with no_owner after 0 ms: no owner was reached; 60 ms before, m2 logged member.stopping',
+  );
+});
+
+test('an undecided request is explained by the store of the owner that had taken its job', (t) => {
+  const lines = [
+    logLine(0, 'm1', 'job.taken', { job: JOB, excess: true }),
+    logLine(300, 'm1', 'append.failed', { outcome: 'unavailable', detail: 'no answer' }),
+    logLine(2900, 'm2', 'request.answered', {
+      path: `/q/${JOB}`,
+      verb: 'submit',
+      outcome: 'undecided',
+      millis: 2900,
+    }),
+    logLine(3500, 'm3', 'owner.ready', { term: 4 }),
+  ];
+  t.deepEqual(storyOf(gathered(lines)).findings, [
+    'm2 answered submit with undecided after 2900 ms: m1 had taken the job; 2600 ms before, m1 logged append.failed (detail=no answer outcome=unavailable)',
+    'the job has not ended by these lines',
+    'its team was beyond its promised rate, so it waited behind all others',
+    'none of its tasks was placed',
+    'the work changed hands 3500 ms after the job was taken: m3 owned it from then on (term 4)',
+  ]);
+});
+
+test('a job that no line names is said to be so', (t) => {
+  const { rows, findings } = storyOf(gathered([logLine(0, 'm1', 'owner.ready', { term: 1 })]));
+  t.deepEqual(rows, []);
+  t.deepEqual(findings, ['no line names the job']);
+});
--- /dev/null
+++ b/packages/explain/src/story.ts
@@ -0,0 +1,48 @@
+/** What became of one job: a timeline and its findings. */
+
+import type { LoggedEvent } from '@bamboowell/logger/parse-line';
+import { findingsOf } from './findings.js';
+import type { Gathering } from './gathering.js';
+import { textOf } from './phases.js';
+
+export interface TimelineRow {
+  /** Since the first line that names the job, milliseconds. */
+  readonly afterMillis: number;
+  readonly member: string;
+  readonly event: string;
+  /** The other fields as `key=value`. */
+  readonly detail: string;
+}
+
+export interface Story {
+  readonly rows: readonly TimelineRow[];
+  readonly findings: readonly string[];
+}
+
+/** Fields that each line has, or that every line of the story shares. */
+const OWN_CELLS = new Set(['event', 'at', 'member', 'job']);
+
+export function storyOf({ ofJob, context, dropped }: Gathering): Story {
+  const events = inOrder(ofJob);
+  const from = events[0]?.at ?? 0;
+  const rows = events.map((event) => ({
+    afterMillis: event.at - from,
+    member: textOf(event, 'member'),
+    event: event.name,
+    detail: detailOf(event),
+  }));
+  const findings = findingsOf(events, inOrder(context));
+  const note = dropped === 0 ? [] : [`${dropped} lines about owners and the store were left out`];
+  return { rows, findings: [...findings, ...note] };
+}
+
+function inOrder(events: readonly LoggedEvent[]): LoggedEvent[] {
+  return [...events].sort((left, right) => left.at - right.at);
+}
+
+function detailOf({ fields }: LoggedEvent): string {
+  return [...fields]
+    .filter(([key]) => !OWN_CELLS.has(key))
+    .map(([key, value]) => `${key}=${value}`)
+    .join(' ');
+}
