Break the time of jobs down from the logs of members

bamboowell breakdown FILE... shows for each queue and for each window of time how many jobs ended how, how long they took, and what the slowest task of each waited for.

--- /dev/null
+++ b/packages/cli/src/commands/breakdown.ts
@@ -0,0 +1,118 @@
+/** The command `breakdown`. */
+
+import { Command, Option } from 'clipanion';
+import { breakdownOf, type Breakdown, type GroupBreakdown } from '@bamboowell/explain/breakdown';
+import { Grouping } from '@bamboowell/explain/grouping';
+import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from '../exit-code.js';
+import { quantity } from '../inputs.js';
+import { outputFor } from '../output.js';
+import type { Report, Section } from '../report.js';
+import { CATEGORIES, type ProgramContext } from './daemon-command.js';
+import { readLogs } from './log-lines.js';
+
+const DEFAULT_WINDOW_SECONDS = 2;
+
+export class BreakdownCommand extends Command<ProgramContext> {
+  static override paths = [['breakdown']];
+  static override usage = Command.Usage({
+    category: CATEGORIES.insight,
+    description: "tell from members' logs where the time of jobs went",
+    details: `Reads the lines that members wrote to standard output, of all members together, from files or, if none is named, from standard input. Shows for each queue, and for each window of time in which jobs were taken, how many jobs ended how, how long half and 95 of 100 completed jobs took, and the mean milliseconds that the slowest task of each waited for advice, waited for room, ran, and lost in runs that did not end well. ${EXIT_CODES_HELP}`,
+    examples: [
+      ['From files', '$0 breakdown west-1.log west-2.log east-1.log'],
+      ['In windows of ten seconds', 'zcat logs/*.gz | $0 breakdown --window 10'],
+    ],
+  });
+
+  readonly files = Option.Rest({ name: 'file' });
+  readonly isJson = Option.Boolean('--json', false, { description: 'print JSON for programs' });
+  readonly windowSeconds = Option.String('--window', {
+    description: 'seconds of a window of time; 2 if left out',
+    validator: quantity,
+  });
+
+  override async execute(): Promise<ExitCode> {
+    const output = outputFor(this.isJson, this.context);
+    const grouping = new Grouping();
+    const problem = await readLogs(this.files, this.context.stdin, grouping);
+    if (problem !== undefined) {
+      output.problems([`bamboowell: ${problem}`]);
+      return EXIT_CODES.usage;
+    }
+    const windowSeconds = this.windowSeconds ?? DEFAULT_WINDOW_SECONDS;
+    output.report(reportOf(breakdownOf(grouping.jobs, windowSeconds)));
+    if (grouping.dropped > 0) {
+      output.note(`${grouping.dropped} lines about further jobs were left out`);
+    }
+    return EXIT_CODES.done;
+  }
+}
+
+function reportOf({ byQueue, byWindow, answers }: Breakdown): Report {
+  return {
+    json: {
+      queues: [...byQueue].map(([queue, group]) => ({ queue, ...jsonOf(group) })),
+      windows: [...byWindow].map(([second, group]) => ({ second, ...jsonOf(group) })),
+      answers: Object.fromEntries(answers),
+    },
+    sections: [
+      sectionOf('queue', [...byQueue]),
+      sectionOf('second', [...byWindow]),
+      {
+        name: 'answer',
+        columns: ['answer', 'requests'],
+        rows: [...answers].map(([outcome, count]) => [outcome, String(count)]),
+      },
+    ],
+  };
+}
+
+function jsonOf(group: GroupBreakdown) {
+  return { ...group, lostRuns: Object.fromEntries(group.lostRuns) };
+}
+
+const COLUMNS = [
+  'jobs',
+  'completed',
+  'failed',
+  'cancelled',
+  'open',
+  'excess',
+  'half ms',
+  '95% ms',
+  'advice ms',
+  'room ms',
+  'run ms',
+  'lost ms',
+  'lost runs',
+];
+
+function sectionOf(
+  name: string,
+  groups: readonly (readonly [string | number, GroupBreakdown])[],
+): Section {
+  return {
+    name,
+    columns: [name, ...COLUMNS],
+    rows: groups.map(([key, group]) => [String(key), ...cellsOf(group)]),
+  };
+}
+
+function cellsOf(group: GroupBreakdown): string[] {
+  const amounts = [
+    group.jobs,
+    group.completed,
+    group.failed,
+    group.cancelled,
+    group.open,
+    group.excess,
+    group.halfMillis,
+    group.lateMillis,
+    group.adviceMillis,
+    group.roomMillis,
+    group.runMillis,
+    group.lostMillis,
+  ];
+  const causes = [...group.lostRuns].map(([cause, count]) => `${cause}=${count}`);
+  return [...amounts.map(String), causes.join(' ')];
+}
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,8 +1,5 @@
 /** The command `explain`. */
 
-import { createReadStream } from 'node:fs';
-import { createInterface } from 'node:readline';
-import type { Readable } from 'node:stream';
 import { Command, Option } from 'clipanion';
 import { Gathering } from '@bamboowell/explain/gathering';
 import { storyOf, type Story } from '@bamboowell/explain/story';
@@ -10,6 +7,7 @@
 import { outputFor } from '../output.js';
 import type { Report } from '../report.js';
 import { CATEGORIES, type ProgramContext } from './daemon-command.js';
+import { readLogs } from './log-lines.js';
 
 export class ExplainCommand extends Command<ProgramContext> {
   static override paths = [['explain']];
@@ -30,15 +28,10 @@
   override async execute(): Promise<ExitCode> {
     const output = outputFor(this.isJson, this.context);
     const gathering = new Gathering(this.job);
-    for (const file of this.files) {
-      const problem = await readable(createReadStream(file), gathering);
-      if (problem !== undefined) {
-        output.problems([`bamboowell: can't read ${file}: ${problem}`]);
-        return EXIT_CODES.usage;
-      }
-    }
-    if (this.files.length === 0) {
-      await readable(this.context.stdin, gathering);
+    const problem = await readLogs(this.files, this.context.stdin, gathering);
+    if (problem !== undefined) {
+      output.problems([`bamboowell: ${problem}`]);
+      return EXIT_CODES.usage;
     }
     const story = storyOf(gathering);
     output.report(reportOf(story));
@@ -46,24 +39,6 @@
   }
 }
 
-/** Hands all lines over; returns what went wrong. */
-async function readable(input: Readable, gathering: Gathering): Promise<string | undefined> {
-  const lines = createInterface({ input, crlfDelay: Number.POSITIVE_INFINITY });
-  const failed = new Promise<string>((resolve) => {
-    input.once('error', (error) => {
-      resolve(error.message);
-      lines.close();
-    });
-  });
-  const read = (async () => {
-    for await (const line of lines) {
-      gathering.add(line);
-    }
-    return input.errored === null ? undefined : await failed;
-  })();
-  return Promise.race([failed, read]);
-}
-
 function reportOf({ rows, findings }: Story): Report {
   return {
     json: { rows, findings },
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,6 +1,7 @@
 /** The command line as a whole. */
 
 import { Builtins, Cli, type Command } from 'clipanion';
+import { BreakdownCommand } from './commands/breakdown.js';
 import { ApplyCommand, DiffCommand, ExportCommand, PlanCommand } from './commands/configuration.js';
 import type { ProgramContext } from './commands/daemon-command.js';
 import { ExplainCommand } from './commands/explain.js';
@@ -37,6 +38,7 @@
   StatusCommand,
   WhyCommand,
   ExplainCommand,
+  BreakdownCommand,
 ];
 
 function commandLine(): Cli<ProgramContext> {
--- a/packages/explain/src/findings.ts
+++ b/packages/explain/src/findings.ts
@@ -2,7 +2,7 @@
 
 import { match } from 'ts-pattern';
 import type { LoggedEvent } from '@bamboowell/logger/parse-line';
-import { taskTimesOf, textOf, type TaskTimes } from './phases.js';
+import { taskTimesOf, textOf, totalOf, type TaskTimes } from './phases.js';
 
 /** Context before an answer that may explain it, milliseconds: longer than callers wait. */
 const CONTEXT_BEFORE_MILLIS = 5000;
@@ -117,10 +117,6 @@
   ];
 }
 
-function totalOf({ adviceMillis, roomMillis, runMillis, lostMillis }: TaskTimes): number {
-  return adviceMillis + roomMillis + runMillis + lostMillis;
-}
-
 /** Owners that came while the job was open. */
 function ofHandovers(ofJob: readonly LoggedEvent[], context: readonly LoggedEvent[]): string[] {
   const from = ofJob.find(({ name }) => name === 'job.taken')?.at;
--- a/packages/explain/src/phases.ts
+++ b/packages/explain/src/phases.ts
@@ -127,3 +127,7 @@
 export function textOf({ fields }: LoggedEvent, key: string): string {
   return fields.get(key) ?? '';
 }
+
+export function totalOf({ adviceMillis, roomMillis, runMillis, lostMillis }: TaskTimes): number {
+  return adviceMillis + roomMillis + runMillis + lostMillis;
+}
