Wait for vacant work by how fast the store answers

Ruled out: the spread of claims (60 ms at most). Change: a member waits one and a half of the fastest answer that it had, at most 0.25 s: near ones still go before far ones, and a slow start no longer counts as a far store. The threshold is gone.

--- a/packages/member/src/measured-store.ts
+++ b/packages/member/src/measured-store.ts
@@ -6,8 +6,8 @@
 import { Store, type AppendCondition, type StoreWrite, type Topic } from './store.js';
 
 export class MeasuredStore extends Store {
-  /** The fastest answer to a call that doesn't wait; zero before the first. */
-  fastestMillis = 0;
+  /** The fastest answer to a call that doesn't wait; absent before the first. */
+  fastestMillis: number | undefined;
 
   constructor(
     private readonly store: Store,
@@ -25,7 +25,7 @@
     const page = await this.store.newest(topic, after, limit);
     if (page.kind === 'page') {
       const millis = this.clock.now() - askedAt;
-      this.fastestMillis = this.fastestMillis === 0 ? millis : Math.min(this.fastestMillis, millis);
+      this.fastestMillis = Math.min(this.fastestMillis ?? millis, millis);
     }
     return page;
   }
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -33,9 +33,6 @@
 import type { MemberSettings } from './settings.js';
 import { Succession } from './succession.js';
 
-/** A store that answers faster than this, milliseconds, is in this region: less than the way to another one and back. */
-const NEAR_STORE_MILLIS = 50;
-
 /** What the services of one process share. */
 export interface MemberEnvironment {
   readonly settings: MemberSettings;
@@ -177,14 +174,14 @@
     const { settings, clock, random } = this.environment;
     const owner = directory.find(OWNER);
     const store = new MeasuredStore(directory.find(STORE), clock);
-    const isNear = (): boolean => store.fastestMillis < NEAR_STORE_MILLIS;
+    const storeMillis = (): number | undefined => store.fastestMillis;
     return new OwnershipTask(
       {
         settings,
         store,
         events: directory.find(EVENTS),
         peers: directory.find(PEERS),
-        succession: new Succession({ isNear, random }),
+        succession: new Succession({ storeMillis, random }),
         owner,
         localOwner: new LocalOwner(owner, clock),
         gate: directory.find(GATE),
--- a/packages/member/src/succession.test.ts
+++ b/packages/member/src/succession.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import type { Instant } from '@bamboowell/types/time';
-import { FAR_DELAY_MILLIS, LOOK_GAP_MILLIS, Succession } from './succession.js';
+import { ANSWERS_WAITED, LONGEST_WAIT_MILLIS, LOOK_GAP_MILLIS, Succession } from './succession.js';
 
 function at(millis: number): Instant {
   return brandAs<Instant>(millis);
@@ -11,22 +11,32 @@
   return brandAs<Offset>(value);
 }
 
-function succession({ isNear = true } = {}) {
-  return new Succession({ isNear: () => isNear, random: () => 0 });
+function succession(storeMillis: number | undefined = 0) {
+  return new Succession({ storeMillis: () => storeMillis, random: () => 0 });
 }
 
 test('vacant work is claimed, by members near the store first', (t) => {
-  const near = succession();
-  const far = succession({ isNear: false });
+  const near = succession(4);
+  const far = succession(64);
   near.vacant(at(0));
   far.vacant(at(0));
-  t.is(near.next(at(0)), 'claim');
-  t.is(far.next(at(FAR_DELAY_MILLIS - 1)), 'none');
-  t.is(far.next(at(FAR_DELAY_MILLIS)), 'claim');
+  t.is(near.next(at(ANSWERS_WAITED * 4 - 1)), 'none');
+  t.is(near.next(at(ANSWERS_WAITED * 4)), 'claim');
+  t.is(far.next(at(ANSWERS_WAITED * 64 - 1)), 'none');
+  t.is(far.next(at(ANSWERS_WAITED * 64)), 'claim');
+});
+
+test('a member that can not tell how far the store is waits longest, as one that is very far', (t) => {
+  for (const storeMillis of [undefined, 10_000]) {
+    const member = new Succession({ storeMillis: () => storeMillis, random: () => 0 });
+    member.vacant(at(0));
+    t.is(member.next(at(LONGEST_WAIT_MILLIS - 1)), 'none');
+    t.is(member.next(at(LONGEST_WAIT_MILLIS)), 'claim');
+  }
 });
 
 test('work that another member has claimed meanwhile is not claimed', (t) => {
-  const member = succession({ isNear: false });
+  const member = succession(64);
   member.vacant(at(0));
   member.claimed();
   t.is(member.next(at(10_000)), 'none');
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -9,8 +9,13 @@
  * which an idle owner appends a keep-alive, and the store's usual answer.
  */
 export const LOOK_GAP_MILLIS = 400;
-/** A member far from the store lets near ones claim first, milliseconds. */
-export const FAR_DELAY_MILLIS = 250;
+/**
+ * A member waits so many answers of the store before it claims vacant work: those near the store
+ * go first, also while a start makes all answers slow.
+ */
+export const ANSWERS_WAITED = 1.5;
+/** The longest of these waits, milliseconds, and that of a member that had no answer yet. */
+export const LONGEST_WAIT_MILLIS = 250;
 /** Spread of claims of members that learn of a vacancy together, milliseconds: several answers of the store. */
 const SPREAD_MILLIS = 60;
 /** A claim that shows no effect is made again after this, milliseconds. */
@@ -19,8 +24,8 @@
 export type SuccessionAction = 'none' | 'look' | 'claim';
 
 export interface SuccessionOptions {
-  /** Whether the store is in this member's region. */
-  readonly isNear: () => boolean;
+  /** How fast the store can answer this member, milliseconds; absent before its first answer. */
+  readonly storeMillis: () => number | undefined;
   /** From 0 to 1. */
   readonly random: () => number;
 }
@@ -128,8 +133,9 @@
   }
 
   private delay(): number {
-    const far = this.options.isNear() ? 0 : FAR_DELAY_MILLIS;
-    return far + this.options.random() * SPREAD_MILLIS;
+    const storeMillis = this.options.storeMillis() ?? LONGEST_WAIT_MILLIS;
+    const wait = Math.min(ANSWERS_WAITED * storeMillis, LONGEST_WAIT_MILLIS);
+    return wait + this.options.random() * SPREAD_MILLIS;
   }
 }
 
