--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -1,36 +1,24 @@
 /** Builds a scheduler with a store and workers that a test plays by hand. */
 
+import { brandAs, type MemberId, type QueueId, type WorkerId } from '@bamboowell/types/ids';
 import {
-  brandAs,
-  type MemberId,
-  type QueueId,
-  type RackId,
-  type TeamId,
-  type WorkerId,
-} from '@bamboowell/types/ids';
-import {
-  lifeIdOf,
   NO_PROGRESS,
   type EndedEntry,
   type EndNumber,
   type JobConfiguration,
   type JobId,
   type JobPlan,
-  type JobQueue,
-  type JobTeam,
   type LifeId,
   type RunEnd,
   type RunningEntry,
   type RunNumber,
   type SavedProgress,
   type StepId,
-  type StepPlan,
   type StepTaskId,
   type Ticket,
   type WallInstant,
   type WorkerNotice,
 } from '@bamboowell/types/job';
-import { NOTHING, type Resources } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import type {
   JobAnswer,
@@ -40,6 +28,7 @@
   OrderAnswer,
   StartOrder,
 } from './messages.js';
+import { configurationOf, workerNotice } from './plans.fixture.js';
 import { SmallestFirst } from './ordering.js';
 import { restoreJobs } from './records.js';
 import { JobScheduler, type Times } from './scheduler.js';
@@ -48,90 +37,6 @@
 export const EARLIER_LEASES_MILLIS = 6000;
 const START_WALL = 1_700_000_000_000;
 
-export const QUEUE = brandAs<QueueId>('plans');
-export const TEAM = brandAs<TeamId>('aero');
-
-export function cores(count: number, memoryMib = 100): Resources {
-  return { ...NOTHING, millicores: count * 1000, memoryMib };
-}
-
-export function stepPlan(changes: Partial<StepPlan> = {}): StepPlan {
-  return {
-    count: 1,
-    demand: cores(1),
-    estimateMillis: 1000,
-    after: [],
-    savesProgress: false,
-    isGang: false,
-    prefersOneRack: false,
-    neededLabel: undefined,
-    rackOfData: undefined,
-    maxPerWorker: 0,
-    allowsCopies: false,
-    isLasting: false,
-    usesLeftovers: false,
-    mayBeAway: 0,
-    ...changes,
-  };
-}
-
-export function jobId(number: number): JobId {
-  return brandAs<JobId>(number.toString(16).padStart(16, '0'));
-}
-
-export function jobPlan(number: number, changes: Partial<JobPlan> = {}): JobPlan {
-  return {
-    id: jobId(number),
-    queue: QUEUE,
-    team: TEAM,
-    payload: `payload of ${number}`,
-    steps: [stepPlan()],
-    repetition: undefined,
-    ...changes,
-  };
-}
-
-export function jobQueue(changes: Partial<JobQueue> = {}): JobQueue {
-  return {
-    id: QUEUE,
-    host: 'example',
-    pathPrefix: '/plans/',
-    service: 'tunnels',
-    priority: 1,
-    attempts: 2,
-    objectiveFactor: 2,
-    targetLatencyMillis: 1000,
-    timeoutMillis: 3000,
-    advice: undefined,
-    isPublic: false,
-    ...changes,
-  };
-}
-
-export function configurationOf(
-  queues: readonly JobQueue[] = [jobQueue()],
-  team: Partial<JobTeam> = {},
-): JobConfiguration {
-  const teams = [{ id: TEAM, keys: ['key'], weight: 10, limit: NOTHING, ...team }];
-  return { version: 1, queues, teams, maxBodyBytes: 10_000 };
-}
-
-export function workerNotice(name: string, changes: Partial<WorkerNotice> = {}): WorkerNotice {
-  const id = brandAs<WorkerId>(name);
-  return {
-    id,
-    life: lifeIdOf(id, 1),
-    address: `${name}:80`,
-    service: 'tunnels',
-    zone: 'west',
-    isDraining: false,
-    capacity: cores(4, 10_000),
-    labels: ['a', 'r1'],
-    rack: brandAs<RackId>('r1'),
-    ...changes,
-  };
-}
-
 export interface BenchOptions {
   readonly configuration?: JobConfiguration;
   readonly workers?: readonly WorkerNotice[];
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -11,15 +11,17 @@
 import {
   configurationOf,
   cores,
-  EARLIER_LEASES_MILLIS,
   jobId,
   jobPlan,
   jobQueue,
   QUEUE,
-  runningEntry,
-  schedulerBench,
   stepPlan,
   workerNotice,
+} from './plans.fixture.js';
+import {
+  EARLIER_LEASES_MILLIS,
+  runningEntry,
+  schedulerBench,
   type SeenStart,
 } from './scheduler.fixture.js';
 
--- a/packages/member/src/gate.test.ts
+++ b/packages/member/src/gate.test.ts
@@ -7,7 +7,8 @@
 import type { GateMessage, JobReply, JobRequest } from './gate-messages.js';
 import { GateTask } from './gate.js';
 import { OwnerChannel, type OwnerReply, type OwnerRequest } from './owner-channel.js';
-import { configurationOf, jobIdOf, planOf } from './troubles.fixture.js';
+import { jobId } from '@bamboowell/jobs/plans.fixture';
+import { configurationOf, planOf } from './known-plans.fixture.js';
 
 /** An owner that replies as a test says, and never where the test says nothing. */
 class ScriptedOwner extends OwnerChannel {
@@ -61,7 +62,7 @@
       const request: JobRequest = {
         verb: 'submit',
         host: 'example',
-        path: `/plans/${jobIdOf(1)}`,
+        path: `/plans/${jobId(1)}`,
         key: 'key',
         waitMillis: 3000,
         body: { kind: 'decoded', value: planOf(1) },
@@ -171,6 +172,6 @@
   await request();
   t.like(events.at(-1), {
     name: 'request.answered',
-    fields: { path: `/plans/${jobIdOf(1)}`, outcome: 'accepted', configuration: 1, tries: 1 },
+    fields: { path: `/plans/${jobId(1)}`, outcome: 'accepted', configuration: 1, tries: 1 },
   });
 });
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
-import { configurationOf, cores, jobIdOf, planOf, stepOf } from './troubles.fixture.js';
+import { cores, jobId } from '@bamboowell/jobs/plans.fixture';
+import { configurationOf, planOf, stepOf } from './known-plans.fixture.js';
 
 const NAMES = ['m1', 'm2', 'm3'];
 
@@ -32,14 +33,14 @@
 }
 
 async function stateAt(cluster: Cluster, member: string, job: number) {
-  return during(cluster, cluster.request(member, 'query', jobIdOf(job)));
+  return during(cluster, cluster.request(member, 'query', jobId(job)));
 }
 
 test('a job is taken by any member, runs, and is shown as completed by all', async (t) => {
   const cluster = await runningCluster();
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
+    cluster.request(follower(cluster), 'submit', jobId(1), planOf(1)),
   );
   t.deepEqual(reply, { kind: 'accepted', repeated: false });
   await cluster.run(1500);
@@ -52,14 +53,14 @@
 test('after the owner is killed another member serves within two seconds, and nothing runs twice', async (t) => {
   const cluster = await runningCluster();
   const steps = [stepOf({ count: 6, estimateMillis: 3000 })];
-  await during(cluster, cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1, steps)));
+  await during(cluster, cluster.request(follower(cluster), 'submit', jobId(1), planOf(1, steps)));
   await cluster.run(500);
   const owner = cluster.ownerName() ?? '';
   const killedAt = cluster.now();
   cluster.kill(owner);
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobIdOf(2), planOf(2)),
+    cluster.request(follower(cluster), 'submit', jobId(2), planOf(2)),
   );
   t.like(reply, { kind: 'accepted' });
   t.true(cluster.now() - killedAt < 2000, `served after ${cluster.now() - killedAt} ms`);
@@ -76,7 +77,7 @@
   const cluster = await runningCluster();
   cluster.kill(cluster.ownerName() ?? '');
   const killedAt = cluster.now();
-  await during(cluster, cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)));
+  await during(cluster, cluster.request(follower(cluster), 'submit', jobId(1), planOf(1)));
   t.true(cluster.now() - killedAt <= 300, `served after ${cluster.now() - killedAt} ms`);
 });
 
@@ -87,7 +88,7 @@
   const frozenAt = cluster.now();
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
+    cluster.request(follower(cluster), 'submit', jobId(1), planOf(1)),
   );
   t.like(reply, { kind: 'accepted' });
   t.true(cluster.now() - frozenAt < 2500, `served after ${cluster.now() - frozenAt} ms`);
@@ -103,7 +104,7 @@
 test('all members without power at once: what was accepted is taken up again', async (t) => {
   const cluster = await runningCluster();
   const steps = [stepOf({ count: 3, estimateMillis: 2000 }), stepOf({ after: [0] })];
-  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), planOf(1, steps)));
   await cluster.run(300);
   NAMES.forEach((name) => {
     cluster.kill(name);
@@ -124,12 +125,12 @@
   }
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobIdOf(1), planOf(1)),
+    cluster.request(follower(cluster), 'submit', jobId(1), planOf(1)),
   );
   t.like(reply, { kind: 'accepted' });
   t.not(cluster.ownerName(), owner);
   // The member that the store refuses hands requests to the new owner.
-  t.like(await during(cluster, cluster.request(owner, 'submit', jobIdOf(2), planOf(2))), {
+  t.like(await during(cluster, cluster.request(owner, 'submit', jobId(2), planOf(2))), {
     kind: 'accepted',
   });
   await cluster.run(2000);
@@ -139,12 +140,12 @@
 test('with the store away running work goes on, and an acceptance is refused or undecided in time', async (t) => {
   const cluster = await runningCluster();
   const steps = [stepOf({ count: 2, estimateMillis: 9000 })];
-  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), planOf(1, steps)));
   await cluster.run(300);
   cluster.members.forEach(({ store }) => {
     store.mode = 'silent';
   });
-  const reply = await during(cluster, cluster.request('m1', 'submit', jobIdOf(2), planOf(2)));
+  const reply = await during(cluster, cluster.request('m1', 'submit', jobId(2), planOf(2)));
   t.is(reply?.kind, 'undecided');
   await cluster.run(5000);
   const running = [...cluster.workers.values()].flatMap((worker) => worker.running());
@@ -162,12 +163,12 @@
 test('a member that retires answers what it has, and hands the work over at once', async (t) => {
   const cluster = await runningCluster();
   const owner = cluster.ownerName() ?? '';
-  const pending = cluster.request(owner, 'submit', jobIdOf(1), planOf(1));
+  const pending = cluster.request(owner, 'submit', jobId(1), planOf(1));
   const retired = cluster.retire(owner);
   t.like(await during(cluster, pending), { kind: 'accepted' });
   const reply = await during(
     cluster,
-    cluster.request(follower(cluster), 'submit', jobIdOf(2), planOf(2)),
+    cluster.request(follower(cluster), 'submit', jobId(2), planOf(2)),
   );
   t.like(reply, { kind: 'accepted' });
   await during(cluster, retired);
@@ -189,14 +190,14 @@
   }
   cluster.declare({ ...configurationOf(2), queues: [] });
   await cluster.run(1000);
-  const reply = await during(cluster, cluster.request(member, 'submit', jobIdOf(1), planOf(1)));
+  const reply = await during(cluster, cluster.request(member, 'submit', jobId(1), planOf(1)));
   t.deepEqual(reply, { kind: 'unknown_queue' });
 });
 
 test('a worker that only the owner cannot reach gets its tasks elsewhere after its lease', async (t) => {
   const cluster = await runningCluster();
   const steps = [stepOf({ count: 1, estimateMillis: 1500 })];
-  await during(cluster, cluster.request('m1', 'submit', jobIdOf(1), planOf(1, steps)));
+  await during(cluster, cluster.request('m1', 'submit', jobId(1), planOf(1, steps)));
   await cluster.run(100);
   const worker = [...cluster.workers.values()].find((each) => each.running().length > 0);
   const owner = cluster.members.get(cluster.ownerName() ?? '');
@@ -219,7 +220,7 @@
   const retired = cluster.retire(name, 2500);
   await cluster.run(1000);
   const askedAt = cluster.now();
-  const reply = await during(cluster, cluster.request(name, 'submit', jobIdOf(1), planOf(1)));
+  const reply = await during(cluster, cluster.request(name, 'submit', jobId(1), planOf(1)));
   t.like(reply, { kind: 'refused', reason: 'no_owner' });
   t.true(cluster.now() - askedAt < 2500, 'sooner than its caller would have given up');
   await during(cluster, retired);
--- a/packages/member/src/routes.test.ts
+++ b/packages/member/src/routes.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import { brandAs, type QueueId } from '@bamboowell/types/ids';
 import { Routes } from './routes.js';
-import { configurationOf, TEAM } from './troubles.fixture.js';
+import { TEAM } from '@bamboowell/jobs/plans.fixture';
+import { configurationOf } from './known-plans.fixture.js';
 
 /** Routes of queues that differ in where they are found. */
 function routesOf(
--- a/packages/member/src/troubles.fixture.ts
+++ b/packages/member/src/troubles.fixture.ts
@@ -2,64 +2,11 @@
 
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { brandAs, type QueueId, type TeamId } from '@bamboowell/types/ids';
-import type { JobConfiguration, JobId, JobPlan, StepPlan } from '@bamboowell/types/job';
-import { NOTHING, type Resources } from '@bamboowell/types/resources';
+import { cores, jobId } from '@bamboowell/jobs/plans.fixture';
+import { brandAs } from '@bamboowell/types/ids';
+import type { JobId, StepPlan } from '@bamboowell/types/job';
 import { emulatedCluster } from './emulated-cluster.fixture.js';
-
-export const QUEUE = brandAs<QueueId>('plans');
-export const TEAM = brandAs<TeamId>('aero');
-
-export function cores(count: number): Resources {
-  return { ...NOTHING, millicores: count * 1000, memoryMib: 100 };
-}
-
-export function configurationOf(version = 1): JobConfiguration {
-  const queue = {
-    id: QUEUE,
-    host: 'example',
-    pathPrefix: '/plans/',
-    service: 'tunnels',
-    priority: 1,
-    attempts: 3,
-    objectiveFactor: 2,
-    targetLatencyMillis: 1000,
-    timeoutMillis: 3000,
-    advice: { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 },
-    isPublic: false,
-  };
-  const team = { id: TEAM, keys: ['key'], weight: 10, limit: NOTHING };
-  return { version, queues: [queue], teams: [team], maxBodyBytes: 10_000 };
-}
-
-export function stepOf(changes: Partial<StepPlan> = {}): StepPlan {
-  return {
-    count: 1,
-    demand: cores(1),
-    estimateMillis: 500,
-    after: [],
-    savesProgress: false,
-    isGang: false,
-    prefersOneRack: false,
-    neededLabel: undefined,
-    rackOfData: undefined,
-    maxPerWorker: 0,
-    allowsCopies: false,
-    isLasting: false,
-    usesLeftovers: false,
-    mayBeAway: 0,
-    ...changes,
-  };
-}
-
-export function jobIdOf(number: number): JobId {
-  return brandAs<JobId>(number.toString(16).padStart(16, '0'));
-}
-
-export function planOf(number: number, steps: readonly StepPlan[] = [stepOf()]): JobPlan {
-  const id = jobIdOf(number);
-  return { id, queue: QUEUE, team: TEAM, payload: `job ${number}`, steps, repetition: undefined };
-}
+import { configurationOf, planOf, stepOf } from './known-plans.fixture.js';
 
 const MEMBERS = ['m1', 'm2', 'm3', 'm4'];
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
@@ -122,7 +69,7 @@
 
   const submit = async (number: number): Promise<void> => {
     const job = {
-      id: jobIdOf(number),
+      id: jobId(number),
       isAccepted: false,
       isUndecided: false,
       mayBeCancelled: false,
