Leave a start without an answer to its stop

The link to a worker repeats the start until it is answered, also once the stop of the same run waits beside it, and the start may arrive first. Ruled out: orders that the worker carried out late (the emulation tells them apart), a start placed after the cancelling (the log shows none). Change: an order to stop a run drops the start of that run.

--- a/packages/member/src/troubles.test.ts
+++ b/packages/member/src/troubles.test.ts
@@ -1,10 +1,14 @@
 import test from 'ava';
 import { playTroubles } from './troubles.fixture.js';
 
-/** Seeds of every run; one that ever failed stays here. */
-const SEEDS = Array.from({ length: 8 }, (_, index) => index + 1);
+const FIRST_SEEDS = Array.from({ length: 8 }, (_, index) => index + 1);
+/**
+ * Seeds that once broke a promise: advice asked for never again after a lost answer (41, 92), and
+ * starts sent again behind the cancelling of their job (1040, 1134, 1488).
+ */
+const FOUND_SEEDS = [41, 92, 1040, 1134, 1488];
 
-for (const seed of SEEDS) {
+for (const seed of [...FIRST_SEEDS, ...FOUND_SEEDS]) {
   test.serial(`promises hold through the troubles of seed ${seed}`, async (t) => {
     const { broken, accepted, submitted } = await playTroubles(seed);
     t.deepEqual(broken, []);
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -139,6 +139,24 @@
   t.true((second?.waitMillis ?? 0) > 0);
 });
 
+test('a start without an answer is not sent again once its run is to stop', async (t) => {
+  const { link, port, pass, inputs } = linkBench();
+  port.answers.push('silence', 'silence');
+  await link.start();
+  await pass(100);
+  link.post({ kind: 'order', order: START });
+  await pass(100);
+  t.is(port.starts.length, 1);
+  const { task, run } = START;
+  link.post({ kind: 'order', order: { kind: 'stop', task, run } });
+  await pass(3000);
+  t.is(port.starts.length, 1);
+  t.deepEqual(
+    inputs().flatMap((input) => (input.kind === 'order_answered' ? [input.order] : [])),
+    ['stop'],
+  );
+});
+
 test('new ends are acknowledged by the next question, once their record is in the store', async (t) => {
   const { link, port, pass } = linkBench();
   port.holds.push(port.held(), port.held([end(1)]));
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -85,8 +85,7 @@
   protected receive(message: WorkerLinkMessage): void {
     match(message)
       .with({ kind: 'order' }, ({ order }) => {
-        this.orders.set(keyOf(order), order);
-        this.send(order);
+        this.order(order);
       })
       .with({ kind: 'withdraw' }, ({ task, run }) => {
         this.orders.delete(`start ${task} ${run}`);
@@ -115,6 +114,15 @@
       .exhaustive();
   }
 
+  /** A start that may not have arrived is left to its stop: sent again it could arrive behind it. */
+  private order(order: Order): void {
+    if (order.kind === 'stop') {
+      this.orders.delete(keyOf({ ...order, kind: 'start' }));
+    }
+    this.orders.set(keyOf(order), order);
+    this.send(order);
+  }
+
   private ask(): void {
     if (this.isAsking || this.isOver || !hasPassed(this.askAfter, this.clock.now())) {
       return;
@@ -254,6 +262,6 @@
   }
 }
 
-function keyOf({ kind, task, run }: Order): string {
+function keyOf({ kind, task, run }: Pick<Order, 'kind' | 'task' | 'run'>): string {
   return `${kind} ${task} ${run}`;
 }
