--- /dev/null
+++ b/packages/bench/src/job-model.ts
@@ -0,0 +1,296 @@
+/** The scheduler of jobs with workers, members and a store that answer by a clock of the model. */
+
+import { Heap } from 'heap-js';
+import type { JobOutput, JobToken, StartOrder } from '@bamboowell/jobs/messages';
+import type { JobOrdering } from '@bamboowell/jobs/ordering';
+import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
+import { brandAs, type MemberId, type WorkerId } from '@bamboowell/types/ids';
+import {
+  lifeIdOf,
+  NO_PROGRESS,
+  type EndedEntry,
+  type EndNumber,
+  type JobConfiguration,
+  type LifeId,
+  type RunNumber,
+  type StepId,
+  type StepTaskId,
+  type Ticket,
+  type WallInstant,
+  type WorkerNotice,
+} from '@bamboowell/types/job';
+import { NOTHING } from '@bamboowell/types/resources';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+import { amountOf } from './fleets.js';
+import { queueOf, TEAMS, type JobArrival, type JobKind } from './job-demand.js';
+import { cpuMicrosOf } from './usage.js';
+
+export interface JobModelOptions {
+  readonly kinds: readonly JobKind[];
+  readonly arrivals: readonly JobArrival[];
+  readonly ordering: JobOrdering;
+  readonly workers: number;
+  readonly members: number;
+}
+
+/** What became of the jobs, and what the scheduler cost. */
+export interface JobModelResult {
+  /** Milliseconds from arrival to the end, by job; absent for jobs that did not end. */
+  readonly endedAfter: ReadonlyMap<string, number>;
+  readonly passes: number;
+  /** Processor time of all passes, microseconds. */
+  readonly passMicros: number;
+  readonly starts: number;
+  readonly adviceCalls: number;
+}
+
+const WORKER_CORES = 64;
+const WORKER_GIB = 128;
+/** Between two looks at what is due, milliseconds. */
+const TICK_MILLIS = 5;
+/** From a change to its record in the store, and from an order to its start, milliseconds. */
+const STORE_MILLIS = 10;
+/** Parts of 100 of the workers that a policy allows a step to run on. */
+const GRANTED_PERCENT = 70;
+/** The model goes on for so long after the last arrival, milliseconds. */
+const TAIL_MILLIS = 15_000;
+const START_WALL = 1_700_000_000_000;
+const PROMISED_JOBS = 1_000_000;
+
+interface Due {
+  readonly at: number;
+  readonly act: () => void;
+}
+
+interface ModelWorker {
+  readonly notice: WorkerNotice;
+  readonly running: Map<StepTaskId, RunNumber>;
+  ends: number;
+}
+
+/** Plays all arrivals; the same options give the same result but for processor time. */
+export class JobModel {
+  private now = 0;
+  private readonly due = new Heap<Due>((left, right) => left.at - right.at);
+  private readonly workers: Map<LifeId, ModelWorker>;
+  private readonly arrivals: ReadonlyMap<string, JobArrival>;
+  /** Until then the member answers earlier calls for advice. */
+  private readonly busyUntil = new Map<MemberId, number>();
+  private readonly endedAfter = new Map<string, number>();
+  private readonly scheduler: JobScheduler;
+  private tokens = 0;
+  private passes = 0;
+  private passMicros = 0;
+  private starts = 0;
+  private adviceCalls = 0;
+
+  constructor(private readonly options: JobModelOptions) {
+    this.workers = new Map(
+      Array.from({ length: options.workers }, (_, number) => {
+        const notice = noticeOf(number);
+        return [notice.life, { notice, running: new Map(), ends: 0 }];
+      }),
+    );
+    this.arrivals = new Map(options.arrivals.map((arrival) => [arrival.plan.id, arrival]));
+    this.scheduler = new JobScheduler(
+      {
+        ordering: options.ordering,
+        configuration: configurationOf(options.kinds),
+        earlierLeasesEnd: brandAs<Deadline>(0),
+        restored: { jobs: [], runs: [] },
+        workers: [...this.workers.values()].map(({ notice }) => notice),
+      },
+      this.times(),
+    );
+  }
+
+  run(): JobModelResult {
+    this.take(this.scheduler.takeOutputs());
+    for (let number = 0; number < this.options.members; number += 1) {
+      const member = brandAs<MemberId>(`member-${number}`);
+      this.input({ kind: 'adviser', member, extraMillis: 0 });
+    }
+    this.options.arrivals.forEach((arrival) => {
+      this.after(arrival.atMillis, () => {
+        this.submit(arrival);
+      });
+    });
+    const until = (this.options.arrivals.at(-1)?.atMillis ?? 0) + TAIL_MILLIS;
+    while (this.now < until) {
+      this.now += TICK_MILLIS;
+      this.tick();
+    }
+    const { endedAfter, passes, passMicros, starts, adviceCalls } = this;
+    return { endedAfter, passes, passMicros, starts, adviceCalls };
+  }
+
+  private tick(): void {
+    for (let next = this.due.peek(); next !== undefined && next.at <= this.now;) {
+      this.due.pop();
+      next.act();
+      next = this.due.peek();
+    }
+    if (this.scheduler.wantsPlacement) {
+      this.passes += 1;
+      let outputs: JobOutput[] = [];
+      this.passMicros += cpuMicrosOf(() => {
+        outputs = this.scheduler.step({ kind: 'place' }, this.times());
+      });
+      this.take(outputs);
+    }
+    this.commit();
+  }
+
+  private commit(): void {
+    const batch = this.scheduler.takeBatch();
+    if (batch !== undefined) {
+      this.after(STORE_MILLIS, () => {
+        this.input({ kind: 'committed', batch: batch.number });
+      });
+    }
+  }
+
+  private submit({ plan }: JobArrival): void {
+    this.tokens += 1;
+    this.input({ kind: 'submit', plan, token: brandAs<JobToken>(this.tokens) });
+  }
+
+  private input(input: Parameters<JobScheduler['step']>[0]): void {
+    this.take(this.scheduler.step(input, this.times()));
+  }
+
+  private take(outputs: readonly JobOutput[]): void {
+    for (const output of outputs) {
+      this.takeOne(output);
+    }
+  }
+
+  private takeOne(output: JobOutput): void {
+    if (output.kind === 'meet') {
+      this.after(0, () => {
+        this.report(output.notice.life, []);
+      });
+    } else if (output.kind === 'ask_advice') {
+      this.advise(output);
+    } else if (output.kind === 'order' && output.order.kind === 'start') {
+      this.start(output.life, output.order);
+    } else if (output.kind === 'order') {
+      this.end(output.life, output.order.task, output.order.run, 'stopped');
+    } else if (output.kind === 'event' && output.name === 'job.ended') {
+      this.ended(String(output.fields.job));
+    }
+  }
+
+  private ended(job: string): void {
+    const arrival = this.arrivals.get(job);
+    if (arrival !== undefined) {
+      this.endedAfter.set(job, this.now - arrival.atMillis);
+    }
+  }
+
+  /** A member has its calls answered in turn. */
+  private advise({ member, step, workers, terms }: Extract<JobOutput, { kind: 'ask_advice' }>) {
+    this.adviceCalls += 1;
+    const askedAt = this.now;
+    const callMillis = terms.baseMillis + terms.perWorkerMillis * workers.length;
+    const answeredAt = Math.max(askedAt, this.busyUntil.get(member) ?? 0) + callMillis;
+    this.busyUntil.set(member, answeredAt);
+    const granted = workers
+      .filter((worker) => isGranted(step, worker))
+      .map((worker) => ({ worker, ticket: brandAs<Ticket>('') }));
+    this.after(answeredAt - askedAt, () => {
+      const until = brandAs<Deadline>(this.now + terms.validMillis);
+      const tookMillis = this.now - askedAt;
+      this.input({ kind: 'advice', step, granted, until, tookMillis });
+    });
+  }
+
+  private start(life: LifeId, { task, run }: StartOrder): void {
+    this.starts += 1;
+    this.workers.get(life)?.running.set(task, run);
+    this.input({
+      kind: 'order_answered',
+      order: 'start',
+      life,
+      task,
+      run,
+      answer: { kind: 'done' },
+    });
+    this.after(this.runMillisOf(task), () => {
+      this.end(life, task, run, 'done');
+    });
+  }
+
+  private runMillisOf(task: StepTaskId): number {
+    const [job = '', , step, index] = task.split('.');
+    return this.arrivals.get(job)?.runMillis[Number(step)]?.[Number(index)] ?? 0;
+  }
+
+  private end(life: LifeId, task: StepTaskId, run: RunNumber, end: EndedEntry['end']): void {
+    const worker = this.workers.get(life);
+    if (worker?.running.get(task) !== run) {
+      return;
+    }
+    worker.running.delete(task);
+    worker.ends += 1;
+    const number = brandAs<EndNumber>(worker.ends);
+    this.after(0, () => {
+      this.report(life, [{ number, task, run, end, saved: NO_PROGRESS }]);
+    });
+  }
+
+  private report(life: LifeId, ended: readonly EndedEntry[]): void {
+    const running = [...(this.workers.get(life)?.running ?? [])].map(([task, run]) => ({
+      task,
+      run,
+      saved: NO_PROGRESS,
+      percent: 50,
+    }));
+    const askedAt = brandAs<Instant>(this.now);
+    this.input({ kind: 'report', report: { life, askedAt, running, ended } });
+  }
+
+  private after(millis: number, act: () => void): void {
+    this.due.push({ at: this.now + millis, act });
+  }
+
+  private times(): Times {
+    return {
+      now: brandAs<Instant>(this.now),
+      wall: brandAs<WallInstant>(START_WALL + Math.round(this.now)),
+    };
+  }
+}
+
+function noticeOf(number: number): WorkerNotice {
+  const id = brandAs<WorkerId>(`worker-${number}`);
+  return {
+    id,
+    life: lifeIdOf(id, 1),
+    address: '',
+    service: 'tunnels',
+    zone: '',
+    isDraining: false,
+    capacity: amountOf(WORKER_CORES, WORKER_GIB, 0, 0),
+    labels: [],
+    rack: undefined,
+  };
+}
+
+function configurationOf(kinds: readonly JobKind[]): JobConfiguration {
+  return {
+    version: 1,
+    queues: kinds.map(queueOf),
+    teams: TEAMS.map((id) => ({ id, keys: [], weight: PROMISED_JOBS, limit: NOTHING })),
+    maxBodyBytes: 262_144,
+  };
+}
+
+/** A policy's answer about a step and a worker never changes. */
+function isGranted(step: StepId, worker: WorkerId): boolean {
+  let sum = 0;
+  for (const character of step + worker) {
+    sum = (sum * 31 + character.charCodeAt(0)) % 65_521;
+  }
+  return sum % 100 < GRANTED_PERCENT;
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 
 import { measureRecovery } from '@bamboowell/demo/recovery';
 import { measureCapacity } from './capacity.js';
+import { measureJobs } from './jobs.js';
 import { measureControlCost } from './control-cost.js';
 import { measurePacking } from './packing.js';
 import { measurePlacement } from './placement.js';
@@ -16,6 +17,7 @@
   ['packing', measurePacking],
   ['capacity', measureCapacity],
   ['control-cost', measureControlCost],
+  ['jobs', measureJobs],
   ['recovery', measureRecovery],
 ]);
 
