Let a suspended member's alarms wait out their time after it wakes

The real clock never wakes early; the emulated one did. Its alarms are now set again for the time that the suspension took.

--- a/packages/member/src/gated-clock.fixture.ts
+++ b/packages/member/src/gated-clock.fixture.ts
@@ -3,7 +3,7 @@
 import { brandAs } from '@bamboowell/types/ids';
 import { Clock, type Alarm } from '@bamboowell/kernel/clock';
 import type { ManualClock } from '@bamboowell/kernel/manual-clock';
-import type { Deadline, Instant } from '@bamboowell/types/time';
+import { hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 
 export class GatedClock extends Clock {
   state: 'running' | 'frozen' | 'dead' = 'running';
@@ -23,22 +23,29 @@
 
   wakeAt(deadline: Deadline, wake: () => void): Alarm {
     let isCancelled = false;
-    const alarm = this.base.wakeAt(brandAs<Deadline>(deadline + this.suspendedMillis), () => {
-      const run = (): void => {
-        if (!isCancelled && this.state !== 'dead') {
-          wake();
-        }
-      };
+    let alarm: Alarm | undefined;
+    const fire = (): void => {
+      if (isCancelled || this.state === 'dead') {
+        return;
+      }
       if (this.state === 'frozen') {
-        this.queued.push(run);
+        this.queued.push(fire);
+      } else if (hasPassed(deadline, this.now())) {
+        wake();
       } else {
-        run();
+        arm();
       }
-    });
+    };
+    // The time for which the process was suspended doesn't count, so an alarm may have to be set again.
+    const arm = (): void => {
+      const due = Math.ceil(deadline + this.suspendedMillis);
+      alarm = this.base.wakeAt(brandAs<Deadline>(due), fire);
+    };
+    arm();
     return {
       cancel: () => {
         isCancelled = true;
-        alarm.cancel();
+        alarm?.cancel();
       },
     };
   }
