List an owner that retires while the store is slow

Whole members on a manual clock show the gap: the owner is told to stop while appends take 0.45 s, takes nothing for 0.8 s while it waits for them, leaves without a release, and its successor claims, reads, fences and loads by calls of 0.45 s each.

--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { brandAs } from '@bamboowell/types/ids';
 import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
 import { cores, jobId } from '@bamboowell/jobs/plans.fixture';
 import { configurationOf, planOf, stepOf } from './known-plans.fixture.js';
@@ -181,6 +182,31 @@
   t.deepEqual(cluster.jobs.broken, []);
 });
 
+test('an owner that retires while the store is slow leaves no caller without an answer', async (t) => {
+  const cluster = await runningCluster();
+  cluster.members.forEach(({ store }) => {
+    store.latencyMillis = 450;
+  });
+  const owner = cluster.ownerName() ?? '';
+  const others = NAMES.filter((name) => name !== owner);
+  const replies = Array.from({ length: 30 }, async (_, number) => {
+    const member = others[number % others.length] ?? '';
+    await cluster.clock.sleepUntil(brandAs(cluster.now() + 100 * number));
+    return cluster.request(member, 'submit', jobId(number + 1), planOf(number + 1));
+  });
+  await cluster.run(500);
+  void cluster.retire(owner);
+  await cluster.run(3500);
+  cluster.members.forEach(({ store }) => {
+    store.latencyMillis = 4;
+  });
+  const kinds = await during(
+    cluster,
+    Promise.all(replies.map(async (reply) => (await reply)?.kind)),
+  );
+  t.deepEqual(new Set(kinds), new Set(['accepted']));
+});
+
 test('a newer configuration reaches a member that the store refuses, through the owner', async (t) => {
   const cluster = await runningCluster();
   const member = follower(cluster);
