--- a/packages/explain/src/breakdown.ts
+++ b/packages/explain/src/breakdown.ts
@@ -3,7 +3,7 @@
 import { build as buildHistogram } from 'hdr-histogram-js';
 import type { LoggedEvent } from '@bamboowell/logger/parse-line';
 import { MILLIS_PER_SECOND } from '@bamboowell/types/time';
-import { taskTimesOf, textOf, totalOf, type TaskTimes } from './phases.js';
+import { inOrder, taskTimesOf, textOf, totalOf, type TaskTimes } from './phases.js';
 
 /** What became of one job. */
 interface JobTimes {
@@ -69,7 +69,7 @@
 
 /** Nothing for a job that no owner took. */
 function timesOf(lines: readonly LoggedEvent[]): JobTimes | undefined {
-  const events = [...lines].sort((left, right) => left.at - right.at);
+  const events = inOrder(lines);
   const taken = events.find(({ name }) => name === 'job.taken');
   if (taken === undefined) {
     return undefined;
@@ -97,7 +97,12 @@
   const groups = new Map<Key, JobTimes[]>();
   for (const job of jobs) {
     const key = keyOf(job);
-    groups.set(key, [...(groups.get(key) ?? []), job]);
+    const group = groups.get(key);
+    if (group === undefined) {
+      groups.set(key, [job]);
+    } else {
+      group.push(job);
+    }
   }
   const sorted = [...groups].sort(([left], [right]) => (left < right ? -1 : 1));
   return new Map(sorted.map(([key, members]) => [key, groupOf(members)]));
--- a/packages/explain/src/phases.ts
+++ b/packages/explain/src/phases.ts
@@ -131,3 +131,8 @@
 export function totalOf({ adviceMillis, roomMillis, runMillis, lostMillis }: TaskTimes): number {
   return adviceMillis + roomMillis + runMillis + lostMillis;
 }
+
+/** By the time of day; each member writes its own lines in order. */
+export function inOrder(events: readonly LoggedEvent[]): LoggedEvent[] {
+  return [...events].sort((left, right) => left.at - right.at);
+}
--- a/packages/explain/src/story.ts
+++ b/packages/explain/src/story.ts
@@ -3,7 +3,7 @@
 import type { LoggedEvent } from '@bamboowell/logger/parse-line';
 import { findingsOf } from './findings.js';
 import type { Gathering } from './gathering.js';
-import { textOf } from './phases.js';
+import { inOrder, textOf } from './phases.js';
 
 export interface TimelineRow {
   /** Since the first line that names the job, milliseconds. */
@@ -36,10 +36,6 @@
   return { rows, findings: [...findings, ...note] };
 }
 
-function inOrder(events: readonly LoggedEvent[]): LoggedEvent[] {
-  return [...events].sort((left, right) => left.at - right.at);
-}
-
 function detailOf({ fields }: LoggedEvent): string {
   return [...fields]
     .filter(([key]) => !OWN_CELLS.has(key))
