Bring the rest of a short write of the log out, and count what is lost

A pipe that is nearly full takes a part of what it is given, a full one answers EAGAIN; the log took both for done.

--- a/packages/logger/src/line-log.ts
+++ b/packages/logger/src/line-log.ts
@@ -9,11 +9,18 @@
 /** Bytes that may wait; lines beyond are counted instead. A few seconds of a busy process. */
 const MAX_WAITING_BYTES = 512 * 1024;
 
-/** Writes to a descriptor and calls back when done; `fs.write` but in tests. */
+/** Pause before a reader that takes nothing is tried again, milliseconds. */
+const RETRY_MILLIS = 20;
+const LINE_FEED = 0x0a;
+
+/**
+ * Writes to a descriptor and tells how many bytes it took, which may be fewer than it was given;
+ * `fs.write` but in tests.
+ */
 export type WriteBytes = (
   descriptor: number,
   bytes: Buffer,
-  done: (error: Error | null) => void,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
 ) => void;
 
 export class LineLog extends EventLog {
@@ -57,16 +64,34 @@
     const bytes = Buffer.from(`${this.lines.join('\n')}\n`);
     this.lines = [];
     this.isWriting = true;
-    this.writeBytes(this.descriptor, bytes, (error) => {
-      this.isWriting = false;
-      this.waitingBytes -= bytes.length;
-      // A reader that is gone must not end the process; there is nowhere to say so.
-      if (error === null) {
+    this.write(bytes);
+  }
+
+  /** A pipe that is nearly full takes a part of the bytes, a full one none. */
+  private write(bytes: Buffer): void {
+    this.writeBytes(this.descriptor, bytes, (error, written) => {
+      const rest = bytes.subarray(error === null ? written : 0);
+      this.waitingBytes -= bytes.length - rest.length;
+      if (error !== null && error.code !== 'EAGAIN') {
+        this.lose(rest);
+      } else if (rest.length > 0) {
+        setTimeout(() => {
+          this.write(rest);
+        }, RETRY_MILLIS).unref();
+      } else {
+        this.isWriting = false;
         this.flush();
       }
     });
   }
 
+  /** A reader that is gone must not end the process; the next line that is read tells the loss. */
+  private lose(bytes: Buffer): void {
+    this.isWriting = false;
+    this.waitingBytes -= bytes.length;
+    this.dropped += bytes.filter((byte) => byte === LINE_FEED).length;
+  }
+
   private add(line: string): void {
     this.lines.push(line);
     this.waitingBytes += Buffer.byteLength(line) + 1;
@@ -76,7 +101,7 @@
 function writeToDescriptor(
   descriptor: number,
   bytes: Buffer,
-  done: (error: Error | null) => void,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
 ): void {
   write(descriptor, bytes, done);
 }
