Log what a machine gives a member and what it uses, and the steps of a takeover

Each member now logs once a second what its settings say of its machine, the processor time, memory and timer lag, and the bytes to each kind of partner, counted at the sockets. A takeover logs its steps, a claim why it is made, advice how many workers were named, and the owner's figures how much of the fleet is used. The same numbers are gauges on the metrics page.

--- a/packages/jobs/src/asking.ts
+++ b/packages/jobs/src/asking.ts
@@ -64,6 +64,7 @@
     if (step === undefined) {
       return;
     }
+    const named = step.asking?.length ?? 0;
     step.asking?.forEach((id) => step.advisedOn.add(id));
     step.asking = undefined;
     for (const { worker, ticket } of advice.granted) {
@@ -73,6 +74,7 @@
     this.context.hasNews = true;
     this.context.event('advice.taken', {
       step: advice.step,
+      named,
       granted: advice.granted.length,
       tookMillis: Math.round(advice.tookMillis),
     });
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -31,6 +31,18 @@
   readonly workers: readonly WorkerNotice[];
 }
 
+/** How much work there is, and how much of the workers it takes. */
+export interface JobFigures {
+  readonly jobs: number;
+  readonly waitingSteps: number;
+  readonly runs: number;
+  readonly workers: number;
+  /** Workers on which nothing runs. */
+  readonly idleWorkers: number;
+  readonly millicores: number;
+  readonly usedMillicores: number;
+}
+
 /** Both clocks of the process. */
 export interface Times {
   readonly now: Instant;
@@ -108,12 +120,19 @@
   }
 
   /** Figures for metrics and the log. */
-  figures(): { readonly jobs: number; readonly waitingSteps: number; readonly runs: number } {
-    let runs = 0;
-    for (const worker of this.context.workers.values()) {
-      runs += worker.runs.size;
-    }
-    return { jobs: this.context.jobs.size, waitingSteps: this.lifecycle.ready.size, runs };
+  figures(): JobFigures {
+    const workers = [...this.context.workers.values()];
+    const sum = (amount: (worker: Worker) => number): number =>
+      workers.reduce((total, worker) => total + amount(worker), 0);
+    return {
+      jobs: this.context.jobs.size,
+      waitingSteps: this.lifecycle.ready.size,
+      runs: sum(({ runs }) => runs.size),
+      workers: workers.length,
+      idleWorkers: sum(({ runs }) => Number(runs.size === 0)),
+      millicores: sum(({ notice }) => notice.capacity.millicores),
+      usedMillicores: sum(({ used }) => used.millicores),
+    };
   }
 
   private setTimes({ now, wall }: Times): void {
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -48,10 +48,14 @@
   OwnerService,
   OwnershipService,
   PeersService,
+  TrafficService,
 } from './services.js';
+import type { Machine } from './settings.js';
 
 const START_WALL = 1_700_000_000_000;
 const LONGEST_LEASE_MILLIS = 6000;
+/** A machine that no role of a member fills. */
+const STRONG_MACHINE: Machine = { cores: 1, memoryMib: 1024, linkMbps: 1000 };
 /** A member that doesn't move is noticed by the others after this. */
 const SILENCE_MILLIS = 1100;
 
@@ -136,6 +140,8 @@
   readonly members?: number;
   readonly workers?: readonly { readonly name: string; readonly capacity: typeof NOTHING }[];
   readonly configuration: JobConfiguration;
+  /** What a member's machine gives it; plenty unless given. */
+  readonly machineOf?: (name: string) => Machine;
   /** From 0 to 1. */
   readonly random?: () => number;
 }
@@ -182,6 +188,7 @@
         member: brandAs<MemberId>(name),
         incarnation: brandAs<Incarnation>(`${name}-${incarnations}`),
         region: 'r1',
+        machine: options.machineOf?.(name) ?? STRONG_MACHINE,
         peerAddress: { host: name, port: 1 },
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         stopMillis: 6000,
@@ -189,6 +196,7 @@
       clock: gated,
       random,
       wallMillis: () => START_WALL + clock.now(),
+      gauges: { cpuMicros: () => 0, residentBytes: () => 0 },
       onFailure: (task: string, error: unknown) => {
         jobs.note(`task ${task} of ${name} failed: ${String(error)} ${stackOf(error)}`);
       },
@@ -200,6 +208,7 @@
     kernel.register(
       new GivenService(WORKERS, new EmulatedWorkerPort(workers, gated, member.workers, random)),
     );
+    kernel.register(new TrafficService());
     kernel.register(new GivenService(ADVICE, new GenerousAdvice(gated)));
     kernel.register(new GivenService<Documents>(DOCUMENTS, new JsonDocuments()));
     kernel.register(new ConfigurationService(environment));
--- a/packages/member/src/keys.ts
+++ b/packages/member/src/keys.ts
@@ -9,8 +9,12 @@
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { Peers } from './peers.js';
 import type { AdvicePort, Documents, WorkerPort } from './ports.js';
+import type { MachineMessage } from './machine-task.js';
 import type { Store } from './store.js';
+import type { Traffic } from './traffic.js';
 
+export const TRAFFIC = new ServiceKey<Traffic>('member.traffic');
+export const MACHINE = new ServiceKey<MailAddress<MachineMessage>>('member.machine');
 export const EVENTS = new ServiceKey<EventLog>('member.events');
 export const STORE = new ServiceKey<Store>('member.store');
 export const WORKERS = new ServiceKey<WorkerPort>('member.workers');
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { Reply } from '@bamboowell/kernel/ask';
 import { Task } from '@bamboowell/kernel/task';
+import type { Fields } from '@bamboowell/logger/line';
 import type { EventLog } from '@bamboowell/logger/logger';
 import { brandAs, type MemberId } from '@bamboowell/types/ids';
 import type { JobConfiguration, Term, WallInstant } from '@bamboowell/types/job';
@@ -113,6 +114,7 @@
       })
       .with({ kind: 'workers_read' }, () => {
         if (this.tenure !== undefined) {
+          this.tookStep(this.tenure, 'workers_read', { workers: this.tenure.notices.size });
           this.tenure.areWorkersRead = true;
           this.own();
         }
@@ -120,6 +122,7 @@
       .with({ kind: 'loaded' }, ({ term, restored }) => {
         if (this.tenure?.term === term) {
           this.tenure.restored = restored;
+          this.tookStep(this.tenure, 'work_loaded', { jobs: restored.jobs.length });
           this.own();
         }
       })
@@ -231,6 +234,15 @@
     });
   }
 
+  /** Tells how far a takeover has come. */
+  private tookStep(tenure: Tenure, step: string, fields: Fields): void {
+    if (tenure.scheduler === undefined) {
+      const { term, electedAt } = tenure;
+      const afterMillis = Math.round(this.clock.now() - electedAt);
+      this.options.events.event('owner.step', { term, step, afterMillis, ...fields });
+    }
+  }
+
   private load(tenure: Tenure): void {
     const { store, events } = this.options;
     const isWanted = (): boolean => this.tenure === tenure;
@@ -385,6 +397,7 @@
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
+      this.tookStep(tenure, 'earlier_owners_fenced', {});
       this.load(tenure);
     }
     this.requests.proved();
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -344,7 +344,7 @@
       return;
     }
     this.isClaiming = true;
-    const { settings, store, events } = this.options;
+    const { settings, store, events, succession } = this.options;
     const term = brandAs<Term>((this.claim?.term ?? 0) + 1);
     const claim: Claim = {
       term,
@@ -353,7 +353,7 @@
       address: settings.peerAddress,
       isReleased: false,
     };
-    events.event('owner.claiming', { term, end: this.end });
+    events.event('owner.claiming', { term, end: this.end, since: succession.belief });
     void this.write(claim, store).then((outcome) => {
       this.post({ kind: 'claimed', outcome });
     });
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -16,10 +16,12 @@
   DOCUMENTS,
   EVENTS,
   GATE,
+  MACHINE,
   OWNER,
   OWNERSHIP,
   PEERS,
   STORE,
+  TRAFFIC,
   WORKERS,
 } from './keys.js';
 import { MeasuredStore } from './measured-store.js';
@@ -27,11 +29,13 @@
 import { OwnerChannel, type OwnerReply, type OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage } from './owner-messages.js';
 import { OwnerTask } from './owner-task.js';
+import { MachineTask, type MachineMessage, type ProcessGauges } from './machine-task.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import { OwnershipTask } from './ownership-task.js';
 import type { Peers, PeersOptions } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import { Succession } from './succession.js';
+import { Traffic } from './traffic.js';
 
 /** What the services of one process share. */
 export interface MemberEnvironment {
@@ -40,6 +44,7 @@
   readonly random: () => number;
   /** Milliseconds since 1970 by the time of day. */
   readonly wallMillis: () => number;
+  readonly gauges: ProcessGauges;
   /** A failure that a task can't handle. */
   readonly onFailure: (task: string, error: unknown) => void;
 }
@@ -71,6 +76,32 @@
   }
 }
 
+/** Where the services that open connections have their bytes counted. */
+export class TrafficService extends Service<Traffic> {
+  readonly key = TRAFFIC;
+  readonly needs = [];
+
+  start(): Promise<Traffic> {
+    return Promise.resolve(new Traffic());
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+export class MachineService extends TaskService<MachineMessage> {
+  readonly key = MACHINE;
+  readonly needs = [EVENTS, TRAFFIC];
+
+  protected make(directory: Directory): Task<MachineMessage> {
+    const { settings, gauges, clock } = this.environment;
+    const traffic = directory.find(TRAFFIC);
+    const events = directory.find(EVENTS);
+    return new MachineTask({ machine: settings.machine, gauges, traffic, events }, clock);
+  }
+}
+
 export class ConfigurationService extends TaskService<ConfigurationMessage> {
   readonly key = CONFIGURATION;
   readonly needs = [EVENTS, STORE, DOCUMENTS];
@@ -133,13 +164,13 @@
 
 export class PeersService extends Service<Peers> {
   readonly key = PEERS;
-  readonly needs = [ADVICE, OWNER, CONFIGURATION];
+  readonly needs = [ADVICE, OWNER, CONFIGURATION, TRAFFIC];
   private peers: Peers | undefined;
 
   /** @param make chooses what carries the connections. */
   constructor(
     private readonly environment: MemberEnvironment,
-    private readonly make: (options: PeersOptions) => Peers,
+    private readonly make: (options: PeersOptions, traffic: Traffic) => Peers,
   ) {
     super();
   }
@@ -149,7 +180,8 @@
     const configuration = directory.find(CONFIGURATION);
     const self = new LocalMember(settings.member, settings.region, directory.find(ADVICE), clock);
     const owner = directory.find(OWNER);
-    const peers = this.make({ settings, clock, self, owner, configuration });
+    const options = { settings, clock, self, owner, configuration };
+    const peers = this.make(options, directory.find(TRAFFIC));
     this.peers = peers;
     await peers.listen();
     configuration.post({
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -53,6 +53,11 @@
 
   constructor(private readonly options: SuccessionOptions) {}
 
+  /** What this member believes of the owner, for the log. */
+  get belief(): Owner['kind'] {
+    return this.owner.kind;
+  }
+
   /** The claims were read: the work is nobody's. */
   vacant(now: Instant): void {
     if (this.owner.kind !== 'vacant') {
--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -6,6 +6,7 @@
 import { connect } from '@bamboowell/wire/connect';
 import { Listener } from '@bamboowell/wire/listener';
 import { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import type { Traffic } from './traffic.js';
 import { Peers, type Dialled, type PeersOptions } from './peers.js';
 
 /** A member sends something at least this often, milliseconds. */
@@ -18,13 +19,19 @@
 export class TcpPeers extends Peers {
   private readonly listener: Listener;
 
-  constructor(options: PeersOptions) {
+  constructor(
+    options: PeersOptions,
+    private readonly traffic: Traffic,
+  ) {
     super(options);
     const { settings, clock } = options;
     this.listener = new Listener({
       ...settings.peerAddress,
       clock,
-      make: (socket: Socket) => new TcpConnection(socket, { clock, pulse: PULSE }),
+      make: (socket: Socket) => {
+        traffic.track('members', socket);
+        return new TcpConnection(socket, { clock, pulse: PULSE });
+      },
       accept: (connection) => {
         this.accept(connection);
       },
@@ -42,7 +49,10 @@
 
   async dial(address: Address, deadline: Deadline): Promise<Dialled> {
     const { clock } = this.options;
-    const result = await connect({ address, clock, deadline, pulse: PULSE });
+    const opened = (socket: Socket): void => {
+      this.traffic.track('members', socket);
+    };
+    const result = await connect({ address, clock, deadline, pulse: PULSE, opened });
     return result instanceof TcpConnection ? { kind: 'connected', connection: result } : result;
   }
 }
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -11,6 +11,7 @@
 
 export interface Tenure {
   readonly term: Term;
+  readonly electedAt: Instant;
   readonly appends: WorkAppends;
   readonly watch: WorkersWatch;
   readonly links: WorkerLinks;
@@ -31,6 +32,7 @@
 ): Tenure {
   return {
     ...parts,
+    electedAt: now,
     notices: new Map(),
     areWorkersRead: false,
     restored: undefined,
--- a/packages/metrics/src/event-metrics.ts
+++ b/packages/metrics/src/event-metrics.ts
@@ -17,8 +17,11 @@
   'job.ended': { field: 'afterMillis', name: 'job_seconds', labels: ['state'] },
 } as const;
 
-/** The event whose numbers are gauges. */
-const FIGURES = 'owner.figures';
+/** Events whose numbers are gauges, and what the names of these begin with. */
+const FIGURES: ReadonlyMap<string, string> = new Map([
+  ['owner.figures', 'owner'],
+  ['member.figures', 'member'],
+]);
 const PREFIX = 'bamboowell_';
 
 /** Events that are counted but would be too many lines. */
@@ -52,8 +55,9 @@
   event(name: string, fields: Fields = {}): void {
     this.events.inc({ event: name });
     this.observe(name, fields);
-    if (name === FIGURES) {
-      this.set(fields);
+    const prefix = FIGURES.get(name);
+    if (prefix !== undefined) {
+      this.set(prefix, name, fields);
     }
     if (!COUNTED_ONLY.has(name)) {
       this.log.event(name, fields);
@@ -72,23 +76,23 @@
     }
   }
 
-  private set(fields: Fields): void {
+  private set(prefix: string, event: string, fields: Fields): void {
     for (const [name, value] of Object.entries(fields)) {
       if (typeof value === 'number') {
-        this.gauge(name).set(value);
+        this.gauge(prefix, event, name).set(value);
       }
     }
   }
 
-  private gauge(field: string): Gauge {
-    const known = this.gauges.get(field);
+  private gauge(prefix: string, event: string, field: string): Gauge {
+    const name = `${PREFIX}${prefix}_${field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`;
+    const known = this.gauges.get(name);
     if (known !== undefined) {
       return known;
     }
-    const name = `${PREFIX}owner_${field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`;
-    const help = `From the event ${FIGURES}.`;
+    const help = `From the event ${event}.`;
     const gauge = new Gauge({ name, help, registers: [this.registry] });
-    this.gauges.set(field, gauge);
+    this.gauges.set(name, gauge);
     return gauge;
   }
 }
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -18,6 +18,8 @@
   readonly meter?: Meter;
   readonly pulse?: PulseTimes;
   readonly tls?: TlsIdentity;
+  /** Is told the socket before it carries anything. */
+  readonly opened?: (socket: Socket) => void;
   /** The name that the other end's certificate must have. */
   readonly expectedPeer?: string;
 }
@@ -33,6 +35,7 @@
 /** Opens a connection. Never rejects. */
 export function connect(target: Target): Promise<TcpConnection | Unreachable> {
   const socket = open(target);
+  target.opened?.(socket);
   return new Promise((resolve) => {
     const giveUp = (detail: string, isRefused = false): void => {
       alarm.cancel();
