Reproduce SHORT: weak members take the work from each other and nobody serves

Two tests on the emulated cluster, whose members now have links of a given rate. Where one of five members can carry the work, a weak one gets it in four of five cases, by being first; where all are weak, each owner is replaced before it is ready, and nothing is accepted within 40 s.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -25,6 +25,7 @@
 import { NOTHING } from '@bamboowell/types/resources';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { GateMessage, JobReply, JobRequest } from './gate-messages.js';
+import { EmulatedLink } from './emulated-link.fixture.js';
 import { EmulatedNetwork, EmulatedPeers } from './emulated-peers.fixture.js';
 import {
   CALM,
@@ -174,6 +175,8 @@
   const launch = async (name: string): Promise<EmulatedMember> => {
     incarnations += 1;
     const gated = new GatedClock(clock);
+    const machine = options.machineOf?.(name) ?? STRONG_MACHINE;
+    const link = new EmulatedLink(clock, machine.linkMbps);
     const kernel = new Kernel();
     const member: EmulatedMember = {
       name,
@@ -188,7 +191,7 @@
         member: brandAs<MemberId>(name),
         incarnation: brandAs<Incarnation>(`${name}-${incarnations}`),
         region: 'r1',
-        machine: options.machineOf?.(name) ?? STRONG_MACHINE,
+        machine,
         peerAddress: { host: name, port: 1 },
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         stopMillis: 6000,
@@ -203,10 +206,13 @@
     };
     kernel.register(new GivenService(EVENTS, new ListLog(name, log, now)));
     kernel.register(
-      new GivenService(STORE, new EmulatedStorePort(store, gated, member.store, random)),
+      new GivenService(STORE, new EmulatedStorePort(store, gated, member.store, random, link)),
     );
     kernel.register(
-      new GivenService(WORKERS, new EmulatedWorkerPort(workers, gated, member.workers, random)),
+      new GivenService(
+        WORKERS,
+        new EmulatedWorkerPort(workers, gated, member.workers, random, link),
+      ),
     );
     kernel.register(new TrafficService());
     kernel.register(new GivenService(ADVICE, new GenerousAdvice(gated)));
@@ -216,7 +222,7 @@
     kernel.register(new OwnerService(environment));
     kernel.register(
       new PeersService(environment, (peersOptions) => {
-        member.peers = new EmulatedPeers(peersOptions, gated, network);
+        member.peers = new EmulatedPeers(peersOptions, gated, link, network);
         return member.peers;
       }),
     );
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -9,6 +9,7 @@
   type Handler,
   type WireAnswer,
 } from '@bamboowell/wire/connection';
+import type { EmulatedLink } from './emulated-link.fixture.js';
 import { Peers, type Dialled, type PeersOptions } from './peers.js';
 
 const WAY_MILLIS = 1;
@@ -24,6 +25,7 @@
   constructor(
     options: PeersOptions,
     readonly clock: Clock,
+    readonly link: EmulatedLink,
     private readonly network: EmulatedNetwork,
   ) {
     super(options);
@@ -39,8 +41,8 @@
     if (other === undefined) {
       return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens', isRefused: true });
     }
-    const mine = new EmulatedConnection(this.clock);
-    const theirs = new EmulatedConnection(other.clock);
+    const mine = new EmulatedConnection(this);
+    const theirs = new EmulatedConnection(other);
     mine.join(theirs);
     theirs.join(mine);
     this.ends.add(mine);
@@ -77,6 +79,12 @@
   return `${host}:${port}`;
 }
 
+/** Where one end of a connection is. */
+interface Place {
+  readonly clock: Clock;
+  readonly link: EmulatedLink;
+}
+
 class EmulatedConnection extends Connection {
   readonly ended: Promise<CloseReason>;
   private isEnded = false;
@@ -85,7 +93,7 @@
   private readonly handlers = new Map<string, Handler>();
   private readonly unsettled = new Set<() => void>();
 
-  constructor(private readonly clock: Clock) {
+  constructor(private readonly place: Place) {
     super();
     this.ended = new Promise((resolve) => {
       this.resolveEnded = resolve;
@@ -110,10 +118,10 @@
         settle({ kind: 'unknown' });
       };
       this.unsettled.add(giveUp);
-      this.clock.wakeAt(deadline, giveUp);
-      other.deliver(async () => {
+      this.place.clock.wakeAt(deadline, giveUp);
+      other.deliver(params, async () => {
         const value = await other.handlers.get(method)?.(copyOf(params));
-        this.deliver(() => {
+        this.deliver(value, () => {
           settle({ kind: 'answered', value: copyOf(value) });
         });
       });
@@ -125,7 +133,7 @@
     if (this.isEnded || other === undefined) {
       return 'closed';
     }
-    other.deliver(() => {
+    other.deliver(params, () => {
       other.handlers.get(method)?.(copyOf(params));
     });
     return 'sent';
@@ -143,7 +151,7 @@
   lose(reason: CloseReason): void {
     this.endHere(reason);
     const { other } = this;
-    other?.deliver(() => {
+    other?.deliver(undefined, () => {
       other.endHere(reason);
     });
   }
@@ -160,8 +168,12 @@
   }
 
   /** Runs on this end's side, once the way is done and its process runs. */
-  private deliver(act: () => unknown): void {
-    this.clock.wakeAt(deadlineAfter(this.clock.now(), WAY_MILLIS), () => {
+  private deliver(message: unknown, act: () => unknown): void {
+    const { clock, link } = this.place;
+    const sent = this.other?.place.link.pass('out', message);
+    void Promise.resolve(sent).then(async () => {
+      await clock.sleepUntil(deadlineAfter(clock.now(), WAY_MILLIS));
+      await link.pass('in', message);
       if (!this.isEnded) {
         act();
       }
--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { EmulatedLink } from './emulated-link.fixture.js';
 import {
   Store,
   type AppendCondition,
@@ -127,6 +128,7 @@
     private readonly clock: Clock,
     private readonly faults: StoreFaults,
     private readonly random: () => number,
+    private readonly link: EmulatedLink,
   ) {
     super();
   }
@@ -139,6 +141,7 @@
   ): Promise<AppendOutcome> {
     const act = (): AppendOutcome => this.store.append(topic, writes, condition);
     const draw = this.random();
+    const sent = this.link.pass('out', writes);
     if (this.faults.mode === 'up' && draw < this.faults.lateAppends) {
       this.clock.wakeAt(deadlineAfter(this.clock.now(), LATE_MILLIS), act);
       return this.silence(limit);
@@ -147,7 +150,7 @@
       act();
       return this.silence(limit);
     }
-    return this.answer(limit, act);
+    return this.answer(limit, act, sent);
   }
 
   newest(
@@ -189,18 +192,24 @@
     });
   }
 
-  private async answer<Value>(limit: Deadline, act: () => Value): Promise<Value | Unavailable> {
+  private async answer<Value>(
+    limit: Deadline,
+    act: () => Value,
+    sent: Promise<void> = this.link.pass('out', undefined),
+  ): Promise<Value | Unavailable> {
     const { faults, clock } = this;
     if (faults.mode === 'silent') {
       return this.silence(limit);
     }
     const way = faults.latencyMillis / 2;
+    await sent;
     await clock.sleepUntil(deadlineAfter(clock.now(), way));
     if (faults.mode !== 'up') {
       return { kind: 'unavailable', how: 'refused', detail: 'status 503' };
     }
     const value = act();
     await clock.sleepUntil(deadlineAfter(clock.now(), way));
+    await this.link.pass('in', value);
     return clock.now() > limit ? { kind: 'unavailable', how: 'silent', detail: 'late' } : value;
   }
 
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -26,6 +26,7 @@
   type Unanswered,
   type WorkerTarget,
 } from './ports.js';
+import type { EmulatedLink } from './emulated-link.fixture.js';
 import type { KnownJobs } from './known-jobs.fixture.js';
 
 /** A stop takes at most this long. */
@@ -289,6 +290,7 @@
     private readonly clock: Clock,
     private readonly faults: WorkerFaults,
     private readonly random: () => number,
+    private readonly link: EmulatedLink,
   ) {
     super();
   }
@@ -298,7 +300,7 @@
     question: HoldQuestion,
     limit: Deadline,
   ): Promise<HoldAnswer> {
-    await this.way();
+    await this.way('out', question);
     const worker = this.reach(id);
     if (worker === undefined) {
       return this.silence(limit);
@@ -308,7 +310,7 @@
     }
     const early = worker.hold(question);
     if (early.kind !== 'held' || worker.hasEnds || question.waitMillis === 0) {
-      await this.way();
+      await this.way('in', early);
       return early;
     }
     const until = deadlineAfter(this.clock.now(), question.waitMillis);
@@ -320,7 +322,7 @@
       return { kind: 'other_life' };
     }
     const answer = worker.hold({ ...question, leaseEnd: undefined });
-    await this.way();
+    await this.way('in', answer);
     return answer;
   }
 
@@ -331,7 +333,7 @@
     leaseEnd: WorkerInstant,
     limit: Deadline,
   ): Promise<OrderAnswer | Unanswered> {
-    return this.order(target, limit, (worker) => worker.start(order, term, leaseEnd));
+    return this.order(target, order, limit, (worker) => worker.start(order, term, leaseEnd));
   }
 
   stop(
@@ -339,7 +341,7 @@
     question: StopQuestion,
     limit: Deadline,
   ): Promise<OrderAnswer | Unanswered> {
-    return this.order(target, limit, (worker) => worker.stop(question));
+    return this.order(target, question, limit, (worker) => worker.stop(question));
   }
 
   forget(): void {
@@ -348,10 +350,11 @@
 
   private async order(
     { id, life }: WorkerTarget,
+    body: unknown,
     limit: Deadline,
     act: (worker: EmulatedWorker) => OrderAnswer,
   ): Promise<OrderAnswer | Unanswered> {
-    await this.way();
+    await this.way('out', body);
     const worker = this.reach(id);
     if (worker === undefined) {
       return this.silence(limit);
@@ -369,7 +372,7 @@
       return this.silence(limit);
     }
     const answer = act(worker);
-    await this.way();
+    await this.way('in', answer);
     return answer;
   }
 
@@ -378,8 +381,9 @@
     return worker?.isUp === true && !this.faults.cut.has(id) ? worker : undefined;
   }
 
-  private way(): Promise<void> {
-    return this.clock.sleepUntil(deadlineAfter(this.clock.now(), WAY_MILLIS));
+  private async way(direction: 'in' | 'out', body: unknown): Promise<void> {
+    await this.link.pass(direction, body);
+    await this.clock.sleepUntil(deadlineAfter(this.clock.now(), WAY_MILLIS));
   }
 
   private async silence(limit: Deadline): Promise<Unanswered> {
--- /dev/null
+++ b/packages/member/src/unlike-members.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava';
+import type { JobReply } from './gate-messages.js';
+import { cores, jobId, jobPlan } from '@bamboowell/jobs/plans.fixture';
+import { emulatedCluster } from './emulated-cluster.fixture.js';
+import { configurationOf, stepOf } from './known-plans.fixture.js';
+import type { Machine } from './settings.js';
+
+const WEAK: Machine = { cores: 0.324, memoryMib: 250, linkMbps: 10 };
+const STRONG: Machine = { cores: 0.675, memoryMib: 602, linkMbps: 200 };
+const PAYLOAD_CHARACTERS = 4000;
+const REQUESTS_A_SECOND = 20;
+
+const OTHERS = ['m2', 'm3', 'm4', 'm5', 'm6'];
+
+interface Unlike {
+  readonly strong: readonly string[];
+  readonly weakMbps: number;
+  /** That the store has when the owner goes: with their payloads a few seconds of a weak link. */
+  readonly openJobs: number;
+}
+
+/** Six members of which those named are strong, and open jobs that wait for a worker. */
+async function unlikeCluster({ strong, weakMbps, openJobs }: Unlike) {
+  const cluster = emulatedCluster({
+    workers: ['w1', 'w2'].map((name) => ({ name, capacity: cores(4) })),
+    configuration: configurationOf(),
+    machineOf: (name) => (strong.includes(name) ? STRONG : { ...WEAK, linkMbps: weakMbps }),
+  });
+  await cluster.launch('m1');
+  await cluster.run(800);
+  for (const name of OTHERS) {
+    await cluster.launch(name);
+  }
+  await cluster.run(800);
+  const replies = Array.from({ length: openJobs }, (_, number) =>
+    cluster.request('m1', 'submit', jobId(number), largePlan(number)),
+  );
+  await cluster.run(3000);
+  await Promise.all(replies);
+  return cluster;
+}
+
+function largePlan(number: number) {
+  const payload = 'x'.repeat(PAYLOAD_CHARACTERS);
+  return jobPlan(number, {
+    payload,
+    steps: [stepOf({ estimateMillis: 60_000, demand: cores(4) })],
+  });
+}
+
+type Cluster = Awaited<ReturnType<typeof unlikeCluster>>;
+
+/** Kills the owner and sends requests to the others; when was one accepted, milliseconds after? */
+async function acceptedAfter(cluster: Cluster, patienceMillis: number) {
+  cluster.kill(cluster.ownerName() ?? '');
+  const killedAt = cluster.now();
+  let acceptedAt: number | undefined;
+  const note = (reply: JobReply | undefined): void => {
+    if (reply?.kind === 'accepted') {
+      acceptedAt ??= cluster.now();
+    }
+  };
+  for (let number = 1000; acceptedAt === undefined; number += 1) {
+    const member = OTHERS[number % OTHERS.length] ?? '';
+    void cluster.request(member, 'submit', jobId(number), largePlan(number)).then(note);
+    await cluster.run(1000 / REQUESTS_A_SECOND);
+    if (cluster.now() - killedAt > patienceMillis) {
+      break;
+    }
+  }
+  return acceptedAt === undefined ? Number.POSITIVE_INFINITY : acceptedAt - killedAt;
+}
+
+// Guards against SHORT: members with thin links took the work from each other and nobody served.
+test('the work of a lost owner goes to the member whose machine can carry it', async (t) => {
+  for (const strong of OTHERS) {
+    const cluster = await unlikeCluster({ strong: ['m1', strong], weakMbps: 7, openJobs: 600 });
+    const millis = await acceptedAfter(cluster, 20_000);
+    t.is(cluster.ownerName(), strong);
+    t.true(millis < 2000, `accepted after ${millis} ms`);
+  }
+});
+
+// Guards against SHORT: each member that took the work over lost it before it was ready.
+test('where all members are weak one of them gets the time to take the work over', async (t) => {
+  const cluster = await unlikeCluster({ strong: ['m1'], weakMbps: 2, openJobs: 150 });
+  const millis = await acceptedAfter(cluster, 40_000);
+  t.true(millis < 15_000, `accepted after ${millis} ms`);
+});
