Keep waiting requests with their members until the owner serves

Cause: members sent all requests that wait to an owner that was still taking the work over, and again and again; on a member with a link of 7 Mbit/s that is 5.2 to 5.7 Mbit/s, so that the store's page of jobs comes at 0.8 to 0.9 Mbit/s and never within its limit. The owner stays unready, its keep-alives wait behind the requests, the others take it for dead, and the next one meets the same. The load that keeps it from getting ready is the load that waits for it: a metastable failure.

Ruled out by these: the processor; the store (it answers others within 20 ms); the first answers of the workers (all read after 0.15 to 0.4 s).

Change: an owner says when it serves, and only then do members hand it requests.

--- a/packages/member/src/member-port.ts
+++ b/packages/member/src/member-port.ts
@@ -25,6 +25,9 @@
 
   /** Tells whether the owner can write to the store. */
   abstract tellTrouble(isTroubled: boolean): void;
+
+  /** Tells that the owner has taken the work over. */
+  abstract tellServing(): void;
 }
 
 /** The owner's own process. */
@@ -45,6 +48,10 @@
   tellTrouble(): void {
     // The owner knows its own trouble.
   }
+
+  tellServing(): void {
+    // The owner knows that it serves.
+  }
 }
 
 /** The way to another member and back adds at most this, milliseconds. */
@@ -71,4 +78,8 @@
   tellTrouble(isTroubled: boolean): void {
     this.connection.notify(METHODS.trouble, { isTroubled });
   }
+
+  tellServing(): void {
+    this.connection.notify(METHODS.serving, {});
+  }
 }
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -30,6 +30,8 @@
   advise: 'advise',
   /** Owner to member, no answer: whether it can write to the store. */
   trouble: 'trouble',
+  /** Owner to member, no answer: it has taken the work over and takes requests. */
+  serving: 'serving',
   /** Both ways, no answer: a `Claim` that the other end may not have seen. */
   claim: 'claim',
   /** Both ways, no answer: an operator's document that the other end may lack. */
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -13,6 +13,9 @@
 import type { AdviceAnswer } from './ports.js';
 import type { AppendOutcome, ProducerSequence } from './store.js';
 
+/** How a member stands to a term: it doesn't hold it, takes the work over, or serves. */
+export type Standing = 'none' | 'taking_over' | 'serving';
+
 export type OwnerMessage =
   /** Who is told when this member begins or ceases to own the work. */
   | { readonly kind: 'attach'; readonly ownership: MailAddress<OwnershipMessage> }
@@ -33,12 +36,12 @@
   | { readonly kind: 'input'; readonly input: JobInput }
   /** A worker has seen a higher term. */
   | { readonly kind: 'fenced' }
-  /** A member greets the holder of a term; replies whether that is this one. */
+  /** A member greets the holder of a term; replies how this one stands to it. */
   | {
       readonly kind: 'member';
       readonly port: MemberPort;
       readonly term: Term;
-      readonly reply: Reply<boolean>;
+      readonly reply: Reply<Standing>;
     }
   | { readonly kind: 'member_gone'; readonly port: MemberPort }
   | {
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -24,7 +24,7 @@
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
-import type { OwnerMessage } from './owner-messages.js';
+import type { OwnerMessage, Standing } from './owner-messages.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { Documents, WorkerPort } from './ports.js';
 import type { MemberSettings } from './settings.js';
@@ -136,9 +136,9 @@
         this.ownership?.post({ kind: 'doubt' });
       })
       .with({ kind: 'member' }, ({ port, term, reply }) => {
-        const isOwner = this.tenure?.term === term;
-        reply(isOwner);
-        if (isOwner) {
+        const standing = this.standingTo(term);
+        reply(standing);
+        if (standing !== 'none') {
           this.addMember(port);
         }
       })
@@ -174,6 +174,13 @@
       .exhaustive();
   }
 
+  private standingTo(term: Term): Standing {
+    if (this.tenure?.term !== term) {
+      return 'none';
+    }
+    return this.tenure.scheduler === undefined ? 'taking_over' : 'serving';
+  }
+
   private addMember(port: MemberPort): void {
     this.members.set(port.member, port);
     this.input(this.adviserInput(port));
@@ -285,6 +292,7 @@
     this.carryOut(tenure, tenure.scheduler.takeOutputs());
     this.members.forEach((port) => {
       this.input(this.adviserInput(port));
+      port.tellServing();
     });
     this.ownership?.post({ kind: 'owning', term: tenure.term });
     this.afterInput(tenure);
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -40,6 +40,8 @@
       readonly reason: CloseReason;
     }
   | { readonly kind: 'trouble'; readonly term: Term; readonly isTroubled: boolean }
+  /** The owner has taken the work over. */
+  | { readonly kind: 'serving'; readonly term: Term }
   | { readonly kind: 'looked'; readonly end: Offset | undefined }
   | { readonly kind: 'claimed'; readonly outcome: AppendOutcome }
   | { readonly kind: 'beat' }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -14,7 +14,7 @@
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
-import type { Peers, Welcome } from './peers.js';
+import type { OwnerNews, Peers, Welcome } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import type { Store, StoreEntry } from './store.js';
 import { LOG_START, Succession } from './succession.js';
@@ -49,6 +49,8 @@
   private isRead = false;
   private watch: TopicWatch;
   private connection: Connection | undefined;
+  /** The newest term whose owner said that it serves. */
+  private servingTerm: Term | undefined;
   private isDialling = false;
   private redialAt: Deadline = brandAs<Deadline>(0);
   private isLooking = false;
@@ -105,6 +107,9 @@
           this.options.succession.trouble(isTroubled, this.clock.now());
         }
       })
+      .with({ kind: 'serving' }, ({ term }) => {
+        this.serving(term);
+      })
       .with({ kind: 'looked' }, ({ end }) => {
         this.isLooking = false;
         this.act(this.options.succession.looked(end, this.clock.now()));
@@ -233,10 +238,15 @@
   }
 
   private connected(term: Term, connection: Connection): void {
-    const trouble = (isTroubled: boolean): void => {
-      this.post({ kind: 'trouble', term, isTroubled });
+    const news: OwnerNews = {
+      trouble: (isTroubled) => {
+        this.post({ kind: 'trouble', term, isTroubled });
+      },
+      serving: () => {
+        this.post({ kind: 'serving', term });
+      },
     };
-    void this.options.peers.greet(connection, term, trouble).then((welcome) => {
+    void this.options.peers.greet(connection, term, news).then((welcome) => {
       this.post({ kind: 'greeted', term, connection, welcome });
     });
   }
@@ -245,7 +255,7 @@
     this.isDialling = false;
     const { claim } = this;
     const isCurrent = claim?.term === term && !claim.isReleased && !this.isOurs(claim);
-    if (!isCurrent || welcome?.isOwner !== true) {
+    if (!isCurrent || welcome === undefined || welcome.standing === 'none') {
       connection.close();
       if (isCurrent) {
         this.notWelcome(claim, welcome);
@@ -257,8 +267,24 @@
       this.post({ kind: 'link_ended', term, connection, reason });
     });
     this.options.succession.connected();
-    this.options.events.event('owner.connected', { term });
-    this.publish(new RemoteOwner(connection));
+    this.options.events.event('owner.connected', { term, standing: welcome.standing });
+    if (welcome.standing === 'serving') {
+      this.servingTerm = term;
+    }
+    this.publishServing();
+  }
+
+  private serving(term: Term): void {
+    this.servingTerm = term;
+    this.publishServing();
+  }
+
+  /** Requests that wait stay here until the owner serves: they would take the link that it needs to get ready. */
+  private publishServing(): void {
+    const { connection, claim } = this;
+    if (connection !== undefined && claim !== undefined && this.servingTerm === claim.term) {
+      this.publish(new RemoteOwner(connection));
+    }
   }
 
   /** Where another process answers at the owner's address, the owner's has ended. */
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -11,7 +11,7 @@
 import type { ConfigurationMessage } from './configuration-task.js';
 import { RemoteMember, type AdviceQuestion, type MemberPort } from './member-port.js';
 import { METHODS, type OwnerReply, type OwnerRequest } from './owner-channel.js';
-import type { OwnerMessage } from './owner-messages.js';
+import type { OwnerMessage, Standing } from './owner-messages.js';
 import type { Claim } from './ownership-messages.js';
 import type { MemberSettings } from './settings.js';
 import type { StoreEntry } from './store.js';
@@ -36,11 +36,19 @@
 
 /** What the other end says to that. */
 export interface Welcome {
-  /** Whether it holds the term. */
-  readonly isOwner: boolean;
+  /** How it stands to the term. */
+  readonly standing: Standing;
   readonly incarnation: Incarnation;
 }
 
+/** What the owner tells its members of itself. */
+export interface OwnerNews {
+  /** It can't write to the store, or can again. */
+  trouble(isTroubled: boolean): void;
+  /** It has taken the work over. */
+  serving(): void;
+}
+
 export interface PeersOptions {
   readonly settings: MemberSettings;
   readonly clock: Clock;
@@ -66,15 +74,14 @@
   abstract close(deadline: Deadline): Promise<void>;
 
   /** Introduces this member to the owner and serves its questions; nothing if it didn't answer. */
-  async greet(
-    connection: Connection,
-    term: Term,
-    trouble: (isTroubled: boolean) => void,
-  ): Promise<Welcome | undefined> {
+  async greet(connection: Connection, term: Term, news: OwnerNews): Promise<Welcome | undefined> {
     const { settings, self, clock } = this.options;
     connection.handle(METHODS.advise, (params) => self.advise(params as AdviceQuestion));
     connection.handle(METHODS.trouble, (params) => {
-      trouble((params as { readonly isTroubled: boolean }).isTroubled);
+      news.trouble((params as { readonly isTroubled: boolean }).isTroubled);
+    });
+    connection.handle(METHODS.serving, () => {
+      news.serving();
     });
     this.add(connection);
     const hello: Hello = { member: settings.member, region: settings.region, term };
@@ -130,7 +137,7 @@
     const { owner, clock, settings } = this.options;
     const port = new RemoteMember(member, region, connection, clock);
     const limit = deadlineAfter(clock.now(), HELLO_MILLIS);
-    const answer = await ask<OwnerMessage, boolean>(
+    const answer = await ask<OwnerMessage, Standing>(
       owner,
       (reply) => ({ kind: 'member', port, term, reply }),
       limit,
@@ -139,8 +146,8 @@
     void connection.ended.then(() => {
       owner.post({ kind: 'member_gone', port });
     });
-    const isOwner = answer.kind === 'answered' && answer.value;
-    return { isOwner, incarnation: settings.incarnation };
+    const standing = answer.kind === 'answered' ? answer.value : 'none';
+    return { standing, incarnation: settings.incarnation };
   }
 
   /** Members that lost the store learn of the configuration from the others. */
