Let members with strong machines claim the work first

Change: a member waits before it claims for as long as its machine would take to take the work over, by what its settings say of its link and processor, at most half a second; the log of a silent owner must stand still for as much longer. Where only weak members are left, one of them still claims.

Weighed: rank told by the owner (nothing is known after the loss of all); only strong members may claim (none may be left).

--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -35,6 +35,7 @@
 import type { Peers, PeersOptions } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import { Succession } from './succession.js';
+import { takeoverMillisOf } from './takeover-cost.js';
 import { Traffic } from './traffic.js';
 
 /** What the services of one process share. */
@@ -213,7 +214,11 @@
         store,
         events: directory.find(EVENTS),
         peers: directory.find(PEERS),
-        succession: new Succession({ storeMillis, random }),
+        succession: new Succession({
+          storeMillis,
+          takeoverMillis: takeoverMillisOf(settings.machine),
+          random,
+        }),
         owner,
         localOwner: new LocalOwner(owner, clock),
         gate: directory.find(GATE),
--- a/packages/member/src/succession.test.ts
+++ b/packages/member/src/succession.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import type { Instant } from '@bamboowell/types/time';
-import { ANSWERS_WAITED, LONGEST_WAIT_MILLIS, LOOK_GAP_MILLIS, Succession } from './succession.js';
+import {
+  ANSWERS_WAITED,
+  LONGEST_HANDICAP_MILLIS,
+  LONGEST_WAIT_MILLIS,
+  LOOK_GAP_MILLIS,
+  Succession,
+} from './succession.js';
 
 function at(millis: number): Instant {
   return brandAs<Instant>(millis);
@@ -11,8 +17,8 @@
   return brandAs<Offset>(value);
 }
 
-function succession(storeMillis: number | undefined = 0) {
-  return new Succession({ storeMillis: () => storeMillis, random: () => 0 });
+function succession(storeMillis: number | undefined = 0, takeoverMillis = 0) {
+  return new Succession({ storeMillis: () => storeMillis, takeoverMillis, random: () => 0 });
 }
 
 test('vacant work is claimed, by members near the store first', (t) => {
@@ -28,7 +34,11 @@
 
 test('a member that can not tell how far the store is waits longest, as one that is very far', (t) => {
   for (const storeMillis of [undefined, 10_000]) {
-    const member = new Succession({ storeMillis: () => storeMillis, random: () => 0 });
+    const member = new Succession({
+      storeMillis: () => storeMillis,
+      takeoverMillis: 0,
+      random: () => 0,
+    });
     member.vacant(at(0));
     t.is(member.next(at(LONGEST_WAIT_MILLIS - 1)), 'none');
     t.is(member.next(at(LONGEST_WAIT_MILLIS)), 'claim');
@@ -80,3 +90,27 @@
   t.is(member.looked(offset(5), at(1600)), 'none');
   t.is(member.next(at(5000)), 'none');
 });
+
+test('who would serve soonest claims first, and none waits longer than a bound', (t) => {
+  const strong = succession(4, 100);
+  const weak = succession(4, 60_000);
+  for (const member of [strong, weak]) {
+    member.vacant(at(0));
+  }
+  const early = ANSWERS_WAITED * 4;
+  t.is(strong.next(at(early + 99)), 'none');
+  t.is(strong.next(at(early + 100)), 'claim');
+  t.is(weak.next(at(early + LONGEST_HANDICAP_MILLIS - 1)), 'none');
+  t.is(weak.next(at(early + LONGEST_HANDICAP_MILLIS)), 'claim');
+});
+
+test('the log of a silent owner must stand still for longer before a weak member claims', (t) => {
+  const weak = succession(4, 60_000);
+  weak.silent(at(0));
+  t.is(weak.next(at(0)), 'look');
+  t.is(weak.looked(offset(5), at(5)), 'none');
+  t.is(weak.next(at(5 + LOOK_GAP_MILLIS)), 'none');
+  const later = 5 + LOOK_GAP_MILLIS + LONGEST_HANDICAP_MILLIS;
+  t.is(weak.next(at(later)), 'look');
+  t.is(weak.looked(offset(5), at(later + 5)), 'claim');
+});
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -21,11 +21,19 @@
 /** A claim that shows no effect is made again after this, milliseconds. */
 const CLAIM_AGAIN_MILLIS = 600;
 
+/**
+ * A member waits at most so long, milliseconds, for one whose machine would be ready sooner: work
+ * that nobody owns must not wait for machines that are gone.
+ */
+export const LONGEST_HANDICAP_MILLIS = 500;
+
 export type SuccessionAction = 'none' | 'look' | 'claim';
 
 export interface SuccessionOptions {
   /** How fast the store can answer this member, milliseconds; absent before its first answer. */
   readonly storeMillis: () => number | undefined;
+  /** How long this member's machine takes to take the work over, milliseconds. */
+  readonly takeoverMillis: number;
   /** From 0 to 1. */
   readonly random: () => number;
 }
@@ -45,13 +53,21 @@
       readonly lookAt: Deadline;
     };
 
+/** An answer may come so much sooner after the one before than its question did. */
+const EARLY_LOOK_PART = 0.9;
+
 /** Looks that must succeed, one after the other, before an owner that can't write is replaced. */
 const GOOD_LOOKS = 2;
 
 export class Succession {
   private owner: Owner = { kind: 'unknown' };
 
-  constructor(private readonly options: SuccessionOptions) {}
+  /** Who would serve soonest claims first. */
+  private readonly handicapMillis: number;
+
+  constructor(private readonly options: SuccessionOptions) {
+    this.handicapMillis = Math.min(options.takeoverMillis, LONGEST_HANDICAP_MILLIS);
+  }
 
   /** What this member believes of the owner, for the log. */
   get belief(): Owner['kind'] {
@@ -127,12 +143,14 @@
     end: Offset | undefined,
     now: Instant,
   ): SuccessionAction {
-    const lookAt = deadlineAfter(now, LOOK_GAP_MILLIS);
+    const mustStandMillis = LOOK_GAP_MILLIS + this.handicapMillis;
     if (end === undefined) {
+      const lookAt = deadlineAfter(now, LOOK_GAP_MILLIS);
       this.owner = { kind: 'silent', seen: undefined, lookAt };
       return 'none';
     }
-    const stands = seen?.end === end && now - seen.at >= LOOK_GAP_MILLIS * 0.9;
+    const stands = seen?.end === end && now - seen.at >= mustStandMillis * EARLY_LOOK_PART;
+    const lookAt = deadlineAfter(now, mustStandMillis);
     this.owner = { kind: 'silent', seen: { end, at: now }, lookAt };
     return stands ? 'claim' : 'none';
   }
@@ -140,7 +158,7 @@
   private delay(): number {
     const storeMillis = this.options.storeMillis() ?? LONGEST_WAIT_MILLIS;
     const wait = Math.min(ANSWERS_WAITED * storeMillis, LONGEST_WAIT_MILLIS);
-    return wait + this.options.random() * SPREAD_MILLIS;
+    return wait + this.handicapMillis + this.options.random() * SPREAD_MILLIS;
   }
 }
 
