Ask for advice about the workers that have room

What callers saw: scan checks late while more than half of the fleet is idle. The bound of 100 never showed on sites of 33 workers. Class: a list cut to a bound in the order of arrival.

Change: a pure choice in packages/policy: workers with room first (nearly full ones for tasks that start one by one, the roomiest for gangs), as many as will do by the part that the queue usually grants, at least 30; and where what was granted has no room left, further workers are asked about at once rather than when the tickets run out.

--- a/packages/jobs/src/asking.ts
+++ b/packages/jobs/src/asking.ts
@@ -1,20 +1,29 @@
 /** Asks which workers may run a step, and keeps the tickets that were granted. */
 
-import type { MemberId, WorkerId } from '@bamboowell/types/ids';
+import { workersToName, type AdviceCandidate } from '@bamboowell/policy/advised-workers';
+import type { MemberId, QueueId, WorkerId } from '@bamboowell/types/ids';
 import type { StepId } from '@bamboowell/types/job';
+import { fits } from '@bamboowell/types/resources';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import type { AdviceDesk } from './advice-desk.js';
 import type { JobContext } from './context.js';
 import type { JobInput } from './messages.js';
-import type { Step, Worker } from './model.js';
-import { suits } from './sites.js';
+import { roomOf, type Step, type Worker } from './model.js';
+import { countFitting, siteOf, suits, type Site } from './sites.js';
 
 /** A ticket with less time left than this, milliseconds, isn't used: the start must be recorded and travel first. */
 const TICKET_MARGIN_MILLIS = 250;
-/** Most workers that one call for advice names; the platform takes no more. */
-const MAX_NAMED_WORKERS = 100;
+/** Part of the workers named that counts as granted before a queue's first advice. */
+const FIRST_GRANTED_PART = 0.5;
+/** Share of a new answer in the learned part that is granted. */
+const LEARNING_RATE = 0.1;
+
+type Granted = Extract<JobInput, { kind: 'advice' }>['granted'][number];
 
 export class Asking {
+  /** Part of the workers that is granted when they are named for the first time, by queue. */
+  private readonly grantedParts = new Map<QueueId, number>();
+
   constructor(
     private readonly context: JobContext,
     private readonly desk: AdviceDesk,
@@ -46,7 +55,11 @@
     if (terms === undefined || step.asking !== undefined || !this.desk.isFree(terms)) {
       return;
     }
-    const named = this.candidates(step);
+    const named = workersToName(this.candidates(step), {
+      tasks: step.tasks.length - step.doneCount,
+      isGang: step.plan.isGang,
+      grantedPart: this.grantedPartOf(step),
+    });
     if (named.length === 0) {
       return;
     }
@@ -64,8 +77,9 @@
     if (step === undefined) {
       return;
     }
-    const named = step.asking?.length ?? 0;
-    step.asking?.forEach((id) => step.advisedOn.add(id));
+    const named = step.asking ?? [];
+    this.learn(step, named, advice.granted);
+    named.forEach((id) => step.advisedOn.add(id));
     step.asking = undefined;
     for (const { worker, ticket } of advice.granted) {
       step.grants.set(worker, { ticket, until: advice.until });
@@ -74,7 +88,7 @@
     this.context.hasNews = true;
     this.context.event('advice.taken', {
       step: advice.step,
-      named,
+      named: named.length,
       granted: advice.granted.length,
       tookMillis: Math.round(advice.tookMillis),
     });
@@ -99,17 +113,48 @@
     return deadlineAfter(this.context.now, TICKET_MARGIN_MILLIS);
   }
 
+  /** Asks about further workers, if the step would have room on some that no advice names yet. */
+  askFurther(step: Step, sites: readonly Site[]): void {
+    const demand = roomOf(step.plan);
+    const hasRoom = ({ worker, room }: Site): boolean =>
+      !step.advisedOn.has(worker.id) && fits(demand, room);
+    if (step.job.queue.advice !== undefined && sites.some(hasRoom)) {
+      this.ask(step);
+    }
+  }
+
+  private grantedPartOf({ job }: Step): number {
+    return this.grantedParts.get(job.queue.id) ?? FIRST_GRANTED_PART;
+  }
+
+  private learn(step: Step, named: readonly WorkerId[], granted: readonly Granted[]): void {
+    const isNew = (id: WorkerId): boolean => !step.advisedOn.has(id) && !step.grants.has(id);
+    const asked = named.filter(isNew).length;
+    if (asked > 0) {
+      const part = granted.filter(({ worker }) => isNew(worker)).length / asked;
+      const known = this.grantedPartOf(step);
+      this.grantedParts.set(step.job.queue.id, known + LEARNING_RATE * (part - known));
+    }
+  }
+
   /** Workers known to be allowed, and those on which there was no advice yet. */
-  private candidates(step: Step): WorkerId[] {
-    const named: WorkerId[] = [];
+  private candidates(step: Step): AdviceCandidate[] {
+    const demand = roomOf(step.plan);
+    const candidates: AdviceCandidate[] = [];
     for (const worker of this.context.workers.values()) {
       const { id } = worker;
       const isOpen = this.isThere(worker) && worker.isReachable && !worker.notice.isDraining;
       const mayBeAllowed = step.grants.has(id) || !step.advisedOn.has(id);
       if (isOpen && mayBeAllowed && suits(worker, step)) {
-        named.push(id);
+        const { room } = siteOf(worker);
+        candidates.push({
+          worker: id,
+          fittingTasks: countFitting(demand, room, step.plan.maxPerWorker),
+          freeMillicores: room.millicores,
+          isAllowed: step.grants.has(id),
+        });
       }
     }
-    return named.slice(0, MAX_NAMED_WORKERS);
+    return candidates;
   }
 }
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -121,6 +121,9 @@
       this.start(step, assignments);
       pass.roomiest = roomiestOf(pass.sites);
     }
+    if (assignments.length < waiting.length) {
+      this.asking.askFurther(step, fitting);
+    }
     return assignments.length > 0;
   }
 
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -1,7 +1,8 @@
 /** Keeps room for a gang that can't start yet, so that smaller work behind it doesn't take it piece by piece. */
 
-import { add, fits, subtract, type Resources } from '@bamboowell/types/resources';
+import { add, type Resources } from '@bamboowell/types/resources';
 import { roomOf, type Step, type Worker } from './model.js';
+import { countFitting } from './sites.js';
 
 /** Part of the workers that may be kept in one pass: the rest goes on with what fits. */
 const MAX_KEPT_PART = 0.5;
@@ -58,18 +59,5 @@
       free = add(free, roomOf(task.step.plan));
     }
   }
-  return countOf(roomOf(step.plan), free);
+  return countFitting(roomOf(step.plan), free, step.plan.maxPerWorker);
 }
-
-function countOf(demand: Resources, room: Resources): number {
-  let left = room;
-  let count = 0;
-  while (fits(demand, left) && count < MAX_COUNTED) {
-    left = subtract(left, demand);
-    count += 1;
-  }
-  return count;
-}
-
-/** Tasks without any demand fit without end. */
-const MAX_COUNTED = 1000;
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -245,6 +245,48 @@
   t.is(String(start.ticket), 'ticket w2');
 });
 
+const ADVICE = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+const PLAIN_QUEUE = jobQueue({ id: brandAs('plain') });
+
+/** A fleet of which all but the last few workers are full, and a queue that needs advice. */
+function fullFleet(workers: number, free: number) {
+  const notices = Array.from({ length: workers }, (_, number) => workerNotice(`w${number}`));
+  const bench = readyBench({
+    workers: notices,
+    configuration: configurationOf([jobQueue({ advice: ADVICE }), PLAIN_QUEUE]),
+  });
+  const steps = [stepPlan({ count: workers - free, demand: cores(4) })];
+  bench.submit(jobPlan(9000, { queue: PLAIN_QUEUE.id, steps }));
+  bench.commit();
+  const busy = new Set(bench.place().map(({ life }) => life));
+  bench.addAdviser('m1');
+  return { bench, free: notices.filter(({ life }) => !busy.has(life)).map(({ id }) => id) };
+}
+
+// Guards against advice that names the same workers for every step, while the others are idle.
+test('advice is asked about the workers that have room, wherever they stand in the list', (t) => {
+  const { bench, free } = fullFleet(150, 5);
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.place();
+  const [question] = bench.of('ask_advice');
+  t.deepEqual(question?.workers.slice(0, free.length), free);
+});
+
+// Guards against waiting for tickets to run out, where nothing that they name has room.
+test('advice is asked about further workers at once, if those granted have no room left', (t) => {
+  const { bench, free } = fullFleet(60, 40);
+  bench.submit(jobPlan(1, { steps: [stepPlan({ count: 2, demand: cores(4) })] }));
+  bench.commit();
+  bench.place();
+  const named = bench.of('ask_advice').at(-1)?.workers ?? [];
+  bench.grant(brandAs<StepId>(`${jobId(1)}.0.0`), named.slice(0, 1));
+  t.is(bench.place().length, 1);
+  const further = bench.of('ask_advice').at(-1)?.workers ?? [];
+  const unnamed = free.filter((id) => !named.includes(id));
+  t.true(unnamed.length > 0 && unnamed.every((id) => further.includes(id)));
+});
+
 test('a call for advice that got no answer is made again, about the same workers', (t) => {
   const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
   const bench = readyBench({ configuration: configurationOf([jobQueue({ advice })]) });
--- a/packages/jobs/src/sites.ts
+++ b/packages/jobs/src/sites.ts
@@ -23,6 +23,21 @@
   );
 }
 
+/** Tasks without any demand fit without end. */
+const MAX_COUNTED = 1000;
+
+/** How many tasks fit into the room, up to the bound on one worker; a bound of zero is none. */
+export function countFitting(demand: Resources, room: Resources, maxPerWorker: number): number {
+  const most = maxPerWorker > 0 ? maxPerWorker : MAX_COUNTED;
+  let left = room;
+  let count = 0;
+  while (count < most && fits(demand, left)) {
+    left = subtract(left, demand);
+    count += 1;
+  }
+  return count;
+}
+
 /** Takes a task's room from the site and counts it among those of its step there. */
 export function take(site: Site, demand: Resources, onWorker: Map<WorkerId, number>): void {
   site.room = subtract(site.room, demand);
