Send a request once to an owner that is connected

Cause: a member gave up a try after 1.5 s and sent the whole request again, on the same connection, behind the first copy. The test fails before: asked twice.

--- a/packages/member/src/gate.test.ts
+++ b/packages/member/src/gate.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '@bamboowell/kernel/manual-clock';
 import { EventLog } from '@bamboowell/logger/logger';
 import type { Fields } from '@bamboowell/logger/line';
-import { deadlineAfter } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import type { GateMessage, JobReply, JobRequest } from './gate-messages.js';
 import { GateTask } from './gate.js';
 import { OwnerChannel, type OwnerReply, type OwnerRequest } from './owner-channel.js';
@@ -25,6 +25,21 @@
   }
 }
 
+/** An owner that takes longer to answer than any caller waits. */
+class SlowOwner extends OwnerChannel {
+  asked = 0;
+
+  constructor(private readonly clock: ManualClock) {
+    super();
+  }
+
+  async ask(_request: OwnerRequest, limit: Deadline): Promise<OwnerReply> {
+    this.asked += 1;
+    await this.clock.sleepUntil(limit);
+    return { kind: 'unknown' };
+  }
+}
+
 const ACCEPTED: OwnerReply = { kind: 'answered', answer: { kind: 'accepted', repeated: false } };
 
 async function openGate({ isConfigured = true } = {}) {
@@ -43,6 +58,7 @@
   const flush = () => new Promise((resolve) => setImmediate(resolve));
   return {
     gate,
+    clock,
     events,
     /** Lets time pass in steps. */
     pass: async (millis: number): Promise<void> => {
@@ -124,6 +140,17 @@
   t.is(next.asked.length, 1);
 });
 
+// Guards against copies of waiting requests that keep a slow owner from answering any.
+test('a request is sent once to an owner that is slow', async (t) => {
+  const bench = await openGate();
+  const owner = new SlowOwner(bench.clock);
+  await bench.own(owner);
+  const reply = await bench.request();
+  await bench.pass(3000);
+  t.deepEqual(reply.value, { kind: 'undecided' });
+  t.is(owner.asked, 1);
+});
+
 test('an answer comes before the caller stops waiting: refused if no owner was asked', async (t) => {
   const { request, pass } = await openGate();
   const reply = await request({ waitMillis: 1000 });
--- a/packages/member/src/gate.ts
+++ b/packages/member/src/gate.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobAnswer } from '@bamboowell/jobs/messages';
 import type { TeamId } from '@bamboowell/types/ids';
-import { deadlineAfter, millisUntil, type Deadline, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import { isJobId, type GateMessage, type JobReply, type JobRequest } from './gate-messages.js';
 import type { OwnerChannel, OwnerReply, OwnerRequest } from './owner-channel.js';
 import { Routes, type Route } from './routes.js';
@@ -16,8 +16,6 @@
 const ANSWER_AHEAD_MILLIS = 120;
 /** Pause before an owner that takes nothing yet is asked again, milliseconds. */
 const ASK_AGAIN_MILLIS = 60;
-/** One try with an owner is given up after this, milliseconds; the request goes to the next one. */
-const TRY_MILLIS = 1500;
 /** Requests in hand; more are refused. */
 const MAX_PENDING = 4000;
 /** A member without an owner for so long, milliseconds, is not ready: others may reach one. */
@@ -184,9 +182,8 @@
     }
     pending.isAsked = true;
     pending.tries += 1;
-    const now = this.clock.now();
-    const limit = deadlineAfter(now, Math.min(TRY_MILLIS, millisUntil(pending.deadline, now)));
-    void channel.ask(pending.request, limit).then((reply) => {
+    // A second copy on the same connection would only wait behind the first: one that is lost ends it.
+    void channel.ask(pending.request, pending.deadline).then((reply) => {
       this.post({ kind: 'settled', id, reply });
     });
   }
