Keep the work while the store is slow, rather than leave it without an owner

Cause: it took nothing new from the first word on, waited 0.8 s for its appends, and then left without saying that the work is free; its successor needs five slow calls in turn.

Change: it keeps serving until appends are quick again, at the latest until a second before all must be over; then it takes no more writes, and says that the work is free even if an append is still on its way: the next term fences it, and its callers are asked about again by the members that hold them.

--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -4,7 +4,7 @@
 import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { JobConfiguration, StepId, Term, WorkerNotice } from '@bamboowell/types/job';
-import type { Instant } from '@bamboowell/types/time';
+import type { Deadline, Instant } from '@bamboowell/types/time';
 import type { JobInput } from '@bamboowell/jobs/messages';
 import type { Restored } from '@bamboowell/jobs/records';
 import type { MemberPort } from './member-port.js';
@@ -62,5 +62,8 @@
   | { readonly kind: 'append'; readonly term: Term }
   | { readonly kind: 'pass' }
   | { readonly kind: 'beat' }
-  /** Hands the work over once what is on its way to the store has arrived. */
-  | { readonly kind: 'resign'; readonly reply: Reply<Term | undefined> };
+  /**
+   * Hands the work over: once the store is quick enough for a successor and has what is on its way,
+   * at the latest at `by`. Replies the term that was held.
+   */
+  | { readonly kind: 'resign'; readonly by: Deadline; readonly reply: Reply<Term | undefined> };
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -67,7 +67,9 @@
   private readonly advice: AdviceCalls;
   private isPassDue = false;
   private nextPassAt: Deadline = brandAs<Deadline>(0);
-  private resigning: Reply<Term | undefined> | undefined;
+  private resignation: Extract<OwnerMessage, { kind: 'resign' }> | undefined;
+  /** Takes nothing new: the work is about to be handed over. */
+  private isClosing = false;
 
   constructor(
     private readonly options: OwnerOptions,
@@ -167,9 +169,9 @@
         this.postAt(deadlineAfter(this.clock.now(), BEAT_MILLIS), { kind: 'beat' });
         this.beat();
       })
-      .with({ kind: 'resign' }, ({ reply }) => {
-        this.resigning = reply;
-        this.resignIfIdle();
+      .with({ kind: 'resign' }, (resignation) => {
+        this.resignation = resignation;
+        this.resignWhenDue();
       })
       .exhaustive();
   }
@@ -329,7 +331,7 @@
   }
 
   private request(request: OwnerRequest, reply: Reply<OwnerReply>): void {
-    if (this.tenure?.scheduler === undefined || this.resigning !== undefined) {
+    if (this.tenure?.scheduler === undefined || this.isClosing) {
       reply({ kind: 'not_taken' });
       return;
     }
@@ -413,7 +415,7 @@
       this.input({ kind: 'committed', batch });
     });
     tenure.appends.send();
-    this.resignIfIdle();
+    this.resignWhenDue();
   }
 
   private setTrouble(tenure: Tenure, isTroubled: boolean): void {
@@ -428,6 +430,7 @@
   }
 
   private beat(): void {
+    this.resignWhenDue();
     const { tenure } = this;
     if (tenure === undefined) {
       return;
@@ -458,15 +461,22 @@
     });
   }
 
-  private resignIfIdle(): void {
-    const { resigning, tenure } = this;
-    if (resigning === undefined) {
+  /** While the store is slow the work is better kept than left without an owner. */
+  private resignWhenDue(): void {
+    const { resignation, tenure } = this;
+    if (resignation === undefined) {
       return;
     }
-    if (tenure === undefined || tenure.appends.isIdle) {
-      const term = tenure?.term;
+    const mustGo = hasPassed(resignation.by, this.clock.now());
+    if (tenure !== undefined && tenure.appends.isSlow && !mustGo) {
+      return;
+    }
+    this.isClosing = true;
+    tenure?.appends.finish();
+    if (tenure === undefined || tenure.appends.isIdle || mustGo) {
+      this.resignation = undefined;
       this.standDown('resigned');
-      resigning(term);
+      resignation.reply(tenure?.term);
     }
   }
 
--- a/packages/member/src/retire.ts
+++ b/packages/member/src/retire.ts
@@ -4,13 +4,18 @@
 import type { Address as MailAddress } from '@bamboowell/kernel/mailbox';
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { Term } from '@bamboowell/types/job';
-import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, millisUntil, type Deadline } from '@bamboowell/types/time';
 import type { GateMessage } from './gate-messages.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 
-/** Handing the work over is given up after this, milliseconds. */
-const HAND_OVER_MILLIS = 800;
+/**
+ * The work is handed over at least so long before all must be over, milliseconds: the next owner
+ * takes half of it where the store is quick, and answers what this member has in hand.
+ */
+const HAND_OVER_AHEAD_MILLIS = 1000;
+/** The word that the work is free is given up after this, milliseconds. */
+const RELEASE_MILLIS = 800;
 /** The last answers get this long to leave, milliseconds. */
 const ANSWER_MILLIS = 200;
 /** How often it is looked whether requests are left, milliseconds. */
@@ -30,18 +35,19 @@
 export async function retire(retiring: Retiring): Promise<void> {
   const { clock, gate, owner, ownership } = retiring;
   gate.post({ kind: 'drain' });
-  const limit = deadlineAfter(clock.now(), HAND_OVER_MILLIS);
+  const patienceMillis = handOverMillis(retiring);
+  const by = deadlineAfter(clock.now(), patienceMillis);
   const resigned = await ask<OwnerMessage, Term | undefined>(
     owner,
-    (reply) => ({ kind: 'resign', reply }),
-    limit,
+    (reply) => ({ kind: 'resign', by, reply }),
+    deadlineAfter(clock.now(), patienceMillis + ANSWER_MILLIS),
     clock,
   );
   const held = resigned.kind === 'answered' ? resigned.value : undefined;
   await ask<OwnershipMessage, null>(
     ownership,
     (reply) => ({ kind: 'leave', held, reply }),
-    limit,
+    deadlineAfter(clock.now(), RELEASE_MILLIS),
     clock,
   );
   await untilIdle(retiring);
@@ -49,6 +55,10 @@
   await clock.sleepUntil(deadlineAfter(clock.now(), ANSWER_MILLIS));
 }
 
+function handOverMillis({ clock, deadline }: Retiring): number {
+  return Math.max(0, millisUntil(deadline, clock.now()) - HAND_OVER_AHEAD_MILLIS);
+}
+
 async function untilIdle({ clock, gate, lastRequestsAt, deadline }: Retiring): Promise<void> {
   while (!hasPassed(deadline, clock.now())) {
     await clock.sleepUntil(deadlineAfter(clock.now(), LOOK_MILLIS));
--- a/packages/member/src/work-appends.test.ts
+++ b/packages/member/src/work-appends.test.ts
@@ -203,3 +203,24 @@
   write();
   t.is(reminders(), asked + 1);
 });
+
+test('after the last writes nothing is taken any more, and a slow store is told', async (t) => {
+  const { appends, store, clock, write, answer } = appendsBench();
+  clock.advance(100);
+  write();
+  t.false(appends.isSlow);
+  clock.advance(101);
+  t.true(appends.isSlow);
+  await answer(0);
+  t.true(appends.isSlow);
+  write();
+  appends.finish();
+  clock.advance(50);
+  t.is(store.calls.length, 2);
+  write();
+  await answer(1);
+  clock.advance(500);
+  t.is(store.calls.length, 2);
+  t.true(appends.isIdle);
+  t.false(appends.isSlow);
+});
--- a/packages/member/src/work-appends.ts
+++ b/packages/member/src/work-appends.ts
@@ -26,6 +26,11 @@
 const APPEND_RETRY_MILLIS = 60;
 /** An append without an answer for so long, milliseconds, means that another member should try. */
 const LATE_MILLIS = 1000;
+/**
+ * An append that takes longer than this, milliseconds, means a slow store: whoever takes the work
+ * over makes five calls in turn, which then take longer than its callers should wait.
+ */
+const QUICK_MILLIS = 100;
 /** A proof of ownership is good for so long, milliseconds, to say that a job does not exist. */
 const PROOF_MILLIS = 1500;
 /** Key of the record by which an owner fences earlier ones and shows that it lives. */
@@ -73,6 +78,7 @@
   /** After a failed append the next one waits until then. */
   private againAt: Deadline;
   private isReminded = false;
+  private isFinishing = false;
 
   constructor(private readonly options: WorkAppendsOptions) {
     const now = options.clock.now();
@@ -97,6 +103,12 @@
     return this.waitingSince !== undefined && this.now - this.waitingSince > LATE_MILLIS;
   }
 
+  /** Whether the store is slow by the last append, or by one that is on its way. */
+  get isSlow(): boolean {
+    const waitingMillis = this.waitingSince === undefined ? 0 : this.now - this.waitingSince;
+    return Math.max(this.lastMillis, waitingMillis) > QUICK_MILLIS;
+  }
+
   /** Both clocks count: the steady one stands still while a machine is suspended. */
   get isProved(): boolean {
     const { proof } = this;
@@ -126,12 +138,24 @@
     this.send();
   }
 
+  /** Takes the last writes that are due: nothing comes after them. */
+  finish(): void {
+    if (!this.isFinishing) {
+      this.takeBatch();
+      this.isFinishing = true;
+      this.send();
+    }
+  }
+
   /** Sends what is due, unless enough is on its way. */
   send(): void {
     const { commits, now } = this;
     if (!hasPassed(this.againAt, now) || !commits.hasPlace) {
       return;
     }
+    if (!commits.hasUnsent && this.isFinishing) {
+      return;
+    }
     if (!commits.hasUnsent) {
       const dueAt = this.nextDueAt();
       if (!hasPassed(dueAt, now)) {
