Send no start whose ticket ran out while its record was on its way

Change: the ticket's end is looked at when the record is stored; the task is placed again instead. The test fails before.

--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -34,7 +34,8 @@
   readonly task: Task;
   readonly number: RunNumber;
   readonly worker: Worker;
-  readonly ticket: Ticket | undefined;
+  /** What allows its start, if its queue asks for advice. */
+  readonly grant: Grant | undefined;
   phase: RunPhase;
   /** When the worker first confirmed it. */
   confirmedAt: Instant | undefined;
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -3,7 +3,7 @@
 import { match } from 'ts-pattern';
 import { brandAs } from '@bamboowell/types/ids';
 import type { LifeId, RunNumber, StepTaskId } from '@bamboowell/types/job';
-import { deadlineAfter } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { OrderAnswer } from './messages.js';
 import { runKey, type Grant, type Run, type Step, type Task, type Worker } from './model.js';
@@ -38,7 +38,7 @@
         task,
         number: task.lastRun,
         worker,
-        ticket: grant?.ticket,
+        grant,
         phase: 'recorded',
         confirmedAt: undefined,
         progress: undefined,
@@ -114,6 +114,11 @@
     if (!isCurrent || run.phase !== 'recorded' || job.plan === undefined) {
       return;
     }
+    if (run.grant !== undefined && hasPassed(run.grant.until, this.context.now)) {
+      // Its record took longer than the ticket holds: the worker would only refuse it.
+      this.rejected(run, 'ticket_ran_out', 0);
+      return;
+    }
     run.phase = 'ordered';
     job.hasStarted = true;
     job.shownState = job.shownState === 'pending' ? 'running' : job.shownState;
@@ -126,7 +131,7 @@
         run: run.number,
         payload: job.plan.payload,
         saved: run.task.saved,
-        ticket: run.ticket,
+        ticket: run.grant?.ticket,
       },
     });
   }
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -263,6 +263,24 @@
   return { bench, free: notices.filter(({ life }) => !busy.has(life)).map(({ id }) => id) };
 }
 
+// Guards against starts that a worker can only refuse, after a store that was away for seconds.
+test('a start whose ticket ran out before its record was stored is not sent, and placed again', (t) => {
+  const bench = readyBench({ configuration: configurationOf([jobQueue({ advice: ADVICE })]) });
+  const step = brandAs<StepId>(`${jobId(1)}.0.0`);
+  bench.addAdviser('m1');
+  bench.submit(jobPlan(1));
+  bench.commit();
+  bench.place();
+  bench.grant(step, [W1.id], 2500);
+  bench.send({ kind: 'place' });
+  bench.advance(2600);
+  bench.commit();
+  t.deepEqual(bench.starts(), []);
+  bench.place();
+  bench.grant(step, [W1.id], 2500);
+  t.is(Number(first(bench.place()).run), 2);
+});
+
 // Guards against advice that names the same workers for every step, while the others are idle.
 test('advice is asked about the workers that have room, wherever they stand in the list', (t) => {
   const { bench, free } = fullFleet(150, 5);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -268,7 +268,7 @@
       task,
       number,
       worker,
-      ticket: undefined,
+      grant: undefined,
       phase: 'ordered',
       confirmedAt: undefined,
       progress: undefined,
