Look only at granted workers when a step with advice is placed

A pass looked at all workers for each waiting step, though a step with advice may start on the few that were granted. Steps of which everything runs are left out before the order is made, and further advice is only thought of where a member can ask.

--- a/packages/jobs/src/asking.ts
+++ b/packages/jobs/src/asking.ts
@@ -44,11 +44,6 @@
     return grant !== undefined && grant.until > this.usableAt();
   }
 
-  /** Whether the step may run on the worker by all advice so far, also where the ticket ran out. */
-  hasAdmitted(step: Step, { id }: Worker): boolean {
-    return step.job.queue.advice === undefined || step.grants.has(id);
-  }
-
   /** Asks which workers may run the step, unless a call for it is open or the members have enough to do. */
   ask(step: Step): void {
     const terms = step.job.queue.advice;
@@ -116,9 +111,13 @@
   /** Asks about further workers, if the step would have room on some that no advice names yet. */
   askFurther(step: Step, sites: readonly Site[]): void {
     const demand = roomOf(step.plan);
+    const terms = step.job.queue.advice;
+    if (terms === undefined || step.asking !== undefined || !this.desk.isFree(terms)) {
+      return;
+    }
     const hasRoom = ({ worker, room }: Site): boolean =>
-      !step.advisedOn.has(worker.id) && fits(demand, room);
-    if (step.job.queue.advice !== undefined && sites.some(hasRoom)) {
+      !step.advisedOn.has(worker.id) && fits(demand, room) && suits(worker, step);
+    if (sites.some(hasRoom)) {
       this.ask(step);
     }
   }
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -269,7 +269,11 @@
   });
 }
 
-/** Tasks that need a start: not done, and nothing of them runs or may run. */
+/** Whether the task needs a start: it isn't done, and nothing of it runs or may run. */
+export function isWaiting({ isDone, runs }: Task): boolean {
+  return !isDone && runs.length === 0;
+}
+
 export function waitingTasks(step: Step): Task[] {
-  return step.tasks.filter((task) => !task.isDone && task.runs.length === 0);
+  return step.tasks.filter(isWaiting);
 }
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -1,11 +1,12 @@
 /** Goes through the waiting steps in their order and starts what finds a worker. */
 
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
+import type { WorkerId } from '@bamboowell/types/ids';
 import type { Asking } from './asking.js';
 import { Assigning } from './assigning.js';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
-import { roomOf, waitingTasks, type Step, type Task, type Worker } from './model.js';
+import { isWaiting, roomOf, waitingTasks, type Step, type Task, type Worker } from './model.js';
 import type { JobOrdering } from './ordering.js';
 import type { Assignment, Orders } from './orders.js';
 import { Reservations } from './reservations.js';
@@ -18,6 +19,7 @@
 /** What one pass has to share out. */
 interface Pass {
   readonly sites: readonly Site[];
+  readonly siteOf: ReadonlyMap<WorkerId, Site>;
   readonly reservations: Reservations;
   /** The most processor time that is left on one site, thousandths of a core. */
   roomiest: number;
@@ -41,14 +43,13 @@
     const sites = this.openSites();
     const pass = {
       sites,
+      siteOf: new Map(sites.map((site) => [site.worker.id, site])),
       reservations: new Reservations(sites.length),
       roomiest: roomiestOf(sites),
     };
-    for (const step of this.ordering.sorted(this.lifecycle.ready, this.context)) {
-      const waiting = waitingTasks(step);
-      if (waiting.length > 0) {
-        this.placeStep(step, waiting, pass);
-      }
+    const waiting = [...this.lifecycle.ready].filter(hasWaitingTask);
+    for (const step of this.ordering.sorted(waiting, this.context)) {
+      this.placeStep(step, pass);
     }
   }
 
@@ -84,34 +85,42 @@
   }
 
   /** Passes over what can't start before it looks at any worker: thousands of steps may wait. */
-  private placeStep(step: Step, waiting: readonly Task[], pass: Pass): void {
-    const isWholeGang = step.plan.isGang && waiting.length === step.tasks.length;
+  private placeStep(step: Step, pass: Pass): void {
     const isAdmitted = this.asking.hasTicket(step);
     if (!isAdmitted) {
       this.asking.ask(step);
     }
     const mayStart = isAdmitted && roomOf(step.plan).millicores <= pass.roomiest;
-    const mayKeep = isWholeGang && !pass.reservations.isFull;
+    const mayKeep = step.plan.isGang && !pass.reservations.isFull;
     if (!mayStart && !mayKeep) {
       return;
     }
-    const fitting = pass.sites.filter(
-      ({ worker }) => suits(worker, step) && !pass.reservations.isKept(worker),
-    );
-    const isStarted = mayStart && this.startOn(step, waiting, fitting, pass);
-    if (!isStarted && isWholeGang) {
-      const known = fitting.filter(({ worker }) => this.asking.hasAdmitted(step, worker));
+    const waiting = waitingTasks(step);
+    const known = this.knownSites(step, pass);
+    const isStarted = mayStart && this.startOn(step, waiting, known, pass);
+    if (!isStarted && step.plan.isGang && waiting.length === step.tasks.length) {
       pass.reservations.keep(step, known);
     }
   }
 
+  /** Sites that no step before has kept, and on which the step may run by all advice so far. */
+  private knownSites(step: Step, { sites, siteOf, reservations }: Pass): Site[] {
+    const isOpenTo = (site: Site): boolean =>
+      suits(site.worker, step) && !reservations.isKept(site.worker);
+    if (step.job.queue.advice === undefined) {
+      return sites.filter(isOpenTo);
+    }
+    // Only a few of the workers are granted: looking each of them up is less than looking at all.
+    return [...step.grants.keys()].flatMap((id) => siteOf.get(id) ?? []).filter(isOpenTo);
+  }
+
   private startOn(
     step: Step,
     waiting: readonly Task[],
-    fitting: readonly Site[],
+    known: readonly Site[],
     pass: Pass,
   ): boolean {
-    const allowed = fitting.filter(({ worker }) => this.asking.admits(step, worker));
+    const allowed = known.filter(({ worker }) => this.asking.admits(step, worker));
     if (allowed.length === 0) {
       this.asking.ask(step);
       return false;
@@ -122,7 +131,7 @@
       pass.roomiest = roomiestOf(pass.sites);
     }
     if (assignments.length < waiting.length) {
-      this.asking.askFurther(step, fitting);
+      this.asking.askFurther(step, pass.sites);
     }
     return assignments.length > 0;
   }
@@ -135,6 +144,10 @@
   }
 }
 
+function hasWaitingTask({ tasks }: Step): boolean {
+  return tasks.some(isWaiting);
+}
+
 function roomiestOf(sites: readonly Site[]): number {
   return sites.reduce((most, { room }) => Math.max(most, room.millicores), 0);
 }
