Wait for the greeting of an owner that has just taken the work over

Cause: a member gave a greeting up after 0.5 s, closed the connection and dialled again; the owner is busy in its first seconds (1.2 of 1.35 cores, timers 46 ms late), and to members of the other region the connection and the answer alone take 0.12 s. Eighteen to thirty-two greetings a second failed (owner.lost detail=not_owner), each one more work for the owner; half of the members, and so half of those who ask for advice, were without an owner until second 10.

Change: the greeting may take three seconds, since a connection that is gone ends by its silence after 1.1 s; a newer claim is dialled at once, whatever became of the greeting before.

The test fails before (refused).

--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -20,6 +20,8 @@
 }
 
 export class EmulatedPeers extends Peers {
+  /** How long what arrives waits for this process, which has much to do, milliseconds. */
+  lagMillis = 0;
   private readonly ends = new Set<EmulatedConnection>();
 
   constructor(
@@ -82,6 +84,7 @@
 /** Where one end of a connection is. */
 interface Place {
   readonly clock: Clock;
+  readonly lagMillis: number;
   readonly link: EmulatedLink;
 }
 
@@ -169,10 +172,10 @@
 
   /** Runs on this end's side, once the way is done and its process runs. */
   private deliver(message: unknown, act: () => unknown): void {
-    const { clock, link } = this.place;
+    const { clock, link, lagMillis } = this.place;
     const sent = this.other?.place.link.pass('out', message);
     void Promise.resolve(sent).then(async () => {
-      await clock.sleepUntil(deadlineAfter(clock.now(), WAY_MILLIS));
+      await clock.sleepUntil(deadlineAfter(clock.now(), WAY_MILLIS + lagMillis));
       await link.pass('in', message);
       if (!this.isEnded) {
         act();
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -82,6 +82,27 @@
   t.true(cluster.now() - killedAt <= 300, `served after ${cluster.now() - killedAt} ms`);
 });
 
+// Guards against members that give a busy owner up, and dial it again for as long as it is busy.
+test('members wait for the greeting of an owner that has much to do', async (t) => {
+  const cluster = await runningCluster();
+  cluster.kill(cluster.ownerName() ?? '');
+  cluster.members.forEach(({ peers }) => {
+    if (peers !== undefined) {
+      peers.lagMillis = 300;
+    }
+  });
+  const killedAt = cluster.now();
+  await cluster.run(400);
+  const member = [...cluster.members.keys()].find((name) => name !== cluster.ownerName()) ?? '';
+  const reply = await during(cluster, cluster.request(member, 'submit', jobId(1), planOf(1)));
+  t.like(reply, { kind: 'accepted' });
+  t.true(cluster.now() - killedAt < 2500, `served after ${cluster.now() - killedAt} ms`);
+  t.deepEqual(
+    cluster.log.filter((line) => line.includes('detail=not_owner')),
+    [],
+  );
+});
+
 test('a frozen owner is replaced within two seconds, and does no harm when it wakes', async (t) => {
   const cluster = await runningCluster();
   const owner = cluster.ownerName() ?? '';
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -51,7 +51,8 @@
   private connection: Connection | undefined;
   /** The newest term whose owner said that it serves. */
   private servingTerm: Term | undefined;
-  private isDialling = false;
+  /** The term whose owner is being dialled or greeted. */
+  private dialledTerm: Term | undefined;
   private redialAt: Deadline = brandAs<Deadline>(0);
   private isLooking = false;
   private isClaiming = false;
@@ -92,8 +93,10 @@
         this.greeted(term, connection, welcome);
       })
       .with({ kind: 'unreachable' }, (answer) => {
-        this.isDialling = false;
-        this.unreachable(answer);
+        if (this.dialledTerm === answer.term) {
+          this.dialledTerm = undefined;
+          this.unreachable(answer);
+        }
       })
       .with({ kind: 'link_ended' }, ({ term, connection, reason }) => {
         if (this.claim?.term === term && this.connection === connection) {
@@ -178,6 +181,7 @@
       return;
     }
     this.claim = claim;
+    this.dialledTerm = undefined;
     // An owner that lost the store, and members that only it reaches, learn of the new one this way.
     this.options.peers.announce(claim);
     this.connection?.close();
@@ -201,6 +205,7 @@
   private vacant(claim: Claim | undefined): void {
     this.connection?.close();
     this.connection = undefined;
+    this.dialledTerm = undefined;
     this.publish(undefined);
     if (claim !== undefined) {
       this.options.owner.post({ kind: 'superseded', term: brandAs<Term>(claim.term + 1) });
@@ -223,10 +228,10 @@
   }
 
   private dial(claim: Claim): void {
-    if (this.isDialling) {
+    if (this.dialledTerm === claim.term) {
       return;
     }
-    this.isDialling = true;
+    this.dialledTerm = claim.term;
     const deadline = deadlineAfter(this.clock.now(), DIAL_MILLIS);
     void this.options.peers.dial(claim.address, deadline).then((result) => {
       if (result.kind === 'connected') {
@@ -238,6 +243,10 @@
   }
 
   private connected(term: Term, connection: Connection): void {
+    if (this.dialledTerm !== term) {
+      connection.close();
+      return;
+    }
     const news: OwnerNews = {
       trouble: (isTroubled) => {
         this.post({ kind: 'trouble', term, isTroubled });
@@ -252,7 +261,11 @@
   }
 
   private greeted(term: Term, connection: Connection, welcome: Welcome | undefined): void {
-    this.isDialling = false;
+    if (this.dialledTerm !== term) {
+      connection.close();
+      return;
+    }
+    this.dialledTerm = undefined;
     const { claim } = this;
     const isCurrent = claim?.term === term && !claim.isReleased && !this.isOurs(claim);
     if (!isCurrent || welcome === undefined || welcome.standing === 'none') {
@@ -331,7 +344,7 @@
 
   private beat(): void {
     const now = this.clock.now();
-    const isAway = this.connection === undefined && !this.isDialling;
+    const isAway = this.connection === undefined && this.dialledTerm === undefined;
     const { claim } = this;
     const isRemote =
       claim !== undefined && !claim.isReleased && claim.member !== this.options.settings.member;
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -16,8 +16,11 @@
 import type { MemberSettings } from './settings.js';
 import type { StoreEntry } from './store.js';
 
-/** A greeting is given up after this, milliseconds. */
-const HELLO_MILLIS = 500;
+/**
+ * A greeting is given up after this, milliseconds: an owner that has just taken the work over is
+ * busy, and one that is gone is noticed sooner, by the silence of the connection.
+ */
+const HELLO_MILLIS = 3000;
 /** A request of another member is given up after this, milliseconds: longer than any caller waits. */
 const REQUEST_MILLIS = 10_000;
 
