Count room that is kept for a gang as taken when advice is asked

Cause: calls named workers that a pass keeps for a gang that goes before, up to half of them; what was granted there could not start, and further advice was asked about more of the same. The test fails before: kept workers were named first.

--- a/packages/jobs/src/asking.ts
+++ b/packages/jobs/src/asking.ts
@@ -9,6 +9,7 @@
 import type { JobContext } from './context.js';
 import type { JobInput } from './messages.js';
 import { roomOf, type Step, type Worker } from './model.js';
+import type { Reservations } from './reservations.js';
 import { countFitting, siteOf, suits, type Site } from './sites.js';
 
 /** A ticket with less time left than this, milliseconds, isn't used: the start must be recorded and travel first. */
@@ -44,13 +45,16 @@
     return grant !== undefined && grant.until > this.usableAt();
   }
 
-  /** Asks which workers may run the step, unless a call for it is open or the members have enough to do. */
-  ask(step: Step): void {
+  /**
+   * Asks which workers may run the step, unless a call for it is open or the members have enough
+   * to do. Room that is kept for others counts as taken.
+   */
+  ask(step: Step, reservations: Reservations): void {
     const terms = step.job.queue.advice;
     if (terms === undefined || step.asking !== undefined || !this.desk.isFree(terms)) {
       return;
     }
-    const named = workersToName(this.candidates(step), {
+    const named = workersToName(this.candidates(step, reservations), {
       tasks: step.tasks.length - step.doneCount,
       isGang: step.plan.isGang,
       grantedPart: this.grantedPartOf(step),
@@ -109,16 +113,19 @@
   }
 
   /** Asks about further workers, if the step would have room on some that no advice names yet. */
-  askFurther(step: Step, sites: readonly Site[]): void {
+  askFurther(step: Step, sites: readonly Site[], reservations: Reservations): void {
     const demand = roomOf(step.plan);
     const terms = step.job.queue.advice;
     if (terms === undefined || step.asking !== undefined || !this.desk.isFree(terms)) {
       return;
     }
     const hasRoom = ({ worker, room }: Site): boolean =>
-      !step.advisedOn.has(worker.id) && fits(demand, room) && suits(worker, step);
+      !step.advisedOn.has(worker.id) &&
+      fits(demand, room) &&
+      suits(worker, step) &&
+      !reservations.isKept(worker);
     if (sites.some(hasRoom)) {
-      this.ask(step);
+      this.ask(step, reservations);
     }
   }
 
@@ -137,7 +144,7 @@
   }
 
   /** Workers known to be allowed, and those on which there was no advice yet. */
-  private candidates(step: Step): AdviceCandidate[] {
+  private candidates(step: Step, reservations: Reservations): AdviceCandidate[] {
     const demand = roomOf(step.plan);
     const candidates: AdviceCandidate[] = [];
     for (const worker of this.context.workers.values()) {
@@ -148,7 +155,9 @@
         const { room } = siteOf(worker);
         candidates.push({
           worker: id,
-          fittingTasks: countFitting(demand, room, step.plan.maxPerWorker),
+          fittingTasks: reservations.isKept(worker)
+            ? 0
+            : countFitting(demand, room, step.plan.maxPerWorker),
           freeMillicores: room.millicores,
           isAllowed: step.grants.has(id),
         });
--- a/packages/jobs/src/placing.ts
+++ b/packages/jobs/src/placing.ts
@@ -27,6 +27,8 @@
 
 export class Placing {
   private readonly assigning: Assigning;
+  /** Of the last pass. */
+  private reservations = new Reservations(0);
 
   constructor(
     private readonly context: JobContext,
@@ -41,10 +43,11 @@
 
   place(): void {
     const sites = this.openSites();
+    this.reservations = new Reservations(sites.length);
     const pass = {
       sites,
       siteOf: new Map(sites.map((site) => [site.worker.id, site])),
-      reservations: new Reservations(sites.length),
+      reservations: this.reservations,
       roomiest: roomiestOf(sites),
     };
     const waiting = [...this.lifecycle.ready].filter(hasWaitingTask);
@@ -56,7 +59,7 @@
   /** Asks for advice that a step will need soon, unless it has some. */
   askAhead(step: Step): void {
     if (!this.asking.hasTicket(step)) {
-      this.asking.ask(step);
+      this.asking.ask(step, this.reservations);
     }
   }
 
@@ -88,7 +91,7 @@
   private placeStep(step: Step, pass: Pass): void {
     const isAdmitted = this.asking.hasTicket(step);
     if (!isAdmitted) {
-      this.asking.ask(step);
+      this.asking.ask(step, pass.reservations);
     }
     const mayStart = isAdmitted && roomOf(step.plan).millicores <= pass.roomiest;
     const mayKeep = step.plan.isGang && !pass.reservations.isFull;
@@ -122,7 +125,7 @@
   ): boolean {
     const allowed = known.filter(({ worker }) => this.asking.admits(step, worker));
     if (allowed.length === 0) {
-      this.asking.ask(step);
+      this.asking.ask(step, pass.reservations);
       return false;
     }
     const assignments = this.assigning.assign(step, waiting, allowed);
@@ -131,7 +134,7 @@
       pass.roomiest = roomiestOf(pass.sites);
     }
     if (assignments.length < waiting.length) {
-      this.asking.askFurther(step, pass.sites);
+      this.asking.askFurther(step, pass.sites, pass.reservations);
     }
     return assignments.length > 0;
   }
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -247,13 +247,14 @@
 
 const ADVICE = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
 const PLAIN_QUEUE = jobQueue({ id: brandAs('plain') });
+const URGENT_QUEUE = jobQueue({ id: brandAs('urgent'), priority: 0 });
 
 /** A fleet of which all but the last few workers are full, and a queue that needs advice. */
 function fullFleet(workers: number, free: number) {
   const notices = Array.from({ length: workers }, (_, number) => workerNotice(`w${number}`));
   const bench = readyBench({
     workers: notices,
-    configuration: configurationOf([jobQueue({ advice: ADVICE }), PLAIN_QUEUE]),
+    configuration: configurationOf([jobQueue({ advice: ADVICE }), PLAIN_QUEUE, URGENT_QUEUE]),
   });
   const steps = [stepPlan({ count: workers - free, demand: cores(4) })];
   bench.submit(jobPlan(9000, { queue: PLAIN_QUEUE.id, steps }));
@@ -291,6 +292,19 @@
   t.deepEqual(question?.workers.slice(0, free.length), free);
 });
 
+// Guards against calls for advice about room that waits for a gang, which nothing else may take.
+test('advice is asked about workers that are kept for a gang only after the others', (t) => {
+  const { bench, free } = fullFleet(60, 40);
+  const gang = stepPlan({ count: 41, demand: cores(4), isGang: true });
+  bench.submit(jobPlan(2, { queue: URGENT_QUEUE.id, steps: [gang] }));
+  bench.submit(jobPlan(1, { steps: [stepPlan({ demand: cores(4) })] }));
+  bench.commit();
+  t.deepEqual(bench.place(), []);
+  const named = bench.of('ask_advice').at(-1)?.workers ?? [];
+  // Half of the workers are kept at most: thirty of the forty that are free.
+  t.deepEqual(named.slice(0, 10), free.slice(30));
+});
+
 // Guards against waiting for tickets to run out, where nothing that they name has room.
 test('advice is asked about further workers at once, if those granted have no room left', (t) => {
   const { bench, free } = fullFleet(60, 40);
