Write the log in pieces that a pipe takes at once

Whoever reads keeps the beginning of a large write. Writes are now of whole lines and at most 4,096 bytes.

--- a/packages/logger/src/line-log.ts
+++ b/packages/logger/src/line-log.ts
@@ -9,6 +9,11 @@
 /** Bytes that may wait; lines beyond are counted instead. A few seconds of a busy process. */
 const MAX_WAITING_BYTES = 512 * 1024;
 
+/**
+ * Most bytes of one write, unless a line is longer: a pipe takes so many whole or not at all, and
+ * what reads it may keep only the beginning of a larger piece.
+ */
+const MAX_WRITE_BYTES = 4096;
 /** Pause before a reader that takes nothing is tried again, milliseconds. */
 const RETRY_MILLIS = 20;
 const LINE_FEED = 0x0a;
@@ -61,12 +66,21 @@
       this.add(lineOf('log.dropped', { ...this.common, lines: this.dropped }));
       this.dropped = 0;
     }
-    const bytes = Buffer.from(`${this.lines.join('\n')}\n`);
-    this.lines = [];
+    const bytes = Buffer.from(`${this.nextLines().join('\n')}\n`);
     this.isWriting = true;
     this.write(bytes);
   }
 
+  /** Takes whole lines for one write. */
+  private nextLines(): string[] {
+    let bytes = 0;
+    const end = this.lines.findIndex((line) => {
+      bytes += Buffer.byteLength(line) + 1;
+      return bytes > MAX_WRITE_BYTES;
+    });
+    return this.lines.splice(0, end < 0 ? this.lines.length : Math.max(1, end));
+  }
+
   /** A pipe that is nearly full takes a part of the bytes, a full one none. */
   private write(bytes: Buffer): void {
     this.writeBytes(this.descriptor, bytes, (error, written) => {
