Log when each part of a member begins to use a configuration

The gateway and the owner now log `configuration.applied`, an adoption its size, and a topic that is reachable again how many calls failed and within which time.

--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -122,3 +122,4 @@
     return this.configuration?.version ?? -1;
   }
 }
+      bytes: entry.value?.length ?? 0,
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -73,6 +73,10 @@
       })
       .with({ kind: 'configuration' }, ({ configuration }) => {
         this.routes = new Routes(configuration);
+        this.events.event('configuration.applied', {
+          by: 'gateway',
+          version: configuration.version,
+        });
       })
       .with({ kind: 'owner' }, ({ channel }) => {
         this.setChannel(channel);
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -114,6 +114,11 @@
       .with({ kind: 'configuration' }, ({ configuration }) => {
         this.configuration = configuration;
         this.stepScheduler({ kind: 'configuration', configuration });
+        this.options.events.event('configuration.applied', {
+          by: 'owner',
+          version: configuration.version,
+          isOwner: this.tenure !== undefined,
+        });
         this.startServing();
       })
       .with({ kind: 'worker' }, ({ registration }) => {
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -1,7 +1,7 @@
 /** Follows a topic: reads the newest record of each key, then new records by long polling. */
 
 import type { Clock } from '@bamboowell/kernel/clock';
-import { deadlineAfter } from '@bamboowell/types/time';
+import { deadlineAfter, type Instant } from '@bamboowell/types/time';
 import type { Offset } from '@bamboowell/types/ids';
 import type { Store, StoreEntry, Topic, Unavailable } from './store.js';
 
@@ -22,6 +22,10 @@
 export class TopicWatch {
   private isStopped = false;
   private wasReachable: boolean | undefined;
+  /** When a call last succeeded. */
+  private reachedAt: Instant;
+  /** Calls that failed since. */
+  private failures = 0;
 
   constructor(
     private readonly store: Store,
@@ -30,7 +34,9 @@
     private readonly listener: TopicListener,
     /** Pause after new records; later ones are then read in one call. */
     private readonly gatherMillis = 0,
-  ) {}
+  ) {
+    this.reachedAt = clock.now();
+  }
 
   start(): void {
     void this.follow();
@@ -110,11 +116,16 @@
   }
 
   private failed({ detail }: Unavailable): void {
+    this.failures += 1;
     this.reportReachable(false, detail);
   }
 
   private succeeded(): void {
-    this.reportReachable(true, '');
+    const now = this.clock.now();
+    const awayMillis = Math.round(now - this.reachedAt);
+    this.reportReachable(true, `${this.failures} calls failed within ${awayMillis} ms`);
+    this.reachedAt = now;
+    this.failures = 0;
   }
 
   private reportReachable(isReachable: boolean, detail: string): void {
