Announce configuration versions instead of sending the document to all

What callers saw: a configuration that was in force late.

Cause: on each new version every member sent the whole document over all its connections. All members are connected to the owner, so that it received the document from each of them and sent it to each. And a member that was not connected at that moment never heard of the version. The class: state that is pushed on change only, to everyone, instead of compared when two parties meet.

Two tests fail on: a member that was disconnected during a change kept the older version (a withdrawn key was accepted), and a change of 400 queues held a request at an owner on a link of 7 Mbit/s up for 1,574 ms.

Change: members tell each other their version, on connecting and after a change. One that is still behind after 300 ms, in which the store delivers it to those that reach it, fetches the document from a member that has it.

--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -1,15 +1,32 @@
-/** Follows the operator's configuration and notifies the other tasks; only higher versions are adopted. */
+/**
+ * Follows the operator's configuration and notifies the other tasks; only higher versions are adopted.
+ * Members tell each other their versions; one that stays behind, because it can't read the store,
+ * fetches the document from another member.
+ */
 
 import { match } from 'ts-pattern';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
+import type { Reply } from '@bamboowell/kernel/ask';
 import type { Clock } from '@bamboowell/kernel/clock';
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobConfiguration } from '@bamboowell/types/job';
+import { deadlineAfter } from '@bamboowell/types/time';
 import type { Documents } from './ports.js';
 import type { Store, StoreEntry } from './store.js';
 import { TopicWatch } from './topic-watch.js';
 
+/**
+ * How long a member waits for the store to deliver a version that another member already has: several
+ * round trips to another region.
+ */
+const STORE_DELIVERY_MILLIS = 300;
+/** Pause before a failed fetch from another member is retried. */
+const FETCH_RETRY_DELAY_MILLIS = 250;
+
+/** Version of a configuration; the version of a member without one is lower than any valid one. */
+export const NO_VERSION = -1;
+
 export interface ConfigurationUpdate {
   readonly kind: 'configuration';
   readonly configuration: JobConfiguration;
@@ -17,12 +34,35 @@
 
 export type ConfigurationMessage =
   | { readonly kind: 'entries'; readonly entries: readonly StoreEntry[] }
-  /** A document received from another member. */
-  | { readonly kind: 'offered'; readonly document: StoreEntry }
+  /** A connection to another member is open. */
+  | { readonly kind: 'member_connected'; readonly member: ConfigurationSource }
+  | { readonly kind: 'member_gone'; readonly member: ConfigurationSource }
+  /** Another member has announced its version. */
+  | {
+      readonly kind: 'version_announced';
+      readonly version: number;
+      readonly member: ConfigurationSource;
+    }
+  | { readonly kind: 'fetch' }
+  /** A document received from another member; undefined if the fetch failed. */
+  | {
+      readonly kind: 'fetched';
+      readonly member: ConfigurationSource;
+      readonly document: StoreEntry | undefined;
+    }
+  /** Requests the current document. */
+  | { readonly kind: 'document'; readonly reply: Reply<StoreEntry | undefined> }
   /** Sends the subscriber the current version at once and every later one. */
-  | { readonly kind: 'subscribe'; readonly subscriber: MailboxAddress<ConfigurationUpdate> }
-  /** Sets how each new document is sent to the connected members. */
-  | { readonly kind: 'broadcast_by'; readonly broadcast: (document: StoreEntry) => void };
+  | { readonly kind: 'subscribe'; readonly subscriber: MailboxAddress<ConfigurationUpdate> };
+
+/** Another member, as a source of the configuration. */
+export abstract class ConfigurationSource {
+  /** Tells the member the version that this one has. */
+  abstract announceVersion(version: number): void;
+
+  /** Returns the member's document; undefined if it doesn't answer. */
+  abstract fetchDocument(): Promise<StoreEntry | undefined>;
+}
 
 export interface ConfigurationOptions {
   readonly store: Store;
@@ -33,8 +73,13 @@
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   private readonly watch: TopicWatch;
   private configuration: JobConfiguration | undefined;
+  /** The record that holds the current configuration. */
+  private document: StoreEntry | undefined;
   private readonly subscribers: MailboxAddress<ConfigurationUpdate>[] = [];
-  private broadcast: (document: StoreEntry) => void = () => undefined;
+  /** The connected members, with the last version that each announced. */
+  private readonly members = new Map<ConfigurationSource, number>();
+  /** Whether a fetch is scheduled or under way. */
+  private isFetching = false;
 
   constructor(
     private readonly options: ConfigurationOptions,
@@ -67,8 +112,26 @@
           this.read(entry, 'store');
         });
       })
-      .with({ kind: 'offered' }, ({ document }) => {
-        this.read(document, 'member');
+      .with({ kind: 'member_connected' }, ({ member }) => {
+        this.members.set(member, this.members.get(member) ?? NO_VERSION);
+        member.announceVersion(this.version);
+      })
+      .with({ kind: 'member_gone' }, ({ member }) => {
+        this.members.delete(member);
+      })
+      .with({ kind: 'version_announced' }, ({ version, member }) => {
+        this.members.set(member, version);
+        this.fetchLater(STORE_DELIVERY_MILLIS);
+      })
+      .with({ kind: 'fetch' }, () => {
+        this.fetch();
+      })
+      .with({ kind: 'fetched' }, ({ member, document }) => {
+        this.isFetching = false;
+        this.fetched(member, document);
+      })
+      .with({ kind: 'document' }, ({ reply }) => {
+        reply(this.document);
       })
       .with({ kind: 'subscribe' }, ({ subscriber }) => {
         this.subscribers.push(subscriber);
@@ -76,12 +139,57 @@
           subscriber.post({ kind: 'configuration', configuration: this.configuration });
         }
       })
-      .with({ kind: 'broadcast_by' }, ({ broadcast }) => {
-        this.broadcast = broadcast;
-      })
       .exhaustive();
   }
 
+  /** Schedules a fetch if a connected member has a higher version. */
+  private fetchLater(millis: number): void {
+    if (!this.isFetching && this.newestMember() !== undefined) {
+      this.isFetching = true;
+      this.postAt(deadlineAfter(this.clock.now(), millis), { kind: 'fetch' });
+    }
+  }
+
+  private fetch(): void {
+    const member = this.newestMember();
+    if (member === undefined) {
+      this.isFetching = false;
+      return;
+    }
+    this.options.events.event('configuration.behind', {
+      version: this.version,
+      announced: this.members.get(member) ?? NO_VERSION,
+    });
+    void member.fetchDocument().then((document) => {
+      this.post({ kind: 'fetched', member, document });
+    });
+  }
+
+  private fetched(member: ConfigurationSource, document: StoreEntry | undefined): void {
+    const version = this.members.get(member);
+    if (document !== undefined) {
+      this.read(document, 'member');
+    } else if (version !== undefined) {
+      // Goes last among members with the same version.
+      this.members.delete(member);
+      this.members.set(member, version);
+    }
+    this.fetchLater(FETCH_RETRY_DELAY_MILLIS);
+  }
+
+  /** The connected member with the highest version, if that is higher than this member's. */
+  private newestMember(): ConfigurationSource | undefined {
+    let newest: ConfigurationSource | undefined;
+    let newestVersion = this.version;
+    for (const [member, version] of this.members) {
+      if (version > newestVersion) {
+        newest = member;
+        newestVersion = version;
+      }
+    }
+    return newest;
+  }
+
   private read(entry: StoreEntry, source: 'store' | 'member'): void {
     if (entry.value === undefined) {
       return;
@@ -107,19 +215,21 @@
       version,
       earlier: this.version,
       source,
+      bytes: entry.value?.length ?? 0,
       queues: queues.length,
       teams: teams.length,
     });
     this.configuration = configuration;
+    this.document = entry;
     this.subscribers.forEach((subscriber) => {
       subscriber.post({ kind: 'configuration', configuration });
     });
-    this.broadcast(entry);
+    this.members.forEach((_, member) => {
+      member.announceVersion(version);
+    });
   }
 
-  /** Version of the current configuration; lower than any valid one while there is none. */
   private get version(): number {
-    return this.configuration?.version ?? -1;
+    return this.configuration?.version ?? NO_VERSION;
   }
 }
-      bytes: entry.value?.length ?? 0,
--- /dev/null
+++ b/packages/member/src/configuration.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava';
+import { cores, jobId, jobQueue } from '@bamboowell/jobs/plans.fixture';
+import type { JobConfiguration } from '@bamboowell/types/job';
+import { brandAs } from '@bamboowell/types/ids';
+import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
+import { configurationOf, planOf } from './plans.fixture.js';
+
+const NAMES = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'];
+
+/** Starts six members and waits until the first of them serves as owner. */
+async function runningCluster(options: Partial<ClusterOptions> = {}) {
+  const cluster = emulatedCluster({
+    workers: ['w1', 'w2'].map((name) => ({ name, capacity: cores(4) })),
+    configuration: configurationOf(),
+    ...options,
+  });
+  await cluster.launch('m1');
+  await cluster.run(800);
+  for (const name of NAMES.slice(1)) {
+    await cluster.launch(name);
+  }
+  await cluster.run(800);
+  return cluster;
+}
+
+type Cluster = Awaited<ReturnType<typeof runningCluster>>;
+
+/** Submits a job and returns the reply together with the milliseconds that it took. */
+async function submit(cluster: Cluster, member: string, job: number) {
+  const askedAt = cluster.now();
+  const reply = { kind: 'none', millis: 0 };
+  void cluster.request(member, 'submit', jobId(job), planOf(job)).then((answer) => {
+    reply.kind = answer?.kind ?? 'none';
+    reply.millis = cluster.now() - askedAt;
+  });
+  while (reply.millis === 0 && cluster.now() - askedAt < 6000) {
+    await cluster.run(10);
+  }
+  return reply;
+}
+
+/** A version that withdraws the key of the first one. */
+function withoutKeys(version: number): JobConfiguration {
+  const { teams, ...rest } = configurationOf(version);
+  return { ...rest, teams: teams.map((team) => ({ ...team, keys: [] })) };
+}
+
+/** A version with so many queues that its document takes a thin link some time. */
+function withManyQueues(version: number, count: number): JobConfiguration {
+  const { queues, ...rest } = configurationOf(version);
+  const idle = Array.from({ length: count }, (_, index) =>
+    jobQueue({ id: brandAs(`idle-${index}`), host: `idle-${index}.example`, pathPrefix: '/idle/' }),
+  );
+  return { ...rest, queues: [...queues, ...idle] };
+}
+
+// Guards against members that miss a version announced while they were not connected, and keep the
+// older one for as long as they can't read the store (incident CONFIG).
+test('a member without the store that was disconnected during a change gets the version when it connects again', async (t) => {
+  const cluster = await runningCluster();
+  const member = cluster.members.get('m2');
+  t.truthy(member);
+  if (member === undefined) {
+    return;
+  }
+  member.storeFaults.mode = 'silent';
+  await cluster.run(100);
+  member.peers?.dropAsSilent();
+  await cluster.run(20);
+  cluster.declare(withoutKeys(2));
+  await cluster.run(1500);
+  t.is((await submit(cluster, 'm2', 1)).kind, 'unknown_key');
+});
+
+// Guards against an owner on a thin link that a change of the configuration keeps from serving,
+// because every member sends it the document and gets it from it (incident CONFIG).
+test('a large configuration does not hold up requests at an owner on a thin link', async (t) => {
+  const cluster = await runningCluster({
+    machineOf: (name) => ({ cores: 1, memoryMib: 250, linkMbps: name === 'm1' ? 7 : 200 }),
+  });
+  t.is(cluster.ownerName(), 'm1');
+  for (const version of [2, 3, 4]) {
+    cluster.declare(withManyQueues(version, 400));
+    await cluster.run(100);
+  }
+  const { kind, millis } = await submit(cluster, 'm2', 1);
+  t.is(kind, 'accepted');
+  t.true(millis < 1000, `accepted after ${millis} ms`);
+  t.is(cluster.ownerName(), 'm1');
+});
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -35,8 +35,10 @@
   serving: 'serving',
   /** Notification in both directions: a `Claim` that the other end may not have seen. */
   claim: 'claim',
-  /** Notification in both directions: an operator's document that the other end may not have. */
-  configuration: 'configuration',
+  /** Notification in both directions: the version of the configuration that the sender has. */
+  configuration: 'configuration_version',
+  /** Request in both directions, answered by the store's record of the configuration, or null. */
+  document: 'configuration_document',
 } as const;
 
 export abstract class OwnerChannel {
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -8,7 +8,7 @@
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
-import type { ConfigurationMessage } from './configuration-task.js';
+import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
 import { RemoteMember, type AdviceRequest, type MemberPort } from './member-port.js';
 import { METHODS, type OwnerReply, type OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage, TermRole } from './owner-messages.js';
@@ -29,6 +29,9 @@
   /** `isRefused`: nothing listens at the address, so the process of that member has ended. */
   | { readonly kind: 'unreachable'; readonly detail: string; readonly isRefused: boolean };
 
+/** Timeout of a fetch of the configuration, whose document may be large. */
+const DOCUMENT_TIMEOUT_MILLIS = 1500;
+
 /** First request of a member on its connection to the owner. */
 interface Hello {
   readonly member: MemberId;
@@ -85,7 +88,7 @@
     term: Term,
     listener: OwnerListener,
   ): Promise<HelloReply | undefined> {
-    const { settings, self, clock } = this.options;
+    const { settings, self, clock, configuration } = this.options;
     connection.handle(METHODS.advise, (params) => self.advise(params as AdviceRequest));
     connection.handle(METHODS.trouble, (params) => {
       listener.trouble((params as { readonly isTroubled: boolean }).isTroubled);
@@ -93,7 +96,8 @@
     connection.handle(METHODS.serving, () => {
       listener.serving();
     });
-    this.register(connection);
+    const member = this.register(connection);
+    configuration.post({ kind: 'member_connected', member });
     const hello: Hello = { member: settings.member, region: settings.region, term };
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
     const answer = await connection.request(METHODS.hello, hello, deadline);
@@ -112,13 +116,6 @@
     this.claimListener = listener;
   }
 
-  /** Sends an operator's document to all connected members. */
-  broadcastConfiguration(document: StoreEntry): void {
-    this.connections.forEach((connection) => {
-      connection.notify(METHODS.configuration, document);
-    });
-  }
-
   protected closeAll(): void {
     this.connections.forEach((connection) => {
       connection.close();
@@ -127,8 +124,13 @@
 
   /** Serves a connection opened by another member. */
   protected accept(connection: Connection): void {
-    const { owner, clock } = this.options;
-    connection.handle(METHODS.hello, (params) => this.answerHello(connection, params as Hello));
+    const { owner, clock, configuration } = this.options;
+    const member = this.register(connection);
+    connection.handle(METHODS.hello, (params) => {
+      // The other end handles announcements once it has sent its hello.
+      configuration.post({ kind: 'member_connected', member });
+      return this.answerHello(connection, params as Hello);
+    });
     connection.handle(METHODS.request, async (params): Promise<OwnerReply> => {
       const request = params as OwnerRequest;
       const deadline = deadlineAfter(clock.now(), REQUEST_TIMEOUT_MILLIS);
@@ -140,7 +142,6 @@
       );
       return answer.kind === 'answered' ? answer.value : { kind: 'unknown' };
     });
-    this.register(connection);
   }
 
   private async answerHello(
@@ -167,15 +168,56 @@
    * Handles notifications in both directions: members that can't reach the store learn of claims
    * and configurations this way.
    */
-  private register(connection: Connection): void {
-    const { configuration } = this.options;
+  private register(connection: Connection): ConfigurationSource {
+    const { configuration, clock } = this.options;
+    const member = new RemoteConfiguration(connection, clock);
     this.connections.add(connection);
-    void connection.ended.then(() => this.connections.delete(connection));
+    void connection.ended.then(() => {
+      this.connections.delete(connection);
+      configuration.post({ kind: 'member_gone', member });
+    });
     connection.handle(METHODS.claim, (params) => {
       this.claimListener(params as Claim);
     });
     connection.handle(METHODS.configuration, (params) => {
-      configuration.post({ kind: 'offered', document: params as StoreEntry });
+      const { version } = params as VersionAnnouncement;
+      configuration.post({ kind: 'version_announced', version, member });
+    });
+    connection.handle(METHODS.document, async (): Promise<StoreEntry | null> => {
+      const answer = await ask<ConfigurationMessage, StoreEntry | undefined>(
+        configuration,
+        (reply) => ({ kind: 'document', reply }),
+        deadlineAfter(clock.now(), DOCUMENT_TIMEOUT_MILLIS),
+        clock,
+      );
+      return answer.kind === 'answered' ? (answer.value ?? null) : null;
     });
+    return member;
+  }
+}
+
+interface VersionAnnouncement {
+  readonly version: number;
+}
+
+/** The configuration of the member at the other end of a connection. */
+class RemoteConfiguration extends ConfigurationSource {
+  constructor(
+    private readonly connection: Connection,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  announceVersion(version: number): void {
+    const announcement: VersionAnnouncement = { version };
+    this.connection.notify(METHODS.configuration, announcement);
+  }
+
+  async fetchDocument(): Promise<StoreEntry | undefined> {
+    const deadline = deadlineAfter(this.clock.now(), DOCUMENT_TIMEOUT_MILLIS);
+    const answer = await this.connection.request(METHODS.document, {}, deadline);
+    const document = answer.kind === 'answered' ? (answer.value as StoreEntry | null) : null;
+    return document ?? undefined;
   }
 }
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -185,12 +185,6 @@
     const peers = this.make(options, directory.find(TRAFFIC));
     this.peers = peers;
     await peers.listen();
-    configuration.post({
-      kind: 'broadcast_by',
-      broadcast: (document) => {
-        peers.broadcastConfiguration(document);
-      },
-    });
     return peers;
   }
 
