Let jobs that are taken over follow their queue in the new configuration

What callers saw: work that ran by an older configuration after a change of owner.

Cause: a job is stored with the queue of its acceptance, in case later configurations no longer have it. A new owner applied its configuration before it restored the jobs, so that these kept the stored queue, with its service, priority, attempts and timings, until the next version came. The class: a copy of configuration that outlives the version it was taken from.

Evidence: the first new test fails on: a job is started on the service that its queue had left before the change of owner.

Change: a restored job takes its queue from the configuration, and keeps the stored one only if the queue is gone.

--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -122,6 +122,8 @@
   enqueueIfReady(step: Step): void {
     if (!isEnded(step.job.state) && isStepReady(step) && !isStepDone(step)) {
       step.readySince ??= this.context.now;
+    // The stored queue is the one at acceptance, and later configurations may have changed it.
+    job.queue = this.context.queue(job.queue.id) ?? job.queue;
       this.readySteps.add(step);
     }
   }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -61,16 +61,16 @@
     now: brandAs<Instant>(millis),
     wall: brandAs<WallInstant>(START_WALL + millis),
   });
-  const newScheduler = (): JobScheduler => {
+  const newScheduler = (ownConfiguration: JobConfiguration): JobScheduler => {
     const earlierLeasesEnd = brandAs<Deadline>(millis + EARLIER_LEASES_MILLIS);
     const restored = restoreJobs(store);
     const ordering = new SmallestFirst();
     return new JobScheduler(
-      { ordering, configuration, earlierLeasesEnd, restored, workers },
+      { ordering, configuration: ownConfiguration, earlierLeasesEnd, restored, workers },
       times(),
     );
   };
-  let scheduler = newScheduler();
+  let scheduler = newScheduler(configuration);
 
   const record = (added: readonly JobOutput[]): void => {
     for (const output of added) {
@@ -112,9 +112,9 @@
       millis += by;
     },
     /** A new owner takes over with what is stored. */
-    takeOver: (): void => {
+    takeOver: (ownConfiguration = configuration): void => {
       outputs.length = 0;
-      scheduler = newScheduler();
+      scheduler = newScheduler(ownConfiguration);
       record(scheduler.takeOutputs());
     },
     submit: (plan: JobPlan): JobToken => {
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -681,3 +681,24 @@
     [1, 1],
   );
 });
+
+// Guards against jobs that a new owner runs by the queue as it was when they were accepted (incident
+// CONFIG).
+test('a job that is taken over follows its queue in the configuration of the new owner', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const moved = { ...configurationOf([jobQueue({ service: 'caves' })]), version: 2 };
+  harness.takeOver(moved);
+  harness.reportFromAll();
+  t.deepEqual(harness.place(), []);
+});
+
+test('a job whose queue is gone from the configuration of the new owner keeps its queue', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  harness.takeOver({ ...configurationOf([]), version: 2 });
+  harness.reportFromAll();
+  t.is(harness.place().length, 1);
+});
