Carry the configuration version with requests from members to the owner

What callers saw: a route that had been added was refused with 404, and requests ran though their key or route had been dropped.

Cause: a member checks a request by its own version of the configuration, and the owner answers by its own, but neither told the other which. An owner that didn't have a queue yet answered `unknown_queue`, which the member passed on as final. And an owner with a newer version carried out what a member had let through by an older one. The class: a decision taken in two places on two versions of the same data.

Change: a request names the version by which it was checked. An owner that is ahead hands it back, and the member checks it again once it has that version; an owner that is behind and lacks the queue leaves it to be sent again. A request that is no longer allowed is answered at once.

--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -50,7 +50,8 @@
     private readonly stopRun: (run: Run) => void,
   ) {}
 
-  submit(plan: JobPlan, token: JobToken): void {
+  /** @param checkedBy version of the configuration by which the request was checked. */
+  submit(plan: JobPlan, checkedBy: number, token: JobToken): void {
     const { context } = this;
     const existing = context.jobs.get(plan.id);
     if (existing !== undefined) {
@@ -59,8 +60,16 @@
     }
     const queue = context.queue(plan.queue);
     if (queue === undefined || context.jobs.size >= MAX_JOBS) {
-      const reason = queue === undefined ? 'unknown_queue' : 'overloaded';
-      context.event('job.refused', { job: plan.id, queue: plan.queue, reason });
+      const configuration = context.configuration?.version ?? 0;
+      const unknown = checkedBy > configuration ? 'configuration_outdated' : 'unknown_queue';
+      const reason = queue === undefined ? unknown : 'overloaded';
+      context.event('job.refused', {
+        job: plan.id,
+        queue: plan.queue,
+        reason,
+        configuration,
+        checkedBy,
+      });
       context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason } });
       return;
     }
@@ -113,6 +122,8 @@
   /** Takes over a job that an earlier owner stored. */
   resume(job: Job): void {
     this.context.jobs.set(job.id, job);
+    // The stored queue is the one at acceptance, and later configurations may have changed it.
+    job.queue = this.context.queue(job.queue.id) ?? job.queue;
     if (job.plan !== undefined && !isEnded(job.state)) {
       this.activate(job, job.plan);
     }
@@ -122,8 +133,6 @@
   enqueueIfReady(step: Step): void {
     if (!isEnded(step.job.state) && isStepReady(step) && !isStepDone(step)) {
       step.readySince ??= this.context.now;
-    // The stored queue is the one at acceptance, and later configurations may have changed it.
-    job.queue = this.context.queue(job.queue.id) ?? job.queue;
       this.readySteps.add(step);
     }
   }
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -49,7 +49,13 @@
 }
 
 export type JobInput =
-  | { readonly kind: 'submit'; readonly plan: JobPlan; readonly token: JobToken }
+  | {
+      readonly kind: 'submit';
+      readonly plan: JobPlan;
+      /** Version of the configuration by which the request was checked. */
+      readonly configuration: number;
+      readonly token: JobToken;
+    }
   | { readonly kind: 'cancel'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'query'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'count'; readonly queue: QueueId; readonly token: JobToken }
@@ -91,7 +97,14 @@
 
 export type JobAnswer =
   | { readonly kind: 'accepted'; readonly repeated: boolean }
-  | { readonly kind: 'refused'; readonly reason: 'unknown_queue' | 'overloaded' }
+  | {
+      readonly kind: 'refused';
+      /**
+       * `configuration_outdated`: the scheduler has no such queue, but the request was checked by a newer
+       * configuration than the scheduler's.
+       */
+      readonly reason: 'unknown_queue' | 'configuration_outdated' | 'overloaded';
+    }
   | { readonly kind: 'state'; readonly state: JobState }
   | { readonly kind: 'unknown_job' }
   | { readonly kind: 'cancelled' }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -117,9 +117,9 @@
       scheduler = newScheduler(ownConfiguration);
       record(scheduler.takeOutputs());
     },
-    submit: (plan: JobPlan): JobToken => {
+    submit: (plan: JobPlan, checkedBy = configuration.version): JobToken => {
       const submitted = token();
-      send({ kind: 'submit', plan, token: submitted });
+      send({ kind: 'submit', plan, configuration: checkedBy, token: submitted });
       return submitted;
     },
     cancel: (job: JobId): JobToken => {
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -702,3 +702,12 @@
   harness.reportFromAll();
   t.is(harness.place().length, 1);
 });
+
+// Guards against a queue that is refused for good by an owner that doesn't have it yet (incident CONFIG).
+test('a job for an unknown queue is refused for good only if it was not checked by a newer configuration', (t) => {
+  const harness = readyHarness({ configuration: configurationOf([]) });
+  const earlier = harness.submit(jobPlan(1));
+  const later = harness.submit(jobPlan(2), 2);
+  t.deepEqual(harness.answers.get(earlier), { kind: 'refused', reason: 'unknown_queue' });
+  t.deepEqual(harness.answers.get(later), { kind: 'refused', reason: 'configuration_outdated' });
+});
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -152,8 +152,8 @@
 
   private receive(input: JobInput): void {
     match(input)
-      .with({ kind: 'submit' }, ({ plan, token }) => {
-        this.lifecycle.submit(plan, token);
+      .with({ kind: 'submit' }, ({ plan, configuration, token }) => {
+        this.lifecycle.submit(plan, configuration, token);
       })
       .with({ kind: 'cancel' }, ({ job, token }) => {
         this.lifecycle.cancel(job, token);
--- a/packages/member/src/gateway-task.test.ts
+++ b/packages/member/src/gateway-task.test.ts
@@ -202,3 +202,48 @@
     fields: { path: `/plans/${jobId(1)}`, outcome: 'accepted', configuration: 1, tries: 1 },
   });
 });
+
+// Guards against a route that an owner with an older configuration refuses for good (incident CONFIG).
+test('a request for a queue that the owner does not know yet is sent again until it does', async (t) => {
+  const { setOwner, request, advance } = await gatewayBench();
+  const outdated: OwnerReply = {
+    kind: 'answered',
+    answer: { kind: 'refused', reason: 'configuration_outdated' },
+  };
+  const owner = new ScriptedOwner([outdated, ACCEPTED]);
+  await setOwner(owner);
+  const reply = await request();
+  t.is(reply.value, undefined);
+  await advance(200);
+  t.deepEqual(reply.value, { kind: 'accepted', repeated: false });
+  t.is(owner.asked.length, 2);
+});
+
+// Guards against requests that a member accepts by a configuration older than the owner's (incident
+// CONFIG).
+test('a request that was checked by an older configuration than the owner has is checked again', async (t) => {
+  const { gateway, setOwner, request, advance } = await gatewayBench();
+  const owner = new ScriptedOwner([{ kind: 'outdated' }, { kind: 'outdated' }, ACCEPTED]);
+  await setOwner(owner);
+  const reply = await request();
+  await advance(60);
+  t.deepEqual(
+    owner.asked.map(({ configuration }) => configuration),
+    [1, 1],
+  );
+  const { teams, ...rest } = configurationOf(2);
+  const withoutKeys = { ...rest, teams: teams.map((team) => ({ ...team, keys: [] })) };
+  gateway.post({ kind: 'configuration', configuration: withoutKeys });
+  await advance(60);
+  t.deepEqual(reply.value, { kind: 'unknown_key' });
+  t.is(owner.asked.length, 2);
+});
+
+test('a request that may have run is undecided if a later configuration no longer allows it', async (t) => {
+  const { gateway, setOwner, request, advance } = await gatewayBench();
+  await setOwner(new ScriptedOwner([{ kind: 'unknown' }]));
+  const reply = await request();
+  gateway.post({ kind: 'configuration', configuration: { ...configurationOf(2), queues: [] } });
+  await advance(100);
+  t.deepEqual(reply.value, { kind: 'undecided' });
+});
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -35,9 +35,9 @@
 const RETRY_AFTER_SECONDS = 1;
 
 interface Pending {
-  readonly request: OwnerRequest;
-  readonly path: string;
-  readonly version: number;
+  readonly request: JobRequest;
+  /** The request as checked by the configuration that it names. */
+  ownerRequest: OwnerRequest;
   readonly reply: Reply<JobReply>;
   readonly since: Instant;
   readonly deadline: Deadline;
@@ -152,7 +152,7 @@
       this.refuse(request, reply, 'overloaded');
       return;
     }
-    this.enqueue(checked.request, checked.route, request, reply);
+    this.enqueue(checked, request, reply);
   }
 
   private refuse(
@@ -165,8 +165,7 @@
   }
 
   private enqueue(
-    ownerRequest: OwnerRequest,
-    { queue }: Route,
+    { request: ownerRequest, route: { queue } }: CheckedRequest,
     request: JobRequest,
     reply: Reply<JobReply>,
   ): void {
@@ -179,9 +178,8 @@
       Math.max(waitMillis - ANSWER_MARGIN_MILLIS, waitMillis / 2),
     );
     const pending: Pending = {
-      request: ownerRequest,
-      path: request.path,
-      version: this.routes?.configuration.version ?? 0,
+      request,
+      ownerRequest,
       reply,
       since: now,
       deadline,
@@ -196,26 +194,48 @@
 
   private sendToOwner(id: number, pending: Pending): void {
     const { channel } = this;
-    if (channel === undefined || pending.isInFlight) {
+    if (channel === undefined || pending.isInFlight || !this.isStillAllowed(id, pending)) {
       return;
     }
     pending.isInFlight = true;
     pending.tries += 1;
     // One copy at a time: a second one on the same connection would only queue behind the first, and
     // if the first is lost its connection ends.
-    void channel.ask(pending.request, pending.deadline).then((reply) => {
+    void channel.ask(pending.ownerRequest, pending.deadline).then((reply) => {
       this.post({ kind: 'owner_replied', id, reply });
     });
   }
 
+  /**
+   * Checks the request again after a change of the configuration; answers it if it is no longer
+   * allowed.
+   */
+  private isStillAllowed(id: number, pending: Pending): boolean {
+    const { routes } = this;
+    if (
+      routes === undefined ||
+      routes.configuration.version === pending.ownerRequest.configuration
+    ) {
+      return true;
+    }
+    const checked = check(routes, pending.request);
+    if (checked.kind === 'request') {
+      pending.ownerRequest = checked.request;
+      return true;
+    }
+    this.finish(id, pending, pending.mayHaveRun ? { kind: 'undecided' } : checked);
+    return false;
+  }
+
   private ownerReplied(id: number, reply: OwnerReply): void {
     const pending = this.pending.get(id);
     if (pending === undefined) {
       return;
     }
     pending.isInFlight = false;
-    if (reply.kind === 'answered') {
-      this.finish(id, pending, replyOf(reply.answer));
+    const answer = reply.kind === 'answered' ? replyOf(reply.answer) : undefined;
+    if (answer !== undefined) {
+      this.finish(id, pending, answer);
       return;
     }
     pending.mayHaveRun ||= reply.kind === 'unknown';
@@ -243,7 +263,8 @@
     const outcome = reply.kind === 'refused' ? reply.reason : reply.kind;
     const millis = Math.round(this.clock.now() - pending.since);
     if (reply.kind !== 'state' && reply.kind !== 'count') {
-      this.log(pending.path, pending.request.kind, outcome, pending.version, millis, pending.tries);
+      const { request, ownerRequest, tries } = pending;
+      this.log(request.path, request.verb, outcome, ownerRequest.configuration, millis, tries);
     }
     pending.reply(reply);
   }
@@ -263,8 +284,14 @@
 /** Messages that may be queued. */
 const GATEWAY_MAILBOX_CAPACITY = 16_384;
 
+interface CheckedRequest {
+  readonly kind: 'request';
+  readonly request: OwnerRequest;
+  readonly route: Route;
+}
+
 type Checked =
-  | { readonly kind: 'request'; readonly request: OwnerRequest; readonly route: Route }
+  | CheckedRequest
   | Extract<JobReply, { kind: 'unknown_queue' | 'unknown_key' | 'unknown_job' | 'malformed' }>;
 
 function check(routes: Routes, request: JobRequest): Checked {
@@ -276,13 +303,18 @@
   if (team === undefined && !route.queue.isPublic) {
     return { kind: 'unknown_key' };
   }
-  return checkVerb(request, route, team);
+  return checkVerb(request, route, team, routes.configuration.version);
 }
 
-function checkVerb(request: JobRequest, route: Route, team: TeamId | undefined): Checked {
+function checkVerb(
+  request: JobRequest,
+  route: Route,
+  team: TeamId | undefined,
+  configuration: number,
+): Checked {
   const { rest, queue } = route;
   if (request.verb === 'query' && rest === '') {
-    return { kind: 'request', request: { kind: 'count', queue: queue.id }, route };
+    return { kind: 'request', request: { kind: 'count', queue: queue.id, configuration }, route };
   }
   if (!isJobId(rest)) {
     return request.verb === 'submit'
@@ -290,22 +322,30 @@
       : { kind: 'unknown_job' };
   }
   if (request.verb !== 'submit') {
-    return { kind: 'request', request: { kind: request.verb, job: rest }, route };
+    return { kind: 'request', request: { kind: request.verb, job: rest, configuration }, route };
   }
   if (request.body?.kind !== 'decoded') {
     return { kind: 'malformed', detail: request.body?.detail ?? 'no body' };
   }
   const plan = { ...request.body.value, id: rest, queue: queue.id, team };
-  return { kind: 'request', request: { kind: 'submit', plan }, route };
+  return { kind: 'request', request: { kind: 'submit', plan, configuration }, route };
 }
 
-function replyOf(answer: JobAnswer): JobReply {
+/** Returns undefined if the owner doesn't have the configuration yet that allows the request. */
+function replyOf(answer: JobAnswer): JobReply | undefined {
   return match(answer)
-    .returnType<JobReply>()
-    .with({ kind: 'refused' }, ({ reason }) =>
-      reason === 'unknown_queue'
-        ? { kind: 'unknown_queue' }
-        : { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS },
-    )
+    .returnType<JobReply | undefined>()
+    .with({ kind: 'refused' }, ({ reason }) => refusalOf(reason))
     .otherwise((other) => other);
 }
+
+function refusalOf(reason: Extract<JobAnswer, { kind: 'refused' }>['reason']) {
+  switch (reason) {
+    case 'configuration_outdated':
+      return undefined;
+    case 'unknown_queue':
+      return { kind: 'unknown_queue' } as const;
+    case 'overloaded':
+      return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS } as const;
+  }
+}
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -7,7 +7,12 @@
 import type { QueueId } from '@bamboowell/types/ids';
 
 /** Requests that members forward to the owner on behalf of callers. */
-export type OwnerRequest =
+export type OwnerRequest = OwnerCall & {
+  /** Version of the configuration by which the member checked the request. */
+  readonly configuration: number;
+};
+
+export type OwnerCall =
   | { readonly kind: 'submit'; readonly plan: JobPlan }
   | { readonly kind: 'cancel'; readonly job: JobId }
   | { readonly kind: 'query'; readonly job: JobId }
@@ -18,6 +23,10 @@
   | { readonly kind: 'answered'; readonly answer: JobAnswer }
   /** The request was rejected and has changed nothing. */
   | { readonly kind: 'not_taken' }
+  /**
+   * The request was checked by an older configuration than the owner's, and has not been carried out.
+   */
+  | { readonly kind: 'outdated' }
   /** No answer: the request may or may not take effect. */
   | { readonly kind: 'unknown' };
 
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -23,6 +23,7 @@
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
+import { NO_VERSION } from './configuration-task.js';
 import { allLeasesEnd } from './lease-clock.js';
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -113,12 +114,12 @@
       })
       .with({ kind: 'configuration' }, ({ configuration }) => {
         this.configuration = configuration;
-        this.stepScheduler({ kind: 'configuration', configuration });
         this.options.events.event('configuration.applied', {
           by: 'owner',
           version: configuration.version,
           isOwner: this.tenure !== undefined,
         });
+        this.stepScheduler({ kind: 'configuration', configuration });
         this.startServing();
       })
       .with({ kind: 'worker' }, ({ registration }) => {
@@ -359,6 +360,10 @@
       reply({ kind: 'not_taken' });
       return;
     }
+    if (request.configuration < (this.configuration?.version ?? NO_VERSION)) {
+      reply({ kind: 'outdated' });
+      return;
+    }
     this.stepScheduler(this.requests.add(request, reply));
   }
 
--- a/packages/member/src/pending-requests.ts
+++ b/packages/member/src/pending-requests.ts
@@ -62,7 +62,12 @@
 function inputOf(request: OwnerRequest, token: JobToken): JobInput {
   switch (request.kind) {
     case 'submit':
-      return { kind: 'submit', plan: request.plan, token };
+      return {
+        kind: 'submit',
+        plan: request.plan,
+        configuration: request.configuration,
+        token,
+      };
     case 'cancel':
       return { kind: 'cancel', job: request.job, token };
     case 'query':
