Read the claims again once, not once for every worker that refuses an owner

What callers saw: a configuration that was in force late on a member that had lost the work.

Cause: an owner that another member has replaced is fenced by each of its workers, and each such answer started a new watch of the claims, whose first read and long poll stayed open although the watch before it was stopped. All reads share eight connections to the store, also those of the configuration. The class: an amplifier, one event multiplied by the number of workers.

Change: one watch for good, and one read at a time beside it; requests for another while it is open are merged. An answer that was overtaken by a later claim is ignored, so that a released claim can't hide the one after it.

--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -2,6 +2,7 @@
 import { cores, jobId, jobQueue } from '@bamboowell/jobs/plans.fixture';
 import type { JobConfiguration } from '@bamboowell/types/job';
 import { brandAs } from '@bamboowell/types/ids';
+import { OWNERSHIP } from './keys.js';
 import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
 import { configurationOf, planOf } from './plans.fixture.js';
 
@@ -88,3 +89,20 @@
   t.true(millis < 1000, `accepted after ${millis} ms`);
   t.is(cluster.ownerName(), 'm1');
 });
+
+// Guards against an owner whose reads of the configuration wait behind hundreds of reads of the claims,
+// one for each worker that refuses its orders (incident CONFIG).
+test('an owner that all workers fence reads the claims a few times only', async (t) => {
+  const cluster = await runningCluster();
+  const owner = cluster.members.get('m1');
+  t.truthy(owner);
+  if (owner === undefined) {
+    return;
+  }
+  const ownership = owner.kernel.find(OWNERSHIP);
+  for (let worker = 0; worker < 246; worker += 1) {
+    ownership.post({ kind: 'reread_claims' });
+  }
+  await cluster.run(100);
+  t.true(owner.storeUse.mostOpen <= 8, `${owner.storeUse.mostOpen} reads at a time`);
+});
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -32,6 +32,7 @@
   EmulatedStore,
   EmulatedStorePort,
   type StoreFaults,
+  type StoreUse,
 } from './emulated-store.fixture.js';
 import {
   EmulatedWorker,
@@ -52,6 +53,7 @@
   TrafficService,
 } from './services.js';
 import type { Machine } from './settings.js';
+import type { Store } from './store.js';
 
 const START_WALL_MILLIS = 1_700_000_000_000;
 const LONGEST_LEASE_MILLIS = 6000;
@@ -132,6 +134,8 @@
   readonly clock: ProcessClock;
   readonly kernel: Kernel;
   readonly storeFaults: StoreFaults;
+  /** Its calls that read from the store. */
+  readonly storeUse: StoreUse;
   readonly workerFaults: WorkerFaults;
   /** Undefined until the kernel starts the peers service. */
   peers: EmulatedPeers | undefined;
@@ -178,11 +182,14 @@
     const machine = options.machineOf?.(name) ?? AMPLE_MACHINE;
     const link = new EmulatedLink(clock, machine.linkMbps);
     const kernel = new Kernel();
+    const storeFaults = { ...NO_FAULTS };
+    const storePort = new EmulatedStorePort(store, processClock, storeFaults, random, link);
     const member: EmulatedMember = {
       name,
       clock: processClock,
       kernel,
-      storeFaults: { ...NO_FAULTS },
+      storeFaults,
+      storeUse: storePort.use,
       workerFaults: { unreachable: new Set(), lateOrderRate: 0 },
       peers: undefined,
     };
@@ -205,12 +212,7 @@
       },
     };
     kernel.register(new StaticService(EVENTS, new ListLog(name, log, now)));
-    kernel.register(
-      new StaticService(
-        STORE,
-        new EmulatedStorePort(store, processClock, member.storeFaults, random, link),
-      ),
-    );
+    kernel.register(new StaticService<Store>(STORE, storePort));
     kernel.register(
       new StaticService(
         WORKERS,
--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -113,6 +113,12 @@
   lateAppendRate: number;
 }
 
+/** The calls that a member has open at the store. */
+export interface StoreUse {
+  open: number;
+  mostOpen: number;
+}
+
 export const NO_FAULTS: StoreFaults = {
   mode: 'up',
   latencyMillis: 4,
@@ -123,6 +129,8 @@
 const LATE_APPEND_MILLIS = 2500;
 
 export class EmulatedStorePort extends Store {
+  readonly use: StoreUse = { open: 0, mostOpen: 0 };
+
   constructor(
     private readonly store: EmulatedStore,
     private readonly clock: Clock,
@@ -161,16 +169,34 @@
     after: string | undefined,
     deadline: Deadline,
   ): Promise<NewestPage | Unavailable> {
-    return this.answer<NewestPage>(deadline, () => {
+    const answer = this.answer<NewestPage>(deadline, () => {
       const all = this.store.newest(topic);
       const rest = after === undefined ? all : all.filter(({ key }) => key > after);
       const entries = rest.slice(0, PAGE_ENTRIES);
       const next = rest.length > PAGE_ENTRIES ? entries.at(-1)?.key : undefined;
       return { kind: 'page', entries, next, end: endOf(this.store.topic(topic)) };
     });
+    return this.counted(answer);
+  }
+
+  read(
+    name: Topic,
+    from: Offset,
+    waitMillis: number,
+    deadline: Deadline,
+  ): Promise<LogPart | Expired | Unavailable> {
+    return this.counted(this.readRecords(name, from, waitMillis, deadline));
+  }
+
+  private async counted<Value>(answer: Promise<Value>): Promise<Value> {
+    this.use.open += 1;
+    this.use.mostOpen = Math.max(this.use.mostOpen, this.use.open);
+    const value = await answer;
+    this.use.open -= 1;
+    return value;
   }
 
-  async read(
+  private async readRecords(
     name: Topic,
     from: Offset,
     waitMillis: number,
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -6,7 +6,7 @@
 import type { Address } from '@bamboowell/types/vm';
 import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { HelloReply } from './peers.js';
-import type { AppendOutcome } from './store.js';
+import type { AppendOutcome, NewestPage, Unavailable } from './store.js';
 
 /** The record by which a member claims ownership of the work. */
 export interface Claim {
@@ -56,5 +56,6 @@
   | { readonly kind: 'stood_down'; readonly term: Term }
   /** Another member may have claimed the work: reads the claims again. */
   | { readonly kind: 'reread_claims' }
+  | { readonly kind: 'claims_reread'; readonly page: NewestPage | Unavailable }
   /** Stops claiming the work, and releases the term that this member held. */
   | { readonly kind: 'leave'; readonly held: Term | undefined; readonly reply: Reply<null> };
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -19,7 +19,7 @@
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
 import type { OwnerListener, Peers, HelloReply } from './peers.js';
 import type { MemberSettings } from './settings.js';
-import type { Store, StoreEntry } from './store.js';
+import type { NewestPage, Store, StoreEntry, Unavailable } from './store.js';
 import { LOG_START, Election } from './election.js';
 import { TopicWatch } from './topic-watch.js';
 
@@ -55,7 +55,7 @@
   private end: Offset = LOG_START;
   /** Whether it is known who last claimed the work, or that nobody has. */
   private isClaimKnown = false;
-  private watch: TopicWatch;
+  private readonly watch: TopicWatch;
   private connection: Connection | undefined;
   /** The newest term whose owner has announced that it serves requests. */
   private servingTerm: Term | undefined;
@@ -63,6 +63,8 @@
   private dialledTerm: Term | undefined;
   private redialAt: Deadline = brandAs<Deadline>(0);
   private isProbing = false;
+  /** Whether the claims are being read again, and whether that must be repeated. */
+  private rereading: 'no' | 'once' | 'again' = 'no';
   private isClaiming = false;
   private isShuttingDown = false;
 
@@ -71,7 +73,15 @@
     clock: Clock,
   ) {
     super('ownership', clock);
-    this.watch = this.makeWatch();
+    this.watch = new TopicWatch(options.store, 'ownership', clock, {
+      entries: (entries, end, isWhole) => {
+        this.handleEntries(entries, end, isWhole);
+      },
+      reachable: (isReachable, detail) => {
+        const name = isReachable ? 'store.regained' : 'store.lost';
+        options.events.event(name, { topic: 'ownership', detail });
+      },
+    });
   }
 
   protected override onStart(): void {
@@ -90,9 +100,10 @@
   protected receive(message: OwnershipMessage): void {
     match(message)
       .with({ kind: 'claim_received' }, ({ claim, end }) => {
-        this.isClaimKnown = true;
-        this.end = end > this.end ? end : this.end;
-        this.applyClaim(claim);
+        this.claimReceived(claim, end);
+      })
+      .with({ kind: 'claims_reread' }, ({ page }) => {
+        this.claimsReread(page);
       })
       .with({ kind: 'connected' }, ({ term, connection }) => {
         this.connected(term, connection);
@@ -151,18 +162,6 @@
       .exhaustive();
   }
 
-  private makeWatch(): TopicWatch {
-    return new TopicWatch(this.options.store, 'ownership', this.clock, {
-      entries: (entries, end, isWhole) => {
-        this.handleEntries(entries, end, isWhole);
-      },
-      reachable: (isReachable, detail) => {
-        const name = isReachable ? 'store.regained' : 'store.lost';
-        this.options.events.event(name, { topic: 'ownership', detail });
-      },
-    });
-  }
-
   private handleEntries(entries: readonly StoreEntry[], end: Offset, isWhole: boolean): void {
     const newest = entries.findLast(({ key }) => key === OWNER_KEY);
     const claim = newest?.value === undefined ? undefined : claimOf(newest.value);
@@ -171,11 +170,42 @@
     }
   }
 
-  /** Restarts the watch, so that the claims are read at once instead of when its current long poll ends. */
+  private claimReceived(claim: Claim | undefined, end: Offset): void {
+    const isOutrun = end !== LOG_START && end < this.end;
+    if (isOutrun) {
+      // Two reads answered in the other order: a claim that follows this one is known already.
+      return;
+    }
+    this.isClaimKnown = true;
+    this.end = end > this.end ? end : this.end;
+    this.applyClaim(claim);
+  }
+
+  /**
+   * Reads the claims at once instead of when the current long poll ends. There is one such read at a
+   * time: hundreds of workers may tell an owner in one moment that it is no longer one.
+   */
   private rereadClaims(): void {
-    this.watch.stop();
-    this.watch = this.makeWatch();
-    this.watch.start();
+    if (this.rereading !== 'no') {
+      this.rereading = 'again';
+      return;
+    }
+    this.rereading = 'once';
+    const deadline = deadlineAfter(this.clock.now(), STORE_TIMEOUT_MILLIS);
+    void this.options.store.newest('ownership', undefined, deadline).then((page) => {
+      this.post({ kind: 'claims_reread', page });
+    });
+  }
+
+  private claimsReread(page: NewestPage | Unavailable): void {
+    const isRepeated = this.rereading === 'again';
+    this.rereading = 'no';
+    if (page.kind === 'page') {
+      this.handleEntries(page.entries, page.end, true);
+    }
+    if (isRepeated) {
+      this.rereadClaims();
+    }
   }
 
   private applyClaim(claim: Claim | undefined): void {
