--- a/packages/member/src/workers-watch.ts
+++ b/packages/member/src/workers-watch.ts
@@ -15,8 +15,8 @@
 export class WorkersWatch {
   private readonly watch: TopicWatch;
   private readonly listed = new Set<WorkerId>();
-  /** Keys whose record has been logged as unreadable. */
-  private readonly reportedKeys = new Set<string>();
+  /** Keys whose record is unreadable, which has been logged. */
+  private readonly unreadableKeys = new Set<string>();
 
   constructor(
     store: Store,
@@ -60,17 +60,20 @@
 
   private handleEntry({ key, value }: StoreEntry): void {
     if (value === undefined) {
+      this.unreadableKeys.delete(key);
       this.remove(this.documents.workerId(key));
       return;
     }
     const decoded = this.documents.worker(key, value);
     if (decoded.kind === 'decoded') {
+      this.unreadableKeys.delete(key);
       this.listed.add(decoded.value.id);
       this.owner.post({ kind: 'worker', registration: decoded.value });
       return;
     }
-    if (!this.reportedKeys.has(key)) {
-      this.reportedKeys.add(key);
+    this.remove(this.documents.workerId(key));
+    if (!this.unreadableKeys.has(key)) {
+      this.unreadableKeys.add(key);
       this.events.event('record.unreadable', { topic: 'workers', key, detail: decoded.detail });
     }
   }
