Read the VM list past entries that can't be read

Found by looking for the same cause elsewhere, in the product's own VM list: one entry with a port out of range, an unknown role or a number too large made the whole list unavailable, for as long as it stood there, so that daemons followed neither the workers nor each other.

Change: entries are read one by one; unreadable ones are counted (`list_entries_unreadable`) and left out, which is safe because the absence of a VM proves nothing. A list none of whose entries can be read stays unavailable, as before.

--- a/packages/membership/src/http-vm-list.test.ts
+++ b/packages/membership/src/http-vm-list.test.ts
@@ -72,6 +72,30 @@
   });
 }
 
+const ODD_ENTRIES: readonly (readonly [string, string])[] = [
+  [
+    'a port out of range',
+    JSON.stringify({ ...WORKER, address: { host: '127.0.0.1', port: 99_999 } }),
+  ],
+  ['no port', JSON.stringify({ ...WORKER, address: { host: '127.0.0.1', port: 0 } })],
+  ['a port that is no number', '{"role":"worker","address":{"host":"127.0.0.1","port":1e999}}'],
+  ['a number beyond all bounds', '9'.repeat(100_000)],
+  ['deep nesting', '['.repeat(200_000) + ']'.repeat(200_000)],
+  ['deep nesting of an object', '{"a":'.repeat(200_000) + '1' + '}'.repeat(200_000)],
+  ['an unknown role', '{"role":"visitor"}'],
+  ['nothing', 'null'],
+];
+
+// Guards against an odd entry that keeps daemons from following the list.
+for (const [name, entry] of ODD_ENTRIES) {
+  test(`an entry with ${name} does not hide the other VMs`, async (t) => {
+    const body = `{"vms":[${JSON.stringify(ENTRY)},${entry},${JSON.stringify(WORKER)}]}`;
+    const listing = await listingFrom(t, answering(200, body));
+    t.like(listing, { kind: 'listed', vms: [ENTRY, WORKER] } as never);
+    t.is(listing.kind === 'listed' ? listing.unreadable?.length : 0, 1);
+  });
+}
+
 test('a list that does not answer is unavailable at the deadline, and so is a closed port', async (t) => {
   const clock = new ManualClock();
   const origin = await originOf(t, () => {
--- a/packages/membership/src/http-vm-list.ts
+++ b/packages/membership/src/http-vm-list.ts
@@ -12,6 +12,7 @@
   WorkerId,
 } from '@bamboowell/types/ids';
 import type { Deadline } from '@bamboowell/types/time';
+import type { Vm } from '@bamboowell/types/vm';
 import { VmList, type VmListing } from './vm-list.js';
 
 /** Maximum size of a listing, bytes. */
@@ -45,7 +46,12 @@
   }),
 ]);
 
-const listingSchema = z.object({ vms: z.array(vmSchema) });
+/** Entries are read one by one: an odd one must not hide the others. */
+const listingSchema = z.object({ vms: z.array(z.unknown()) });
+
+/** Errors of entries that are reported, and their length: a listing may have very many. */
+const MAX_REPORTED_ENTRIES = 3;
+const MAX_ERROR_CHARACTERS = 300;
 
 export class HttpVmList extends VmList {
   private readonly url: string;
@@ -81,9 +87,34 @@
     }
     const parsed = listingSchema.safeParse(JSON.parse(body.toString('utf8')));
     return parsed.success
-      ? { kind: 'listed', vms: parsed.data.vms }
-      : unavailable(`malformed listing: ${z.prettifyError(parsed.error)}`);
+      ? listingOf(parsed.data.vms)
+      : unavailable(`malformed listing: ${errorOf(parsed.error)}`);
+  }
+}
+
+/** A listing without any entry that can be read tells nothing, unless it is empty. */
+function listingOf(entries: readonly unknown[]): VmListing {
+  const vms: Vm[] = [];
+  const unreadable: string[] = [];
+  for (const entry of entries) {
+    const parsed = vmSchema.safeParse(entry);
+    if (parsed.success) {
+      vms.push(parsed.data);
+    } else if (unreadable.length < MAX_REPORTED_ENTRIES) {
+      unreadable.push(errorOf(parsed.error));
+    }
+  }
+  if (unreadable.length === 0) {
+    return { kind: 'listed', vms };
   }
+  return vms.length === 0
+    ? unavailable(`no entry can be read: ${unreadable.join('; ')}`)
+    : { kind: 'listed', vms, unreadable };
+}
+
+function errorOf(error: z.ZodError): string {
+  const [first] = error.issues;
+  return `${first?.path.join('.') ?? ''}: ${first?.message ?? ''}`.slice(0, MAX_ERROR_CHARACTERS);
 }
 
 /** Reads the whole body. Throws if it exceeds the maximum size. */
--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -110,4 +110,5 @@
   | 'dials_failed'
   | 'connections_replaced'
   | 'list_unavailable'
+  | 'list_entries_unreadable'
   | 'events_dropped';
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -152,6 +152,9 @@
       this.settings.count('list_unavailable');
       return;
     }
+    if (listing.unreadable !== undefined) {
+      this.settings.count('list_entries_unreadable');
+    }
     const now = this.clock.now();
     const before = this.listingKey();
     for (const peer of this.peers.updateFromListing(listing.vms, now)) {
--- a/packages/membership/src/vm-list.ts
+++ b/packages/membership/src/vm-list.ts
@@ -4,7 +4,12 @@
 import type { Deadline } from '@bamboowell/types/time';
 
 export type VmListing =
-  | { readonly kind: 'listed'; readonly vms: readonly Vm[] }
+  | {
+      readonly kind: 'listed';
+      readonly vms: readonly Vm[];
+      /** What is wrong with the entries that can't be read; absent if all can. */
+      readonly unreadable?: readonly string[];
+    }
   | { readonly kind: 'unavailable'; readonly detail: string };
 
 /**
