Wait for the greeting of a busy owner, and accept at several ports

What callers saw: SHORT.

Cause: all members dial a new owner in the same moment. Node accepts about one connection a port in each iteration of its event loop, and an iteration takes a tenth of a second in an owner that is fully loaded. A greeting had three seconds, but the connection itself was ended after 1.1 s without a message. The member closed it and dialled again, so that the owner kept accepting connections that nobody waited for any more, one for one with those that were dialled. The class: a metastable failure; retries that are given up faster than they can be served keep the queue full.

Ruled out: the owner's link (1 of 140 Mbit/s), a region that is cut off (a member of the owner's own zone failed alike), the owner's timers (its pings go out at most 120 ms late on connections that it has accepted).

Change: until its first message a connection may be silent for as long as a greeting may take; the owner listens at up to eight ports, named by its claim, and each dial draws one.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -200,6 +200,7 @@
         region: 'r1',
         machine,
         peerAddress: { host: name, port: 1 },
+        peerPorts: 1,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         stopMillis: 6000,
       },
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -14,6 +14,8 @@
   readonly member: MemberId;
   readonly incarnation: Incarnation;
   readonly address: Address;
+  /** Number of consecutive ports, from the address on, at which it accepts connections; one if absent. */
+  readonly ports?: number;
   /** The owner has released the work. */
   readonly isReleased: boolean;
 }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -272,7 +272,7 @@
     }
     this.dialledTerm = claim.term;
     const deadline = deadlineAfter(this.clock.now(), DIAL_TIMEOUT_MILLIS);
-    void this.options.peers.dial(claim.address, deadline).then((result) => {
+    void this.options.peers.dial(claim, deadline).then((result) => {
       if (result.kind === 'connected') {
         this.post({ kind: 'connected', term: claim.term, connection: result.connection });
       } else {
@@ -439,6 +439,7 @@
       member: settings.member,
       incarnation: settings.incarnation,
       address: settings.peerAddress,
+      ports: this.options.peers.ports,
       isReleased: false,
     };
     events.event('owner.claiming', { term, end: this.end, since: election.ownerState });
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -6,7 +6,6 @@
 import type { Incarnation, MemberId } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
-import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
 import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
 import { RemoteMember, type AdviceRequest, type MemberPort } from './member-port.js';
@@ -20,7 +19,7 @@
  * Timeout of a hello. It is long because an owner that has just taken the work over is busy; an owner
  * that is gone is detected sooner, by the silence of its connection.
  */
-const HELLO_TIMEOUT_MILLIS = 3000;
+export const HELLO_TIMEOUT_MILLIS = 3000;
 /** Timeout of a request forwarded by another member: longer than any caller waits. */
 const REQUEST_TIMEOUT_MILLIS = 10_000;
 
@@ -73,8 +72,11 @@
   /** Starts to accept connections; each is passed to `accept`. */
   abstract listen(): Promise<void>;
 
-  /** Opens a connection to the owner. */
-  abstract dial(address: Address, deadline: Deadline): Promise<DialResult>;
+  /** Number of consecutive ports, from the member's address on, at which it accepts connections. */
+  abstract get ports(): number;
+
+  /** Opens a connection to the owner that the claim names. */
+  abstract dial(claim: Claim, deadline: Deadline): Promise<DialResult>;
 
   /** Stops accepting connections and closes the open ones by the deadline. */
   abstract close(deadline: Deadline): Promise<void>;
--- a/packages/member/src/settings.ts
+++ b/packages/member/src/settings.ts
@@ -19,6 +19,8 @@
   readonly machine: Machine;
   /** Address at which other members connect to this one. */
   readonly peerAddress: Address;
+  /** Number of free ports from that of the address on. */
+  readonly peerPorts: number;
   /** Longest time that a worker keeps its runs without a lease renewal, by its own clock. */
   readonly longestLeaseMillis: number;
   /** Grace period between the request to stop and the end of the process. */
--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -1,13 +1,15 @@
 /** Connects members over long-lived TCP connections. */
 
+import { randomInt } from 'node:crypto';
 import type { Socket } from 'node:net';
 import type { Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import { connect } from '@bamboowell/wire/connect';
 import { Listener } from '@bamboowell/wire/listener';
 import { TcpConnection } from '@bamboowell/wire/tcp-connection';
+import type { Claim } from './ownership-messages.js';
+import { HELLO_TIMEOUT_MILLIS, Peers, type DialResult, type PeersOptions } from './peers.js';
 import type { Traffic } from './traffic.js';
-import { Peers, type DialResult, type PeersOptions } from './peers.js';
 
 /** A member sends a ping at least this often. */
 const PING_INTERVAL_MILLIS = 300;
@@ -17,45 +19,68 @@
  */
 const SILENCE_TIMEOUT_MILLIS = 1100;
 
+/**
+ * Maximum number of ports to listen at. Node accepts about one connection a port in each iteration of
+ * its event loop, which takes a tenth of a second in an owner under full load, and all members dial
+ * a new owner in the same moment.
+ */
+const MAX_LISTENERS = 8;
+
 const KEEP_ALIVE = { pingMillis: PING_INTERVAL_MILLIS, silenceMillis: SILENCE_TIMEOUT_MILLIS };
 
 export class TcpPeers extends Peers {
-  private readonly listener: Listener;
+  private readonly listeners: readonly Listener[];
 
   constructor(
     options: PeersOptions,
     private readonly traffic: Traffic,
   ) {
     super(options);
-    const { settings, clock } = options;
-    this.listener = new Listener({
-      ...settings.peerAddress,
-      clock,
-      make: (socket: Socket) => {
-        traffic.track('members', socket);
-        return new TcpConnection(socket, { clock, keepAlive: KEEP_ALIVE });
-      },
-      accept: (connection) => {
-        this.accept(connection);
-      },
-    });
+    const { host, port } = options.settings.peerAddress;
+    this.listeners = Array.from({ length: this.ports }, (_, index) =>
+      this.newListener({ host, port: port + index }),
+    );
+  }
+
+  override get ports(): number {
+    return Math.min(MAX_LISTENERS, this.options.settings.peerPorts);
   }
 
   async listen(): Promise<void> {
-    await this.listener.listen();
+    await Promise.all(this.listeners.map((listener) => listener.listen()));
   }
 
   async close(deadline: Deadline): Promise<void> {
     this.closeAll();
-    await this.listener.close(deadline);
+    await Promise.all(this.listeners.map((listener) => listener.close(deadline)));
   }
 
-  async dial(address: Address, deadline: Deadline): Promise<DialResult> {
+  async dial({ address, ports = 1 }: Claim, deadline: Deadline): Promise<DialResult> {
     const { clock } = this.options;
-    const opened = (socket: Socket): void => {
-      this.traffic.track('members', socket);
-    };
-    const result = await connect({ address, clock, deadline, keepAlive: KEEP_ALIVE, opened });
+    const result = await connect({
+      address: { ...address, port: address.port + randomInt(ports) },
+      clock,
+      deadline,
+      keepAlive: { ...KEEP_ALIVE, firstMessageMillis: HELLO_TIMEOUT_MILLIS },
+      opened: (socket) => {
+        this.traffic.track('members', socket);
+      },
+    });
     return result instanceof TcpConnection ? { kind: 'connected', connection: result } : result;
   }
+
+  private newListener(address: Address): Listener {
+    const { clock } = this.options;
+    return new Listener({
+      ...address,
+      clock,
+      make: (socket: Socket) => {
+        this.traffic.track('members', socket);
+        return new TcpConnection(socket, { clock, keepAlive: KEEP_ALIVE });
+      },
+      accept: (connection) => {
+        this.accept(connection);
+      },
+    });
+  }
 }
--- a/packages/wire/src/keep-alive.ts
+++ b/packages/wire/src/keep-alive.ts
@@ -16,6 +16,11 @@
 export interface KeepAliveTimes {
   readonly pingMillis: number;
   readonly silenceMillis: number;
+  /**
+   * Silence timeout until the first message: a busy process accepts few connections at a time.
+   * The same as `silenceMillis` by default.
+   */
+  readonly firstMessageMillis?: number;
 }
 
 export const DEFAULT_KEEP_ALIVE: KeepAliveTimes = {
@@ -41,7 +46,7 @@
     private readonly times: KeepAliveTimes = DEFAULT_KEEP_ALIVE,
   ) {
     this.pingAt = deadlineAfter(clock.now(), times.pingMillis);
-    this.silentAt = deadlineAfter(clock.now(), times.silenceMillis);
+    this.silentAt = deadlineAfter(clock.now(), times.firstMessageMillis ?? times.silenceMillis);
     this.alarm = this.schedule();
   }
 
