--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -83,8 +83,10 @@
   private passMicros = 0;
   private starts = 0;
   private adviceCalls = 0;
+  private readonly configuration: JobConfiguration;
 
   constructor(private readonly options: JobModelOptions) {
+    this.configuration = configurationOf(options.kinds);
     this.workers = new Map(
       Array.from({ length: options.workers }, (_, number) => {
         const registration = registrationOf(number);
@@ -95,7 +97,7 @@
     this.scheduler = new JobScheduler(
       {
         ordering: options.ordering,
-        configuration: configurationOf(options.kinds),
+        configuration: this.configuration,
         earlierLeasesEnd: brandAs<Deadline>(0),
         restored: { jobs: [], runs: [] },
         workers: [...this.workers.values()].map(({ registration }) => registration),
@@ -152,7 +154,12 @@
 
   private submit({ plan }: JobArrival): void {
     this.tokens += 1;
-    this.input({ kind: 'submit', plan, token: brandAs<JobToken>(this.tokens) });
+    this.input({
+      kind: 'submit',
+      plan,
+      configuration: this.configuration.version,
+      token: brandAs<JobToken>(this.tokens),
+    });
   }
 
   private input(input: Parameters<JobScheduler['step']>[0]): void {
