Make placement passes cheaper under a backlog

Cause: each pass looked, for each waiting step, at all workers that advice had granted, and only then whether they have room; counted how many tasks fit by taking the demand away again and again, an object each time, for 246 workers for each call for advice; looked at every run for stalls; and the timer ran a pass of its own ten times a second beside the scheduled ones.

Change: room is looked at first; the count is a division; stalls are checked four times a second; the timer runs a pass only if none is scheduled; the groups of members for short and long calls are kept until they change.

--- a/packages/jobs/src/advice-balancer.ts
+++ b/packages/jobs/src/advice-balancer.ts
@@ -26,6 +26,11 @@
   openMillis: number;
 }
 
+interface MemberGroups {
+  readonly short: readonly MemberLoad[];
+  readonly long: readonly MemberLoad[];
+}
+
 interface OpenCall {
   readonly load: MemberLoad;
   readonly millis: number;
@@ -34,18 +39,18 @@
 export class AdviceBalancer {
   private readonly loads = new Map<MemberId, MemberLoad>();
   private readonly calls = new Map<StepId, OpenCall>();
-  /** Sorted by round trip, shortest first; undefined after a change, until needed again. */
-  private sorted: readonly MemberLoad[] | undefined;
+  /** The members by the calls that they take; undefined after a change, until needed again. */
+  private groups: MemberGroups | undefined;
 
   /** Adds a member that can make calls; `roundTripMillis` is a first estimate. */
   add(member: MemberId, roundTripMillis: number): void {
-    this.sorted = undefined;
+    this.groups = undefined;
     this.loads.set(member, { member, roundTripMillis, openCalls: 0, openMillis: 0 });
   }
 
   /** Removes a member; returns the steps whose open calls are lost. */
   remove(member: MemberId): StepId[] {
-    this.sorted = undefined;
+    this.groups = undefined;
     this.loads.delete(member);
     const lost = [...this.calls].filter(([, { load }]) => load.member === member);
     lost.forEach(([step]) => this.calls.delete(step));
@@ -90,24 +95,27 @@
     if (tookMillis !== undefined && load.openCalls === 0) {
       const extra = Math.max(0, tookMillis - millis);
       load.roundTripMillis += SMOOTHING_FACTOR * (extra - load.roundTripMillis);
-      this.sorted = undefined;
+      this.groups = undefined;
     }
   }
 
   /** The members that take calls with this timing: the nearest take the short calls. */
   private loadsFor(timing: AdviceTiming): readonly MemberLoad[] {
-    this.sorted ??= [...this.loads.values()].sort(
-      (left, right) =>
-        left.roundTripMillis - right.roundTripMillis || (left.member < right.member ? -1 : 1),
-    );
-    const all = this.sorted;
-    if (all.length < 2) {
-      return all;
-    }
-    const shortCallMembers = Math.max(1, Math.round(all.length * SHORT_CALL_MEMBERS_FRACTION));
-    const isLong = timing.baseMillis >= LONG_CALL_MILLIS;
-    return isLong ? all.slice(shortCallMembers) : all.slice(0, shortCallMembers);
+    this.groups ??= groupsOf([...this.loads.values()]);
+    return timing.baseMillis >= LONG_CALL_MILLIS ? this.groups.long : this.groups.short;
+  }
+}
+
+function groupsOf(loads: MemberLoad[]): MemberGroups {
+  loads.sort(
+    (left, right) =>
+      left.roundTripMillis - right.roundTripMillis || (left.member < right.member ? -1 : 1),
+  );
+  if (loads.length < 2) {
+    return { short: loads, long: loads };
   }
+  const shortCallMembers = Math.max(1, Math.round(loads.length * SHORT_CALL_MEMBERS_FRACTION));
+  return { short: loads.slice(0, shortCallMembers), long: loads.slice(shortCallMembers) };
 }
 
 function expectedMillis({ openMillis, roundTripMillis }: MemberLoad): number {
--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -28,14 +28,20 @@
 
 /** How many tasks fit into the free resources, at most `maxPerWorker`; zero means no bound. */
 export function countFitting(demand: Resources, free: Resources, maxPerWorker: number): number {
-  const limit = maxPerWorker > 0 ? maxPerWorker : MAX_COUNT;
-  let left = free;
-  let count = 0;
-  while (count < limit && fits(demand, left)) {
-    left = subtract(left, demand);
-    count += 1;
+  return Math.min(
+    maxPerWorker > 0 ? maxPerWorker : MAX_COUNT,
+    timesIn(demand.millicores, free.millicores),
+    timesIn(demand.memoryMib, free.memoryMib),
+    timesIn(demand.accelerators, free.accelerators),
+    timesIn(demand.slots, free.slots),
+  );
+}
+
+function timesIn(need: number, available: number): number {
+  if (need > 0) {
+    return Math.max(0, Math.floor(available / need));
   }
-  return count;
+  return available >= 0 ? MAX_COUNT : 0;
 }
 
 /** Allocates a task's demand on the worker and counts the task there. */
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -7,7 +7,9 @@
   type StepTaskId,
   type WallInstant,
 } from '@bamboowell/types/job';
+import { NO_RESOURCES } from '@bamboowell/types/resources';
 import type { Deadline } from '@bamboowell/types/time';
+import { countFitting } from './available-workers.js';
 import {
   configurationOf,
   cores,
@@ -711,3 +713,35 @@
   t.deepEqual(harness.answers.get(earlier), { kind: 'refused', reason: 'unknown_queue' });
   t.deepEqual(harness.answers.get(later), { kind: 'refused', reason: 'configuration_outdated' });
 });
+
+test('a step whose granted workers are all full asks about further workers only, not again about these', (t) => {
+  const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const harness = readyHarness({
+    workers: [W1],
+    configuration: configurationOf([jobQueue({ advice })]),
+  });
+  harness.addMember('m1');
+  harness.submit(jobPlan(1, { steps: [stepPlan({ demand: cores(4) })] }));
+  harness.submit(jobPlan(2, { steps: [stepPlan({ demand: cores(4) })] }));
+  harness.commit();
+  harness.place();
+  for (const number of [1, 2]) {
+    harness.grant(brandAs<StepId>(`${jobId(number)}.0.0`), [W1.id]);
+  }
+  harness.place();
+  const calls = harness.of('ask_advice').length;
+  harness.place();
+  t.is(harness.of('ask_advice').length, calls);
+});
+
+test('as many tasks fit as by taking the demand away again and again', (t) => {
+  const free = { millicores: 9900, memoryMib: 4096, accelerators: 0, slots: 8 };
+  const demand = { millicores: 3300, memoryMib: 1000, accelerators: 0, slots: 1 };
+  t.is(countFitting(demand, free, 0), 3);
+  t.is(countFitting(demand, free, 2), 2);
+  t.is(countFitting({ ...demand, memoryMib: 5000 }, free, 0), 0);
+  t.is(countFitting({ ...demand, accelerators: 1 }, free, 0), 0);
+  t.is(countFitting(demand, { ...free, memoryMib: -1 }, 0), 0);
+  t.is(countFitting(NO_RESOURCES, { ...free, memoryMib: -1 }, 0), 0);
+  t.is(countFitting(NO_RESOURCES, free, 5), 5);
+});
--- a/packages/jobs/src/stalls.ts
+++ b/packages/jobs/src/stalls.ts
@@ -1,6 +1,7 @@
 /** Detects stalled runs and stops them, so that their tasks start elsewhere. */
 
-import { deadlineAfter } from '@bamboowell/types/time';
+import { brandAs } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Run, Worker } from './model.js';
 import type { Orders } from './orders.js';
@@ -13,13 +14,22 @@
 /** Pause in new work for a worker on which a run stalled, milliseconds. */
 const STALLED_COOLDOWN_MILLIS = 3000;
 
+/** Interval between checks, milliseconds. */
+const CHECK_INTERVAL_MILLIS = 250;
+
 export class Stalls {
+  private nextCheckAt: Deadline = brandAs<Deadline>(0);
+
   constructor(
     private readonly context: JobContext,
     private readonly orders: Orders,
   ) {}
 
   check(): void {
+    if (!hasPassed(this.nextCheckAt, this.context.now)) {
+      return;
+    }
+    this.nextCheckAt = deadlineAfter(this.context.now, CHECK_INTERVAL_MILLIS);
     for (const worker of this.context.workers.values()) {
       if (worker.isReachable && worker.hasReported) {
         this.checkWorker(worker);
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -1,5 +1,6 @@
 /** Goes through the waiting steps in order and starts tasks on available workers. */
 
+import { fits } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { StepAdvice } from './step-advice.js';
@@ -124,13 +125,25 @@
     step: Step,
     { available, availableById, reservations }: Pass,
   ): AvailableWorker[] {
-    const isUsable = (candidate: AvailableWorker): boolean =>
-      isEligible(candidate.worker, step) && !reservations.isReserved(candidate.worker);
+    const demand = allocationOf(step.plan);
+    // A gang may reserve workers that are full at present; other steps have no use for them. This
+    // test goes first because it is the cheapest and rules most workers out under load.
+    const isUsable = ({ worker, free }: AvailableWorker): boolean =>
+      (step.plan.isGang || fits(demand, free)) &&
+      isEligible(worker, step) &&
+      !reservations.isReserved(worker);
     if (step.job.queue.advice === undefined) {
       return available.filter(isUsable);
     }
     // Only a few workers are granted: looking them up is cheaper than scanning all.
-    return [...step.grants.keys()].flatMap((id) => availableById.get(id) ?? []).filter(isUsable);
+    const usable: AvailableWorker[] = [];
+    for (const id of step.grants.keys()) {
+      const candidate = availableById.get(id);
+      if (candidate !== undefined && isUsable(candidate)) {
+        usable.push(candidate);
+      }
+    }
+    return usable;
   }
 
   private startOn(
@@ -140,7 +153,7 @@
     pass: Pass,
   ): boolean {
     const allowed = eligible.filter(({ worker }) => this.advice.admits(step, worker));
-    if (allowed.length === 0) {
+    if (allowed.length === 0 && !this.hasAdmittedWorker(step, pass)) {
       this.advice.request(step, pass.reservations);
       return false;
     }
@@ -155,6 +168,13 @@
     return assignments.length > 0;
   }
 
+  /** Whether the step may start on a worker of this pass, if that had room for it. */
+  private hasAdmittedWorker(step: Step, { available }: Pass): boolean {
+    return available.some(
+      ({ worker }) => this.advice.admits(step, worker) && isEligible(worker, step),
+    );
+  }
+
   private start(step: Step, assignments: readonly Assignment[]): void {
     assignments.forEach(({ worker }) => {
       this.quarantines.recordPlacement(worker.id);
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -470,7 +470,9 @@
       this.setTrouble(tenure, true);
     }
     if (tenure.scheduler !== undefined) {
-      this.stepScheduler({ kind: 'place' });
+      if (!this.isPassScheduled) {
+        this.stepScheduler({ kind: 'place' });
+      }
       this.logFigures(tenure, tenure.scheduler, now);
     }
     if (tenure.writer.needsKeepAlive) {
