Place no work while its records can't be stored

Cause: a start is sent after its record is stored, but placement didn't look at whether records get stored. The class: work without backpressure; what is produced faster than it is stored is worthless when its turn comes.

Change: while no append has been stored for 600 ms, a pass does what is due (leases, stalls, occurrences), places nothing and asks for no advice.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -136,7 +136,7 @@
       this.passes += 1;
       let outputs: JobOutput[] = [];
       this.passMicros += cpuMicrosOf(() => {
-        outputs = this.scheduler.step({ kind: 'place' }, this.times());
+        outputs = this.scheduler.step({ kind: 'place', mayStart: true }, this.times());
       });
       this.handleOutputs(outputs);
     }
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -92,8 +92,11 @@
   | { readonly kind: 'adviser_gone'; readonly member: MemberId }
   | { readonly kind: 'no_advice'; readonly step: StepId }
   | { readonly kind: 'committed'; readonly batch: number }
-  /** Runs a placement pass. */
-  | { readonly kind: 'place' };
+  /**
+   * Runs a placement pass. Without `mayStart` it only does what is due, and asks for no advice: starts
+   * can't be stored at present, and would be sent after their tickets have expired.
+   */
+  | { readonly kind: 'place'; readonly mayStart: boolean };
 
 export type JobAnswer =
   | { readonly kind: 'accepted'; readonly repeated: boolean }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -175,7 +175,7 @@
     /** Runs a placement pass and stores it; returns the starts that were sent. */
     place: (): ReceivedStart[] => {
       const before = outputs.length;
-      send({ kind: 'place' });
+      send({ kind: 'place', mayStart: true });
       commit();
       return startsIn(outputs.slice(before));
     },
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -61,7 +61,7 @@
   const harness = readyHarness();
   harness.submit(jobPlan(1));
   harness.commit();
-  harness.send({ kind: 'place' });
+  harness.send({ kind: 'place', mayStart: true });
   t.deepEqual(harness.starts(), []);
   harness.cancel(jobId(1));
   harness.commit();
@@ -280,7 +280,7 @@
   harness.commit();
   harness.place();
   harness.grant(step, [W1.id], 2500);
-  harness.send({ kind: 'place' });
+  harness.send({ kind: 'place', mayStart: true });
   harness.advance(2600);
   harness.commit();
   t.deepEqual(harness.starts(), []);
@@ -745,3 +745,15 @@
   t.is(countFitting(NO_RESOURCES, { ...free, memoryMib: -1 }, 0), 0);
   t.is(countFitting(NO_RESOURCES, free, 5), 5);
 });
+
+test('nothing is placed and no advice is asked for while starts cannot be stored', (t) => {
+  const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const harness = readyHarness({ configuration: configurationOf([jobQueue({ advice })]) });
+  harness.addMember('m1');
+  harness.submit(jobPlan(1));
+  harness.commit();
+  harness.send({ kind: 'place', mayStart: false });
+  t.deepEqual(harness.of('ask_advice'), []);
+  harness.send({ kind: 'place', mayStart: true });
+  t.is(harness.of('ask_advice').length, 1);
+});
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -207,20 +207,22 @@
       .with({ kind: 'committed' }, ({ batch }) => {
         this.context.committed(batch);
       })
-      .with({ kind: 'place' }, () => {
-        this.runPlacementPass();
+      .with({ kind: 'place' }, ({ mayStart }) => {
+        this.runPlacementPass(mayStart);
       })
       .exhaustive();
   }
 
-  private runPlacementPass(): void {
+  private runPlacementPass(mayStart: boolean): void {
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
     this.quarantines.endQuarantines(this.context.now);
-    this.context.needsPlacement = false;
-    this.stepPlacement.place();
-    this.advicePrefetch.prefetch();
+    if (mayStart) {
+      this.context.needsPlacement = false;
+      this.stepPlacement.place();
+      this.advicePrefetch.prefetch();
+    }
   }
 
   private registerWorker(registration: WorkerRegistration): void {
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -287,3 +287,30 @@
   t.true(cluster.now() - askedAt < 2500, 'answered before the caller gave up');
   await runUntilSettled(cluster, stopped);
 });
+
+// Guards against an owner that spends its processor on work that it can't start, for as long as the
+// store is away (incident SHORT).
+test('an owner asks for no advice while the store has been away for a second, and goes on once it is back', async (t) => {
+  const cluster = await runningCluster();
+  const owner = cluster.ownerName() ?? '';
+  const steps = [stepOf({ count: 2, estimateMillis: 700 })];
+  for (let number = 1; number <= 40; number += 1) {
+    void cluster.request(owner, 'submit', jobId(number), planOf(number, steps));
+  }
+  await cluster.run(500);
+  cluster.members.forEach(({ storeFaults }) => {
+    storeFaults.mode = 'refusing';
+  });
+  await cluster.run(1000);
+  const calls = (): number =>
+    cluster.log.filter((line) => line.includes('event=advice.taken')).length;
+  const before = calls();
+  await cluster.run(3500);
+  t.is(calls(), before);
+  cluster.members.forEach(({ storeFaults }) => {
+    storeFaults.mode = 'up';
+  });
+  await cluster.run(500);
+  t.true(calls() > before);
+  t.deepEqual(cluster.jobs.violations, []);
+});
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -341,14 +341,21 @@
 
   private pass(): void {
     const startedAt = this.clock.now();
-    this.stepScheduler({ kind: 'place' });
+    if (this.tenure !== undefined) {
+      this.place(this.tenure);
+    }
     const now = this.clock.now();
     this.nextPassAt = deadlineAfter(now, PASS_PAUSE_FACTOR * (now - startedAt));
   }
 
+  private place({ writer }: Tenure): void {
+    this.stepScheduler({ kind: 'place', mayStart: !writer.isBackedUp });
+  }
+
   private scheduleFollowUps(tenure: Tenure): void {
     tenure.writer.send();
-    if (tenure.scheduler?.needsPlacement === true && !this.isPassScheduled) {
+    const needsPass = tenure.scheduler?.needsPlacement === true && !tenure.writer.isBackedUp;
+    if (needsPass && !this.isPassScheduled) {
       this.isPassScheduled = true;
       const delayedUntil = deadlineAfter(this.clock.now(), PASS_DELAY_MILLIS);
       this.postAt(later(delayedUntil, this.nextPassAt), { kind: 'pass' });
@@ -471,7 +478,7 @@
     }
     if (tenure.scheduler !== undefined) {
       if (!this.isPassScheduled) {
-        this.stepScheduler({ kind: 'place' });
+        this.place(tenure);
       }
       this.logFigures(tenure, tenure.scheduler, now);
     }
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -29,6 +29,11 @@
 const APPEND_RETRY_DELAY_MILLIS = 60;
 /** An append that isn't stored for this long means that another member should try to own the work. */
 const STALL_TIMEOUT_MILLIS = 1000;
+/**
+ * No work is started while no append has been stored for this long: well within the validity of the
+ * tickets that starts need.
+ */
+const BACKLOG_TIMEOUT_MILLIS = 600;
 /**
  * An append that takes longer than this indicates a slow store. A takeover makes five calls in
  * sequence, which would then take longer than callers should wait.
@@ -106,16 +111,17 @@
    * the work.
    */
   get isStalled(): boolean {
-    return (
-      this.outstandingSince !== undefined && this.now - this.outstandingSince > STALL_TIMEOUT_MILLIS
-    );
+    return this.outstandingMillis > STALL_TIMEOUT_MILLIS;
+  }
+
+  /** Whether new records would wait so long that what depends on them should not begin. */
+  get isBackedUp(): boolean {
+    return this.outstandingMillis > BACKLOG_TIMEOUT_MILLIS;
   }
 
   /** Whether the store is slow, judged by the last append and by those outstanding. */
   get isSlow(): boolean {
-    const waitingMillis =
-      this.outstandingSince === undefined ? 0 : this.now - this.outstandingSince;
-    return Math.max(this.lastLatencyMillis, waitingMillis) > SLOW_APPEND_MILLIS;
+    return Math.max(this.lastLatencyMillis, this.outstandingMillis) > SLOW_APPEND_MILLIS;
   }
 
   /**
@@ -200,6 +206,11 @@
       .exhaustive();
   }
 
+  /** How long appends have been outstanding without one being stored. */
+  private get outstandingMillis(): number {
+    return this.outstandingSince === undefined ? 0 : this.now - this.outstandingSince;
+  }
+
   private get now(): Instant {
     return this.options.clock.now();
   }
