Keep the log of a busy process: several writes in progress at once

Up to 16 writes are in progress at once. The rest of a partial write is still written before anything else.

--- a/packages/logger/src/line-log.test.ts
+++ b/packages/logger/src/line-log.test.ts
@@ -93,3 +93,19 @@
   log.flush();
   t.is(texts[1], 'event=three at=1234 member=m1\nevent=log.dropped member=m1 lines=2\n');
 });
+
+// Guards against a busy process that loses most of its lines because each write waits for the one before.
+test('several writes are in progress at once, but none follows a partial write before its rest', async (t) => {
+  const { log, texts, complete } = controlledLog();
+  for (let line = 0; line < 100; line += 1) {
+    log.event('more', { line, detail: 'x'.repeat(1000) });
+  }
+  log.flush();
+  t.is(texts.length, 16);
+  complete(10);
+  complete();
+  t.is(texts.length, 16);
+  await sleep(AFTER_RETRY_MILLIS);
+  t.is(texts.length, 17);
+  t.is(texts[16], texts[0]?.slice(10));
+});
--- a/packages/logger/src/line-log.ts
+++ b/packages/logger/src/line-log.ts
@@ -19,6 +19,11 @@
  * atomically, and a reader may keep only the beginning of a larger one.
  */
 const MAX_WRITE_BYTES = 4096;
+/**
+ * Writes in progress at once. A write completes in the next iteration of the event loop, which takes a
+ * tenth of a second in a process under full load: one write at a time would then lose most lines.
+ */
+const MAX_WRITES_IN_PROGRESS = 16;
 /** Pause before the next write to a reader that can take no more bytes. */
 const RETRY_MILLIS = 20;
 const LINE_FEED = 0x0a;
@@ -37,7 +42,9 @@
   private lines: string[] = [];
   private bufferedBytes = 0;
   private dropped = 0;
-  private isWriting = false;
+  private writesInProgress = 0;
+  /** Partial writes whose rest must be written before anything else. */
+  private partialWrites = 0;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -62,18 +69,20 @@
     }, FLUSH_DELAY_MILLIS).unref();
   }
 
-  /** Writes the buffered lines, unless a write is still in progress. */
+  /** Writes the buffered lines, as far as further writes may be in progress. */
   flush(): void {
-    if (this.isWriting || this.lines.length === 0) {
-      return;
-    }
-    if (this.dropped > 0) {
+    if (this.dropped > 0 && this.lines.length > 0 && this.mayWrite) {
       this.add(lineOf('log.dropped', { ...this.commonFields, lines: this.dropped }));
       this.dropped = 0;
     }
-    const bytes = Buffer.from(`${this.nextLines().join('\n')}\n`);
-    this.isWriting = true;
-    this.write(bytes);
+    while (this.lines.length > 0 && this.mayWrite) {
+      this.writesInProgress += 1;
+      this.write(Buffer.from(`${this.nextLines().join('\n')}\n`));
+    }
+  }
+
+  private get mayWrite(): boolean {
+    return this.partialWrites === 0 && this.writesInProgress < MAX_WRITES_IN_PROGRESS;
   }
 
   /** Removes from the buffer the lines of the next write: at least one, and only whole ones. */
@@ -90,18 +99,22 @@
    * Writes all bytes. A pipe that is nearly full takes only a part of them, and a full one none
    * (`EAGAIN`).
    */
-  private write(bytes: Buffer): void {
+  private write(bytes: Buffer, isRest = false): void {
     this.writeBytes(this.descriptor, bytes, (error, written) => {
       const rest = bytes.subarray(error === null ? written : 0);
       this.bufferedBytes -= bytes.length - rest.length;
-      if (error !== null && error.code !== 'EAGAIN') {
-        this.discard(rest);
-      } else if (rest.length > 0) {
+      if (rest.length > 0 && (error === null || error.code === 'EAGAIN')) {
+        this.partialWrites += isRest ? 0 : 1;
         setTimeout(() => {
-          this.write(rest);
+          this.write(rest, true);
         }, RETRY_MILLIS).unref();
+        return;
+      }
+      this.writesInProgress -= 1;
+      this.partialWrites -= isRest ? 1 : 0;
+      if (rest.length > 0) {
+        this.discard(rest);
       } else {
-        this.isWriting = false;
         this.flush();
       }
     });
@@ -112,7 +125,6 @@
    * of lost lines is reported with the next write.
    */
   private discard(bytes: Buffer): void {
-    this.isWriting = false;
     this.bufferedBytes -= bytes.length;
     this.dropped += bytes.filter((byte) => byte === LINE_FEED).length;
   }
--- a/packages/member/src/tcp-peers.test.ts
+++ b/packages/member/src/tcp-peers.test.ts
@@ -6,7 +6,8 @@
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { Claim } from './ownership-messages.js';
-import type { MemberPort } from './member-port.js';
+import { MemberPort } from './member-port.js';
+import type { AdviceAnswer } from './ports.js';
 import { TcpPeers } from './tcp-peers.js';
 import { Traffic } from './traffic.js';
 
@@ -17,6 +18,20 @@
 const clock = new SystemClock();
 const discarding = { post: () => 'accepted' as const };
 
+class NoAdvice extends MemberPort {
+  advise(): Promise<AdviceAnswer> {
+    return Promise.resolve({ kind: 'busy' });
+  }
+
+  notifyTrouble(): void {
+    // Not used here.
+  }
+
+  notifyServing(): void {
+    // Not used here.
+  }
+}
+
 function newPeers(port: number, peerPorts: number): TcpPeers {
   const settings = {
     member: brandAs<MemberId>('member-1'),
@@ -28,7 +43,7 @@
     longestLeaseMillis: 6000,
     stopMillis: 6000,
   };
-  const self = {} as MemberPort;
+  const self = new NoAdvice(settings.member, settings.region);
   const options = { settings, clock, self, owner: discarding, configuration: discarding };
   return new TcpPeers(options, new Traffic());
 }
