--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -43,7 +43,7 @@
   }
 
   override get ports(): number {
-    return Math.min(MAX_LISTENERS, this.options.settings.peerPorts);
+    return Math.max(1, Math.min(MAX_LISTENERS, this.options.settings.peerPorts));
   }
 
   async listen(): Promise<void> {
