Tell an owner that is busy from one that stands still while its greeting waits

Members now wait three seconds for the greeting of a new owner. One that froze in the moment of its claim would be waited for as long. A member looks at the work log after 1.1 s, as it did before when the connection ended: a busy owner's log moves, and the work of one that stands still is claimed.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -277,10 +277,11 @@
       member?.peers?.processEnded();
       members.delete(name);
     },
-    freeze: (name: string): void => {
+    /** @param silenceMillis how long the other ends of its connections wait for a message. */
+    freeze: (name: string, silenceMillis = SILENCE_MILLIS): void => {
       const member = members.get(name);
       member?.clock.freeze();
-      clock.wakeAt(deadlineAfter(clock.now(), SILENCE_MILLIS), () => {
+      clock.wakeAt(deadlineAfter(clock.now(), silenceMillis), () => {
         if (member?.clock.state === 'frozen') {
           member.peers?.dropAsSilent();
         }
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -314,3 +314,32 @@
   t.true(calls() > before);
   t.deepEqual(cluster.jobs.violations, []);
 });
+
+// Guards against members that wait for the greeting of a new owner that stands still as long as for that of
+// one that is busy.
+test('a member that freezes right after it has claimed the work is replaced within three seconds', async (t) => {
+  const cluster = await runningCluster();
+  const elected = (): number =>
+    cluster.log.filter((line) => line.includes('event=owner.elected')).length;
+  const earlier = elected();
+  cluster.kill(cluster.ownerName() ?? '');
+  for (let waited = 0; elected() === earlier && waited < 5000; waited += 2) {
+    await cluster.run(2);
+  }
+  const frozen = cluster.log
+    .findLast((line) => line.includes('event=owner.elected'))
+    ?.split(' ')
+    .at(1);
+  cluster.freeze(frozen ?? '', 10_000);
+  await cluster.run(3000);
+  t.not(cluster.ownerName(), frozen);
+  t.like(
+    await runUntilSettled(
+      cluster,
+      cluster.request(cluster.ownerName() ?? '', 'submit', jobId(1), planOf(1)),
+    ),
+    {
+      kind: 'accepted',
+    },
+  );
+});
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -33,6 +33,8 @@
       readonly connection: Connection;
       readonly helloReply: HelloReply | undefined;
     }
+  /** The owner of the term should have answered the hello by now, unless it is busy. */
+  | { readonly kind: 'hello_due'; readonly term: Term }
   | {
       readonly kind: 'unreachable';
       readonly term: Term;
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -29,6 +29,11 @@
 const STORE_TIMEOUT_MILLIS = 700;
 /** Timeout for opening a connection to the owner. */
 const DIAL_TIMEOUT_MILLIS = 500;
+/**
+ * A hello that is unanswered for this long makes the member look at the work log, which tells an owner
+ * that is busy from one that stands still.
+ */
+const HELLO_DUE_MILLIS = 1100;
 /** Pause before the owner is dialled again. */
 const REDIAL_DELAY_MILLIS = 250;
 const OWNER_KEY = 'owner';
@@ -111,6 +116,11 @@
       .with({ kind: 'hello_answered' }, ({ term, connection, helloReply }) => {
         this.helloAnswered(term, connection, helloReply);
       })
+      .with({ kind: 'hello_due' }, ({ term }) => {
+        if (this.dialledTerm === term) {
+          this.options.election.silent(this.clock.now());
+        }
+      })
       .with({ kind: 'unreachable' }, (answer) => {
         if (this.dialledTerm === answer.term) {
           this.dialledTerm = undefined;
@@ -294,6 +304,7 @@
         this.post({ kind: 'serving', term });
       },
     };
+    this.postAt(deadlineAfter(this.clock.now(), HELLO_DUE_MILLIS), { kind: 'hello_due', term });
     void this.options.peers.sendHello(connection, term, listener).then((helloReply) => {
       this.post({ kind: 'hello_answered', term, connection, helloReply });
     });
