--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -49,7 +49,13 @@
 }
 
 export type JobInput =
-  | { readonly kind: 'submit'; readonly plan: JobPlan; readonly token: JobToken }
+  | {
+      readonly kind: 'submit';
+      readonly plan: JobPlan;
+      /** Version of the configuration by which the request was checked. */
+      readonly configuration: number;
+      readonly token: JobToken;
+    }
   | { readonly kind: 'cancel'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'query'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'count'; readonly queue: QueueId; readonly token: JobToken }
@@ -86,12 +92,22 @@
   | { readonly kind: 'adviser_gone'; readonly member: MemberId }
   | { readonly kind: 'no_advice'; readonly step: StepId }
   | { readonly kind: 'committed'; readonly batch: number }
-  /** Runs a placement pass. */
-  | { readonly kind: 'place' };
+  /**
+   * Runs a placement pass. Without `mayStart` it only does what is due, and asks for no advice: starts
+   * can't be stored at present, and would be sent after their tickets have expired.
+   */
+  | { readonly kind: 'place'; readonly mayStart: boolean };
 
 export type JobAnswer =
   | { readonly kind: 'accepted'; readonly repeated: boolean }
-  | { readonly kind: 'refused'; readonly reason: 'unknown_queue' | 'overloaded' }
+  | {
+      readonly kind: 'refused';
+      /**
+       * `configuration_outdated`: the scheduler has no such queue, but the request was checked by a newer
+       * configuration than the scheduler's.
+       */
+      readonly reason: 'unknown_queue' | 'configuration_outdated' | 'overloaded';
+    }
   | { readonly kind: 'state'; readonly state: JobState }
   | { readonly kind: 'unknown_job' }
   | { readonly kind: 'cancelled' }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -61,16 +61,16 @@
     now: brandAs<Instant>(millis),
     wall: brandAs<WallInstant>(START_WALL + millis),
   });
-  const newScheduler = (): JobScheduler => {
+  const newScheduler = (ownConfiguration: JobConfiguration): JobScheduler => {
     const earlierLeasesEnd = brandAs<Deadline>(millis + EARLIER_LEASES_MILLIS);
     const restored = restoreJobs(store);
     const ordering = new SmallestFirst();
     return new JobScheduler(
-      { ordering, configuration, earlierLeasesEnd, restored, workers },
+      { ordering, configuration: ownConfiguration, earlierLeasesEnd, restored, workers },
       times(),
     );
   };
-  let scheduler = newScheduler();
+  let scheduler = newScheduler(configuration);
 
   const record = (added: readonly JobOutput[]): void => {
     for (const output of added) {
@@ -112,14 +112,14 @@
       millis += by;
     },
     /** A new owner takes over with what is stored. */
-    takeOver: (): void => {
+    takeOver: (ownConfiguration = configuration): void => {
       outputs.length = 0;
-      scheduler = newScheduler();
+      scheduler = newScheduler(ownConfiguration);
       record(scheduler.takeOutputs());
     },
-    submit: (plan: JobPlan): JobToken => {
+    submit: (plan: JobPlan, checkedBy = configuration.version): JobToken => {
       const submitted = token();
-      send({ kind: 'submit', plan, token: submitted });
+      send({ kind: 'submit', plan, configuration: checkedBy, token: submitted });
       return submitted;
     },
     cancel: (job: JobId): JobToken => {
@@ -175,7 +175,7 @@
     /** Runs a placement pass and stores it; returns the starts that were sent. */
     place: (): ReceivedStart[] => {
       const before = outputs.length;
-      send({ kind: 'place' });
+      send({ kind: 'place', mayStart: true });
       commit();
       return startsIn(outputs.slice(before));
     },
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -7,7 +7,9 @@
   type StepTaskId,
   type WallInstant,
 } from '@bamboowell/types/job';
+import { NO_RESOURCES } from '@bamboowell/types/resources';
 import type { Deadline } from '@bamboowell/types/time';
+import { countFitting } from './available-workers.js';
 import {
   configurationOf,
   cores,
@@ -59,7 +61,7 @@
   const harness = readyHarness();
   harness.submit(jobPlan(1));
   harness.commit();
-  harness.send({ kind: 'place' });
+  harness.send({ kind: 'place', mayStart: true });
   t.deepEqual(harness.starts(), []);
   harness.cancel(jobId(1));
   harness.commit();
@@ -278,7 +280,7 @@
   harness.commit();
   harness.place();
   harness.grant(step, [W1.id], 2500);
-  harness.send({ kind: 'place' });
+  harness.send({ kind: 'place', mayStart: true });
   harness.advance(2600);
   harness.commit();
   t.deepEqual(harness.starts(), []);
@@ -681,3 +683,77 @@
     [1, 1],
   );
 });
+
+// Guards against jobs that a new owner runs by the queue as it was when they were accepted (incident
+// CONFIG).
+test('a job that is taken over follows its queue in the configuration of the new owner', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const moved = { ...configurationOf([jobQueue({ service: 'caves' })]), version: 2 };
+  harness.takeOver(moved);
+  harness.reportFromAll();
+  t.deepEqual(harness.place(), []);
+});
+
+test('a job whose queue is gone from the configuration of the new owner keeps its queue', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  harness.takeOver({ ...configurationOf([]), version: 2 });
+  harness.reportFromAll();
+  t.is(harness.place().length, 1);
+});
+
+// Guards against a queue that is refused for good by an owner that doesn't have it yet (incident CONFIG).
+test('a job for an unknown queue is refused for good only if it was not checked by a newer configuration', (t) => {
+  const harness = readyHarness({ configuration: configurationOf([]) });
+  const earlier = harness.submit(jobPlan(1));
+  const later = harness.submit(jobPlan(2), 2);
+  t.deepEqual(harness.answers.get(earlier), { kind: 'refused', reason: 'unknown_queue' });
+  t.deepEqual(harness.answers.get(later), { kind: 'refused', reason: 'configuration_outdated' });
+});
+
+test('a step whose granted workers are all full asks about further workers only, not again about these', (t) => {
+  const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const harness = readyHarness({
+    workers: [W1],
+    configuration: configurationOf([jobQueue({ advice })]),
+  });
+  harness.addMember('m1');
+  harness.submit(jobPlan(1, { steps: [stepPlan({ demand: cores(4) })] }));
+  harness.submit(jobPlan(2, { steps: [stepPlan({ demand: cores(4) })] }));
+  harness.commit();
+  harness.place();
+  for (const number of [1, 2]) {
+    harness.grant(brandAs<StepId>(`${jobId(number)}.0.0`), [W1.id]);
+  }
+  harness.place();
+  const calls = harness.of('ask_advice').length;
+  harness.place();
+  t.is(harness.of('ask_advice').length, calls);
+});
+
+test('as many tasks fit as by taking the demand away again and again', (t) => {
+  const free = { millicores: 9900, memoryMib: 4096, accelerators: 0, slots: 8 };
+  const demand = { millicores: 3300, memoryMib: 1000, accelerators: 0, slots: 1 };
+  t.is(countFitting(demand, free, 0), 3);
+  t.is(countFitting(demand, free, 2), 2);
+  t.is(countFitting({ ...demand, memoryMib: 5000 }, free, 0), 0);
+  t.is(countFitting({ ...demand, accelerators: 1 }, free, 0), 0);
+  t.is(countFitting(demand, { ...free, memoryMib: -1 }, 0), 0);
+  t.is(countFitting(NO_RESOURCES, { ...free, memoryMib: -1 }, 0), 0);
+  t.is(countFitting(NO_RESOURCES, free, 5), 5);
+});
+
+test('nothing is placed and no advice is asked for while starts cannot be stored', (t) => {
+  const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
+  const harness = readyHarness({ configuration: configurationOf([jobQueue({ advice })]) });
+  harness.addMember('m1');
+  harness.submit(jobPlan(1));
+  harness.commit();
+  harness.send({ kind: 'place', mayStart: false });
+  t.deepEqual(harness.of('ask_advice'), []);
+  harness.send({ kind: 'place', mayStart: true });
+  t.is(harness.of('ask_advice').length, 1);
+});
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -23,6 +23,7 @@
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
+import { NO_VERSION } from './configuration-task.js';
 import { allLeasesEnd } from './lease-clock.js';
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -113,6 +114,11 @@
       })
       .with({ kind: 'configuration' }, ({ configuration }) => {
         this.configuration = configuration;
+        this.options.events.event('configuration.applied', {
+          by: 'owner',
+          version: configuration.version,
+          isOwner: this.tenure !== undefined,
+        });
         this.stepScheduler({ kind: 'configuration', configuration });
         this.startServing();
       })
@@ -335,14 +341,21 @@
 
   private pass(): void {
     const startedAt = this.clock.now();
-    this.stepScheduler({ kind: 'place' });
+    if (this.tenure !== undefined) {
+      this.place(this.tenure);
+    }
     const now = this.clock.now();
     this.nextPassAt = deadlineAfter(now, PASS_PAUSE_FACTOR * (now - startedAt));
   }
 
+  private place({ writer }: Tenure): void {
+    this.stepScheduler({ kind: 'place', mayStart: !writer.isBackedUp });
+  }
+
   private scheduleFollowUps(tenure: Tenure): void {
     tenure.writer.send();
-    if (tenure.scheduler?.needsPlacement === true && !this.isPassScheduled) {
+    const needsPass = tenure.scheduler?.needsPlacement === true && !tenure.writer.isBackedUp;
+    if (needsPass && !this.isPassScheduled) {
       this.isPassScheduled = true;
       const delayedUntil = deadlineAfter(this.clock.now(), PASS_DELAY_MILLIS);
       this.postAt(later(delayedUntil, this.nextPassAt), { kind: 'pass' });
@@ -354,6 +367,10 @@
       reply({ kind: 'not_taken' });
       return;
     }
+    if (request.configuration < (this.configuration?.version ?? NO_VERSION)) {
+      reply({ kind: 'outdated' });
+      return;
+    }
     this.stepScheduler(this.requests.add(request, reply));
   }
 
@@ -460,7 +477,9 @@
       this.setTrouble(tenure, true);
     }
     if (tenure.scheduler !== undefined) {
-      this.stepScheduler({ kind: 'place' });
+      if (!this.isPassScheduled) {
+        this.place(tenure);
+      }
       this.logFigures(tenure, tenure.scheduler, now);
     }
     if (tenure.writer.needsKeepAlive) {
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -6,7 +6,7 @@
 import type { Address } from '@bamboowell/types/vm';
 import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { HelloReply } from './peers.js';
-import type { AppendOutcome } from './store.js';
+import type { AppendOutcome, NewestPage, Unavailable } from './store.js';
 
 /** The record by which a member claims ownership of the work. */
 export interface Claim {
@@ -14,6 +14,8 @@
   readonly member: MemberId;
   readonly incarnation: Incarnation;
   readonly address: Address;
+  /** Number of consecutive ports, from the address on, at which it accepts connections; one if absent. */
+  readonly ports?: number;
   /** The owner has released the work. */
   readonly isReleased: boolean;
 }
@@ -31,6 +33,8 @@
       readonly connection: Connection;
       readonly helloReply: HelloReply | undefined;
     }
+  /** The owner of the term should have answered the hello by now, unless it is busy. */
+  | { readonly kind: 'hello_due'; readonly term: Term }
   | {
       readonly kind: 'unreachable';
       readonly term: Term;
@@ -56,5 +60,6 @@
   | { readonly kind: 'stood_down'; readonly term: Term }
   /** Another member may have claimed the work: reads the claims again. */
   | { readonly kind: 'reread_claims' }
+  | { readonly kind: 'claims_reread'; readonly page: NewestPage | Unavailable }
   /** Stops claiming the work, and releases the term that this member held. */
   | { readonly kind: 'leave'; readonly held: Term | undefined; readonly reply: Reply<null> };
