Read the new code as a newcomer: names, comments, and a fetch that is of no use

A member whose document can't be used is not asked again every quarter of a second; `recheck` says that it acts; the timeouts of members stand together.

--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -166,13 +166,17 @@
   }
 
   private fetched(member: ConfigurationSource, document: StoreEntry | undefined): void {
-    const version = this.members.get(member);
+    const before = this.version;
     if (document !== undefined) {
       this.read(document, 'member');
-    } else if (version !== undefined) {
-      // Goes last among members with the same version.
+    }
+    const isUseless = document !== undefined && this.version === before;
+    const announced = this.members.get(member);
+    if (announced !== undefined && announced > this.version) {
+      // It goes last among members with the same version. One whose document can't be used counts as
+      // having this member's version until it announces another.
       this.members.delete(member);
-      this.members.set(member, version);
+      this.members.set(member, isUseless ? this.version : announced);
     }
     this.fetchLater(FETCH_RETRY_DELAY_MILLIS);
   }
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -194,7 +194,7 @@
 
   private sendToOwner(id: number, pending: Pending): void {
     const { channel } = this;
-    if (channel === undefined || pending.isInFlight || !this.isStillAllowed(id, pending)) {
+    if (channel === undefined || pending.isInFlight || !this.recheck(id, pending)) {
       return;
     }
     pending.isInFlight = true;
@@ -207,10 +207,10 @@
   }
 
   /**
-   * Checks the request again after a change of the configuration; answers it if it is no longer
-   * allowed.
+   * Checks the request again if the configuration has changed. Returns whether it is still allowed;
+   * otherwise it has been answered.
    */
-  private isStillAllowed(id: number, pending: Pending): boolean {
+  private recheck(id: number, pending: Pending): boolean {
     const { routes } = this;
     if (
       routes === undefined ||
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -16,21 +16,20 @@
 import type { StoreEntry } from './store.js';
 
 /**
- * Timeout of a hello. It is long because an owner that has just taken the work over is busy; an owner
- * that is gone is detected sooner, by the silence of its connection.
+ * Timeout of a hello. It is long because an owner that has just taken the work over is busy; one that
+ * stands still is detected sooner, by the work log.
  */
 export const HELLO_TIMEOUT_MILLIS = 3000;
 /** Timeout of a request forwarded by another member: longer than any caller waits. */
 const REQUEST_TIMEOUT_MILLIS = 10_000;
+/** Timeout of a fetch of the configuration, whose document may be large. */
+const DOCUMENT_TIMEOUT_MILLIS = 1500;
 
 export type DialResult =
   | { readonly kind: 'connected'; readonly connection: Connection }
   /** `isRefused`: nothing listens at the address, so the process of that member has ended. */
   | { readonly kind: 'unreachable'; readonly detail: string; readonly isRefused: boolean };
 
-/** Timeout of a fetch of the configuration, whose document may be large. */
-const DOCUMENT_TIMEOUT_MILLIS = 1500;
-
 /** First request of a member on its connection to the owner. */
 interface Hello {
   readonly member: MemberId;
