Tell members of a claim that can't read it in the store

When the store is silent for a part of the members and the owner's machine is lost meanwhile, these members don't learn who owns the work next: they have no owner and keep the configuration that they have until the store is back.

Cause: a claim is read in the store or heard from a connected member, and the only connection of a member is to the owner. The class: one path for two purposes; the loss of the owner also takes the way around the store away.

The new test fails without the change.

Change: members say in their greeting where they accept connections. The owner passes that on to the members, a few additions at a time; a new owner dials those that it has heard of and that aren't connected to it, eight every 0.7 s, and tells them of its claim.

--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -73,6 +73,28 @@
   t.is((await submit(cluster, 'm2', 1)).kind, 'unknown_key');
 });
 
+// Guards against a member that can't read the store and so never learns who owns the work after the owner
+// is gone: it has no owner and keeps its configuration for as long (incident CONFIG).
+test('a member without the store is told of the next owner, and gets its configuration', async (t) => {
+  const cluster = await runningCluster();
+  const member = cluster.members.get('m2');
+  t.truthy(member);
+  if (member === undefined) {
+    return;
+  }
+  await cluster.run(1500);
+  member.storeFaults.mode = 'silent';
+  await cluster.run(100);
+  cluster.kill('m1');
+  await cluster.run(500);
+  cluster.declare(withoutKeys(2));
+  await cluster.run(2500);
+  t.is((await submit(cluster, 'm2', 1)).kind, 'unknown_key');
+  cluster.declare(configurationOf(3));
+  await cluster.run(1000);
+  t.is((await submit(cluster, 'm2', 2)).kind, 'accepted');
+});
+
 // Guards against an owner on a thin link that a change of the configuration keeps from serving,
 // because every member sends it the document and gets it from it (incident CONFIG).
 test('a large configuration does not hold up requests at an owner on a thin link', async (t) => {
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -10,8 +10,7 @@
   type WireAnswer,
 } from '@bamboowell/wire/connection';
 import type { EmulatedLink } from './emulated-link.fixture.js';
-import type { Claim } from './ownership-messages.js';
-import { Peers, type DialResult, type PeersOptions } from './peers.js';
+import { Peers, type DialResult, type DialTarget, type PeersOptions } from './peers.js';
 
 const ONE_WAY_MILLIS = 1;
 
@@ -43,7 +42,7 @@
     return 1;
   }
 
-  dial({ address }: Claim): Promise<DialResult> {
+  dial({ address }: DialTarget): Promise<DialResult> {
     const other = this.network.listeners.get(nameOf(address));
     if (other === undefined) {
       return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens', isRefused: true });
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -57,6 +57,8 @@
   | { readonly kind: 'tick' }
   /** This member's owner task accepts requests from now on. */
   | { readonly kind: 'owner_ready'; readonly term: Term }
+  /** Time to tell members of this member's claim that may not have heard of it. */
+  | { readonly kind: 'introduce'; readonly term: Term }
   | { readonly kind: 'stood_down'; readonly term: Term }
   /** Another member may have claimed the work: reads the claims again. */
   | { readonly kind: 'reread_claims' }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -34,6 +34,11 @@
  * that is busy from one that stands still.
  */
 const HELLO_DUE_MILLIS = 1100;
+/**
+ * An owner tells members of its claim at this interval that are not connected to it. Most come by
+ * themselves sooner.
+ */
+const INTRODUCTION_INTERVAL_MILLIS = 700;
 /** Pause before the owner is dialled again. */
 const REDIAL_DELAY_MILLIS = 250;
 const OWNER_KEY = 'owner';
@@ -158,8 +163,12 @@
       .with({ kind: 'owner_ready' }, ({ term }) => {
         if (this.claim?.term === term) {
           this.setOwnerChannel(this.options.localOwner);
+          this.introduceLater(term);
         }
       })
+      .with({ kind: 'introduce' }, ({ term }) => {
+        this.introduce(term);
+      })
       .with({ kind: 'stood_down' }, () => {
         this.stoodDown();
       })
@@ -251,6 +260,19 @@
     }
   }
 
+  private introduceLater(term: Term): void {
+    const at = deadlineAfter(this.clock.now(), INTRODUCTION_INTERVAL_MILLIS);
+    this.postAt(at, { kind: 'introduce', term });
+  }
+
+  private introduce(term: Term): void {
+    const { claim } = this;
+    if (claim?.term === term && this.isOurs(claim)) {
+      this.options.peers.introduce(claim);
+      this.introduceLater(term);
+    }
+  }
+
   private vacant(claim: Claim | undefined): void {
     this.connection?.close();
     this.connection = undefined;
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -6,8 +6,10 @@
 import type { Incarnation, MemberId } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
 import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
+import { KnownMembers, type KnownMember } from './known-members.js';
 import { RemoteMember, type AdviceRequest, type MemberPort } from './member-port.js';
 import { METHODS, type OwnerReply, type OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage, TermRole } from './owner-messages.js';
@@ -22,9 +24,16 @@
 export const HELLO_TIMEOUT_MILLIS = 3000;
 /** Timeout of a request forwarded by another member: longer than any caller waits. */
 const REQUEST_TIMEOUT_MILLIS = 10_000;
+/** Most members that are told of a claim at a time, while the owner is busy with its takeover. */
+const MAX_INTRODUCTIONS = 8;
+/** Timeout for opening a connection to a member that must be told of a claim. */
+const INTRODUCTION_TIMEOUT_MILLIS = 500;
 /** Timeout of a fetch of the configuration, whose document may be large. */
 const DOCUMENT_TIMEOUT_MILLIS = 1500;
 
+/** Where a member accepts connections; at one port if `ports` is absent. */
+export type DialTarget = Pick<Claim, 'address' | 'ports'>;
+
 export type DialResult =
   | { readonly kind: 'connected'; readonly connection: Connection }
   /** `isRefused`: nothing listens at the address, so the process of that member has ended. */
@@ -34,6 +43,9 @@
 interface Hello {
   readonly member: MemberId;
   readonly region: string;
+  /** Where the member accepts connections; absent from earlier builds. */
+  readonly address?: Address;
+  readonly ports?: number;
   /** The term that the other end is expected to hold. */
   readonly term: Term;
 }
@@ -64,9 +76,14 @@
 /** Connects members to each other. Subclasses provide the transport. */
 export abstract class Peers {
   private readonly connections = new Set<Connection>();
+  private readonly known: KnownMembers;
+  /** The members that have introduced themselves, and how many additions to `known` they were told. */
+  private readonly introduced = new Map<Connection, { member: MemberId; additions: number }>();
   private claimListener: (claim: Claim) => void = () => undefined;
 
-  constructor(protected readonly options: PeersOptions) {}
+  constructor(protected readonly options: PeersOptions) {
+    this.known = new KnownMembers(options.settings.member);
+  }
 
   /** Starts to accept connections; each is passed to `accept`. */
   abstract listen(): Promise<void>;
@@ -74,8 +91,8 @@
   /** Number of consecutive ports, from the member's address on, at which it accepts connections. */
   abstract get ports(): number;
 
-  /** Opens a connection to the owner that the claim names. */
-  abstract dial(claim: Claim, deadline: Deadline): Promise<DialResult>;
+  /** Opens a connection to another member. */
+  abstract dial(target: DialTarget, deadline: Deadline): Promise<DialResult>;
 
   /** Stops accepting connections and closes the open ones by the deadline. */
   abstract close(deadline: Deadline): Promise<void>;
@@ -99,7 +116,13 @@
     });
     const member = this.register(connection);
     configuration.post({ kind: 'member_connected', member });
-    const hello: Hello = { member: settings.member, region: settings.region, term };
+    const hello: Hello = {
+      member: settings.member,
+      region: settings.region,
+      address: settings.peerAddress,
+      ports: this.ports,
+      term,
+    };
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
     const answer = await connection.request(METHODS.hello, hello, deadline);
     return answer.kind === 'answered' ? (answer.value as HelloReply) : undefined;
@@ -112,6 +135,34 @@
     });
   }
 
+  /**
+   * Tells the members that are known but not connected of this member's claim, and those that are
+   * connected of members that they may not know. Called again and again while this member is the owner.
+   */
+  introduce(claim: Claim): void {
+    this.introduced.forEach((told, connection) => {
+      const members = this.known.since(told.additions);
+      if (members.length > 0) {
+        told.additions = this.known.additions;
+        connection.notify(METHODS.members, members);
+      }
+    });
+    const connected = new Set([...this.introduced.values()].map(({ member }) => member));
+    this.known.nextUnconnected(connected, MAX_INTRODUCTIONS).forEach((known) => {
+      void this.tell(known, claim);
+    });
+  }
+
+  private async tell(known: KnownMember, claim: Claim): Promise<void> {
+    const { clock } = this.options;
+    const result = await this.dial(known, deadlineAfter(clock.now(), INTRODUCTION_TIMEOUT_MILLIS));
+    this.known.dialled(known, result.kind === 'connected');
+    if (result.kind === 'connected') {
+      result.connection.notify(METHODS.claim, claim);
+      result.connection.close();
+    }
+  }
+
   /** Sets the listener for claims that other members announce. */
   onClaim(listener: (claim: Claim) => void): void {
     this.claimListener = listener;
@@ -147,9 +198,13 @@
 
   private async answerHello(
     connection: Connection,
-    { member, region, term }: Hello,
+    { member, region, address, ports = 1, term }: Hello,
   ): Promise<HelloReply> {
     const { owner, clock, settings } = this.options;
+    this.introduced.set(connection, { member, additions: 0 });
+    if (address !== undefined) {
+      this.known.add({ member, address, ports });
+    }
     const port = new RemoteMember(member, region, connection, clock);
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
     const answer = await ask<OwnerMessage, TermRole>(
@@ -175,11 +230,17 @@
     this.connections.add(connection);
     void connection.ended.then(() => {
       this.connections.delete(connection);
+      this.introduced.delete(connection);
       configuration.post({ kind: 'member_gone', member });
     });
     connection.handle(METHODS.claim, (params) => {
       this.claimListener(params as Claim);
     });
+    connection.handle(METHODS.members, (params) => {
+      (params as readonly KnownMember[]).forEach((known) => {
+        this.known.add(known);
+      });
+    });
     connection.handle(METHODS.configuration, (params) => {
       const { version } = params as VersionAnnouncement;
       configuration.post({ kind: 'version_announced', version, member });
--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -7,8 +7,13 @@
 import { connect } from '@bamboowell/wire/connect';
 import { Listener } from '@bamboowell/wire/listener';
 import { TcpConnection } from '@bamboowell/wire/tcp-connection';
-import type { Claim } from './ownership-messages.js';
-import { HELLO_TIMEOUT_MILLIS, Peers, type DialResult, type PeersOptions } from './peers.js';
+import {
+  HELLO_TIMEOUT_MILLIS,
+  Peers,
+  type DialResult,
+  type DialTarget,
+  type PeersOptions,
+} from './peers.js';
 import type { Traffic } from './traffic.js';
 
 /** A member sends a ping at least this often. */
@@ -55,7 +60,7 @@
     await Promise.all(this.listeners.map((listener) => listener.close(deadline)));
   }
 
-  async dial({ address, ports = 1 }: Claim, deadline: Deadline): Promise<DialResult> {
+  async dial({ address, ports = 1 }: DialTarget, deadline: Deadline): Promise<DialResult> {
     const { clock } = this.options;
     const result = await connect({
       address: { ...address, port: address.port + randomInt(ports) },
