--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -11,7 +11,7 @@
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobConfiguration } from '@bamboowell/types/job';
-import { deadlineAfter } from '@bamboowell/types/time';
+import { deadlineAfter, type Instant } from '@bamboowell/types/time';
 import type { Documents } from './ports.js';
 import type { Store, StoreEntry } from './store.js';
 import { TopicWatch } from './topic-watch.js';
@@ -27,13 +27,20 @@
 /** Version of a configuration; the version of a member without one is lower than any valid one. */
 export const NO_VERSION = -1;
 
-export interface ConfigurationUpdate {
-  readonly kind: 'configuration';
-  readonly configuration: JobConfiguration;
+export type ConfigurationUpdate =
+  | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
+  /** The configuration in use was the latest one at this time. */
+  | { readonly kind: 'configuration_confirmed'; readonly at: Instant };
+
+/** Milliseconds since the configuration was last confirmed, as logged; -1 if it never was. */
+export function ageMillis(confirmedAt: Instant | undefined, now: Instant): number {
+  return confirmedAt === undefined ? -1 : Math.round(now - confirmedAt);
 }
 
 export type ConfigurationMessage =
   | { readonly kind: 'entries'; readonly entries: readonly StoreEntry[] }
+  /** The store had no later version than this member at this time. */
+  | { readonly kind: 'confirmed'; readonly at: Instant }
   /** A connection to another member is open. */
   | { readonly kind: 'member_connected'; readonly member: ConfigurationSource }
   | { readonly kind: 'member_gone'; readonly member: ConfigurationSource }
@@ -75,6 +82,8 @@
   private configuration: JobConfiguration | undefined;
   /** The record that holds the current configuration. */
   private document: StoreEntry | undefined;
+  /** When the configuration was last known to be the latest one. */
+  private confirmedAt: Instant | undefined;
   private readonly subscribers: MailboxAddress<ConfigurationUpdate>[] = [];
   /** The connected members, with the last version that each announced. */
   private readonly members = new Map<ConfigurationSource, number>();
@@ -90,6 +99,9 @@
       entries: (entries) => {
         this.post({ kind: 'entries', entries });
       },
+      confirmed: (at) => {
+        this.post({ kind: 'confirmed', at });
+      },
       reachable: (isReachable, detail) => {
         const name = isReachable ? 'store.regained' : 'store.lost';
         options.events.event(name, { topic: 'operator', detail, version: this.version });
@@ -112,6 +124,9 @@
           this.read(entry, 'store');
         });
       })
+      .with({ kind: 'confirmed' }, ({ at }) => {
+        this.confirm(at);
+      })
       .with({ kind: 'member_connected' }, ({ member }) => {
         this.members.set(member, this.members.get(member) ?? NO_VERSION);
         member.announceVersion(this.version);
@@ -138,6 +153,9 @@
         if (this.configuration !== undefined) {
           subscriber.post({ kind: 'configuration', configuration: this.configuration });
         }
+        if (this.confirmedAt !== undefined) {
+          subscriber.post({ kind: 'configuration_confirmed', at: this.confirmedAt });
+        }
       })
       .exhaustive();
   }
@@ -233,6 +251,16 @@
     });
   }
 
+  private confirm(at: Instant): void {
+    if (this.confirmedAt !== undefined && at <= this.confirmedAt) {
+      return;
+    }
+    this.confirmedAt = at;
+    this.subscribers.forEach((subscriber) => {
+      subscriber.post({ kind: 'configuration_confirmed', at });
+    });
+  }
+
   private get version(): number {
     return this.configuration?.version ?? NO_VERSION;
   }
--- a/packages/member/src/gateway-messages.ts
+++ b/packages/member/src/gateway-messages.ts
@@ -1,7 +1,8 @@
 /** Callers' requests and their replies, independent of the encoding, and the messages to the gateway. */
 
 import type { Reply } from '@bamboowell/kernel/ask';
-import type { JobConfiguration, JobId, JobPlan, JobState } from '@bamboowell/types/job';
+import type { JobId, JobPlan, JobState } from '@bamboowell/types/job';
+import type { ConfigurationUpdate } from './configuration-task.js';
 import type { Decoded } from './ports.js';
 import type { OwnerChannel, OwnerReply } from './owner-channel.js';
 
@@ -43,7 +44,7 @@
 
 export type GatewayMessage =
   | { readonly kind: 'request'; readonly request: JobRequest; readonly reply: Reply<JobReply> }
-  | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
+  | ConfigurationUpdate
   | { readonly kind: 'owner'; readonly channel: OwnerChannel | undefined }
   | { readonly kind: 'ready'; readonly reply: Reply<boolean> }
   | { readonly kind: 'owner_replied'; readonly id: number; readonly reply: OwnerReply }
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -11,6 +11,7 @@
 import type { JobAnswer } from '@bamboowell/jobs/messages';
 import type { TeamId } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
+import { ageMillis } from './configuration-task.js';
 import {
   isJobId,
   type GatewayMessage,
@@ -50,6 +51,8 @@
 
 export class GatewayTask extends Task<GatewayMessage> {
   private routes: Routes | undefined;
+  /** When `routes` were last known to be those of the latest configuration. */
+  private confirmedAt: Instant | undefined;
   private channel: OwnerChannel | undefined;
   private ownerlessSince: Instant | undefined;
   private hadOwner = false;
@@ -78,6 +81,9 @@
           version: configuration.version,
         });
       })
+      .with({ kind: 'configuration_confirmed' }, ({ at }) => {
+        this.confirmedAt = at;
+      })
       .with({ kind: 'owner' }, ({ channel }) => {
         this.setChannel(channel);
       })
@@ -277,7 +283,15 @@
     millis: number,
     tries = 0,
   ): void {
-    this.events.event('request.answered', { path, verb, outcome, configuration, millis, tries });
+    this.events.event('request.answered', {
+      path,
+      verb,
+      outcome,
+      configuration,
+      configurationAgeMillis: ageMillis(this.confirmedAt, this.clock.now()),
+      millis,
+      tries,
+    });
   }
 }
 
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -3,10 +3,11 @@
 import type { Reply } from '@bamboowell/kernel/ask';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { WorkerId } from '@bamboowell/types/ids';
-import type { JobConfiguration, StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
+import type { StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import type { JobInput } from '@bamboowell/jobs/messages';
 import type { Restored } from '@bamboowell/jobs/records';
+import type { ConfigurationUpdate } from './configuration-task.js';
 import type { MemberPort } from './member-port.js';
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
 import type { OwnershipMessage } from './ownership-messages.js';
@@ -23,7 +24,7 @@
   | { readonly kind: 'elected'; readonly term: Term }
   /** Ends any lower term: another member holds this one, or the work has been released. */
   | { readonly kind: 'superseded'; readonly term: Term }
-  | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
+  | ConfigurationUpdate
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
   | { readonly kind: 'workers_read' }
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -23,7 +23,7 @@
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
-import { NO_VERSION } from './configuration-task.js';
+import { NO_VERSION, ageMillis } from './configuration-task.js';
 import { allLeasesEnd } from './lease-clock.js';
 import { loadWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -73,6 +73,8 @@
   private tenure: Tenure | undefined;
   private ownership: MailboxAddress<OwnershipMessage> | undefined;
   private configuration: JobConfiguration | undefined;
+  /** When `configuration` was last known to be the latest one. */
+  private confirmedAt: Instant | undefined;
   private readonly members = new Map<MemberId, MemberPort>();
   private readonly requests = new PendingRequests();
   private readonly advice: AdviceCalls;
@@ -122,6 +124,9 @@
         this.stepScheduler({ kind: 'configuration', configuration });
         this.startServing();
       })
+      .with({ kind: 'configuration_confirmed' }, ({ at }) => {
+        this.confirmedAt = at;
+      })
       .with({ kind: 'worker' }, ({ registration }) => {
         this.tenure?.registrations.set(registration.id, registration);
         this.stepScheduler({ kind: 'worker', registration });
@@ -497,6 +502,7 @@
       ...scheduler.figures(),
       members: this.members.size,
       pendingRequests: this.requests.size,
+      configurationAgeMillis: ageMillis(this.confirmedAt, now),
     });
   }
 
--- a/packages/member/src/store.ts
+++ b/packages/member/src/store.ts
@@ -47,6 +47,8 @@
   /** `refused`: the store reported that it did nothing. */
   readonly how: 'refused' | 'silent';
   readonly detail: string;
+  /** Bytes of an incomplete answer; 0 if absent. */
+  readonly receivedBytes?: number;
 }
 
 export type AppendOutcome =
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -1,8 +1,8 @@
 /** Follows a topic: reads the newest record of each key, then new records by long polling. */
 
 import type { Clock } from '@bamboowell/kernel/clock';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
-import type { Offset } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
+import { brandAs, type Offset } from '@bamboowell/types/ids';
 import type { Store, StoreEntry, Topic, Unavailable } from './store.js';
 
 /** How long the store may wait for a record before it answers. */
@@ -15,6 +15,8 @@
 export interface TopicListener {
   /** Receives records in order; with `isWhole` they are the newest record of every key of the topic. */
   entries(entries: readonly StoreEntry[], end: Offset, isWhole: boolean): void;
+  /** The records delivered so far were all that the topic had at this time. */
+  confirmed?(at: Instant): void;
   /** The store has become reachable or unreachable. */
   reachable(isReachable: boolean, detail: string): void;
 }
@@ -26,6 +28,8 @@
   private reachedAt: Instant;
   /** Calls that failed since. */
   private failures = 0;
+  /** Bytes of the incomplete answers of these. */
+  private discardedBytes = 0;
 
   constructor(
     private readonly store: Store,
@@ -61,6 +65,7 @@
     const entries: StoreEntry[] = [];
     let endAtFirstPage: Offset | undefined;
     let after: string | undefined;
+    const askedAt = this.clock.now();
     do {
       const page = await this.store.newest(this.topic, after, this.deadlineAfterWait(0));
       if (page.kind === 'unavailable') {
@@ -73,10 +78,12 @@
     } while (after !== undefined);
     this.succeeded();
     this.deliver(entries, endAtFirstPage, true);
+    this.confirm(askedAt);
     return endAtFirstPage;
   }
 
   private async readFrom(from: Offset): Promise<Offset | undefined> {
+    const askedAt = this.clock.now();
     const part = await this.store.read(
       this.topic,
       from,
@@ -93,10 +100,16 @@
     }
     if (part.entries.length > 0) {
       this.deliver(part.entries, part.end, false);
-      await this.pauseToGather();
     }
     const last = part.entries.at(-1);
-    return last === undefined ? from : ((last.offset + 1) as Offset);
+    const next = last === undefined ? from : ((last.offset + 1) as Offset);
+    if (next >= part.end) {
+      this.confirm(last === undefined ? this.endOfWait(askedAt) : askedAt);
+    }
+    if (last !== undefined) {
+      await this.pauseToGather();
+    }
+    return next;
   }
 
   private async pauseToGather(): Promise<void> {
@@ -105,6 +118,18 @@
     }
   }
 
+  /** When the store sent an answer without records, at the earliest. */
+  private endOfWait(askedAt: Instant): Instant {
+    const waitedUntil = deadlineAfter(askedAt, POLL_WAIT_MILLIS);
+    return hasPassed(waitedUntil, this.clock.now()) ? brandAs<Instant>(waitedUntil) : askedAt;
+  }
+
+  private confirm(at: Instant): void {
+    if (!this.isStopped) {
+      this.listener.confirmed?.(at);
+    }
+  }
+
   private deliver(entries: readonly StoreEntry[], end: Offset, isWhole: boolean): void {
     if (!this.isStopped) {
       this.listener.entries(entries, end, isWhole);
@@ -115,17 +140,22 @@
     return deadlineAfter(this.clock.now(), waitMillis + ANSWER_TIMEOUT_MILLIS);
   }
 
-  private failed({ detail }: Unavailable): void {
+  private failed({ detail, receivedBytes = 0 }: Unavailable): void {
     this.failures += 1;
+    this.discardedBytes += receivedBytes;
     this.reportReachable(false, detail);
   }
 
   private succeeded(): void {
     const now = this.clock.now();
     const awayMillis = Math.round(now - this.reachedAt);
-    this.reportReachable(true, `${this.failures} calls failed within ${awayMillis} ms`);
+    this.reportReachable(
+      true,
+      `${this.failures} calls failed within ${awayMillis} ms, ${this.discardedBytes} bytes discarded`,
+    );
     this.reachedAt = now;
     this.failures = 0;
+    this.discardedBytes = 0;
   }
 
   private reportReachable(isReachable: boolean, detail: string): void {
