--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -6,6 +6,8 @@
 import { emulatedCluster, type ClusterOptions } from './emulated-cluster.fixture.js';
 import { configurationOf, planOf } from './plans.fixture.js';
 
+/** Number of queues in a document of about 300 KB. */
+const LARGE_QUEUE_COUNT = 1400;
 const NAMES = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'];
 
 /** Starts six members and waits until the first of them serves as owner. */
@@ -112,6 +114,68 @@
   t.is(cluster.ownerName(), 'm1');
 });
 
+const FAR_MEMBERS = Array.from({ length: 18 }, (_, index) => `f${index + 1}`);
+/** Bandwidth between the regions, and of the links of strong and weak machines. */
+const LINE_MBPS = 42;
+const STRONG_LINK_MBPS = 140;
+const WEAK_LINK_MBPS = 7;
+
+/** An owner next to the store, and 18 members in another region, a third of them with strong links. */
+async function clusterOfTwoRegions() {
+  const cluster = emulatedCluster({
+    workers: [{ name: 'w1', capacity: cores(4) }],
+    configuration: configurationOf(),
+    regionOf: (name) => (name.startsWith('f') ? 'far' : 'r1'),
+    lineMbps: LINE_MBPS,
+    machineOf: (name) => ({
+      cores: 1,
+      memoryMib: 250,
+      linkMbps:
+        name === 'm1' || Number(name.slice(1)) % 3 === 0 ? STRONG_LINK_MBPS : WEAK_LINK_MBPS,
+    }),
+  });
+  await cluster.launch('m1');
+  await cluster.run(800);
+  for (const name of FAR_MEMBERS) {
+    await cluster.launch(name);
+  }
+  await cluster.run(4000);
+  return cluster;
+}
+
+/** The members of the other region whose gateway uses the version. */
+function farMembersWith(cluster: Cluster, version: number): string[] {
+  const applied = `event=configuration.applied by=gateway version=${version}`;
+  return FAR_MEMBERS.filter((name) =>
+    cluster.log.some((line) => line.split(' ')[1] === name && line.includes(applied)),
+  );
+}
+
+// Guards against members of another region that never get a large version, because all of them read it at
+// the same time, give it up after 900 ms, and begin again (incident CONFIG, record inc1).
+test('all members of another region get two large versions within four seconds', async (t) => {
+  const cluster = await clusterOfTwoRegions();
+  cluster.declare(withManyQueues(2, LARGE_QUEUE_COUNT));
+  await cluster.run(1200);
+  cluster.declare(withManyQueues(3, LARGE_QUEUE_COUNT));
+  await cluster.run(4000);
+  t.deepEqual(farMembersWith(cluster, 3), FAR_MEMBERS);
+});
+
+// Guards against a line between regions that carries each version once for every member behind it, and
+// leaves no room for callers meanwhile (incident CONFIG, record inc1).
+test('a large version crosses the line between regions a few times, not once for each member', async (t) => {
+  const cluster = await clusterOfTwoRegions();
+  const line = cluster.lines.between('r1', 'far');
+  const before = line?.bytes ?? 0;
+  const version = withManyQueues(2, LARGE_QUEUE_COUNT);
+  cluster.declare(version);
+  await cluster.run(4000);
+  t.deepEqual(farMembersWith(cluster, 2), FAR_MEMBERS);
+  const copies = ((line?.bytes ?? 0) - before) / JSON.stringify(version).length;
+  t.true(copies < 6, `${copies.toFixed(1)} copies`);
+});
+
 // Guards against an owner whose reads of the configuration wait behind hundreds of reads of the claims,
 // one for each worker that refuses its orders (incident CONFIG).
 test('an owner that all workers fence reads the claims a few times only', async (t) => {
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -25,7 +25,7 @@
 import { NO_RESOURCES } from '@bamboowell/types/resources';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { GatewayMessage, JobReply, JobRequest } from './gateway-messages.js';
-import { EmulatedLink } from './emulated-link.fixture.js';
+import { EmulatedLines, EmulatedLink } from './emulated-link.fixture.js';
 import { EmulatedNetwork, EmulatedPeers } from './emulated-peers.fixture.js';
 import {
   NO_FAULTS,
@@ -59,6 +59,8 @@
 const LONGEST_LEASE_MILLIS = 6000;
 /** A machine with more resources than a member needs in any role. */
 const AMPLE_MACHINE: Machine = { cores: 1, memoryMib: 1024, linkMbps: 1000 };
+/** Region of the store, and of members by default. */
+const STORE_REGION = 'r1';
 /** Other members consider a frozen member silent after this. */
 const SILENCE_MILLIS = 1100;
 
@@ -147,6 +149,10 @@
   readonly configuration: JobConfiguration;
   /** Resources of a member's machine; ample by default. */
   readonly machineOf?: (name: string) => Machine;
+  /** Region of a member; that of the store by default. */
+  readonly regionOf?: (name: string) => string;
+  /** Bandwidth between two regions in each direction; unlimited by default. */
+  readonly lineMbps?: number;
   /** Returns a number from 0 to 1. */
   readonly random?: () => number;
 }
@@ -156,7 +162,8 @@
   const now = (): number => clock.now();
   const random = options.random ?? (() => 0.5);
   const store = new EmulatedStore();
-  const network = new EmulatedNetwork();
+  const lines = new EmulatedLines(clock, options.lineMbps);
+  const network = new EmulatedNetwork(lines);
   const jobs = new JobInvariants(now);
   const log: string[] = [];
   const workers = new Map<WorkerId, EmulatedWorker>();
@@ -183,7 +190,15 @@
     const link = new EmulatedLink(clock, machine.linkMbps);
     const kernel = new Kernel();
     const storeFaults = { ...NO_FAULTS };
-    const storePort = new EmulatedStorePort(store, processClock, storeFaults, random, link);
+    const region = options.regionOf?.(name) ?? STORE_REGION;
+    const storePort = new EmulatedStorePort(
+      store,
+      processClock,
+      storeFaults,
+      random,
+      link,
+      lines.between(STORE_REGION, region),
+    );
     const member: EmulatedMember = {
       name,
       clock: processClock,
@@ -197,7 +212,7 @@
       settings: {
         member: brandAs<MemberId>(name),
         incarnation: brandAs<Incarnation>(`${name}-${incarnations}`),
-        region: 'r1',
+        region,
         machine,
         peerAddress: { host: name, port: 1 },
         peerPorts: 1,
@@ -251,6 +266,7 @@
     log,
     workers,
     members,
+    lines,
     launch,
     list,
     /** Deletes the worker's record, as after it has left or been silent for long. */
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -9,7 +9,7 @@
   type Handler,
   type WireAnswer,
 } from '@bamboowell/wire/connection';
-import type { EmulatedLink } from './emulated-link.fixture.js';
+import { EmulatedLines, type EmulatedLink } from './emulated-link.fixture.js';
 import { Peers, type DialResult, type DialTarget, type PeersOptions } from './peers.js';
 
 const ONE_WAY_MILLIS = 1;
@@ -17,6 +17,8 @@
 /** The listening members by address. */
 export class EmulatedNetwork {
   readonly listeners = new Map<string, EmulatedPeers>();
+
+  constructor(readonly lines: EmulatedLines) {}
 }
 
 export class EmulatedPeers extends Peers {
@@ -28,11 +30,15 @@
     options: PeersOptions,
     readonly clock: Clock,
     readonly link: EmulatedLink,
-    private readonly network: EmulatedNetwork,
+    readonly network: EmulatedNetwork,
   ) {
     super(options);
   }
 
+  get region(): string {
+    return this.options.settings.region;
+  }
+
   listen(): Promise<void> {
     this.network.listeners.set(nameOf(this.options.settings.peerAddress), this);
     return Promise.resolve();
@@ -90,11 +96,15 @@
   readonly clock: Clock;
   readonly lagMillis: number;
   readonly link: EmulatedLink;
+  readonly region: string;
+  readonly network: EmulatedNetwork;
 }
 
 class EmulatedConnection extends Connection {
   readonly ended: Promise<CloseReason>;
   private isEnded = false;
+  /** Resolves when all that was sent to this end so far has crossed the line between the regions. */
+  private crossed: Promise<unknown> = Promise.resolve();
   private peer: EmulatedConnection | undefined;
   private resolveEnded: (reason: CloseReason) => void = () => undefined;
   private readonly handlers = new Map<string, Handler>();
@@ -174,11 +184,22 @@
     this.resolveEnded(reason);
   }
 
+  /** Resolves when the message has crossed the line from the other end's region, if there is one. */
+  private cross(message: unknown): Promise<unknown> {
+    const { region, network } = this.host;
+    const line = network.lines.between(this.peer?.host.region ?? region, region);
+    if (line !== undefined) {
+      this.crossed = this.crossed.then(() => line.transmit(message, () => !this.isEnded));
+    }
+    return this.crossed;
+  }
+
   /** Acts at this end once the message has arrived and the process is running. */
   private deliver(message: unknown, act: () => unknown): void {
     const { clock, link, lagMillis } = this.host;
     const sent = this.peer?.host.link.transmit('out', message);
     void Promise.resolve(sent).then(async () => {
+      await this.cross(message);
       await clock.sleepUntil(deadlineAfter(clock.now(), ONE_WAY_MILLIS + lagMillis));
       await link.transmit('in', message);
       if (!this.isEnded) {
--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
-import type { EmulatedLink } from './emulated-link.fixture.js';
+import type { EmulatedLine, EmulatedLink } from './emulated-link.fixture.js';
 import {
   Store,
   type AppendCondition,
@@ -137,6 +137,8 @@
     private readonly faults: StoreFaults,
     private readonly random: () => number,
     private readonly link: EmulatedLink,
+    /** From the store's region to the member's, if that is another one. */
+    private readonly line?: EmulatedLine,
   ) {
     super();
   }
@@ -238,6 +240,7 @@
     }
     const value = act();
     await clock.sleepUntil(deadlineAfter(clock.now(), oneWayMillis));
+    await this.line?.transmit(value, () => clock.now() <= deadline);
     await this.link.transmit('in', value);
     return clock.now() > deadline ? { kind: 'unavailable', how: 'silent', detail: 'late' } : value;
   }
--- a/packages/member/src/gateway-task.test.ts
+++ b/packages/member/src/gateway-task.test.ts
@@ -40,6 +40,7 @@
   }
 }
 
+const CONFIGURATION_LIFETIME_MILLIS = 3000;
 const ACCEPTED: OwnerReply = { kind: 'answered', answer: { kind: 'accepted', repeated: false } };
 
 async function gatewayBench({ isConfigured = true } = {}) {
@@ -104,6 +105,38 @@
   };
 }
 
+// Guards against members that refuse, or count, by a version that nothing has confirmed for seconds, while
+// a later one is in force (incident CONFIG, record inc1).
+test('a member that can not confirm its configuration does not refuse by it, and counts nothing', async (t) => {
+  const { gateway, clock, setOwner, advance, request } = await gatewayBench();
+  const owner = new ScriptedOwner([]);
+  await setOwner(owner);
+  const confirm = () => {
+    gateway.post({ kind: 'configuration_confirmed', at: clock.now() });
+  };
+  const probes: Partial<JobRequest>[] = [
+    { verb: 'query', path: '/elsewhere/' },
+    { verb: 'submit', key: 'other' },
+  ];
+  confirm();
+  const repliesOf = async (changes: readonly Partial<JobRequest>[]) => {
+    const kinds: (string | undefined)[] = [];
+    for (const change of changes) {
+      const { value } = await request(change);
+      kinds.push(value?.kind === 'refused' ? value.reason : value?.kind);
+    }
+    return kinds;
+  };
+  t.deepEqual(await repliesOf(probes), ['unknown_queue', 'unknown_key']);
+  await advance(CONFIGURATION_LIFETIME_MILLIS + 20);
+  const unconfirmed = 'configuration_unconfirmed';
+  const withCount: typeof probes = [...probes, { verb: 'query', path: '/plans/' }];
+  t.deepEqual(await repliesOf(withCount), [unconfirmed, unconfirmed, unconfirmed]);
+  t.is(owner.asked.length, 0);
+  confirm();
+  t.deepEqual(await repliesOf(probes), ['unknown_queue', 'unknown_key']);
+});
+
 test('requests that the configuration does not allow never reach the owner', async (t) => {
   const { setOwner, request } = await gatewayBench();
   const owner = new ScriptedOwner([]);
--- a/packages/wire/src/tcp-connection.test.ts
+++ b/packages/wire/src/tcp-connection.test.ts
@@ -118,6 +118,22 @@
   t.is(clientMeter.read('wire.ended.silent'), 0);
 });
 
+// Guards against a connection that ends as silent while a long message arrives over a full line, so that
+// the message is discarded with it (incident CONFIG, record inc1).
+test('a connection over which a long message arrives slowly does not count as silent', async (t) => {
+  const { clock, client, socket } = await endWithPlainSocket(t);
+  const received = deferred<unknown>();
+  client.handle('news', received.resolve);
+  const message = `{"jsonrpc":"2.0","method":"news","params":["${'x'.repeat(60_000)}"]}\n`;
+  for (let from = 0; from < message.length; from += 10_000) {
+    socket.write(message.slice(from, from + 10_000));
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    clock.advance(SILENCE_MILLIS - 1);
+  }
+  const outcome = await Promise.race([received.value, client.ended]);
+  t.deepEqual(outcome, ['x'.repeat(60_000)]);
+});
+
 test('a frame that is cut in the middle is not delivered', async (t) => {
   const { clock, client, socket } = await endWithPlainSocket(t);
   let count = 0;
