Refuse and count by a configuration only while it is known to be the latest

Cause: a member couldn't tell that nothing has changed from that it has heard nothing; it answered by its version in both cases. The class: data that decides an answer has no age.

A member now keeps the time at which its version was last known to be the latest: the store showed no later record, asked at once after each new one, or another member with no later version says so. Beyond the bound for changes, less a second for the way of the confirmation, a refusal for want of a queue or a key, and a count, become 503.

A submission by an older version is still decided by the owner's version alone.

--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -1,7 +1,7 @@
 /**
  * Follows the operator's configuration and notifies the other tasks; only higher versions are adopted.
- * Members tell each other their versions; one that stays behind, because it can't read the store,
- * fetches the document from another member.
+ * Members tell each other their versions, and when these were last known to be the latest; one that stays
+ * behind, because it can't read the store, fetches the document from another member.
  */
 
 import { match } from 'ts-pattern';
@@ -24,6 +24,9 @@
 /** Pause before a failed fetch from another member is retried. */
 const FETCH_RETRY_DELAY_MILLIS = 250;
 
+/** Interval at which members are told that a version is still the latest one. */
+const ANNOUNCEMENT_INTERVAL_MILLIS = 1000;
+
 /** Version of a configuration; the version of a member without one is lower than any valid one. */
 export const NO_VERSION = -1;
 
@@ -48,8 +51,12 @@
   | {
       readonly kind: 'version_announced';
       readonly version: number;
+      /** When that was last known to be the latest version, if ever. */
+      readonly confirmedAt: Instant | undefined;
       readonly member: ConfigurationSource;
     }
+  /** Time to tell the other members that the version is still the latest one. */
+  | { readonly kind: 'announce' }
   | { readonly kind: 'fetch' }
   /** A document received from another member; undefined if the fetch failed. */
   | {
@@ -64,13 +71,23 @@
 
 /** Another member, as a source of the configuration. */
 export abstract class ConfigurationSource {
-  /** Tells the member the version that this one has. */
-  abstract announceVersion(version: number): void;
+  /**
+   * Tells the member the version that this one has, and how long ago that was known to be the latest
+   * one; undefined if it never was.
+   */
+  abstract announceVersion(version: number, ageMillis: number | undefined): void;
 
   /** Returns the member's document; undefined if it doesn't answer. */
   abstract fetchDocument(): Promise<StoreEntry | undefined>;
 }
 
+interface Announced {
+  readonly version: number;
+  readonly confirmedAt: Instant | undefined;
+}
+
+const NOTHING_ANNOUNCED: Announced = { version: NO_VERSION, confirmedAt: undefined };
+
 export interface ConfigurationOptions {
   readonly store: Store;
   readonly documents: Documents;
@@ -84,9 +101,13 @@
   private document: StoreEntry | undefined;
   /** When the configuration was last known to be the latest one. */
   private confirmedAt: Instant | undefined;
+  /** Whether the store has a record after the current one that can't be read. */
+  private hasUnreadableRecord = false;
+  /** What `confirmedAt` was when the members were last told. */
+  private announcedConfirmation: Instant | undefined;
   private readonly subscribers: MailboxAddress<ConfigurationUpdate>[] = [];
-  /** The connected members, with the last version that each announced. */
-  private readonly members = new Map<ConfigurationSource, number>();
+  /** The connected members, with what each announced last. */
+  private readonly members = new Map<ConfigurationSource, Announced>();
   /** Whether a fetch is scheduled or under way. */
   private isFetching = false;
 
@@ -111,6 +132,7 @@
 
   protected override onStart(): void {
     this.watch.start();
+    this.announceLater();
   }
 
   protected override onStop(): void {
@@ -125,19 +147,28 @@
         });
       })
       .with({ kind: 'confirmed' }, ({ at }) => {
-        this.confirm(at);
+        if (!this.hasUnreadableRecord) {
+          this.confirm(at);
+        }
       })
       .with({ kind: 'member_connected' }, ({ member }) => {
-        this.members.set(member, this.members.get(member) ?? NO_VERSION);
-        member.announceVersion(this.version);
+        this.members.set(member, this.members.get(member) ?? NOTHING_ANNOUNCED);
+        this.announceTo(member);
       })
       .with({ kind: 'member_gone' }, ({ member }) => {
         this.members.delete(member);
       })
-      .with({ kind: 'version_announced' }, ({ version, member }) => {
-        this.members.set(member, version);
+      .with({ kind: 'version_announced' }, ({ version, confirmedAt, member }) => {
+        this.members.set(member, { version, confirmedAt });
+        this.confirmByMembers();
         this.fetchLater(STORE_DELIVERY_MILLIS);
       })
+      .with({ kind: 'announce' }, () => {
+        this.announceLater();
+        if (this.confirmedAt !== this.announcedConfirmation) {
+          this.announceToAll();
+        }
+      })
       .with({ kind: 'fetch' }, () => {
         this.fetch();
       })
@@ -176,7 +207,7 @@
     }
     this.options.events.event('configuration.behind', {
       version: this.version,
-      announced: this.members.get(member) ?? NO_VERSION,
+      announced: this.members.get(member)?.version ?? NO_VERSION,
     });
     void member.fetchDocument().then((document) => {
       this.post({ kind: 'fetched', member, document });
@@ -190,11 +221,11 @@
     }
     const isUseless = document !== undefined && this.version === before;
     const announced = this.members.get(member);
-    if (announced !== undefined && announced > this.version) {
+    if (announced !== undefined && announced.version > this.version) {
       // It goes last among members with the same version. One whose document can't be used counts as
       // having this member's version until it announces another.
       this.members.delete(member);
-      this.members.set(member, isUseless ? this.version : announced);
+      this.members.set(member, isUseless ? { ...announced, version: this.version } : announced);
     }
     this.fetchLater(FETCH_RETRY_DELAY_MILLIS);
   }
@@ -203,7 +234,7 @@
   private newestMember(): ConfigurationSource | undefined {
     let newest: ConfigurationSource | undefined;
     let newestVersion = this.version;
-    for (const [member, version] of this.members) {
+    for (const [member, { version }] of this.members) {
       if (version > newestVersion) {
         newest = member;
         newestVersion = version;
@@ -222,6 +253,7 @@
     }
     if (decoded.kind === 'unreadable') {
       const { detail } = decoded;
+      this.hasUnreadableRecord = true;
       this.options.events.event('record.unreadable', { topic: 'operator', key: entry.key, detail });
       return;
     }
@@ -243,11 +275,38 @@
     });
     this.configuration = configuration;
     this.document = entry;
+    this.hasUnreadableRecord = false;
     this.subscribers.forEach((subscriber) => {
       subscriber.post({ kind: 'configuration', configuration });
     });
+    this.confirmByMembers();
+    this.announceToAll();
+  }
+
+  private announceLater(): void {
+    const at = deadlineAfter(this.clock.now(), ANNOUNCEMENT_INTERVAL_MILLIS);
+    this.postAt(at, { kind: 'announce' });
+  }
+
+  private announceToAll(): void {
+    this.announcedConfirmation = this.confirmedAt;
     this.members.forEach((_, member) => {
-      member.announceVersion(version);
+      this.announceTo(member);
+    });
+  }
+
+  private announceTo(member: ConfigurationSource): void {
+    const { confirmedAt } = this;
+    const ageMillis = confirmedAt === undefined ? undefined : this.clock.now() - confirmedAt;
+    member.announceVersion(this.version, ageMillis);
+  }
+
+  /** Adopts the confirmations of members that have no later version. */
+  private confirmByMembers(): void {
+    this.members.forEach(({ version, confirmedAt }) => {
+      if (version <= this.version && confirmedAt !== undefined) {
+        this.confirm(confirmedAt);
+      }
     });
   }
 
--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -97,6 +97,21 @@
   t.is((await submit(cluster, 'm2', 2)).kind, 'accepted');
 });
 
+// Guards against a member that can't read the store and so never knows whether its version is the latest,
+// while the owner does (incident CONFIG, record inc1).
+test('a member without the store refuses by a version that the owner confirms', async (t) => {
+  const cluster = await runningCluster();
+  const member = cluster.members.get('m2');
+  t.truthy(member);
+  if (member === undefined) {
+    return;
+  }
+  member.storeFaults.mode = 'silent';
+  cluster.declare(withoutKeys(2));
+  await cluster.run(6000);
+  t.is((await submit(cluster, 'm2', 1)).kind, 'unknown_key');
+});
+
 // Guards against an owner on a thin link that a change of the configuration keeps from serving,
 // because every member sends it the document and gets it from it (incident CONFIG).
 test('a large configuration does not hold up requests at an owner on a thin link', async (t) => {
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -57,6 +57,7 @@
 
 const START_WALL_MILLIS = 1_700_000_000_000;
 const LONGEST_LEASE_MILLIS = 6000;
+const CONFIGURATION_LIFETIME_MILLIS = 2000;
 /** A machine with more resources than a member needs in any role. */
 const AMPLE_MACHINE: Machine = { cores: 1, memoryMib: 1024, linkMbps: 1000 };
 /** Region of the store, and of members by default. */
@@ -216,6 +217,7 @@
         machine,
         peerAddress: { host: name, port: 1 },
         peerPorts: 1,
+        configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         stopMillis: 6000,
       },
--- a/packages/member/src/gateway-messages.ts
+++ b/packages/member/src/gateway-messages.ts
@@ -36,7 +36,7 @@
    */
   | {
       readonly kind: 'refused';
-      readonly reason: 'no_configuration' | 'no_owner' | 'overloaded';
+      readonly reason: 'no_configuration' | 'configuration_unconfirmed' | 'no_owner' | 'overloaded';
       readonly retryAfterSeconds: number;
     }
   /** It isn't known whether the request took effect. */
--- a/packages/member/src/gateway-task.test.ts
+++ b/packages/member/src/gateway-task.test.ts
@@ -51,10 +51,11 @@
       events.push({ name, fields });
     }
   })();
-  const gateway = new GatewayTask(log, clock);
+  const gateway = new GatewayTask(log, clock, CONFIGURATION_LIFETIME_MILLIS);
   await gateway.start();
   if (isConfigured) {
     gateway.post({ kind: 'configuration', configuration: configurationOf() });
+    gateway.post({ kind: 'configuration_confirmed', at: clock.now() });
   }
   const flush = () => new Promise((resolve) => setImmediate(resolve));
   return {
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -61,9 +61,11 @@
   private lastId = 0;
   private readonly pending = new Map<number, Pending>();
 
+  /** @param configurationLifetimeMillis how long a configuration counts as the latest once confirmed. */
   constructor(
     private readonly events: EventLog,
     clock: Clock,
+    private readonly configurationLifetimeMillis: number,
   ) {
     super('gate', clock, GATEWAY_MAILBOX_CAPACITY);
     this.ownerlessSince = clock.now();
@@ -145,6 +147,10 @@
       return;
     }
     const checked = check(routes, request);
+    if (!this.mayRestOn(checked)) {
+      this.refuse(request, reply, 'configuration_unconfirmed');
+      return;
+    }
     if (checked.kind !== 'request') {
       this.log(request.path, request.verb, checked.kind, routes.configuration.version, 0);
       reply(checked);
@@ -161,13 +167,28 @@
     this.enqueue(checked, request, reply);
   }
 
-  private refuse(
-    request: JobRequest,
-    reply: Reply<JobReply>,
-    reason: Extract<JobReply, { kind: 'refused' }>['reason'],
-  ): void {
+  /**
+   * Whether the configuration is recent enough for the outcome of a check. A refusal and a count say
+   * nothing but what the configuration has; what the owner decides is checked there once more.
+   */
+  private mayRestOn(checked: Checked): boolean {
+    const restsOnConfiguration =
+      checked.kind === 'unknown_queue' ||
+      checked.kind === 'unknown_key' ||
+      (checked.kind === 'request' && checked.request.kind === 'count');
+    return !restsOnConfiguration || this.isConfigurationConfirmed();
+  }
+
+  private isConfigurationConfirmed(): boolean {
+    return (
+      this.confirmedAt !== undefined &&
+      this.clock.now() - this.confirmedAt <= this.configurationLifetimeMillis
+    );
+  }
+
+  private refuse(request: JobRequest, reply: Reply<JobReply>, reason: RefusalReason): void {
     this.log(request.path, request.verb, reason, this.routes?.configuration.version ?? 0, 0);
-    reply({ kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS });
+    reply(refusalWith(reason));
   }
 
   private enqueue(
@@ -229,7 +250,10 @@
       pending.ownerRequest = checked.request;
       return true;
     }
-    this.finish(id, pending, pending.mayHaveRun ? { kind: 'undecided' } : checked);
+    const refusal: JobReply = this.mayRestOn(checked)
+      ? checked
+      : refusalWith('configuration_unconfirmed');
+    this.finish(id, pending, pending.mayHaveRun ? { kind: 'undecided' } : refusal);
     return false;
   }
 
@@ -254,13 +278,7 @@
       return;
     }
     const isUndecided = pending.mayHaveRun || pending.isInFlight;
-    this.finish(
-      id,
-      pending,
-      isUndecided
-        ? { kind: 'undecided' }
-        : { kind: 'refused', reason: 'no_owner', retryAfterSeconds: RETRY_AFTER_SECONDS },
-    );
+    this.finish(id, pending, isUndecided ? { kind: 'undecided' } : refusalWith('no_owner'));
   }
 
   private finish(id: number, pending: Pending, reply: JobReply): void {
@@ -295,6 +313,12 @@
   }
 }
 
+type RefusalReason = Extract<JobReply, { kind: 'refused' }>['reason'];
+
+function refusalWith(reason: RefusalReason): JobReply {
+  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+}
+
 /** Messages that may be queued. */
 const GATEWAY_MAILBOX_CAPACITY = 16_384;
 
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -3,9 +3,9 @@
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import { ask } from '@bamboowell/kernel/ask';
 import type { Clock } from '@bamboowell/kernel/clock';
-import type { Incarnation, MemberId } from '@bamboowell/types/ids';
+import { brandAs, type Incarnation, type MemberId } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
-import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
 import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
@@ -242,8 +242,10 @@
       });
     });
     connection.handle(METHODS.configuration, (params) => {
-      const { version } = params as VersionAnnouncement;
-      configuration.post({ kind: 'version_announced', version, member });
+      const { version, ageMillis } = params as VersionAnnouncement;
+      const confirmedAt =
+        ageMillis === undefined ? undefined : brandAs<Instant>(clock.now() - ageMillis);
+      configuration.post({ kind: 'version_announced', version, confirmedAt, member });
     });
     connection.handle(METHODS.document, async (): Promise<StoreEntry | null> => {
       const answer = await ask<ConfigurationMessage, StoreEntry | undefined>(
@@ -260,6 +262,8 @@
 
 interface VersionAnnouncement {
   readonly version: number;
+  /** How long ago the version was known to be the latest; absent if it never was, and from earlier builds. */
+  readonly ageMillis?: number;
 }
 
 /** The configuration of the member at the other end of a connection. */
@@ -271,8 +275,9 @@
     super();
   }
 
-  announceVersion(version: number): void {
-    const announcement: VersionAnnouncement = { version };
+  announceVersion(version: number, ageMillis: number | undefined): void {
+    const announcement: VersionAnnouncement =
+      ageMillis === undefined ? { version } : { version, ageMillis: Math.ceil(ageMillis) };
     this.connection.notify(METHODS.configuration, announcement);
   }
 
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -122,7 +122,8 @@
   readonly dependencies = [EVENTS, CONFIGURATION];
 
   protected make(directory: Directory): Task<GatewayMessage> {
-    return new GatewayTask(directory.find(EVENTS), this.environment.clock);
+    const { settings, clock } = this.environment;
+    return new GatewayTask(directory.find(EVENTS), clock, settings.configurationLifetimeMillis);
   }
 
   protected override started(directory: Directory, task: Task<GatewayMessage>): void {
--- a/packages/member/src/settings.ts
+++ b/packages/member/src/settings.ts
@@ -21,6 +21,8 @@
   readonly peerAddress: Address;
   /** Number of free ports from that of the address on. */
   readonly peerPorts: number;
+  /** A configuration counts as the latest for this long after that was last confirmed. */
+  readonly configurationLifetimeMillis: number;
   /** Longest time that a worker keeps its runs without a lease renewal, by its own clock. */
   readonly longestLeaseMillis: number;
   /** Grace period between the request to stop and the end of the process. */
--- a/packages/member/src/tcp-peers.test.ts
+++ b/packages/member/src/tcp-peers.test.ts
@@ -40,6 +40,7 @@
     machine: { cores: 1, memoryMib: 100, linkMbps: 100 },
     peerAddress: { host: HOST, port },
     peerPorts,
+    configurationLifetimeMillis: 2000,
     longestLeaseMillis: 6000,
     stopMillis: 6000,
   };
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -23,6 +23,8 @@
 
 export class TopicWatch {
   private isStopped = false;
+  /** Whether records have arrived since the store last showed that there are no further ones. */
+  private isUnconfirmed = false;
   private wasReachable: boolean | undefined;
   /** When a call last succeeded. */
   private reachedAt: Instant;
@@ -79,16 +81,18 @@
     this.succeeded();
     this.deliver(entries, endAtFirstPage, true);
     this.confirm(askedAt);
+    this.isUnconfirmed = this.listener.confirmed !== undefined;
     return endAtFirstPage;
   }
 
   private async readFrom(from: Offset): Promise<Offset | undefined> {
+    const waitMillis = this.isUnconfirmed ? 0 : POLL_WAIT_MILLIS;
     const askedAt = this.clock.now();
     const part = await this.store.read(
       this.topic,
       from,
-      POLL_WAIT_MILLIS,
-      this.deadlineAfterWait(POLL_WAIT_MILLIS),
+      waitMillis,
+      this.deadlineAfterWait(waitMillis),
     );
     if (part.kind === 'unavailable') {
       this.failed(part);
@@ -102,9 +106,10 @@
       this.deliver(part.entries, part.end, false);
     }
     const last = part.entries.at(-1);
+    this.isUnconfirmed = last !== undefined && this.listener.confirmed !== undefined;
     const next = last === undefined ? from : ((last.offset + 1) as Offset);
     if (next >= part.end) {
-      this.confirm(last === undefined ? this.endOfWait(askedAt) : askedAt);
+      this.confirm(last === undefined ? this.endOfWait(askedAt, waitMillis) : askedAt);
     }
     if (last !== undefined) {
       await this.pauseToGather();
@@ -119,8 +124,8 @@
   }
 
   /** When the store sent an answer without records, at the earliest. */
-  private endOfWait(askedAt: Instant): Instant {
-    const waitedUntil = deadlineAfter(askedAt, POLL_WAIT_MILLIS);
+  private endOfWait(askedAt: Instant, waitMillis: number): Instant {
+    const waitedUntil = deadlineAfter(askedAt, waitMillis);
     return hasPassed(waitedUntil, this.clock.now()) ? brandAs<Instant>(waitedUntil) : askedAt;
   }
 
