Bring the configuration over the line between regions a few times, not once for each member

The class: recovery that costs more than the work it recovers.

In each region the members with the widest links read the store, one for six; the others follow one of them over a connection of their own, and ask the store for the end of the topic only. Whoever loses its reader, or gets nothing from it, reads the store. After an outage a topic with large records is read again only if it has grown. Another member is asked only after a second, unless the store doesn't answer.

--- a/packages/member/src/configuration-task.ts
+++ b/packages/member/src/configuration-task.ts
@@ -1,26 +1,30 @@
 /**
  * Follows the operator's configuration and notifies the other tasks; only higher versions are adopted.
  * Members tell each other their versions, and when these were last known to be the latest; one that stays
- * behind, because it can't read the store, fetches the document from another member.
+ * behind, because it can't read the store, fetches the document from another member. Most members of a
+ * region follow one that reads the store on their behalf.
  */
 
 import { match } from 'ts-pattern';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { Reply } from '@bamboowell/kernel/ask';
-import type { Clock } from '@bamboowell/kernel/clock';
+import type { Alarm, Clock } from '@bamboowell/kernel/clock';
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobConfiguration } from '@bamboowell/types/job';
-import { deadlineAfter, type Instant } from '@bamboowell/types/time';
+import { brandAs, type Offset } from '@bamboowell/types/ids';
+import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Documents } from './ports.js';
 import type { Store, StoreEntry } from './store.js';
-import { TopicWatch } from './topic-watch.js';
+import { TopicWatch, type TopicListener } from './topic-watch.js';
 
 /**
- * How long a member waits for the store to deliver a version that another member already has: several
- * round trips to another region.
+ * How long a member waits for a version that another member already has to come from where it usually
+ * comes from, the store or the member that this one follows: enough for a large document.
  */
-const STORE_DELIVERY_MILLIS = 300;
+const USUAL_DELIVERY_MILLIS = 1000;
+/** The same while the store doesn't answer and no member is followed: several round trips. */
+const SUBSTITUTE_DELAY_MILLIS = 300;
 /** Pause before a failed fetch from another member is retried. */
 const FETCH_RETRY_DELAY_MILLIS = 250;
 
@@ -46,6 +50,8 @@
   | { readonly kind: 'confirmed'; readonly at: Instant }
   /** A connection to another member is open. */
   | { readonly kind: 'member_connected'; readonly member: ConfigurationSource }
+  /** A connection is open to a member of the region that reads the store on behalf of this one. */
+  | { readonly kind: 'member_followed'; readonly member: ConfigurationSource }
   | { readonly kind: 'member_gone'; readonly member: ConfigurationSource }
   /** Another member has announced its version. */
   | {
@@ -57,6 +63,7 @@
     }
   /** Time to tell the other members that the version is still the latest one. */
   | { readonly kind: 'announce' }
+  | { readonly kind: 'store_reachable'; readonly isReachable: boolean }
   | { readonly kind: 'fetch' }
   /** A document received from another member; undefined if the fetch failed. */
   | {
@@ -108,15 +115,18 @@
   private readonly subscribers: MailboxAddress<ConfigurationUpdate>[] = [];
   /** The connected members, with what each announced last. */
   private readonly members = new Map<ConfigurationSource, Announced>();
-  /** Whether a fetch is scheduled or under way. */
+  /** The member of the region that reads the store on behalf of this one. */
+  private followed: ConfigurationSource | undefined;
+  private isStoreReachable = true;
   private isFetching = false;
+  private scheduledFetch: { readonly at: Deadline; readonly alarm: Alarm } | undefined;
 
   constructor(
     private readonly options: ConfigurationOptions,
     clock: Clock,
   ) {
     super('configuration', clock);
-    this.watch = new TopicWatch(options.store, 'operator', clock, {
+    const listener: TopicListener = {
       entries: (entries) => {
         this.post({ kind: 'entries', entries });
       },
@@ -124,9 +134,13 @@
         this.post({ kind: 'confirmed', at });
       },
       reachable: (isReachable, detail) => {
+        this.post({ kind: 'store_reachable', isReachable });
         const name = isReachable ? 'store.regained' : 'store.lost';
         options.events.event(name, { topic: 'operator', detail, version: this.version });
       },
+    };
+    this.watch = new TopicWatch(options.store, 'operator', clock, listener, {
+      hasLargeRecords: true,
     });
   }
 
@@ -155,13 +169,21 @@
         this.members.set(member, this.members.get(member) ?? NOTHING_ANNOUNCED);
         this.announceTo(member);
       })
+      .with({ kind: 'member_followed' }, ({ member }) => {
+        this.follow(member);
+        this.members.set(member, this.members.get(member) ?? NOTHING_ANNOUNCED);
+        this.announceTo(member);
+      })
       .with({ kind: 'member_gone' }, ({ member }) => {
         this.members.delete(member);
+        if (this.followed === member) {
+          this.follow(undefined);
+        }
       })
       .with({ kind: 'version_announced' }, ({ version, confirmedAt, member }) => {
         this.members.set(member, { version, confirmedAt });
         this.confirmByMembers();
-        this.fetchLater(STORE_DELIVERY_MILLIS);
+        this.fetchLater(this.delayOfFetch());
       })
       .with({ kind: 'announce' }, () => {
         this.announceLater();
@@ -169,7 +191,12 @@
           this.announceToAll();
         }
       })
+      .with({ kind: 'store_reachable' }, ({ isReachable }) => {
+        this.isStoreReachable = isReachable;
+        this.fetchLater(this.delayOfFetch());
+      })
       .with({ kind: 'fetch' }, () => {
+        this.scheduledFetch = undefined;
         this.fetch();
       })
       .with({ kind: 'fetched' }, ({ member, document }) => {
@@ -193,18 +220,36 @@
 
   /** Schedules a fetch if a connected member has a higher version. */
   private fetchLater(millis: number): void {
-    if (!this.isFetching && this.newestMember() !== undefined) {
-      this.isFetching = true;
-      this.postAt(deadlineAfter(this.clock.now(), millis), { kind: 'fetch' });
+    const at = deadlineAfter(this.clock.now(), millis);
+    const isScheduled = this.scheduledFetch !== undefined && this.scheduledFetch.at <= at;
+    if (this.isFetching || isScheduled || this.newestMember() === undefined) {
+      return;
+    }
+    this.scheduledFetch?.alarm.cancel();
+    this.scheduledFetch = { at, alarm: this.postAt(at, { kind: 'fetch' }) };
+  }
+
+  private follow(member: ConfigurationSource | undefined): void {
+    this.followed = member;
+    this.watch.setServedByMember(member !== undefined);
+  }
+
+  /** How long to wait before a newer version is fetched from a member that has announced it. */
+  private delayOfFetch(): number {
+    if (this.newestMember() === this.followed) {
+      return 0;
     }
+    return this.isStoreReachable || this.followed !== undefined
+      ? USUAL_DELIVERY_MILLIS
+      : SUBSTITUTE_DELAY_MILLIS;
   }
 
   private fetch(): void {
     const member = this.newestMember();
-    if (member === undefined) {
-      this.isFetching = false;
+    if (member === undefined || this.isFetching) {
       return;
     }
+    this.isFetching = true;
     this.options.events.event('configuration.behind', {
       version: this.version,
       announced: this.members.get(member)?.version ?? NO_VERSION,
@@ -230,8 +275,15 @@
     this.fetchLater(FETCH_RETRY_DELAY_MILLIS);
   }
 
-  /** The connected member with the highest version, if that is higher than this member's. */
+  /**
+   * The followed member if it has a higher version than this one; otherwise the connected member with
+   * the highest version, if that is higher.
+   */
   private newestMember(): ConfigurationSource | undefined {
+    const { followed } = this;
+    if (followed !== undefined && (this.members.get(followed)?.version ?? 0) > this.version) {
+      return followed;
+    }
     let newest: ConfigurationSource | undefined;
     let newestVersion = this.version;
     for (const [member, { version }] of this.members) {
@@ -275,6 +327,7 @@
     });
     this.configuration = configuration;
     this.document = entry;
+    this.watch.skipTo(brandAs<Offset>(entry.offset + 1));
     this.hasUnreadableRecord = false;
     this.subscribers.forEach((subscriber) => {
       subscriber.post({ kind: 'configuration', configuration });
--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -191,6 +191,29 @@
   t.true(copies < 6, `${copies.toFixed(1)} copies`);
 });
 
+/** The members that others follow, by the log. */
+function followedMembers(cluster: Cluster): string[] {
+  const readers = cluster.log.map((line) => /event=reader.followed reader=(\S+)/.exec(line)?.[1]);
+  return [...new Set(readers)].filter((name) => name !== undefined);
+}
+
+// Guards against members that wait in vain for the member that they follow (incident CONFIG, record inc1).
+test('members whose reader is lost or can not read get a version in time', async (t) => {
+  const cluster = await clusterOfTwoRegions();
+  const [killed = '', frozen = '', silent = ''] = followedMembers(cluster);
+  t.not(silent, '', 'three members are followed');
+  cluster.kill(killed);
+  cluster.freeze(frozen);
+  const cutOff = cluster.members.get(silent);
+  if (cutOff !== undefined) {
+    cutOff.storeFaults.mode = 'silent';
+  }
+  cluster.declare(withManyQueues(2, LARGE_QUEUE_COUNT));
+  await cluster.run(4000);
+  const others = FAR_MEMBERS.filter((name) => name !== killed && name !== frozen);
+  t.deepEqual(farMembersWith(cluster, 2), others);
+});
+
 // Guards against an owner whose reads of the configuration wait behind hundreds of reads of the claims,
 // one for each worker that refuses its orders (incident CONFIG).
 test('an owner that all workers fence reads the claims a few times only', async (t) => {
--- a/packages/member/src/known-members.ts
+++ b/packages/member/src/known-members.ts
@@ -1,6 +1,7 @@
 /**
  * The members that this one has heard of and where they accept connections. A new owner tells those
- * that don't come by themselves, because they can't read its claim in the store.
+ * that don't come by themselves, because they can't read its claim in the store; members of one region
+ * find each other here.
  */
 
 import type { MemberId } from '@bamboowell/types/ids';
@@ -11,6 +12,9 @@
   readonly address: Address;
   /** Number of consecutive ports, from the address on, at which it accepts connections. */
   readonly ports: number;
+  /** Its region, and the bandwidth of its machine's link; absent from earlier builds. */
+  readonly region?: string;
+  readonly linkMbps?: number;
 }
 
 /** A member is forgotten after this many dials in a row that failed: its machine is gone for good. */
@@ -32,7 +36,7 @@
   add(known: KnownMember): void {
     const earlier = this.byId.get(known.member);
     this.failedDials.delete(known.member);
-    if (earlier === undefined || !isSamePlace(earlier, known)) {
+    if (earlier === undefined || !isSame(earlier, known)) {
       this.byId.set(known.member, known);
       this.added.push(known);
     }
@@ -42,6 +46,13 @@
     return this.added.slice(additions);
   }
 
+  /** The other members of a region. */
+  inRegion(region: string): KnownMember[] {
+    return [...this.byId.values()].filter(
+      (known) => known.region === region && known.member !== this.self,
+    );
+  }
+
   /** Up to `count` of the other members that are not connected; the next call returns the next ones. */
   nextUnconnected(connected: ReadonlySet<MemberId>, count: number): KnownMember[] {
     const next = [...this.byId.values()]
@@ -63,10 +74,12 @@
   }
 }
 
-function isSamePlace(left: KnownMember, right: KnownMember): boolean {
+function isSame(left: KnownMember, right: KnownMember): boolean {
   return (
     left.address.host === right.address.host &&
     left.address.port === right.address.port &&
-    left.ports === right.ports
+    left.ports === right.ports &&
+    left.region === right.region &&
+    left.linkMbps === right.linkMbps
   );
 }
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -44,6 +44,8 @@
   serving: 'serving',
   /** Notification in both directions: a `Claim` that the other end may not have seen. */
   claim: 'claim',
+  /** Notification to a member of the same region: the sender follows it for the configuration. */
+  follow: 'follow',
   /** Notification from owner to member: a list of `KnownMember`. */
   members: 'members',
   /** Notification in both directions: the version of the configuration that the sender has. */
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -19,7 +19,13 @@
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
 import type { OwnerListener, Peers, HelloReply } from './peers.js';
 import type { MemberSettings } from './settings.js';
-import type { NewestPage, Store, StoreEntry, Unavailable } from './store.js';
+import {
+  AFTER_ALL_KEYS,
+  type NewestPage,
+  type Store,
+  type StoreEntry,
+  type Unavailable,
+} from './store.js';
 import { LOG_START, Election } from './election.js';
 import { TopicWatch } from './topic-watch.js';
 
@@ -508,9 +514,6 @@
   }
 }
 
-/** Sorts after all keys: the page that follows it has no entries and only reports the end of the log. */
-const AFTER_ALL_KEYS = '~';
-
 function claimOf(value: string): Claim | undefined {
   try {
     return JSON.parse(value) as Claim;
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -1,4 +1,4 @@
-/** Connections between members: every member keeps one to the owner. */
+/** Connections between members: every member keeps one to the owner, and most one to a neighbor. */
 
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import { ask } from '@bamboowell/kernel/ask';
@@ -28,8 +28,11 @@
 const MAX_INTRODUCTIONS = 8;
 /** Timeout for opening a connection to a member that must be told of a claim. */
 const INTRODUCTION_TIMEOUT_MILLIS = 500;
-/** Timeout of a fetch of the configuration, whose document may be large. */
-const DOCUMENT_TIMEOUT_MILLIS = 1500;
+/**
+ * Timeout of a fetch of the configuration: a large document takes a thin link seconds, and the loss of
+ * the connection ends the fetch sooner.
+ */
+const DOCUMENT_TIMEOUT_MILLIS = 8000;
 
 /** Where a member accepts connections; at one port if `ports` is absent. */
 export type DialTarget = Pick<Claim, 'address' | 'ports'>;
@@ -46,6 +49,7 @@
   /** Where the member accepts connections; absent from earlier builds. */
   readonly address?: Address;
   readonly ports?: number;
+  readonly linkMbps?: number;
   /** The term that the other end is expected to hold. */
   readonly term: Term;
 }
@@ -121,6 +125,7 @@
       region: settings.region,
       address: settings.peerAddress,
       ports: this.ports,
+      linkMbps: settings.machine.linkMbps,
       term,
     };
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
@@ -128,6 +133,18 @@
     return answer.kind === 'answered' ? (answer.value as HelloReply) : undefined;
   }
 
+  /** The known members of this one's region. */
+  get neighbors(): readonly KnownMember[] {
+    return this.known.inRegion(this.options.settings.region);
+  }
+
+  /** Follows the member at the other end for the configuration. */
+  follow(connection: Connection): ConfigurationSource {
+    const member = this.register(connection);
+    connection.notify(METHODS.follow, {});
+    return member;
+  }
+
   /** Notifies all connected members of a new owner. */
   announce(claim: Claim): void {
     this.connections.forEach((connection) => {
@@ -183,6 +200,9 @@
       configuration.post({ kind: 'member_connected', member });
       return this.answerHello(connection, params as Hello);
     });
+    connection.handle(METHODS.follow, () => {
+      configuration.post({ kind: 'member_connected', member });
+    });
     connection.handle(METHODS.request, async (params): Promise<OwnerReply> => {
       const request = params as OwnerRequest;
       const deadline = deadlineAfter(clock.now(), REQUEST_TIMEOUT_MILLIS);
@@ -198,12 +218,12 @@
 
   private async answerHello(
     connection: Connection,
-    { member, region, address, ports = 1, term }: Hello,
+    { member, region, address, ports = 1, linkMbps = 0, term }: Hello,
   ): Promise<HelloReply> {
     const { owner, clock, settings } = this.options;
     this.introduced.set(connection, { member, additions: 0 });
     if (address !== undefined) {
-      this.known.add({ member, address, ports });
+      this.known.add({ member, address, ports, region, linkMbps });
     }
     const port = new RemoteMember(member, region, connection, clock);
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -17,6 +17,7 @@
   EVENTS,
   GATEWAY,
   MACHINE,
+  NEIGHBOR,
   OWNER,
   OWNERSHIP,
   PEERS,
@@ -31,6 +32,7 @@
 import { OwnerTask } from './owner-task.js';
 import { MachineTask, type MachineMessage, type ProcessGauges } from './machine-task.js';
 import type { OwnershipMessage } from './ownership-messages.js';
+import { NeighborTask, type NeighborMessage } from './neighbor-task.js';
 import { OwnershipTask } from './ownership-task.js';
 import type { Peers, PeersOptions } from './peers.js';
 import type { MemberSettings } from './settings.js';
@@ -194,6 +196,19 @@
   }
 }
 
+export class NeighborService extends TaskService<NeighborMessage> {
+  readonly key = NEIGHBOR;
+  readonly dependencies = [EVENTS, PEERS, CONFIGURATION];
+
+  protected make(directory: Directory): Task<NeighborMessage> {
+    const { settings, clock } = this.environment;
+    const peers = directory.find(PEERS);
+    const configuration = directory.find(CONFIGURATION);
+    const events = directory.find(EVENTS);
+    return new NeighborTask({ settings, peers, configuration, events }, clock);
+  }
+}
+
 export class OwnershipService extends TaskService<OwnershipMessage> {
   readonly key = OWNERSHIP;
   readonly dependencies = [EVENTS, STORE, PEERS, OWNER, GATEWAY];
--- a/packages/member/src/store.ts
+++ b/packages/member/src/store.ts
@@ -60,6 +60,9 @@
   | { readonly kind: 'full' }
   | Unavailable;
 
+/** Sorts after all keys: the page that follows it has no entries and only reports the end of the log. */
+export const AFTER_ALL_KEYS = '~';
+
 export interface NewestPage {
   readonly kind: 'page';
   readonly entries: readonly StoreEntry[];
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -1,9 +1,18 @@
-/** Follows a topic: reads the newest record of each key, then new records by long polling. */
+/**
+ * Follows a topic: reads the newest record of each key, then new records by long polling, or only asks
+ * whether there are any while another member delivers them.
+ */
 
 import type { Clock } from '@bamboowell/kernel/clock';
 import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
-import type { Store, StoreEntry, Topic, Unavailable } from './store.js';
+import {
+  AFTER_ALL_KEYS,
+  type Store,
+  type StoreEntry,
+  type Topic,
+  type Unavailable,
+} from './store.js';
 
 /** How long the store may wait for a record before it answers. */
 const POLL_WAIT_MILLIS = 1500;
@@ -12,6 +21,22 @@
 /** Pause before a failed call is retried. */
 const RETRY_DELAY_MILLIS = 150;
 
+/** Interval at which the end of a topic is asked for while another member delivers its records. */
+const END_INTERVAL_MILLIS = 1500;
+/** How long another member may take to deliver records that the store has. */
+const DELIVERY_TIMEOUT_MILLIS = 1500;
+const DELIVERY_CHECK_MILLIS = 100;
+
+export interface TopicWatchOptions {
+  /** Pause after new records; later ones are then read in one call. */
+  readonly gatherMillis?: number;
+  /**
+   * Records are large and only the newest of each key counts: after a failed call the topic is read
+   * again only if it has grown.
+   */
+  readonly hasLargeRecords?: boolean;
+}
+
 export interface TopicListener {
   /** Receives records in order; with `isWhole` they are the newest record of every key of the topic. */
   entries(entries: readonly StoreEntry[], end: Offset, isWhole: boolean): void;
@@ -23,6 +48,11 @@
 
 export class TopicWatch {
   private isStopped = false;
+  /** Records from this offset on are still to be read; undefined until the whole topic has been read. */
+  private next: Offset | undefined;
+  /** Whether another member delivers the records. */
+  private isServedByMember = false;
+  private hasFailed = false;
   /** Whether records have arrived since the store last showed that there are no further ones. */
   private isUnconfirmed = false;
   private wasReachable: boolean | undefined;
@@ -38,8 +68,7 @@
     private readonly topic: Topic,
     private readonly clock: Clock,
     private readonly listener: TopicListener,
-    /** Pause after new records; later ones are then read in one call. */
-    private readonly gatherMillis = 0,
+    private readonly options: TopicWatchOptions = {},
   ) {
     this.reachedAt = clock.now();
   }
@@ -52,18 +81,73 @@
     this.isStopped = true;
   }
 
+  /** Sets whether another member delivers the records; only their number is asked of the store then. */
+  setServedByMember(isServedByMember: boolean): void {
+    this.isServedByMember = isServedByMember;
+  }
+
+  /** Another member has delivered the records before the offset. */
+  skipTo(offset: Offset): void {
+    if (this.next !== undefined && offset > this.next) {
+      this.next = offset;
+    }
+  }
+
   private async follow(): Promise<void> {
-    let from: Offset | undefined;
     while (!this.isStopped) {
-      from = from === undefined ? await this.readAll() : await this.readFrom(from);
-      if (from === undefined) {
-        await this.clock.sleepUntil(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS));
+      const isAnswered = await this.readOnce();
+      if (!isAnswered) {
+        await this.sleep(RETRY_DELAY_MILLIS);
       }
     }
   }
 
-  /** Reads the newest record of all keys; returns the offset to continue from. */
-  private async readAll(): Promise<Offset | undefined> {
+  private readOnce(): Promise<boolean> {
+    const { next } = this;
+    if (next === undefined) {
+      return this.readAll();
+    }
+    const isRepeated = this.hasFailed && this.options.hasLargeRecords === true;
+    return this.isServedByMember || isRepeated ? this.readEnd(next) : this.readFrom(next);
+  }
+
+  /** Asks whether the topic has grown. If it has, and no member delivers the rest, reads that. */
+  private async readEnd(next: Offset): Promise<boolean> {
+    const askedAt = this.clock.now();
+    const page = await this.store.newest(this.topic, AFTER_ALL_KEYS, this.deadlineAfterWait(0));
+    if (page.kind === 'unavailable') {
+      this.failed(page);
+      return false;
+    }
+    this.succeeded();
+    if (page.end > next) {
+      await this.awaitDelivery(page.end);
+    }
+    if (page.end > (this.next ?? next)) {
+      return this.readAll();
+    }
+    this.confirm(askedAt);
+    if (this.isServedByMember) {
+      await this.sleep(END_INTERVAL_MILLIS);
+    }
+    return true;
+  }
+
+  private async awaitDelivery(end: Offset): Promise<void> {
+    const deadline = deadlineAfter(this.clock.now(), DELIVERY_TIMEOUT_MILLIS);
+    const isPending = (): boolean =>
+      this.isServedByMember && !this.isStopped && end > (this.next ?? end);
+    while (isPending() && !hasPassed(deadline, this.clock.now())) {
+      await this.sleep(DELIVERY_CHECK_MILLIS);
+    }
+  }
+
+  private sleep(millis: number): Promise<void> {
+    return this.clock.sleepUntil(deadlineAfter(this.clock.now(), millis));
+  }
+
+  /** Reads the newest record of all keys; returns whether the store answered. */
+  private async readAll(): Promise<boolean> {
     const entries: StoreEntry[] = [];
     let endAtFirstPage: Offset | undefined;
     let after: string | undefined;
@@ -72,20 +156,21 @@
       const page = await this.store.newest(this.topic, after, this.deadlineAfterWait(0));
       if (page.kind === 'unavailable') {
         this.failed(page);
-        return undefined;
+        return false;
       }
       endAtFirstPage ??= page.end;
       entries.push(...page.entries);
       after = page.next;
     } while (after !== undefined);
     this.succeeded();
+    this.next = endAtFirstPage;
     this.deliver(entries, endAtFirstPage, true);
     this.confirm(askedAt);
     this.isUnconfirmed = this.listener.confirmed !== undefined;
-    return endAtFirstPage;
+    return true;
   }
 
-  private async readFrom(from: Offset): Promise<Offset | undefined> {
+  private async readFrom(from: Offset): Promise<boolean> {
     const waitMillis = this.isUnconfirmed ? 0 : POLL_WAIT_MILLIS;
     const askedAt = this.clock.now();
     const part = await this.store.read(
@@ -96,31 +181,30 @@
     );
     if (part.kind === 'unavailable') {
       this.failed(part);
-      return undefined;
+      this.next = this.options.hasLargeRecords === true ? this.next : undefined;
+      return false;
     }
     this.succeeded();
     if (part.kind === 'expired') {
-      return undefined;
+      this.next = undefined;
+      return false;
     }
     if (part.entries.length > 0) {
       this.deliver(part.entries, part.end, false);
     }
     const last = part.entries.at(-1);
     this.isUnconfirmed = last !== undefined && this.listener.confirmed !== undefined;
-    const next = last === undefined ? from : ((last.offset + 1) as Offset);
-    if (next >= part.end) {
-      this.confirm(last === undefined ? this.endOfWait(askedAt, waitMillis) : askedAt);
-    }
     if (last !== undefined) {
-      await this.pauseToGather();
+      this.skipTo(brandAs<Offset>(last.offset + 1));
     }
-    return next;
-  }
-
-  private async pauseToGather(): Promise<void> {
-    if (this.gatherMillis > 0) {
-      await this.clock.sleepUntil(deadlineAfter(this.clock.now(), this.gatherMillis));
+    if ((this.next ?? from) >= part.end) {
+      this.confirm(last === undefined ? this.endOfWait(askedAt, waitMillis) : askedAt);
+    }
+    const { gatherMillis = 0 } = this.options;
+    if (last !== undefined && gatherMillis > 0) {
+      await this.sleep(gatherMillis);
     }
+    return true;
   }
 
   /** When the store sent an answer without records, at the earliest. */
@@ -147,6 +231,7 @@
 
   private failed({ detail, receivedBytes = 0 }: Unavailable): void {
     this.failures += 1;
+    this.hasFailed = true;
     this.discardedBytes += receivedBytes;
     this.reportReachable(false, detail);
   }
@@ -159,6 +244,7 @@
       `${this.failures} calls failed within ${awayMillis} ms, ${this.discardedBytes} bytes discarded`,
     );
     this.reachedAt = now;
+    this.hasFailed = false;
     this.failures = 0;
     this.discardedBytes = 0;
   }
--- a/packages/member/src/workers-watch.ts
+++ b/packages/member/src/workers-watch.ts
@@ -33,7 +33,9 @@
         events.event(isReachable ? 'store.regained' : 'store.lost', { topic: 'workers', detail });
       },
     };
-    this.watch = new TopicWatch(store, 'workers', clock, listener, READ_INTERVAL_MILLIS);
+    this.watch = new TopicWatch(store, 'workers', clock, listener, {
+      gatherMillis: READ_INTERVAL_MILLIS,
+    });
   }
 
   start(): void {
