--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -49,7 +49,7 @@
 
 export function schedulerHarness(options: HarnessOptions = {}) {
   const store = new Map<string, unknown>();
-  const workers = options.workers ?? [workerRegistration('w1'), workerRegistration('w2')];
+  let workers = options.workers ?? [workerRegistration('w1'), workerRegistration('w2')];
   const configuration = options.configuration ?? configurationOf();
   let millis = 1000;
   let tokens = 0;
@@ -112,7 +112,8 @@
       millis += by;
     },
     /** A new owner takes over with what is stored. */
-    takeOver: (ownConfiguration = configuration): void => {
+    takeOver: (ownConfiguration = configuration, registrations = workers): void => {
+      workers = registrations;
       outputs.length = 0;
       scheduler = newScheduler(ownConfiguration);
       record(scheduler.takeOutputs());
--- /dev/null
+++ b/packages/jobs/src/worker-crashes.test.ts
@@ -0,0 +1,226 @@
+import test from 'ava';
+import { workerIncarnationOf } from '@bamboowell/types/job';
+import { deadlineAfter } from '@bamboowell/types/time';
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import { cores, jobId, jobPlan, workerRegistration } from './plans.fixture.js';
+import { schedulerHarness, type ReceivedStart } from './scheduler.fixture.js';
+
+const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
+
+/** Six workers of four cores, which have sent their first report. */
+function harnessOfSix() {
+  const harness = schedulerHarness({ workers: WORKERS.map((name) => workerRegistration(name)) });
+  harness.reportFromAll();
+  return harness;
+}
+
+type Harness = ReturnType<typeof harnessOfSix>;
+
+function workerOf({ incarnation }: Pick<ReceivedStart, 'incarnation'>): WorkerId {
+  return brandAs<WorkerId>(incarnation.split('@')[0] ?? '');
+}
+
+/** Places what waits; all workers confirm what they start. */
+function placeAndConfirm(harness: Harness): ReceivedStart[] {
+  const starts = harness.place();
+  starts.forEach((start) => {
+    harness.answerStart(start);
+  });
+  return starts;
+}
+
+/** The worker's process ends, and a new one answers at its address. */
+function crash(harness: Harness, start: ReceivedStart): void {
+  harness.advance(2000);
+  const id = workerOf(start);
+  harness.send({ kind: 'other_life', incarnation: start.incarnation });
+  const incarnation = workerIncarnationOf(id, harness.now());
+  harness.send({ kind: 'worker', registration: workerRegistration(id, { incarnation }) });
+  harness.report(incarnation);
+  harness.commit();
+}
+
+// Guards against a task that crashes one worker after the other without end (incident BUDGET).
+test('a task that crashes the workers that start it is given up after the second one, and its job fails', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  for (const round of [1, 2]) {
+    const [start] = placeAndConfirm(harness);
+    t.truthy(start, `round ${round}`);
+    if (start !== undefined) {
+      crash(harness, start);
+    }
+  }
+  t.deepEqual(harness.place(), []);
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
+  const ended = harness.of('event').find(({ name }) => name === 'job.ended');
+  t.is(ended?.fields.reason, `2 workers crashed under ${jobId(1)}.0.0.0`);
+});
+
+// Guards against tasks that are given up because they shared workers with one that crashes them (incident
+// BUDGET).
+test('tasks that shared a worker with one that crashes it complete, while that one is given up', (t) => {
+  const harness = harnessOfSix();
+  [1, 2, 3, 4].forEach((number) => {
+    harness.submit(jobPlan(number));
+  });
+  harness.commit();
+  for (let round = 0; round < 6; round += 1) {
+    const starts = placeAndConfirm(harness);
+    const deadly = starts.find(({ task }) => task.startsWith(jobId(1)));
+    t.true(round > 0 || new Set(starts.map(workerOf)).size === 1, 'all share one worker at first');
+    if (deadly !== undefined) {
+      crash(harness, deadly);
+    }
+    starts
+      .filter(({ incarnation }) => incarnation !== deadly?.incarnation)
+      .forEach((start) => {
+        harness.end(start, 'done');
+      });
+    harness.commit();
+  }
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
+  t.is(harness.starts().filter(({ task }) => task.startsWith(jobId(1))).length, 2);
+  for (const number of [2, 3, 4]) {
+    t.deepEqual(harness.stateOf(jobId(number)), { kind: 'state', state: 'completed' });
+  }
+});
+
+// Guards against work that a worker loses because it was started beside a task that may crash it (incident
+// BUDGET).
+test('nothing is started beside a task under which a worker has crashed, until it has run for a while', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const [start] = placeAndConfirm(harness);
+  t.truthy(start);
+  if (start === undefined) {
+    return;
+  }
+  crash(harness, start);
+  const [suspect] = placeAndConfirm(harness);
+  t.truthy(suspect);
+  if (suspect === undefined) {
+    return;
+  }
+  [11, 12, 13, 14, 15, 16].forEach((number) => {
+    harness.submit(jobPlan(number, { steps: [{ ...firstStepOf(number), demand: cores(3) }] }));
+  });
+  harness.commit();
+  const beside = (starts: readonly ReceivedStart[]) =>
+    starts.filter(({ incarnation }) => incarnation === suspect.incarnation);
+  const starts = placeAndConfirm(harness);
+  t.is(starts.length, 5);
+  t.deepEqual(beside(starts), []);
+  harness.advance(4000);
+  t.is(beside(harness.place()).length, 1);
+});
+
+// Guards against crashes that are forgotten with the owner that saw them (incident BUDGET).
+test('a new owner knows of the crashes under a task', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const [first] = placeAndConfirm(harness);
+  t.truthy(first);
+  if (first === undefined) {
+    return;
+  }
+  crash(harness, first);
+  harness.takeOver();
+  harness.reportFromAll();
+  const [second] = placeAndConfirm(harness);
+  t.truthy(second);
+  if (second !== undefined) {
+    crash(harness, second);
+  }
+  t.deepEqual(harness.place(), []);
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
+});
+
+// Guards against a crash that nobody counts because the owner was replaced before it learned of it (incident
+// BUDGET).
+test('a new owner counts the crash of a worker that was born again while the work had no owner', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const [first] = placeAndConfirm(harness);
+  t.truthy(first);
+  if (first === undefined) {
+    return;
+  }
+  harness.takeOver(undefined, [
+    ...WORKERS.filter((name) => name !== workerOf(first)).map((name) => workerRegistration(name)),
+    workerRegistration(workerOf(first), { incarnation: workerIncarnationOf(workerOf(first), 2) }),
+  ]);
+  harness.reportFromAll();
+  const [second] = placeAndConfirm(harness);
+  t.truthy(second);
+  if (second !== undefined) {
+    crash(harness, second);
+  }
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
+});
+
+// Guards against jobs that fail because workers left or were cut off (incident BUDGET).
+test('a worker that leaves, or whose lease lapses behind a cut, has not crashed', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  for (let round = 0; round < 4; round += 1) {
+    const [start] = placeAndConfirm(harness);
+    t.truthy(start, `round ${round}`);
+    if (start === undefined) {
+      return;
+    }
+    const { incarnation } = start;
+    if (round % 2 === 0) {
+      const registration = workerRegistration(workerOf(start), { incarnation, isDraining: true });
+      harness.send({ kind: 'worker', registration });
+      harness.send({ kind: 'other_life', incarnation });
+    } else {
+      const lapsesAt = deadlineAfter(harness.now(), 10);
+      harness.send({ kind: 'unreachable', incarnation, lapsesAt });
+      harness.advance(20);
+      harness.send({ kind: 'place', mayStart: false });
+      harness.report(incarnation);
+    }
+    harness.commit();
+  }
+  t.deepEqual(
+    harness.of('event').filter(({ name }) => name === 'task.crashed'),
+    [],
+  );
+});
+
+// Guards against a worker that is away for longer than its lease, so that its crash is not counted (incident
+// BUDGET).
+test('a worker that comes back as another one after its lease has lapsed has crashed', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const [start] = placeAndConfirm(harness);
+  t.truthy(start);
+  if (start === undefined) {
+    return;
+  }
+  const { incarnation } = start;
+  harness.send({ kind: 'unreachable', incarnation, lapsesAt: deadlineAfter(harness.now(), 10) });
+  harness.advance(20);
+  harness.send({ kind: 'place', mayStart: false });
+  crash(harness, start);
+  const crashed = harness.of('event').filter(({ name }) => name === 'task.crashed');
+  t.deepEqual(
+    crashed.map(({ fields }) => fields.crashes),
+    [1],
+  );
+});
+
+function firstStepOf(number: number) {
+  const [step] = jobPlan(number).steps;
+  if (step === undefined) {
+    throw new Error('a plan without steps');
+  }
+  return step;
+}
