Count the workers that crash under a task, and give up the one that crashes them

Cause: the end of an incarnation returned its tasks to the queue and nothing counted it.

A worker whose next process answers at its address without having drained has crashed; a lease that lapsed counts once that is seen, a cut doesn't. The count is stored with the task, and a new owner counts the workers that were replaced meanwhile. A task that began shortly before a crash, or has seen two, runs apart: where it has the least company, on a worker that has not crashed lately, and nothing is started beside it for 1.5 s. It is given up if a worker crashes while it runs there alone, for the second time, or at the third crash in any case.

--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -8,10 +8,12 @@
 export interface AvailableWorker {
   readonly worker: Worker;
   free: Resources;
+  /** Whether a task that runs apart from others was placed there in this pass. */
+  isClosed: boolean;
 }
 
 export function availableWorker(worker: Worker): AvailableWorker {
-  return { worker, free: subtract(worker.registration.capacity, worker.used) };
+  return { worker, free: subtract(worker.registration.capacity, worker.used), isClosed: false };
 }
 
 /** Whether the worker could run a task of the step if nothing else ran there. */
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -171,6 +171,13 @@
     }
   }
 
+  /** Ends a job that can't be done. */
+  giveUp(job: Job, reason: string): void {
+    if (!isEnded(job.state)) {
+      this.end(job, 'failed', reason);
+    }
+  }
+
   /** Adds the occurrences that are due, and forgets jobs that ended long ago. */
   tick(): void {
     for (const job of this.repeating) {
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -42,6 +42,8 @@
   confirmedAt: Instant | undefined;
   /** Progress by the worker's reports; undefined until one lists the run. */
   progress: Progress | undefined;
+  /** Whether it was started apart from others, because a worker has crashed under its task. */
+  readonly isApart: boolean;
 }
 
 /** Progress as seen in reports: only these tell how long it has not changed. */
@@ -58,6 +60,10 @@
   isDone: boolean;
   lastRun: RunNumber;
   failures: number;
+  /** Number of workers that crashed while they ran it. */
+  crashes: number;
+  /** Whether it began shortly before one of these crashes. */
+  isSuspected: boolean;
   saved: SavedProgress;
   readonly runs: Run[];
   /** Workers on which it failed or stalled. */
@@ -125,10 +131,14 @@
   /** When its registration disappeared; those of live workers may disappear and come back. */
   unregisteredAt: Instant;
   isReachable: boolean;
+  /** When it last answered. */
+  lastHeardAt: Instant;
   /** When its lease lapses while it is unreachable; nothing runs there from then on. */
   lapsesAt: Deadline;
   used: Resources;
   readonly runs: Map<string, Run>;
+  /** Confirmed runs that were lost when its lease lapsed, until it answers again. */
+  lapsedRuns: readonly Run[];
   /** Number of runs in its last report that belong to no known task; what they use is not known. */
   unknownRuns: number;
   /** Number of the last end that was processed. */
@@ -146,9 +156,11 @@
     isRegistered: true,
     unregisteredAt: brandAs<Instant>(0),
     isReachable: true,
+    lastHeardAt: brandAs<Instant>(0),
     lapsesAt,
     used: NO_RESOURCES,
     runs: new Map(),
+    lapsedRuns: [],
     unknownRuns: 0,
     lastProcessedEnd: brandAs<EndNumber>(0),
     cooldownUntil: brandAs<Deadline>(0),
@@ -246,6 +258,8 @@
       isDone: false,
       lastRun: brandAs<RunNumber>(0),
       failures: 0,
+      crashes: 0,
+      isSuspected: false,
       saved: NO_PROGRESS,
       runs: [],
       failedOn: new Set(),
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -24,6 +24,8 @@
   readonly task: Task;
   readonly worker: Worker;
   readonly grant: Grant | undefined;
+  /** Whether nothing else may be started beside it for a while. */
+  readonly isApart: boolean;
 }
 
 export class Orders {
@@ -37,7 +39,7 @@
   start(step: Step, assignments: readonly Assignment[]): void {
     const { context } = this;
     const gangRunNumber = 1 + Math.max(...step.tasks.map(({ lastRun }) => lastRun));
-    for (const { task, worker, grant } of assignments) {
+    for (const { task, worker, grant, isApart } of assignments) {
       const number = step.plan.isGang ? gangRunNumber : task.lastRun + 1;
       task.lastRun = brandAs<RunNumber>(number);
       const run: Run = {
@@ -48,6 +50,7 @@
         phase: 'recorded',
         confirmedAt: undefined,
         progress: undefined,
+        isApart,
       };
       context.attach(run);
       context.afterCommit(() => {
@@ -58,6 +61,7 @@
         run: run.number,
         worker: worker.id,
         failures: task.failures,
+        ...(task.crashes > 0 ? { crashes: task.crashes, apart: isApart } : {}),
       });
     }
     step.job.state = 'running';
@@ -103,6 +107,7 @@
     answer: OrderAnswer,
   ): void {
     const run = worker.runs.get(runKey(task, number));
+    worker.lastHeardAt = this.context.now;
     if (answer.kind === 'other_life') {
       this.endIncarnation(worker);
       return;
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -29,6 +29,8 @@
   failures: number,
   saved: SavedProgress,
   runs: readonly RunRow[],
+  /** Absent if no worker crashed under it. */
+  crashes?: number,
 ];
 
 export interface ProgressRecord {
@@ -74,7 +76,7 @@
 
 function rowOf(task: Task): TaskRow {
   const { step } = task;
-  return [
+  const row = [
     step.occurrence.index,
     step.index,
     task.index,
@@ -83,7 +85,8 @@
     task.failures,
     task.saved,
     task.runs.map((run) => [run.worker.incarnation, run.worker.id, run.number] as const),
-  ];
+  ] as const;
+  return task.crashes > 0 ? [...row, task.crashes] : row;
 }
 
 /** A run that an earlier owner stored. */
@@ -149,7 +152,7 @@
 }
 
 function restoreTask(restored: Restored, job: Job, row: TaskRow): void {
-  const [occurrence, stepIndex, index, isDone, lastRun, failures, saved, runs] = row;
+  const [occurrence, stepIndex, index, isDone, lastRun, failures, saved, runs, crashes = 0] = row;
   const step = job.occurrences[occurrence]?.steps[stepIndex];
   const task = step?.tasks[index];
   if (step === undefined || task === undefined) {
@@ -160,6 +163,9 @@
   task.lastRun = lastRun;
   task.failures = failures;
   task.saved = saved;
+  task.crashes = crashes;
+  // Whether it began shortly before is not stored.
+  task.isSuspected = crashes > 0;
   for (const [incarnation, worker, number] of runs) {
     restored.runs.push({ task, incarnation, worker, number });
   }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -13,6 +13,7 @@
 import { isEnded, runKey, type Run, type Task, type Worker } from './model.js';
 import type { Orders } from './orders.js';
 import type { Quarantines } from './quarantines.js';
+import type { WorkerCrashes } from './worker-crashes.js';
 
 /** Most ends in one report; a report with as many may leave ends out. */
 const MAX_LISTED_ENDS = 500;
@@ -23,6 +24,7 @@
     private readonly lifecycle: Lifecycle,
     private readonly orders: Orders,
     private readonly quarantines: Quarantines,
+    private readonly crashes: WorkerCrashes,
   ) {}
 
   receive(report: WorkerReport): void {
@@ -34,6 +36,8 @@
       this.context.event('worker.regained', { worker: worker.id });
     }
     worker.isReachable = true;
+    worker.lastHeardAt = this.context.now;
+    worker.lapsedRuns = [];
     const listed = new Set<string>();
     worker.unknownRuns = 0;
     for (const entry of report.running) {
@@ -67,6 +71,7 @@
   expireLeases(): void {
     for (const worker of this.context.workers.values()) {
       if (!worker.isReachable && hasPassed(worker.lapsesAt, this.context.now)) {
+        this.rememberLapsedRuns(worker);
         this.loseAllRuns(worker, 'lapsed');
         if (!worker.isRegistered) {
           this.remove(worker);
@@ -75,8 +80,21 @@
     }
   }
 
+  /** The worker may have crashed, which shows only when its next process answers. */
+  private rememberLapsedRuns(worker: Worker): void {
+    const confirmed = [...worker.runs.values()].filter(
+      ({ confirmedAt }) => confirmedAt !== undefined,
+    );
+    if (confirmed.length > 0) {
+      worker.lapsedRuns = confirmed;
+    }
+  }
+
   /** Handles the end of an incarnation: none of its runs continues. */
   endIncarnation(worker: Worker, reason: string): void {
+    if (!worker.registration.isDraining) {
+      this.crashes.recordCrash(worker);
+    }
     this.loseAllRuns(worker, reason);
     this.remove(worker);
   }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -26,6 +26,7 @@
 import { Reports } from './reports.js';
 import { Stalls } from './stalls.js';
 import { Quarantines } from './quarantines.js';
+import { WorkerCrashes } from './worker-crashes.js';
 
 export interface JobSchedulerOptions {
   readonly ordering: JobOrdering;
@@ -61,6 +62,7 @@
   private readonly adviceBalancer = new AdviceBalancer();
   private readonly lifecycle: Lifecycle;
   private readonly orders: Orders;
+  private readonly crashes: WorkerCrashes;
   private readonly reports: Reports;
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
@@ -84,7 +86,8 @@
     this.lifecycle = new Lifecycle(context, (run) => {
       this.orders.stop(run);
     });
-    this.reports = new Reports(context, this.lifecycle, this.orders, quarantines);
+    this.crashes = new WorkerCrashes(context, this.lifecycle);
+    this.reports = new Reports(context, this.lifecycle, this.orders, quarantines, this.crashes);
     this.stalls = new Stalls(context, this.orders);
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
       this.stepPlacement.isPresent(worker),
@@ -96,6 +99,7 @@
       quarantines,
       this.stepAdvice,
       options.ordering,
+      this.crashes,
     );
     this.advicePrefetch = new AdvicePrefetch(context, this.lifecycle, this.stepPlacement);
     context.setConfiguration(options.configuration);
@@ -261,8 +265,10 @@
   }
 
   private restore({ jobs, runs }: Restored): void {
+    const counts = new Map<WorkerIncarnation, number>();
+    runs.forEach(({ incarnation }) => counts.set(incarnation, (counts.get(incarnation) ?? 0) + 1));
     runs.forEach((run) => {
-      this.restoreRun(run);
+      this.restoreRun(run, counts.get(run.incarnation) === 1);
     });
     jobs.forEach((job) => {
       this.lifecycle.resume(job);
@@ -270,9 +276,13 @@
   }
 
   /** Restores a run of an earlier owner; its worker's first report tells what became of it. */
-  private restoreRun({ task, incarnation, worker: id, number }: RestoredRun): void {
+  private restoreRun(
+    { task, incarnation, worker: id, number }: RestoredRun,
+    wasApart: boolean,
+  ): void {
     const current = this.context.currentIncarnations.get(id);
     if (current !== undefined && current.incarnation !== incarnation) {
+      this.crashes.recordEarlierCrash(task, number, current, wasApart);
       return;
     }
     const worker = current ?? this.unregisteredWorker(incarnation, id);
@@ -284,6 +294,7 @@
       phase: 'ordered',
       confirmedAt: undefined,
       progress: undefined,
+      isApart: false,
     };
     this.context.attach(run);
   }
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -20,6 +20,7 @@
 import { Reservations } from './reservations.js';
 import { availableWorker, isEligible, type AvailableWorker } from './available-workers.js';
 import type { Quarantines } from './quarantines.js';
+import type { WorkerCrashes } from './worker-crashes.js';
 
 /**
  * A worker that answers counts as present for this long after its registration disappeared,
@@ -48,8 +49,9 @@
     private readonly quarantines: Quarantines,
     private readonly advice: StepAdvice,
     private readonly ordering: JobOrdering,
+    private readonly crashes: WorkerCrashes,
   ) {
-    this.selection = new WorkerSelection(context);
+    this.selection = new WorkerSelection(context, crashes);
   }
 
   place(): void {
@@ -97,7 +99,8 @@
       !worker.registration.isDraining &&
       worker.unknownRuns === 0 &&
       hasPassed(worker.cooldownUntil, this.context.now) &&
-      this.quarantines.mayPlace(worker.id)
+      this.quarantines.mayPlace(worker.id) &&
+      !this.crashes.isOnProbation(worker)
     );
   }
 
@@ -128,8 +131,9 @@
     const demand = allocationOf(step.plan);
     // A gang may reserve workers that are full at present; other steps have no use for them. This
     // test goes first because it is the cheapest and rules most workers out under load.
-    const isUsable = ({ worker, free }: AvailableWorker): boolean =>
+    const isUsable = ({ worker, free, isClosed }: AvailableWorker): boolean =>
       (step.plan.isGang || fits(demand, free)) &&
+      !isClosed &&
       isEligible(worker, step) &&
       !reservations.isReserved(worker);
     if (step.job.queue.advice === undefined) {
--- /dev/null
+++ b/packages/jobs/src/worker-crashes.ts
@@ -0,0 +1,147 @@
+/**
+ * Counts the workers that crashed under each task, tells the task that crashes them from those that
+ * shared a worker with it, and gives it up.
+ */
+
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import type { JobContext } from './context.js';
+import type { Lifecycle } from './lifecycle.js';
+import { isEnded, type Run, type Task, type Worker } from './model.js';
+
+/** A task is given up after a crash if it ran apart from others and this many workers crashed under it. */
+const MAX_CRASHES_APART = 2;
+/** A task is given up after this many crashes, whatever ran beside it. */
+const MAX_CRASHES = 3;
+/**
+ * A run that its worker confirmed longer than this before it was last heard is unlikely to be the cause
+ * of its first crash, milliseconds.
+ */
+const YOUNG_RUN_MILLIS = 1000;
+/** Nothing is started beside a suspect until it has run for this long, milliseconds. */
+const PROBATION_MILLIS = 1500;
+/** Largest fraction of the workers that may run a suspect apart, except for tasks with two crashes. */
+const MAX_APART_FRACTION = 0.15;
+const MIN_APART = 2;
+/**
+ * A worker that crashed tells little by its next crash for this long, milliseconds: it may go down and
+ * up by itself.
+ */
+const UNRELIABLE_MILLIS = 15_000;
+
+export class WorkerCrashes {
+  /** By the address of the worker, whose id may change with its incarnation. */
+  private readonly unreliableUntil = new Map<string, Deadline>();
+
+  constructor(
+    private readonly context: JobContext,
+    private readonly lifecycle: Lifecycle,
+  ) {}
+
+  /** Counts a crash under each task that ran on the worker, also if its lease has lapsed since. */
+  recordCrash(worker: Worker): void {
+    const started = [...worker.runs.values()].filter(({ phase }) => phase !== 'recorded');
+    const isAlone = started.length === 1;
+    const isApart = isAlone && !this.isUnreliable(worker);
+    for (const run of started) {
+      // A start that the worker didn't confirm may have arrived after the crash.
+      if (run.confirmedAt !== undefined || isAlone) {
+        this.countCrash(run.task, run.number, worker, isApart, isYoung(run, worker));
+      }
+    }
+    for (const { task, number } of worker.lapsedRuns) {
+      this.countCrash(task, number, worker, false, true);
+    }
+    const { address } = worker.registration;
+    this.unreliableUntil.set(address, deadlineAfter(this.context.now, UNRELIABLE_MILLIS));
+  }
+
+  /** Whether the worker has crashed recently. */
+  isUnreliable({ registration }: Worker): boolean {
+    const until = this.unreliableUntil.get(registration.address);
+    return until !== undefined && !hasPassed(until, this.context.now);
+  }
+
+  /**
+   * Counts the crash of a worker that was replaced while the work had no owner. The start may never have
+   * been sent, so that it counts only if nothing else ran there.
+   */
+  recordEarlierCrash(task: Task, number: Run['number'], worker: Worker, wasAlone: boolean): void {
+    if (wasAlone) {
+      this.countCrash(task, number, worker, false, true);
+    }
+  }
+
+  /** Whether the task must run apart from others, as far as workers can be spared for that. */
+  mustRunApart(task: Task): boolean {
+    if (task.step.plan.isGang || !isSuspect(task)) {
+      return false;
+    }
+    return task.crashes >= MAX_CRASHES_APART || this.countApart() < this.maxApart();
+  }
+
+  /** Whether a suspect runs on the worker that has not run for long enough to be beyond suspicion. */
+  isOnProbation({ runs }: Worker): boolean {
+    for (const run of runs.values()) {
+      if (run.isApart && this.isRecent(run)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private isRecent({ confirmedAt }: Run): boolean {
+    return (
+      confirmedAt === undefined ||
+      !hasPassed(deadlineAfter(confirmedAt, PROBATION_MILLIS), this.context.now)
+    );
+  }
+
+  private countApart(): number {
+    let count = 0;
+    for (const worker of this.context.workers.values()) {
+      count += Number(this.isOnProbation(worker));
+    }
+    return count;
+  }
+
+  private maxApart(): number {
+    return Math.max(MIN_APART, Math.floor(MAX_APART_FRACTION * this.context.workers.size));
+  }
+
+  private countCrash(
+    task: Task,
+    run: Run['number'],
+    worker: Worker,
+    isApart: boolean,
+    isSuspected: boolean,
+  ): void {
+    const { job } = task.step;
+    if (isEnded(job.state) || task.isDone) {
+      return;
+    }
+    task.crashes += 1;
+    task.isSuspected ||= isSuspected;
+    this.context.markChanged(job);
+    this.context.event('task.crashed', {
+      task: task.id,
+      run,
+      worker: worker.id,
+      crashes: task.crashes,
+      apart: isApart,
+      suspected: task.isSuspected,
+    });
+    const limit = isApart ? MAX_CRASHES_APART : MAX_CRASHES;
+    if (task.crashes >= limit) {
+      this.lifecycle.giveUp(job, `${task.crashes} workers crashed under ${task.id}`);
+    }
+  }
+}
+
+/** Whether the run had begun shortly before the worker was last heard, or even later. */
+function isYoung({ confirmedAt }: Run, { lastHeardAt }: Worker): boolean {
+  return confirmedAt === undefined || lastHeardAt - confirmedAt < YOUNG_RUN_MILLIS;
+}
+
+function isSuspect({ crashes, isSuspected }: Task): boolean {
+  return crashes >= MAX_CRASHES_APART || (crashes > 0 && isSuspected);
+}
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -3,12 +3,16 @@
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import { add, fits, isZero, type Resources } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
-import { allocationOf, type Grant, type Step, type Task } from './model.js';
+import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
+import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
 import { racksByFreeCores, allocate, type AvailableWorker } from './available-workers.js';
 
 export class WorkerSelection {
-  constructor(private readonly context: JobContext) {}
+  constructor(
+    private readonly context: JobContext,
+    private readonly crashes: WorkerCrashes,
+  ) {}
 
   /**
    * Allocates workers to all tasks of a gang or to none; of other steps, to as many as possible.
@@ -37,14 +41,23 @@
       if (startable === 0) {
         break;
       }
-      const candidate = bestWorker(step, task, demand, candidates, countByWorker, rack);
+      const isApart = this.crashes.mustRunApart(task);
+      const extraPenalty = isApart ? this.penaltyOfCompany : noPenalty;
+      const candidate = bestWorker(
+        { step, task, rack, extraPenalty },
+        demand,
+        candidates,
+        countByWorker,
+      );
       if (candidate === undefined) {
         continue;
       }
       startable -= 1;
       rack ??= candidate.worker.registration.rack;
       allocate(candidate, demand, countByWorker);
-      assignments.push({ task, worker: candidate.worker, grant: this.grantOf(step, candidate) });
+      candidate.isClosed = isApart;
+      const { worker } = candidate;
+      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isApart });
     }
     return assignments;
   }
@@ -80,12 +93,14 @@
     const countByWorker = runsByWorker(step);
     const assignments: Assignment[] = [];
     for (const task of waiting) {
-      const candidate = bestWorker(step, task, demand, trial, countByWorker, undefined);
+      const choice = { step, task, rack: undefined, extraPenalty: noPenalty };
+      const candidate = bestWorker(choice, demand, trial, countByWorker);
       if (candidate === undefined) {
         return [];
       }
       allocate(candidate, demand, countByWorker);
-      assignments.push({ task, worker: candidate.worker, grant: this.grantOf(step, candidate) });
+      const { worker } = candidate;
+      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isApart: false });
     }
     candidates.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
@@ -93,6 +108,12 @@
     return assignments;
   }
 
+  /** For a task that should run apart: other runs would be lost with it, a crash would tell less. */
+  private readonly penaltyOfCompany = (worker: Worker): number => {
+    const unreliability = this.crashes.isUnreliable(worker) ? UNRELIABLE_AS_RUNS : 0;
+    return (worker.runs.size + unreliability) * COMPANY_PENALTY_MILLICORES;
+  };
+
   private grantOf(step: Step, { worker }: AvailableWorker): Grant | undefined {
     return step.grants.get(worker.id);
   }
@@ -143,28 +164,40 @@
   return step.tasks.flatMap(({ runs }) => runs).at(0)?.worker.registration.rack;
 }
 
+/** What the choice of a worker for a task depends on. */
+interface Choice {
+  readonly step: Step;
+  readonly task: Task;
+  /** The rack to prefer. */
+  readonly rack: RackId | undefined;
+  readonly extraPenalty: (worker: Worker) => number;
+}
+
+function noPenalty(): number {
+  return 0;
+}
+
 /**
  * The worker with the least free processor time on which the task fits; workers on its preferred
- * racks and those where it has not failed go first.
+ * racks and those where it has not failed go first. A task that should run apart goes where it has the
+ * least company.
  */
 function bestWorker(
-  step: Step,
-  task: Task,
+  choice: Choice,
   demand: Resources,
   candidates: readonly AvailableWorker[],
   countByWorker: ReadonlyMap<WorkerId, number>,
-  rack: RackId | undefined,
 ): AvailableWorker | undefined {
-  const { maxPerWorker } = step.plan;
+  const { maxPerWorker } = choice.step.plan;
   let best: AvailableWorker | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || !fits(demand, candidate.free)) {
+    if (isFull || candidate.isClosed || !fits(demand, candidate.free)) {
       continue;
     }
-    const score = scoreOf(step, task, candidate, rack);
+    const score = scoreOf(choice, candidate);
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
@@ -178,17 +211,20 @@
  * there.
  */
 const FAR_PENALTY_MILLICORES = 1_000_000;
+/** Score penalty for each run beside a task that should run apart; weighs more than all others. */
+const COMPANY_PENALTY_MILLICORES = 10_000_000;
+/** A worker that has crashed recently counts as having so many more runs. */
+const UNRELIABLE_AS_RUNS = 3;
 
 function scoreOf(
-  { plan }: Step,
-  task: Task,
+  { step, task, rack, extraPenalty }: Choice,
   { worker, free }: AvailableWorker,
-  rack: RackId | undefined,
 ): number {
+  const { plan } = step;
   const isFarFromData =
     plan.rackOfData !== undefined && worker.registration.rack !== plan.rackOfData;
   const leavesRack = plan.prefersOneRack && rack !== undefined && worker.registration.rack !== rack;
   const hasFailed = task.failedOn.has(worker.id);
   const penalties = Number(isFarFromData) + Number(leavesRack) + 2 * Number(hasFailed);
-  return free.millicores + penalties * FAR_PENALTY_MILLICORES;
+  return free.millicores + penalties * FAR_PENALTY_MILLICORES + extraPenalty(worker);
 }
