Hold back a start whose worker has shrunk while the start was being recorded

What a worker would have seen: a start beyond its capacity (LIMIT), if its capacity shrank between the placement and the answer of the store to the record. Cause: the start was sent without another look at the worker. It is now dropped as capacity_shrank, and its task placed again.

The test 'a start whose worker has shrunk before its record was stored is not sent, and its task is placed again' failed before (one start sent) and passes. The other tests of capacity-change.test.ts show what held already: a worker that shrinks gets nothing until its runs fit, gangs wait, and a worker over its capacity hides no room of others.

--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -4,6 +4,7 @@
 import { brandAs } from '@bamboowell/types/ids';
 import type { WorkerIncarnation, RunNumber, StepTaskId } from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
+import { fits } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
 import type { OrderAnswer } from './messages.js';
 import { runKey, type Grant, type Run, type Step, type Task, type Worker } from './model.js';
@@ -133,6 +134,10 @@
       this.handleRejection(run, 'ticket_ran_out', 0);
       return;
     }
+    if (!fits(run.worker.used, run.worker.registration.capacity)) {
+      this.handleRejection(run, 'capacity_shrank', 0);
+      return;
+    }
     run.phase = 'ordered';
     job.hasStarted = true;
     job.visibleState = job.visibleState === 'pending' ? 'running' : job.visibleState;
