Don't count a crash against a lasting task that had run for long

What callers would have seen: a service shown as failed after three crashes of its workers, however far apart, since the count of crashes never went down. A run of a task that lasts, 10 s and more after its start, is not the cause of a crash; it clears the task. A task that ends by itself keeps its count.

The test 'a task that lasts is started again after each crash of a worker on which it had run for long' failed before (given up in the third round) and passes.

--- a/packages/jobs/src/worker-crashes.test.ts
+++ b/packages/jobs/src/worker-crashes.test.ts
@@ -3,7 +3,7 @@
 import { deadlineAfter } from '@bamboowell/types/time';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
 import { cores, jobId, jobPlan, workerRegistration } from './plans.fixture.js';
-import { schedulerHarness, type ReceivedStart } from './scheduler.fixture.js';
+import { runningEntry, schedulerHarness, type ReceivedStart } from './scheduler.fixture.js';
 
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
 
@@ -194,6 +194,24 @@
   );
 });
 
+// Guards against services that are given up because their workers crashed now and then (incident BUDGET).
+test('a task that lasts is started again after each crash of a worker on which it had run for long', (t) => {
+  const harness = harnessOfSix();
+  harness.submit(jobPlan(1, { steps: [{ ...firstStepOf(1), isLasting: true }] }));
+  harness.commit();
+  for (let round = 0; round < 5; round += 1) {
+    const [start] = placeAndConfirm(harness);
+    t.truthy(start, `round ${round}`);
+    if (start === undefined) {
+      return;
+    }
+    harness.advance(20_000);
+    harness.report(start.incarnation, [runningEntry(start)]);
+    crash(harness, start);
+  }
+  t.is(harness.place().length, 1);
+});
+
 // Guards against a worker that is away for longer than its lease, so that its crash is not counted (incident
 // BUDGET).
 test('a worker that comes back as another one after its lease has lapsed has crashed', (t) => {
--- a/packages/jobs/src/worker-crashes.ts
+++ b/packages/jobs/src/worker-crashes.ts
@@ -17,6 +17,8 @@
  * of its first crash, milliseconds.
  */
 const YOUNG_RUN_MILLIS = 1000;
+/** A run that lasts is not to blame for a crash after this long, milliseconds. */
+const LASTING_RUN_MILLIS = 10_000;
 /** Nothing is started beside a suspect until it has run for this long, milliseconds. */
 const PROBATION_MILLIS = 1500;
 /** Largest fraction of the workers that may run a suspect apart, except for tasks with two crashes. */
@@ -43,13 +45,18 @@
     const isAlone = started.length === 1;
     const isApart = isAlone && !this.isUnreliable(worker);
     for (const run of started) {
-      // A start that the worker didn't confirm may have arrived after the crash.
-      if (run.confirmedAt !== undefined || isAlone) {
+      if (hasLasted(run, worker)) {
+        run.task.crashes = 0;
+        this.context.markChanged(run.task.step.job);
+      } else if (run.confirmedAt !== undefined || isAlone) {
+        // A start that the worker didn't confirm may have arrived after the crash, if others ran there.
         this.countCrash(run.task, run.number, worker, isApart, isYoung(run, worker));
       }
     }
-    for (const { task, number } of worker.lapsedRuns) {
-      this.countCrash(task, number, worker, false, true);
+    for (const run of worker.lapsedRuns) {
+      if (!hasLasted(run, worker)) {
+        this.countCrash(run.task, run.number, worker, false, true);
+      }
     }
     const { address } = worker.registration;
     this.unreliableUntil.set(address, deadlineAfter(this.context.now, UNRELIABLE_MILLIS));
@@ -137,6 +144,15 @@
   }
 }
 
+/** Whether the run is one that lasts, and had done so for long enough that it is not to blame. */
+function hasLasted({ task, confirmedAt }: Run, { lastHeardAt }: Worker): boolean {
+  return (
+    task.step.plan.isLasting &&
+    confirmedAt !== undefined &&
+    lastHeardAt - confirmedAt >= LASTING_RUN_MILLIS
+  );
+}
+
 /** Whether the run had begun shortly before the worker was last heard, or even later. */
 function isYoung({ confirmedAt }: Run, { lastHeardAt }: Worker): boolean {
   return confirmedAt === undefined || lastHeardAt - confirmedAt < YOUNG_RUN_MILLIS;
