Count a crash only where the worker had confirmed the start

What callers would have seen: a job shown as failed although only one worker, or none, had crashed under its task, if starts were sent to workers that had crashed a moment before. Found by reading: an unconfirmed start counted if nothing else ran there, and one that a new owner found recorded on a worker that was replaced since counted as well. Neither is proof: the start may have arrived after the crash, or never been sent. Such a task is now isolated at its next start, without a count. A task that does crash workers is started at most once more for each such doubt, within the bound of three.

The terms in code and log are isolated and suspected, in place of apart.

--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -8,7 +8,7 @@
 export interface AvailableWorker {
   readonly worker: Worker;
   free: Resources;
-  /** Whether a task that runs apart from others was placed there in this pass. */
+  /** Whether an isolated run was placed there in this pass. */
   isClosed: boolean;
 }
 
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -42,8 +42,8 @@
   confirmedAt: Instant | undefined;
   /** Progress by the worker's reports; undefined until one lists the run. */
   progress: Progress | undefined;
-  /** Whether it was started apart from others, because a worker has crashed under its task. */
-  readonly isApart: boolean;
+  /** Whether nothing may be started beside it for a while, because its task may crash workers. */
+  readonly isIsolated: boolean;
 }
 
 /** Progress as seen in reports: only these tell how long it has not changed. */
@@ -62,7 +62,7 @@
   failures: number;
   /** Number of workers that crashed while they ran it. */
   crashes: number;
-  /** Whether it began shortly before one of these crashes. */
+  /** Whether it may be the cause of a crash. */
   isSuspected: boolean;
   saved: SavedProgress;
   readonly runs: Run[];
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -26,7 +26,7 @@
   readonly worker: Worker;
   readonly grant: Grant | undefined;
   /** Whether nothing else may be started beside it for a while. */
-  readonly isApart: boolean;
+  readonly isIsolated: boolean;
 }
 
 export class Orders {
@@ -40,7 +40,7 @@
   start(step: Step, assignments: readonly Assignment[]): void {
     const { context } = this;
     const gangRunNumber = 1 + Math.max(...step.tasks.map(({ lastRun }) => lastRun));
-    for (const { task, worker, grant, isApart } of assignments) {
+    for (const { task, worker, grant, isIsolated } of assignments) {
       const number = step.plan.isGang ? gangRunNumber : task.lastRun + 1;
       task.lastRun = brandAs<RunNumber>(number);
       const run: Run = {
@@ -51,7 +51,7 @@
         phase: 'recorded',
         confirmedAt: undefined,
         progress: undefined,
-        isApart,
+        isIsolated,
       };
       context.attach(run);
       context.afterCommit(() => {
@@ -62,7 +62,7 @@
         run: run.number,
         worker: worker.id,
         failures: task.failures,
-        ...(task.crashes > 0 ? { crashes: task.crashes, apart: isApart } : {}),
+        ...(task.crashes > 0 ? { crashes: task.crashes, isolated: isIsolated } : {}),
       });
     }
     step.job.state = 'running';
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -265,10 +265,8 @@
   }
 
   private restore({ jobs, runs }: Restored): void {
-    const counts = new Map<WorkerIncarnation, number>();
-    runs.forEach(({ incarnation }) => counts.set(incarnation, (counts.get(incarnation) ?? 0) + 1));
     runs.forEach((run) => {
-      this.restoreRun(run, counts.get(run.incarnation) === 1);
+      this.restoreRun(run);
     });
     jobs.forEach((job) => {
       this.lifecycle.resume(job);
@@ -276,13 +274,11 @@
   }
 
   /** Restores a run of an earlier owner; its worker's first report tells what became of it. */
-  private restoreRun(
-    { task, incarnation, worker: id, number }: RestoredRun,
-    wasApart: boolean,
-  ): void {
+  private restoreRun({ task, incarnation, worker: id, number }: RestoredRun): void {
     const current = this.context.currentIncarnations.get(id);
     if (current !== undefined && current.incarnation !== incarnation) {
-      this.crashes.recordEarlierCrash(task, number, current, wasApart);
+      // The worker has crashed or left since, and the start may never have been sent.
+      this.crashes.suspect(task);
       return;
     }
     const worker = current ?? this.unregisteredWorker(incarnation, id);
@@ -294,7 +290,7 @@
       phase: 'ordered',
       confirmedAt: undefined,
       progress: undefined,
-      isApart: false,
+      isIsolated: false,
     };
     this.context.attach(run);
   }
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -100,7 +100,7 @@
       worker.unknownRuns === 0 &&
       hasPassed(worker.cooldownUntil, this.context.now) &&
       this.quarantines.mayPlace(worker.id) &&
-      !this.crashes.isOnProbation(worker)
+      !this.crashes.hasIsolatedRun(worker)
     );
   }
 
--- a/packages/jobs/src/worker-crashes.ts
+++ b/packages/jobs/src/worker-crashes.ts
@@ -1,6 +1,6 @@
 /**
- * Counts the workers that crashed under each task, tells the task that crashes them from those that
- * shared a worker with it, and gives it up.
+ * Counts the workers that crashed under each task and gives up the task that crashes them. Suspects run
+ * in isolation, which tells them from tasks that only shared a worker with one.
  */
 
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
@@ -8,8 +8,8 @@
 import type { Lifecycle } from './lifecycle.js';
 import { isEnded, type Run, type Task, type Worker } from './model.js';
 
-/** A task is given up after a crash if it ran apart from others and this many workers crashed under it. */
-const MAX_CRASHES_APART = 2;
+/** A task is given up after a crash in isolation if this many workers have crashed under it. */
+const MAX_CRASHES_ISOLATED = 2;
 /** A task is given up after this many crashes, whatever ran beside it. */
 const MAX_CRASHES = 3;
 /**
@@ -19,11 +19,11 @@
 const YOUNG_RUN_MILLIS = 1000;
 /** A run that lasts is not to blame for a crash after this long, milliseconds. */
 const LASTING_RUN_MILLIS = 10_000;
-/** Nothing is started beside a suspect until it has run for this long, milliseconds. */
-const PROBATION_MILLIS = 1500;
-/** Largest fraction of the workers that may run a suspect apart, except for tasks with two crashes. */
-const MAX_APART_FRACTION = 0.15;
-const MIN_APART = 2;
+/** Nothing is started beside an isolated run until it has run for this long, milliseconds. */
+const ISOLATION_MILLIS = 1500;
+/** Largest fraction of the workers with an isolated run, unless two workers crashed under the task. */
+const MAX_ISOLATED_FRACTION = 0.15;
+const MIN_ISOLATED = 2;
 /**
  * A worker that crashed tells little by its next crash for this long, milliseconds: it may go down and
  * up by itself.
@@ -42,15 +42,16 @@
   /** Counts a crash under each task that ran on the worker, also if its lease has lapsed since. */
   recordCrash(worker: Worker): void {
     const started = [...worker.runs.values()].filter(({ phase }) => phase !== 'recorded');
-    const isAlone = started.length === 1;
-    const isApart = isAlone && !this.isUnreliable(worker);
+    const isIsolated = started.length === 1 && !this.isUnreliable(worker);
     for (const run of started) {
       if (hasLasted(run, worker)) {
         run.task.crashes = 0;
         this.context.markChanged(run.task.step.job);
-      } else if (run.confirmedAt !== undefined || isAlone) {
-        // A start that the worker didn't confirm may have arrived after the crash, if others ran there.
-        this.countCrash(run.task, run.number, worker, isApart, isYoung(run, worker));
+      } else if (run.confirmedAt === undefined) {
+        // The start may have arrived after the crash.
+        this.suspect(run.task);
+      } else {
+        this.countCrash(run.task, run.number, worker, isIsolated, isYoung(run, worker));
       }
     }
     for (const run of worker.lapsedRuns) {
@@ -68,28 +69,23 @@
     return until !== undefined && !hasPassed(until, this.context.now);
   }
 
-  /**
-   * Counts the crash of a worker that was replaced while the work had no owner. The start may never have
-   * been sent, so that it counts only if nothing else ran there.
-   */
-  recordEarlierCrash(task: Task, number: Run['number'], worker: Worker, wasAlone: boolean): void {
-    if (wasAlone) {
-      this.countCrash(task, number, worker, false, true);
-    }
+  /** A worker may have crashed under the task, for which there is no proof. */
+  suspect(task: Task): void {
+    task.isSuspected = true;
   }
 
-  /** Whether the task must run apart from others, as far as workers can be spared for that. */
-  mustRunApart(task: Task): boolean {
+  /** Whether the next run of the task must be isolated, as far as workers can be spared for that. */
+  needsIsolation(task: Task): boolean {
     if (task.step.plan.isGang || !isSuspect(task)) {
       return false;
     }
-    return task.crashes >= MAX_CRASHES_APART || this.countApart() < this.maxApart();
+    return task.crashes >= MAX_CRASHES_ISOLATED || this.countIsolated() < this.maxIsolated();
   }
 
-  /** Whether a suspect runs on the worker that has not run for long enough to be beyond suspicion. */
-  isOnProbation({ runs }: Worker): boolean {
+  /** Whether the worker has an isolated run beside which nothing may be started yet. */
+  hasIsolatedRun({ runs }: Worker): boolean {
     for (const run of runs.values()) {
-      if (run.isApart && this.isRecent(run)) {
+      if (run.isIsolated && this.isRecent(run)) {
         return true;
       }
     }
@@ -99,27 +95,27 @@
   private isRecent({ confirmedAt }: Run): boolean {
     return (
       confirmedAt === undefined ||
-      !hasPassed(deadlineAfter(confirmedAt, PROBATION_MILLIS), this.context.now)
+      !hasPassed(deadlineAfter(confirmedAt, ISOLATION_MILLIS), this.context.now)
     );
   }
 
-  private countApart(): number {
+  private countIsolated(): number {
     let count = 0;
     for (const worker of this.context.workers.values()) {
-      count += Number(this.isOnProbation(worker));
+      count += Number(this.hasIsolatedRun(worker));
     }
     return count;
   }
 
-  private maxApart(): number {
-    return Math.max(MIN_APART, Math.floor(MAX_APART_FRACTION * this.context.workers.size));
+  private maxIsolated(): number {
+    return Math.max(MIN_ISOLATED, Math.floor(MAX_ISOLATED_FRACTION * this.context.workers.size));
   }
 
   private countCrash(
     task: Task,
     run: Run['number'],
     worker: Worker,
-    isApart: boolean,
+    isIsolated: boolean,
     isSuspected: boolean,
   ): void {
     const { job } = task.step;
@@ -134,10 +130,10 @@
       run,
       worker: worker.id,
       crashes: task.crashes,
-      apart: isApart,
+      isolated: isIsolated,
       suspected: task.isSuspected,
     });
-    const limit = isApart ? MAX_CRASHES_APART : MAX_CRASHES;
+    const limit = isIsolated ? MAX_CRASHES_ISOLATED : MAX_CRASHES;
     if (task.crashes >= limit) {
       this.lifecycle.giveUp(job, `${task.crashes} workers crashed under ${task.id}`);
     }
@@ -159,5 +155,5 @@
 }
 
 function isSuspect({ crashes, isSuspected }: Task): boolean {
-  return crashes >= MAX_CRASHES_APART || (crashes > 0 && isSuspected);
+  return crashes >= MAX_CRASHES_ISOLATED || isSuspected;
 }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -41,8 +41,8 @@
       if (startable === 0) {
         break;
       }
-      const isApart = this.crashes.mustRunApart(task);
-      const extraPenalty = isApart ? this.penaltyOfCompany : noPenalty;
+      const isIsolated = this.crashes.needsIsolation(task);
+      const extraPenalty = isIsolated ? this.penaltyOfOtherRuns : noPenalty;
       const candidate = bestWorker(
         { step, task, rack, extraPenalty },
         demand,
@@ -55,9 +55,9 @@
       startable -= 1;
       rack ??= candidate.worker.registration.rack;
       allocate(candidate, demand, countByWorker);
-      candidate.isClosed = isApart;
+      candidate.isClosed = isIsolated;
       const { worker } = candidate;
-      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isApart });
+      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated });
     }
     return assignments;
   }
@@ -100,7 +100,7 @@
       }
       allocate(candidate, demand, countByWorker);
       const { worker } = candidate;
-      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isApart: false });
+      assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated: false });
     }
     candidates.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
@@ -108,10 +108,10 @@
     return assignments;
   }
 
-  /** For a task that should run apart: other runs would be lost with it, a crash would tell less. */
-  private readonly penaltyOfCompany = (worker: Worker): number => {
+  /** For an isolated run: others would be lost with it, and a crash would tell less. */
+  private readonly penaltyOfOtherRuns = (worker: Worker): number => {
     const unreliability = this.crashes.isUnreliable(worker) ? UNRELIABLE_AS_RUNS : 0;
-    return (worker.runs.size + unreliability) * COMPANY_PENALTY_MILLICORES;
+    return (worker.runs.size + unreliability) * OTHER_RUN_PENALTY_MILLICORES;
   };
 
   private grantOf(step: Step, { worker }: AvailableWorker): Grant | undefined {
@@ -179,8 +179,8 @@
 
 /**
  * The worker with the least free processor time on which the task fits; workers on its preferred
- * racks and those where it has not failed go first. A task that should run apart goes where it has the
- * least company.
+ * racks and those where it has not failed go first. `extraPenalty` goes before all
+ * of this.
  */
 function bestWorker(
   choice: Choice,
@@ -211,8 +211,8 @@
  * there.
  */
 const FAR_PENALTY_MILLICORES = 1_000_000;
-/** Score penalty for each run beside a task that should run apart; weighs more than all others. */
-const COMPANY_PENALTY_MILLICORES = 10_000_000;
+/** Score penalty for each run beside an isolated one; weighs more than all others. */
+const OTHER_RUN_PENALTY_MILLICORES = 10_000_000;
 /** A worker that has crashed recently counts as having so many more runs. */
 const UNRELIABLE_AS_RUNS = 3;
 
