--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -47,7 +47,7 @@
 import {
   ConfigurationService,
   GatewayService,
-  NeighborService,
+  ReaderLinkService,
   OwnerService,
   OwnershipService,
   PeersService,
@@ -250,7 +250,7 @@
         return member.peers;
       }),
     );
-    kernel.register(new NeighborService(environment));
+    kernel.register(new ReaderLinkService(environment));
     kernel.register(new OwnershipService(environment));
     await kernel.start(deadlineAfter(processClock.now(), 1000));
     members.set(name, member);
--- a/packages/member/src/keys.ts
+++ b/packages/member/src/keys.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { ConfigurationMessage } from './configuration-task.js';
 import type { GatewayMessage } from './gateway-messages.js';
-import type { NeighborMessage } from './neighbor-task.js';
+import type { ReaderLinkMessage } from './reader-link-task.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { Peers } from './peers.js';
@@ -24,7 +24,7 @@
 export const GATEWAY = new ServiceKey<MailboxAddress<GatewayMessage>>('member.gate');
 export const OWNER = new ServiceKey<MailboxAddress<OwnerMessage>>('member.owner');
 export const OWNERSHIP = new ServiceKey<MailboxAddress<OwnershipMessage>>('member.ownership');
-export const NEIGHBOR = new ServiceKey<MailboxAddress<NeighborMessage>>('member.neighbor');
+export const READER_LINK = new ServiceKey<MailboxAddress<ReaderLinkMessage>>('member.reader-link');
 export const PEERS = new ServiceKey<Peers>('member.peers');
 export const CONFIGURATION = new ServiceKey<MailboxAddress<ConfigurationMessage>>(
   'member.configuration',
--- a/packages/member/src/reader-link-task.ts
+++ b/packages/member/src/reader-link-task.ts
@@ -20,29 +20,29 @@
 /** A member whose connection was lost is not dialled for this long. */
 const AVOIDANCE_MILLIS = 10_000;
 
-export type NeighborMessage =
+export type ReaderLinkMessage =
   | { readonly kind: 'tick' }
   | { readonly kind: 'dialled'; readonly member: MemberId; readonly result: DialResult }
   | { readonly kind: 'ended'; readonly connection: Connection; readonly reason: CloseReason };
 
-export interface NeighborOptions {
+export interface ReaderLinkOptions {
   readonly settings: MemberSettings;
   readonly peers: Peers;
   readonly configuration: MailboxAddress<ConfigurationMessage>;
   readonly events: EventLog;
 }
 
-export class NeighborTask extends Task<NeighborMessage> {
+export class ReaderLinkTask extends Task<ReaderLinkMessage> {
   private connection: Connection | undefined;
   /** The member that is connected or being dialled. */
   private reader: MemberId | undefined;
   private readonly avoidedUntil = new Map<MemberId, Deadline>();
 
   constructor(
-    private readonly options: NeighborOptions,
+    private readonly options: ReaderLinkOptions,
     clock: Clock,
   ) {
-    super('neighbor', clock);
+    super('reader-link', clock);
   }
 
   protected override onStart(): void {
@@ -53,7 +53,7 @@
     this.connection?.close();
   }
 
-  protected receive(message: NeighborMessage): void {
+  protected receive(message: ReaderLinkMessage): void {
     match(message)
       .with({ kind: 'tick' }, () => {
         this.tickLater();
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -17,7 +17,7 @@
   EVENTS,
   GATEWAY,
   MACHINE,
-  NEIGHBOR,
+  READER_LINK,
   OWNER,
   OWNERSHIP,
   PEERS,
@@ -32,7 +32,7 @@
 import { OwnerTask } from './owner-task.js';
 import { MachineTask, type MachineMessage, type ProcessGauges } from './machine-task.js';
 import type { OwnershipMessage } from './ownership-messages.js';
-import { NeighborTask, type NeighborMessage } from './neighbor-task.js';
+import { ReaderLinkTask, type ReaderLinkMessage } from './reader-link-task.js';
 import { OwnershipTask } from './ownership-task.js';
 import type { Peers, PeersOptions } from './peers.js';
 import type { MemberSettings } from './settings.js';
@@ -196,16 +196,16 @@
   }
 }
 
-export class NeighborService extends TaskService<NeighborMessage> {
-  readonly key = NEIGHBOR;
+export class ReaderLinkService extends TaskService<ReaderLinkMessage> {
+  readonly key = READER_LINK;
   readonly dependencies = [EVENTS, PEERS, CONFIGURATION];
 
-  protected make(directory: Directory): Task<NeighborMessage> {
+  protected make(directory: Directory): Task<ReaderLinkMessage> {
     const { settings, clock } = this.environment;
     const peers = directory.find(PEERS);
     const configuration = directory.find(CONFIGURATION);
     const events = directory.find(EVENTS);
-    return new NeighborTask({ settings, peers, configuration, events }, clock);
+    return new ReaderLinkTask({ settings, peers, configuration, events }, clock);
   }
 }
 
