--- a/packages/jobs/src/worker-crashes.test.ts
+++ b/packages/jobs/src/worker-crashes.test.ts
@@ -2,7 +2,7 @@
 import { workerIncarnationOf } from '@bamboowell/types/job';
 import { deadlineAfter } from '@bamboowell/types/time';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
-import { cores, jobId, jobPlan, workerRegistration } from './plans.fixture.js';
+import { cores, jobId, jobPlan, stepPlan, workerRegistration } from './plans.fixture.js';
 import { runningEntry, schedulerHarness, type ReceivedStart } from './scheduler.fixture.js';
 
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
@@ -16,6 +16,23 @@
 
 type Harness = ReturnType<typeof harnessOfSix>;
 
+/** The same with a job of one task, and the first start of that. */
+function harnessWithStart(plan = jobPlan(1)) {
+  const harness = harnessOfSix();
+  harness.submit(plan);
+  harness.commit();
+  return { harness, first: startOf(harness) };
+}
+
+/** The only start of a placement pass, which its worker confirms. */
+function startOf(harness: Harness): ReceivedStart {
+  const [start, ...others] = placeAndConfirm(harness);
+  if (start === undefined || others.length > 0) {
+    throw new Error(`${others.length + Number(start !== undefined)} starts instead of one`);
+  }
+  return start;
+}
+
 function workerOf({ incarnation }: Pick<ReceivedStart, 'incarnation'>): WorkerId {
   return brandAs<WorkerId>(incarnation.split('@')[0] ?? '');
 }
@@ -40,18 +57,24 @@
   harness.commit();
 }
 
+function letLeaseLapse(harness: Harness, { incarnation }: ReceivedStart): void {
+  const lapsesAt = deadlineAfter(harness.now(), 10);
+  harness.send({ kind: 'unreachable', incarnation, lapsesAt });
+  harness.advance(20);
+  harness.send({ kind: 'place', mayStart: false });
+}
+
+/** The counts of crashes that were logged. */
+function crashCounts(harness: Harness) {
+  const crashed = harness.of('event').filter(({ name }) => name === 'task.crashed');
+  return crashed.map(({ fields }) => fields.crashes);
+}
+
 // Guards against a task that crashes one worker after the other without end (incident BUDGET).
 test('a task that crashes the workers that start it is given up after the second one, and its job fails', (t) => {
-  const harness = harnessOfSix();
-  harness.submit(jobPlan(1));
-  harness.commit();
-  for (const round of [1, 2]) {
-    const [start] = placeAndConfirm(harness);
-    t.truthy(start, `round ${round}`);
-    if (start !== undefined) {
-      crash(harness, start);
-    }
-  }
+  const { harness, first } = harnessWithStart();
+  crash(harness, first);
+  crash(harness, startOf(harness));
   t.deepEqual(harness.place(), []);
   t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
   const ended = harness.of('event').find(({ name }) => name === 'job.ended');
@@ -90,22 +113,11 @@
 // Guards against work that a worker loses because it was started beside a task that may crash it (incident
 // BUDGET).
 test('nothing is started beside a task under which a worker has crashed, until it has run for a while', (t) => {
-  const harness = harnessOfSix();
-  harness.submit(jobPlan(1));
-  harness.commit();
-  const [start] = placeAndConfirm(harness);
-  t.truthy(start);
-  if (start === undefined) {
-    return;
-  }
-  crash(harness, start);
-  const [suspect] = placeAndConfirm(harness);
-  t.truthy(suspect);
-  if (suspect === undefined) {
-    return;
-  }
+  const { harness, first } = harnessWithStart();
+  crash(harness, first);
+  const suspect = startOf(harness);
   [11, 12, 13, 14, 15, 16].forEach((number) => {
-    harness.submit(jobPlan(number, { steps: [{ ...firstStepOf(number), demand: cores(3) }] }));
+    harness.submit(jobPlan(number, { steps: [stepPlan({ demand: cores(3) })] }));
   });
   harness.commit();
   const beside = (starts: readonly ReceivedStart[]) =>
@@ -119,22 +131,11 @@
 
 // Guards against crashes that are forgotten with the owner that saw them (incident BUDGET).
 test('a new owner knows of the crashes under a task', (t) => {
-  const harness = harnessOfSix();
-  harness.submit(jobPlan(1));
-  harness.commit();
-  const [first] = placeAndConfirm(harness);
-  t.truthy(first);
-  if (first === undefined) {
-    return;
-  }
+  const { harness, first } = harnessWithStart();
   crash(harness, first);
   harness.takeOver();
   harness.reportFromAll();
-  const [second] = placeAndConfirm(harness);
-  t.truthy(second);
-  if (second !== undefined) {
-    crash(harness, second);
-  }
+  crash(harness, startOf(harness));
   t.deepEqual(harness.place(), []);
   t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'failed' });
 });
@@ -142,26 +143,23 @@
 // Guards against a task that crashes workers beside others because the owner was replaced before it learned
 // of the crash (incident BUDGET).
 test('a new owner isolates a task whose worker was born again while the work had no owner', (t) => {
-  const harness = harnessOfSix();
-  harness.submit(jobPlan(1));
-  harness.commit();
-  const [first] = placeAndConfirm(harness);
-  t.truthy(first);
-  if (first === undefined) {
-    return;
-  }
-  harness.takeOver(undefined, [
-    ...WORKERS.filter((name) => name !== workerOf(first)).map((name) => workerRegistration(name)),
-    workerRegistration(workerOf(first), { incarnation: workerIncarnationOf(workerOf(first), 2) }),
-  ]);
+  const { harness, first } = harnessWithStart();
+  const lost = workerOf(first);
+  harness.takeOver(
+    undefined,
+    WORKERS.map((name) =>
+      workerRegistration(name, {
+        incarnation: workerIncarnationOf(brandAs<WorkerId>(name), name === lost ? 2 : 1),
+      }),
+    ),
+  );
   harness.reportFromAll();
-  const [second] = placeAndConfirm(harness);
-  t.truthy(second);
-  harness.submit(jobPlan(2, { steps: [{ ...firstStepOf(2), count: 21, demand: cores(1) }] }));
+  const second = startOf(harness);
+  harness.submit(jobPlan(2, { steps: [stepPlan({ count: 21 })] }));
   harness.commit();
   const others = harness.place();
   t.is(others.length, 20);
-  t.false(others.some(({ incarnation }) => incarnation === second?.incarnation));
+  t.false(others.some(({ incarnation }) => incarnation === second.incarnation));
 });
 
 // Guards against a job that fails without proof that two workers crashed under its task (incident BUDGET).
@@ -170,11 +168,11 @@
   harness.submit(jobPlan(1));
   harness.commit();
   for (let round = 0; round < 5; round += 1) {
-    const [start] = harness.place();
-    t.truthy(start, `round ${round}`);
-    if (start !== undefined) {
+    const starts = harness.place();
+    t.is(starts.length, 1, `round ${round}`);
+    starts.forEach((start) => {
       crash(harness, start);
-    }
+    });
   }
   t.is(harness.place().length, 1);
 });
@@ -185,42 +183,28 @@
   harness.submit(jobPlan(1));
   harness.commit();
   for (let round = 0; round < 4; round += 1) {
-    const [start] = placeAndConfirm(harness);
-    t.truthy(start, `round ${round}`);
-    if (start === undefined) {
-      return;
-    }
+    const start = startOf(harness);
     const { incarnation } = start;
     if (round % 2 === 0) {
       const registration = workerRegistration(workerOf(start), { incarnation, isDraining: true });
       harness.send({ kind: 'worker', registration });
       harness.send({ kind: 'other_life', incarnation });
     } else {
-      const lapsesAt = deadlineAfter(harness.now(), 10);
-      harness.send({ kind: 'unreachable', incarnation, lapsesAt });
-      harness.advance(20);
-      harness.send({ kind: 'place', mayStart: false });
+      letLeaseLapse(harness, start);
       harness.report(incarnation);
     }
     harness.commit();
   }
-  t.deepEqual(
-    harness.of('event').filter(({ name }) => name === 'task.crashed'),
-    [],
-  );
+  t.deepEqual(crashCounts(harness), []);
 });
 
 // Guards against services that are given up because their workers crashed now and then (incident BUDGET).
 test('a task that lasts is started again after each crash of a worker on which it had run for long', (t) => {
   const harness = harnessOfSix();
-  harness.submit(jobPlan(1, { steps: [{ ...firstStepOf(1), isLasting: true }] }));
+  harness.submit(jobPlan(1, { steps: [stepPlan({ isLasting: true })] }));
   harness.commit();
   for (let round = 0; round < 5; round += 1) {
-    const [start] = placeAndConfirm(harness);
-    t.truthy(start, `round ${round}`);
-    if (start === undefined) {
-      return;
-    }
+    const start = startOf(harness);
     harness.advance(20_000);
     harness.report(start.incarnation, [runningEntry(start)]);
     crash(harness, start);
@@ -231,30 +215,8 @@
 // Guards against a worker that is away for longer than its lease, so that its crash is not counted (incident
 // BUDGET).
 test('a worker that comes back as another one after its lease has lapsed has crashed', (t) => {
-  const harness = harnessOfSix();
-  harness.submit(jobPlan(1));
-  harness.commit();
-  const [start] = placeAndConfirm(harness);
-  t.truthy(start);
-  if (start === undefined) {
-    return;
-  }
-  const { incarnation } = start;
-  harness.send({ kind: 'unreachable', incarnation, lapsesAt: deadlineAfter(harness.now(), 10) });
-  harness.advance(20);
-  harness.send({ kind: 'place', mayStart: false });
-  crash(harness, start);
-  const crashed = harness.of('event').filter(({ name }) => name === 'task.crashed');
-  t.deepEqual(
-    crashed.map(({ fields }) => fields.crashes),
-    [1],
-  );
+  const { harness, first } = harnessWithStart();
+  letLeaseLapse(harness, first);
+  crash(harness, first);
+  t.deepEqual(crashCounts(harness), [1]);
 });
-
-function firstStepOf(number: number) {
-  const [step] = jobPlan(number).steps;
-  if (step === undefined) {
-    throw new Error('a plan without steps');
-  }
-  return step;
-}
