Read only what is new when the reader of the configuration delivers nothing

What callers would have seen: full lines again whenever the operator writes something else beside the configuration, a wave of upkeep for instance. Cause: a follower to which its reader brings nothing read the whole topic, the document included; a reader has nothing to bring when the record is no configuration. Found by reading.

A topic that has grown by two records at most is read from where it was; only after more is it read anew.

--- a/packages/member/src/configuration.test.ts
+++ b/packages/member/src/configuration.test.ts
@@ -214,6 +214,20 @@
   t.deepEqual(farMembersWith(cluster, 2), others);
 });
 
+// Guards against followers that all read the whole configuration because something else changed beside it
+// (incident CONFIG, record inc1).
+test('a record that is no configuration costs the line between regions next to nothing', async (t) => {
+  const cluster = await clusterOfTwoRegions();
+  cluster.declare(withManyQueues(2, LARGE_QUEUE_COUNT));
+  await cluster.run(4000);
+  const line = cluster.lines.between('r1', 'far');
+  const before = line?.bytes ?? 0;
+  cluster.declareOther('wave', 'x'.repeat(100));
+  await cluster.run(4000);
+  const bytes = (line?.bytes ?? 0) - before;
+  t.true(bytes < 200_000, `${bytes} bytes`);
+});
+
 // Guards against an owner whose reads of the configuration wait behind hundreds of reads of the claims,
 // one for each worker that refuses its orders (incident CONFIG).
 test('an owner that all workers fence reads the claims a few times only', async (t) => {
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -280,6 +280,10 @@
     declare: (configuration: JobConfiguration): void => {
       write('operator', 'config', JSON.stringify(configuration));
     },
+    /** Writes a record of the operator that is not the configuration. */
+    declareOther: (key: string, value: string): void => {
+      write('operator', key, value);
+    },
     /** Advances time in small steps, so that all processes act in order. */
     run: async (millis: number): Promise<void> => {
       const until = clock.now() + millis;
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -26,6 +26,8 @@
 /** How long another member may take to deliver records that the store has. */
 const DELIVERY_TIMEOUT_MILLIS = 1500;
 const DELIVERY_CHECK_MILLIS = 100;
+/** A topic that has grown by more records than this is read anew, which skips all but the newest. */
+const MAX_RECORDS_TO_CATCH_UP = 2;
 
 export interface TopicWatchOptions {
   /** Pause after new records; later ones are then read in one call. */
@@ -123,8 +125,10 @@
     if (page.end > next) {
       await this.awaitDelivery(page.end);
     }
-    if (page.end > (this.next ?? next)) {
-      return this.readAll();
+    const delivered = this.next ?? next;
+    if (page.end > delivered) {
+      const isNear = page.end - delivered <= MAX_RECORDS_TO_CATCH_UP;
+      return isNear ? this.readFrom(delivered) : this.readAll();
     }
     this.confirm(askedAt);
     if (this.isServedByMember) {
