--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -22,7 +22,7 @@
 const RETRY_DELAY_MILLIS = 150;
 
 /** Interval at which the end of a topic is asked for while another member delivers its records. */
-const END_INTERVAL_MILLIS = 1500;
+const END_INTERVAL_MILLIS = 1000;
 /** How long another member may take to deliver records that the store has. */
 const DELIVERY_TIMEOUT_MILLIS = 1500;
 const DELIVERY_CHECK_MILLIS = 100;
