--- a/packages/jobs/src/worker-crashes.ts
+++ b/packages/jobs/src/worker-crashes.ts
@@ -23,10 +23,11 @@
 const ISOLATION_MILLIS = 1500;
 /** Largest fraction of the workers with an isolated run, unless two workers crashed under the task. */
 const MAX_ISOLATED_FRACTION = 0.15;
+/** In a small cluster so many workers may have one all the same. */
 const MIN_ISOLATED = 2;
 /**
- * A worker that crashed tells little by its next crash for this long, milliseconds: it may go down and
- * up by itself.
+ * For this long after a crash of a worker, milliseconds, its next one proves nothing about an isolated run
+ * there: the worker may go down and up by itself.
  */
 const UNRELIABLE_MILLIS = 15_000;
 
