--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -1,6 +1,5 @@
 /** Connects members over long-lived TCP connections. */
 
-import { randomInt } from 'node:crypto';
 import type { Socket } from 'node:net';
 import type { Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
@@ -63,7 +62,7 @@
   async dial({ address, ports = 1 }: DialTarget, deadline: Deadline): Promise<DialResult> {
     const { clock } = this.options;
     const result = await connect({
-      address: { ...address, port: address.port + randomInt(ports) },
+      address: { ...address, port: address.port + Math.floor(Math.random() * ports) },
       clock,
       deadline,
       keepAlive: { ...KEEP_ALIVE, firstMessageMillis: HELLO_TIMEOUT_MILLIS },
--- a/packages/metrics/src/event-metrics.ts
+++ b/packages/metrics/src/event-metrics.ts
@@ -1,6 +1,11 @@
 /** Counts events before they are logged, and records the times that they carry in histograms. */
 
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+// Imported directly: prom-client's root also loads the runtime's cluster and HTTPS modules.
+import Counter from 'prom-client/lib/counter.js';
+import Gauge from 'prom-client/lib/gauge.js';
+import Histogram from 'prom-client/lib/histogram.js';
+import MetricsRegistry from 'prom-client/lib/registry.js';
+import type { Registry } from 'prom-client';
 import { EventLog } from '@bamboowell/logger/logger';
 import type { Fields } from '@bamboowell/logger/line';
 
@@ -28,7 +33,7 @@
 const COUNTED_ONLY: ReadonlySet<string> = new Set(['append.done']);
 
 export class EventMetrics extends EventLog {
-  readonly registry = new Registry();
+  readonly registry: Registry = new MetricsRegistry();
   private readonly events = new Counter({
     name: `${PREFIX}events_total`,
     help: 'Events of the log, by name.',
--- a/packages/metrics/src/metrics-server.ts
+++ b/packages/metrics/src/metrics-server.ts
@@ -1,42 +1,49 @@
-/** Serves a registry's metrics over HTTP as text. */
+/**
+ * Serves a registry's metrics over HTTP as text, on the runtime's own module: the Fetch API's classes
+ * would take a member's memory for this alone.
+ */
 
-import type { Server } from 'node:http';
-import { serve } from '@hono/node-server';
-import { Hono } from 'hono';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { Registry } from 'prom-client';
 import type { Address } from '@bamboowell/types/vm';
 
 export const METRICS_PATH = '/metrics';
 
 export class MetricsServer {
-  private server: Server | undefined;
+  private readonly server: Server;
 
-  constructor(private readonly registry: Registry) {}
+  constructor(private readonly registry: Registry) {
+    this.server = createServer((request, response) => {
+      if (request.method === 'GET' && request.url?.split('?')[0] === METRICS_PATH) {
+        void this.answer(response);
+      } else {
+        response.writeHead(404).end();
+      }
+    });
+  }
 
   /**
    * Resolves to the address that it listens on; port 0 lets the system choose. Rejects if the port
    * is taken.
    */
   open({ host, port }: Address): Promise<Address> {
-    const app = new Hono();
-    app.get(METRICS_PATH, async (context) =>
-      context.text(await this.registry.metrics(), 200, {
-        'content-type': this.registry.contentType,
-      }),
-    );
     return new Promise((resolve, reject) => {
-      this.server = serve(
-        { fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false },
-        (info) => {
-          resolve({ host, port: info.port });
-        },
-      ) as Server;
       this.server.once('error', reject);
+      this.server.listen({ host, port }, () => {
+        const address = this.server.address();
+        resolve({ host, port: typeof address === 'object' ? (address?.port ?? port) : port });
+      });
     });
   }
 
   close(): void {
-    this.server?.close();
-    this.server?.closeAllConnections();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(response: ServerResponse): Promise<void> {
+    const { registry } = this;
+    const text = await registry.metrics();
+    response.writeHead(200, { 'content-type': registry.contentType }).end(text);
   }
 }
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -49,7 +49,9 @@
       giveUp(error.message, error.code === 'ECONNREFUSED');
     });
     socket.once(target.tls === undefined ? 'connect' : 'secureConnect', () => {
-      const peer = socket instanceof TLSSocket ? peerNameOf(socket) : undefined;
+      // The class is looked at only where TLS is in use, so that the runtime need not load it otherwise.
+      const isTls = target.tls !== undefined && socket instanceof TLSSocket;
+      const peer = isTls ? peerNameOf(socket) : undefined;
       if (target.expectedPeer !== undefined && peer !== target.expectedPeer) {
         giveUp(`the peer is named ${peer ?? 'nothing'}, not ${target.expectedPeer}`);
         return;
