Wake a member only when something is due

Cause: timers that run although nothing is due. In a test with emulated connections a follower is woken 42 times a second: 20 times by the check of redials and elections, 10 by the owner's task without a term, 4 each by the measurement of its machine and by the choice of a reader. On top of these come pings over two connections every 300 ms in both directions, each decoded and dispatched like a request.

Change: the ownership task sets an alarm for what is due next, the owner's task ticks only during a term, the other two timers are slower and a lost reader is replaced at once. The connection to a reader of the configuration pings once a second, because its silence is noticed by what it doesn't bring. A ping is recognised by its bytes.

--- a/packages/member/src/election.ts
+++ b/packages/member/src/election.ts
@@ -126,6 +126,22 @@
     return 'none';
   }
 
+  /** When `next` may return an action; undefined if only an event can lead to one. */
+  get nextAt(): Deadline | undefined {
+    const { owner } = this;
+    switch (owner.kind) {
+      case 'vacant':
+        return owner.claimAt;
+      case 'silent':
+      case 'in_trouble':
+        return owner.probeAt;
+      case 'unknown':
+      case 'claimed':
+      case 'connected':
+        return undefined;
+    }
+  }
+
   /** Returns the action that is due. */
   next(now: Instant): ElectionAction {
     const { owner } = this;
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -160,6 +160,11 @@
     this.handlers.set(method, handler);
   }
 
+  /** Silence is emulated by `dropAsSilent`. */
+  setKeepAlive(): void {
+    return undefined;
+  }
+
   close(): void {
     this.terminate('closed');
   }
--- a/packages/member/src/machine-task.ts
+++ b/packages/member/src/machine-task.ts
@@ -10,7 +10,7 @@
 /** Interval at which the figures are logged: about the duration of a change of owner. */
 const FIGURES_INTERVAL_MILLIS = 1000;
 /** Interval at which the lag of timers is checked. */
-const TICK_INTERVAL_MILLIS = 250;
+const TICK_INTERVAL_MILLIS = 500;
 const MICROS_PER_MILLI = 1000;
 const BYTES_PER_MIB = 1024 * 1024;
 
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -79,6 +79,7 @@
   private readonly requests = new PendingRequests();
   private readonly advice: AdviceCalls;
   private isPassScheduled = false;
+  private isTicking = false;
   private nextPassAt: Deadline = brandAs<Deadline>(0);
   private resignation: Extract<OwnerMessage, { kind: 'resign' }> | undefined;
   /** Rejects new requests because the work is about to be handed over. */
@@ -93,10 +94,6 @@
     this.advice = new AdviceCalls(clock, options.events, this);
   }
 
-  protected override onStart(): void {
-    this.post({ kind: 'tick' });
-  }
-
   protected override onStop(): void {
     this.standDown('stopped');
   }
@@ -189,12 +186,14 @@
         this.pass();
       })
       .with({ kind: 'tick' }, () => {
-        this.postAt(deadlineAfter(this.clock.now(), TICK_INTERVAL_MILLIS), { kind: 'tick' });
+        this.isTicking = false;
         this.tick();
+        this.tickLater();
       })
       .with({ kind: 'resign' }, (resignation) => {
         this.resignation = resignation;
         this.resignIfReady();
+        this.tickLater();
       })
       .exhaustive();
   }
@@ -245,6 +244,7 @@
     events.event('owner.elected', { term });
     tenure.watch.start();
     writer.keepAlive(settings.member);
+    this.tickLater();
   }
 
   private makeWriter(term: Term): WorkLogWriter {
@@ -471,6 +471,15 @@
     });
   }
 
+  /** A member without a term has nothing to do regularly, and is not woken. */
+  private tickLater(): void {
+    const isNeeded = this.tenure !== undefined || this.resignation !== undefined;
+    if (isNeeded && !this.isTicking) {
+      this.isTicking = true;
+      this.postAt(deadlineAfter(this.clock.now(), TICK_INTERVAL_MILLIS), { kind: 'tick' });
+    }
+  }
+
   private tick(): void {
     this.resignIfReady();
     const { tenure } = this;
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -54,7 +54,7 @@
   | { readonly kind: 'log_end_read'; readonly end: Offset | undefined }
   /** The store's answer to this member's own claim. */
   | { readonly kind: 'claimed'; readonly outcome: AppendOutcome }
-  | { readonly kind: 'tick' }
+  | { readonly kind: 'check' }
   /** This member's owner task accepts requests from now on. */
   | { readonly kind: 'owner_ready'; readonly term: Term }
   /** Time to tell members of this member's claim that may not have heard of it. */
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -5,13 +5,13 @@
 
 import { match } from 'ts-pattern';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
-import type { Clock } from '@bamboowell/kernel/clock';
+import type { Alarm, Clock } from '@bamboowell/kernel/clock';
 import type { Reply } from '@bamboowell/kernel/ask';
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
-import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, later, type Deadline } from '@bamboowell/types/time';
 import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { GatewayMessage } from './gateway-messages.js';
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
@@ -29,8 +29,8 @@
 import { LOG_START, Election } from './election.js';
 import { TopicWatch } from './topic-watch.js';
 
-/** Interval at which redials and the election are checked. */
-const TICK_INTERVAL_MILLIS = 50;
+/** Shortest time between two checks of what is due. */
+const MIN_CHECK_INTERVAL_MILLIS = 50;
 /** Timeout of a probe of the work log, and of a claim. */
 const STORE_TIMEOUT_MILLIS = 700;
 /** Timeout for opening a connection to the owner. */
@@ -78,6 +78,8 @@
   /** The term whose owner is being dialled, or has not answered the hello yet. */
   private dialledTerm: Term | undefined;
   private redialAt: Deadline = brandAs<Deadline>(0);
+  private earliestCheckAt: Deadline = brandAs<Deadline>(0);
+  private scheduledCheck: { readonly at: Deadline; readonly alarm: Alarm } | undefined;
   private isProbing = false;
   /** Whether the claims are being read again, and whether that must be repeated. */
   private rereading: 'no' | 'once' | 'again' = 'no';
@@ -105,7 +107,6 @@
       this.post({ kind: 'claim_received', claim, end: LOG_START });
     });
     this.watch.start();
-    this.post({ kind: 'tick' });
   }
 
   protected override onStop(): void {
@@ -114,6 +115,11 @@
   }
 
   protected receive(message: OwnershipMessage): void {
+    this.handle(message);
+    this.scheduleCheck();
+  }
+
+  private handle(message: OwnershipMessage): void {
     match(message)
       .with({ kind: 'claim_received' }, ({ claim, end }) => {
         this.claimReceived(claim, end);
@@ -162,9 +168,10 @@
         this.options.events.event('owner.claimed', { outcome: outcome.kind });
         this.rereadClaims();
       })
-      .with({ kind: 'tick' }, () => {
-        this.postAt(deadlineAfter(this.clock.now(), TICK_INTERVAL_MILLIS), { kind: 'tick' });
-        this.tick();
+      .with({ kind: 'check' }, () => {
+        this.scheduledCheck = undefined;
+        this.earliestCheckAt = deadlineAfter(this.clock.now(), MIN_CHECK_INTERVAL_MILLIS);
+        this.check();
       })
       .with({ kind: 'owner_ready' }, ({ term }) => {
         if (this.claim?.term === term) {
@@ -430,13 +437,43 @@
     this.redialAt = deadlineAfter(this.clock.now(), REDIAL_DELAY_MILLIS);
   }
 
-  private tick(): void {
-    const now = this.clock.now();
-    const isDisconnected = this.connection === undefined && this.dialledTerm === undefined;
+  /**
+   * Sets an alarm for what is due next. A member that is connected to the owner has nothing due, and is
+   * not woken.
+   */
+  private scheduleCheck(): void {
+    const dueAt = this.nextDueAt();
+    const at = dueAt === undefined ? undefined : later(dueAt, this.earliestCheckAt);
+    if (at === this.scheduledCheck?.at) {
+      return;
+    }
+    this.scheduledCheck?.alarm.cancel();
+    this.scheduledCheck =
+      at === undefined ? undefined : { at, alarm: this.postAt(at, { kind: 'check' }) };
+  }
+
+  private nextDueAt(): Deadline | undefined {
+    const redialAt = this.ownerToDial() === undefined ? undefined : this.redialAt;
+    const electionAt = this.isClaimKnown ? this.options.election.nextAt : undefined;
+    if (redialAt === undefined || electionAt === undefined) {
+      return redialAt ?? electionAt;
+    }
+    return redialAt < electionAt ? redialAt : electionAt;
+  }
+
+  /** The claim of another member that is neither connected nor being dialled. */
+  private ownerToDial(): Claim | undefined {
     const { claim } = this;
+    const isDisconnected = this.connection === undefined && this.dialledTerm === undefined;
     const isRemote =
       claim !== undefined && !claim.isReleased && claim.member !== this.options.settings.member;
-    if (isRemote && isDisconnected && hasPassed(this.redialAt, now)) {
+    return isRemote && isDisconnected ? claim : undefined;
+  }
+
+  private check(): void {
+    const now = this.clock.now();
+    const claim = this.ownerToDial();
+    if (claim !== undefined && hasPassed(this.redialAt, now)) {
       this.redialAt = deadlineAfter(now, REDIAL_DELAY_MILLIS);
       this.dial(claim);
     }
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -8,6 +8,7 @@
 import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import type { Connection } from '@bamboowell/wire/connection';
+import type { KeepAliveTimes } from '@bamboowell/wire/keep-alive';
 import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
 import { KnownMembers, type KnownMember } from './known-members.js';
 import { RemoteMember, type AdviceRequest, type MemberPort } from './member-port.js';
@@ -34,6 +35,12 @@
  */
 const DOCUMENT_TIMEOUT_MILLIS = 8000;
 
+/**
+ * Keep-alive of the connection to a reader of the configuration. Its silence is noticed by the records
+ * that it doesn't bring, so that pings may be few.
+ */
+const READER_KEEP_ALIVE: KeepAliveTimes = { pingMillis: 1000, silenceMillis: 3500 };
+
 /** Where a member accepts connections; at one port if `ports` is absent. */
 export type DialTarget = Pick<Claim, 'address' | 'ports'>;
 
@@ -142,6 +149,7 @@
   follow(connection: Connection): ConfigurationSource {
     const member = this.register(connection);
     connection.notify(METHODS.follow, {});
+    connection.setKeepAlive(READER_KEEP_ALIVE);
     return member;
   }
 
@@ -201,6 +209,7 @@
       return this.answerHello(connection, params as Hello);
     });
     connection.handle(METHODS.follow, () => {
+      connection.setKeepAlive(READER_KEEP_ALIVE);
       configuration.post({ kind: 'member_connected', member });
     });
     connection.handle(METHODS.request, async (params): Promise<OwnerReply> => {
--- a/packages/member/src/process-clock.fixture.ts
+++ b/packages/member/src/process-clock.fixture.ts
@@ -10,6 +10,8 @@
 
 export class ProcessClock extends Clock {
   state: 'running' | 'frozen' | 'dead' = 'running';
+  /** Number of alarms that have fired. */
+  wakeUps = 0;
   private frozenMillis = 0;
   private frozenAt = 0;
   private queued: (() => void)[] = [];
@@ -34,6 +36,7 @@
       if (this.state === 'frozen') {
         this.queued.push(fire);
       } else if (hasPassed(deadline, this.now())) {
+        this.wakeUps += 1;
         wake();
       } else {
         arm();
--- a/packages/member/src/reader-link-task.ts
+++ b/packages/member/src/reader-link-task.ts
@@ -14,8 +14,8 @@
 import type { DialResult, Peers } from './peers.js';
 import type { MemberSettings } from './settings.js';
 
-/** Interval at which the choice of the reader is checked. */
-const TICK_INTERVAL_MILLIS = 250;
+/** Interval at which the choice of the reader is checked; a lost one is replaced at once. */
+const TICK_INTERVAL_MILLIS = 1000;
 const DIAL_TIMEOUT_MILLIS = 500;
 /** A member whose connection was lost is not dialled for this long. */
 const AVOIDANCE_MILLIS = 10_000;
@@ -141,6 +141,7 @@
     if (reader !== undefined) {
       this.avoidedUntil.set(reader, deadlineAfter(this.clock.now(), AVOIDANCE_MILLIS));
       this.options.events.event('reader.lost', { reader, detail });
+      this.follow();
     }
   }
 }
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -1,6 +1,7 @@
 /** A connection between two processes that carries JSON-RPC 2.0 in both directions. */
 
 import type { Deadline } from '@bamboowell/types/time';
+import type { KeepAliveTimes } from './keep-alive.js';
 
 /** Why a connection ended. `silent`: the other end sent nothing, not even pings, for too long. */
 export type CloseReason = 'closed' | 'reset' | 'silent' | 'protocol_error';
@@ -37,6 +38,9 @@
   /** Sets the handler of a method. Messages that arrive before it is set are errors. */
   abstract handle(method: string, handler: Handler): void;
 
+  /** Pings, and detects silence, by other times from now on; the other end must do the same. */
+  abstract setKeepAlive(times: KeepAliveTimes): void;
+
   /** Ends the connection. */
   abstract close(): void;
 }
--- a/packages/wire/src/keep-alive.test.ts
+++ b/packages/wire/src/keep-alive.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { Clock, type Alarm } from '@bamboowell/kernel/clock';
+import { ManualClock } from '@bamboowell/kernel/manual-clock';
 import { brandAs } from '@bamboowell/types/ids';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import { KeepAlive, SILENCE_MILLIS } from './keep-alive.js';
@@ -50,3 +51,17 @@
   clock.jump(1000);
   t.is(events.at(-1), 'silent');
 });
+
+test('other times apply at once: fewer pings, and silence that counts later', (t) => {
+  const clock = new ManualClock();
+  const events: string[] = [];
+  const listener = { ping: () => events.push('ping'), silent: () => events.push('silent') };
+  const keepAlive = new KeepAlive(clock, listener, { pingMillis: 300, silenceMillis: 1100 });
+  keepAlive.setTimes({ pingMillis: 1000, silenceMillis: 3500 });
+  for (let elapsed = 0; elapsed < 3400; elapsed += 100) {
+    clock.advance(100);
+  }
+  t.deepEqual(events, ['ping', 'ping', 'ping']);
+  clock.advance(100);
+  t.is(events.at(-1), 'silent');
+});
--- a/packages/wire/src/keep-alive.ts
+++ b/packages/wire/src/keep-alive.ts
@@ -43,13 +43,22 @@
   constructor(
     private readonly clock: Clock,
     private readonly events: KeepAliveEvents,
-    private readonly times: KeepAliveTimes = DEFAULT_KEEP_ALIVE,
+    private times: KeepAliveTimes = DEFAULT_KEEP_ALIVE,
   ) {
     this.pingAt = deadlineAfter(clock.now(), times.pingMillis);
     this.silentAt = deadlineAfter(clock.now(), times.firstMessageMillis ?? times.silenceMillis);
     this.alarm = this.schedule();
   }
 
+  /** Uses other times from now on. The other end must ping in time for them. */
+  setTimes(times: KeepAliveTimes): void {
+    this.times = times;
+    this.sent();
+    this.received();
+    this.alarm.cancel();
+    this.alarm = this.schedule();
+  }
+
   /** Records that a message was sent. */
   sent(): void {
     this.pingAt = deadlineAfter(this.clock.now(), this.times.pingMillis);
--- a/packages/wire/src/memory-connection.ts
+++ b/packages/wire/src/memory-connection.ts
@@ -71,6 +71,11 @@
     this.handlers.set(method, handler);
   }
 
+  /** Silence is set by tests and never detected here. */
+  setKeepAlive(): void {
+    return undefined;
+  }
+
   close(): void {
     const { other } = this;
     this.other = undefined;
--- a/packages/wire/src/tcp-connection.ts
+++ b/packages/wire/src/tcp-connection.ts
@@ -18,7 +18,7 @@
 import { Connection, type CloseReason, type Handler, type WireAnswer } from './connection.js';
 import { FrameSocket } from './frame-socket.js';
 import { MAX_FRAME_BYTES, encodeFrame } from './frames.js';
-import { KeepAlive } from './keep-alive.js';
+import { KeepAlive, type KeepAliveTimes } from './keep-alive.js';
 import { answerOf, oversizeAnswer, parseMessage, type Message } from './message.js';
 import { DiscardingMeter } from './meter.js';
 import { OutstandingRequests } from './outstanding-requests.js';
@@ -36,6 +36,8 @@
 const GIVEN_UP_CODE = -32051;
 
 const PING = 'ping';
+/** Encoded once: with a hundred connections, pings are a large part of all messages. */
+const PING_FRAME = encodeFrame({ jsonrpc: '2.0', method: PING });
 
 type SendState = 'sent' | 'closed' | 'congested';
 
@@ -72,7 +74,9 @@
     });
     this.rpc = this.makeRpc();
     const keepAliveEvents = {
-      ping: () => this.notify(PING, undefined),
+      ping: () => {
+        this.ping();
+      },
       silent: () => {
         this.end('silent');
       },
@@ -122,6 +126,10 @@
     });
   }
 
+  setKeepAlive(times: KeepAliveTimes): void {
+    this.keepAlive.setTimes(times);
+  }
+
   close(): void {
     this.end('closed');
   }
@@ -188,7 +196,18 @@
     return new JSONRPCServerAndClient(server, client, { errorListener });
   }
 
+  private ping(): void {
+    if (this.sendState() === 'sent') {
+      this.traffic.sent(PING, PING_FRAME.length);
+      this.write(PING_FRAME);
+    }
+  }
+
   private handleFrame(frame: Buffer): void {
+    if (isPing(frame)) {
+      this.traffic.received(PING, frame.length + 1);
+      return;
+    }
     match(parseMessage(frame))
       .with({ kind: 'response' }, ({ response }) => {
         this.traffic.received(ANSWER, frame.length + 1);
@@ -277,3 +296,11 @@
     this.resolveEnded(reason);
   }
 }
+
+/** Frames come without their line feed. */
+function isPing(frame: Buffer): boolean {
+  return (
+    frame.length === PING_FRAME.length - 1 &&
+    PING_FRAME.compare(frame, 0, frame.length, 0, frame.length) === 0
+  );
+}
