Handle what has arrived before the deadlines that passed meanwhile

Cause: the event loop calls timers before it reads sockets. A process that was held up for longer than the timeout of a call gave the call up although its answer lay in the socket, closed the connection and made the call again, which holds it up further: 5,991 new connections for 1,271 requests.

Ruled out: the link. The owner received and sent under half of its 2 Mbit/s while the timers were up to 985 ms late and it took all of its 0.12 cores.

Change: an alarm of the system's clock that is due is called after the sockets have been read once.

--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -33,14 +33,20 @@
     return brandAs<Instant>(performance.timeOrigin + performance.now());
   }
 
-  /** Node's timers may fire a fraction of a millisecond early; such a timer is set again. */
+  /**
+   * Node's timers may fire a fraction of a millisecond early; such a timer is set again.
+   *
+   * What has arrived at sockets is handled before `wake` is called. Otherwise a process that was held up
+   * would give up calls whose answers are there already, and make them again.
+   */
   wakeAt(deadline: Deadline, wake: () => void): Alarm {
     let timer: NodeJS.Timeout;
+    let immediate: NodeJS.Immediate | undefined;
     const arm = (): void => {
       const delay = Math.min(Math.ceil(millisUntil(deadline, this.now())), LONGEST_TIMER_MILLIS);
       timer = setTimeout(() => {
         if (hasPassed(deadline, this.now())) {
-          wake();
+          immediate = setImmediate(wake);
         } else {
           arm();
         }
@@ -50,6 +56,7 @@
     return {
       cancel: () => {
         clearTimeout(timer);
+        clearImmediate(immediate);
       },
     };
   }
