Run a placement pass only after a report that frees something

Cause: every report of a worker asked for a pass, and every renewal of a registration. A worker reports more than once a second and renews about as often, so that an owner of 378 workers was asked for some 700 passes a second, each of which looks at all workers and waiting steps.

Change: only ends, a first report, a worker that is back, an unknown run that comes or goes, and a registration that offers something else ask for a pass. What depends on time alone is looked at by the pass of every 100 ms.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -35,6 +35,8 @@
     if (!worker.isReachable) {
       this.context.event('worker.regained', { worker: worker.id });
     }
+    const { unknownRuns } = worker;
+    const isNews = !worker.isReachable || !worker.hasReported || report.ended.length > 0;
     worker.isReachable = true;
     worker.lastHeardAt = this.context.now;
     worker.lapsedRuns = [];
@@ -51,7 +53,10 @@
     } else if (isComplete) {
       this.loseUnlistedRuns(worker, listed, report);
     }
-    this.context.needsPlacement = true;
+    // Nearly all reports say only that the worker works on.
+    if (isNews || worker.unknownRuns !== unknownRuns) {
+      this.context.needsPlacement = true;
+    }
   }
 
   /** Its runs may continue until its lease lapses at `lapsesAt`; after that they are lost. */
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -108,6 +108,7 @@
     commit,
     answers,
     now: () => brandAs<Instant>(millis),
+    needsPlacement: () => scheduler.needsPlacement,
     advance: (by: number): void => {
       millis += by;
     },
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -10,7 +10,7 @@
   WallInstant,
   WorkerRegistration,
 } from '@bamboowell/types/job';
-import { NO_RESOURCES } from '@bamboowell/types/resources';
+import { NO_RESOURCES, fits } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import { StepAdvice } from './step-advice.js';
 import { AdviceBalancer } from './advice-balancer.js';
@@ -232,9 +232,11 @@
   private registerWorker(registration: WorkerRegistration): void {
     const existing = this.context.workers.get(registration.incarnation);
     if (existing !== undefined) {
+      if (!existing.isRegistered || !isSameOffer(existing.registration, registration)) {
+        this.context.needsPlacement = true;
+      }
       existing.registration = registration;
       existing.isRegistered = true;
-      this.context.needsPlacement = true;
       return;
     }
     const earlier = this.context.currentIncarnations.get(registration.id);
@@ -319,3 +321,15 @@
     return worker;
   }
 }
+
+/** Whether both let the same work be placed on the worker. */
+function isSameOffer(left: WorkerRegistration, right: WorkerRegistration): boolean {
+  return (
+    left.isDraining === right.isDraining &&
+    left.service === right.service &&
+    left.rack === right.rack &&
+    left.labels.join() === right.labels.join() &&
+    fits(left.capacity, right.capacity) &&
+    fits(right.capacity, left.capacity)
+  );
+}
