Poll a worker on which nothing ends less often

Cause: an owner polls each worker at least every 0.8 s, 472 times a second for 378 workers, while a lease is 4 s. The short wait served to notice dead workers soon.

Change: a poll may wait 1.5 s. A dead worker is noticed by what matters for placement: an order that stays unanswered is followed at once by a look at the worker, which counts as unreachable if that is not answered either. The scripted worker of the tests answers a script at once, as a worker does when a run ends, and waits otherwise.

--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -21,7 +21,10 @@
 
 type Answers<Value> = (Value | 'silence')[];
 
-/** A worker that gives scripted answers; by default it grants leases and carries out orders. */
+/**
+ * A worker that gives scripted answers, at once as when a run ends; by default it waits as long as it
+ * may, grants leases and carries out orders.
+ */
 class ScriptedPort extends WorkerPort {
   readonly requests: HoldRequest[] = [];
   readonly starts: { readonly order: StartOrder; readonly leaseEnd: WorkerInstant }[] = [];
@@ -35,8 +38,11 @@
   async hold(_target: unknown, request: HoldRequest, deadline: Deadline): Promise<HoldAnswer> {
     this.requests.push(request);
     const scripted = this.holds.shift();
-    const waitsUntil = scripted === 'silence' ? deadline : this.clock.now() + request.waitMillis;
-    await this.clock.sleepUntil(brandAs<Deadline>(waitsUntil));
+    if (scripted === undefined) {
+      await this.clock.sleepUntil(brandAs<Deadline>(this.clock.now() + request.waitMillis));
+    } else if (scripted === 'silence') {
+      await this.clock.sleepUntil(deadline);
+    }
     return scripted === 'silence' ? silence() : (scripted ?? this.held());
   }
 
@@ -162,7 +168,7 @@
   const { link, port, advance } = linkBench();
   port.holds.push(port.held(), port.held([end(1)]));
   await link.start();
-  await advance(1000);
+  await advance(200);
   const asked = port.requests.length;
   link.post({ kind: 'acknowledge', upTo: brandAs<EndNumber>(1) });
   await advance(10);
@@ -232,3 +238,36 @@
   await advance(50);
   t.true(ownerMessages.some(({ kind }) => kind === 'fenced'));
 });
+
+// Guards against work that is placed on a dead worker for as long as a long poll may take.
+test('a worker that answers neither an order nor a look at it is unreachable before its poll is due', async (t) => {
+  const { link, port, advance, inputs } = linkBench();
+  port.holds.push(port.held(), 'silence', 'silence');
+  port.answers.push('silence');
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(1000);
+  t.is(inputs().filter(({ kind }) => kind === 'unreachable').length, 1);
+});
+
+test('a worker that leaves an order unanswered but answers a look at it stays reachable', async (t) => {
+  const { link, port, advance, inputs } = linkBench();
+  port.answers.push('silence');
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(2000);
+  t.false(inputs().some(({ kind }) => kind === 'unreachable'));
+  t.is(inputs().filter(({ kind }) => kind === 'order_answered').length, 1);
+});
+
+// Guards against an owner that spends half of a core on polls of hundreds of workers that run long tasks.
+test('a worker on which nothing ends is polled less than once a second', async (t) => {
+  const { link, port, advance } = linkBench();
+  await link.start();
+  await advance(500);
+  const before = port.requests.length;
+  await advance(10_000);
+  t.true(port.requests.length - before < 10);
+});
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -21,8 +21,11 @@
 import type { OwnerMessage } from './owner-messages.js';
 import { LeaseClock } from './lease-clock.js';
 
-/** How long a worker may wait for a run to end before it answers a poll. */
-const POLL_WAIT_MILLIS = 800;
+/**
+ * How long a worker may wait for a run to end before it answers a poll. A poll that fails leaves time
+ * for another one within the lease.
+ */
+const POLL_WAIT_MILLIS = 1500;
 /** An answer is given up this long after it was due: several round trips to another region. */
 const ANSWER_TIMEOUT_MILLIS = 450;
 /** Timeout of an order, which is then sent again. */
@@ -45,6 +48,7 @@
   | { readonly kind: 'acknowledge'; readonly upTo: EndNumber }
   | { readonly kind: 'poll' }
   | { readonly kind: 'held'; readonly answer: HoldAnswer; readonly askedAt: Instant }
+  | { readonly kind: 'probed'; readonly answer: HoldAnswer }
   | { readonly kind: 'ordered'; readonly order: Order; readonly answer: OrderAnswer | Unanswered }
   | { readonly kind: 'send'; readonly order: Order };
 
@@ -65,6 +69,7 @@
   private acknowledged: EndNumber = brandAs<EndNumber>(0);
   private newestEnd: EndNumber = brandAs<EndNumber>(0);
   private isPolling = false;
+  private isProbing = false;
   private isClosed = false;
   private failures = 0;
   /** No poll is sent before this, after a failure or while newly ended runs are being recorded. */
@@ -111,6 +116,12 @@
         this.isPolling = false;
         this.held(answer, askedAt);
       })
+      .with({ kind: 'probed' }, ({ answer }) => {
+        this.isProbing = false;
+        if (answer.kind === 'unanswered') {
+          this.reportUnreachable();
+        }
+      })
       .with({ kind: 'send' }, ({ order }) => {
         this.send(order);
       })
@@ -204,16 +215,42 @@
   private failed(): void {
     this.failures += 1;
     if (this.failures >= UNREACHABLE_AFTER) {
-      const { owner, target } = this.options;
-      const lapsesAt = this.lease.lapsesAt;
-      owner.post({
-        kind: 'input',
-        input: { kind: 'unreachable', incarnation: target.incarnation, lapsesAt },
-      });
+      this.reportUnreachable();
     }
     this.pollLater(RETRY_DELAY_MILLIS);
   }
 
+  private reportUnreachable(): void {
+    const { owner, target } = this.options;
+    const { lapsesAt } = this.lease;
+    owner.post({
+      kind: 'input',
+      input: { kind: 'unreachable', incarnation: target.incarnation, lapsesAt },
+    });
+  }
+
+  /**
+   * Looks at the worker beside the long poll, which may be due only much later. A worker that leaves
+   * orders unanswered may still answer polls.
+   */
+  private probe(): void {
+    if (this.isProbing || this.failures > 0) {
+      return;
+    }
+    this.isProbing = true;
+    const { port, target, term } = this.options;
+    const request = {
+      term,
+      acknowledged: this.acknowledged,
+      leaseEnd: undefined,
+      waitMillis: 0,
+    };
+    const deadline = deadlineAfter(this.clock.now(), ANSWER_TIMEOUT_MILLIS);
+    void port.hold(target, request, deadline).then((answer) => {
+      this.post({ kind: 'probed', answer });
+    });
+  }
+
   private incarnationReplaced(): void {
     this.isClosed = true;
     const { owner, target } = this.options;
@@ -251,6 +288,9 @@
     }
     const isRefusedStop = order.kind === 'stop' && answer.kind === 'unwell';
     if (answer.kind === 'unanswered' || isRefusedStop) {
+      if (answer.kind === 'unanswered') {
+        this.probe();
+      }
       this.postAt(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS), { kind: 'send', order });
       return;
     }
