Take on only what the owner can start in time

Cause, by the owner's log: it places at once whatever fits, sends the starts when it comes to that (timers up to 1.5 s late), and by then their tickets have expired: 881 of 2,186 placements are rejected for that and placed again, 54 come after the lease. What it has taken in grows to 476 jobs; requests and polls wait behind all of it.

Change: the owner observes how late its own timer is.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -16,6 +16,7 @@
 } from '@bamboowell/types/job';
 import { NO_RESOURCES, add, subtract, type Resources } from '@bamboowell/types/resources';
 import type { Instant } from '@bamboowell/types/time';
+import { LoadControl } from './load-control.js';
 import type { JobBatch, JobOutput, JobWrite } from './messages.js';
 import {
   attachRun,
@@ -38,6 +39,7 @@
   readonly workers = new Map<WorkerIncarnation, Worker>();
   /** The newest incarnation of each worker. */
   readonly currentIncarnations = new Map<WorkerId, Worker>();
+  readonly load = new LoadControl();
   /** Set when a placement pass may be able to start something. */
   needsPlacement = true;
   private readonly queues = new Map<QueueId, JobQueue>();
@@ -114,6 +116,12 @@
     ];
   }
 
+  /** Records that a worker has confirmed a start. */
+  startConfirmed(): void {
+    this.load.startConfirmed();
+    this.needsPlacement ||= this.load.isLimiting;
+  }
+
   task(id: StepTaskId): Task | undefined {
     const lastDot = id.lastIndexOf('.');
     return this.step(brandAs<StepId>(id.slice(0, lastDot)))?.tasks[Number(id.slice(lastDot + 1))];
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -73,8 +73,28 @@
       context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason } });
       return;
     }
+    const isExcess = !this.isWithinPromisedRate(plan);
+    const admission = context.load.admit(isExcess, this.readySteps, context.now);
+    if (admission.kind === 'refused') {
+      const { retryAfterSeconds } = admission;
+      const reason = 'overloaded';
+      context.event('job.refused', {
+        job: plan.id,
+        queue: plan.queue,
+        reason,
+        excess: isExcess,
+        waitingSteps: this.readySteps.size,
+        retryAfterSeconds,
+      });
+      context.emit({
+        kind: 'answer',
+        token,
+        answer: { kind: 'refused', reason, retryAfterSeconds },
+      });
+      return;
+    }
     const job = newJob(plan, queue, context.wall);
-    job.isExcess = !this.isWithinPromisedRate(plan);
+    job.isExcess = isExcess;
     context.addNew(job);
     context.event('job.taken', {
       job: job.id,
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -96,7 +96,9 @@
    * Runs a placement pass. Without `mayStart` it only does what is due, and asks for no advice: starts
    * can't be stored at present, and would be sent after their tickets have expired.
    */
-  | { readonly kind: 'place'; readonly mayStart: boolean };
+  | { readonly kind: 'place'; readonly mayStart: boolean }
+  /** How late the owner's own timer was, observed several times a second. */
+  | { readonly kind: 'lag'; readonly millis: number };
 
 export type JobAnswer =
   | { readonly kind: 'accepted'; readonly repeated: boolean }
@@ -107,6 +109,8 @@
        * configuration than the scheduler's.
        */
       readonly reason: 'unknown_queue' | 'configuration_outdated' | 'overloaded';
+      /** When the caller should try again, if the scheduler can tell. */
+      readonly retryAfterSeconds?: number;
     }
   | { readonly kind: 'state'; readonly state: JobState }
   | { readonly kind: 'unknown_job' }
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -289,6 +289,17 @@
   return !isDone && runs.length === 0;
 }
 
+/** Number of starts under way on the workers: recorded or sent, and not confirmed. */
+export function openStartsOn(workers: Iterable<Worker>): number {
+  let count = 0;
+  for (const { runs } of workers) {
+    for (const { phase } of runs.values()) {
+      count += Number(phase === 'recorded' || phase === 'ordered');
+    }
+  }
+  return count;
+}
+
 export function waitingTasks(step: Step): Task[] {
   return step.tasks.filter(isWaiting);
 }
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -80,6 +80,22 @@
   }
 }
 
+/**
+ * Orders by band, then by acceptance: for an owner that can't start all that could be on time. With
+ * any other order a job could wait for ever behind later ones.
+ */
+export class OldestFirst extends JobOrdering {
+  sorted(steps: Iterable<Step>, context: JobContext): Step[] {
+    const ranked = [...steps].map((step) => ({ step, isLast: bandOf(step, context) > 1 }));
+    ranked.sort(
+      (left, right) =>
+        Number(left.isLast) - Number(right.isLast) ||
+        left.step.job.acceptedAt - right.step.job.acceptedAt,
+    );
+    return ranked.map(({ step }) => step);
+  }
+}
+
 function rankOf(step: Step, context: JobContext): Ranked {
   return {
     step,
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -186,6 +186,7 @@
     run.confirmedAt ??= this.context.now;
     if (run.phase === 'ordered') {
       run.phase = 'running';
+      this.context.startConfirmed();
     }
   }
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -138,6 +138,7 @@
     }
     if (run.phase === 'ordered' || run.phase === 'recorded') {
       run.phase = 'running';
+      this.context.startConfirmed();
     }
     run.confirmedAt ??= this.context.now;
     const { now } = this.context;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,8 +18,8 @@
 import { AdvicePrefetch } from './advice-prefetch.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
-import { newWorker, type Run, type Worker } from './model.js';
-import type { JobOrdering } from './ordering.js';
+import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
+import { OldestFirst, type JobOrdering } from './ordering.js';
 import { Orders } from './orders.js';
 import { StepPlacement } from './step-placement.js';
 import type { RestoredRun, Restored } from './records.js';
@@ -98,7 +98,7 @@
       this.orders,
       quarantines,
       this.stepAdvice,
-      options.ordering,
+      { usual: options.ordering, saturated: new OldestFirst() },
       this.crashes,
     );
     this.advicePrefetch = new AdvicePrefetch(context, this.lifecycle, this.stepPlacement);
@@ -214,6 +214,9 @@
       .with({ kind: 'place' }, ({ mayStart }) => {
         this.runPlacementPass(mayStart);
       })
+      .with({ kind: 'lag' }, ({ millis }) => {
+        this.observeLag(millis);
+      })
       .exhaustive();
   }
 
@@ -229,6 +232,21 @@
     }
   }
 
+  private observeLag(millis: number): void {
+    const { context } = this;
+    const { load, now } = context;
+    const wasSaturated = load.isSaturated(now);
+    load.observe(millis, openStartsOn(context.workers.values()), now);
+    if (load.isSaturated(now) !== wasSaturated) {
+      const { startLimit } = load;
+      context.event('owner.load', {
+        isSaturated: !wasSaturated,
+        lagMillis: Math.round(millis),
+        startLimit,
+      });
+    }
+  }
+
   private registerWorker(registration: WorkerRegistration): void {
     const existing = this.context.workers.get(registration.incarnation);
     if (existing !== undefined) {
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -10,6 +10,7 @@
 import {
   isWaiting,
   allocationOf,
+  openStartsOn,
   waitingTasks,
   type Step,
   type Task,
@@ -35,6 +36,15 @@
   readonly reservations: Reservations;
   /** The most processor time that is free on one worker, thousandths of a core. */
   maxFreeMillicores: number;
+  /** Starts under way, those of this pass included. */
+  openStarts: number;
+}
+
+/** The orders in which steps are placed. */
+export interface Orderings {
+  readonly usual: JobOrdering;
+  /** While the owner is behind with its own work. */
+  readonly saturated: JobOrdering;
 }
 
 export class StepPlacement {
@@ -48,7 +58,7 @@
     private readonly orders: Orders,
     private readonly quarantines: Quarantines,
     private readonly advice: StepAdvice,
-    private readonly ordering: JobOrdering,
+    private readonly orderings: Orderings,
     private readonly crashes: WorkerCrashes,
   ) {
     this.selection = new WorkerSelection(context, crashes);
@@ -62,11 +72,20 @@
       availableById: new Map(available.map((each) => [each.worker.id, each])),
       reservations: this.reservations,
       maxFreeMillicores: maxFreeMillicoresOf(available),
+      openStarts: openStartsOn(this.context.workers.values()),
     };
+    const { load, now } = this.context;
+    const { usual, saturated } = this.orderings;
+    const ordering = load.isSaturated(now) ? saturated : usual;
     const waiting = [...this.lifecycle.readySteps].filter(hasWaitingTask);
-    for (const step of this.ordering.sorted(waiting, this.context)) {
+    for (const step of ordering.sorted(waiting, this.context)) {
+      if (pass.openStarts >= load.startLimit) {
+        load.isLimiting = true;
+        return;
+      }
       this.placeStep(step, pass);
     }
+    load.isLimiting = false;
   }
 
   /** Requests advice that the step will need soon, unless it has a usable ticket. */
@@ -164,6 +183,7 @@
     const assignments = this.selection.assign(step, waiting, allowed);
     if (assignments.length > 0) {
       this.start(step, assignments);
+      pass.openStarts += assignments.length;
       pass.maxFreeMillicores = maxFreeMillicoresOf(pass.available);
     }
     if (assignments.length < waiting.length) {
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -373,17 +373,20 @@
 function replyOf(answer: JobAnswer): JobReply | undefined {
   return match(answer)
     .returnType<JobReply | undefined>()
-    .with({ kind: 'refused' }, ({ reason }) => refusalOf(reason))
+    .with({ kind: 'refused' }, refusalOf)
     .otherwise((other) => other);
 }
 
-function refusalOf(reason: Extract<JobAnswer, { kind: 'refused' }>['reason']) {
+function refusalOf({
+  reason,
+  retryAfterSeconds = RETRY_AFTER_SECONDS,
+}: Extract<JobAnswer, { kind: 'refused' }>): JobReply | undefined {
   switch (reason) {
     case 'configuration_outdated':
       return undefined;
     case 'unknown_queue':
-      return { kind: 'unknown_queue' } as const;
+      return { kind: 'unknown_queue' };
     case 'overloaded':
-      return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS } as const;
+      return { kind: 'refused', reason, retryAfterSeconds };
   }
 }
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -64,7 +64,7 @@
   | { readonly kind: 'append'; readonly term: Term }
   /** Runs a placement pass. */
   | { readonly kind: 'pass' }
-  | { readonly kind: 'tick' }
+  | { readonly kind: 'tick'; readonly dueAt: Deadline }
   /**
    * Hands the work over as soon as the store is fast enough for a successor and all appends in
    * flight are stored, at the latest at `by`. Replies with the term that was held.
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -185,9 +185,9 @@
         this.isPassScheduled = false;
         this.pass();
       })
-      .with({ kind: 'tick' }, () => {
+      .with({ kind: 'tick' }, ({ dueAt }) => {
         this.isTicking = false;
-        this.tick();
+        this.tick(dueAt);
         this.tickLater();
       })
       .with({ kind: 'resign' }, (resignation) => {
@@ -476,11 +476,12 @@
     const isNeeded = this.tenure !== undefined || this.resignation !== undefined;
     if (isNeeded && !this.isTicking) {
       this.isTicking = true;
-      this.postAt(deadlineAfter(this.clock.now(), TICK_INTERVAL_MILLIS), { kind: 'tick' });
+      const dueAt = deadlineAfter(this.clock.now(), TICK_INTERVAL_MILLIS);
+      this.postAt(dueAt, { kind: 'tick', dueAt });
     }
   }
 
-  private tick(): void {
+  private tick(dueAt: Deadline): void {
     this.resignIfReady();
     const { tenure } = this;
     if (tenure === undefined) {
@@ -491,6 +492,7 @@
       this.setTrouble(tenure, true);
     }
     if (tenure.scheduler !== undefined) {
+      this.stepScheduler({ kind: 'lag', millis: now - dueAt });
       if (!this.isPassScheduled) {
         this.place(tenure);
       }
