Replace an owner that the store refuses within a second

Cause: an owner said that it can't write once appends had been outstanding for 1 s, whether the store was silent or answered each of them with a refusal, and the others then waited for two probes 400 ms apart. That interval serves to see whether the log of a silent owner advances; here only the answer counts.

Change: appends that are refused for 250 ms are reported, and such probes follow each other after 120 ms.

--- a/packages/member/src/election.ts
+++ b/packages/member/src/election.ts
@@ -56,6 +56,11 @@
 /** Allows for latency jitter: two answers may arrive closer together than their requests were sent. */
 const EARLY_ANSWER_FACTOR = 0.9;
 
+/**
+ * Time between two probes of the store while an owner says that it can't write. What is asked for is
+ * only whether the store answers this member, and not whether a log advances.
+ */
+export const TROUBLE_PROBE_INTERVAL_MILLIS = 120;
 /** Consecutive successful probes after which an owner that can't write to the store is replaced. */
 const REQUIRED_PROBES = 2;
 
@@ -119,7 +124,7 @@
       this.owner = {
         ...owner,
         successfulProbes,
-        probeAt: deadlineAfter(now, PROBE_INTERVAL_MILLIS),
+        probeAt: deadlineAfter(now, TROUBLE_PROBE_INTERVAL_MILLIS),
       };
       return successfulProbes >= REQUIRED_PROBES ? 'claim' : 'none';
     }
@@ -151,6 +156,7 @@
     }
     const needsProbe = owner.kind === 'silent' || owner.kind === 'in_trouble';
     if (needsProbe && hasPassed(owner.probeAt, now)) {
+      // The answer sets the time of the next probe.
       this.owner = { ...owner, probeAt: deadlineAfter(now, PROBE_INTERVAL_MILLIS) };
       return 'probe';
     }
--- a/packages/member/src/member.test.ts
+++ b/packages/member/src/member.test.ts
@@ -151,12 +151,16 @@
   if (faults !== undefined) {
     faults.mode = 'refusing';
   }
+  const refusedAt = cluster.now();
   const reply = await runUntilSettled(
     cluster,
     cluster.request(follower(cluster), 'submit', jobId(1), planOf(1)),
   );
   t.like(reply, { kind: 'accepted' });
   t.not(cluster.ownerName(), owner);
+  // Guards against callers that wait while an owner goes on asking a store that has refused it.
+  const waitedMillis = cluster.now() - refusedAt;
+  t.true(waitedMillis < 1000, `accepted after ${waitedMillis} ms`);
   // The member refused by the store forwards requests to the new owner.
   t.like(await runUntilSettled(cluster, cluster.request(owner, 'submit', jobId(2), planOf(2))), {
     kind: 'accepted',
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -29,6 +29,11 @@
 const APPEND_RETRY_DELAY_MILLIS = 60;
 /** An append that isn't stored for this long means that another member should try to own the work. */
 const STALL_TIMEOUT_MILLIS = 1000;
+/**
+ * The same for appends that the store answers and refuses: several attempts. Silence may also come
+ * from a store that is slow for all.
+ */
+const REFUSAL_TIMEOUT_MILLIS = 250;
 /**
  * No work is started while no append has been stored for this long: well within the validity of the
  * tickets that starts need.
@@ -83,6 +88,8 @@
   private lastLatencyMillis = 0;
   /** Since when appends have been outstanding without one being stored. */
   private outstandingSince: Instant | undefined;
+  /** Since when the store has refused appends and taken none. */
+  private refusedSince: Instant | undefined;
   /** No append is sent before this, after one that failed. */
   private retryAt: Deadline;
   private isWakeScheduled = false;
@@ -111,7 +118,8 @@
    * the work.
    */
   get isStalled(): boolean {
-    return this.outstandingMillis > STALL_TIMEOUT_MILLIS;
+    const refusedMillis = this.refusedSince === undefined ? 0 : this.now - this.refusedSince;
+    return this.outstandingMillis > STALL_TIMEOUT_MILLIS || refusedMillis > REFUSAL_TIMEOUT_MILLIS;
   }
 
   /** Whether new records would wait so long that what depends on them should not begin. */
@@ -200,6 +208,9 @@
         this.outOfSequence(message.sequence, expected),
       )
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
+        if (outcome.kind === 'unavailable' && outcome.how === 'refused') {
+          this.refusedSince ??= this.now;
+        }
         this.failed(message.sequence, outcome.kind, 'detail' in outcome ? outcome.detail : '');
         return { kind: 'retry' };
       })
@@ -266,6 +277,7 @@
     this.lastAppendAt = now;
     this.lastLatencyMillis = now - confirmation.at;
     this.options.events.event('append.done', { millis: this.lastLatencyMillis });
+    this.refusedSince = undefined;
     const batches = this.window.acknowledge(sequence);
     this.outstandingSince = this.window.isIdle ? undefined : now;
     return { kind: 'recorded', isFirst, batches };
