Ask advice for no more than the fleet can use soon

Cause, by the owner's log: after the burst 1,700 to 2,700 steps wait, most of them too late to be of use. All of them ask for advice in the order of placement, and again whenever their tickets expire: 576 calls a second for 84 seat-holds, 8 slot-swaps and 4 run-plans that arrive. The calls hold up those of work that can be on time at the advisers, and the owner spends its time on them and on sorting all that waits in each pass (1.35 of 1.35 cores, timers 281 ms late).

Change: steps ask in the order of placement until what they need exceeds the free room by half of the fleet. Those behind that point are looked at ten times a second instead of in each pass.

--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -1,8 +1,8 @@
 /** Goes through the waiting steps in order and starts tasks on available workers. */
 
 import { fits } from '@bamboowell/types/resources';
-import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
-import type { WorkerId } from '@bamboowell/types/ids';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { brandAs, type WorkerId } from '@bamboowell/types/ids';
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
@@ -29,6 +29,18 @@
  */
 const REGISTRATION_GRACE_MILLIS = 2000;
 
+/**
+ * Steps ask for advice in order until what they need exceeds the free room by this fraction of the
+ * fleet. What waits behind them would not start before its tickets expire, and its calls would hold up
+ * those of work that can be on time.
+ */
+const ADVICE_AHEAD_FRACTION = 0.5;
+/**
+ * Steps that wait behind that point are looked at again after this, milliseconds. Thousands may wait,
+ * and there are a hundred passes a second.
+ */
+const PARKING_MILLIS = 100;
+
 /** The workers and reservations of one placement pass. */
 interface Pass {
   readonly available: readonly AvailableWorker[];
@@ -38,6 +50,8 @@
   maxFreeMillicores: number;
   /** Starts under way, those of this pass included. */
   openStarts: number;
+  /** Processor time that may still be asked for ahead, thousandths of a core. */
+  aheadMillicores: number;
 }
 
 /** The orders in which steps are placed. */
@@ -51,6 +65,9 @@
   private readonly selection: WorkerSelection;
   /** Reservations of the last pass. */
   private reservations = new Reservations(0);
+  /** Waiting steps that are not looked at until `unparkAt`. */
+  private readonly parked = new Set<Step>();
+  private unparkAt: Deadline = brandAs<Deadline>(0);
 
   constructor(
     private readonly context: JobContext,
@@ -73,21 +90,41 @@
       reservations: this.reservations,
       maxFreeMillicores: maxFreeMillicoresOf(available),
       openStarts: openStartsOn(this.context.workers.values()),
+      aheadMillicores: aheadMillicoresOf(available),
     };
     const { load, now } = this.context;
     const { usual, saturated } = this.orderings;
     const ordering = load.isSaturated(now) ? saturated : usual;
-    const waiting = [...this.lifecycle.readySteps].filter(hasWaitingTask);
-    for (const step of ordering.sorted(waiting, this.context)) {
+    for (const step of ordering.sorted(this.stepsToPlace(), this.context)) {
       if (pass.openStarts >= load.startLimit) {
         load.isLimiting = true;
         return;
       }
-      this.placeStep(step, pass);
+      this.placeInOrder(step, pass);
     }
     load.isLimiting = false;
   }
 
+  private stepsToPlace(): Step[] {
+    const { now } = this.context;
+    if (hasPassed(this.unparkAt, now)) {
+      this.unparkAt = deadlineAfter(now, PARKING_MILLIS);
+      this.parked.clear();
+    }
+    return [...this.lifecycle.readySteps].filter(
+      (step) => !this.parked.has(step) && hasWaitingTask(step),
+    );
+  }
+
+  private placeInOrder(step: Step, pass: Pass): void {
+    if (pass.aheadMillicores <= 0 && !this.advice.hasTicket(step)) {
+      this.parked.add(step);
+      return;
+    }
+    this.placeStep(step, pass);
+    pass.aheadMillicores -= waitingTasks(step).length * allocationOf(step.plan).millicores;
+  }
+
   /** Requests advice that the step will need soon, unless it has a usable ticket. */
   prefetchAdvice(step: Step): void {
     if (!this.advice.hasTicket(step)) {
@@ -211,6 +248,15 @@
   return tasks.some(isWaiting);
 }
 
+/** What may be asked for: all that is free, and a part of the fleet beyond that. */
+function aheadMillicoresOf(available: readonly AvailableWorker[]): number {
+  return available.reduce(
+    (sum, { worker, free }) =>
+      sum + free.millicores + ADVICE_AHEAD_FRACTION * worker.registration.capacity.millicores,
+    0,
+  );
+}
+
 function maxFreeMillicoresOf(available: readonly AvailableWorker[]): number {
   return available.reduce((most, { free }) => Math.max(most, free.millicores), 0);
 }
