--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -109,6 +109,7 @@
     answers,
     now: () => brandAs<Instant>(millis),
     needsPlacement: () => scheduler.needsPlacement,
+    waitingReasons: () => scheduler.waitingReasons(),
     advance: (by: number): void => {
       millis += by;
     },
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -26,6 +26,7 @@
 import { Reports } from './reports.js';
 import { Stalls } from './stalls.js';
 import { Quarantines } from './quarantines.js';
+import type { WaitingReason } from './waiting-reasons.js';
 import { WorkerCrashes } from './worker-crashes.js';
 
 export interface JobSchedulerOptions {
@@ -149,6 +150,11 @@
     };
   }
 
+  /** Counts the waiting steps by what keeps them from starting, for the log. */
+  waitingReasons(): Partial<Record<WaitingReason, number>> {
+    return this.stepPlacement.waitingReasons();
+  }
+
   private setTimes({ now, wall }: Times): void {
     this.context.now = now;
     this.context.wall = wall;
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -21,6 +21,7 @@
 import { Reservations } from './reservations.js';
 import { availableWorker, isEligible, type AvailableWorker } from './available-workers.js';
 import type { Quarantines } from './quarantines.js';
+import { waitingReasons, type WaitingReason } from './waiting-reasons.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 
 /**
@@ -125,6 +126,17 @@
     pass.aheadMillicores -= waitingTasks(step).length * allocationOf(step.plan).millicores;
   }
 
+  /** Counts the waiting steps by what keeps them from starting. */
+  waitingReasons(): Partial<Record<WaitingReason, number>> {
+    const { advice, parked } = this;
+    return waitingReasons([...this.lifecycle.readySteps].filter(hasWaitingTask), {
+      parked,
+      hasTicket: (step) => advice.hasTicket(step),
+      admits: (step, worker) => advice.admits(step, worker),
+      workers: this.availableWorkers().map(({ worker }) => worker),
+    });
+  }
+
   /** Requests advice that the step will need soon, unless it has a usable ticket. */
   prefetchAdvice(step: Step): void {
     if (!this.advice.hasTicket(step)) {
--- /dev/null
+++ b/packages/jobs/src/waiting-reasons.ts
@@ -0,0 +1,64 @@
+/** Tells what keeps each waiting step from starting, for the log. */
+
+import { fits } from '@bamboowell/types/resources';
+import { availableWorker, countFitting, isEligible } from './available-workers.js';
+import { allocationOf, waitingTasks, type Step, type Worker } from './model.js';
+
+/** Why a step waits; the first that applies counts. */
+export type WaitingReason =
+  /** It is behind the point up to which advice is asked for. */
+  | 'behind'
+  /** A call for advice is open. */
+  | 'advice_open'
+  /** It has no ticket, and no call for one is open: no member could make one yet. */
+  | 'advice_not_asked'
+  /** No worker that it has a ticket for can get work, or has room for a task. */
+  | 'no_room_granted'
+  /** The workers that it has tickets for have room for a part of the gang. */
+  | 'no_room_for_gang'
+  /** Its team may start no more, or the owner starts no more at present. */
+  | 'limited';
+
+/** What the reasons depend on. */
+export interface WaitingView {
+  readonly parked: ReadonlySet<Step>;
+  hasTicket(step: Step): boolean;
+  admits(step: Step, worker: Worker): boolean;
+  /** The workers that can get work. */
+  readonly workers: readonly Worker[];
+}
+
+/** Counts the steps by reason; reasons of no step are left out. */
+export function waitingReasons(
+  steps: Iterable<Step>,
+  view: WaitingView,
+): Partial<Record<WaitingReason, number>> {
+  const counts: Partial<Record<WaitingReason, number>> = {};
+  for (const step of steps) {
+    const reason = reasonOf(step, view);
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function reasonOf(step: Step, view: WaitingView): WaitingReason {
+  if (!view.hasTicket(step)) {
+    if (view.parked.has(step)) {
+      return 'behind';
+    }
+    return step.workersInOpenCall === undefined ? 'advice_not_asked' : 'advice_open';
+  }
+  const demand = allocationOf(step.plan);
+  const rooms = view.workers
+    .filter((worker) => view.admits(step, worker) && isEligible(worker, step))
+    .map((worker) => availableWorker(worker).free)
+    .filter((free) => fits(demand, free));
+  if (rooms.length === 0) {
+    return 'no_room_granted';
+  }
+  const fitting = rooms.reduce(
+    (sum, free) => sum + countFitting(demand, free, step.plan.maxPerWorker),
+    0,
+  );
+  return step.plan.isGang && fitting < waitingTasks(step).length ? 'no_room_for_gang' : 'limited';
+}
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -515,6 +515,10 @@
       pendingRequests: this.requests.size,
       configurationAgeMillis: ageMillis(this.confirmedAt, now),
     });
+    this.options.events.event('waiting.reasons', {
+      term: tenure.term,
+      ...scheduler.waitingReasons(),
+    });
   }
 
   /**
