Refuse for the owner's load only what would wait for the owner

Change: steps behind the point up to which advice is asked for don't count, and the order of arrival holds only while the limit of starts binds. The limit falls by a fifth instead of a third and rises again from 100 ms of lateness on.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -43,6 +43,8 @@
   /** The newest incarnation of each worker. */
   readonly currentIncarnations = new Map<WorkerId, Worker>();
   readonly load = new LoadControl();
+  /** Waiting steps that the fleet has no room for soon; they are looked at less often. */
+  readonly parked = new Set<Step>();
   readonly archive = new EndedArchive();
   /** Set when a placement pass may be able to start something. */
   needsPlacement = true;
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -74,7 +74,7 @@
       return;
     }
     const isExcess = !this.isWithinPromisedRate(plan);
-    const admission = context.load.admit(isExcess, this.readySteps, context.now);
+    const admission = context.load.admit(isExcess, () => this.stepsBeforeNew(), context.now);
     if (admission.kind === 'refused') {
       const { retryAfterSeconds } = admission;
       const reason = 'overloaded';
@@ -220,6 +220,11 @@
     }
   }
 
+  /** Steps that a new job would wait for because of the owner, and not because the fleet is full. */
+  private stepsBeforeNew(): Step[] {
+    return [...this.readySteps].filter((step) => !this.context.parked.has(step));
+  }
+
   private isWithinPromisedRate({ team: id }: JobPlan): boolean {
     const team = id === undefined ? undefined : this.context.team(id);
     return team === undefined || this.tokenBuckets.take(team.id, team.weight, this.context.wall);
--- a/packages/jobs/src/load-control.test.ts
+++ b/packages/jobs/src/load-control.test.ts
@@ -2,6 +2,7 @@
 import { brandAs } from '@bamboowell/types/ids';
 import type { Instant } from '@bamboowell/types/time';
 import { LoadControl } from './load-control.js';
+import type { Step } from './model.js';
 import {
   configurationOf,
   cores,
@@ -15,6 +16,8 @@
 
 const at = (millis: number): Instant => brandAs<Instant>(millis);
 
+const noSteps = (): Step[] => [];
+
 /** Lets timers be late several times in a row. */
 function saturated(openStarts: number) {
   const load = new LoadControl();
@@ -27,7 +30,7 @@
 test('an owner on time admits everything, also what exceeds the promised rate', (t) => {
   const load = new LoadControl();
   load.observe(20, 500, at(1000));
-  t.deepEqual(load.admit(true, [], at(1000)), { kind: 'admitted' });
+  t.deepEqual(load.admit(true, noSteps, at(1000)), { kind: 'admitted' });
 });
 
 test('one late timer, as after a pause of the process, changes nothing', (t) => {
@@ -47,9 +50,33 @@
 
 test('an owner that is behind refuses at once what exceeds a promised rate, and says when to come back', (t) => {
   const load = saturated(100);
-  t.deepEqual(load.admit(true, [], at(1800)), { kind: 'refused', retryAfterSeconds: 1 });
-  t.deepEqual(load.admit(false, [], at(1800)), { kind: 'admitted' });
-  t.deepEqual(load.admit(true, [], at(4000)), { kind: 'admitted' });
+  t.deepEqual(load.admit(true, noSteps, at(1800)), { kind: 'refused', retryAfterSeconds: 1 });
+  t.deepEqual(load.admit(false, noSteps, at(1800)), { kind: 'admitted' });
+  t.deepEqual(load.admit(true, noSteps, at(4000)), { kind: 'admitted' });
+});
+
+// Guards against an owner of a full fleet that refuses what it could start as soon as there is room.
+test('work that waits for room and not for the owner is no reason to refuse', (t) => {
+  const advice = { baseMillis: 20, perWorkerMillis: 1, validMillis: 2500 };
+  const configuration = configurationOf([jobQueue({ advice })], { weight: 1000 });
+  const workers = [workerRegistration('w1', { capacity: cores(2, 1000) })];
+  const harness = schedulerHarness({ workers, configuration });
+  harness.reportFromAll();
+  for (let index = 1; index <= 50; index += 1) {
+    harness.submit(jobPlan(index));
+  }
+  harness.commit();
+  harness.place();
+  [400, 400, 400].forEach((millis) => {
+    harness.send({ kind: 'lag', millis });
+  });
+  // Of the fifty, three are within what the fleet can use soon; the owner hasn't started any.
+  for (let index = 1; index <= 3; index += 1) {
+    harness.cancel(jobId(index));
+  }
+  const token = harness.submit(jobPlan(51));
+  harness.commit();
+  t.like(harness.answers.get(token), { kind: 'accepted' });
 });
 
 /** Processor time of the simulated owner for each operation, milliseconds. */
--- a/packages/jobs/src/load-control.ts
+++ b/packages/jobs/src/load-control.ts
@@ -17,9 +17,9 @@
 /** Timers that are later than this, milliseconds, show that the owner is behind. */
 const HIGH_LAG_MILLIS = 200;
 /** Timers that are at most this late, milliseconds, show that it could do more. */
-const LOW_LAG_MILLIS = 60;
+const LOW_LAG_MILLIS = 100;
 /** Factor by which the limit of open starts falls while the owner is behind. */
-const DECREASE_FACTOR = 0.7;
+const DECREASE_FACTOR = 0.8;
 /** The limit rises by this factor and this number at each observation while the owner is not behind. */
 const INCREASE_FACTOR = 1.1;
 const INCREASE_STARTS = 4;
@@ -82,13 +82,13 @@
    * Whether a new job is taken.
    *
    * @param isExcess whether it exceeds the rate that its team was promised.
-   * @param ready the steps whose tasks may start; those of earlier admissions wait first.
+   * @param stepsBefore returns the steps that a new job would wait for.
    */
-  admit(isExcess: boolean, ready: Iterable<Step>, now: Instant): Admission {
+  admit(isExcess: boolean, stepsBefore: () => Iterable<Step>, now: Instant): Admission {
     if (!this.isSaturated(now)) {
       return { kind: 'admitted' };
     }
-    const backlog = waitingTasksOf(ready);
+    const backlog = waitingTasksOf(stepsBefore());
     const seconds = backlog === 0 ? 0 : backlog / this.startsPerSecond;
     const isTooLong = seconds * MILLIS_PER_SECOND > MAX_BACKLOG_MILLIS;
     if (!isExcess && !isTooLong) {
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -58,7 +58,7 @@
 /** The orders in which steps are placed. */
 export interface Orderings {
   readonly usual: JobOrdering;
-  /** While the owner is behind with its own work. */
+  /** While steps wait for the owner itself and not for room. */
   readonly saturated: JobOrdering;
 }
 
@@ -66,8 +66,7 @@
   private readonly selection: WorkerSelection;
   /** Reservations of the last pass. */
   private reservations = new Reservations(0, 0);
-  /** Waiting steps that are not looked at until `unparkAt`. */
-  private readonly parked = new Set<Step>();
+  /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
 
   constructor(
@@ -93,9 +92,9 @@
       openStarts: openStartsOn(this.context.workers.values()),
       aheadMillicores: aheadMillicoresOf(available),
     };
-    const { load, now } = this.context;
+    const { load } = this.context;
     const { usual, saturated } = this.orderings;
-    const ordering = load.isSaturated(now) ? saturated : usual;
+    const ordering = load.isLimiting ? saturated : usual;
     for (const step of ordering.sorted(this.stepsToPlace(), this.context)) {
       if (pass.openStarts >= load.startLimit) {
         load.isLimiting = true;
@@ -110,16 +109,16 @@
     const { now } = this.context;
     if (hasPassed(this.unparkAt, now)) {
       this.unparkAt = deadlineAfter(now, PARKING_MILLIS);
-      this.parked.clear();
+      this.context.parked.clear();
     }
     return [...this.lifecycle.readySteps].filter(
-      (step) => !this.parked.has(step) && hasWaitingTask(step),
+      (step) => !this.context.parked.has(step) && hasWaitingTask(step),
     );
   }
 
   private placeInOrder(step: Step, pass: Pass): void {
     if (pass.aheadMillicores <= 0 && !this.advice.hasTicket(step)) {
-      this.parked.add(step);
+      this.context.parked.add(step);
       return;
     }
     this.placeStep(step, pass);
@@ -128,7 +127,8 @@
 
   /** Counts the waiting steps by what keeps them from starting. */
   waitingReasons(): Partial<Record<WaitingReason, number>> {
-    const { advice, parked } = this;
+    const { advice } = this;
+    const { parked } = this.context;
     return waitingReasons([...this.lifecycle.readySteps].filter(hasWaitingTask), {
       parked,
       hasTicket: (step) => advice.hasTicket(step),
