--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -39,8 +39,11 @@
 import { WorkerLinks } from './worker-links.js';
 import { WorkersWatch } from './workers-watch.js';
 
-/** Inputs are collected this long before a placement pass: less than the latency of the store. */
-const PASS_DELAY_MILLIS = 3;
+/**
+ * Inputs are collected this long before a placement pass: as long as the starts that it records are
+ * gathered for an append.
+ */
+const PASS_DELAY_MILLIS = 10;
 /**
  * The pause after a pass, as a multiple of its duration, so that leases and replies are never held
  * up for long.
