Tell a closed connection to the store from a refusal and from silence

A closed connection is now a kind of its own: it says at once that the store doesn't serve this member, and not whether the call took effect.

--- a/packages/member/src/store.ts
+++ b/packages/member/src/store.ts
@@ -44,8 +44,11 @@
 /** The store gave no usable answer. A write that was sent may have taken effect, or may do so later. */
 export interface Unavailable {
   readonly kind: 'unavailable';
-  /** `refused`: the store turned the call away or closed its connection; `silent`: no answer in time. */
-  readonly how: 'refused' | 'silent';
+  /**
+   * `refused`: the store reported that it did nothing. `closed`: the connection was refused or closed.
+   * `silent`: there was no answer in time.
+   */
+  readonly how: 'refused' | 'closed' | 'silent';
   readonly detail: string;
   /** Bytes of an incomplete answer; 0 if absent. */
   readonly receivedBytes?: number;
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -30,8 +30,8 @@
 /** An append that isn't stored for this long means that another member should try to own the work. */
 const STALL_TIMEOUT_MILLIS = 1000;
 /**
- * The same for appends that the store answers and refuses: several attempts. Silence may also come
- * from a store that is slow for all.
+ * The same for appends that the store refuses, or whose connections it closes: several attempts. Silence
+ * may also come from a store that is slow for all.
  */
 const REFUSAL_TIMEOUT_MILLIS = 250;
 /**
@@ -88,7 +88,7 @@
   private lastLatencyMillis = 0;
   /** Since when appends have been outstanding without one being stored. */
   private outstandingSince: Instant | undefined;
-  /** Since when the store has refused appends and taken none. */
+  /** Since when the store has refused appends, or closed their connections, and taken none. */
   private refusedSince: Instant | undefined;
   /** No append is sent before this, after one that failed. */
   private retryAt: Deadline;
@@ -208,7 +208,7 @@
         this.outOfSequence(message.sequence, expected),
       )
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
-        if (outcome.kind === 'unavailable' && outcome.how === 'refused') {
+        if (outcome.kind === 'unavailable' && outcome.how !== 'silent') {
           this.refusedSince ??= this.now;
         }
         this.failed(message.sequence, outcome.kind, 'detail' in outcome ? outcome.detail : '');
