--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -133,6 +133,7 @@
       parked,
       hasTicket: (step) => advice.hasTicket(step),
       admits: (step, worker) => advice.admits(step, worker),
+      isReserved: (worker) => this.reservations.isReserved(worker),
       workers: this.availableWorkers().map(({ worker }) => worker),
     });
   }
--- a/packages/jobs/src/waiting-reasons.test.ts
+++ b/packages/jobs/src/waiting-reasons.test.ts
@@ -52,6 +52,21 @@
   t.deepEqual(harness.waitingReasons(), { no_room_granted: 1, no_room_for_gang: 1 });
 });
 
+test('a step whose workers are reserved waits for the gang before it', (t) => {
+  const harness = advisedFleet(2);
+  harness.submit(jobPlan(1, { steps: [stepPlan({ demand: cores(2) })] }));
+  harness.submit(jobPlan(2, { steps: [stepPlan({ count: 4, isGang: true, estimateMillis: 1 })] }));
+  harness.submit(jobPlan(3, { steps: [stepPlan({ estimateMillis: 9000 })] }));
+  harness.commit();
+  harness.place();
+  harness.grant(stepIdOf(jobId(1), 0, 0), [W1.id]);
+  harness.place();
+  harness.grant(stepIdOf(jobId(2), 0, 0), [W1.id, W2.id]);
+  harness.grant(stepIdOf(jobId(3), 0, 0), [W2.id]);
+  harness.place();
+  t.deepEqual(harness.waitingReasons(), { no_room_for_gang: 1, reserved_for_gangs: 1 });
+});
+
 test('nothing that waits has no reasons', (t) => {
   t.deepEqual(advisedFleet(1).waitingReasons(), {});
 });
--- a/packages/jobs/src/waiting-reasons.ts
+++ b/packages/jobs/src/waiting-reasons.ts
@@ -1,7 +1,12 @@
 /** Tells what keeps each waiting step from starting, for the log. */
 
 import { fits } from '@bamboowell/types/resources';
-import { availableWorker, countFitting, isEligible } from './available-workers.js';
+import {
+  availableWorker,
+  countFitting,
+  isEligible,
+  type AvailableWorker,
+} from './available-workers.js';
 import { allocationOf, waitingTasks, type Step, type Worker } from './model.js';
 
 /** Why a step waits; the first that applies counts. */
@@ -16,6 +21,8 @@
   | 'no_room_granted'
   /** The workers that it has tickets for have room for a part of the gang. */
   | 'no_room_for_gang'
+  /** What room these have is reserved for gangs that wait before it. */
+  | 'reserved_for_gangs'
   /** Its team may start no more, or the owner starts no more at present. */
   | 'limited';
 
@@ -24,6 +31,8 @@
   readonly parked: ReadonlySet<Step>;
   hasTicket(step: Step): boolean;
   admits(step: Step, worker: Worker): boolean;
+  /** Whether the worker was reserved in the last pass. */
+  isReserved(worker: Worker): boolean;
   /** The workers that can get work. */
   readonly workers: readonly Worker[];
 }
@@ -51,14 +60,17 @@
   const demand = allocationOf(step.plan);
   const rooms = view.workers
     .filter((worker) => view.admits(step, worker) && isEligible(worker, step))
-    .map((worker) => availableWorker(worker).free)
-    .filter((free) => fits(demand, free));
+    .map((worker) => availableWorker(worker))
+    .filter(({ free }) => fits(demand, free));
   if (rooms.length === 0) {
     return 'no_room_granted';
   }
-  const fitting = rooms.reduce(
-    (sum, free) => sum + countFitting(demand, free, step.plan.maxPerWorker),
-    0,
-  );
-  return step.plan.isGang && fitting < waitingTasks(step).length ? 'no_room_for_gang' : 'limited';
+  const needed = step.plan.isGang ? waitingTasks(step).length : 1;
+  const fittingIn = (within: readonly AvailableWorker[]): number =>
+    within.reduce((sum, { free }) => sum + countFitting(demand, free, step.plan.maxPerWorker), 0);
+  if (fittingIn(rooms) < needed) {
+    return 'no_room_for_gang';
+  }
+  const unreserved = rooms.filter(({ worker }) => !view.isReserved(worker));
+  return fittingIn(unreserved) < needed ? 'reserved_for_gangs' : 'limited';
 }
