Refuse what exceeds a promised rate while others wait, and ask no advice at a team's limit

Beside it, 175 steps at 9.7 s have tickets and room, and wait because their team is at its limit; they asked for advice, and again whenever it expired.

Change: a job beyond the promised rate is refused at once, with the time to come back, while work waits for room or its team is at its limit. Steps of a team at its limit are passed over, and the reasons of waiting steps name the limit of the team and that of the owner apart.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -30,6 +30,7 @@
   type Task,
   type Worker,
 } from './model.js';
+import { startableWithinLimit } from './team-limits.js';
 import { progressKey, progressOf, specKey, type SpecRecord } from './records.js';
 
 export class JobContext {
@@ -86,6 +87,19 @@
     return this.usageByTeam.get(team) ?? NO_RESOURCES;
   }
 
+  /** How many of the step's tasks its team may start within its limit. */
+  startableWithinLimit({ job, plan }: Pick<Step, 'job' | 'plan'>, wanted: number): number {
+    return this.startableByTeam(job.plan?.team, allocationOf(plan), wanted);
+  }
+
+  /** How many tasks with this demand the team may start within its limit. */
+  startableByTeam(id: TeamId | undefined, demand: Resources, wanted: number): number {
+    const limit = id === undefined ? undefined : this.team(id)?.limit;
+    return id === undefined || limit === undefined
+      ? wanted
+      : startableWithinLimit(this.usageOf(id), limit, demand, wanted);
+  }
+
   /** Adds a job that the store doesn't have yet. */
   addNew(job: Job): void {
     this.jobs.set(job.id, job);
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -15,8 +15,10 @@
 import { TokenBuckets } from './token-buckets.js';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
+import type { Admission } from './load-control.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
+  allocationOf,
   isEnded,
   isStepDone,
   isStepReady,
@@ -33,6 +35,8 @@
 export const MAX_JOBS = 40_000;
 /** How long the state of an ended job can be queried, milliseconds; the platform requires 120 s. */
 const ENDED_RETENTION_MILLIS = 150_000;
+/** When a caller should come back whose team is beyond its promised rate while others wait. */
+const EXCESS_RETRY_AFTER_SECONDS = 2;
 /** Interval between scans for ended jobs to forget, milliseconds. */
 const FORGET_INTERVAL_MILLIS = 1000;
 
@@ -74,7 +78,7 @@
       return;
     }
     const isExcess = !this.isWithinPromisedRate(plan);
-    const admission = context.load.admit(isExcess, () => this.stepsBeforeNew(), context.now);
+    const admission = this.admit(plan, isExcess);
     if (admission.kind === 'refused') {
       const { retryAfterSeconds } = admission;
       const reason = 'overloaded';
@@ -220,6 +224,23 @@
     }
   }
 
+  /**
+   * A job beyond the promised rate of its team goes behind all others. Where these wait for room already,
+   * or the team runs as much as it may, it would only wait until it is of no use.
+   */
+  private admit(plan: JobPlan, isExcess: boolean): Admission {
+    const { context } = this;
+    if (isExcess && (context.parked.size > 0 || this.isAtLimit(plan))) {
+      return { kind: 'refused', retryAfterSeconds: EXCESS_RETRY_AFTER_SECONDS };
+    }
+    return context.load.admit(isExcess, () => this.stepsBeforeNew(), context.now);
+  }
+
+  private isAtLimit({ team, steps }: JobPlan): boolean {
+    const [first] = steps;
+    return first !== undefined && this.context.startableByTeam(team, allocationOf(first), 1) === 0;
+  }
+
   /** Steps that a new job would wait for because of the owner, and not because the fleet is full. */
   private stepsBeforeNew(): Step[] {
     return [...this.readySteps].filter((step) => !this.context.parked.has(step));
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -105,6 +105,10 @@
     load.isLimiting = false;
   }
 
+  private isTeamAtLimit(step: Step): boolean {
+    return this.context.startableWithinLimit(step, 1) === 0;
+  }
+
   private stepsToPlace(): Step[] {
     const { now } = this.context;
     if (hasPassed(this.unparkAt, now)) {
@@ -117,6 +121,10 @@
   }
 
   private placeInOrder(step: Step, pass: Pass): void {
+    if (this.isTeamAtLimit(step)) {
+      // Advice would expire unused.
+      return;
+    }
     if (pass.aheadMillicores <= 0 && !this.advice.hasTicket(step)) {
       this.context.parked.add(step);
       return;
@@ -131,6 +139,7 @@
     const { parked } = this.context;
     return waitingReasons([...this.lifecycle.readySteps].filter(hasWaitingTask), {
       parked,
+      isTeamAtLimit: (step) => this.isTeamAtLimit(step),
       hasTicket: (step) => advice.hasTicket(step),
       admits: (step, worker) => advice.admits(step, worker),
       isReserved: (worker) => this.reservations.isReserved(worker),
--- a/packages/jobs/src/waiting-reasons.ts
+++ b/packages/jobs/src/waiting-reasons.ts
@@ -11,6 +11,8 @@
 
 /** Why a step waits; the first that applies counts. */
 export type WaitingReason =
+  /** Its team runs as much as it may. */
+  | 'team_limit'
   /** It is behind the point up to which advice is asked for. */
   | 'behind'
   /** A call for advice is open. */
@@ -23,12 +25,13 @@
   | 'no_room_for_gang'
   /** What room these have is reserved for gangs that wait before it. */
   | 'reserved_for_gangs'
-  /** Its team may start no more, or the owner starts no more at present. */
-  | 'limited';
+  /** The owner starts no more at present, or hasn't come to it yet. */
+  | 'owner_limit';
 
 /** What the reasons depend on. */
 export interface WaitingView {
   readonly parked: ReadonlySet<Step>;
+  isTeamAtLimit(step: Step): boolean;
   hasTicket(step: Step): boolean;
   admits(step: Step, worker: Worker): boolean;
   /** Whether the worker was reserved in the last pass. */
@@ -51,6 +54,9 @@
 }
 
 function reasonOf(step: Step, view: WaitingView): WaitingReason {
+  if (view.isTeamAtLimit(step)) {
+    return 'team_limit';
+  }
   if (!view.hasTicket(step)) {
     if (view.parked.has(step)) {
       return 'behind';
@@ -72,5 +78,5 @@
     return 'no_room_for_gang';
   }
   const unreserved = rooms.filter(({ worker }) => !view.isReserved(worker));
-  return fittingIn(unreserved) < needed ? 'reserved_for_gangs' : 'limited';
+  return fittingIn(unreserved) < needed ? 'reserved_for_gangs' : 'owner_limit';
 }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -1,7 +1,7 @@
 /** Selects workers for the tasks of one step. */
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
-import { add, fits, isZero, type Resources } from '@bamboowell/types/resources';
+import { fits, type Resources } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
 import type { WorkerCrashes } from './worker-crashes.js';
@@ -35,7 +35,7 @@
     const assignments: Assignment[] = [];
     const demand = allocationOf(step.plan);
     const countByWorker = countedRuns(step);
-    let startable = this.startableWithinLimit(step, waiting.length);
+    let startable = this.context.startableWithinLimit(step, waiting.length);
     let rack = step.plan.prefersOneRack ? rackOf(step) : undefined;
     for (const task of waiting) {
       if (startable === 0) {
@@ -68,7 +68,7 @@
     candidates: readonly AvailableWorker[],
   ): Assignment[] {
     const isWhole = waiting.length === step.tasks.length;
-    if (!isWhole || this.startableWithinLimit(step, waiting.length) < waiting.length) {
+    if (!isWhole || this.context.startableWithinLimit(step, waiting.length) < waiting.length) {
       return [];
     }
     const racks = step.plan.prefersOneRack ? racksByFreeCores(candidates) : [];
@@ -117,38 +117,6 @@
   private grantOf(step: Step, { worker }: AvailableWorker): Grant | undefined {
     return step.grants.get(worker.id);
   }
-
-  /**
-   * How many of the tasks the team may start within its limit. A task that exceeds the limit by
-   * itself may start if the team runs nothing else.
-   */
-  private startableWithinLimit(step: Step, wanted: number): number {
-    const team = step.job.plan?.team;
-    const limit = team === undefined ? undefined : this.context.team(team)?.limit;
-    if (team === undefined || limit === undefined) {
-      return wanted;
-    }
-    const demand = allocationOf(step.plan);
-    const bounds = unlimitedWhereZero(limit);
-    let usage = add(this.context.usageOf(team), demand);
-    let startable = isZero(this.context.usageOf(team)) ? 1 : 0;
-    for (let count = 1; count <= wanted && fits(usage, bounds); count += 1) {
-      startable = count;
-      usage = add(usage, demand);
-    }
-    return startable;
-  }
-}
-
-/** A limit of zero means no limit. */
-function unlimitedWhereZero(limit: Resources): Resources {
-  const orUnlimited = (amount: number): number => (amount === 0 ? Number.MAX_SAFE_INTEGER : amount);
-  return {
-    millicores: orUnlimited(limit.millicores),
-    memoryMib: orUnlimited(limit.memoryMib),
-    accelerators: orUnlimited(limit.accelerators),
-    slots: orUnlimited(limit.slots),
-  };
 }
 
 /** The step's runs by worker, if their number is limited. */
