Connect to workers that are registered only after a takeover

A worker that is known already was only marked as registered; the owner connects to workers when it first hears of them by their registration, and so never did.

Ruled out: that the workers were unreachable. Their loss is never logged, they are never met.

Change: whether a worker has been connected to is kept with it, and a registration of one that hasn't is followed by the connection. The test fails without the change.

--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -124,6 +124,8 @@
   readonly incarnation: WorkerIncarnation;
   readonly id: WorkerId;
   registration: WorkerRegistration;
+  /** Whether this owner has a link to it; there is none before its registration has been read. */
+  isMet: boolean;
   /** Whether it has reported to this owner, so that no order of an earlier one can take effect. */
   hasReported: boolean;
   /** Whether its registration is in the store. */
@@ -152,6 +154,7 @@
     incarnation: registration.incarnation,
     id: registration.id,
     registration,
+    isMet: false,
     hasReported: false,
     isRegistered: true,
     unregisteredAt: brandAs<Instant>(0),
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -503,6 +503,35 @@
   t.is(first(harness.place()).incarnation, other.incarnation);
 });
 
+// Guards against workers that get no work from a new owner for the rest of its term: their entries had
+// expired while the store was away, and came back after the owner had read the list.
+test('a worker that is registered only after a takeover is connected to, and its run goes on', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const start = first(harness.place());
+  harness.answerStart(start);
+  harness.commit();
+  const registration = [W1, W2].find(({ incarnation }) => incarnation === start.incarnation) ?? W1;
+  const others = [W1, W2].filter((each) => each !== registration);
+  harness.takeOver(undefined, others);
+  const met = (): boolean =>
+    harness.of('meet').some(({ registration: { id } }) => id === registration.id);
+  t.false(met());
+  harness.send({ kind: 'worker', registration });
+  t.true(met());
+  harness.report(start.incarnation, [runningEntry(start)]);
+  harness.advance(EARLIER_LEASES_MILLIS + 1);
+  harness.place();
+  t.deepEqual(
+    harness.of('event').filter(({ name }) => name === 'run.lost'),
+    [],
+  );
+  harness.end(start, 'done');
+  harness.commit();
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+});
+
 test('a new owner still knows the state of an ended job, of which no payload is stored', (t) => {
   const harness = readyHarness();
   harness.submit(jobPlan(1));
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -261,6 +261,7 @@
       }
       existing.registration = registration;
       existing.isRegistered = true;
+      this.meet(existing);
       return;
     }
     const earlier = this.context.currentIncarnations.get(registration.id);
@@ -271,7 +272,19 @@
     this.context.workers.set(worker.incarnation, worker);
     this.context.currentIncarnations.set(worker.id, worker);
     this.quarantines.setWorkerCount(this.context.currentIncarnations.size);
-    this.context.emit({ kind: 'meet', registration, lapsesAt: this.earlierLeasesEnd });
+    this.meet(worker);
+  }
+
+  /**
+   * Connects to a worker, unless that has been done. One that the stored runs name may be registered
+   * only later: its entry in the store may have expired while the store was away.
+   */
+  private meet(worker: Worker): void {
+    if (!worker.isMet) {
+      worker.isMet = true;
+      const { registration } = worker;
+      this.context.emit({ kind: 'meet', registration, lapsesAt: this.earlierLeasesEnd });
+    }
   }
 
   private unregisterWorker(id: WorkerRegistration['id']): void {
