--- a/packages/jobs/src/advice-backlog.test.ts
+++ b/packages/jobs/src/advice-backlog.test.ts
@@ -64,6 +64,17 @@
   t.is(first?.step, stepIdOf(jobId(1001), 0, 0));
 });
 
+// Guards against a lasting task that stays away behind a backlog because its job is old.
+test('a lasting task asks for advice before a backlog, however old its job is', (t) => {
+  const { harness, submit } = advisedFleet();
+  harness.submit(jobPlan(9999, { steps: [stepPlan({ isLasting: true })] }));
+  harness.commit();
+  harness.advance(60_000);
+  submit(1000);
+  harness.place();
+  t.true(harness.of('ask_advice').some(({ step }) => step === stepIdOf(jobId(9999), 0, 0)));
+});
+
 test('a step that waits behind is asked about once those before it have started', (t) => {
   const { harness, submit } = advisedFleet();
   submit(STEPS_OF_USE + 5);
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -107,6 +107,10 @@
 
 function bandOf(step: Step, context: JobContext): Band {
   const { plan } = step.job;
+  if (step.plan.isLasting) {
+    // Of use whenever it runs, however long ago the job was accepted.
+    return step.job.isExcess ? 2 : 0;
+  }
   const from =
     plan?.repetition === undefined
       ? step.job.acceptedAt
