--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -532,6 +532,25 @@
   t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
 });
 
+test('the next incarnation of a worker that was registered only after a takeover ends its runs', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const start = first(harness.place());
+  harness.answerStart(start);
+  harness.commit();
+  const registration = [W1, W2].find(({ incarnation }) => incarnation === start.incarnation) ?? W1;
+  harness.takeOver(undefined, []);
+  harness.send({ kind: 'worker', registration });
+  const incarnation = workerIncarnationOf(registration.id, 2);
+  harness.send({ kind: 'worker', registration: { ...registration, incarnation } });
+  const lost = harness.of('event').filter(({ name }) => name === 'run.lost');
+  t.deepEqual(
+    lost.map(({ fields }) => fields.reason),
+    ['born_again'],
+  );
+});
+
 test('a new owner still knows the state of an ended job, of which no payload is stored', (t) => {
   const harness = readyHarness();
   harness.submit(jobPlan(1));
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -261,6 +261,9 @@
       }
       existing.registration = registration;
       existing.isRegistered = true;
+      if (!this.context.currentIncarnations.has(existing.id)) {
+        this.makeCurrent(existing);
+      }
       this.meet(existing);
       return;
     }
@@ -270,9 +273,13 @@
     }
     const worker = newWorker(registration, this.earlierLeasesEnd);
     this.context.workers.set(worker.incarnation, worker);
+    this.makeCurrent(worker);
+    this.meet(worker);
+  }
+
+  private makeCurrent(worker: Worker): void {
     this.context.currentIncarnations.set(worker.id, worker);
     this.quarantines.setWorkerCount(this.context.currentIncarnations.size);
-    this.meet(worker);
   }
 
   /**
