--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -44,7 +44,10 @@
   /** The newest incarnation of each worker. */
   readonly currentIncarnations = new Map<WorkerId, Worker>();
   readonly load = new LoadControl();
-  /** Waiting steps that the fleet has no room for soon; they are looked at less often. */
+  /**
+   * Waiting steps behind the point up to which advice is asked for, because the fleet has no room for them
+   * soon. They are left out of placement passes until the set is cleared, ten times a second.
+   */
   readonly parked = new Set<Step>();
   readonly archive = new EndedArchive();
   /** Set when a placement pass may be able to start something. */
@@ -149,7 +152,7 @@
   /** Records that a worker has confirmed a start. */
   startConfirmed(): void {
     this.load.startConfirmed();
-    this.needsPlacement ||= this.load.isLimiting;
+    this.needsPlacement ||= this.load.isStartLimitReached;
   }
 
   task(id: StepTaskId): Task | undefined {
--- a/packages/jobs/src/load-control.ts
+++ b/packages/jobs/src/load-control.ts
@@ -45,7 +45,7 @@
   /** Most starts that may be under way at a time: recorded or sent, and not confirmed. */
   startLimit = MAX_OPEN_STARTS;
   /** Whether the last placement pass ended early because of the limit. */
-  isLimiting = false;
+  isStartLimitReached = false;
   private lateTimers = 0;
   private saturatedUntil: Deadline = brandAs<Deadline>(0);
   private confirmedStarts = 0;
@@ -75,7 +75,7 @@
 
   /** Whether the owner was late a moment ago, or has work that waits only for it. */
   isSaturated(now: Instant): boolean {
-    return this.isLimiting || !hasPassed(this.saturatedUntil, now);
+    return this.isStartLimitReached || !hasPassed(this.saturatedUntil, now);
   }
 
   /**
@@ -105,7 +105,7 @@
     if (this.observedAt !== undefined && now > this.observedAt) {
       const rate = (this.confirmedStarts * MILLIS_PER_SECOND) / (now - this.observedAt);
       // While nothing waits for the owner, the rate shows what was asked of it and not what it can do.
-      const isWhole = this.isLimiting || rate > this.startsPerSecond;
+      const isWhole = this.isStartLimitReached || rate > this.startsPerSecond;
       this.startsPerSecond += isWhole ? SMOOTHING_FACTOR * (rate - this.startsPerSecond) : 0;
     }
     this.observedAt = now;
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -94,15 +94,15 @@
     };
     const { load } = this.context;
     const { usual, saturated } = this.orderings;
-    const ordering = load.isLimiting ? saturated : usual;
+    const ordering = load.isStartLimitReached ? saturated : usual;
     for (const step of ordering.sorted(this.stepsToPlace(), this.context)) {
       if (pass.openStarts >= load.startLimit) {
-        load.isLimiting = true;
+        load.isStartLimitReached = true;
         return;
       }
       this.placeInOrder(step, pass);
     }
-    load.isLimiting = false;
+    load.isStartLimitReached = false;
   }
 
   private isTeamAtLimit(step: Step): boolean {
