Bind a start to the process of a worker that it is meant for

Cause: a start names the worker's id, which stays when its process is replaced, and the next process has seen no fence and has a clock that starts anew. An unanswered start was repeated at the address whatever process answered there, and once a poll showed another incarnation, all runs of the earlier one were started elsewhere at once. So one copy ran in the new process, and the next run on another worker. A new owner did the same with stored runs. A poll after a failure acknowledged ends of the earlier process to the next one, which numbers them anew.

Change: each link to a worker has a higher fence than all earlier ones, so that its first answer settles what was sent before. Runs that no report of the ended incarnation listed go to the next one at that address, which is asked at once; they start elsewhere after its first report, or when its longest lease has passed. A start is repeated only after its incarnation has answered since the copy before; a probe that another incarnation answers ends the link; nothing is acknowledged in a poll that follows a failed one; repeats of a start end with its run also where a report had confirmed it.

Ruled out: the deadline of a start, since the next process has a clock of its own; a stop of each run in the next process, which takes a call each and says nothing of which process took it.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -99,6 +99,7 @@
         ordering: options.ordering,
         configuration: this.configuration,
         earlierLeasesEnd: brandAs<Deadline>(0),
+        leasesEnd: (now) => brandAs<Deadline>(now),
         restored: { jobs: [], runs: [], archives: [] },
         workers: [...this.workers.values()].map(({ registration }) => registration),
       },
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -142,6 +142,18 @@
     }
   }
 
+  /** Cancels the repeats of the run's orders. */
+  withdraw({ worker, task, number, phase }: Run): void {
+    if (phase !== 'recorded') {
+      this.emit({
+        kind: 'withdraw',
+        incarnation: worker.incarnation,
+        task: task.id,
+        run: number,
+      });
+    }
+  }
+
   step(id: StepId): Step | undefined {
     const [job, occurrence, step] = id.split('.');
     return this.jobs.get(brandAs<JobId>(job ?? ''))?.occurrences[Number(occurrence)]?.steps[
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -71,7 +71,15 @@
       readonly incarnation: WorkerIncarnation;
       readonly lapsesAt: Deadline;
     }
-  | { readonly kind: 'other_life'; readonly incarnation: WorkerIncarnation }
+  /**
+   * Another process answers at the worker's address: one of the same worker, whose incarnation is
+   * `successor`, or one with another id.
+   */
+  | {
+      readonly kind: 'other_life';
+      readonly incarnation: WorkerIncarnation;
+      readonly successor: WorkerIncarnation | undefined;
+    }
   | {
       readonly kind: 'order_answered';
       readonly order: 'start' | 'stop';
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -13,6 +13,7 @@
 import { isEnded, runKey, type Run, type Task, type Worker } from './model.js';
 import type { Orders } from './orders.js';
 import type { Quarantines } from './quarantines.js';
+import type { Successors } from './successors.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 
 /** Most ends in one report; a report with as many may leave ends out. */
@@ -25,6 +26,7 @@
     private readonly orders: Orders,
     private readonly quarantines: Quarantines,
     private readonly crashes: WorkerCrashes,
+    private readonly successors: Successors,
   ) {}
 
   receive(report: WorkerReport): void {
@@ -95,11 +97,17 @@
     }
   }
 
-  /** Handles the end of an incarnation: none of its runs continues. */
-  endIncarnation(worker: Worker, reason: string): void {
+  /**
+   * Handles the end of an incarnation: none of its runs continues, but a start of one may have reached the
+   * successor.
+   */
+  endIncarnation(worker: Worker, reason: string, successor: Worker | undefined): void {
     if (!worker.registration.isDraining) {
       this.crashes.recordCrash(worker);
     }
+    if (successor !== undefined) {
+      this.successors.moveUnproven(worker, successor);
+    }
     this.loseAllRuns(worker, reason);
     this.remove(worker);
   }
@@ -123,6 +131,8 @@
     for (const run of [...worker.runs.values()]) {
       if (!listed.has(runKey(run.task.id, run.number))) {
         this.loseRun(run, 'not_started');
+      } else if (run.phase === 'stopping') {
+        this.orders.sendStop(worker.incarnation, run.task.id, run.number);
       }
     }
     this.context.event('worker.met', { worker: worker.id, runs: worker.runs.size });
@@ -231,15 +241,7 @@
 
   private loseAllRuns(worker: Worker, reason: string): void {
     for (const run of [...worker.runs.values()]) {
-      const { task, number } = run;
-      if (run.phase === 'ordered' || run.phase === 'stopping') {
-        this.context.emit({
-          kind: 'withdraw',
-          incarnation: worker.incarnation,
-          task: task.id,
-          run: number,
-        });
-      }
+      this.context.withdraw(run);
       this.loseRun(run, reason);
     }
     worker.unknownRuns = 0;
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -66,7 +66,14 @@
     const restored = restoreJobs(store);
     const ordering = new SmallestFirst();
     return new JobScheduler(
-      { ordering, configuration: ownConfiguration, earlierLeasesEnd, restored, workers },
+      {
+        ordering,
+        configuration: ownConfiguration,
+        earlierLeasesEnd,
+        leasesEnd: (now) => brandAs<Deadline>(now + EARLIER_LEASES_MILLIS),
+        restored,
+        workers,
+      },
       times(),
     );
   };
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -25,6 +25,7 @@
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
 import { Stalls } from './stalls.js';
+import { Successors } from './successors.js';
 import { Quarantines } from './quarantines.js';
 import type { WaitingReason } from './waiting-reasons.js';
 import { WorkerCrashes } from './worker-crashes.js';
@@ -34,6 +35,8 @@
   readonly configuration: JobConfiguration;
   /** When every lease given by an earlier owner has lapsed. */
   readonly earlierLeasesEnd: Deadline;
+  /** Returns when every lease that was given until now has lapsed. */
+  readonly leasesEnd: (now: Instant) => Deadline;
   readonly restored: Restored;
   readonly workers: readonly WorkerRegistration[];
 }
@@ -64,6 +67,7 @@
   private readonly lifecycle: Lifecycle;
   private readonly orders: Orders;
   private readonly crashes: WorkerCrashes;
+  private readonly successors: Successors;
   private readonly reports: Reports;
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
@@ -81,14 +85,22 @@
         this.lifecycle.runFailed(task, worker, number);
       },
       (worker) => {
-        this.reports.endIncarnation(worker, 'other_life');
+        this.reports.endIncarnation(worker, 'other_life', undefined);
       },
     );
     this.lifecycle = new Lifecycle(context, (run) => {
       this.orders.stop(run);
     });
     this.crashes = new WorkerCrashes(context, this.lifecycle);
-    this.reports = new Reports(context, this.lifecycle, this.orders, quarantines, this.crashes);
+    this.successors = new Successors(context, options.leasesEnd);
+    this.reports = new Reports(
+      context,
+      this.lifecycle,
+      this.orders,
+      quarantines,
+      this.crashes,
+      this.successors,
+    );
     this.stalls = new Stalls(context, this.orders);
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
       this.stepPlacement.isPresent(worker),
@@ -191,9 +203,13 @@
           this.reports.markUnreachable(worker, lapsesAt);
         });
       })
-      .with({ kind: 'other_life' }, ({ incarnation }) => {
+      .with({ kind: 'other_life' }, ({ incarnation, successor }) => {
         this.withWorker(incarnation, (worker) => {
-          this.reports.endIncarnation(worker, 'other_life');
+          this.reports.endIncarnation(
+            worker,
+            'other_life',
+            successor === undefined ? undefined : this.successors.find(worker, successor),
+          );
         });
       })
       .with({ kind: 'order_answered' }, ({ order, incarnation, task, run, answer }) => {
@@ -264,17 +280,17 @@
       if (!this.context.currentIncarnations.has(existing.id)) {
         this.makeCurrent(existing);
       }
-      this.meet(existing);
+      this.successors.meet(existing);
       return;
     }
+    const worker = newWorker(registration, this.earlierLeasesEnd);
+    this.context.workers.set(worker.incarnation, worker);
     const earlier = this.context.currentIncarnations.get(registration.id);
     if (earlier !== undefined) {
-      this.reports.endIncarnation(earlier, 'born_again');
+      this.reports.endIncarnation(earlier, 'born_again', worker);
     }
-    const worker = newWorker(registration, this.earlierLeasesEnd);
-    this.context.workers.set(worker.incarnation, worker);
     this.makeCurrent(worker);
-    this.meet(worker);
+    this.successors.meet(worker);
   }
 
   private makeCurrent(worker: Worker): void {
@@ -282,18 +298,6 @@
     this.quarantines.setWorkerCount(this.context.currentIncarnations.size);
   }
 
-  /**
-   * Connects to a worker, unless that has been done. One that the stored runs name may be registered
-   * only later: its entry in the store may have expired while the store was away.
-   */
-  private meet(worker: Worker): void {
-    if (!worker.isMet) {
-      worker.isMet = true;
-      const { registration } = worker;
-      this.context.emit({ kind: 'meet', registration, lapsesAt: this.earlierLeasesEnd });
-    }
-  }
-
   private unregisterWorker(id: WorkerRegistration['id']): void {
     const worker = this.context.currentIncarnations.get(id);
     if (worker !== undefined) {
@@ -326,9 +330,9 @@
   private restoreRun({ task, incarnation, worker: id, number }: RestoredRun): void {
     const current = this.context.currentIncarnations.get(id);
     if (current !== undefined && current.incarnation !== incarnation) {
-      // The worker has crashed or left since, and the start may never have been sent.
+      // The worker has crashed or left since. The start may never have been sent, or may have reached the
+      // current incarnation: its first report tells.
       this.crashes.suspect(task);
-      return;
     }
     const worker = current ?? this.unregisteredWorker(incarnation, id);
     const run: Run = {
--- /dev/null
+++ b/packages/jobs/src/successors.ts
@@ -0,0 +1,92 @@
+/**
+ * Follows starts from an incarnation of a worker to the next one. A start names the worker's id, which stays,
+ * so that a start which was sent to one process may be carried out by the process that replaced it.
+ */
+
+import type { WorkerIncarnation } from '@bamboowell/types/job';
+import { NO_RESOURCES } from '@bamboowell/types/resources';
+import type { Deadline, Instant } from '@bamboowell/types/time';
+import type { JobContext } from './context.js';
+import { newWorker, type Run, type Worker } from './model.js';
+
+export class Successors {
+  constructor(
+    private readonly context: JobContext,
+    /** Returns when every lease that was given until now has lapsed. */
+    private readonly leasesEnd: (now: Instant) => Deadline,
+  ) {}
+
+  /** The next incarnation of a worker. It may not be registered yet: then it gets no work. */
+  find({ registration }: Worker, incarnation: WorkerIncarnation): Worker {
+    const existing = this.context.workers.get(incarnation);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const successor = newWorker(
+      { ...registration, incarnation, isDraining: true, capacity: NO_RESOURCES },
+      this.leasesEnd(this.context.now),
+    );
+    successor.isRegistered = false;
+    this.context.workers.set(incarnation, successor);
+    return successor;
+  }
+
+  /**
+   * Connects to a worker, unless that has been done. One that the stored runs name may be registered
+   * only later: its entry in the store may have expired while the store was away.
+   */
+  meet(worker: Worker): void {
+    if (!worker.isMet) {
+      worker.isMet = true;
+      const { registration, lapsesAt } = worker;
+      this.context.emit({ kind: 'meet', registration, lapsesAt });
+    }
+  }
+
+  /**
+   * Moves the runs to the successor that may have begun there. The first report over a new link tells: the
+   * link has a higher fence, so that what hasn't begun by then never does.
+   */
+  moveUnproven(worker: Worker, successor: Worker): void {
+    const runs = [...worker.runs.values()].filter(isUnproven);
+    if (runs.length === 0 || successor.registration.address !== worker.registration.address) {
+      return;
+    }
+    if (!successor.isMet) {
+      successor.lapsesAt = this.leasesEnd(this.context.now);
+      this.meet(successor);
+    }
+    for (const run of runs) {
+      this.move(run, successor);
+    }
+  }
+
+  private move(run: Run, successor: Worker): void {
+    const { task, number, worker } = run;
+    this.context.withdraw(run);
+    this.context.detach(run);
+    this.context.attach({
+      ...run,
+      worker: successor,
+      phase: run.phase === 'stopping' ? 'stopping' : 'ordered',
+      confirmedAt: undefined,
+      progress: undefined,
+    });
+    this.context.markChanged(task.step.job);
+    this.context.event('run.unproven', {
+      task: task.id,
+      run: number,
+      worker: worker.id,
+      life: worker.incarnation,
+      successor: successor.incarnation,
+    });
+  }
+}
+
+/**
+ * Whether its start was sent and no report of its worker has listed it: an answer to a start doesn't tell
+ * which incarnation gave it.
+ */
+function isUnproven({ phase, progress }: Run): boolean {
+  return phase !== 'recorded' && progress === undefined;
+}
--- a/packages/member/src/job-invariants.fixture.ts
+++ b/packages/member/src/job-invariants.fixture.ts
@@ -19,6 +19,8 @@
   readonly doneRuns: Set<RunNumber>;
   readonly endedRuns: Set<RunNumber>;
   readonly failedRuns: Set<RunNumber>;
+  /** Workers that crashed while they ran it. */
+  crashes: number;
 }
 
 export class JobInvariants {
@@ -91,6 +93,13 @@
     }
   }
 
+  /** A worker has crashed that ran these tasks. */
+  crashed(tasks: readonly StepTaskId[]): void {
+    for (const task of tasks) {
+      this.history(task).crashes += 1;
+    }
+  }
+
   /** The owner has acknowledged the end of a run. */
   endAcknowledged({ task, end }: EndedEntry): void {
     if (end === 'done') {
@@ -136,6 +145,14 @@
     return Math.max(0, ...counts);
   }
 
+  /** Returns the highest number of workers that crashed under any task of the job. */
+  crashesOf(job: JobId): number {
+    const crashes = [...this.tasks]
+      .filter(([task]) => jobOf(task) === job)
+      .map(([, history]) => history.crashes);
+    return Math.max(0, ...crashes);
+  }
+
   addViolation(text: string): void {
     this.violations.push(`at ${Math.round(this.now())}: ${text}`);
   }
@@ -168,6 +185,7 @@
         doneRuns: new Set(),
         endedRuns: new Set(),
         failedRuns: new Set(),
+        crashes: 0,
       };
       this.tasks.set(task, history);
     }
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -308,6 +308,7 @@
         ordering: this.options.ordering,
         configuration,
         earlierLeasesEnd,
+        leasesEnd: (now) => allLeasesEnd(now, this.options.settings.longestLeaseMillis),
         restored,
         workers: [...tenure.registrations.values()],
       },
--- a/packages/member/src/ports.ts
+++ b/packages/member/src/ports.ts
@@ -7,13 +7,13 @@
 import type {
   EndedEntry,
   EndNumber,
+  Fence,
   JobConfiguration,
   WorkerIncarnation,
   RunningEntry,
   RunNumber,
   StepId,
   StepTaskId,
-  Term,
   Ticket,
   WorkerRegistration,
 } from '@bamboowell/types/job';
@@ -34,7 +34,7 @@
 }
 
 export interface HoldRequest {
-  readonly term: Term;
+  readonly fence: Fence;
   readonly acknowledged: EndNumber;
   /** End of the lease by the worker's clock; undefined to poll without renewing it. */
   readonly leaseEnd: WorkerInstant | undefined;
@@ -56,7 +56,7 @@
   | Unanswered;
 
 export interface StopRequest {
-  readonly term: Term;
+  readonly fence: Fence;
   readonly task: StepTaskId;
   readonly run: RunNumber;
 }
@@ -72,7 +72,7 @@
   abstract start(
     target: WorkerTarget,
     order: StartOrder,
-    term: Term,
+    fence: Fence,
     leaseEnd: WorkerInstant,
     deadline: Deadline,
   ): Promise<OrderAnswer | Unanswered>;
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -8,7 +8,13 @@
 import { Task } from '@bamboowell/kernel/task';
 import type { Clock } from '@bamboowell/kernel/clock';
 import { brandAs } from '@bamboowell/types/ids';
-import type { EndNumber, RunNumber, StepTaskId, Term } from '@bamboowell/types/job';
+import type {
+  EndNumber,
+  Fence,
+  RunNumber,
+  StepTaskId,
+  WorkerIncarnation,
+} from '@bamboowell/types/job';
 import {
   deadlineAfter,
   hasPassed,
@@ -30,7 +36,7 @@
 const ANSWER_TIMEOUT_MILLIS = 450;
 /** Timeout of an order, which is then sent again. */
 const ORDER_TIMEOUT_MILLIS = 450;
-/** Pause before a failed call is retried. */
+/** Pause before a failed call is repeated. */
 const RETRY_DELAY_MILLIS = 120;
 /**
  * The poll after newly ended runs acknowledges them, and waits at most this long for them to be
@@ -40,14 +46,26 @@
 /** Consecutive failed polls after which a worker counts as unreachable. */
 const UNREACHABLE_AFTER = 2;
 
+const NO_END = brandAs<EndNumber>(0);
+
 type Order = StartOrder | StopOrder;
 
+/** An order that has no answer yet. */
+interface OpenOrder {
+  readonly order: Order;
+  /** When its last copy was given up without an answer; undefined if none was. */
+  unansweredAt: Instant | undefined;
+  /** Whether it is to be sent as soon as the worker's incarnation has answered. */
+  isHeldBack: boolean;
+}
+
 export type WorkerLinkMessage =
   | { readonly kind: 'order'; readonly order: Order }
   | { readonly kind: 'withdraw'; readonly task: StepTaskId; readonly run: RunNumber }
   | { readonly kind: 'acknowledge'; readonly upTo: EndNumber }
   | { readonly kind: 'poll' }
   | { readonly kind: 'held'; readonly answer: HoldAnswer; readonly askedAt: Instant }
+  | { readonly kind: 'probe' }
   | { readonly kind: 'probed'; readonly answer: HoldAnswer }
   | { readonly kind: 'ordered'; readonly order: Order; readonly answer: OrderAnswer | Unanswered }
   | { readonly kind: 'send'; readonly order: Order };
@@ -55,7 +73,8 @@
 export interface WorkerLinkOptions {
   readonly port: WorkerPort;
   readonly target: WorkerTarget;
-  readonly term: Term;
+  /** Returns a higher fencing token than all earlier ones. */
+  readonly nextFence: () => Fence;
   readonly owner: MailboxAddress<OwnerMessage>;
   /** When the lease of an earlier owner has ended at the latest. */
   readonly earlierLeaseEnds: Deadline;
@@ -66,15 +85,18 @@
 
 export class WorkerLinkTask extends Task<WorkerLinkMessage> {
   private readonly lease: LeaseClock;
-  private acknowledged: EndNumber = brandAs<EndNumber>(0);
-  private newestEnd: EndNumber = brandAs<EndNumber>(0);
+  private fence: Fence;
+  private acknowledged = NO_END;
+  private newestEnd = NO_END;
+  /** When the expected incarnation last answered a poll or a probe; undefined before that. */
+  private lastHeldAt: Instant | undefined;
   private isPolling = false;
   private isProbing = false;
   private isClosed = false;
   private failures = 0;
   /** No poll is sent before this, after a failure or while newly ended runs are being recorded. */
   private pollAfter: Deadline = brandAs<Deadline>(0);
-  private readonly orders = new Map<string, Order>();
+  private readonly orders = new Map<string, OpenOrder>();
 
   constructor(
     private readonly options: WorkerLinkOptions,
@@ -82,6 +104,7 @@
   ) {
     super(`worker-link-${options.target.id}`, clock);
     this.lease = new LeaseClock(options.longestLeaseMillis, options.earlierLeaseEnds);
+    this.fence = options.nextFence();
   }
 
   protected override onStart(): void {
@@ -116,11 +139,12 @@
         this.isPolling = false;
         this.held(answer, askedAt);
       })
+      .with({ kind: 'probe' }, () => {
+        this.probe();
+      })
       .with({ kind: 'probed' }, ({ answer }) => {
         this.isProbing = false;
-        if (answer.kind === 'unanswered') {
-          this.reportUnreachable();
-        }
+        this.probed(answer);
       })
       .with({ kind: 'send' }, ({ order }) => {
         this.send(order);
@@ -136,7 +160,7 @@
     if (order.kind === 'stop') {
       this.orders.delete(keyOf({ ...order, kind: 'start' }));
     }
-    this.orders.set(keyOf(order), order);
+    this.orders.set(keyOf(order), { order, unansweredAt: undefined, isHeldBack: false });
     this.send(order);
   }
 
@@ -145,14 +169,15 @@
       return;
     }
     this.isPolling = true;
-    const { port, target, term } = this.options;
+    const { port, target } = this.options;
     const now = this.clock.now();
     const isHealthy = this.failures === 0 && this.lease.isSynchronised;
     const renews = isHealthy && this.options.mayRenew();
     const waitMillis = isHealthy ? POLL_WAIT_MILLIS : 0;
     const request = {
-      term,
-      acknowledged: this.acknowledged,
+      fence: this.fence,
+      // After a failure another process may answer, whose ends are numbered anew.
+      acknowledged: isHealthy ? this.acknowledged : NO_END,
       leaseEnd: renews ? this.lease.extend(now) : undefined,
       waitMillis,
     };
@@ -167,7 +192,7 @@
     match(answer)
       .with({ kind: 'held' }, (held) => {
         if (held.incarnation !== target.incarnation) {
-          this.incarnationReplaced();
+          this.incarnationReplaced(held.incarnation);
           return;
         }
         this.failures = 0;
@@ -180,14 +205,15 @@
             report: { incarnation: target.incarnation, askedAt, running, ended },
           },
         });
+        this.sendHeldBack();
         this.pollAgain(ended.at(-1)?.number);
       })
       .with({ kind: 'fenced' }, () => {
-        owner.post({ kind: 'fenced' });
+        this.fenced();
         this.pollLater(RETRY_DELAY_MILLIS);
       })
       .with({ kind: 'other_life' }, () => {
-        this.incarnationReplaced();
+        this.incarnationReplaced(undefined);
       })
       .with({ kind: 'unwell' }, { kind: 'unanswered' }, () => {
         this.failed();
@@ -234,14 +260,14 @@
    * orders unanswered may still answer polls.
    */
   private probe(): void {
-    if (this.isProbing || this.failures > 0) {
+    if (this.isProbing || this.isClosed || this.failures > 0) {
       return;
     }
     this.isProbing = true;
-    const { port, target, term } = this.options;
+    const { port, target } = this.options;
     const request = {
-      term,
-      acknowledged: this.acknowledged,
+      fence: this.fence,
+      acknowledged: NO_END,
       leaseEnd: undefined,
       waitMillis: 0,
     };
@@ -251,14 +277,76 @@
     });
   }
 
-  private incarnationReplaced(): void {
+  private probed(answer: HoldAnswer): void {
+    match(answer)
+      .with({ kind: 'held' }, ({ incarnation }) => {
+        if (incarnation === this.options.target.incarnation) {
+          this.sendHeldBack();
+        } else {
+          this.incarnationReplaced(incarnation);
+        }
+      })
+      .with({ kind: 'other_life' }, () => {
+        this.incarnationReplaced(undefined);
+      })
+      .with({ kind: 'fenced' }, () => {
+        this.fenced();
+        this.probeAgain();
+      })
+      .with({ kind: 'unanswered' }, () => {
+        this.reportUnreachable();
+        this.probeAgain();
+      })
+      .with({ kind: 'unwell' }, () => {
+        this.probeAgain();
+      })
+      .exhaustive();
+  }
+
+  /** A poll that fails is repeated by itself, and tells as much as a probe. */
+  private probeAgain(): void {
+    if ([...this.orders.values()].some(({ isHeldBack }) => isHeldBack)) {
+      this.postAt(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS), { kind: 'probe' });
+    }
+  }
+
+  /** A higher token was used: by another owner, or by a link to the process that was here before. */
+  private fenced(): void {
+    this.fence = this.options.nextFence();
+    this.options.owner.post({ kind: 'fenced' });
+  }
+
+  /** @param successor the incarnation that answered, if it has the id of this worker. */
+  private incarnationReplaced(successor: WorkerIncarnation | undefined): void {
     this.isClosed = true;
     const { owner, target } = this.options;
-    owner.post({ kind: 'input', input: { kind: 'other_life', incarnation: target.incarnation } });
+    owner.post({
+      kind: 'input',
+      input: { kind: 'other_life', incarnation: target.incarnation, successor },
+    });
   }
 
+  private sendHeldBack(): void {
+    this.lastHeldAt = this.clock.now();
+    for (const open of this.orders.values()) {
+      if (open.isHeldBack) {
+        open.isHeldBack = false;
+        this.send(open.order);
+      }
+    }
+  }
+
+  /**
+   * Sends an order. A start must not reach a later process of the worker: it names the worker's id, which
+   * stays. So it is repeated only after this incarnation has answered since the last copy was given up.
+   */
   private send(order: Order): void {
-    if (this.isClosed || this.orders.get(keyOf(order)) !== order) {
+    const open = this.orders.get(keyOf(order));
+    if (this.isClosed || open?.order !== order) {
+      return;
+    }
+    if (order.kind === 'start' && !this.mayStart(open)) {
+      open.isHeldBack = true;
       return;
     }
     const deadline = deadlineAfter(this.clock.now(), ORDER_TIMEOUT_MILLIS);
@@ -267,39 +355,43 @@
     });
   }
 
+  private mayStart({ unansweredAt }: OpenOrder): boolean {
+    const { lastHeldAt } = this;
+    return lastHeldAt !== undefined && (unansweredAt === undefined || unansweredAt <= lastHeldAt);
+  }
+
   private call(order: Order, deadline: Deadline): Promise<OrderAnswer | Unanswered> {
-    const { port, target, term } = this.options;
+    const { fence } = this;
+    const { port, target } = this.options;
     if (order.kind === 'stop') {
-      return port.stop(target, { term, task: order.task, run: order.run }, deadline);
+      return port.stop(target, { fence, task: order.task, run: order.run }, deadline);
     }
     const leaseEnd: WorkerInstant | undefined =
-      this.failures === 0 && this.lease.isSynchronised
-        ? this.lease.extend(this.clock.now())
-        : this.lease.latest;
+      this.failures === 0 ? this.lease.extend(this.clock.now()) : this.lease.latest;
     if (leaseEnd === undefined) {
-      return Promise.resolve({ kind: 'unanswered', detail: 'the worker has not answered yet' });
+      return Promise.resolve({ kind: 'unanswered', detail: 'no lease has been given yet' });
     }
-    return port.start(target, order, term, leaseEnd, deadline);
+    return port.start(target, order, fence, leaseEnd, deadline);
   }
 
   private ordered(order: Order, answer: OrderAnswer | Unanswered): void {
-    if (this.orders.get(keyOf(order)) !== order) {
+    const open = this.orders.get(keyOf(order));
+    if (open?.order !== order) {
       return;
     }
     const isRefusedStop = order.kind === 'stop' && answer.kind === 'unwell';
-    if (answer.kind === 'unanswered' || isRefusedStop) {
+    if (answer.kind === 'unanswered' || answer.kind === 'fenced' || isRefusedStop) {
       if (answer.kind === 'unanswered') {
+        open.unansweredAt = this.clock.now();
         this.probe();
+      } else if (answer.kind === 'fenced') {
+        this.fenced();
       }
       this.postAt(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS), { kind: 'send', order });
       return;
     }
     this.orders.delete(keyOf(order));
     const { owner, target } = this.options;
-    if (answer.kind === 'fenced') {
-      owner.post({ kind: 'fenced' });
-      return;
-    }
     owner.post({
       kind: 'input',
       input: {
--- a/packages/member/src/worker-links.ts
+++ b/packages/member/src/worker-links.ts
@@ -2,8 +2,9 @@
 
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { Clock } from '@bamboowell/kernel/clock';
-import type { WorkerIncarnation, Term, WorkerRegistration } from '@bamboowell/types/job';
+import type { Fence, WorkerIncarnation, Term, WorkerRegistration } from '@bamboowell/types/job';
 import type { Deadline } from '@bamboowell/types/time';
+import { Fences } from './fences.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { WorkerPort } from './ports.js';
 import { WorkerLinkTask, type WorkerLinkMessage } from './worker-link.js';
@@ -19,17 +20,21 @@
 
 export class WorkerLinks {
   private readonly links = new Map<WorkerIncarnation, WorkerLinkTask>();
+  private readonly fences: Fences;
 
   constructor(
     private readonly options: WorkerLinksOptions,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.fences = new Fences(options.term);
+  }
 
   /** Opens a link to a worker, where the lease of an earlier owner may run until `lapsesAt`. */
   open({ id, incarnation, address }: WorkerRegistration, lapsesAt: Deadline): void {
     const target = { id, incarnation, address };
+    const nextFence = (): Fence => this.fences.next();
     const link = new WorkerLinkTask(
-      { ...this.options, target, earlierLeaseEnds: lapsesAt },
+      { ...this.options, target, nextFence, earlierLeaseEnds: lapsesAt },
       this.clock,
     );
     this.links.set(incarnation, link);
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -18,11 +18,10 @@
 export type StepTaskId = Branded<string, 'StepTaskId'>;
 /** Number of a run of a task, from 1. The tasks of a gang share it. */
 export type RunNumber = Branded<number, 'RunNumber'>;
-/**
- * Number of owners that the cluster's work has had. Used as a fencing token: workers refuse orders
- * of lower terms.
- */
+/** Number of owners that the cluster's work has had. */
 export type Term = Branded<number, 'Term'>;
+/** Fencing token: a worker refuses all calls that carry a lower one than it has seen. */
+export type Fence = Branded<number, 'Fence'>;
 /** One start of a worker: a restart under the same worker id is a new incarnation. */
 export type WorkerIncarnation = Branded<string, 'WorkerIncarnation'>;
 /** Permission from the adviser to start tasks of a step on one worker, valid for a limited time. */
