End the trial of a worker on probation however its run ends

Cause: a worker on probation gets one run at a time, and only a run that was done or had failed, or the end of the worker, made room for the next one. A run that was stopped, rejected, lost or broken, a member of a gang whose end came first from another worker, and a run that lasts left the worker closed until the owner changed.

Nothing in the log told a quarantine from a probation: `worker.health` does now.

Change: each run that is taken off a worker ends its trial, in the one place where that happens. A trial has a deadline besides, kept with the worker's health, after which the worker gets the next run; so the product's own owner has it as well, where the attempt of a service closed the worker for as long as it ran.

Why it works: the state opens again by a deadline, and no longer by one kind of news only.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -64,6 +64,11 @@
   private readonly inFlight = new Map<number, (() => void)[]>();
   private lastBatch = 0;
 
+  constructor(
+    /** Called when a run is over, however it ended. */
+    private readonly runEnded: (run: Run) => void,
+  ) {}
+
   setConfiguration(configuration: JobConfiguration): void {
     this.configuration = configuration;
     this.queues.clear();
@@ -138,6 +143,7 @@
     if (run.task.runs.includes(run)) {
       detachRun(run);
       this.adjustUsage(run, subtract);
+      this.runEnded(run);
       this.needsPlacement = true;
     }
   }
--- a/packages/jobs/src/quarantines.ts
+++ b/packages/jobs/src/quarantines.ts
@@ -2,13 +2,18 @@
 
 import { brandAs, type QueueId, type WorkerId, type WorkId } from '@bamboowell/types/ids';
 import type { JobId } from '@bamboowell/types/job';
-import type { Instant } from '@bamboowell/types/time';
-import { WorkerHealth } from '@bamboowell/policy/worker-health';
+import { WorkerHealth, type HealthChange } from '@bamboowell/policy/worker-health';
+import type { JobContext } from './context.js';
 
 /** First quarantine of a worker, milliseconds: about as long as a typical period of failures. */
 const QUARANTINE_MILLIS = 4000;
 /** Longest quarantine, milliseconds. */
 const LONGEST_QUARANTINE_MILLIS = 30_000;
+/**
+ * A worker on probation gets its next run after this long even if the last one goes on, milliseconds: less
+ * than a job may wait for a worker that is idle.
+ */
+const TRIAL_MILLIS = 2000;
 /** Largest fraction of the workers that may be in quarantine at once. */
 const MAX_QUARANTINED_FRACTION = 0.3;
 /**
@@ -19,11 +24,14 @@
 export class Quarantines {
   private readonly health = new WorkerHealth({
     quarantineMillis: QUARANTINE_MILLIS,
+    trialMillis: TRIAL_MILLIS,
     longestQuarantineMillis: LONGEST_QUARANTINE_MILLIS,
     maxQuarantinedFraction: MAX_QUARANTINED_FRACTION,
     minFailedWorks: FAILED_JOBS,
   });
 
+  constructor(private readonly context: JobContext) {}
+
   setWorkerCount(workers: number): void {
     this.health.setWorkerCount(workers);
   }
@@ -33,26 +41,40 @@
   }
 
   recordPlacement(worker: WorkerId): void {
-    this.health.recordPlacement(worker);
+    this.health.recordPlacement(worker, this.context.now);
+  }
+
+  /** Records that a run is over, before it is known whether its end says anything about the worker. */
+  recordEnd(worker: WorkerId): void {
+    this.health.recordInconclusive(worker);
   }
 
   recordSuccess(worker: WorkerId, queue: QueueId | undefined): void {
     if (queue !== undefined) {
-      this.health.recordSuccess(worker, queue);
+      this.log(this.health.recordSuccess(worker, queue));
     }
   }
 
-  recordFailure(worker: WorkerId, queue: QueueId | undefined, job: JobId, now: Instant): void {
+  recordFailure(worker: WorkerId, queue: QueueId | undefined, job: JobId): void {
     if (queue !== undefined) {
-      this.health.recordFailure(worker, queue, brandAs<WorkId>(job), now);
+      this.log(this.health.recordFailure(worker, queue, brandAs<WorkId>(job), this.context.now));
     }
   }
 
-  endQuarantines(now: Instant): void {
-    this.health.endQuarantines(now);
+  endQuarantines(): void {
+    this.health.endQuarantines(this.context.now).forEach((change) => {
+      this.log(change);
+    });
   }
 
   forget(worker: WorkerId): void {
     this.health.forget(worker);
   }
+
+  private log(change: HealthChange | undefined): void {
+    if (change !== undefined) {
+      const { worker, state } = change;
+      this.context.event('worker.health', { worker, standing: state });
+    }
+  }
 }
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -211,7 +211,7 @@
       this.saveProgress(task, entry.saved);
     }
     if (entry.end === 'failed' && run !== undefined) {
-      this.quarantines.recordFailure(worker.id, queue, task.step.job.id, this.context.now);
+      this.quarantines.recordFailure(worker.id, queue, task.step.job.id);
       this.lifecycle.runFailed(task, worker, entry.run);
     }
     this.lifecycle.enqueueIfReady(task.step);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -61,8 +61,10 @@
 }
 
 export class JobScheduler {
-  private readonly context = new JobContext();
-  private readonly quarantines = new Quarantines();
+  private readonly context = new JobContext(({ worker }) => {
+    this.quarantines.recordEnd(worker.id);
+  });
+  private readonly quarantines = new Quarantines(this.context);
   private readonly adviceBalancer = new AdviceBalancer();
   private readonly lifecycle: Lifecycle;
   private readonly orders: Orders;
@@ -246,7 +248,7 @@
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
-    this.quarantines.endQuarantines(this.context.now);
+    this.quarantines.endQuarantines();
     if (mayStart) {
       this.context.needsPlacement = false;
       this.stepPlacement.place();
--- a/packages/owner/src/health.ts
+++ b/packages/owner/src/health.ts
@@ -64,7 +64,7 @@
   }
 
   recordPlacement(worker: WorkerId): void {
-    this.workers.recordPlacement(worker);
+    this.workers.recordPlacement(worker, this.context.now);
     this.refresh(worker);
   }
 
--- a/packages/policy/src/worker-health.test.ts
+++ b/packages/policy/src/worker-health.test.ts
@@ -2,7 +2,7 @@
 import { brandAs, type QueueId, type WorkerId, type WorkId } from '@bamboowell/types/ids';
 import type { Instant } from '@bamboowell/types/time';
 import { MIN_FAILED_WORKERS, JobHealth } from './job-health.js';
-import { QUARANTINE_MILLIS, WorkerHealth } from './worker-health.js';
+import { QUARANTINE_MILLIS, TRIAL_MILLIS, WorkerHealth } from './worker-health.js';
 
 function at(millis: number): Instant {
   return brandAs<Instant>(millis);
@@ -77,13 +77,28 @@
     { worker: worker(1), state: 'probation' },
   ]);
   t.true(health.mayPlace(worker(1)));
-  health.recordPlacement(worker(1));
+  health.recordPlacement(worker(1), at(QUARANTINE_MILLIS));
   t.false(health.mayPlace(worker(1)));
   health.recordInconclusive(worker(1));
   t.true(health.mayPlace(worker(1)));
   t.is(health.recordSuccess(worker(1), queue('a'))?.state, 'healthy');
 });
 
+// Guards against a worker that stays closed because its attempt never ends, as that of a service (LOST).
+test('a worker on probation gets another attempt when its last one has run for long', (t) => {
+  const health = healthOf(30);
+  fail(health, 1, ['a', 'b']);
+  health.endQuarantines(at(QUARANTINE_MILLIS));
+  health.recordPlacement(worker(1), at(QUARANTINE_MILLIS));
+  const trialEndsAt = QUARANTINE_MILLIS + TRIAL_MILLIS;
+  t.is<number | undefined, number>(health.nextDeadline(), trialEndsAt);
+  t.deepEqual(health.endQuarantines(at(trialEndsAt - 1)), []);
+  t.false(health.mayPlace(worker(1)));
+  t.deepEqual(health.endQuarantines(at(trialEndsAt)), [{ worker: worker(1), state: 'probation' }]);
+  t.true(health.mayPlace(worker(1)));
+  t.is(health.nextDeadline(), undefined);
+});
+
 test('a failure on probation means a quarantine twice as long', (t) => {
   const health = healthOf(30);
   fail(health, 1, ['a', 'b']);
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -20,6 +20,8 @@
 export const QUARANTINE_MILLIS = 60_000;
 /** Maximum duration of a quarantine. */
 export const LONGEST_QUARANTINE_MILLIS = 3_600_000;
+/** A worker on probation gets its next attempt after this long even if the last one goes on. */
+export const TRIAL_MILLIS = 60_000;
 
 /** Failures of the work of one queue on a worker since the last success on that worker. */
 interface QueueFailures {
@@ -40,14 +42,12 @@
       readonly until: Deadline;
       readonly consecutiveQuarantines: number;
     }
-  /**
-   * The worker gets one attempt at a time until one succeeds; `isTrialRunning` tells whether one
-   * runs.
-   */
+  /** The worker gets one attempt at a time until one succeeds. */
   | {
       readonly kind: 'probation';
       readonly consecutiveQuarantines: number;
-      readonly isTrialRunning: boolean;
+      /** No other attempt before this, unless the last one ends; undefined if none runs. */
+      readonly trialUntil: Deadline | undefined;
     };
 
 /** A change of the health state of a worker. */
@@ -62,6 +62,7 @@
  */
 export interface HealthBounds {
   readonly quarantineMillis: number;
+  readonly trialMillis: number;
   readonly longestQuarantineMillis: number;
   readonly maxQuarantinedFraction: number;
   readonly minFailedWorks: number;
@@ -69,6 +70,7 @@
 
 const DEFAULT_BOUNDS: HealthBounds = {
   quarantineMillis: QUARANTINE_MILLIS,
+  trialMillis: TRIAL_MILLIS,
   longestQuarantineMillis: LONGEST_QUARANTINE_MILLIS,
   maxQuarantinedFraction: MAX_QUARANTINED_FRACTION,
   minFailedWorks: MIN_FAILED_WORKS,
@@ -79,7 +81,7 @@
 /**
  * Quarantines a worker when work of several queues fails on it, or many work items of a queue that
  * succeeds elsewhere; a single work item is never enough. On probation, one failure quarantines the
- * worker again. Failures of a suspect queue, whose work fails on many workers, do not count. Once
+ * worker again; an attempt that ends without evidence, or not for long, leads to another one. Failures of a suspect queue, whose work fails on many workers, do not count. Once
  * the maximum fraction of the shard's workers is quarantined, further workers stay in use.
  */
 export class WorkerHealth {
@@ -102,7 +104,9 @@
   /** Whether a new attempt may be placed on the worker. */
   mayPlace(worker: WorkerId): boolean {
     const state = this.stateOf(worker);
-    return state.kind === 'healthy' || (state.kind === 'probation' && !state.isTrialRunning);
+    return (
+      state.kind === 'healthy' || (state.kind === 'probation' && state.trialUntil === undefined)
+    );
   }
 
   /**
@@ -117,10 +121,11 @@
   }
 
   /** Records that an attempt was placed on the worker. */
-  recordPlacement(worker: WorkerId): void {
+  recordPlacement(worker: WorkerId, now: Instant): void {
     const state = this.stateOf(worker);
     if (state.kind === 'probation') {
-      this.states.set(worker, { ...state, isTrialRunning: true });
+      const trialUntil = deadlineAfter(now, this.bounds.trialMillis);
+      this.states.set(worker, { ...state, trialUntil });
     }
   }
 
@@ -131,7 +136,7 @@
   recordInconclusive(worker: WorkerId): void {
     const state = this.stateOf(worker);
     if (state.kind === 'probation') {
-      this.states.set(worker, { ...state, isTrialRunning: false });
+      this.states.set(worker, { ...state, trialUntil: undefined });
     }
   }
 
@@ -165,17 +170,21 @@
     return this.isEnoughEvidence(failures) ? this.quarantine(worker, 1, now) : undefined;
   }
 
-  /** Puts workers whose quarantine has ended on probation. */
+  /**
+   * Puts workers whose quarantine has ended on probation, and those on probation that have had an attempt
+   * for long in use for another one.
+   */
   endQuarantines(now: Instant): HealthChange[] {
     const changes: HealthChange[] = [];
     for (const [worker, state] of this.states) {
-      if (state.kind === 'quarantined' && hasPassed(state.until, now)) {
-        this.quarantinedWorkers -= 1;
+      const endsAt = closedUntil(state);
+      if (state.kind !== 'healthy' && endsAt !== undefined && hasPassed(endsAt, now)) {
+        this.quarantinedWorkers -= Number(state.kind === 'quarantined');
         const { consecutiveQuarantines } = state;
         this.states.set(worker, {
           kind: 'probation',
           consecutiveQuarantines,
-          isTrialRunning: false,
+          trialUntil: undefined,
         });
         changes.push({ worker, state: 'probation' });
       }
@@ -183,12 +192,13 @@
     return changes;
   }
 
-  /** The time at which the next quarantine ends, if there is one. */
+  /** The time at which the next worker may be used again, if there is one. */
   nextDeadline(): Deadline | undefined {
     let next: Deadline | undefined;
     for (const state of this.states.values()) {
-      if (state.kind === 'quarantined' && (next === undefined || state.until < next)) {
-        next = state.until;
+      const endsAt = closedUntil(state);
+      if (endsAt !== undefined && (next === undefined || endsAt < next)) {
+        next = endsAt;
       }
     }
     return next;
@@ -233,7 +243,7 @@
     consecutiveQuarantines: number,
     now: Instant,
   ): HealthChange | undefined {
-    this.states.set(worker, { kind: 'probation', consecutiveQuarantines, isTrialRunning: false });
+    this.states.set(worker, { kind: 'probation', consecutiveQuarantines, trialUntil: undefined });
     if (this.suspectQueues.isSuspect(queue)) {
       return undefined;
     }
@@ -265,3 +275,15 @@
     return { worker, state: 'quarantined' };
   }
 }
+
+/** Until when the worker gets no attempt whatever happens; undefined if it may get one. */
+function closedUntil(state: HealthState): Deadline | undefined {
+  switch (state.kind) {
+    case 'healthy':
+      return undefined;
+    case 'quarantined':
+      return state.until;
+    case 'probation':
+      return state.trialUntil;
+  }
+}
