Take a refusal for the fate of its own copy of a start only

Cause: the link to a worker repeats a start until one copy is answered, reported that answer, and forgot that earlier copies had none. The scheduler dropped the run and started the task elsewhere at once.

Evidence: `start.rejected reason=unwell` and `task.placed run=2` follow one another.

Change: the answer to an order says whether earlier copies had none. Then a run that was refused is stopped, and its task starts elsewhere once the stop is answered and a report that was requested later leaves the run out. The scheduler asks for that report at once, and a probe's answer is a report like a poll's. The same holds for `no_room`, `no_ticket`, `late` and `malformed`, for members of gangs, and for runs that a report lists already, which go on. When a worker's process ends, a listed run of which a copy had no answer waits for the next process as an unlisted one does.

Why it works: a worker carries out no start of a run that was stopped there, and a report of the same incarnation from after that shows that it was the one that took the stop.

Ruled out: the deadline of the first copy, which had not passed.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -223,6 +223,7 @@
       task,
       run,
       answer: { kind: 'done' },
+      hasUnansweredCopies: false,
     });
     this.schedule(this.runMillisOf(task), () => {
       this.end(incarnation, task, run, 'done');
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -87,6 +87,8 @@
       readonly task: StepTaskId;
       readonly run: RunNumber;
       readonly answer: OrderAnswer;
+      /** Whether earlier copies of the order had no answer: the worker may carry them out later. */
+      readonly hasUnansweredCopies: boolean;
     }
   | {
       readonly kind: 'advice';
@@ -166,6 +168,8 @@
       readonly workers: readonly WorkerId[];
       readonly timing: AdviceTiming;
     }
+  /** Request a report of this worker now. */
+  | { readonly kind: 'probe'; readonly incarnation: WorkerIncarnation }
   /** Connect to this worker and request its reports. */
   | {
       readonly kind: 'meet';
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -38,6 +38,8 @@
   /** The grant that allows its start, if its queue requires advice. */
   readonly grant: Grant | undefined;
   phase: RunPhase;
+  /** Whether a copy of its start was sent and not answered, so that it may begin later. */
+  hasUnansweredStart: boolean;
   /** When the worker first confirmed it. */
   confirmedAt: Instant | undefined;
   /** Progress by the worker's reports; undefined until one lists the run. */
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -6,7 +6,7 @@
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
 import { fits } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
-import type { OrderAnswer } from './messages.js';
+import type { JobInput, OrderAnswer } from './messages.js';
 import { runKey, type Grant, type Run, type Step, type Task, type Worker } from './model.js';
 
 /**
@@ -20,6 +20,8 @@
  */
 const NO_ROOM_COOLDOWN_MILLIS = 400;
 
+type AnsweredOrder = Extract<JobInput, { kind: 'order_answered' }>;
+
 /** A task and the worker on which to start it. */
 export interface Assignment {
   readonly task: Task;
@@ -49,6 +51,7 @@
         worker,
         grant,
         phase: 'recorded',
+        hasUnansweredStart: false,
         confirmedAt: undefined,
         progress: undefined,
         isIsolated,
@@ -100,14 +103,9 @@
     }
   }
 
-  handleAnswer(
-    order: 'start' | 'stop',
-    worker: Worker,
-    task: StepTaskId,
-    number: RunNumber,
-    answer: OrderAnswer,
-  ): void {
-    const run = worker.runs.get(runKey(task, number));
+  handleAnswer(worker: Worker, answered: AnsweredOrder): void {
+    const { answer } = answered;
+    const run = worker.runs.get(runKey(answered.task, answered.run));
     worker.lastHeardAt = this.context.now;
     if (answer.kind === 'other_life') {
       this.endIncarnation(worker);
@@ -116,11 +114,16 @@
     if (run === undefined) {
       return;
     }
-    if (order === 'stop') {
-      run.confirmedAt ??= this.context.now;
+    if (answered.order === 'start') {
+      run.hasUnansweredStart = answered.hasUnansweredCopies;
+      this.handleStartAnswer(run, answer);
       return;
     }
-    this.handleStartAnswer(run, answer);
+    run.confirmedAt ??= this.context.now;
+    if (run.progress === undefined) {
+      // A run that wasn't there when it was stopped never starts: the next report tells.
+      this.context.emit({ kind: 'probe', incarnation: worker.incarnation });
+    }
   }
 
   private sendStart(run: Run): void {
@@ -139,6 +142,7 @@
       return;
     }
     run.phase = 'ordered';
+    run.hasUnansweredStart = true;
     job.hasStarted = true;
     job.visibleState = job.visibleState === 'pending' ? 'running' : job.visibleState;
     this.context.emit({
@@ -191,22 +195,31 @@
   }
 
   /**
-   * Drops a run that has not started and never will: its worker refused the start, or the ticket
-   * expired before the start was sent.
+   * Drops a run that has not started and never will: its worker refused the start, or the start was not sent
+   * after all. A refusal holds for its own copy of the start only: if another one was left unanswered, the run
+   * is stopped, after which its worker carries out none.
    */
   private handleRejection(run: Run, reason: string, cooldownMillis: number): void {
-    const { worker, task } = run;
+    const { worker, task, hasUnansweredStart } = run;
     this.context.event('start.rejected', {
       task: task.id,
       run: run.number,
       worker: worker.id,
       reason,
+      ...(hasUnansweredStart ? { phase: run.phase, mayBeginLater: true } : {}),
     });
     if (cooldownMillis > 0) {
       worker.cooldownUntil = deadlineAfter(this.context.now, cooldownMillis);
     }
-    this.context.detach(run);
-    this.context.markChanged(task.step.job);
+    if (run.phase === 'running') {
+      return;
+    }
+    if (hasUnansweredStart) {
+      this.stop(run);
+    } else {
+      this.context.detach(run);
+      this.context.markChanged(task.step.job);
+    }
     if (task.step.plan.isGang) {
       this.stopGang(task.step, run.number);
     }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -161,8 +161,23 @@
     answerStart: (
       { incarnation, task, run }: ReceivedStart,
       answer: OrderAnswer = { kind: 'done' },
+      hasUnansweredCopies = false,
     ): void => {
-      send({ kind: 'order_answered', order: 'start', incarnation, task, run, answer });
+      send({
+        kind: 'order_answered',
+        order: 'start',
+        incarnation,
+        task,
+        run,
+        answer,
+        hasUnansweredCopies,
+      });
+    },
+    answerStop: ({ incarnation, task, run }: ReceivedStart): void => {
+      const answer = { kind: 'done' } as const;
+      const order = 'stop';
+      const hasUnansweredCopies = false;
+      send({ kind: 'order_answered', order, incarnation, task, run, answer, hasUnansweredCopies });
     },
     /** The worker reports the end of the run. */
     end: ({ incarnation, task, run }: ReceivedStart, end: RunOutcome, saved = ''): void => {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -214,9 +214,9 @@
           );
         });
       })
-      .with({ kind: 'order_answered' }, ({ order, incarnation, task, run, answer }) => {
-        this.withWorker(incarnation, (worker) => {
-          this.orders.handleAnswer(order, worker, task, run, answer);
+      .with({ kind: 'order_answered' }, (answered) => {
+        this.withWorker(answered.incarnation, (worker) => {
+          this.orders.handleAnswer(worker, answered);
         });
       })
       .with({ kind: 'adviser' }, ({ member, roundTripMillis }) => {
@@ -343,6 +343,7 @@
       worker,
       grant: undefined,
       phase: 'ordered',
+      hasUnansweredStart: true,
       confirmedAt: undefined,
       progress: undefined,
       isIsolated: false,
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -84,9 +84,9 @@
 }
 
 /**
- * Whether its start was sent and no report of its worker has listed it: an answer to a start doesn't tell
- * which incarnation gave it.
+ * Whether its start was sent, and a copy of it was left unanswered or no report of its worker has listed the
+ * run: an answer to a start doesn't tell which incarnation gave it.
  */
-function isUnproven({ phase, progress }: Run): boolean {
-  return phase !== 'recorded' && progress === undefined;
+function isUnproven({ phase, progress, hasUnansweredStart }: Run): boolean {
+  return phase !== 'recorded' && (progress === undefined || hasUnansweredStart);
 }
--- a/packages/member/src/fault-injection.fixture.ts
+++ b/packages/member/src/fault-injection.fixture.ts
@@ -228,6 +228,13 @@
         worker.failsAllRuns = false;
       });
     },
+    workerShedsStarts: () => {
+      const worker = pick([...cluster.workers.values()]);
+      worker.shedsStarts = true;
+      schedule(draw(500, 4000), () => {
+        worker.shedsStarts = false;
+      });
+    },
     workerDrains: () => {
       const worker = pick([...cluster.workers.values()]);
       worker.isDraining = true;
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -337,3 +337,36 @@
     [1, 2],
   );
 });
+
+// Guards against a refusal that is taken for the fate of a start of which another copy had no answer (TWICE).
+test('the answer to an order says whether earlier copies of it had none', async (t) => {
+  const { link, port, advance, inputs } = linkBench();
+  port.answers.push('silence', { kind: 'unwell' }, { kind: 'unwell' });
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(1500);
+  link.post({ kind: 'order', order: { ...START, run: brandAs<RunNumber>(2) } });
+  await advance(1500);
+  t.deepEqual(
+    inputs().flatMap((input) =>
+      input.kind === 'order_answered' ? [[Number(input.run), input.hasUnansweredCopies]] : [],
+    ),
+    [
+      [1, true],
+      [2, false],
+    ],
+  );
+});
+
+// Guards against a task that waits for the end of a long poll though nothing of it runs (LOST).
+test('a probe brings a report while a long poll is open', async (t) => {
+  const { link, advance, inputs } = linkBench();
+  await link.start();
+  await advance(500);
+  const reports = (): number => inputs().filter(({ kind }) => kind === 'report').length;
+  const before = reports();
+  link.post({ kind: 'probe' });
+  await advance(50);
+  t.is(reports(), before + 1);
+});
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -66,7 +66,7 @@
   | { readonly kind: 'poll' }
   | { readonly kind: 'held'; readonly answer: HoldAnswer; readonly askedAt: Instant }
   | { readonly kind: 'probe' }
-  | { readonly kind: 'probed'; readonly answer: HoldAnswer }
+  | { readonly kind: 'probed'; readonly answer: HoldAnswer; readonly askedAt: Instant }
   | { readonly kind: 'ordered'; readonly order: Order; readonly answer: OrderAnswer | Unanswered }
   | { readonly kind: 'send'; readonly order: Order };
 
@@ -142,9 +142,9 @@
       .with({ kind: 'probe' }, () => {
         this.probe();
       })
-      .with({ kind: 'probed' }, ({ answer }) => {
+      .with({ kind: 'probed' }, ({ answer, askedAt }) => {
         this.isProbing = false;
-        this.probed(answer);
+        this.probed(answer, askedAt);
       })
       .with({ kind: 'send' }, ({ order }) => {
         this.send(order);
@@ -188,25 +188,11 @@
   }
 
   private held(answer: HoldAnswer, askedAt: Instant): void {
-    const { owner, target } = this.options;
     match(answer)
       .with({ kind: 'held' }, (held) => {
-        if (held.incarnation !== target.incarnation) {
-          this.incarnationReplaced(held.incarnation);
-          return;
-        }
         this.failures = 0;
-        this.lease.synchronise(held.workerNow, this.clock.now());
-        const { running, ended } = held;
-        owner.post({
-          kind: 'input',
-          input: {
-            kind: 'report',
-            report: { incarnation: target.incarnation, askedAt, running, ended },
-          },
-        });
-        this.sendHeldBack();
-        this.pollAgain(ended.at(-1)?.number);
+        this.report(held, askedAt);
+        this.pollAgain(held.ended.at(-1)?.number);
       })
       .with({ kind: 'fenced' }, () => {
         this.fenced();
@@ -221,6 +207,21 @@
       .exhaustive();
   }
 
+  private report(held: Extract<HoldAnswer, { kind: 'held' }>, askedAt: Instant): void {
+    const { incarnation } = this.options.target;
+    if (held.incarnation !== incarnation) {
+      this.incarnationReplaced(held.incarnation);
+      return;
+    }
+    this.lease.synchronise(held.workerNow, this.clock.now());
+    const { running, ended } = held;
+    this.options.owner.post({
+      kind: 'input',
+      input: { kind: 'report', report: { incarnation, askedAt, running, ended } },
+    });
+    this.sendHeldBack();
+  }
+
   /** Polls at once, or later if ended runs still have to be recorded in the store. */
   private pollAgain(newest: EndNumber | undefined): void {
     if (newest !== undefined && newest > this.newestEnd) {
@@ -271,20 +272,17 @@
       leaseEnd: undefined,
       waitMillis: 0,
     };
-    const deadline = deadlineAfter(this.clock.now(), ANSWER_TIMEOUT_MILLIS);
+    const askedAt = this.clock.now();
+    const deadline = deadlineAfter(askedAt, ANSWER_TIMEOUT_MILLIS);
     void port.hold(target, request, deadline).then((answer) => {
-      this.post({ kind: 'probed', answer });
+      this.post({ kind: 'probed', answer, askedAt });
     });
   }
 
-  private probed(answer: HoldAnswer): void {
+  private probed(answer: HoldAnswer, askedAt: Instant): void {
     match(answer)
-      .with({ kind: 'held' }, ({ incarnation }) => {
-        if (incarnation === this.options.target.incarnation) {
-          this.sendHeldBack();
-        } else {
-          this.incarnationReplaced(incarnation);
-        }
+      .with({ kind: 'held' }, (held) => {
+        this.report(held, askedAt);
       })
       .with({ kind: 'other_life' }, () => {
         this.incarnationReplaced(undefined);
@@ -401,6 +399,7 @@
         task: order.task,
         run: order.run,
         answer,
+        hasUnansweredCopies: open.unansweredAt !== undefined,
       },
     });
   }
