Store a job in records that don't grow, and give up only the one that can't be

Cause: all touched tasks of a job were written into one record, which outgrew what the store takes in one. Its refusal was taken for an outage, so that the same append was repeated without end before all others, by each owner in turn.

Evidence: the store answers each append with 400 at once (`append.failed` with its status); the largest record of such a job takes 381,998 bytes in the new test on the code before, where the limit is 262,144.

Change: rows of tasks are spread over records of 64 tasks, and steps over records of twenty; only the records with something new are written, and an occurrence that is over keeps none. Saved progress of over 1,000 characters is left to the lists of workers. The size of an append is counted in bytes. A new owner deletes records whose job has ended or was never stored in full. Jobs that an earlier version stored are restored as before.

Why it works: no record depends on the number of tasks, steps or occurrences of a job, and no append waits behind one that is never taken. A sequence number keeps a part of its writes, so that no copy of a later append can be taken for another one; what is moved to the end overwrites nothing newer.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -6,7 +6,6 @@
 import type {
   JobConfiguration,
   JobId,
-  JobPlan,
   JobQueue,
   JobTeam,
   WorkerIncarnation,
@@ -23,6 +22,7 @@
   attachRun,
   detachRun,
   isEnded,
+  isStepDone,
   allocationOf,
   type Job,
   type Run,
@@ -31,7 +31,15 @@
   type Worker,
 } from './model.js';
 import { startableWithinLimit } from './team-limits.js';
-import { progressKey, progressOf, specKey, type SpecRecord } from './records.js';
+import {
+  occurrenceOf,
+  progressKey,
+  progressOf,
+  recordOf,
+  specDeletions,
+  specWrites,
+  taskRecord,
+} from './records.js';
 
 export class JobContext {
   now: Instant = brandAs<Instant>(0);
@@ -56,7 +64,8 @@
   private readonly teams = new Map<TeamId, JobTeam>();
   private readonly usageByTeam = new Map<TeamId, Resources>();
   private outputs: JobOutput[] = [];
-  private readonly dirty = new Set<Job>();
+  /** The keys of the records of each job that are to be written. */
+  private readonly dirty = new Map<Job, Set<string>>();
   private readonly unstored = new Set<Job>();
   /** Pending writes that belong to no single job. */
   private otherWrites: JobWrite[] = [];
@@ -115,9 +124,19 @@
     this.markChanged(job);
   }
 
-  /** Marks the job for writing with the next batch. */
+  /** Marks the record of the job's state for writing with the next batch. */
   markChanged(job: Job): void {
-    this.dirty.add(job);
+    this.markRecord(job, progressKey(job.id));
+  }
+
+  /** Marks the record with the task's row for writing with the next batch. */
+  markTaskChanged(task: Task): void {
+    this.markRecord(task.step.job, recordOf(task));
+  }
+
+  /** Deletes records that belong to no open job. */
+  deleteRecords(keys: readonly string[]): void {
+    this.otherWrites.push(...keys.map((key) => ({ key, value: undefined })));
   }
 
   /** Deletes a job that ended long ago, here and in the store. */
@@ -142,6 +161,7 @@
   detach(run: Run): void {
     if (run.task.runs.includes(run)) {
       detachRun(run);
+      this.markTaskChanged(run.task);
       this.adjustUsage(run, subtract);
       this.runEnded(run);
       this.needsPlacement = true;
@@ -203,7 +223,7 @@
       return undefined;
     }
     this.lastBatch += 1;
-    const writes = [...this.dirty].flatMap((job) => this.writesOf(job));
+    const writes = [...this.dirty].flatMap(([job, keys]) => this.writesOf(job, keys));
     writes.push(...this.otherWrites);
     this.inFlight.set(this.lastBatch, this.effects);
     this.dirty.clear();
@@ -228,27 +248,67 @@
     }
   }
 
-  private writesOf(job: Job): JobWrite[] {
+  private markRecord(job: Job, key: string): void {
+    const keys = this.dirty.get(job);
+    if (keys === undefined) {
+      this.dirty.set(job, new Set([key]));
+    } else {
+      keys.add(key);
+    }
+  }
+
+  /** The record of the state goes before the rows of tasks: a part of the writes may be all that is stored. */
+  private writesOf(job: Job, keys: ReadonlySet<string>): JobWrite[] {
     if (this.archive.has(job.id)) {
       return [];
     }
-    const writes: JobWrite[] = [];
     const isNew = this.unstored.delete(job);
-    if (isNew && job.plan !== undefined && !isEnded(job.state)) {
-      writes.push({ key: specKey(job.id), value: specOf(job, job.plan) });
-    }
-    if (isEnded(job.state) && !isNew) {
-      writes.push({ key: specKey(job.id), value: undefined });
+    if (isEnded(job.state)) {
+      const deletions = isNew ? [] : [...specDeletions(job), ...deletionsOf(job)];
+      return [{ key: progressKey(job.id), value: progressOf(job) }, ...deletions];
     }
+    const over = dropOccurrencesOver(job, keys);
+    const writes = isNew && job.plan !== undefined ? specWrites(job, job.plan) : [];
     const progress = progressOf(job);
-    if (!isNew || progress.tasks.length > 0 || isEnded(job.state)) {
+    const hasRows = keys.size > 1 || progress.tasks.length > 0;
+    if ((!isNew || hasRows) && (keys.has(progressKey(job.id)) || over.length > 0)) {
       writes.push({ key: progressKey(job.id), value: progress });
     }
-    return writes;
+    for (const key of keys) {
+      if (key !== progressKey(job.id) && !over.includes(occurrenceOf(key))) {
+        job.taskRecords.add(key);
+        writes.push(taskRecord(job, key));
+      }
+    }
+    return [...writes, ...deletionsOf(job, over)];
+  }
+}
+
+/** Drops the tasks of changed occurrences of which nothing is left; returns the numbers of these. */
+function dropOccurrencesOver({ plan, occurrences }: Job, keys: ReadonlySet<string>): number[] {
+  if (plan?.repetition === undefined) {
+    return [];
   }
+  const changed = [...new Set([...keys].map(occurrenceOf))];
+  return changed.filter((index) => {
+    const steps = occurrences[index]?.steps ?? [];
+    const isOver = steps.length > 0 && steps.every(isOverAndDone);
+    if (isOver) {
+      steps.length = 0;
+    }
+    return isOver;
+  });
+}
+
+function isOverAndDone(step: Step): boolean {
+  return isStepDone(step) && step.tasks.every(({ runs }) => runs.length === 0);
 }
 
-function specOf(job: Job, plan: JobPlan): SpecRecord {
-  const { queue, acceptedAt, isExcess } = job;
-  return { plan, queue, acceptedAt, ...(isExcess ? { isExcess } : {}) };
+/** Deletes the records with rows of tasks, of all or only some occurrences. */
+function deletionsOf({ taskRecords }: Job, occurrences?: readonly number[]): JobWrite[] {
+  const keys = [...taskRecords].filter(
+    (key) => occurrences === undefined || occurrences.includes(occurrenceOf(key)),
+  );
+  keys.forEach((key) => taskRecords.delete(key));
+  return keys.map((key) => ({ key, value: undefined }));
 }
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -12,6 +12,7 @@
   type RunNumber,
   type WallInstant,
 } from '@bamboowell/types/job';
+import { isSpecKey, jobOfKey } from './records.js';
 import { TokenBuckets } from './token-buckets.js';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
@@ -40,6 +41,8 @@
 /** Interval between scans for ended jobs to forget, milliseconds. */
 const FORGET_INTERVAL_MILLIS = 1000;
 
+const NOT_STORED: JobAnswer = { kind: 'refused', reason: 'overloaded' };
+
 export class Lifecycle {
   /** Steps that are not done and whose earlier steps are all done. */
   readonly readySteps = new Set<Step>();
@@ -169,6 +172,7 @@
     const members = step.plan.isGang ? step.tasks : [task];
     for (const member of members) {
       this.markDone(member, number);
+      this.context.markTaskChanged(member);
     }
     if (isStepDone(step)) {
       this.readySteps.delete(step);
@@ -176,7 +180,6 @@
         this.enqueueIfReady(later);
       });
     }
-    this.context.markChanged(step.job);
     this.completeIfDone(step.job);
   }
 
@@ -190,7 +193,7 @@
     step.lastFailedRun = number;
     const counted = step.plan.isGang ? (step.tasks[0] ?? task) : task;
     counted.failures += 1;
-    this.context.markChanged(step.job);
+    this.context.markTaskChanged(counted);
     const { attempts } = step.job.queue;
     if (!step.plan.isLasting && counted.failures >= attempts && !isEnded(step.job.state)) {
       this.end(step.job, 'failed', `${counted.failures} runs of ${task.id} failed`);
@@ -204,6 +207,23 @@
     }
   }
 
+  /**
+   * Gives up the job of a record that the store doesn't take, so that all others go on. One whose plan can't
+   * be stored was not accepted yet.
+   */
+  recordRejected(key: string): void {
+    const id = jobOfKey(key);
+    const job = id === undefined ? undefined : this.context.jobs.get(id);
+    this.context.event('record.rejected', { key, isOfOpenJob: job !== undefined });
+    if (job === undefined || isEnded(job.state)) {
+      return;
+    }
+    this.end(job, 'failed', `the store doesn't take its record ${key}`);
+    if (isSpecKey(key)) {
+      this.context.forget(job);
+    }
+  }
+
   /** Adds the occurrences that are due, archives ended jobs and forgets those that ended long ago. */
   tick(): void {
     for (const job of this.repeating) {
@@ -254,7 +274,8 @@
   private answerAfterCommit(job: Job, token: JobToken, answer: JobAnswer): void {
     this.context.markChanged(job);
     this.context.afterCommit(() => {
-      this.context.emit({ kind: 'answer', token, answer });
+      const isStored = this.context.jobs.get(job.id) === job;
+      this.context.emit({ kind: 'answer', token, answer: isStored ? answer : NOT_STORED });
     });
   }
 
@@ -348,7 +369,9 @@
     this.context.markChanged(job);
     this.context.afterCommit(() => {
       job.visibleState = state;
-      this.context.archive.add(job);
+      if (this.context.jobs.get(job.id) === job) {
+        this.context.archive.add(job);
+      }
     });
     this.context.needsPlacement = true;
     this.context.event('job.ended', {
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -102,6 +102,8 @@
   | { readonly kind: 'adviser_gone'; readonly member: MemberId }
   | { readonly kind: 'no_advice'; readonly step: StepId }
   | { readonly kind: 'committed'; readonly batch: number }
+  /** The store takes the record with this key in no batch, while it takes others. */
+  | { readonly kind: 'rejected'; readonly key: string }
   /**
    * Runs a placement pass. Without `mayStart` it only does what is due, and asks for no advice: starts
    * can't be stored at present, and would be sent after their tickets have expired.
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -84,6 +84,8 @@
   readonly occurrence: Occurrence;
   readonly plan: StepPlan;
   readonly index: number;
+  /** Number of tasks of the earlier steps of the occurrence. */
+  readonly tasksBefore: number;
   readonly tasks: Task[];
   doneCount: number;
   /** By worker; an expired grant still tells that advice allows the worker. */
@@ -101,6 +103,7 @@
 
 export interface Occurrence {
   readonly index: number;
+  /** Empty once all tasks are done and have no run left. */
   readonly steps: Step[];
 }
 
@@ -116,6 +119,8 @@
   readonly acceptedAt: WallInstant;
   endedAt: WallInstant | undefined;
   occurrences: Occurrence[];
+  /** Keys of its stored records with rows of tasks, but for that of its state. */
+  readonly taskRecords: Set<string>;
   hasStarted: boolean;
   /** Whether it exceeds the rate that its team was promised. */
   isExcess: boolean;
@@ -225,6 +230,7 @@
     acceptedAt,
     endedAt: undefined,
     occurrences: [],
+    taskRecords: new Set(),
     hasStarted: false,
     isExcess: false,
   };
@@ -232,13 +238,20 @@
 
 export function newOccurrence(job: Job, plan: JobPlan, index: number): Occurrence {
   const occurrence: Occurrence = { index, steps: [] };
+  let tasksBefore = 0;
   plan.steps.forEach((stepPlan, stepIndex) => {
-    occurrence.steps.push(newStep(job, occurrence, stepPlan, stepIndex));
+    occurrence.steps.push(newStep(job, occurrence, stepPlan, { index: stepIndex, tasksBefore }));
+    tasksBefore += stepPlan.count;
   });
   return occurrence;
 }
 
-function newStep(job: Job, occurrence: Occurrence, plan: StepPlan, index: number): Step {
+function newStep(
+  job: Job,
+  occurrence: Occurrence,
+  plan: StepPlan,
+  { index, tasksBefore }: Pick<Step, 'index' | 'tasksBefore'>,
+): Step {
   const id = stepIdOf(job.id, occurrence.index, index);
   const step: Step = {
     id,
@@ -246,6 +259,7 @@
     occurrence,
     plan,
     index,
+    tasksBefore,
     tasks: [],
     doneCount: 0,
     grants: new Map(),
@@ -277,6 +291,11 @@
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
 
+/** Whether nothing of the occurrence is left to do or to end, so that its tasks were dropped. */
+export function isOccurrenceOver({ steps }: Occurrence): boolean {
+  return steps.length === 0;
+}
+
 export function isStepDone(step: Step): boolean {
   return step.doneCount === step.tasks.length;
 }
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -57,6 +57,7 @@
         isIsolated,
       };
       context.attach(run);
+      context.markTaskChanged(task);
       context.afterCommit(() => {
         this.sendStart(run);
       });
@@ -68,8 +69,10 @@
         ...(task.crashes > 0 ? { crashes: task.crashes, isolated: isIsolated } : {}),
       });
     }
-    step.job.state = 'running';
-    context.markChanged(step.job);
+    if (step.job.state !== 'running') {
+      step.job.state = 'running';
+      context.markChanged(step.job);
+    }
   }
 
   /**
@@ -79,7 +82,6 @@
   stop(run: Run): void {
     if (run.phase === 'recorded') {
       this.context.detach(run);
-      this.context.markChanged(run.task.step.job);
       return;
     }
     if (run.phase !== 'stopping') {
@@ -218,7 +220,6 @@
       this.stop(run);
     } else {
       this.context.detach(run);
-      this.context.markChanged(task.step.job);
     }
     if (task.step.plan.isGang) {
       this.stopGang(task.step, run.number);
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -1,23 +1,49 @@
-/** The records in which jobs are stored, and how jobs are restored from them. */
+/**
+ * The records in which jobs are stored, and how jobs are restored from them. What a job may need without limit
+ * is spread over records of limited size: its steps, and the progress of its tasks. Only the records with
+ * something new are written, and an occurrence that is over has none.
+ */
 
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
-import type {
-  JobId,
-  JobPlan,
-  JobQueue,
-  JobState,
-  WorkerIncarnation,
-  RunNumber,
-  SavedProgress,
-  WallInstant,
+import {
+  NO_PROGRESS,
+  type JobId,
+  type JobPlan,
+  type JobQueue,
+  type JobState,
+  type WorkerIncarnation,
+  type RunNumber,
+  type SavedProgress,
+  type StepPlan,
+  type WallInstant,
 } from '@bamboowell/types/job';
 import type { RestoredArchive } from './ended-archive.js';
-import { PLACEHOLDER_QUEUE, isEnded, newJob, newOccurrence, type Job, type Task } from './model.js';
+import type { JobWrite } from './messages.js';
+import {
+  PLACEHOLDER_QUEUE,
+  isEnded,
+  isOccurrenceOver,
+  newJob,
+  newOccurrence,
+  type Job,
+  type Occurrence,
+  type Task,
+} from './model.js';
 
 const SPEC_PREFIX = 'spec/';
 const PROGRESS_PREFIX = 'progress/';
 const ARCHIVE_PREFIX = 'ended/';
 
+/** Steps of one record: a step that waits for hundreds of others takes kilobytes. */
+const STEPS_PER_RECORD = 20;
+/** Tasks of one record. */
+export const TASKS_PER_RECORD = 64;
+/**
+ * Longest saved progress that is stored, characters; the lists of workers have it in any case, and a task
+ * without it only does more work.
+ */
+const MAX_SAVED_LENGTH = 1000;
+
 /** A run that may be active: its worker's incarnation and id, and its number. */
 type RunRow = readonly [incarnation: WorkerIncarnation, worker: WorkerId, run: RunNumber];
 
@@ -35,16 +61,25 @@
   crashes?: number,
 ];
 
+/** Occurrences from `from` up to and without `to`. */
+type OccurrenceRange = readonly [from: number, to: number];
+
+/** The record of a job's state. Further records have the rows of tasks that this one doesn't. */
 export interface ProgressRecord {
   readonly state: JobState;
   readonly acceptedAt: WallInstant;
   readonly endedAt?: WallInstant;
   readonly occurrences: number;
+  /** Occurrences whose tasks are all done and have no run left; absent if there are none. */
+  readonly over?: readonly OccurrenceRange[];
   readonly tasks: readonly TaskRow[];
 }
 
 export interface SpecRecord {
+  /** Without the steps that further records have. */
   readonly plan: JobPlan;
+  /** Number of further records; absent if there are none. */
+  readonly moreRecords?: number;
   /** The queue when the job was accepted, in case later configurations no longer have it. */
   readonly queue: JobQueue;
   readonly acceptedAt: WallInstant;
@@ -59,6 +94,17 @@
   return PROGRESS_PREFIX + job;
 }
 
+/** The job to which a record belongs; undefined if it belongs to several. */
+export function jobOfKey(key: string): JobId | undefined {
+  const [prefix, job] = key.split('/');
+  const isOfOneJob = `${prefix ?? ''}/` === SPEC_PREFIX || `${prefix ?? ''}/` === PROGRESS_PREFIX;
+  return isOfOneJob && job !== undefined ? brandAs<JobId>(job) : undefined;
+}
+
+export function isSpecKey(key: string): boolean {
+  return key.startsWith(SPEC_PREFIX);
+}
+
 /** The record is named after its first job, which is in no other. */
 export function archiveKey(jobs: readonly Job[]): string {
   return ARCHIVE_PREFIX + (jobs[0]?.id ?? '');
@@ -76,19 +122,108 @@
   return [id, state, acceptedAt, endedAt ?? acceptedAt];
 }
 
+/** Key of the record with the task's row: that of the job's state for the first tasks. */
+export function recordOf({ step, index }: Task): string {
+  const { job, occurrence, tasksBefore } = step;
+  const part = Math.floor((tasksBefore + index) / TASKS_PER_RECORD);
+  return taskRecordKey(job.id, occurrence.index, part);
+}
+
+function taskRecordKey(job: JobId, occurrence: number, part: number): string {
+  return occurrence === 0 && part === 0
+    ? progressKey(job)
+    : `${progressKey(job)}/${occurrence}/${part}`;
+}
+
+/** The records of a new job: the one with the plan comes last, so that it is there only with all others. */
+export function specWrites(job: Job, plan: JobPlan): JobWrite[] {
+  const { queue, acceptedAt, isExcess } = job;
+  const groups = groupsOf(plan.steps);
+  const spec: SpecRecord = {
+    plan: { ...plan, steps: groups[0] ?? [] },
+    ...(groups.length > 1 ? { moreRecords: groups.length - 1 } : {}),
+    queue,
+    acceptedAt,
+    ...(isExcess ? { isExcess } : {}),
+  };
+  const more = groups.slice(1).map((steps, index) => ({
+    key: `${specKey(job.id)}/${index + 1}`,
+    value: steps,
+  }));
+  return [...more, { key: specKey(job.id), value: spec }];
+}
+
+/** Deletes the records of the plan; first the one without which the others are of no use. */
+export function specDeletions({ id, plan }: Job): JobWrite[] {
+  const more = groupsOf(plan?.steps ?? []).slice(1);
+  return [
+    { key: specKey(id), value: undefined },
+    ...more.map((_, index) => ({ key: `${specKey(id)}/${index + 1}`, value: undefined })),
+  ];
+}
+
+function groupsOf(steps: readonly StepPlan[]): StepPlan[][] {
+  const groups: StepPlan[][] = [];
+  for (let from = 0; from < steps.length; from += STEPS_PER_RECORD) {
+    groups.push(steps.slice(from, from + STEPS_PER_RECORD));
+  }
+  return groups;
+}
+
+/** The record of the job's state, with the first tasks of an open job. */
 export function progressOf(job: Job): ProgressRecord {
-  const tasks = isEnded(job.state)
-    ? []
-    : job.occurrences.flatMap(({ steps }) => steps.flatMap((step) => step.tasks));
+  const over = rangesOver(job.occurrences);
   return {
     state: job.state,
     acceptedAt: job.acceptedAt,
     ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }),
     occurrences: job.occurrences.length,
-    tasks: tasks.filter(isTouched).map(rowOf),
+    ...(over.length === 0 || isEnded(job.state) ? {} : { over }),
+    tasks: isEnded(job.state) ? [] : rowsOf(job, 0, 0),
   };
 }
 
+/** A record with the rows of further tasks. */
+export function taskRecord(job: Job, key: string): JobWrite {
+  const [occurrence = 0, part = 0] = placeOf(key);
+  return { key, value: rowsOf(job, occurrence, part) };
+}
+
+/** The occurrence and the part of it that a record with rows of tasks has. */
+function placeOf(key: string): number[] {
+  return key.split('/').slice(2).map(Number);
+}
+
+export function occurrenceOf(key: string): number {
+  return placeOf(key)[0] ?? 0;
+}
+
+function rowsOf({ occurrences }: Job, occurrence: number, part: number): TaskRow[] {
+  const rows: TaskRow[] = [];
+  const from = part * TASKS_PER_RECORD;
+  for (const { tasks, tasksBefore } of occurrences[occurrence]?.steps ?? []) {
+    const first = Math.max(0, from - tasksBefore);
+    const end = Math.max(0, from + TASKS_PER_RECORD - tasksBefore);
+    rows.push(...tasks.slice(first, end).filter(isTouched).map(rowOf));
+  }
+  return rows;
+}
+
+function rangesOver(occurrences: readonly Occurrence[]): OccurrenceRange[] {
+  const ranges: [number, number][] = [];
+  for (const occurrence of occurrences) {
+    const last = ranges.at(-1);
+    if (isOccurrenceOver(occurrence)) {
+      if (last?.[1] === occurrence.index) {
+        last[1] += 1;
+      } else {
+        ranges.push([occurrence.index, occurrence.index + 1]);
+      }
+    }
+  }
+  return ranges;
+}
+
 function isTouched(task: Task): boolean {
   return task.isDone || task.lastRun > 0;
 }
@@ -102,7 +237,7 @@
     task.isDone ? 1 : 0,
     task.lastRun,
     task.failures,
-    task.saved,
+    task.saved.length > MAX_SAVED_LENGTH ? NO_PROGRESS : task.saved,
     task.runs.map((run) => [run.worker.incarnation, run.worker.id, run.number] as const),
   ] as const;
   return task.crashes > 0 ? [...row, task.crashes] : row;
@@ -120,6 +255,16 @@
   readonly jobs: Job[];
   readonly runs: RestoredRun[];
   readonly archives: RestoredArchive[];
+  /** Records that belong to no open job: the write or deletion of a job's records was cut short. */
+  readonly orphans: string[];
+}
+
+/** The stored records of one job, by their keys. */
+interface StoredJob {
+  spec?: SpecRecord;
+  readonly moreSteps: Map<string, readonly StepPlan[]>;
+  progress?: ProgressRecord;
+  readonly moreTasks: Map<string, readonly TaskRow[]>;
 }
 
 /**
@@ -127,30 +272,73 @@
  * with progress only is restored if it has ended, and skipped otherwise.
  */
 export function restoreJobs(entries: Iterable<readonly [key: string, value: unknown]>): Restored {
-  const specs = new Map<JobId, SpecRecord>();
-  const progress = new Map<JobId, ProgressRecord>();
-  const restored: Restored = { jobs: [], runs: [], archives: [] };
+  const stored = new Map<JobId, StoredJob>();
+  const restored: Restored = { jobs: [], runs: [], archives: [], orphans: [] };
   for (const [key, value] of entries) {
-    if (key.startsWith(SPEC_PREFIX)) {
-      specs.set(brandAs<JobId>(key.slice(SPEC_PREFIX.length)), value as SpecRecord);
-    } else if (key.startsWith(PROGRESS_PREFIX)) {
-      progress.set(brandAs<JobId>(key.slice(PROGRESS_PREFIX.length)), value as ProgressRecord);
+    const job = jobOfKey(key);
+    if (job !== undefined) {
+      addRecord(storedJob(stored, job), key, value);
     } else if (key.startsWith(ARCHIVE_PREFIX)) {
       restoreArchive(restored, key, value as readonly ArchiveRow[]);
     }
   }
   const archived = new Set(restored.archives.flatMap(({ jobs }) => jobs));
-  for (const [id, spec] of specs) {
-    restoreFromSpec(restored, spec, progress.get(id));
-  }
-  for (const [id, record] of progress) {
-    if (!specs.has(id) && !archived.has(id) && isEnded(record.state)) {
-      restored.jobs.push(endedJob(id, record));
+  for (const [id, records] of stored) {
+    const { progress } = records;
+    const plan = planOf(records);
+    if (plan !== undefined && records.spec !== undefined) {
+      restoreOpen(restored, { ...records.spec, plan }, records);
+      continue;
+    }
+    restored.orphans.push(...(records.spec === undefined ? [] : [specKey(id)]));
+    restored.orphans.push(...records.moreSteps.keys(), ...records.moreTasks.keys());
+    if (progress !== undefined && isEnded(progress.state) && !archived.has(id)) {
+      restored.jobs.push(endedJob(id, progress));
     }
   }
   return restored;
 }
 
+function storedJob(stored: Map<JobId, StoredJob>, id: JobId): StoredJob {
+  let job = stored.get(id);
+  if (job === undefined) {
+    job = { moreSteps: new Map(), moreTasks: new Map() };
+    stored.set(id, job);
+  }
+  return job;
+}
+
+function addRecord(job: StoredJob, key: string, value: unknown): void {
+  const isFirst = key.split('/').length === 2;
+  if (key.startsWith(SPEC_PREFIX)) {
+    if (isFirst) {
+      job.spec = value as SpecRecord;
+    } else {
+      job.moreSteps.set(key, value as readonly StepPlan[]);
+    }
+  } else if (isFirst) {
+    job.progress = value as ProgressRecord;
+  } else {
+    job.moreTasks.set(key, value as readonly TaskRow[]);
+  }
+}
+
+/** The plan with all its steps; undefined if a record is missing. */
+function planOf({ spec, moreSteps }: StoredJob): JobPlan | undefined {
+  if (spec === undefined) {
+    return undefined;
+  }
+  const steps = [...spec.plan.steps];
+  for (let part = 1; part <= (spec.moreRecords ?? 0); part += 1) {
+    const more = moreSteps.get(`${specKey(spec.plan.id)}/${part}`);
+    if (more === undefined) {
+      return undefined;
+    }
+    steps.push(...more);
+  }
+  return { ...spec.plan, steps };
+}
+
 function restoreArchive(restored: Restored, key: string, rows: readonly ArchiveRow[]): void {
   restored.archives.push({ key, jobs: rows.map(([id]) => id) });
   for (const [id, state, acceptedAt, endedAt] of rows) {
@@ -158,25 +346,38 @@
   }
 }
 
-function restoreFromSpec(
+function restoreOpen(
   restored: Restored,
   { plan, queue, acceptedAt, isExcess }: SpecRecord,
-  record: ProgressRecord | undefined,
+  { progress, moreTasks }: StoredJob,
 ): void {
   const job = newJob(plan, queue, acceptedAt);
   job.isExcess = isExcess === true;
   restored.jobs.push(job);
-  if (record === undefined) {
+  if (progress === undefined) {
+    restored.orphans.push(...moreTasks.keys());
     return;
   }
-  job.state = record.state;
-  job.visibleState = record.state;
-  job.endedAt = record.endedAt;
-  job.hasStarted = record.tasks.some(([, , , , lastRun]) => lastRun > 0);
-  for (let index = 0; index < record.occurrences; index += 1) {
-    job.occurrences.push(newOccurrence(job, plan, index));
+  job.state = progress.state;
+  job.visibleState = progress.state;
+  job.endedAt = progress.endedAt;
+  for (let index = 0; index < progress.occurrences; index += 1) {
+    const isOver = progress.over?.some(([from, to]) => from <= index && index < to) === true;
+    job.occurrences.push(isOver ? { index, steps: [] } : newOccurrence(job, plan, index));
+  }
+  const rows = [...progress.tasks];
+  for (const [key, more] of moreTasks) {
+    const occurrence = job.occurrences[occurrenceOf(key)];
+    if (occurrence === undefined || isOccurrenceOver(occurrence) || isEnded(job.state)) {
+      restored.orphans.push(key);
+    } else {
+      job.taskRecords.add(key);
+      rows.push(...more);
+    }
   }
-  for (const row of record.tasks) {
+  job.hasStarted =
+    (progress.over ?? []).length > 0 || rows.some(([, , , , lastRun]) => lastRun > 0);
+  for (const row of rows) {
     restoreTask(restored, job, row);
   }
 }
@@ -214,6 +415,7 @@
     acceptedAt: record.acceptedAt,
     endedAt: record.endedAt ?? record.acceptedAt,
     occurrences: [],
+    taskRecords: new Set(),
     hasStarted: true,
     isExcess: false,
   };
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -193,7 +193,6 @@
     });
     if (run !== undefined) {
       this.context.detach(run);
-      this.context.markChanged(run.task.step.job);
     }
     if (task !== undefined && !isEnded(task.step.job.state) && !task.isDone) {
       this.applyEnd(task, entry, worker, run);
@@ -250,7 +249,6 @@
   private loseRun(run: Run, reason: string): void {
     const { task } = run;
     this.context.detach(run);
-    this.context.markChanged(task.step.job);
     this.context.event('run.lost', {
       task: task.id,
       run: run.number,
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -235,6 +235,9 @@
       .with({ kind: 'committed' }, ({ batch }) => {
         this.context.committed(batch);
       })
+      .with({ kind: 'rejected' }, ({ key }) => {
+        this.lifecycle.recordRejected(key);
+      })
       .with({ kind: 'place' }, ({ mayStart }) => {
         this.runPlacementPass(mayStart);
       })
@@ -316,7 +319,8 @@
     }
   }
 
-  private restore({ jobs, runs, archives }: Restored): void {
+  private restore({ jobs, runs, archives, orphans }: Restored): void {
+    this.context.deleteRecords(orphans);
     archives.forEach((archive) => {
       this.context.archive.restore(archive);
     });
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -72,7 +72,6 @@
       confirmedAt: undefined,
       progress: undefined,
     });
-    this.context.markChanged(task.step.job);
     this.context.event('run.unproven', {
       task: task.id,
       run: number,
--- a/packages/jobs/src/worker-crashes.ts
+++ b/packages/jobs/src/worker-crashes.ts
@@ -47,7 +47,7 @@
     for (const run of started) {
       if (hasLasted(run, worker)) {
         run.task.crashes = 0;
-        this.context.markChanged(run.task.step.job);
+        this.context.markTaskChanged(run.task);
       } else if (run.confirmedAt === undefined) {
         // The start may have arrived after the crash.
         this.suspect(run.task);
@@ -125,7 +125,7 @@
     }
     task.crashes += 1;
     task.isSuspected ||= isSuspected;
-    this.context.markChanged(job);
+    this.context.markTaskChanged(task);
     this.context.event('task.crashed', {
       task: task.id,
       run,
--- a/packages/member/src/append-window.ts
+++ b/packages/member/src/append-window.ts
@@ -8,7 +8,7 @@
 import type { JobBatch } from '@bamboowell/jobs/messages';
 import type { AppendCondition, ProducerEpoch, ProducerSequence, StoreWrite } from './store.js';
 
-/** Maximum size of the keys and values in one append; the platform accepts 2 MB per call. */
+/** Maximum size of the keys and values in one append, bytes; the platform accepts 2 MB per call. */
 const MAX_APPEND_BYTES = 1_000_000;
 
 /** Appends in flight at once; the platform recognises retries of the last five. */
@@ -23,10 +23,20 @@
 
 interface Chunk {
   readonly sequence: ProducerSequence;
-  readonly writes: readonly StoreWrite[];
+  writes: readonly StoreWrite[];
   /** Batches that are complete once this chunk is stored. */
   readonly batches: number[];
   isSent: boolean;
+  /** Key of the write that the store rejected by itself, and which the filler replaces. */
+  rejectedKey: string | undefined;
+}
+
+/** What is known once an append is stored. */
+export interface Acknowledgement {
+  /** Batches that are complete. */
+  readonly batches: number[];
+  /** Keys of writes that the store takes in no append, while it takes others. */
+  readonly rejectedKeys: string[];
 }
 
 export class AppendWindow {
@@ -35,7 +45,11 @@
   /** After a failure only the first chunk is sent, until one is acknowledged. */
   private isRetrying = false;
 
-  constructor(private readonly term: Term) {}
+  constructor(
+    private readonly term: Term,
+    /** A write that does no harm, in place of one that the store rejects. */
+    private readonly filler: StoreWrite,
+  ) {}
 
   /** Whether all writes are stored. */
   get isIdle(): boolean {
@@ -98,19 +112,51 @@
   }
 
   /**
-   * The store has this append and so all before it: removes them and returns the batches that are
-   * complete.
+   * The store will never take this append. Looks for the write that it rejects: the first half of the writes
+   * keeps the sequence, and the rest is appended last, but for what has been written anew since. A write that
+   * is rejected by itself is replaced by the filler, whose answer tells whether the store takes anything.
+   * Returns whether the append has changed, so that it can be sent again at once.
    */
-  acknowledge(sequence: ProducerSequence): number[] {
+  reject(sequence: ProducerSequence): boolean {
+    const chunk = this.chunks.find((each) => each.sequence === sequence);
+    if (chunk === undefined) {
+      return false;
+    }
+    this.markFailed(sequence);
+    const [first, ...others] = chunk.writes;
+    if (first === undefined || chunk.rejectedKey !== undefined || first === this.filler) {
+      return false;
+    }
+    if (others.length === 0) {
+      chunk.rejectedKey = first.key;
+      chunk.writes = [this.filler];
+      return true;
+    }
+    const half = Math.ceil(chunk.writes.length / 2);
+    const rest = chunk.writes.slice(half);
+    chunk.writes = chunk.writes.slice(0, half);
+    const later = this.chunks.filter((each) => each.sequence > sequence);
+    const rewritten = new Set(later.flatMap(({ writes }) => writes.map(({ key }) => key)));
+    const left = rest.filter(({ key }) => !rewritten.has(key));
+    this.add(left.length === 0 ? [this.filler] : left, chunk.batches.splice(0));
+    return true;
+  }
+
+  /** The store has this append and so all before it: removes them. */
+  acknowledge(sequence: ProducerSequence): Acknowledgement {
     this.isRetrying = false;
     const count = this.chunks.filter((each) => each.sequence <= sequence).length;
-    return this.chunks.splice(0, count).flatMap(({ batches }) => batches);
+    const stored = this.chunks.splice(0, count);
+    return {
+      batches: stored.flatMap(({ batches }) => batches),
+      rejectedKeys: stored.flatMap(({ rejectedKey }) => rejectedKey ?? []),
+    };
   }
 
   private add(writes: readonly StoreWrite[], batches: number[]): void {
     this.lastSequence += 1;
     const sequence = brandAs<ProducerSequence>(this.lastSequence);
-    this.chunks.push({ sequence, writes, batches, isSent: false });
+    this.chunks.push({ sequence, writes, batches, isSent: false, rejectedKey: undefined });
   }
 }
 
@@ -118,7 +164,7 @@
   const parts: StoreWrite[][] = [[]];
   let bytes = 0;
   for (const write of writes) {
-    const size = write.key.length + (write.value?.length ?? 0);
+    const size = Buffer.byteLength(write.key) + Buffer.byteLength(write.value ?? '');
     if (bytes > 0 && bytes + size > MAX_APPEND_BYTES) {
       parts.push([]);
       bytes = 0;
--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -19,6 +19,12 @@
 
 /** Entries per page. */
 const PAGE_ENTRIES = 50;
+/** Longest record with its key, bytes. */
+const RECORD_BYTES = 262_144;
+/** Longest key, bytes. */
+const KEY_BYTES = 255;
+/** Size of all records of an append, bytes. */
+const CALL_BYTES = 2_097_152;
 /** Records that readers can still read from a log. */
 const KEPT_RECORDS = 3000;
 
@@ -33,6 +39,8 @@
 }
 
 export class EmulatedStore {
+  /** Keys of records that it takes in no append, for no reason that a caller could know. */
+  readonly rejectedKeys = new Set<string>();
   private readonly topics = new Map<Topic, TopicState>();
 
   topic(name: Topic): TopicState {
@@ -46,6 +54,11 @@
 
   append(name: Topic, writes: readonly StoreWrite[], condition: AppendCondition): AppendOutcome {
     const topic = this.topic(name);
+    // The operator writes documents that are longer.
+    const problem = name === 'operator' ? undefined : this.problemWith(writes);
+    if (problem !== undefined) {
+      return { kind: 'rejected', detail: problem };
+    }
     if (condition.kind === 'end_is') {
       return condition.end === topic.records.length
         ? this.store(topic, writes)
@@ -87,6 +100,21 @@
     return [...byKey.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
   }
 
+  private problemWith(writes: readonly StoreWrite[]): string | undefined {
+    const sizes = writes.map(({ key, value }) => Buffer.byteLength(key + (value ?? '')) + 1);
+    if (sizes.some((size) => size > RECORD_BYTES)) {
+      return 'a record is too large';
+    }
+    if (sizes.reduce((sum, size) => sum + size, 0) > CALL_BYTES) {
+      return 'the call is too large';
+    }
+    return writes.some(
+      ({ key }) => Buffer.byteLength(key) > KEY_BYTES || this.rejectedKeys.has(key),
+    )
+      ? 'a key is not taken'
+      : undefined;
+  }
+
   private store(topic: TopicState, writes: readonly StoreWrite[]): AppendOutcome {
     topic.records.push(...writes);
     topic.first = Math.max(topic.first, topic.records.length - KEPT_RECORDS);
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -446,13 +446,15 @@
         this.standDown(reason);
         this.ownership?.post({ kind: 'reread_claims' });
       })
-      .with({ kind: 'retry' }, () => undefined)
+      .with({ kind: 'retry' }, () => {
+        tenure.writer.send();
+      })
       .exhaustive();
   }
 
   private recorded(
     tenure: Tenure,
-    { isFirst, batches }: Extract<AppendResult, { kind: 'recorded' }>,
+    { isFirst, batches, rejectedKeys }: Extract<AppendResult, { kind: 'recorded' }>,
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
@@ -460,6 +462,9 @@
       this.load(tenure);
     }
     this.requests.ownershipConfirmed();
+    rejectedKeys.forEach((key) => {
+      this.stepScheduler({ kind: 'rejected', key });
+    });
     batches.forEach((batch) => {
       this.stepScheduler({ kind: 'committed', batch });
     });
--- a/packages/member/src/store.ts
+++ b/packages/member/src/store.ts
@@ -61,6 +61,8 @@
   | { readonly kind: 'fenced' }
   | { readonly kind: 'out_of_sequence'; readonly expected: ProducerSequence }
   | { readonly kind: 'full' }
+  /** The store did nothing, and never takes this append however often it is repeated. */
+  | { readonly kind: 'rejected'; readonly detail: string }
   | Unavailable;
 
 /** Sorts after all keys: the page that follows it has no entries and only reports the end of the log. */
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -68,7 +68,13 @@
 /** Result of an append. */
 export type AppendResult =
   /** The append is stored, which also confirms that this member still owns the work. */
-  | { readonly kind: 'recorded'; readonly isFirst: boolean; readonly batches: readonly number[] }
+  | {
+      readonly kind: 'recorded';
+      readonly isFirst: boolean;
+      readonly batches: readonly number[];
+      /** Keys of writes that the store takes in no append, while it takes others. */
+      readonly rejectedKeys: readonly string[];
+    }
   | { readonly kind: 'retry' }
   /** Another member owns the work, or it can't be determined which appends of this owner are stored. */
   | { readonly kind: 'lost'; readonly reason: 'fenced' | 'out_of_sequence' };
@@ -97,7 +103,8 @@
 
   constructor(private readonly options: WorkLogWriterOptions) {
     const now = options.clock.now();
-    this.window = new AppendWindow(options.term);
+    const filler = { key: ALIVE_KEY, value: JSON.stringify({ term: options.term }) };
+    this.window = new AppendWindow(options.term, filler);
     this.lastAppendAt = now;
     this.lastSentAt = now;
     this.retryAt = deadlineAfter(now, 0);
@@ -207,6 +214,7 @@
       .with({ kind: 'out_of_sequence' }, ({ expected }) =>
         this.outOfSequence(message.sequence, expected),
       )
+      .with({ kind: 'rejected' }, ({ detail }) => this.rejected(message.sequence, detail))
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
         if (outcome.kind === 'unavailable' && outcome.how !== 'silent') {
           this.refusedSince ??= this.now;
@@ -278,9 +286,20 @@
     this.lastLatencyMillis = now - confirmation.at;
     this.options.events.event('append.done', { millis: this.lastLatencyMillis });
     this.refusedSince = undefined;
-    const batches = this.window.acknowledge(sequence);
+    const { batches, rejectedKeys } = this.window.acknowledge(sequence);
     this.outstandingSince = this.window.isIdle ? undefined : now;
-    return { kind: 'recorded', isFirst, batches };
+    return { kind: 'recorded', isFirst, batches, rejectedKeys };
+  }
+
+  /** A store that takes nothing at all counts as one that refuses; otherwise the write that it rejects is found. */
+  private rejected(sequence: ProducerSequence, detail: string): AppendResult {
+    if (this.window.reject(sequence)) {
+      this.options.events.event('append.rejected', { sequence, detail });
+    } else {
+      this.refusedSince ??= this.now;
+      this.failed(sequence, 'rejected', detail);
+    }
+    return { kind: 'retry' };
   }
 
   private outOfSequence(sequence: ProducerSequence, expected: ProducerSequence): AppendResult {
