Count a job as waiting until a worker has confirmed a start

Cause: a job counted as begun when a start was sent, whatever became of it.

Evidence: the new test rejects the only start of a job and fails on the code before.

Change: a job has begun once a worker has confirmed a start of it, by an answer, a list or an end. A new owner takes tasks that are done, have failed or have saved progress for evidence; reports tell of the others.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -188,7 +188,8 @@
   }
 
   /** Records that a worker has confirmed a start. */
-  startConfirmed(): void {
+  startConfirmed({ task }: Run): void {
+    task.step.job.hasStarted = true;
     this.load.startConfirmed();
     this.needsPlacement ||= this.load.isStartLimitReached;
   }
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -121,6 +121,7 @@
   occurrences: Occurrence[];
   /** Keys of its stored records with rows of tasks, but for that of its state. */
   readonly taskRecords: Set<string>;
+  /** Whether a worker has confirmed a start of one of its tasks, or the end of its run. */
   hasStarted: boolean;
   /** Whether it exceeds the rate that its team was promised. */
   isExcess: boolean;
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -145,7 +145,6 @@
     }
     run.phase = 'ordered';
     run.hasUnansweredStart = true;
-    job.hasStarted = true;
     job.visibleState = job.visibleState === 'pending' ? 'running' : job.visibleState;
     this.context.emit({
       kind: 'order',
@@ -192,7 +191,7 @@
     run.confirmedAt ??= this.context.now;
     if (run.phase === 'ordered') {
       run.phase = 'running';
-      this.context.startConfirmed();
+      this.context.startConfirmed(run);
     }
   }
 
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -375,13 +375,17 @@
       rows.push(...more);
     }
   }
-  job.hasStarted =
-    (progress.over ?? []).length > 0 || rows.some(([, , , , lastRun]) => lastRun > 0);
+  job.hasStarted = (progress.over ?? []).length > 0 || rows.some(hasBegun);
   for (const row of rows) {
     restoreTask(restored, job, row);
   }
 }
 
+/** Whether the row shows that a run has begun; reports tell of those that only were to begin. */
+function hasBegun([, , , isDone, , failures, saved]: TaskRow): boolean {
+  return isDone === 1 || failures > 0 || saved !== NO_PROGRESS;
+}
+
 function restoreTask(restored: Restored, job: Job, row: TaskRow): void {
   const [occurrence, stepIndex, index, isDone, lastRun, failures, saved, runs, crashes = 0] = row;
   const step = job.occurrences[occurrence]?.steps[stepIndex];
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -148,7 +148,7 @@
     }
     if (run.phase === 'ordered' || run.phase === 'recorded') {
       run.phase = 'running';
-      this.context.startConfirmed();
+      this.context.startConfirmed(run);
     }
     run.confirmedAt ??= this.context.now;
     const { now } = this.context;
@@ -192,6 +192,7 @@
       number: entry.number,
     });
     if (run !== undefined) {
+      run.task.step.job.hasStarted = true;
       this.context.detach(run);
     }
     if (task !== undefined && !isEnded(task.step.job.state) && !task.isDone) {
--- a/packages/jobs/src/unanswered-starts.test.ts
+++ b/packages/jobs/src/unanswered-starts.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { OrderAnswer } from './messages.js';
-import { jobPlan, stepPlan, workerRegistration } from './plans.fixture.js';
+import { QUEUE, jobPlan, stepPlan, workerRegistration } from './plans.fixture.js';
 import { runningEntry, schedulerHarness } from './scheduler.fixture.js';
 
 const WORKERS = [workerRegistration('w1'), workerRegistration('w2')];
@@ -62,6 +62,22 @@
   });
 }
 
+// Guards against a count of waiting jobs that leaves out those whose starts were all rejected (MIXED).
+test('a job counts as waiting until a worker has confirmed a start', (t) => {
+  const { harness, start } = harnessWithStarts();
+  t.deepEqual(harness.waitingIn(QUEUE), { kind: 'count', waiting: 1 });
+  harness.answerStart(start, { kind: 'unwell' });
+  t.deepEqual(harness.waitingIn(QUEUE), { kind: 'count', waiting: 1 });
+  harness.takeOver();
+  t.deepEqual(harness.waitingIn(QUEUE), { kind: 'count', waiting: 1 });
+  harness.reportFromAll();
+  const [again] = harness.place();
+  if (again !== undefined) {
+    harness.answerStart(again);
+  }
+  t.deepEqual(harness.waitingIn(QUEUE), { kind: 'count', waiting: 0 });
+});
+
 // Guards against the second run of a task whose first one was carried out late and is being stopped (TWICE).
 test('a start that was carried out late before its stop ends before the task starts again', (t) => {
   const { harness, start } = harnessWithStarts();
