--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -293,7 +293,7 @@
   const changed = [...new Set([...keys].map(occurrenceOf))];
   return changed.filter((index) => {
     const steps = occurrences[index]?.steps ?? [];
-    const isOver = steps.length > 0 && steps.every(isOverAndDone);
+    const isOver = steps.length > 0 && steps.every(hasNothingLeft);
     if (isOver) {
       steps.length = 0;
     }
@@ -301,7 +301,7 @@
   });
 }
 
-function isOverAndDone(step: Step): boolean {
+function hasNothingLeft(step: Step): boolean {
   return isStepDone(step) && step.tasks.every(({ runs }) => runs.length === 0);
 }
 
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -121,10 +121,10 @@
       this.handleStartAnswer(run, answer);
       return;
     }
-    run.confirmedAt ??= this.context.now;
-    if (run.progress === undefined) {
+    if (run.confirmedAt === undefined) {
       // A run that wasn't there when it was stopped never starts: the next report tells.
       this.context.emit({ kind: 'probe', incarnation: worker.incarnation });
+      run.confirmedAt = this.context.now;
     }
   }
 
