Keep rows that an earlier version stored, and look for a successor only when asked

And a worker that was replaced while nothing of it was in doubt left a stand-in for its next process behind until that was registered.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -100,7 +100,7 @@
         configuration: this.configuration,
         earlierLeasesEnd: brandAs<Deadline>(0),
         leasesEnd: (now) => brandAs<Deadline>(now),
-        restored: { jobs: [], runs: [], archives: [], orphans: [] },
+        restored: { jobs: [], runs: [], archives: [], orphans: [], misplaced: [] },
         workers: [...this.workers.values()].map(({ registration }) => registration),
       },
       this.times(),
--- a/packages/jobs/src/records.test.ts
+++ b/packages/jobs/src/records.test.ts
@@ -184,3 +184,32 @@
   t.true(largestRecord(harness) < RECORD_BYTES / 2, `${largestRecord(harness)} bytes`);
   t.is(harness.place()[0]?.saved.length, 10_000);
 });
+
+// Guards against rows that are lost when the record in which an earlier version put them is written anew
+// (TWICE).
+test('rows that an earlier version stored in one record are kept by two owners in turn', (t) => {
+  const harness = largeHarness();
+  submitRepeating(harness, { count: WIDTH });
+  const starts = startAll(harness);
+  endAll(harness, starts.slice(WIDTH));
+  const done = starts.slice(WIDTH).length;
+  const state = harness.store.get(`progress/${jobId(1)}`) as { tasks: unknown[]; over?: unknown };
+  const rows = Array.from({ length: done }, (_, index) => [
+    1 + Math.floor(index / WIDTH),
+    0,
+    index % WIDTH,
+    1,
+    1,
+    0,
+    '',
+    [],
+  ]);
+  delete state.over;
+  state.tasks.push(...rows);
+  harness.takeOver();
+  harness.reportFromAll();
+  harness.commit();
+  harness.takeOver();
+  harness.reportFromAll();
+  t.is(harness.place().length, WIDTH, 'only what was not done starts again');
+});
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -257,6 +257,8 @@
   readonly archives: RestoredArchive[];
   /** Records that belong to no open job: the write or deletion of a job's records was cut short. */
   readonly orphans: string[];
+  /** Tasks whose rows an earlier version has put into the record of the job's state. */
+  readonly misplaced: Task[];
 }
 
 /** The stored records of one job, by their keys. */
@@ -273,7 +275,7 @@
  */
 export function restoreJobs(entries: Iterable<readonly [key: string, value: unknown]>): Restored {
   const stored = new Map<JobId, StoredJob>();
-  const restored: Restored = { jobs: [], runs: [], archives: [], orphans: [] };
+  const restored: Restored = { jobs: [], runs: [], archives: [], orphans: [], misplaced: [] };
   for (const [key, value] of entries) {
     const job = jobOfKey(key);
     if (job !== undefined) {
@@ -379,6 +381,12 @@
   for (const row of rows) {
     restoreTask(restored, job, row);
   }
+  for (const [occurrence, step, index] of progress.tasks) {
+    const task = job.occurrences[occurrence]?.steps[step]?.tasks[index];
+    if (task !== undefined && recordOf(task) !== progressKey(job.id)) {
+      restored.misplaced.push(task);
+    }
+  }
 }
 
 /** Whether the row shows that a run has begun; reports tell of those that only were to begin. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -5,6 +5,7 @@
   type EndedEntry,
   type EndNumber,
   type RunningEntry,
+  type WorkerIncarnation,
 } from '@bamboowell/types/job';
 import { hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
@@ -101,7 +102,7 @@
    * Handles the end of an incarnation: none of its runs continues, but a start of one may have reached the
    * successor.
    */
-  endIncarnation(worker: Worker, reason: string, successor: Worker | undefined): void {
+  endIncarnation(worker: Worker, reason: string, successor: WorkerIncarnation | undefined): void {
     if (!worker.registration.isDraining) {
       this.crashes.recordCrash(worker);
     }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -207,11 +207,7 @@
       })
       .with({ kind: 'other_life' }, ({ incarnation, successor }) => {
         this.withWorker(incarnation, (worker) => {
-          this.reports.endIncarnation(
-            worker,
-            'other_life',
-            successor === undefined ? undefined : this.successors.find(worker, successor),
-          );
+          this.reports.endIncarnation(worker, 'other_life', successor);
         });
       })
       .with({ kind: 'order_answered' }, (answered) => {
@@ -292,7 +288,7 @@
     this.context.workers.set(worker.incarnation, worker);
     const earlier = this.context.currentIncarnations.get(registration.id);
     if (earlier !== undefined) {
-      this.reports.endIncarnation(earlier, 'born_again', worker);
+      this.reports.endIncarnation(earlier, 'born_again', worker.incarnation);
     }
     this.makeCurrent(worker);
     this.successors.meet(worker);
@@ -319,8 +315,11 @@
     }
   }
 
-  private restore({ jobs, runs, archives, orphans }: Restored): void {
+  private restore({ jobs, runs, archives, orphans, misplaced }: Restored): void {
     this.context.deleteRecords(orphans);
+    misplaced.forEach((task) => {
+      this.context.markTaskChanged(task);
+    });
     archives.forEach((archive) => {
       this.context.archive.restore(archive);
     });
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -16,21 +16,6 @@
     private readonly leasesEnd: (now: Instant) => Deadline,
   ) {}
 
-  /** The next incarnation of a worker. It may not be registered yet: then it gets no work. */
-  find({ registration }: Worker, incarnation: WorkerIncarnation): Worker {
-    const existing = this.context.workers.get(incarnation);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const successor = newWorker(
-      { ...registration, incarnation, isDraining: true, capacity: NO_RESOURCES },
-      this.leasesEnd(this.context.now),
-    );
-    successor.isRegistered = false;
-    this.context.workers.set(incarnation, successor);
-    return successor;
-  }
-
   /**
    * Connects to a worker, unless that has been done. One that the stored runs name may be registered
    * only later: its entry in the store may have expired while the store was away.
@@ -47,9 +32,13 @@
    * Moves the runs to the successor that may have begun there. The first report over a new link tells: the
    * link has a higher fence, so that what hasn't begun by then never does.
    */
-  moveUnproven(worker: Worker, successor: Worker): void {
+  moveUnproven(worker: Worker, incarnation: WorkerIncarnation): void {
     const runs = [...worker.runs.values()].filter(isUnproven);
-    if (runs.length === 0 || successor.registration.address !== worker.registration.address) {
+    if (runs.length === 0) {
+      return;
+    }
+    const successor = this.find(worker, incarnation);
+    if (successor.registration.address !== worker.registration.address) {
       return;
     }
     if (!successor.isMet) {
@@ -61,6 +50,21 @@
     }
   }
 
+  /** The next incarnation of a worker. It may not be registered yet: then it gets no work. */
+  private find({ registration }: Worker, incarnation: WorkerIncarnation): Worker {
+    const existing = this.context.workers.get(incarnation);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const successor = newWorker(
+      { ...registration, incarnation, isDraining: true, capacity: NO_RESOURCES },
+      this.leasesEnd(this.context.now),
+    );
+    successor.isRegistered = false;
+    this.context.workers.set(incarnation, successor);
+    return successor;
+  }
+
   private move(run: Run, successor: Worker): void {
     const { task, number, worker } = run;
     this.context.withdraw(run);
