Let late orders of the emulation live in the worker that has taken them

A late order now waits at the worker, whatever becomes of the member, and ends with the process that has taken it, as a worker that has crashed "holds and knows nothing of before". Starts that are sent while a process is replaced still reach the next one.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -235,7 +235,7 @@
     kernel.register(
       new StaticService(
         WORKERS,
-        new EmulatedWorkerPort(workers, processClock, member.workerFaults, random, link),
+        new EmulatedWorkerPort(workers, processClock, member.workerFaults, random, link, clock),
       ),
     );
     kernel.register(new TrafficService());
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -317,6 +317,8 @@
     private readonly faults: WorkerFaults,
     private readonly random: () => number,
     private readonly link: EmulatedLink,
+    /** Of what has left the member's process: it arrives also if that is frozen or dead by then. */
+    private readonly network: Clock,
   ) {
     super();
   }
@@ -386,8 +388,10 @@
     }
     if (isShed || this.random() < this.faults.lateOrderRate) {
       const lateBy = LATE_ORDER_MILLIS * (0.5 + this.random());
-      this.clock.wakeAt(deadlineAfter(this.clock.now(), lateBy), () => {
-        if (worker.isUp) {
+      const { incarnation } = worker;
+      this.network.wakeAt(deadlineAfter(this.network.now(), lateBy), () => {
+        // An order that a process has taken ends with it.
+        if (worker.isUp && worker.incarnation === incarnation) {
           worker.carryOutLate(act);
         }
       });
