Log on what grounds an owner renews leases, and runs that outlive theirs

Nothing in the log told the hypotheses of the incident apart: how old an owner's last proof of ownership is when it goes on renewing, how long a new owner waits for the leases of earlier ones, and whether an owner took the lease of a run that works on for lapsed. owner.renews names the grounds (store, members, nothing) and the age of the store's last confirmation when they change; the takeover step earlier_owners_fenced has the wait; run.lost has the phase of the run and when its worker was last heard; run.outlived_lease names a run that a report lists after its lease counted as lapsed.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -42,12 +42,13 @@
     const isNews = !worker.isReachable || !worker.hasReported || report.ended.length > 0;
     worker.isReachable = true;
     worker.lastHeardAt = this.context.now;
+    const { lapsedRuns } = worker;
     worker.lapsedRuns = [];
     const listed = new Set<string>();
     worker.unknownRuns = 0;
     for (const entry of report.running) {
       listed.add(runKey(entry.task, entry.run));
-      this.handleRunning(worker, entry);
+      this.handleRunning(worker, entry, lapsedRuns);
     }
     this.handleEnds(worker, report.ended);
     const isComplete = report.ended.length < MAX_LISTED_ENDS;
@@ -139,12 +140,17 @@
     this.context.event('worker.met', { worker: worker.id, runs: worker.runs.size });
   }
 
-  private handleRunning(worker: Worker, entry: RunningEntry): void {
+  private handleRunning(
+    worker: Worker,
+    entry: RunningEntry,
+    lapsedRuns: Worker['lapsedRuns'],
+  ): void {
     const run = worker.runs.get(runKey(entry.task, entry.run));
     if (run === undefined) {
       worker.unknownRuns += 1;
       this.orders.sendStop(worker.incarnation, entry.task, entry.run);
       this.context.event('run.unknown', { worker: worker.id, task: entry.task, run: entry.run });
+      this.checkLapse(worker, entry, lapsedRuns);
       return;
     }
     if (run.phase === 'ordered' || run.phase === 'recorded') {
@@ -162,6 +168,18 @@
     }
   }
 
+  /** Logs a run that works on though this owner has taken its lease for lapsed: it may run elsewhere too. */
+  private checkLapse(
+    worker: Worker,
+    { task, run }: RunningEntry,
+    lapsed: Worker['lapsedRuns'],
+  ): void {
+    if (lapsed.some((each) => each.task.id === task && each.number === run)) {
+      const lapsedForMillis = Math.round(this.context.now - worker.lapsesAt);
+      this.context.event('run.outlived_lease', { worker: worker.id, task, run, lapsedForMillis });
+    }
+  }
+
   private handleEnds(worker: Worker, ended: readonly EndedEntry[]): void {
     const newEnds = ended.filter(({ number }) => number > worker.lastProcessedEnd);
     if (newEnds.length === 0) {
@@ -256,6 +274,8 @@
       run: run.number,
       worker: run.worker.id,
       reason,
+      phase: run.phase,
+      heardBeforeMillis: Math.round(this.context.now - run.worker.lastHeardAt),
     });
     if (!isEnded(task.step.job.state)) {
       this.lifecycle.enqueueIfReady(task.step);
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -425,6 +425,30 @@
   t.is(Number(again.run), 2);
 });
 
+// Guards against a run that outlives its lease without a trace in the log.
+test('a run that is still listed after its lease counted as lapsed is logged', (t) => {
+  const harness = readyHarness();
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const start = first(harness.place());
+  harness.answerStart(start);
+  const lapsesAt = brandAs<Deadline>(harness.now() + 4000);
+  harness.send({ kind: 'unreachable', incarnation: start.incarnation, lapsesAt });
+  harness.advance(4000);
+  harness.place();
+  harness.advance(500);
+  harness.report(start.incarnation, [runningEntry(start)]);
+  const logged = harness.of('event').filter(({ name }) => name === 'run.outlived_lease');
+  t.deepEqual(
+    logged.map(({ fields }) => ({
+      task: fields.task,
+      run: fields.run,
+      by: fields.lapsedForMillis,
+    })),
+    [{ task: start.task, run: start.run, by: 500 }],
+  );
+});
+
 test('the tasks of a worker start elsewhere at once when another one answers at its address', (t) => {
   const harness = readyHarness();
   harness.submit(jobPlan(1));
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -33,7 +33,7 @@
 import type { Documents, WorkerPort } from './ports.js';
 import type { MemberSettings } from './settings.js';
 import type { Store } from './store.js';
-import { newTenure, type Tenure } from './tenure.js';
+import { newTenure, type RenewalGrounds, type Tenure } from './tenure.js';
 import { WorkLogWriter, type AppendResult } from './work-log-writer.js';
 import { PendingRequests } from './pending-requests.js';
 import { WorkerLinks } from './worker-links.js';
@@ -422,9 +422,15 @@
   }
 
   private mayRenew(tenure: Tenure): boolean {
-    const isConnected =
-      this.members.size > 1 || tenure.writer.wasConfirmedWithin(ISOLATION_TIMEOUT_MILLIS);
-    return this.tenure === tenure && !tenure.hasEnded && isConnected;
+    return this.tenure === tenure && !tenure.hasEnded && this.renewsBy(tenure) !== 'nothing';
+  }
+
+  /** What shows that no other member owns the work. */
+  private renewsBy(tenure: Tenure): RenewalGrounds {
+    if (tenure.writer.wasConfirmedWithin(ISOLATION_TIMEOUT_MILLIS)) {
+      return 'store';
+    }
+    return this.members.size > 1 ? 'members' : 'nothing';
   }
 
   private advised(advised: Extract<OwnerMessage, { kind: 'advised' }>): void {
@@ -458,7 +464,9 @@
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
-      this.logTakeoverStep(tenure, 'earlier_owners_fenced', {});
+      const { earlierLeasesEnd } = tenure;
+      const earlierLeasesEndInMillis = Math.round(earlierLeasesEnd - this.clock.now());
+      this.logTakeoverStep(tenure, 'earlier_owners_fenced', { earlierLeasesEndInMillis });
       this.load(tenure);
     }
     this.requests.ownershipConfirmed();
@@ -503,6 +511,7 @@
     if (tenure.writer.isStalled) {
       this.setTrouble(tenure, true);
     }
+    this.logRenewals(tenure);
     if (tenure.scheduler !== undefined) {
       this.stepScheduler({ kind: 'lag', millis: now - dueAt });
       if (!this.isPassScheduled) {
@@ -515,6 +524,20 @@
     }
   }
 
+  /** Logs by what the owner renews leases, when that changes. */
+  private logRenewals(tenure: Tenure): void {
+    const renewsBy = this.renewsBy(tenure);
+    if (tenure.loggedRenewsBy !== renewsBy) {
+      tenure.loggedRenewsBy = renewsBy;
+      this.options.events.event('owner.renews', {
+        term: tenure.term,
+        by: renewsBy,
+        proofAgeMillis: tenure.writer.confirmationAgeMillis ?? -1,
+        members: this.members.size,
+      });
+    }
+  }
+
   private logFigures(tenure: Tenure, scheduler: JobScheduler, now: Instant): void {
     if (!hasPassed(tenure.nextFiguresAt, now)) {
       return;
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -9,6 +9,9 @@
 import type { WorkerLinks } from './worker-links.js';
 import type { WorkersWatch } from './workers-watch.js';
 
+/** What shows an owner that no other member owns the work, so that it may renew leases. */
+export type RenewalGrounds = 'store' | 'members' | 'nothing';
+
 export interface Tenure {
   readonly term: Term;
   readonly electedAt: Instant;
@@ -23,6 +26,8 @@
   scheduler: JobScheduler | undefined;
   nextFiguresAt: Deadline;
   hasStoreTrouble: boolean;
+  /** By what the owner renews leases, as last logged. */
+  loggedRenewsBy: RenewalGrounds;
   hasEnded: boolean;
 }
 
@@ -39,6 +44,7 @@
     scheduler: undefined,
     nextFiguresAt: deadlineAfter(now, 0),
     hasStoreTrouble: false,
+    loggedRenewsBy: 'store',
     hasEnded: false,
   };
 }
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -158,6 +158,12 @@
     return this.now - (this.confirmation?.at ?? 0) < millis;
   }
 
+  /** How long ago ownership was last confirmed, in whole milliseconds; undefined before that. */
+  get confirmationAgeMillis(): number | undefined {
+    const { confirmation } = this;
+    return confirmation === undefined ? undefined : Math.round(this.now - confirmation.at);
+  }
+
   /** Appends a record that fences earlier owners and shows that this one is alive. */
   keepAlive(member: string): void {
     const value = JSON.stringify({ term: this.options.term, member });
