Cuts in the emulated network, by side and one way

The emulated network connected every member with every other one, and a member lost the store or a worker without losing anything else. So no test could put the owner, another member and some workers on one side, and the store with the rest on the other.

A partition separates members, workers and the store by side; members that start later are on the other side unless named. A one-way cut stops what some send to others. Across a cut a dial times out and isn't refused, messages in flight are held up until it heals or the connection ends, and each end of a connection sees it as silent after the keep-alive's time without a message. A call whose answer is cut off is carried out, at once or late.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -25,8 +25,15 @@
 import { NO_RESOURCES } from '@bamboowell/types/resources';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { GatewayMessage, JobReply, JobRequest } from './gateway-messages.js';
+import {
+  EmulatedCuts,
+  OneWayCut,
+  Partition,
+  type Attachment,
+  type NetworkEnd,
+} from './emulated-cuts.fixture.js';
 import { EmulatedLines, EmulatedLink } from './emulated-link.fixture.js';
-import { EmulatedNetwork, EmulatedPeers } from './emulated-peers.fixture.js';
+import { EmulatedNetwork, EmulatedPeers, SILENCE_MILLIS } from './emulated-peers.fixture.js';
 import {
   NO_FAULTS,
   EmulatedStore,
@@ -63,8 +70,6 @@
 const AMPLE_MACHINE: Machine = { cores: 1, memoryMib: 1024, linkMbps: 1000 };
 /** Region of the store, and of members by default. */
 const STORE_REGION = 'r1';
-/** Other members consider a frozen member silent after this. */
-const SILENCE_MILLIS = 1100;
 
 class StaticService<Handle> extends Service<Handle> {
   readonly dependencies = [];
@@ -165,7 +170,8 @@
   const random = options.random ?? (() => 0.5);
   const store = new EmulatedStore();
   const lines = new EmulatedLines(clock, options.lineMbps);
-  const network = new EmulatedNetwork(lines);
+  const cuts = new EmulatedCuts();
+  const network = new EmulatedNetwork(lines, cuts);
   const jobs = new JobInvariants(now);
   const log: string[] = [];
   const workers = new Map<WorkerId, EmulatedWorker>();
@@ -185,12 +191,16 @@
     write('workers', worker.id, JSON.stringify(worker.registration()));
   };
 
+  const endsOf = (names: readonly string[]): Set<NetworkEnd> =>
+    new Set(names.map((name) => (name === 'store' ? name : brandAs<MemberId>(name))));
+
   const launch = async (name: string): Promise<EmulatedMember> => {
     incarnations += 1;
     const processClock = new ProcessClock(clock);
     const machine = options.machineOf?.(name) ?? AMPLE_MACHINE;
     const link = new EmulatedLink(clock, machine.linkMbps);
     const kernel = new Kernel();
+    const attachment: Attachment = { member: brandAs<MemberId>(name), cuts, clock };
     const storeFaults = { ...NO_FAULTS };
     const region = options.regionOf?.(name) ?? STORE_REGION;
     const storePort = new EmulatedStorePort(
@@ -199,6 +209,7 @@
       storeFaults,
       random,
       link,
+      attachment,
       lines.between(STORE_REGION, region),
     );
     const member: EmulatedMember = {
@@ -235,7 +246,14 @@
     kernel.register(
       new StaticService(
         WORKERS,
-        new EmulatedWorkerPort(workers, processClock, member.workerFaults, random, link, clock),
+        new EmulatedWorkerPort(
+          workers,
+          processClock,
+          member.workerFaults,
+          random,
+          link,
+          attachment,
+        ),
       ),
     );
     kernel.register(new TrafficService());
@@ -271,7 +289,31 @@
     workers,
     members,
     lines,
+    cuts,
     launch,
+    /** Separates members, workers and the store, given by name, from all others. */
+    partition: (names: readonly string[]): Partition => {
+      const partition = new Partition(endsOf(names));
+      cuts.add(partition);
+      return partition;
+    },
+    /** Stops what some send to others; calls in the other direction arrive, but get no answer. */
+    cutOneWay: (
+      from: readonly string[],
+      to: readonly string[],
+      lateMillis?: () => number,
+    ): OneWayCut => {
+      const cut = new OneWayCut(endsOf(from), endsOf(to), lateMillis);
+      cuts.add(cut);
+      return cut;
+    },
+    /** Lets two ends reach each other again that the partition separates. */
+    join: (partition: Partition, left: string, right: string): void => {
+      const [leftEnd, rightEnd] = endsOf([left, right]);
+      if (leftEnd !== undefined && rightEnd !== undefined) {
+        cuts.join(partition, leftEnd, rightEnd);
+      }
+    },
     list,
     /** Deletes the worker's record, as after it has left or been silent for long. */
     unlist: (worker: EmulatedWorker): void => {
--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -1,6 +1,7 @@
 /** In-memory connections between members. */
 
-import type { Clock } from '@bamboowell/kernel/clock';
+import type { Alarm, Clock } from '@bamboowell/kernel/clock';
+import { brandAs, type MemberId } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
 import type { Address } from '@bamboowell/types/vm';
 import {
@@ -9,16 +10,23 @@
   type Handler,
   type WireAnswer,
 } from '@bamboowell/wire/connection';
+import type { KeepAliveTimes } from '@bamboowell/wire/keep-alive';
+import type { EmulatedCuts } from './emulated-cuts.fixture.js';
 import { EmulatedLines, type EmulatedLink } from './emulated-link.fixture.js';
 import { Peers, type DialResult, type DialTarget, type PeersOptions } from './peers.js';
 
 const ONE_WAY_MILLIS = 1;
+/** A connection that brings nothing for this long has ended. */
+export const SILENCE_MILLIS = 1100;
 
 /** The listening members by address. */
 export class EmulatedNetwork {
   readonly listeners = new Map<string, EmulatedPeers>();
 
-  constructor(readonly lines: EmulatedLines) {}
+  constructor(
+    readonly lines: EmulatedLines,
+    readonly cuts: EmulatedCuts,
+  ) {}
 }
 
 export class EmulatedPeers extends Peers {
@@ -39,6 +47,10 @@
     return this.options.settings.region;
   }
 
+  get member(): MemberId {
+    return this.options.settings.member;
+  }
+
   listen(): Promise<void> {
     this.network.listeners.set(nameOf(this.options.settings.peerAddress), this);
     return Promise.resolve();
@@ -48,7 +60,10 @@
     return 1;
   }
 
-  dial({ address }: DialTarget): Promise<DialResult> {
+  dial({ address }: DialTarget, deadline: Deadline): Promise<DialResult> {
+    if (!this.network.cuts.connects(this.member, brandAs<MemberId>(address.host))) {
+      return this.timeOut(deadline);
+    }
     const other = this.network.listeners.get(nameOf(address));
     if (other === undefined) {
       return Promise.resolve({ kind: 'unreachable', detail: 'nobody listens', isRefused: true });
@@ -63,6 +78,11 @@
     return Promise.resolve({ kind: 'connected', connection: mine });
   }
 
+  private async timeOut(deadline: Deadline): Promise<DialResult> {
+    await this.clock.sleepUntil(deadline);
+    return { kind: 'unreachable', detail: 'timed out', isRefused: false };
+  }
+
   close(): Promise<void> {
     this.closeAll();
     return Promise.resolve();
@@ -93,6 +113,7 @@
 
 /** The process and machine at one end of a connection. */
 interface Host {
+  readonly member: MemberId;
   readonly clock: Clock;
   readonly lagMillis: number;
   readonly link: EmulatedLink;
@@ -109,12 +130,19 @@
   private resolveEnded: (reason: CloseReason) => void = () => undefined;
   private readonly handlers = new Map<string, Handler>();
   private readonly pendingAborts = new Set<() => void>();
+  private silenceMillis = SILENCE_MILLIS;
+  /** Set while a cut stops what the other end sends. */
+  private silenceAlarm: Alarm | undefined;
+  private readonly stopWatchingCuts: () => void;
 
   constructor(private readonly host: Host) {
     super();
     this.ended = new Promise((resolve) => {
       this.resolveEnded = resolve;
     });
+    this.stopWatchingCuts = host.network.cuts.onChange(() => {
+      this.cutsChanged();
+    });
   }
 
   attachPeer(peer: EmulatedConnection): void {
@@ -160,9 +188,9 @@
     this.handlers.set(method, handler);
   }
 
-  /** Silence is emulated by `dropAsSilent`. */
-  setKeepAlive(): void {
-    return undefined;
+  /** No pings are emulated; silence comes from cuts and `dropAsSilent`. */
+  setKeepAlive({ silenceMillis }: KeepAliveTimes): void {
+    this.silenceMillis = silenceMillis;
   }
 
   close(): void {
@@ -172,9 +200,13 @@
   /** Ends the connection at both ends. */
   terminate(reason: CloseReason): void {
     this.endHere(reason);
-    const { peer } = this;
-    peer?.deliver(undefined, () => {
-      peer.endHere(reason);
+    this.peer?.endedElsewhere(reason);
+  }
+
+  /** The other end has ended, which this one sees once that has arrived. */
+  private endedElsewhere(reason: CloseReason): void {
+    this.deliver(undefined, () => {
+      this.endHere(reason);
     });
   }
 
@@ -183,12 +215,32 @@
       return;
     }
     this.isEnded = true;
+    this.stopWatchingCuts();
+    this.silenceAlarm?.cancel();
     [...this.pendingAborts].forEach((giveUp) => {
       giveUp();
     });
     this.resolveEnded(reason);
   }
 
+  private get hearsPeer(): boolean {
+    const { peer, host } = this;
+    return peer === undefined || host.network.cuts.carries(peer.host.member, host.member);
+  }
+
+  private cutsChanged(): void {
+    if (this.hearsPeer) {
+      this.silenceAlarm?.cancel();
+      this.silenceAlarm = undefined;
+      return;
+    }
+    const { clock } = this.host;
+    this.silenceAlarm ??= clock.wakeAt(deadlineAfter(clock.now(), this.silenceMillis), () => {
+      this.endHere('silent');
+      this.peer?.endedElsewhere('reset');
+    });
+  }
+
   /** Resolves when the message has crossed the line from the other end's region, if there is one. */
   private cross(message: unknown): Promise<unknown> {
     const { region, network } = this.host;
@@ -206,6 +258,10 @@
     void Promise.resolve(sent).then(async () => {
       await this.cross(message);
       await clock.sleepUntil(deadlineAfter(clock.now(), ONE_WAY_MILLIS + lagMillis));
+      // What was sent is sent again until it has crossed, or the connection ends.
+      if (!this.hearsPeer && this.peer !== undefined) {
+        await this.host.network.cuts.restored(this.peer.host.member, this.host.member);
+      }
       await link.transmit('in', message);
       if (!this.isEnded) {
         act();
--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@bamboowell/kernel/clock';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
 import { deadlineAfter, type Deadline } from '@bamboowell/types/time';
+import type { Attachment } from './emulated-cuts.fixture.js';
 import type { EmulatedLine, EmulatedLink } from './emulated-link.fixture.js';
 import {
   Store,
@@ -165,6 +166,7 @@
     private readonly faults: StoreFaults,
     private readonly random: () => number,
     private readonly link: EmulatedLink,
+    private readonly attachment: Attachment,
     /** From the store's region to the member's, if that is another one. */
     private readonly line?: EmulatedLine,
   ) {
@@ -180,14 +182,12 @@
     const act = (): AppendOutcome => this.store.append(topic, writes, condition);
     const draw = this.random();
     const sent = this.link.transmit('out', writes);
-    if (this.faults.mode === 'up' && draw < this.faults.lateAppendRate) {
+    const arrives = this.faults.mode === 'up' && this.reachesStore();
+    if (arrives && draw < this.faults.lateAppendRate) {
       this.clock.wakeAt(deadlineAfter(this.clock.now(), LATE_APPEND_MILLIS), act);
       return this.timeOut(deadline);
     }
-    if (
-      this.faults.mode === 'up' &&
-      draw < this.faults.lateAppendRate + this.faults.lostAnswerRate
-    ) {
+    if (arrives && draw < this.faults.lateAppendRate + this.faults.lostAnswerRate) {
       act();
       return this.timeOut(deadline);
     }
@@ -263,11 +263,20 @@
     const oneWayMillis = faults.latencyMillis / 2;
     await sent;
     await clock.sleepUntil(deadlineAfter(clock.now(), oneWayMillis));
+    if (!this.reachesStore()) {
+      return this.timeOut(deadline);
+    }
+    if (!this.hearsStore()) {
+      return this.callWithoutAnswer(deadline, act);
+    }
     if (faults.mode !== 'up') {
       return { kind: 'unavailable', how: 'refused', detail: 'status 503' };
     }
     const value = act();
     await clock.sleepUntil(deadlineAfter(clock.now(), oneWayMillis));
+    if (!this.hearsStore()) {
+      return this.timeOut(deadline);
+    }
     if (clock.now() > deadline) {
       return { kind: 'unavailable', how: 'silent', detail: 'late' };
     }
@@ -276,6 +285,26 @@
     return value;
   }
 
+  private reachesStore(): boolean {
+    return this.attachment.cuts.carries(this.attachment.member, 'store');
+  }
+
+  private hearsStore(): boolean {
+    return this.attachment.cuts.carries('store', this.attachment.member);
+  }
+
+  /** Carries a call out whose answer a cut stops. */
+  private callWithoutAnswer(deadline: Deadline, act: () => unknown): Promise<Unavailable> {
+    const { cuts, member, clock } = this.attachment;
+    const lateMillis = cuts.answerlessCallMillis(member, 'store');
+    if (lateMillis === 0) {
+      act();
+    } else {
+      clock.wakeAt(deadlineAfter(clock.now(), lateMillis), act);
+    }
+    return this.timeOut(deadline);
+  }
+
   private async timeOut(deadline: Deadline): Promise<Unavailable> {
     await this.clock.sleepUntil(deadline);
     return { kind: 'unavailable', how: 'silent', detail: 'no answer' };
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -29,6 +29,7 @@
   type Unanswered,
   type WorkerTarget,
 } from './ports.js';
+import type { Attachment } from './emulated-cuts.fixture.js';
 import type { EmulatedLink } from './emulated-link.fixture.js';
 import type { JobInvariants } from './job-invariants.fixture.js';
 
@@ -189,7 +190,7 @@
   }
 
   /** Carries out an order long after it was sent. */
-  carryOutLate(act: (worker: EmulatedWorker) => OrderAnswer): void {
+  carryOutLate(act: (worker: EmulatedWorker) => unknown): void {
     this.isCarryingOutLate = true;
     act(this);
     this.isCarryingOutLate = false;
@@ -317,8 +318,7 @@
     private readonly faults: WorkerFaults,
     private readonly random: () => number,
     private readonly link: EmulatedLink,
-    /** Of what has left the member's process: it arrives also if that is frozen or dead by then. */
-    private readonly network: Clock,
+    private readonly attachment: Attachment,
   ) {
     super();
   }
@@ -329,6 +329,9 @@
     if (worker === undefined) {
       return this.timeOut(deadline);
     }
+    if (!this.hears(id)) {
+      return this.callWithoutAnswer(worker, deadline, (callee) => callee.hold(request));
+    }
     const { incarnation } = worker;
     const firstAnswer = worker.hold(request);
     if (firstAnswer.kind !== 'held' || worker.hasEnds || request.waitMillis === 0) {
@@ -337,7 +340,7 @@
     }
     const until = deadlineAfter(this.clock.now(), request.waitMillis);
     await Promise.race([worker.whenEnded(), this.clock.sleepUntil(until)]);
-    if (this.reach(id) === undefined) {
+    if (this.reach(id) === undefined || !this.hears(id)) {
       return this.timeOut(deadline);
     }
     if (worker.incarnation !== incarnation) {
@@ -381,20 +384,16 @@
     if (worker === undefined) {
       return this.timeOut(deadline);
     }
+    if (!this.hears(id)) {
+      return this.callWithoutAnswer(worker, deadline, act);
+    }
     const isStart = typeof body === 'object' && body !== null && 'payload' in body;
     const isShed = worker.shedsStarts && isStart;
     if (isShed && this.random() < SHED_REFUSAL_RATE) {
       return { kind: 'unwell' };
     }
     if (isShed || this.random() < this.faults.lateOrderRate) {
-      const lateBy = LATE_ORDER_MILLIS * (0.5 + this.random());
-      const { incarnation } = worker;
-      this.network.wakeAt(deadlineAfter(this.network.now(), lateBy), () => {
-        // An order that a process has taken ends with it.
-        if (worker.isUp && worker.incarnation === incarnation) {
-          worker.carryOutLate(act);
-        }
-      });
+      this.actLater(worker, LATE_ORDER_MILLIS * (0.5 + this.random()), act);
       return this.timeOut(deadline);
     }
     const answer = act(worker);
@@ -402,9 +401,46 @@
     return answer;
   }
 
+  /** Carries a call out whose answer a cut stops. */
+  private callWithoutAnswer(
+    worker: EmulatedWorker,
+    deadline: Deadline,
+    act: (worker: EmulatedWorker) => unknown,
+  ): Promise<Unanswered> {
+    const { cuts, member } = this.attachment;
+    const lateMillis = cuts.answerlessCallMillis(member, worker.id);
+    if (lateMillis === 0) {
+      act(worker);
+    } else {
+      this.actLater(worker, lateMillis, act);
+    }
+    return this.timeOut(deadline);
+  }
+
+  private actLater(
+    worker: EmulatedWorker,
+    lateMillis: number,
+    act: (worker: EmulatedWorker) => unknown,
+  ): void {
+    const { incarnation } = worker;
+    const { clock } = this.attachment;
+    clock.wakeAt(deadlineAfter(clock.now(), lateMillis), () => {
+      // A call that a process has taken ends with it.
+      if (worker.isUp && worker.incarnation === incarnation) {
+        worker.carryOutLate(act);
+      }
+    });
+  }
+
   private reach(id: WorkerId): EmulatedWorker | undefined {
     const worker = this.workers.get(id);
-    return worker?.isUp === true && !this.faults.unreachable.has(id) ? worker : undefined;
+    const { cuts, member } = this.attachment;
+    const isReached = !this.faults.unreachable.has(id) && cuts.carries(member, id);
+    return worker?.isUp === true && isReached ? worker : undefined;
+  }
+
+  private hears(id: WorkerId): boolean {
+    return this.attachment.cuts.carries(id, this.attachment.member);
   }
 
   private async transit(direction: 'in' | 'out', body: unknown): Promise<void> {
