Answer an emulated poll in time while the member that asked is frozen

The emulated worker waited for an end by the clock of the member's process. The answer to a poll of a frozen member so had the worker's time and runs of the moment when the member woke, where the platform's worker answers in time and the answer waits in the socket.

--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -338,8 +338,9 @@
       await this.transit('in', firstAnswer);
       return firstAnswer;
     }
-    const until = deadlineAfter(this.clock.now(), request.waitMillis);
-    await Promise.race([worker.whenEnded(), this.clock.sleepUntil(until)]);
+    // The worker answers in time even if the member's process is frozen; the answer waits for it.
+    const until = deadlineAfter(this.attachment.clock.now(), request.waitMillis);
+    await Promise.race([worker.whenEnded(), this.attachment.clock.sleepUntil(until)]);
     if (this.reach(id) === undefined || !this.hears(id)) {
       return this.timeOut(deadline);
     }
