--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -135,6 +135,8 @@
 /** Faults between the store and one member. */
 export interface StoreFaults {
   mode: 'up' | 'silent' | 'refusing';
+  /** A topic whose calls get no answer and have no effect: the store may be down in part. */
+  silentTopic?: Topic | undefined;
   latencyMillis: number;
   /** Fraction of appends that take effect but get no answer. */
   lostAnswerRate: number;
@@ -182,6 +184,9 @@
     const act = (): AppendOutcome => this.store.append(topic, writes, condition);
     const draw = this.random();
     const sent = this.link.transmit('out', writes);
+    if (this.faults.silentTopic === topic) {
+      return this.timeOut(deadline);
+    }
     const arrives = this.faults.mode === 'up' && this.reachesStore();
     if (arrives && draw < this.faults.lateAppendRate) {
       this.clock.wakeAt(deadlineAfter(this.clock.now(), LATE_APPEND_MILLIS), act);
@@ -199,6 +204,9 @@
     after: string | undefined,
     deadline: Deadline,
   ): Promise<NewestPage | Unavailable> {
+    if (this.faults.silentTopic === topic) {
+      return this.counted<NewestPage | Unavailable>(this.timeOut(deadline));
+    }
     const answer = this.answer<NewestPage>(deadline, () => {
       const all = this.store.newest(topic);
       const rest = after === undefined ? all : all.filter(({ key }) => key > after);
@@ -240,6 +248,9 @@
         this.clock.wakeAt(wakeAt, resolve);
       });
     }
+    if (this.faults.silentTopic === name) {
+      return this.timeOut(deadline);
+    }
     return this.answer<LogPart | Expired>(deadline, () => {
       if (from < topic.first) {
         return { kind: 'expired' };
