Allow for a slow clock of an earlier owner that renews leases in an outage

Cause: an owner that has lost the log renews leases for two hours of its own clock. A successor that doesn't reach a worker waited two hours of its own, and allowed for the worker's clock only. Clocks of members differ by up to 2.5%, by docs/design/ownership.md, which is three minutes in two hours: an earlier owner with the slower clock still renewed when its work started elsewhere. Evidence: earlier-leases.test.ts gave 'waiting' for 'placed'. Change: the wait counts the two hours with the drift of a member's clock. Why it works: the earlier owner counts from the read that it sent before the claim was in the log, the successor from when it read the claim back. Result: the test passes; the tests of owner and of the daemon's shards pass.

--- a/packages/owner/src/sessions.ts
+++ b/packages/owner/src/sessions.ts
@@ -13,7 +13,7 @@
 import type { WorkerProfile } from '@bamboowell/types/work';
 import type { Context } from './context.js';
 import type { ShardVm } from './messages.js';
-import { withMaxClockDrift } from './settings.js';
+import { withMaxClockDrift, withMaxMemberClockDrift } from './settings.js';
 
 /** A reading of a worker's clock, and an instant of our clock before which it was taken. */
 interface ClockReading {
@@ -254,7 +254,10 @@
 
   private maxEarlierLeaseEnd(): Deadline {
     const { outageRenewalMillis, leaseMillis } = this.context.settings;
-    return deadlineAfter(this.context.now, outageRenewalMillis + withMaxClockDrift(leaseMillis));
+    return deadlineAfter(
+      this.context.now,
+      withMaxMemberClockDrift(outageRenewalMillis) + withMaxClockDrift(leaseMillis),
+    );
   }
 
   private refresh(session: Session): void {
--- a/packages/owner/src/settings.ts
+++ b/packages/owner/src/settings.ts
@@ -29,6 +29,14 @@
 /** Workers' clocks run at most one part in this many faster or slower than ours. */
 export const CLOCK_DRIFT_DIVISOR = 100;
 
+/** Other members' clocks run at most one part in this many faster or slower than ours. */
+export const MEMBER_CLOCK_DRIFT_DIVISOR = 40;
+
+/** The longest time on our clock that `millis` on another member's clock can take. */
+export function withMaxMemberClockDrift(millis: number): number {
+  return millis + Math.ceil(millis / MEMBER_CLOCK_DRIFT_DIVISOR);
+}
+
 /** The longest time on our clock that `millis` on a worker's clock can take. */
 export function withMaxClockDrift(millis: number): number {
   return millis + Math.ceil(millis / CLOCK_DRIFT_DIVISOR);
