Show runs that outlive the lapse that the owner counts

An owner that is behind with its mailbox drops the runs of a worker whose link has renewed the lease meanwhile, and starts them elsewhere while they work on. A start that is stored late, a poll after a refused one and repeats of a start extend the lease beyond the end that was reported, or without any proof of ownership.

Without a busy owner the late start alone runs nothing twice: the polls that fail report the later end within a second.

--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -33,6 +33,8 @@
     readonly fence: Fence;
   }[] = [];
   readonly holds: Answers<HoldAnswer> = [];
+  /** Answers to polls that waited as long as they may. */
+  readonly lateHolds: HoldAnswer[] = [];
   readonly answers: Answers<OrderAnswer> = [];
 
   constructor(private readonly clock: ManualClock) {
@@ -47,7 +49,7 @@
     } else if (scripted === 'silence') {
       await this.clock.sleepUntil(deadline);
     }
-    return scripted === 'silence' ? silence() : (scripted ?? this.held());
+    return scripted === 'silence' ? silence() : (scripted ?? this.lateHolds.shift() ?? this.held());
   }
 
   async start(
@@ -107,6 +109,7 @@
   const clock = new ManualClock(1000);
   const port = new ScriptedPort(clock);
   const ownerMessages: OwnerMessage[] = [];
+  const lease = { mayRenew: true };
   let fences = 0;
   const link = new WorkerLinkTask(
     {
@@ -124,12 +127,13 @@
       },
       earlierLeaseEnds: brandAs<Deadline>(7000),
       longestLeaseMillis: 6000,
-      mayRenew: () => true,
+      mayRenew: () => lease.mayRenew,
     },
     clock,
   );
   return {
     link,
+    lease,
     port,
     clock,
     inputs: () =>
@@ -370,3 +374,74 @@
   await advance(50);
   t.is(reports(), before + 1);
 });
+
+/** Lease ends that were requested, by polls and by starts. */
+function leaseEnds({ requests, starts }: ScriptedPort): number[] {
+  return [...requests, ...starts].flatMap(({ leaseEnd }) => leaseEnd ?? []);
+}
+
+/** A link whose worker left an order and a look at it unanswered while a poll is open. */
+async function linkBenchAfterLook() {
+  const bench = linkBench();
+  const { link, port, advance, inputs } = bench;
+  port.holds.push(port.held());
+  port.answers.push('silence');
+  await link.start();
+  await advance(100);
+  port.holds.push('silence');
+  link.post({ kind: 'order', order: START });
+  await advance(950);
+  if (!inputs().some(({ kind }) => kind === 'unreachable')) {
+    throw new Error('the worker counts as reachable');
+  }
+  return bench;
+}
+
+// Guards against a start that lets the runs of a worker outlive the lapse that its owner counts (TWICE).
+test('a start after a worker was reported unreachable requests no later end of its lease', async (t) => {
+  const { link, port, advance } = await linkBenchAfterLook();
+  const latest = Math.max(...leaseEnds(port));
+  port.answers.push('silence');
+  link.post({ kind: 'order', order: { ...START, run: brandAs<RunNumber>(2) } });
+  await advance(300);
+  t.is(Math.max(...leaseEnds(port)), latest);
+});
+
+// Guards against a poll that lets the runs of a worker outlive the lapse that its owner counts (TWICE).
+test('a poll after a worker was reported unreachable requests no lease, whatever the open poll brings', async (t) => {
+  const { port, advance } = await linkBenchAfterLook();
+  const latest = Math.max(...leaseEnds(port));
+  const asked = port.requests.length;
+  port.lateHolds.push({ kind: 'fenced' });
+  port.holds.push(...Array.from({ length: 5 }, () => 'silence' as const));
+  await advance(1500);
+  t.true(port.requests.length > asked);
+  t.is(Math.max(...leaseEnds(port)), latest);
+});
+
+// Guards against starts that hold the leases of an owner which may have a successor (TWICE).
+test('a start requests no later end of the lease while leases may not be renewed', async (t) => {
+  const { link, lease, port, advance } = linkBench();
+  port.answers.push(...Array.from({ length: 10 }, () => 'silence' as const));
+  await link.start();
+  await advance(1600);
+  lease.mayRenew = false;
+  const latest = Math.max(...leaseEnds(port));
+  link.post({ kind: 'order', order: START });
+  await advance(3000);
+  t.true(port.starts.length > 1);
+  t.is(Math.max(...leaseEnds(port)), latest);
+});
+
+test('a start waits until a lease has been requested', async (t) => {
+  const { link, lease, port, advance } = linkBench();
+  lease.mayRenew = false;
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(4000);
+  t.deepEqual(port.starts, []);
+  lease.mayRenew = true;
+  await advance(4000);
+  t.is(port.starts.length, 1);
+});
