Renew no lease whose lapse the owner counts

An owner started tasks elsewhere while they worked on: with reports waiting in its mailbox it dropped the runs of a worker whose lease the link had renewed meanwhile, and stopped the first runs when it took the reports in.

The scheduler drops the runs of an unreachable worker at a copy of the end of its lease. The link went on extending the lease after it had reported that end: by the poll after one that was refused, by a start that was stored late, and by the polls after an answer that the owner had yet to take in.

Now a link that reports its worker unreachable suspends the lease. It requests no later end and holds starts back until the scheduler has taken in a report of the same suspension (output `renew`). The copy is then never older than the latest end requested, and what the scheduler dropped has been withdrawn before the lease is renewed. While the lease is suspended the worker is polled every 400 ms, and each report asks for the renewal again, so that a lost message leaves no link suspended.

The harness of the link's tests answers reports as the scheduler does. The test of late starts keeps its owner busy, since an owner that takes in the report of the next look may renew the lease.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -261,7 +261,10 @@
       percent: 50,
     }));
     const askedAt = brandAs<Instant>(this.now);
-    this.input({ kind: 'report', report: { incarnation, askedAt, running, ended } });
+    this.input({
+      kind: 'report',
+      report: { incarnation, askedAt, running, ended, suspension: undefined },
+    });
   }
 
   private schedule(millis: number, act: () => void): void {
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -23,6 +23,9 @@
 /** Matches an answer to its request. */
 export type JobToken = Branded<number, 'JobToken'>;
 
+/** One time that the link to a worker stopped renewing its lease, having reported it unreachable. */
+export type LeaseSuspension = Branded<number, 'LeaseSuspension'>;
+
 /** Answer of a worker to an order. */
 export type OrderAnswer =
   | { readonly kind: 'done' }
@@ -46,6 +49,8 @@
   readonly askedAt: Instant;
   readonly running: readonly RunningEntry[];
   readonly ended: readonly EndedEntry[];
+  /** Set while the worker's lease is not renewed: it is again once the scheduler says so. */
+  readonly suspension: LeaseSuspension | undefined;
 }
 
 export type JobInput =
@@ -64,7 +69,8 @@
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
   | { readonly kind: 'report'; readonly report: WorkerReport }
   /**
-   * The worker does not answer. Unless it does before `lapsesAt`, nothing runs there from then on.
+   * The worker does not answer. Unless it does before `lapsesAt`, nothing runs there from then on: its lease
+   * is not renewed before the scheduler has taken in a report.
    */
   | {
       readonly kind: 'unreachable';
@@ -170,6 +176,12 @@
       readonly workers: readonly WorkerId[];
       readonly timing: AdviceTiming;
     }
+  /** Renew the lease of this worker again, unless it has been suspended anew. */
+  | {
+      readonly kind: 'renew';
+      readonly incarnation: WorkerIncarnation;
+      readonly suspension: LeaseSuspension;
+    }
   /** Request a report of this worker now. */
   | { readonly kind: 'probe'; readonly incarnation: WorkerIncarnation }
   /** Connect to this worker and request its reports. */
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -57,6 +57,11 @@
     } else if (isComplete) {
       this.loseUnlistedRuns(worker, listed, report);
     }
+    if (report.suspension !== undefined) {
+      // What was dropped has been withdrawn by earlier outputs.
+      const { incarnation, suspension } = report;
+      this.context.emit({ kind: 'renew', incarnation, suspension });
+    }
     // Nearly all reports say only that the worker works on.
     if (isNews || worker.unknownRuns !== unknownRuns) {
       this.context.needsPlacement = true;
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -25,6 +25,7 @@
   JobInput,
   JobOutput,
   JobToken,
+  LeaseSuspension,
   OrderAnswer,
   StartOrder,
 } from './messages.js';
@@ -152,10 +153,17 @@
       incarnation: WorkerIncarnation,
       running: readonly RunningEntry[] = [],
       ended: readonly EndedEntry[] = [],
+      suspension?: LeaseSuspension,
     ): void => {
       send({
         kind: 'report',
-        report: { incarnation, askedAt: brandAs<Instant>(millis), running, ended },
+        report: {
+          incarnation,
+          askedAt: brandAs<Instant>(millis),
+          running,
+          ended,
+          suspension,
+        },
       });
     },
     answerStart: (
--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -114,6 +114,7 @@
       .with(
         { kind: 'order' },
         { kind: 'withdraw' },
+        { kind: 'renew' },
         { kind: 'probe' },
         { kind: 'acknowledge' },
         ({ incarnation, ...message }) => {
@@ -190,7 +191,7 @@
           .some(
             (event) =>
               event.name === name &&
-              event.fields['worker'] === worker &&
+              event.fields.worker === worker &&
               harness.outputs.indexOf(event) >= before,
           );
       for (let passes = 0; !isLogged(); passes += 1) {
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -400,6 +400,9 @@
       .with({ kind: 'withdraw' }, ({ incarnation, task, run }) => {
         tenure.links.post(incarnation, { kind: 'withdraw', task, run });
       })
+      .with({ kind: 'renew' }, ({ incarnation, suspension }) => {
+        tenure.links.post(incarnation, { kind: 'renew', suspension });
+      })
       .with({ kind: 'probe' }, ({ incarnation }) => {
         tenure.links.post(incarnation, { kind: 'probe' });
       })
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -11,7 +11,7 @@
   type StepTaskId,
 } from '@bamboowell/types/job';
 import type { Deadline, WorkerInstant } from '@bamboowell/types/time';
-import type { OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
+import type { LeaseSuspension, OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
 import type { OwnerMessage } from './owner-messages.js';
 import { WorkerPort, type HoldAnswer, type HoldRequest, type Unanswered } from './ports.js';
 import { WorkerLinkTask } from './worker-link.js';
@@ -105,11 +105,19 @@
   ticket: undefined,
 };
 
+function suspensionIn(message: OwnerMessage): LeaseSuspension | undefined {
+  return message.kind === 'input' && message.input.kind === 'report'
+    ? message.input.report.suspension
+    : undefined;
+}
+
 function linkBench() {
   const clock = new ManualClock(1000);
   const port = new ScriptedPort(clock);
   const ownerMessages: OwnerMessage[] = [];
   const lease = { mayRenew: true };
+  /** An owner that isn't busy takes in reports at once. */
+  const owner = { isBusy: false };
   let fences = 0;
   const link = new WorkerLinkTask(
     {
@@ -122,6 +130,10 @@
       owner: {
         post: (message) => {
           ownerMessages.push(message);
+          const suspension = suspensionIn(message);
+          if (suspension !== undefined && !owner.isBusy) {
+            link.post({ kind: 'renew', suspension });
+          }
           return 'accepted';
         },
       },
@@ -134,6 +146,7 @@
   return {
     link,
     lease,
+    owner,
     port,
     clock,
     inputs: () =>
@@ -399,7 +412,8 @@
 
 // Guards against a start that lets the runs of a worker outlive the lapse that its owner counts (TWICE).
 test('a start after a worker was reported unreachable requests no later end of its lease', async (t) => {
-  const { link, port, advance } = await linkBenchAfterLook();
+  const { link, owner, port, advance } = await linkBenchAfterLook();
+  owner.isBusy = true;
   const latest = Math.max(...leaseEnds(port));
   port.answers.push('silence');
   link.post({ kind: 'order', order: { ...START, run: brandAs<RunNumber>(2) } });
@@ -419,6 +433,35 @@
   t.is(Math.max(...leaseEnds(port)), latest);
 });
 
+// Guards against a lease that is renewed though the owner counts its lapse (TWICE).
+test('a lease is renewed and starts are sent again once the owner has taken in a report', async (t) => {
+  const { link, owner, port, advance, inputs, ownerMessages } = await linkBenchAfterLook();
+  const latest = Math.max(...leaseEnds(port));
+  owner.isBusy = true;
+  port.holds.push('silence', 'silence', 'silence');
+  link.post({ kind: 'order', order: { ...START, run: brandAs<RunNumber>(2) } });
+  await advance(9000);
+  t.is(Math.max(...leaseEnds(port)), latest);
+  t.is(port.starts.length, 1);
+  const suspensions = ownerMessages.flatMap((message) => suspensionIn(message) ?? []);
+  const suspension = suspensions.at(-1);
+  t.true(suspensions.length > 10, 'each report asks for the renewal until it is granted');
+  t.is(Number(suspension), inputs().filter(({ kind }) => kind === 'unreachable').length);
+  if (suspension !== undefined) {
+    link.post({ kind: 'renew', suspension: brandAs<LeaseSuspension>(suspension - 1) });
+    await advance(1000);
+    t.is(
+      Math.max(...leaseEnds(port)),
+      latest,
+      'a report from before the last outage proves nothing',
+    );
+    link.post({ kind: 'renew', suspension });
+    await advance(100);
+  }
+  t.true(Math.max(...leaseEnds(port)) > latest);
+  t.is(port.starts.length, 3);
+});
+
 // Guards against starts that hold the leases of an owner which may have a successor (TWICE).
 test('a start requests no later end of the lease while leases may not be renewed', async (t) => {
   const { link, lease, port, advance } = linkBench();
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -22,7 +22,12 @@
   type Instant,
   type WorkerInstant,
 } from '@bamboowell/types/time';
-import type { OrderAnswer, StartOrder, StopOrder } from '@bamboowell/jobs/messages';
+import type {
+  LeaseSuspension,
+  OrderAnswer,
+  StartOrder,
+  StopOrder,
+} from '@bamboowell/jobs/messages';
 import type { HoldAnswer, Unanswered, WorkerPort, WorkerTarget } from './ports.js';
 import type { OwnerMessage } from './owner-messages.js';
 import { LeaseClock } from './lease-clock.js';
@@ -43,6 +48,8 @@
  * recorded in the store.
  */
 const RECORD_TIMEOUT_MILLIS = 400;
+/** While a lease is suspended, the worker is polled again after this if the owner hasn't resumed it. */
+const RESUMPTION_TIMEOUT_MILLIS = 400;
 /** Consecutive failed polls after which a worker counts as unreachable. */
 const UNREACHABLE_AFTER = 2;
 
@@ -55,7 +62,7 @@
   readonly order: Order;
   /** When its last copy was given up without an answer; undefined if none was. */
   unansweredAt: Instant | undefined;
-  /** Whether it is to be sent as soon as the worker's incarnation has answered. */
+  /** Whether it is to be sent as soon as the worker's incarnation has answered and has a lease. */
   isHeldBack: boolean;
 }
 
@@ -63,6 +70,7 @@
   | { readonly kind: 'order'; readonly order: Order }
   | { readonly kind: 'withdraw'; readonly task: StepTaskId; readonly run: RunNumber }
   | { readonly kind: 'acknowledge'; readonly upTo: EndNumber }
+  | { readonly kind: 'renew'; readonly suspension: LeaseSuspension }
   | { readonly kind: 'poll' }
   | { readonly kind: 'held'; readonly answer: HoldAnswer; readonly askedAt: Instant }
   | { readonly kind: 'probe' }
@@ -94,6 +102,13 @@
   private isProbing = false;
   private isClosed = false;
   private failures = 0;
+  /** The latest suspension of the lease. */
+  private suspension = brandAs<LeaseSuspension>(0);
+  /**
+   * Whether no later end of the lease is requested, and no start sent: the owner drops the worker's runs at
+   * the end that was reported to it.
+   */
+  private isSuspended = false;
   /** No poll is sent before this, after a failure or while newly ended runs are being recorded. */
   private pollAfter: Deadline = brandAs<Deadline>(0);
   private readonly orders = new Map<string, OpenOrder>();
@@ -132,6 +147,9 @@
           this.poll();
         }
       })
+      .with({ kind: 'renew' }, ({ suspension }) => {
+        this.resume(suspension);
+      })
       .with({ kind: 'poll' }, () => {
         this.poll();
       })
@@ -172,8 +190,9 @@
     const { port, target } = this.options;
     const now = this.clock.now();
     const isHealthy = this.failures === 0 && this.lease.isSynchronised;
-    const renews = isHealthy && this.options.mayRenew();
-    const waitMillis = isHealthy ? POLL_WAIT_MILLIS : 0;
+    const mayWait = isHealthy && !this.isSuspended;
+    const renews = mayWait && this.options.mayRenew();
+    const waitMillis = mayWait ? POLL_WAIT_MILLIS : 0;
     const request = {
       fence: this.fence,
       // After a failure another process may answer, whose ends are numbered anew.
@@ -215,14 +234,18 @@
     }
     this.lease.synchronise(held.workerNow, this.clock.now());
     const { running, ended } = held;
+    const suspension = this.isSuspended ? this.suspension : undefined;
     this.options.owner.post({
       kind: 'input',
-      input: { kind: 'report', report: { incarnation, askedAt, running, ended } },
+      input: { kind: 'report', report: { incarnation, askedAt, running, ended, suspension } },
     });
+    this.lastHeldAt = this.clock.now();
     this.sendHeldBack();
   }
 
-  /** Polls at once, or later if ended runs still have to be recorded in the store. */
+  /**
+   * Polls at once, or later if ended runs still have to be recorded in the store or the lease to be resumed.
+   */
   private pollAgain(newest: EndNumber | undefined): void {
     if (newest !== undefined && newest > this.newestEnd) {
       this.newestEnd = newest;
@@ -231,6 +254,10 @@
       this.pollLater(RECORD_TIMEOUT_MILLIS);
       return;
     }
+    if (this.isSuspended) {
+      this.pollLater(RESUMPTION_TIMEOUT_MILLIS);
+      return;
+    }
     this.poll();
   }
 
@@ -247,8 +274,11 @@
     this.pollLater(RETRY_DELAY_MILLIS);
   }
 
+  /** Reports when the lease lapses, which no later call must change: so the lease is suspended. */
   private reportUnreachable(): void {
     const { owner, target } = this.options;
+    this.isSuspended = true;
+    this.suspension = brandAs<LeaseSuspension>(this.suspension + 1);
     const { lapsesAt } = this.lease;
     owner.post({
       kind: 'input',
@@ -256,6 +286,17 @@
     });
   }
 
+  /** Renews the lease again, unless the worker was reported unreachable after the report that was taken in. */
+  private resume(suspension: LeaseSuspension): void {
+    if (!this.isSuspended || suspension !== this.suspension) {
+      return;
+    }
+    this.isSuspended = false;
+    this.pollAfter = brandAs<Deadline>(0);
+    this.poll();
+    this.sendHeldBack();
+  }
+
   /**
    * Looks at the worker beside the long poll, which may be due only much later. A worker that leaves
    * orders unanswered may still answer polls.
@@ -325,7 +366,6 @@
   }
 
   private sendHeldBack(): void {
-    this.lastHeldAt = this.clock.now();
     for (const open of this.orders.values()) {
       if (open.isHeldBack) {
         open.isHeldBack = false;
@@ -336,7 +376,8 @@
 
   /**
    * Sends an order. A start must not reach a later process of the worker: it names the worker's id, which
-   * stays. So it is repeated only after this incarnation has answered since the last copy was given up.
+   * stays. So it is repeated only after this incarnation has answered since the last copy was given up. None
+   * is sent while the lease is suspended.
    */
   private send(order: Order): void {
     const open = this.orders.get(keyOf(order));
@@ -354,8 +395,10 @@
   }
 
   private mayStart({ unansweredAt }: OpenOrder): boolean {
-    const { lastHeldAt } = this;
-    return lastHeldAt !== undefined && (unansweredAt === undefined || unansweredAt <= lastHeldAt);
+    const { lastHeldAt, isSuspended } = this;
+    const hasAnswered =
+      lastHeldAt !== undefined && (unansweredAt === undefined || unansweredAt <= lastHeldAt);
+    return hasAnswered && !isSuspended;
   }
 
   private call(order: Order, deadline: Deadline): Promise<OrderAnswer | Unanswered> {
