Extend a lease by a start only where leases may be renewed

An owner without any proof that it still is one renews no leases by polls, but each copy of an unanswered start extended the lease of its worker, so that the runs there outlived the time after which the next owner starts them elsewhere.

A start carries the latest end that has been requested where the lease may not be renewed, and waits if there is none.

--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -384,12 +384,12 @@
     if (this.isClosed || open?.order !== order) {
       return;
     }
-    if (order.kind === 'start' && !this.mayStart(open)) {
+    const call = order.kind === 'stop' ? this.stopCall(order) : this.startCall(order, open);
+    if (call === undefined) {
       open.isHeldBack = true;
       return;
     }
-    const deadline = deadlineAfter(this.clock.now(), ORDER_TIMEOUT_MILLIS);
-    void this.call(order, deadline).then((answer) => {
+    void call.then((answer) => {
       this.post({ kind: 'ordered', order, answer });
     });
   }
@@ -401,18 +401,31 @@
     return hasAnswered && !isSuspended;
   }
 
-  private call(order: Order, deadline: Deadline): Promise<OrderAnswer | Unanswered> {
-    const { fence } = this;
+  private stopCall({ task, run }: StopOrder): Promise<OrderAnswer | Unanswered> {
     const { port, target } = this.options;
-    if (order.kind === 'stop') {
-      return port.stop(target, { fence, task: order.task, run: order.run }, deadline);
-    }
-    const leaseEnd: WorkerInstant | undefined =
-      this.failures === 0 ? this.lease.extend(this.clock.now()) : this.lease.latest;
-    if (leaseEnd === undefined) {
-      return Promise.resolve({ kind: 'unanswered', detail: 'no lease has been given yet' });
-    }
-    return port.start(target, order, fence, leaseEnd, deadline);
+    return port.stop(target, { fence: this.fence, task, run }, this.orderDeadline());
+  }
+
+  /** Returns undefined if the start must wait. */
+  private startCall(
+    order: StartOrder,
+    open: OpenOrder,
+  ): Promise<OrderAnswer | Unanswered> | undefined {
+    const leaseEnd = this.mayStart(open) ? this.leaseEndOfStart() : undefined;
+    const { port, target } = this.options;
+    return leaseEnd === undefined
+      ? undefined
+      : port.start(target, order, this.fence, leaseEnd, this.orderDeadline());
+  }
+
+  private orderDeadline(): Deadline {
+    return deadlineAfter(this.clock.now(), ORDER_TIMEOUT_MILLIS);
+  }
+
+  /** A start renews the lease where a poll may; undefined if no lease has been requested yet. */
+  private leaseEndOfStart(): WorkerInstant | undefined {
+    const renews = this.failures === 0 && this.options.mayRenew();
+    return renews ? this.lease.extend(this.clock.now()) : this.lease.latest;
   }
 
   private ordered(order: Order, answer: OrderAnswer | Unanswered): void {
