Wait for all ends before a new owner drops a run that is not listed

A worker lists 500 ends at once. A new owner took its first report for whole: a run that had ended as done, and whose end was beyond the first 500, counted as never started, and its task was started again.

The first report counts once it is complete. The ends of an incomplete one are taken in and acknowledged, so that the next report lists the others; until then the worker gets no work.

--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -134,7 +134,7 @@
   registration: WorkerRegistration;
   /** Whether this owner has a link to it; there is none before its registration has been read. */
   isMet: boolean;
-  /** Whether it has reported to this owner, so that no order of an earlier one can take effect. */
+  /** Whether it has reported all to this owner, so that no order of an earlier one can take effect. */
   hasReported: boolean;
   /** Whether its registration is in the store. */
   isRegistered: boolean;
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -52,10 +52,10 @@
     }
     this.handleEnds(worker, report.ended);
     const isComplete = report.ended.length < MAX_LISTED_ENDS;
-    if (!worker.hasReported) {
-      this.handleFirstReport(worker, listed);
-    } else if (isComplete) {
+    if (isComplete && worker.hasReported) {
       this.loseUnlistedRuns(worker, listed, report);
+    } else if (isComplete) {
+      this.handleFirstReport(worker, listed);
     }
     if (report.suspension !== undefined) {
       // What was dropped has been withdrawn by earlier outputs.
@@ -130,8 +130,8 @@
   }
 
   /**
-   * Handles the first report to this owner: a run that it doesn't list never started there and
-   * never will.
+   * Handles the first complete report to this owner: a run that it doesn't list, and whose end was not
+   * listed, never started there and never will.
    */
   private handleFirstReport(worker: Worker, listed: ReadonlySet<string>): void {
     worker.hasReported = true;
