Count the lapse of a worker that registers late by its link

A worker that only the stored runs name counts as unreachable until all leases of earlier owners have lapsed. If it registered shortly before that, its link had an answer and renewed the lease, and the owner dropped its runs before it took that report in: a task was started elsewhere while it worked on.

Once a worker has a link, its lapse is the one that the link reports.

--- a/packages/jobs/src/lease-suspensions.test.ts
+++ b/packages/jobs/src/lease-suspensions.test.ts
@@ -3,7 +3,7 @@
 import type { Deadline } from '@bamboowell/types/time';
 import type { LeaseSuspension } from './messages.js';
 import { jobPlan, workerRegistration } from './plans.fixture.js';
-import { runningEntry, schedulerHarness } from './scheduler.fixture.js';
+import { EARLIER_LEASES_MILLIS, runningEntry, schedulerHarness } from './scheduler.fixture.js';
 
 const WORKERS = [workerRegistration('w1'), workerRegistration('w2')];
 const LEASE_MILLIS = 4000;
@@ -52,3 +52,40 @@
   harness.report(incarnation);
   t.deepEqual(harness.of('renew'), []);
 });
+
+/** A new owner to which the worker of the stored run registers only after it has begun to serve. */
+function harnessWithLateRegistration() {
+  const { harness, start, incarnation } = harnessWithUnreachableWorker();
+  const late = WORKERS.filter((each) => each.incarnation === incarnation);
+  harness.takeOver(
+    undefined,
+    WORKERS.filter((each) => !late.includes(each)),
+  );
+  harness.reportFromAll();
+  late.forEach((registration) => {
+    harness.send({ kind: 'worker', registration });
+  });
+  return { harness, start, incarnation };
+}
+
+// Guards against a second run of a task that works on: the link has renewed the lease by the time its first
+// report is taken in (TWICE).
+test('the lapse of a worker that registers late counts only once its link has reported it unreachable', (t) => {
+  const { harness, start, incarnation } = harnessWithLateRegistration();
+  harness.advance(EARLIER_LEASES_MILLIS);
+  t.deepEqual(harness.place(), []);
+  harness.report(incarnation, [runningEntry(start)]);
+  t.deepEqual(harness.place(), []);
+  t.deepEqual(harness.stops(), []);
+});
+
+// Guards against a task that waits for a worker which never answers (LOST).
+test('a worker that registers late and never answers loses its runs', (t) => {
+  const { harness, incarnation } = harnessWithLateRegistration();
+  harness.advance(EARLIER_LEASES_MILLIS);
+  const lapsesAt = harness.of('meet').at(-1)?.lapsesAt;
+  if (lapsesAt !== undefined) {
+    harness.send({ kind: 'unreachable', incarnation, lapsesAt });
+  }
+  t.is(harness.place().length, 1);
+});
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -23,6 +23,8 @@
   meet(worker: Worker): void {
     if (!worker.isMet) {
       worker.isMet = true;
+      // From now on its link knows when its lease lapses.
+      worker.isReachable = true;
       const { registration, lapsesAt } = worker;
       this.context.emit({ kind: 'meet', registration, lapsesAt });
     }
