Count the longest lease that a worker may have had before its link

A task was started elsewhere while it worked on in the next process of its worker. A start names the worker's id, which stays, and its deadline is one by the clock of the process that it was meant for: the next process, whose clock starts anew, shortens it to the longest lease. The link to that process requests shorter leases, and reported the end of its own once it had requested one.

A lease lapses at the later of the two ends, as the comment of `LeaseClock.lapsesAt` said already. A worker that is lost shortly after a change of owner keeps its runs up to two seconds longer.

--- a/packages/member/src/lease-clock.test.ts
+++ b/packages/member/src/lease-clock.test.ts
@@ -5,6 +5,8 @@
 
 const LONGEST = 6000;
 const EARLIER = brandAs<Deadline>(9000);
+/** Of earlier leases that have lapsed already. */
+const LAPSED = brandAs<Deadline>(0);
 
 function instant(millis: number): Instant {
   return brandAs<Instant>(millis);
@@ -30,7 +32,7 @@
 });
 
 test('a lease has not lapsed while it may still run on a slow worker clock', (t) => {
-  const lease = new LeaseClock(LONGEST, EARLIER);
+  const lease = new LeaseClock(LONGEST, LAPSED);
   lease.synchronise(workerInstant(500_000), instant(1000));
   lease.extend(instant(1000));
   // Four seconds of a clock that is 2% slow are 4,080 ms of ours.
@@ -38,6 +40,17 @@
   t.true(lease.lapsesAt <= 1000 + 4080 + 200);
 });
 
+// Guards against a run that outlives its lapse under a longer lease than this owner gives (TWICE).
+test('the longest lease that may have been given before counts beside a shorter one', (t) => {
+  const lease = new LeaseClock(LONGEST, EARLIER);
+  lease.synchronise(workerInstant(500_000), instant(1000));
+  lease.extend(instant(1000));
+  t.is(lease.lapsesAt, EARLIER);
+  lease.synchronise(workerInstant(509_000), instant(10_000));
+  lease.extend(instant(10_000));
+  t.true(lease.lapsesAt >= 10_000 + 4080);
+});
+
 test('before the worker clock has been read, the leases of earlier owners count', (t) => {
   t.is(new LeaseClock(LONGEST, EARLIER).lapsesAt, EARLIER);
   t.true(allLeasesEnd(instant(0), LONGEST) >= 6120);
--- a/packages/member/src/lease-clock.ts
+++ b/packages/member/src/lease-clock.ts
@@ -66,7 +66,7 @@
     }
     const left = Math.max(0, this.latestEnd - this.reading.worker);
     const end = this.reading.receivedAt + left * CLOCK_DRIFT_FACTOR + LAPSE_SLACK_MILLIS;
-    return brandAs<Deadline>(Math.max(end, 0));
+    return brandAs<Deadline>(Math.max(end, this.earlierLeasesEnd));
   }
 }
 
--- a/packages/member/src/stale-lapses.test.ts
+++ b/packages/member/src/stale-lapses.test.ts
@@ -75,3 +75,26 @@
     t.is(linked.runCount(), 3);
   });
 }
+
+// Guards against a second run of a task whose start the worker's next process has carried out: the deadline of
+// that start was one by the clock of the process before it, so that it gave the longest lease (TWICE).
+test('the lease that a start gave to the next process of its worker counts', async (t) => {
+  const linked = linkedScheduler(['w1', 'w2']);
+  await linked.run(1000);
+  const [worker] = linked.workers.values();
+  if (worker === undefined) {
+    throw new Error('no worker');
+  }
+  worker.restart();
+  linked.losesAnswersOf.add(worker.id);
+  linked.submit();
+  await linked.run(300);
+  t.is(linked.runner(), worker.id);
+  linked.losesAnswersOf.delete(worker.id);
+  await linked.runUntil('worker.met', worker.id);
+  await linked.run(100);
+  linked.unreachable.add(worker.id);
+  await linked.run(LAPSED_MILLIS);
+  t.deepEqual(linked.invariants.violations, []);
+  t.not(linked.runner(), worker.id);
+});
