Ignore registrations of incarnations that have ended

A registration of a worker's earlier process that was read after one of its present process, as a write that is carried out late allows, ended the present one: its runs were dropped while they worked, started elsewhere, and stopped at its next report.

An incarnation that has ended stays so until it answers a call.

--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -112,6 +112,7 @@
     if (!worker.registration.isDraining) {
       this.crashes.recordCrash(worker);
     }
+    this.successors.recordEnd(worker.incarnation);
     if (successor !== undefined) {
       this.successors.moveUnproven(worker, successor);
     }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -206,6 +206,9 @@
         });
       })
       .with({ kind: 'other_life' }, ({ incarnation, successor }) => {
+        if (successor !== undefined) {
+          this.successors.recordAnswer(successor);
+        }
         this.withWorker(incarnation, (worker) => {
           this.reports.endIncarnation(worker, 'other_life', successor);
         });
@@ -284,6 +287,9 @@
       this.successors.meet(existing);
       return;
     }
+    if (this.successors.hasEnded(registration.incarnation)) {
+      return;
+    }
     const worker = newWorker(registration, this.earlierLeasesEnd);
     this.context.workers.set(worker.incarnation, worker);
     const earlier = this.context.currentIncarnations.get(registration.id);
--- a/packages/jobs/src/successors.test.ts
+++ b/packages/jobs/src/successors.test.ts
@@ -150,3 +150,27 @@
   harness.advance(EARLIER_LEASES_MILLIS);
   t.is(harness.place().length, 1);
 });
+
+// Guards against a run that is dropped while it works because a registration of the worker's earlier process is
+// read after those of its present one (TWICE).
+test('a registration of an incarnation that has ended changes nothing', (t) => {
+  const { harness, start, registration, successor } = harnessWithStart();
+  harness.send({ kind: 'worker', registration: { ...registration, incarnation: successor } });
+  harness.report(successor, [runningEntry(start)]);
+  const before = harness.outputs.length;
+  harness.send({ kind: 'worker', registration });
+  t.deepEqual(harness.outputs.slice(before), []);
+  t.deepEqual(harness.place(), []);
+});
+
+// Guards against a worker that is never used again because another one registered under its id for a moment.
+test('an incarnation that answers after another one has registered counts as alive', (t) => {
+  const { harness, start, registration, successor } = harnessWithStart();
+  const { incarnation } = registration;
+  harness.answerStart(start);
+  harness.report(incarnation, [runningEntry(start)]);
+  harness.send({ kind: 'worker', registration: { ...registration, incarnation: successor } });
+  harness.send({ kind: 'other_life', incarnation: successor, successor: incarnation });
+  harness.send({ kind: 'worker', registration });
+  t.deepEqual(metBy(harness).slice(-2), [successor, incarnation]);
+});
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -10,6 +10,8 @@
 import { newWorker, type Run, type Worker } from './model.js';
 
 export class Successors {
+  private readonly ended = new Set<WorkerIncarnation>();
+
   constructor(
     private readonly context: JobContext,
     /** Returns when every lease that was given until now has lapsed. */
@@ -30,6 +32,20 @@
     }
   }
 
+  /** Whether the incarnation has ended: its registration may still be read, late or once more. */
+  hasEnded(incarnation: WorkerIncarnation): boolean {
+    return this.ended.has(incarnation);
+  }
+
+  recordEnd(incarnation: WorkerIncarnation): void {
+    this.ended.add(incarnation);
+  }
+
+  /** An answer is a better proof than the order of registrations. */
+  recordAnswer(incarnation: WorkerIncarnation): void {
+    this.ended.delete(incarnation);
+  }
+
   /**
    * Moves the runs to the successor that may have begun there. The first report over a new link tells: the
    * link has a higher fence, so that what hasn't begun by then never does.
