Wait for the leases of earlier owners from when these are fenced

What callers could see: a task that ran twice. A new owner counted its wait for the leases of earlier owners from its election. The store goes on taking the appends of the earlier owner, and so confirms its ownership, until the first append of the new one. Where that one was late, the earlier owner renewed leases that ended after the wait.

Evidence: late-fence.test.ts, with a first append that is 3.4 s late, gave a start on one worker while the first run worked on another.

Change: the wait counts from the answer to the first append. No append of an earlier owner is taken after that, so that its last confirmation is older.

--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -240,9 +240,8 @@
       this.clock,
     );
     const watch = new WorkersWatch(store, this.clock, documents, events, this);
-    const earlierLeasesEnd = allLeasesEnd(now, settings.longestLeaseMillis);
     const writer = this.makeWriter(term);
-    const tenure = newTenure({ term, writer, watch, links, earlierLeasesEnd }, now);
+    const tenure = newTenure({ term, writer, watch, links }, now);
     this.tenure = tenure;
     events.event('owner.elected', { term });
     tenure.watch.start();
@@ -297,6 +296,7 @@
     if (
       tenure?.restored === undefined ||
       tenure.scheduler !== undefined ||
+      tenure.earlierLeasesEnd === undefined ||
       !tenure.areWorkersRead ||
       configuration === undefined
     ) {
@@ -467,8 +467,11 @@
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
-      const { earlierLeasesEnd } = tenure;
-      const earlierLeasesEndInMillis = Math.round(earlierLeasesEnd - this.clock.now());
+      // The store takes the appends of the earlier owner, and so confirms it, until this one.
+      const now = this.clock.now();
+      const earlierLeasesEnd = allLeasesEnd(now, this.options.settings.longestLeaseMillis);
+      const earlierLeasesEndInMillis = Math.round(earlierLeasesEnd - now);
+      tenure.earlierLeasesEnd = earlierLeasesEnd;
       this.logTakeoverStep(tenure, 'earlier_owners_fenced', { earlierLeasesEndInMillis });
       this.load(tenure);
     }
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -20,7 +20,8 @@
   readonly links: WorkerLinks;
   /** Workers that the store lists, collected until the scheduler is created. */
   readonly registrations: Map<WorkerId, WorkerRegistration>;
-  readonly earlierLeasesEnd: Deadline;
+  /** When all leases of earlier owners have ended; undefined until these are fenced. */
+  earlierLeasesEnd: Deadline | undefined;
   areWorkersRead: boolean;
   restored: Restored | undefined;
   scheduler: JobScheduler | undefined;
@@ -32,13 +33,14 @@
 }
 
 export function newTenure(
-  parts: Pick<Tenure, 'term' | 'writer' | 'watch' | 'links' | 'earlierLeasesEnd'>,
+  parts: Pick<Tenure, 'term' | 'writer' | 'watch' | 'links'>,
   now: Instant,
 ): Tenure {
   return {
     ...parts,
     electedAt: now,
     registrations: new Map(),
+    earlierLeasesEnd: undefined,
     areWorkersRead: false,
     restored: undefined,
     scheduler: undefined,
