Age the confirmation of an owner by both clocks before it renews leases

What callers could see: a task that ran twice. The store's confirmation let an owner renew leases for 2.5 s of its monotonic clock, which stands still while the machine is suspended. An owner that woke after 2.5 to 3.5 s renewed leases that ended after the next owner's wait.

A time of day that is set makes a proof look older, never younger.

--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -4,11 +4,12 @@
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
-import type { Deadline, Instant } from '@bamboowell/types/time';
+import type { Deadline } from '@bamboowell/types/time';
 import type { JobInput } from '@bamboowell/jobs/messages';
 import type { Restored } from '@bamboowell/jobs/records';
 import type { ConfigurationUpdate } from './configuration-task.js';
 import type { MemberPort } from './member-port.js';
+import type { Moment } from './moment.js';
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { AdviceAnswer } from './ports.js';
@@ -57,8 +58,7 @@
       readonly term: Term;
       readonly sequence: ProducerSequence;
       readonly outcome: AppendOutcome;
-      readonly sentAt: Instant;
-      readonly sentAtWallMillis: number;
+      readonly sentAt: Moment;
     }
   /** Time to send the appends that are due. */
   | { readonly kind: 'append'; readonly term: Term }
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -11,6 +11,7 @@
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import { AppendWindow } from './append-window.js';
+import { millisBetween, type Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { ProducerSequence, Store } from './store.js';
 
@@ -79,15 +80,10 @@
   /** Another member owns the work, or it can't be determined which appends of this owner are stored. */
   | { readonly kind: 'lost'; readonly reason: 'fenced' | 'out_of_sequence' };
 
-/** When the store last confirmed that this member owns the work, by the monotonic and the wall clock. */
-interface Confirmation {
-  readonly at: Instant;
-  readonly wallMillis: number;
-}
-
 export class WorkLogWriter {
   private readonly window: AppendWindow;
-  private confirmation: Confirmation | undefined;
+  /** When the last append was sent that the store has taken. */
+  private confirmation: Moment | undefined;
   private lastAppendAt: Instant;
   private lastSentAt: Instant;
   /** Latency of the last append. */
@@ -145,29 +141,32 @@
    */
   get isOwnershipConfirmed(): boolean {
     const { confirmation } = this;
-    const wallMillis = this.options.wallMillis();
     return (
       confirmation !== undefined &&
-      this.now - confirmation.at < CONFIRMATION_LIFETIME_MILLIS &&
-      Math.abs(wallMillis - confirmation.wallMillis) < CONFIRMATION_LIFETIME_MILLIS
+      millisBetween(confirmation, this.moment) < CONFIRMATION_LIFETIME_MILLIS
     );
   }
 
-  /** Whether ownership was confirmed within the given time. */
+  /** Whether ownership was confirmed within the given time, by both clocks. */
   wasConfirmedWithin(millis: number): boolean {
-    return this.now - (this.confirmation?.at ?? 0) < millis;
+    const { confirmationAgeMillis } = this;
+    return confirmationAgeMillis !== undefined && confirmationAgeMillis < millis;
   }
 
   /** How long ago ownership was last confirmed, in whole milliseconds; undefined before that. */
   get confirmationAgeMillis(): number | undefined {
     const { confirmation } = this;
-    return confirmation === undefined ? undefined : Math.round(this.now - confirmation.at);
+    return confirmation && Math.round(millisBetween(confirmation, this.moment));
   }
 
   /** Appends a record that fences earlier owners and shows that this one is alive. */
   keepAlive(member: string): void {
-    const value = JSON.stringify({ term: this.options.term, member });
-    this.window.addWrites([{ key: ALIVE_KEY, value }]);
+    this.record(ALIVE_KEY, { term: this.options.term, member });
+  }
+
+  /** Appends a record that belongs to no job. */
+  record(key: string, value: unknown): void {
+    this.window.addWrites([{ key, value: JSON.stringify(value) }]);
     this.send();
   }
 
@@ -210,12 +209,7 @@
   handleOutcome(message: Extract<OwnerMessage, { kind: 'appended' }>): AppendResult {
     return match(message.outcome)
       .returnType<AppendResult>()
-      .with({ kind: 'appended' }, () =>
-        this.recorded(message.sequence, {
-          at: message.sentAt,
-          wallMillis: message.sentAtWallMillis,
-        }),
-      )
+      .with({ kind: 'appended' }, () => this.recorded(message.sequence, message.sentAt))
       .with({ kind: 'fenced' }, () => ({ kind: 'lost', reason: 'fenced' }))
       .with({ kind: 'out_of_sequence' }, ({ expected }) =>
         this.outOfSequence(message.sequence, expected),
@@ -240,6 +234,10 @@
     return this.options.clock.now();
   }
 
+  private get moment(): Moment {
+    return { at: this.now, wallMillis: this.options.wallMillis() };
+  }
+
   /** When the next batch may be taken. */
   private nextDueAt(): Deadline {
     if (this.window.isIdle) {
@@ -265,15 +263,14 @@
     if (append === undefined) {
       return;
     }
-    const { term, store, owner, wallMillis } = this.options;
+    const { term, store, owner } = this.options;
     const { sequence } = append;
-    const sentAt = this.now;
-    const sentAtWallMillis = wallMillis();
-    this.lastSentAt = sentAt;
-    this.outstandingSince ??= sentAt;
-    const deadline = deadlineAfter(sentAt, APPEND_TIMEOUT_MILLIS);
+    const sentAt = this.moment;
+    this.lastSentAt = sentAt.at;
+    this.outstandingSince ??= sentAt.at;
+    const deadline = deadlineAfter(sentAt.at, APPEND_TIMEOUT_MILLIS);
     void store.append('work', append.writes, append.condition, deadline).then((outcome) => {
-      owner.post({ kind: 'appended', term, sequence, outcome, sentAt, sentAtWallMillis });
+      owner.post({ kind: 'appended', term, sequence, outcome, sentAt });
     });
   }
 
@@ -284,7 +281,7 @@
     }
   }
 
-  private recorded(sequence: ProducerSequence, confirmation: Confirmation): AppendResult {
+  private recorded(sequence: ProducerSequence, confirmation: Moment): AppendResult {
     const isFirst = this.confirmation === undefined;
     const { now } = this;
     this.confirmation = confirmation;
