Renew leases only on a proof that no other member owns the work

Cause: an owner that had lost the store went on renewing leases for as long as any member was connected to it. An owner and one more member on one side of a cut kept each other going without end, while the others took the work over and started the runs of workers that they didn't reach once the wait for leases from before their election was over. One connected member proves nothing: another one may have claimed.

Change: an owner renews on a proof of at most 2 s: of the store, or else of all members that have greeted it in its term, each of which says that it has not claimed and has no claim whose fate is unknown. That ends 10 s after the store's last proof. A new owner that was asked for its word waits 6.3 s, one that never was waits 14.5 s, each counted from when earlier owners were fenced.

Why it works: whoever claims refuses its word to earlier owners from then on, so that their proofs are older than the claim; who can't refuse it, since it was never asked, waits for the longest time that an owner goes on without the store. Running work outlives the loss of the store for all by 14 s, instead of without end; that is the price.

Ruled out: the store's proof alone, which gives up running work 6 s after the store is lost; a refused connection as a proof that a process has ended, as a cut may refuse connections.

--- a/packages/member/src/lease-clock.ts
+++ b/packages/member/src/lease-clock.ts
@@ -74,3 +74,9 @@
 export function allLeasesEnd(now: Instant, longestMillis: number): Deadline {
   return brandAs<Deadline>(now + longestMillis * CLOCK_DRIFT_FACTOR + LAPSE_SLACK_MILLIS);
 }
+
+/** When all leases have ended that were renewed until `renewalsEnd` by owners that can't be reached. */
+export function leasesEndAfter(renewalsEnd: Deadline, longestMillis: number): Deadline {
+  const millis = Math.min(LEASE_MILLIS, longestMillis) * CLOCK_DRIFT_FACTOR + LAPSE_SLACK_MILLIS;
+  return brandAs<Deadline>(renewalsEnd + millis);
+}
--- a/packages/member/src/load-work.ts
+++ b/packages/member/src/load-work.ts
@@ -1,16 +1,26 @@
-/** Loads the jobs from the store. */
+/** Loads what earlier owners have stored. */
 
 import type { Clock } from '@bamboowell/kernel/clock';
 import { deadlineAfter } from '@bamboowell/types/time';
 import { restoreJobs, type Restored } from '@bamboowell/jobs/records';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { Store } from './store.js';
+import type { Takeover } from './succession.js';
 
 /** Timeout of one page: enough for a megabyte from a slow store. */
 const PAGE_TIMEOUT_MILLIS = 2000;
 /** Pause before a page is requested again. */
 const RETRY_DELAY_MILLIS = 100;
 
+/** Key of the record in which an owner says that it has taken the work over. */
+export const TAKEOVER_KEY = 'takeover';
+
+export interface LoadedWork {
+  readonly restored: Restored;
+  /** Undefined if no owner of this or a later build has taken the work over. */
+  readonly takeover: Takeover | undefined;
+}
+
 export interface WorkLoader {
   readonly store: Store;
   readonly clock: Clock;
@@ -23,7 +33,7 @@
  * Reads all pages, retrying each until it is answered; returns undefined once the result is no
  * longer needed.
  */
-export async function loadWork(loader: WorkLoader): Promise<Restored | undefined> {
+export async function loadWork(loader: WorkLoader): Promise<LoadedWork | undefined> {
   const { store, clock, events, isWanted } = loader;
   const entries: (readonly [string, unknown])[] = [];
   let after: string | undefined;
@@ -46,7 +56,8 @@
     }
     after = page.next;
     if (after === undefined) {
-      return restoreJobs(entries);
+      const takeover = entries.find(([key]) => key === TAKEOVER_KEY)?.[1] as Takeover | undefined;
+      return { restored: restoreJobs(entries), takeover };
     }
   } while (isWanted());
   return undefined;
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -42,6 +42,8 @@
   trouble: 'trouble',
   /** Notification from owner to member: the owner has taken the work over and accepts requests. */
   serving: 'serving',
+  /** Owner to member: `Attestation`, answered by whether the member has not claimed the work. */
+  attest: 'attest',
   /** Notification in both directions: a `Claim` that the other end may not have seen. */
   claim: 'claim',
   /** Notification to a member of the same region: the sender follows it for the configuration. */
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -6,14 +6,15 @@
 import type { StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
 import type { Deadline } from '@bamboowell/types/time';
 import type { JobInput } from '@bamboowell/jobs/messages';
-import type { Restored } from '@bamboowell/jobs/records';
 import type { ConfigurationUpdate } from './configuration-task.js';
+import type { LoadedWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
 import type { Moment } from './moment.js';
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
 import type { OwnershipMessage } from './ownership-messages.js';
 import type { AdviceAnswer } from './ports.js';
 import type { AppendOutcome, ProducerSequence } from './store.js';
+import type { Precedence } from './succession.js';
 
 /** Whether a member holds a given term: not at all, still taking the work over, or serving requests. */
 export type TermRole = 'none' | 'taking_over' | 'serving';
@@ -22,14 +23,14 @@
   /** Sets the task that is notified when this member starts or stops owning the work. */
   | { readonly kind: 'attach'; readonly ownership: MailboxAddress<OwnershipMessage> }
   /** This member has won the term. */
-  | { readonly kind: 'elected'; readonly term: Term }
+  | { readonly kind: 'elected'; readonly term: Term; readonly precedence: Precedence }
   /** Ends any lower term: another member holds this one, or the work has been released. */
   | { readonly kind: 'superseded'; readonly term: Term }
   | ConfigurationUpdate
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
   | { readonly kind: 'workers_read' }
-  | { readonly kind: 'loaded'; readonly term: Term; readonly restored: Restored }
+  | { readonly kind: 'loaded'; readonly term: Term; readonly work: LoadedWork }
   | {
       readonly kind: 'request';
       readonly request: OwnerRequest;
@@ -46,6 +47,14 @@
       readonly reply: Reply<TermRole>;
     }
   | { readonly kind: 'member_gone'; readonly port: MemberPort }
+  /** Answer of a witness that was asked at `askedAt` whether it has claimed the work. */
+  | {
+      readonly kind: 'attested';
+      readonly term: Term;
+      readonly port: MemberPort;
+      readonly askedAt: Moment;
+      readonly isLoyal: boolean;
+    }
   | {
       readonly kind: 'advised';
       readonly term: Term;
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -24,8 +24,8 @@
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
 import { NO_VERSION, ageMillis } from './configuration-task.js';
-import { allLeasesEnd } from './lease-clock.js';
-import { loadWork } from './load-work.js';
+import { allLeasesEnd, leasesEndAfter } from './lease-clock.js';
+import { TAKEOVER_KEY, loadWork, type LoadedWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
 import type { OwnerReply, OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage, TermRole } from './owner-messages.js';
@@ -33,7 +33,11 @@
 import type { Documents, WorkerPort } from './ports.js';
 import type { MemberSettings } from './settings.js';
 import type { Store } from './store.js';
-import { newTenure, type RenewalGrounds, type Tenure } from './tenure.js';
+import type { Moment } from './moment.js';
+import { MEMBER_CLOCK_DRIFT_FACTOR, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
+import { renewalMillisAfter, type Precedence, type Takeover } from './succession.js';
+import { newTenure, type Tenure } from './tenure.js';
+import { Witnesses } from './witnesses.js';
 import { WorkLogWriter, type AppendResult } from './work-log-writer.js';
 import { PendingRequests } from './pending-requests.js';
 import { WorkerLinks } from './worker-links.js';
@@ -51,11 +55,6 @@
 const PASS_PAUSE_FACTOR = 1;
 /** Interval of the timer that drives keep-alives, placement, figures and resignation. */
 const TICK_INTERVAL_MILLIS = 100;
-/**
- * An owner that no other member is connected to stops renewing leases this long after the store last
- * confirmed its ownership.
- */
-const ISOLATION_TIMEOUT_MILLIS = 2500;
 /** Initial estimate of the round trip to a member in another region; refined by later calls. */
 const CROSS_REGION_ROUND_TRIP_MILLIS = 60;
 /** Interval at which `owner.figures` is logged. */
@@ -106,8 +105,8 @@
       .with({ kind: 'attach' }, ({ ownership }) => {
         this.ownership = ownership;
       })
-      .with({ kind: 'elected' }, ({ term }) => {
-        this.startTerm(term);
+      .with({ kind: 'elected' }, ({ term, precedence }) => {
+        this.startTerm(term, precedence);
       })
       .with({ kind: 'superseded' }, ({ term }) => {
         if ((this.tenure?.term ?? term) < term) {
@@ -144,11 +143,9 @@
           this.startServing();
         }
       })
-      .with({ kind: 'loaded' }, ({ term, restored }) => {
+      .with({ kind: 'loaded' }, ({ term, work }) => {
         if (this.tenure?.term === term) {
-          this.tenure.restored = restored;
-          this.logTakeoverStep(this.tenure, 'work_loaded', { jobs: restored.jobs.length });
-          this.startServing();
+          this.workLoaded(this.tenure, work);
         }
       })
       .with({ kind: 'request' }, ({ request, reply }) => {
@@ -172,6 +169,12 @@
           this.members.delete(port.member);
           this.stepScheduler({ kind: 'adviser_gone', member: port.member });
         }
+        this.tenure?.witnesses.leave(port);
+      })
+      .with({ kind: 'attested' }, (attested) => {
+        if (this.tenure?.term === attested.term) {
+          this.tenure.witnesses.attested(attested);
+        }
       })
       .with({ kind: 'advised' }, (advised) => {
         this.advised(advised);
@@ -210,6 +213,7 @@
 
   private addMember(port: MemberPort): void {
     this.members.set(port.member, port);
+    this.tenure?.witnesses.join(port);
     this.stepScheduler(this.adviserInput(port));
     port.notifyTrouble(this.tenure?.hasStoreTrouble ?? false);
   }
@@ -222,7 +226,7 @@
   }
 
   /** Fences earlier owners; their records are loaded once the first append has succeeded. */
-  private startTerm(term: Term): void {
+  private startTerm(term: Term, precedence: Precedence): void {
     if (this.tenure !== undefined && this.tenure.term >= term) {
       return;
     }
@@ -241,9 +245,12 @@
     );
     const watch = new WorkersWatch(store, this.clock, documents, events, this);
     const writer = this.makeWriter(term);
-    const tenure = newTenure({ term, writer, watch, links }, now);
+    const moment = (): Moment => ({ at: this.clock.now(), wallMillis: this.options.wallMillis() });
+    const witnesses = new Witnesses(term, this.clock, moment, this);
+    const tenure = newTenure({ term, precedence, writer, watch, links, witnesses }, now);
     this.tenure = tenure;
-    events.event('owner.elected', { term });
+    const { endsSoon } = precedence;
+    events.event('owner.elected', { term, earlierOwnerEndsSoon: endsSoon });
     tenure.watch.start();
     writer.keepAlive(settings.member);
     this.tickLater();
@@ -280,13 +287,40 @@
   private load(tenure: Tenure): void {
     const { store, events } = this.options;
     const isWanted = (): boolean => this.tenure === tenure;
-    void loadWork({ store, clock: this.clock, events, isWanted }).then((restored) => {
-      if (restored !== undefined) {
-        this.post({ kind: 'loaded', term: tenure.term, restored });
+    void loadWork({ store, clock: this.clock, events, isWanted }).then((work) => {
+      if (work !== undefined) {
+        this.post({ kind: 'loaded', term: tenure.term, work });
       }
     });
   }
 
+  /** Determines for how long earlier owners may renew leases, and records it for the next one. */
+  private workLoaded(tenure: Tenure, work: LoadedWork): void {
+    const { term, precedence, fencedAt = this.clock.now() } = tenure;
+    const renewalMillis = renewalMillisAfter(precedence, work.takeover);
+    const isWitnessed = renewalMillis === PROOF_LIFETIME_MILLIS;
+    tenure.work = work;
+    tenure.earlierRenewalsEnd = deadlineAfter(fencedAt, renewalMillis * MEMBER_CLOCK_DRIFT_FACTOR);
+    tenure.isTakeoverSettled = isWitnessed;
+    tenure.writer.record(TAKEOVER_KEY, { term, isWitnessed } satisfies Takeover);
+    const jobs = work.restored.jobs.length;
+    this.logTakeoverStep(tenure, 'work_loaded', { jobs, earlierRenewalMillis: renewalMillis });
+    this.startServing();
+  }
+
+  /** Records that all earlier owners have stopped renewing leases, once that is so. */
+  private settleTakeover(tenure: Tenure, now: Instant): void {
+    const { term, writer, earlierRenewalsEnd, isTakeoverSettled } = tenure;
+    if (
+      earlierRenewalsEnd !== undefined &&
+      !isTakeoverSettled &&
+      hasPassed(earlierRenewalsEnd, now)
+    ) {
+      tenure.isTakeoverSettled = true;
+      writer.record(TAKEOVER_KEY, { term, isWitnessed: true } satisfies Takeover);
+    }
+  }
+
   /**
    * Creates the scheduler and starts serving once the records, the workers and the configuration
    * have been read.
@@ -294,21 +328,23 @@
   private startServing(): void {
     const { tenure, configuration } = this;
     if (
-      tenure?.restored === undefined ||
+      tenure?.work === undefined ||
+      tenure.earlierRenewalsEnd === undefined ||
       tenure.scheduler !== undefined ||
-      tenure.earlierLeasesEnd === undefined ||
       !tenure.areWorkersRead ||
       configuration === undefined
     ) {
       return;
     }
-    const { restored, earlierLeasesEnd } = tenure;
+    const { longestLeaseMillis } = this.options.settings;
+    const { restored } = tenure.work;
+    const earlierLeasesEnd = leasesEndAfter(tenure.earlierRenewalsEnd, longestLeaseMillis);
     tenure.scheduler = new JobScheduler(
       {
         ordering: this.options.ordering,
         configuration,
         earlierLeasesEnd,
-        leasesEnd: (now) => allLeasesEnd(now, this.options.settings.longestLeaseMillis),
+        leasesEnd: (now) => allLeasesEnd(now, longestLeaseMillis),
         restored,
         workers: [...tenure.registrations.values()],
       },
@@ -425,15 +461,7 @@
   }
 
   private mayRenew(tenure: Tenure): boolean {
-    return this.tenure === tenure && !tenure.hasEnded && this.renewsBy(tenure) !== 'nothing';
-  }
-
-  /** What shows that no other member owns the work. */
-  private renewsBy(tenure: Tenure): RenewalGrounds {
-    if (tenure.writer.wasConfirmedWithin(ISOLATION_TIMEOUT_MILLIS)) {
-      return 'store';
-    }
-    return this.members.size > 1 ? 'members' : 'nothing';
+    return this.tenure === tenure && !tenure.hasEnded && tenure.witnesses.grounds !== 'nothing';
   }
 
   private advised(advised: Extract<OwnerMessage, { kind: 'advised' }>): void {
@@ -449,6 +477,7 @@
     }
     match(tenure.writer.handleOutcome(message))
       .with({ kind: 'recorded' }, (result) => {
+        tenure.witnesses.confirm(message.sentAt);
         this.recorded(tenure, result);
       })
       .with({ kind: 'lost' }, ({ reason }) => {
@@ -467,12 +496,8 @@
   ): void {
     this.setTrouble(tenure, false);
     if (isFirst) {
-      // The store takes the appends of the earlier owner, and so confirms it, until this one.
-      const now = this.clock.now();
-      const earlierLeasesEnd = allLeasesEnd(now, this.options.settings.longestLeaseMillis);
-      const earlierLeasesEndInMillis = Math.round(earlierLeasesEnd - now);
-      tenure.earlierLeasesEnd = earlierLeasesEnd;
-      this.logTakeoverStep(tenure, 'earlier_owners_fenced', { earlierLeasesEndInMillis });
+      tenure.fencedAt = this.clock.now();
+      this.logTakeoverStep(tenure, 'earlier_owners_fenced', {});
       this.load(tenure);
     }
     this.requests.ownershipConfirmed();
@@ -517,7 +542,9 @@
     if (tenure.writer.isStalled) {
       this.setTrouble(tenure, true);
     }
+    tenure.witnesses.ask();
     this.logRenewals(tenure);
+    this.settleTakeover(tenure, now);
     if (tenure.scheduler !== undefined) {
       this.stepScheduler({ kind: 'lag', millis: now - dueAt });
       if (!this.isPassScheduled) {
@@ -532,13 +559,13 @@
 
   /** Logs by what the owner renews leases, when that changes. */
   private logRenewals(tenure: Tenure): void {
-    const renewsBy = this.renewsBy(tenure);
-    if (tenure.loggedRenewsBy !== renewsBy) {
-      tenure.loggedRenewsBy = renewsBy;
+    const { grounds, millisOffline } = tenure.witnesses;
+    if (tenure.loggedRenewsBy !== grounds && millisOffline !== undefined) {
+      tenure.loggedRenewsBy = grounds;
       this.options.events.event('owner.renews', {
         term: tenure.term,
-        by: renewsBy,
-        proofAgeMillis: tenure.writer.confirmationAgeMillis ?? -1,
+        by: grounds,
+        proofAgeMillis: Math.round(millisOffline),
         members: this.members.size,
       });
     }
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -47,13 +47,15 @@
       readonly connection: Connection;
       readonly reason: CloseReason;
     }
+  /** The owner of the term asks whether this member has claimed the work; replies whether it has not. */
+  | { readonly kind: 'attest'; readonly term: Term; readonly reply: Reply<boolean> }
   | { readonly kind: 'trouble'; readonly term: Term; readonly isTroubled: boolean }
   /** The remote owner has taken the work over and accepts requests. */
   | { readonly kind: 'serving'; readonly term: Term }
   /** A probe has read the end of the work log; undefined if it failed. */
   | { readonly kind: 'log_end_read'; readonly end: Offset | undefined }
-  /** The store's answer to this member's own claim. */
-  | { readonly kind: 'claimed'; readonly outcome: AppendOutcome }
+  /** The store's answer to this member's own claim, which required that the log ends at `end`. */
+  | { readonly kind: 'claimed'; readonly end: Offset; readonly outcome: AppendOutcome }
   | { readonly kind: 'check' }
   /** This member's owner task accepts requests from now on. */
   | { readonly kind: 'owner_ready'; readonly term: Term }
--- /dev/null
+++ b/packages/member/src/ownership-proof.ts
@@ -0,0 +1,122 @@
+/**
+ * What shows an owner that no other member has taken the work over, so that it may renew the leases of
+ * workers. No I/O: time and events are passed in.
+ *
+ * A proof is as old as the moment at which it was asked for. The store gives one with each append that it
+ * takes. While it gives none, the members do: each that has been connected to the owner during its term is a
+ * witness, and says that it has not claimed the work. A successor that was a witness is refused to the owner
+ * as a proof from then on, so that it only has to wait for what was proven before; one that wasn't waits for
+ * the longest time that an owner goes on without the store (`Succession`).
+ */
+
+import type { Incarnation, MemberId } from '@bamboowell/types/ids';
+import { millisBetween, type Moment } from './moment.js';
+
+/**
+ * How old a proof may be when a lease is renewed. A successor counts on it: it is the same for all members
+ * of a cluster.
+ */
+export const PROOF_LIFETIME_MILLIS = 2000;
+/**
+ * How long after the store's last confirmation an owner renews leases on the word of its witnesses. Longer than
+ * an outage of the store usually lasts. A successor counts on this as well.
+ */
+export const MAX_OFFLINE_MILLIS = 10_000;
+/** How much longer another member may take by this one's clock for what it counts by its own. */
+export const MEMBER_CLOCK_DRIFT_FACTOR = 1.025;
+/**
+ * How long after its connection to the owner has ended a member counts on being asked as a witness. The owner
+ * asks for its word for twice as long.
+ */
+export const WITNESS_LIFETIME_MILLIS = 10_000;
+const DISMISSAL_MILLIS = 2 * WITNESS_LIFETIME_MILLIS;
+
+/** On what an owner renews leases. */
+export type RenewalGrounds = 'store' | 'members' | 'nothing';
+
+interface Witness {
+  incarnation: Incarnation | undefined;
+  /** When its connection ended; undefined while it is connected. */
+  lostAt: Moment | undefined;
+  /** When another process of the member followed one that may have claimed the work; undefined if none did. */
+  replacedAt: Moment | undefined;
+  /** When it was asked for the word that it gave last. */
+  attestedAt: Moment | undefined;
+}
+
+export class OwnershipProof {
+  private confirmedAt: Moment | undefined;
+  private readonly witnesses = new Map<MemberId, Witness>();
+
+  /** The store has taken an append of this owner that was sent at `sentAt`. */
+  confirm(sentAt: Moment): void {
+    this.confirmedAt = sentAt;
+    this.witnesses.forEach((witness, member) => {
+      const { lostAt, replacedAt } = witness;
+      if (lostAt !== undefined && millisBetween(lostAt, sentAt) > DISMISSAL_MILLIS) {
+        this.witnesses.delete(member);
+      }
+      if (replacedAt !== undefined && replacedAt.at <= sentAt.at) {
+        witness.replacedAt = undefined;
+      }
+    });
+  }
+
+  /**
+   * A member has connected to the owner.
+   *
+   * @param incarnation undefined if the member doesn't say: it may be another process than before.
+   */
+  join(member: MemberId, incarnation: Incarnation | undefined, now: Moment): void {
+    const known = this.witnesses.get(member);
+    const isSame = incarnation !== undefined && known?.incarnation === incarnation;
+    this.witnesses.set(member, {
+      incarnation,
+      lostAt: undefined,
+      replacedAt: known === undefined || isSame ? known?.replacedAt : now,
+      attestedAt: isSame ? known.attestedAt : undefined,
+    });
+  }
+
+  /** The connection to a member has ended. Its word is needed all the same. */
+  leave(member: MemberId, now: Moment): void {
+    const witness = this.witnesses.get(member);
+    if (witness !== undefined) {
+      witness.lostAt ??= now;
+    }
+  }
+
+  /** A member that was asked at `askedAt` has said that it has not claimed the work. */
+  attest(member: MemberId, incarnation: Incarnation | undefined, askedAt: Moment): void {
+    const witness = this.witnesses.get(member);
+    if (witness !== undefined && witness.incarnation === incarnation) {
+      witness.attestedAt = askedAt;
+    }
+  }
+
+  /** Milliseconds since the store was asked for its last confirmation; undefined before the first one. */
+  millisOffline(now: Moment): number | undefined {
+    return this.confirmedAt === undefined ? undefined : millisBetween(this.confirmedAt, now);
+  }
+
+  /** On what leases may be renewed now. */
+  grounds(now: Moment): RenewalGrounds {
+    const offline = this.millisOffline(now);
+    if (offline === undefined || offline > MAX_OFFLINE_MILLIS) {
+      return 'nothing';
+    }
+    if (offline <= PROOF_LIFETIME_MILLIS) {
+      return 'store';
+    }
+    const areAllLoyal = [...this.witnesses.values()].every((witness) => isLoyal(witness, now));
+    return areAllLoyal ? 'members' : 'nothing';
+  }
+}
+
+function isLoyal({ attestedAt, replacedAt }: Witness, now: Moment): boolean {
+  return (
+    replacedAt === undefined &&
+    attestedAt !== undefined &&
+    millisBetween(attestedAt, now) <= PROOF_LIFETIME_MILLIS
+  );
+}
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -6,7 +6,7 @@
 import { match } from 'ts-pattern';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { Alarm, Clock } from '@bamboowell/kernel/clock';
-import type { Reply } from '@bamboowell/kernel/ask';
+import { ask, type Reply } from '@bamboowell/kernel/ask';
 import { Task } from '@bamboowell/kernel/task';
 import type { EventLog } from '@bamboowell/logger/logger';
 import { brandAs, type Offset } from '@bamboowell/types/ids';
@@ -15,18 +15,22 @@
 import type { CloseReason, Connection } from '@bamboowell/wire/connection';
 import type { GatewayMessage } from './gateway-messages.js';
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
+import type { Attestation } from './member-port.js';
+import type { Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
 import type { OwnerListener, Peers, HelloReply } from './peers.js';
 import type { MemberSettings } from './settings.js';
 import {
   AFTER_ALL_KEYS,
+  type AppendOutcome,
   type NewestPage,
   type Store,
   type StoreEntry,
   type Unavailable,
 } from './store.js';
 import { LOG_START, Election } from './election.js';
+import { Succession, type Precedence } from './succession.js';
 import { TopicWatch } from './topic-watch.js';
 
 /** Shortest time between two checks of what is due. */
@@ -45,6 +49,8 @@
  * themselves sooner.
  */
 const INTRODUCTION_INTERVAL_MILLIS = 700;
+/** An owner that asks for this member's word is answered within this, if at all. */
+const ATTESTATION_TIMEOUT_MILLIS = 1000;
 /** Pause before the owner is dialled again. */
 const REDIAL_DELAY_MILLIS = 250;
 const OWNER_KEY = 'owner';
@@ -60,6 +66,8 @@
   readonly owner: MailboxAddress<OwnerMessage>;
   readonly localOwner: OwnerChannel;
   readonly gateway: MailboxAddress<GatewayMessage>;
+  /** The time of day, milliseconds since 1970. */
+  readonly wallMillis: () => number;
 }
 
 export class OwnershipTask extends Task<OwnershipMessage> {
@@ -84,6 +92,14 @@
   /** Whether the claims are being read again, and whether that must be repeated. */
   private rereading: 'no' | 'once' | 'again' = 'no';
   private isClaiming = false;
+  /** How the newest claim that this member has sent follows the one before it. */
+  private sentClaim: { readonly term: Term; readonly precedence: Precedence } | undefined;
+  /**
+   * The end of the ownership log that a claim of this member required whose fate is unknown. While the log ends
+   * there the claim may still take effect.
+   */
+  private unresolvedEnd: Offset | undefined;
+  private readonly succession = new Succession();
   private isShuttingDown = false;
 
   constructor(
@@ -147,6 +163,7 @@
       .with({ kind: 'connection_ended' }, ({ term, connection, reason }) => {
         if (this.claim?.term === term && this.connection === connection) {
           this.connection = undefined;
+          this.succession.disconnected(this.moment());
           this.ownerSilent(reason);
           this.redialAfterLoss(reason, this.claim);
         }
@@ -156,6 +173,9 @@
           this.options.election.trouble(isTroubled, this.clock.now());
         }
       })
+      .with({ kind: 'attest' }, ({ term, reply }) => {
+        reply(this.isLoyalTo(term));
+      })
       .with({ kind: 'serving' }, ({ term }) => {
         this.serving(term);
       })
@@ -163,8 +183,11 @@
         this.isProbing = false;
         this.act(this.options.election.logEndRead(end, this.clock.now()));
       })
-      .with({ kind: 'claimed' }, ({ outcome }) => {
+      .with({ kind: 'claimed' }, ({ end, outcome }) => {
         this.isClaiming = false;
+        if (mayHaveTakenEffect(outcome)) {
+          this.unresolvedEnd = end;
+        }
         this.options.events.event('owner.claimed', { outcome: outcome.kind });
         this.rereadClaims();
       })
@@ -260,19 +283,42 @@
     this.options.events.event('owner.known', { term: claim.term, member: claim.member });
     if (this.isOurs(claim)) {
       this.options.election.connected();
-      this.options.owner.post({ kind: 'elected', term: claim.term });
+      this.options.owner.post({
+        kind: 'elected',
+        term: claim.term,
+        precedence: this.precedenceOf(claim),
+      });
       return;
     }
     this.options.owner.post({ kind: 'superseded', term: claim.term });
     this.options.election.claimed();
     this.setOwnerChannel(undefined);
     if (claim.member === this.options.settings.member) {
+      this.succession.ended(claim.term);
       this.ownerEnded(claim);
     } else {
       this.dial(claim);
     }
   }
 
+  /** How this member's own claim follows the one before it. */
+  private precedenceOf({ term }: Claim): Precedence {
+    return this.sentClaim?.term === term
+      ? this.sentClaim.precedence
+      : { follows: brandAs<Term>(term - 1), endsSoon: false };
+  }
+
+  /** Whether this member knows of no later owner than that of the term, and has not claimed the work itself. */
+  private isLoyalTo(term: Term): boolean {
+    const { claim, end, unresolvedEnd, isClaiming } = this;
+    const mayHaveClaimed = isClaiming || unresolvedEnd === end;
+    return claim?.term === term && !claim.isReleased && !mayHaveClaimed;
+  }
+
+  private moment(): Moment {
+    return { at: this.clock.now(), wallMillis: this.options.wallMillis() };
+  }
+
   private introduceLater(term: Term): void {
     const at = deadlineAfter(this.clock.now(), INTRODUCTION_INTERVAL_MILLIS);
     this.postAt(at, { kind: 'introduce', term });
@@ -306,6 +352,7 @@
     const { claim } = this;
     if (claim !== undefined && this.isOurs(claim)) {
       this.claim = { ...claim, isReleased: true };
+      this.succession.ended(claim.term);
       this.setOwnerChannel(undefined);
       this.options.election.vacant(this.clock.now());
     }
@@ -338,6 +385,7 @@
       serving: () => {
         this.post({ kind: 'serving', term });
       },
+      attest: (attestation) => this.attest(attestation),
     };
     this.postAt(deadlineAfter(this.clock.now(), HELLO_DUE_MILLIS), { kind: 'hello_due', term });
     void this.options.peers.sendHello(connection, term, listener).then((helloReply) => {
@@ -345,6 +393,17 @@
     });
   }
 
+  private async attest({ term }: Attestation): Promise<boolean> {
+    const deadline = deadlineAfter(this.clock.now(), ATTESTATION_TIMEOUT_MILLIS);
+    const answer = await ask<OwnershipMessage, boolean>(
+      this,
+      (reply) => ({ kind: 'attest', term, reply }),
+      deadline,
+      this.clock,
+    );
+    return answer.kind === 'answered' && answer.value;
+  }
+
   private helloAnswered(
     term: Term,
     connection: Connection,
@@ -368,6 +427,7 @@
     void connection.ended.then((reason) => {
       this.post({ kind: 'connection_ended', term, connection, reason });
     });
+    this.succession.connected(term);
     this.options.election.connected();
     this.options.events.event('owner.connected', { term, standing: helloReply.standing });
     if (helloReply.standing === 'serving') {
@@ -395,6 +455,7 @@
   /** If a different process answers at the owner's address, the owner's process has ended. */
   private helloRejected(claim: Claim, helloReply: HelloReply | undefined): void {
     if (helloReply !== undefined && helloReply.incarnation !== claim.incarnation) {
+      this.succession.ended(claim.term);
       this.ownerEnded(claim);
     } else {
       this.ownerSilent('not_owner');
@@ -407,6 +468,7 @@
       return;
     }
     if (isRefused && !claim.isReleased && !this.isOurs(claim)) {
+      // Not a proof that its process has ended: something on the way may refuse connections, too.
       this.ownerEnded(claim);
     } else {
       this.ownerSilent(detail);
@@ -518,9 +580,17 @@
       ports: this.options.peers.ports,
       isReleased: false,
     };
-    events.event('owner.claiming', { term, end: this.end, since: election.ownerState });
+    const precedence = this.succession.precedence(this.claim, this.moment());
+    this.sentClaim = { term, precedence };
+    events.event('owner.claiming', {
+      term,
+      end: this.end,
+      since: election.ownerState,
+      earlierOwnerEndsSoon: precedence.endsSoon,
+    });
+    const { end } = this;
     void this.writeClaim(claim, store).then((outcome) => {
-      this.post({ kind: 'claimed', outcome });
+      this.post({ kind: 'claimed', end, outcome });
     });
   }
 
@@ -551,6 +621,11 @@
   }
 }
 
+/** Whether a claim with this outcome is in force, or may still come into force. */
+function mayHaveTakenEffect(outcome: AppendOutcome): boolean {
+  return outcome.kind === 'unavailable' ? outcome.how !== 'refused' : outcome.kind === 'appended';
+}
+
 function claimOf(value: string): Claim | undefined {
   try {
     return JSON.parse(value) as Claim;
--- a/packages/member/src/partitions.test.ts
+++ b/packages/member/src/partitions.test.ts
@@ -4,6 +4,8 @@
 const TASKS = 4;
 /** Until all leases that an earlier owner can have granted before a cut have ended. */
 const LEASES_END_MILLIS = 9000;
+/** The same for an owner that the next one was never connected to, and that may rely on other members. */
+const UNKNOWN_LEASES_END_MILLIS = 18_000;
 /** Until tasks that were started again have ended. */
 const TASKS_END_MILLIS = 34_000;
 
@@ -15,8 +17,9 @@
   t: ExecutionContext,
   cluster: RunningCluster,
   heal: () => void,
+  leasesEndMillis = LEASES_END_MILLIS,
 ): Promise<void> {
-  await cluster.run(LEASES_END_MILLIS);
+  await cluster.run(leasesEndMillis);
   t.true(cluster.jobs.starts > TASKS, 'the work of the cut-off workers was started again');
   heal();
   await cluster.run(TASKS_END_MILLIS);
@@ -72,9 +75,10 @@
   const cut = cluster.partition([owner, companion, third, fourth, fifth, 'w1', 'w2']);
   await cluster.run(1500);
   await cluster.launch('m6');
-  await checkTakenOver(t, cluster, () => {
+  const heal = (): void => {
     cluster.cuts.remove(cut);
-  });
+  };
+  await checkTakenOver(t, cluster, heal, UNKNOWN_LEASES_END_MILLIS);
 });
 
 // Guards against an owner that relies on what a member said before that member's process was replaced.
@@ -85,9 +89,10 @@
   cluster.kill(fifth);
   await cluster.run(300);
   await cluster.launch(fifth);
-  await checkTakenOver(t, cluster, () => {
+  const heal = (): void => {
     cluster.cuts.remove(cut);
-  });
+  };
+  await checkTakenOver(t, cluster, heal, UNKNOWN_LEASES_END_MILLIS);
 });
 
 // Guards against a claim that an owner learns of only after the new one has waited for its leases.
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -11,7 +11,13 @@
 import type { KeepAliveTimes } from '@bamboowell/wire/keep-alive';
 import { ConfigurationSource, type ConfigurationMessage } from './configuration-task.js';
 import { KnownMembers, type KnownMember } from './known-members.js';
-import { RemoteMember, type AdviceRequest, type MemberPort } from './member-port.js';
+import {
+  RemoteMember,
+  type AdviceRequest,
+  type Attestation,
+  type MemberName,
+  type MemberPort,
+} from './member-port.js';
 import { METHODS, type OwnerReply, type OwnerRequest } from './owner-channel.js';
 import type { OwnerMessage, TermRole } from './owner-messages.js';
 import type { Claim } from './ownership-messages.js';
@@ -50,9 +56,7 @@
   | { readonly kind: 'unreachable'; readonly detail: string; readonly isRefused: boolean };
 
 /** First request of a member on its connection to the owner. */
-interface Hello {
-  readonly member: MemberId;
-  readonly region: string;
+interface Hello extends MemberName {
   /** Where the member accepts connections; absent from earlier builds. */
   readonly address?: Address;
   readonly ports?: number;
@@ -74,6 +78,8 @@
   trouble(isTroubled: boolean): void;
   /** The owner has taken the work over. */
   serving(): void;
+  /** The owner asks whether this member has not claimed the work. */
+  attest(attestation: Attestation): Promise<boolean>;
 }
 
 export interface PeersOptions {
@@ -125,11 +131,13 @@
     connection.handle(METHODS.serving, () => {
       listener.serving();
     });
+    connection.handle(METHODS.attest, (params) => listener.attest(params as Attestation));
     const member = this.register(connection);
     configuration.post({ kind: 'member_connected', member });
     const hello: Hello = {
       member: settings.member,
       region: settings.region,
+      incarnation: settings.incarnation,
       address: settings.peerAddress,
       ports: this.ports,
       linkMbps: settings.machine.linkMbps,
@@ -227,14 +235,15 @@
 
   private async answerHello(
     connection: Connection,
-    { member, region, address, ports = 1, linkMbps = 0, term }: Hello,
+    { address, ports = 1, linkMbps = 0, term, ...name }: Hello,
   ): Promise<HelloReply> {
     const { owner, clock, settings } = this.options;
+    const { member, region } = name;
     this.introduced.set(connection, { member, additions: 0 });
     if (address !== undefined) {
       this.known.add({ member, address, ports, region, linkMbps });
     }
-    const port = new RemoteMember(member, region, connection, clock);
+    const port = new RemoteMember(name, connection, clock);
     const deadline = deadlineAfter(clock.now(), HELLO_TIMEOUT_MILLIS);
     const answer = await ask<OwnerMessage, TermRole>(
       owner,
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -154,7 +154,7 @@
         documents: directory.find(DOCUMENTS),
         events: directory.find(EVENTS),
         ordering: new SmallestFirst(),
-        self: new LocalMember(settings.member, settings.region, directory.find(ADVICE), clock),
+        self: new LocalMember(settings, directory.find(ADVICE), clock),
         wallMillis,
       },
       clock,
@@ -182,7 +182,7 @@
   async start(directory: Directory): Promise<Peers> {
     const { settings, clock } = this.environment;
     const configuration = directory.find(CONFIGURATION);
-    const self = new LocalMember(settings.member, settings.region, directory.find(ADVICE), clock);
+    const self = new LocalMember(settings, directory.find(ADVICE), clock);
     const owner = directory.find(OWNER);
     const options = { settings, clock, self, owner, configuration };
     const peers = this.make(options, directory.find(TRAFFIC));
@@ -214,7 +214,7 @@
   readonly dependencies = [EVENTS, STORE, PEERS, OWNER, GATEWAY];
 
   protected make(directory: Directory): Task<OwnershipMessage> {
-    const { settings, clock, random } = this.environment;
+    const { settings, clock, random, wallMillis } = this.environment;
     const owner = directory.find(OWNER);
     const store = new MeasuredStore(directory.find(STORE), clock);
     const storeMillis = (): number | undefined => store.lowestLatencyMillis;
@@ -232,6 +232,7 @@
         owner,
         localOwner: new LocalOwner(owner, clock),
         gateway: directory.find(GATEWAY),
+        wallMillis,
       },
       clock,
     );
--- /dev/null
+++ b/packages/member/src/succession.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import { brandAs } from '@bamboowell/types/ids';
+import type { Term } from '@bamboowell/types/job';
+import type { Claim } from './ownership-messages.js';
+import { WITNESS_LIFETIME_MILLIS } from './ownership-proof.js';
+import { Succession } from './succession.js';
+import { incarnation, memberId, momentAt } from './moments.fixture.js';
+
+const TERM = brandAs<Term>(4);
+
+function claim(changes: Partial<Claim> = {}): Claim {
+  return {
+    term: TERM,
+    member: memberId('m1'),
+    incarnation: incarnation('m1-1'),
+    address: { host: 'm1', port: 1 },
+    isReleased: false,
+    ...changes,
+  };
+}
+
+test('work that was never claimed has no earlier owner', (t) => {
+  const precedence = new Succession().precedence(undefined, momentAt(0));
+  t.deepEqual(precedence, { follows: undefined, endsSoon: true });
+});
+
+// Guards against a successor that starts runs again while the owner that never asked it renews their leases.
+test('an owner that this member was never connected to may go on after its claim', (t) => {
+  const succession = new Succession();
+  succession.connected(brandAs<Term>(3));
+  t.deepEqual(succession.precedence(claim(), momentAt(0)), { follows: TERM, endsSoon: false });
+});
+
+test('an owner of which this member is a witness ends soon, also for a while after the connection is lost', (t) => {
+  const succession = new Succession();
+  succession.connected(TERM);
+  t.true(succession.precedence(claim(), momentAt(0)).endsSoon);
+  succession.disconnected(momentAt(1000));
+  t.true(succession.precedence(claim(), momentAt(1000 + WITNESS_LIFETIME_MILLIS - 1)).endsSoon);
+  t.false(succession.precedence(claim(), momentAt(1000 + WITNESS_LIFETIME_MILLIS)).endsSoon);
+});
+
+test('a connection that was lost before the machine was suspended counts as lost for as long', (t) => {
+  const succession = new Succession();
+  succession.connected(TERM);
+  succession.disconnected(momentAt(0));
+  t.false(succession.precedence(claim(), momentAt(10, WITNESS_LIFETIME_MILLIS)).endsSoon);
+});
+
+test('an owner that has released the work, or whose process has ended, renews nothing any more', (t) => {
+  const succession = new Succession();
+  t.true(succession.precedence(claim({ isReleased: true }), momentAt(0)).endsSoon);
+  succession.ended(TERM);
+  t.true(succession.precedence(claim(), momentAt(0)).endsSoon);
+  t.false(succession.precedence(claim({ term: brandAs<Term>(5) }), momentAt(0)).endsSoon);
+});
--- /dev/null
+++ b/packages/member/src/succession.ts
@@ -0,0 +1,94 @@
+/**
+ * What a member knows of the owner that it would succeed: whether that one stops renewing leases soon after the
+ * member's claim. No I/O: time and events are passed in.
+ */
+
+import type { Term } from '@bamboowell/types/job';
+import type { Claim } from './ownership-messages.js';
+import {
+  MAX_OFFLINE_MILLIS,
+  PROOF_LIFETIME_MILLIS,
+  WITNESS_LIFETIME_MILLIS,
+} from './ownership-proof.js';
+import { millisBetween, type Moment } from './moment.js';
+
+/** How a claim follows the one before it. */
+export interface Precedence {
+  /** The term that it follows; undefined if the work was never claimed. */
+  readonly follows: Term | undefined;
+  /**
+   * Whether the owner of that term renews no lease on a proof of ownership that is younger than this claim,
+   * other than one of the store.
+   */
+  readonly endsSoon: boolean;
+}
+
+/** Record of the last owner that took the work over: all owners before it are fenced. */
+export interface Takeover {
+  readonly term: Term;
+  /** Whether the owners before it stopped renewing leases within the lifetime of a proof after that. */
+  readonly isWitnessed: boolean;
+}
+
+/**
+ * For how long after a takeover earlier owners may renew leases. An owner whose witness succeeds it has no proof
+ * that is younger than the claim. Neither have those before it if that was so when it took the work over itself;
+ * if it never did, one of those may still be the owner.
+ *
+ * @param earlier the record of the last owner that took the work over; undefined if there is none.
+ */
+export function renewalMillisAfter(
+  { follows, endsSoon }: Precedence,
+  earlier: Takeover | undefined,
+): number {
+  const haveEarlierEnded =
+    follows === undefined || (earlier?.term === follows && earlier.isWitnessed);
+  return endsSoon && haveEarlierEnded ? PROOF_LIFETIME_MILLIS : MAX_OFFLINE_MILLIS;
+}
+
+/** This member's connection to the owner of a term, which made it a witness of that owner. */
+interface Witnessing {
+  readonly term: Term;
+  lostAt: Moment | undefined;
+}
+
+export class Succession {
+  private witnessing: Witnessing | undefined;
+  private endedTerm: Term | undefined;
+
+  /** The owner of the term has answered this member's greeting. */
+  connected(term: Term): void {
+    this.witnessing = { term, lostAt: undefined };
+  }
+
+  /** The connection to the owner has ended. */
+  disconnected(now: Moment): void {
+    if (this.witnessing !== undefined) {
+      this.witnessing.lostAt ??= now;
+    }
+  }
+
+  /** The owner of the term renews nothing any more: another process has followed it, or it has stood down. */
+  ended(term: Term): void {
+    this.endedTerm = term;
+  }
+
+  /** How a claim made now follows the newest one. */
+  precedence(newest: Claim | undefined, now: Moment): Precedence {
+    if (newest === undefined) {
+      return { follows: undefined, endsSoon: true };
+    }
+    const { term, isReleased } = newest;
+    const hasEnded = isReleased || this.endedTerm === term;
+    return { follows: term, endsSoon: hasEnded || this.isWitnessOf(term, now) };
+  }
+
+  private isWitnessOf(term: Term, now: Moment): boolean {
+    const { witnessing } = this;
+    if (witnessing?.term !== term) {
+      return false;
+    }
+    const { lostAt } = witnessing;
+    return lostAt === undefined || millisBetween(lostAt, now) < WITNESS_LIFETIME_MILLIS;
+  }
+}
--- a/packages/member/src/tcp-peers.test.ts
+++ b/packages/member/src/tcp-peers.test.ts
@@ -23,6 +23,10 @@
     return Promise.resolve({ kind: 'busy' });
   }
 
+  attest(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   notifyTrouble(): void {
     // Not used here.
   }
@@ -44,7 +48,7 @@
     longestLeaseMillis: 6000,
     stopMillis: 6000,
   };
-  const self = new NoAdvice(settings.member, settings.region);
+  const self = new NoAdvice(settings.member, settings.region, settings.incarnation);
   const options = { settings, clock, self, owner: discarding, configuration: discarding };
   return new TcpPeers(options, new Traffic());
 }
@@ -97,7 +101,11 @@
   const dialled = await peers.dial(claimAt(port), deadlineAfter(clock.now(), 500));
   t.is(dialled.kind, 'connected');
   if (dialled.kind === 'connected') {
-    const listener = { trouble: () => undefined, serving: () => undefined };
+    const listener = {
+      trouble: () => undefined,
+      serving: () => undefined,
+      attest: () => Promise.resolve(true),
+    };
     const reply = await peers.sendHello(dialled.connection, TERM, listener);
     t.like(reply, { standing: 'serving' });
     dialled.connection.close();
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -3,27 +3,33 @@
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { Term, WorkerRegistration } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
-import type { Restored } from '@bamboowell/jobs/records';
 import type { JobScheduler } from '@bamboowell/jobs/scheduler';
+import type { LoadedWork } from './load-work.js';
+import type { RenewalGrounds } from './ownership-proof.js';
+import type { Precedence } from './succession.js';
+import type { Witnesses } from './witnesses.js';
 import type { WorkLogWriter } from './work-log-writer.js';
 import type { WorkerLinks } from './worker-links.js';
 import type { WorkersWatch } from './workers-watch.js';
 
-/** What shows an owner that no other member owns the work, so that it may renew leases. */
-export type RenewalGrounds = 'store' | 'members' | 'nothing';
-
 export interface Tenure {
   readonly term: Term;
+  readonly precedence: Precedence;
   readonly electedAt: Instant;
   readonly writer: WorkLogWriter;
   readonly watch: WorkersWatch;
   readonly links: WorkerLinks;
+  readonly witnesses: Witnesses;
   /** Workers that the store lists, collected until the scheduler is created. */
   readonly registrations: Map<WorkerId, WorkerRegistration>;
-  /** When all leases of earlier owners have ended; undefined until these are fenced. */
-  earlierLeasesEnd: Deadline | undefined;
+  /** When earlier owners were fenced at the latest; undefined before that. */
+  fencedAt: Instant | undefined;
+  /** When no earlier owner renews leases any more; undefined until the work has been loaded. */
+  earlierRenewalsEnd: Deadline | undefined;
+  /** Whether the store has been told that earlier owners have stopped. */
+  isTakeoverSettled: boolean;
   areWorkersRead: boolean;
-  restored: Restored | undefined;
+  work: LoadedWork | undefined;
   scheduler: JobScheduler | undefined;
   nextFiguresAt: Deadline;
   hasStoreTrouble: boolean;
@@ -33,20 +39,22 @@
 }
 
 export function newTenure(
-  parts: Pick<Tenure, 'term' | 'writer' | 'watch' | 'links'>,
+  parts: Pick<Tenure, 'term' | 'precedence' | 'writer' | 'watch' | 'links' | 'witnesses'>,
   now: Instant,
 ): Tenure {
   return {
     ...parts,
     electedAt: now,
     registrations: new Map(),
-    earlierLeasesEnd: undefined,
     areWorkersRead: false,
-    restored: undefined,
+    fencedAt: undefined,
+    earlierRenewalsEnd: undefined,
+    isTakeoverSettled: false,
+    work: undefined,
     scheduler: undefined,
     nextFiguresAt: deadlineAfter(now, 0),
     hasStoreTrouble: false,
-    loggedRenewsBy: 'store',
+    loggedRenewsBy: 'nothing',
     hasEnded: false,
   };
 }
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -147,18 +147,6 @@
     );
   }
 
-  /** Whether ownership was confirmed within the given time, by both clocks. */
-  wasConfirmedWithin(millis: number): boolean {
-    const { confirmationAgeMillis } = this;
-    return confirmationAgeMillis !== undefined && confirmationAgeMillis < millis;
-  }
-
-  /** How long ago ownership was last confirmed, in whole milliseconds; undefined before that. */
-  get confirmationAgeMillis(): number | undefined {
-    const { confirmation } = this;
-    return confirmation && Math.round(millisBetween(confirmation, this.moment));
-  }
-
   /** Appends a record that fences earlier owners and shows that this one is alive. */
   keepAlive(member: string): void {
     this.record(ALIVE_KEY, { term: this.options.term, member });
