Count the answer to a repeated append as a proof of its first copy

A repeat of an append gets the answer to the earlier copy, by the platform's page, and the page doesn't say that a store which has seen a higher epoch refuses it. The owner took such an answer for a confirmation of the moment at which the repeat was sent, up to seconds after the first copy. Read, not shown to break a promise.

Change: ownership counts as confirmed when the first copy was sent. The emulated store answers repeats before it looks at the epoch. The new test fails before.

--- a/packages/member/src/emulated-store.fixture.ts
+++ b/packages/member/src/emulated-store.fixture.ts
@@ -34,8 +34,8 @@
   first: number;
   epoch: number;
   sequence: number;
-  /** Answers to the last appends of the epoch, by sequence. */
-  readonly answers: Map<number, AppendOutcome>;
+  /** Answers to the last appends, by epoch and sequence. */
+  readonly answers: Map<string, AppendOutcome>;
   waiting: (() => void)[];
 }
 
@@ -66,25 +66,25 @@
         : { kind: 'moved', end: endOf(topic) };
     }
     const { epoch, sequence } = condition;
+    // A repeat is answered as before, also if a higher epoch has been seen since.
+    const earlier = topic.answers.get(answerKey(epoch, sequence));
+    if (earlier !== undefined) {
+      return earlier;
+    }
     if (epoch < topic.epoch) {
       return { kind: 'fenced' };
     }
     if (epoch > topic.epoch) {
       topic.epoch = epoch;
       topic.sequence = sequence - 1;
-      topic.answers.clear();
-    }
-    const earlier = topic.answers.get(sequence);
-    if (earlier !== undefined) {
-      return earlier;
     }
     if (sequence !== topic.sequence + 1) {
       return { kind: 'out_of_sequence', expected: brandAs(topic.sequence + 1) };
     }
     topic.sequence = sequence;
     const outcome = this.store(topic, writes);
-    topic.answers.set(sequence, outcome);
-    topic.answers.delete(sequence - 5);
+    topic.answers.set(answerKey(epoch, sequence), outcome);
+    topic.answers.delete(answerKey(epoch, sequence - 5));
     return outcome;
   }
 
@@ -128,6 +128,10 @@
   }
 }
 
+function answerKey(epoch: number, sequence: number): string {
+  return `${epoch}/${sequence}`;
+}
+
 function endOf(topic: TopicState): Offset {
   return brandAs<Offset>(topic.records.length);
 }
--- a/packages/member/src/moment.ts
+++ b/packages/member/src/moment.ts
@@ -11,6 +11,11 @@
   readonly wallMillis: number;
 }
 
+/** The later of two moments of one process; `left` may be undefined. */
+export function laterMoment(left: Moment | undefined, right: Moment): Moment {
+  return left === undefined || left.at < right.at ? right : left;
+}
+
 /** Milliseconds from one moment to a later one, by the clock that shows more. */
 export function millisBetween(start: Moment, end: Moment): number {
   return Math.max(end.at - start.at, Math.abs(end.wallMillis - start.wallMillis));
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -477,7 +477,7 @@
     }
     match(tenure.writer.handleOutcome(message))
       .with({ kind: 'recorded' }, (result) => {
-        tenure.witnesses.confirm(message.sentAt);
+        tenure.witnesses.confirm(result.confirmedAt);
         this.recorded(tenure, result);
       })
       .with({ kind: 'lost' }, ({ reason }) => {
--- a/packages/member/src/ownership-proof.ts
+++ b/packages/member/src/ownership-proof.ts
@@ -10,7 +10,7 @@
  */
 
 import type { Incarnation, MemberId } from '@bamboowell/types/ids';
-import { millisBetween, type Moment } from './moment.js';
+import { laterMoment, millisBetween, type Moment } from './moment.js';
 
 /**
  * How old a proof may be when a lease is renewed. A successor counts on it: it is the same for all members
@@ -50,7 +50,7 @@
 
   /** The store has taken an append of this owner that was sent at `sentAt`. */
   confirm(sentAt: Moment): void {
-    this.confirmedAt = sentAt;
+    this.confirmedAt = laterMoment(this.confirmedAt, sentAt);
     this.witnesses.forEach((witness, member) => {
       const { lostAt, replacedAt } = witness;
       if (lostAt !== undefined && millisBetween(lostAt, sentAt) > DISMISSAL_MILLIS) {
--- a/packages/member/src/work-log-writer.test.ts
+++ b/packages/member/src/work-log-writer.test.ts
@@ -224,3 +224,20 @@
   t.true(writer.isIdle);
   t.false(writer.isSlow);
 });
+
+// Guards against an owner that counts the answer to the repeat of an append as a new proof of its ownership.
+test('the answer to a repeated append confirms ownership as of its first copy', async (t) => {
+  const { writer, store, clock, write, answer } = writerBench();
+  clock.advance(100);
+  const sentAt = clock.now();
+  write();
+  clock.advance(900);
+  await answer(0, { kind: 'unavailable', how: 'silent', detail: '' });
+  clock.advance(60);
+  t.is(store.calls.length, 2);
+  clock.advance(500);
+  t.like(await answer(1), { kind: 'recorded', confirmedAt: { at: sentAt } });
+  t.true(writer.isOwnershipConfirmed);
+  clock.advance(100);
+  t.false(writer.isOwnershipConfirmed);
+});
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -11,7 +11,7 @@
 import type { Term } from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import { AppendWindow } from './append-window.js';
-import { millisBetween, type Moment } from './moment.js';
+import { laterMoment, millisBetween, type Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { ProducerSequence, Store } from './store.js';
 
@@ -72,6 +72,8 @@
   | {
       readonly kind: 'recorded';
       readonly isFirst: boolean;
+      /** When the first copy of it was sent: a repeat gets the answer to an earlier copy. */
+      readonly confirmedAt: Moment;
       readonly batches: readonly number[];
       /** Keys of writes that the store takes in no append, while it takes others. */
       readonly rejectedKeys: readonly string[];
@@ -82,7 +84,9 @@
 
 export class WorkLogWriter {
   private readonly window: AppendWindow;
-  /** When the last append was sent that the store has taken. */
+  /** When the first copies were sent of appends that are not stored yet. */
+  private readonly firstSentAt = new Map<ProducerSequence, Moment>();
+  /** When the last append that the store has taken was first sent. */
   private confirmation: Moment | undefined;
   private lastAppendAt: Instant;
   private lastSentAt: Instant;
@@ -255,6 +259,9 @@
     const { sequence } = append;
     const sentAt = this.moment;
     this.lastSentAt = sentAt.at;
+    if (!this.firstSentAt.has(sequence)) {
+      this.firstSentAt.set(sequence, sentAt);
+    }
     this.outstandingSince ??= sentAt.at;
     const deadline = deadlineAfter(sentAt.at, APPEND_TIMEOUT_MILLIS);
     void store.append('work', append.writes, append.condition, deadline).then((outcome) => {
@@ -269,17 +276,19 @@
     }
   }
 
-  private recorded(sequence: ProducerSequence, confirmation: Moment): AppendResult {
+  private recorded(sequence: ProducerSequence, sentAt: Moment): AppendResult {
     const isFirst = this.confirmation === undefined;
     const { now } = this;
-    this.confirmation = confirmation;
+    const confirmedAt = this.firstSentAt.get(sequence) ?? sentAt;
+    this.firstSentAt.delete(sequence);
+    this.confirmation = laterMoment(this.confirmation, confirmedAt);
     this.lastAppendAt = now;
-    this.lastLatencyMillis = now - confirmation.at;
+    this.lastLatencyMillis = now - sentAt.at;
     this.options.events.event('append.done', { millis: this.lastLatencyMillis });
     this.refusedSince = undefined;
     const { batches, rejectedKeys } = this.window.acknowledge(sequence);
     this.outstandingSince = this.window.isIdle ? undefined : now;
-    return { kind: 'recorded', isFirst, batches, rejectedKeys };
+    return { kind: 'recorded', isFirst, confirmedAt, batches, rejectedKeys };
   }
 
   /** A store that takes nothing at all counts as one that refuses; otherwise the write that it rejects is found. */
