Random faults with cuts of the network, as a profile of their own

The random faults had no cuts, and tasks of 2.5 s at most, which are over before a lease lapses. So a run that works on while a new owner starts it elsewhere was out of their reach.

The profile `partitions` adds partitions (with members that start meanwhile and registrations that expire), one-way cuts from workers, between members and from the store, with calls that land up to 6 s late, and late appends while leases lapse; a third of the first steps have tasks of 9 to 18 s, and jobs come five times less often. `npm run troubles -- FROM TO partitions` runs it.

What was drawn so far is the profile `mixed`, the default.

--- a/packages/member/src/fault-injection.fixture.ts
+++ b/packages/member/src/fault-injection.fixture.ts
@@ -7,20 +7,16 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { cores, jobId } from '@bamboowell/jobs/plans.fixture';
 import { brandAs } from '@bamboowell/types/ids';
-import type { JobId, StepPlan } from '@bamboowell/types/job';
+import type { JobId } from '@bamboowell/types/job';
 import { emulatedCluster } from './emulated-cluster.fixture.js';
-import { configurationOf, planOf, stepOf } from './plans.fixture.js';
+import type { FaultProfile } from './fault-profile.fixture.js';
+import { MixedFaults } from './mixed-faults.fixture.js';
+import { PartitionFaults } from './partition-faults.fixture.js';
+import { configurationOf, planOf } from './plans.fixture.js';
 
-const MEMBERS = ['m1', 'm2', 'm3', 'm4'];
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
 /** Memory of a worker: plenty, so that cores are the scarce resource. */
 const WORKER_MIB = 1000;
-/** Duration of the phase with faults and job submissions. */
-const FAULT_PHASE_MILLIS = 14_000;
-/** Duration of the phase without faults that follows. */
-const RECOVERY_MILLIS = 30_000;
-const JOB_INTERVAL_MILLIS = 300;
-const FAULT_INTERVAL_MILLIS = 1100;
 const MAX_ATTEMPTS = 6;
 /** A task may be given up once so many workers have crashed under it: the second time in isolation. */
 const MIN_CRASHES = 2;
@@ -42,8 +38,18 @@
   readonly log: readonly string[];
 }
 
+/** The profiles by name. */
+export const FAULT_PROFILES: Readonly<Record<string, FaultProfile>> = {
+  mixed: new MixedFaults(),
+  partitions: new PartitionFaults(),
+};
+
 /** Runs one seed and returns the violated invariants. */
-export async function runWithFaults(seed: number): Promise<FaultRun> {
+export async function runWithFaults(
+  seed: number,
+  profile: FaultProfile = new MixedFaults(),
+): Promise<FaultRun> {
+  const { members } = profile;
   const generator = xoroshiro128plus(seed);
   const draw = (min: number, max: number): number => uniformInt(generator, min, max);
   const random = (): number => draw(0, 999_999) / 1_000_000;
@@ -58,19 +64,16 @@
   const submitted: Submitted[] = [];
   const pending: Promise<void>[] = [];
   const faultLog: string[] = [];
-  await Promise.all(MEMBERS.map((name) => cluster.launch(name)));
+  await Promise.all(members.map((name) => cluster.launch(name)));
   await cluster.run(600);
 
-  const drawSteps = (): StepPlan[] => {
-    const first = stepOf({
-      count: draw(1, 4),
-      demand: cores(draw(1, 2)),
-      estimateMillis: draw(100, 2500),
-      isGang: random() < 0.3,
-      savesProgress: random() < 0.3,
-    });
-    return random() < 0.3 ? [first, stepOf({ count: draw(1, 3), after: [0] })] : [first];
+  const schedule = (millis: number, act: () => void): void => {
+    cluster.clock.wakeAt(brandAs(cluster.now() + millis), act);
   };
+  const relaunchAfter = (name: string, millis: number): void => {
+    schedule(millis, () => void cluster.launch(name));
+  };
+  const bench = { cluster, members, draw, random, pick, schedule, relaunchAfter };
 
   const submit = async (number: number): Promise<void> => {
     const job = {
@@ -80,199 +83,46 @@
       mayBeCancelled: false,
     };
     submitted.push(job);
-    const plan = planOf(number, drawSteps());
+    const plan = planOf(number, profile.drawSteps(bench));
     if (random() < 0.04) {
       jobs.failingJobs.add(job.id);
     }
     for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isAccepted; attempt += 1) {
-      const reply = await cluster.request(pick(MEMBERS), 'submit', job.id, plan);
+      const reply = await cluster.request(pick(members), 'submit', job.id, plan);
       job.isAccepted = reply?.kind === 'accepted';
       job.isUndecided ||= reply === undefined || reply.kind === 'undecided';
       await cluster.clock.sleepUntil(brandAs(cluster.now() + 300));
     }
     if (job.isAccepted && random() < 0.1) {
       job.mayBeCancelled = true;
-      const reply = await cluster.request(pick(MEMBERS), 'cancel', job.id);
+      const reply = await cluster.request(pick(members), 'cancel', job.id);
       if (reply?.kind === 'cancelled') {
         jobs.cancelledAt.set(job.id, cluster.now());
       }
     }
   };
 
-  const schedule = (millis: number, act: () => void): void => {
-    cluster.clock.wakeAt(brandAs(cluster.now() + millis), act);
-  };
-  const relaunchAfter = (name: string, millis: number): void => {
-    schedule(millis, () => void cluster.launch(name));
-  };
-  const faults: Record<string, () => void> = {
-    kill: () => {
-      const name = pick(MEMBERS);
-      if (cluster.members.has(name)) {
-        cluster.kill(name);
-        relaunchAfter(name, draw(100, 3000));
-      }
-    },
-    killOwner: () => {
-      const name = cluster.ownerName() ?? '';
-      if (cluster.members.has(name)) {
-        cluster.kill(name);
-        relaunchAfter(name, draw(100, 3000));
-      }
-    },
-    killAll: () => {
-      for (const name of [...cluster.members.keys()]) {
-        cluster.kill(name);
-        relaunchAfter(name, draw(300, 900));
-      }
-    },
-    freezeOwner: () => {
-      const name = cluster.ownerName() ?? '';
-      const member = cluster.members.get(name);
-      if (member?.clock.state === 'running') {
-        cluster.freeze(name);
-        schedule(draw(300, 4500), () => {
-          if (cluster.members.get(name) === member) {
-            cluster.thaw(name);
-          }
-        });
-      }
-    },
-    storeOutage: () => {
-      const mode = random() < 0.5 ? ('silent' as const) : ('refusing' as const);
-      const affected = [...cluster.members.values()].filter(() => random() < 0.6);
-      affected.forEach(({ storeFaults }) => {
-        storeFaults.mode = mode;
-      });
-      schedule(draw(500, 5000), () => {
-        affected.forEach(({ storeFaults }) => {
-          storeFaults.mode = 'up';
-        });
-      });
-    },
-    storeSlow: () => {
-      const affected = [...cluster.members.values()];
-      affected.forEach(({ storeFaults }) => {
-        storeFaults.latencyMillis = 240;
-      });
-      schedule(draw(500, 4000), () => {
-        affected.forEach(({ storeFaults }) => {
-          storeFaults.latencyMillis = 4;
-        });
-      });
-    },
-    lostAnswers: () => {
-      const affected = [...cluster.members.values()];
-      affected.forEach(({ storeFaults }) => {
-        storeFaults.lostAnswerRate = 0.3;
-        storeFaults.lateAppendRate = 0.1;
-      });
-      schedule(draw(500, 4000), () => {
-        affected.forEach(({ storeFaults }) => {
-          storeFaults.lostAnswerRate = 0;
-          storeFaults.lateAppendRate = 0;
-        });
-      });
-    },
-    lateOrders: () => {
-      const affected = [...cluster.members.values()];
-      affected.forEach((member) => {
-        member.workerFaults.lateOrderRate = 0.3;
-      });
-      schedule(draw(500, 4000), () => {
-        affected.forEach((member) => {
-          member.workerFaults.lateOrderRate = 0;
-        });
-      });
-    },
-    workersUnreachable: () => {
-      const affected = [...cluster.workers.keys()].filter(() => random() < 0.4);
-      const members = [...cluster.members.values()].filter(() => random() < 0.7);
-      members.forEach((member) => {
-        affected.forEach((id) => member.workerFaults.unreachable.add(id));
-      });
-      schedule(draw(500, 7000), () => {
-        members.forEach((member) => {
-          affected.forEach((id) => member.workerFaults.unreachable.delete(id));
-        });
-      });
-    },
-    workerCrash: () => {
-      const worker = pick([...cluster.workers.values()]);
-      if (worker.isUp) {
-        worker.crash();
-        schedule(1500, () => {
-          cluster.unlist(worker);
-        });
-        schedule(draw(1600, 5000), () => {
-          worker.restart();
-          cluster.list(worker);
-        });
-      }
-    },
-    /** Its process is replaced so soon that its registration stays. */
-    workerRestarts: () => {
-      const worker = pick([...cluster.workers.values()]);
-      if (worker.isUp) {
-        worker.crash();
-        schedule(draw(50, 1400), () => {
-          worker.restart();
-          cluster.list(worker);
-        });
-      }
-    },
-    workerFailsAllRuns: () => {
-      const worker = pick([...cluster.workers.values()]);
-      worker.failsAllRuns = true;
-      schedule(draw(500, 4000), () => {
-        worker.failsAllRuns = false;
-      });
-    },
-    workerShedsStarts: () => {
-      const worker = pick([...cluster.workers.values()]);
-      worker.shedsStarts = true;
-      schedule(draw(500, 4000), () => {
-        worker.shedsStarts = false;
-      });
-    },
-    workerDrains: () => {
-      const worker = pick([...cluster.workers.values()]);
-      worker.isDraining = true;
-      cluster.list(worker);
-      schedule(3000, () => {
-        worker.isDraining = false;
-        cluster.list(worker);
-      });
-    },
-    shutDown: () => {
-      const name = pick(MEMBERS);
-      if (cluster.members.get(name)?.clock.state === 'running') {
-        void cluster.shutDown(name).then(() => {
-          relaunchAfter(name, draw(100, 1000));
-        });
-      }
-    },
-  };
+  const faults = profile.faults(bench);
   const names = Object.keys(faults);
 
   let number = 0;
-  let nextFaultAt = cluster.now() + draw(100, FAULT_INTERVAL_MILLIS);
-  const until = cluster.now() + FAULT_PHASE_MILLIS;
+  let nextFaultAt = cluster.now() + draw(100, profile.faultIntervalMillis);
+  const until = cluster.now() + profile.faultPhaseMillis;
   while (cluster.now() < until) {
     number += 1;
     pending.push(submit(number));
     if (cluster.now() >= nextFaultAt) {
-      nextFaultAt += draw(100, 2 * FAULT_INTERVAL_MILLIS);
+      nextFaultAt += draw(100, 2 * profile.faultIntervalMillis);
       const name = pick(names);
       faultLog.push(`${Math.round(cluster.now())} fault ${name}`);
       cluster.log.push(`${Math.round(cluster.now())} fault ${name}`);
       faults[name]?.();
     }
-    await cluster.run(JOB_INTERVAL_MILLIS);
+    await cluster.run(profile.jobIntervalMillis);
   }
-  await cluster.run(RECOVERY_MILLIS);
+  await cluster.run(profile.recoveryMillis);
   await settle(cluster, pending);
-  const violations = [...jobs.violations, ...(await checkJobs(cluster, submitted))];
+  const violations = [...jobs.violations, ...(await checkJobs(cluster, members, submitted))];
   const accepted = submitted.filter(({ isAccepted }) => isAccepted).length;
   return { violations, accepted, submitted: submitted.length, log: cluster.log };
 }
@@ -290,9 +140,13 @@
 }
 
 /** Queries each job at each member. */
-async function checkJobs(cluster: Cluster, submitted: readonly Submitted[]): Promise<string[]> {
+async function checkJobs(
+  cluster: Cluster,
+  started: readonly string[],
+  submitted: readonly Submitted[],
+): Promise<string[]> {
   const violations: string[] = [];
-  if (cluster.members.size < MEMBERS.length) {
+  if (cluster.members.size < started.length) {
     violations.push(`only ${[...cluster.members.keys()].join(' ')} restarted`);
   }
   for (const name of cluster.members.keys()) {
--- a/tools/troubles.mjs
+++ b/tools/troubles.mjs
@@ -1,20 +1,23 @@
 /**
  * Runs the fault injection test of members with each seed of a range and prints the
- * violated invariants: `npm run troubles -- FROM TO`, both included. With one seed, it prints the
- * log of that run as well. A seed also fails if at most half of its submissions are accepted.
+ * violated invariants: `npm run troubles -- FROM TO [PROFILE]`, both included. With one seed, it
+ * prints the log of that run as well. A seed also fails if at most half of its submissions are
+ * accepted.
  */
 
-import { runWithFaults } from '../packages/member/dist/fault-injection.fixture.js';
+import { FAULT_PROFILES, runWithFaults } from '../packages/member/dist/fault-injection.fixture.js';
 
-const [from, to = from] = process.argv.slice(2).map(Number);
-if (!Number.isInteger(from) || !Number.isInteger(to) || from > to) {
-  process.stderr.write('expected one seed, or the first and the last seed of a range\n');
+const [from, to = from] = process.argv.slice(2, 4).map(Number);
+const profile = FAULT_PROFILES[process.argv[4] ?? 'mixed'];
+if (!Number.isInteger(from) || !Number.isInteger(to) || from > to || profile === undefined) {
+  const names = Object.keys(FAULT_PROFILES).join(', ');
+  process.stderr.write(`expected the first and the last seed, and a profile: ${names}\n`);
   process.exit(2);
 }
 
 let failures = 0;
 for (let seed = from; seed <= to; seed += 1) {
-  const { violations, accepted, submitted, log } = await runWithFaults(seed);
+  const { violations, accepted, submitted, log } = await runWithFaults(seed, profile);
   if (from === to) {
     process.stdout.write(`${log.join('\n')}\n`);
   }
