Keep the faults of a seed while the code changes, and end polls of frozen members

In the profile `partitions` faults and jobs were drawn from the same numbers as what calls and processes draw. A change of the code under test changed the faults, so a seed that broke an invariant showed little about a fix. They are drawn apart now; `mixed` stays as it is.

A worker ends a long poll in time, whether or not the member that sent it is suspended, so that the member finds the answer in its socket. The emulation let the poll wait on the member's clock, which hid renewals that are sent right after a resume.

--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -160,6 +160,8 @@
   readonly regionOf?: (name: string) => string;
   /** Bandwidth between two regions in each direction; unlimited by default. */
   readonly lineMbps?: number;
+  /** Whether polls of a frozen member end in time, so that it finds their answers when it is thawed. */
+  readonly endsPollsOfFrozen?: boolean;
   /** Returns a number from 0 to 1. */
   readonly random?: () => number;
 }
@@ -253,6 +255,7 @@
           random,
           link,
           attachment,
+          options.endsPollsOfFrozen === true ? clock : processClock,
         ),
       ),
     );
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -319,6 +319,8 @@
     private readonly random: () => number,
     private readonly link: EmulatedLink,
     private readonly attachment: Attachment,
+    /** Of the workers, which end the wait of a poll. */
+    private readonly pollClock: Clock,
   ) {
     super();
   }
@@ -338,9 +340,9 @@
       await this.transit('in', firstAnswer);
       return firstAnswer;
     }
-    // The worker answers in time even if the member's process is frozen; the answer waits for it.
-    const until = deadlineAfter(this.attachment.clock.now(), request.waitMillis);
-    await Promise.race([worker.whenEnded(), this.attachment.clock.sleepUntil(until)]);
+    const { pollClock } = this;
+    const until = deadlineAfter(pollClock.now(), request.waitMillis);
+    await Promise.race([worker.whenEnded(), pollClock.sleepUntil(until)]);
     if (this.reach(id) === undefined || !this.hears(id)) {
       return this.timeOut(deadline);
     }
--- a/packages/member/src/fault-injection.fixture.ts
+++ b/packages/member/src/fault-injection.fixture.ts
@@ -44,22 +44,37 @@
   partitions: new PartitionFaults(),
 };
 
+/** Added to the seed of a run for the draws of its faults, where they are drawn apart. */
+const FAULT_SEED_OFFSET = 1_000_000;
+
+function drawsOf(seed: number) {
+  const generator = xoroshiro128plus(seed);
+  const draw = (min: number, max: number): number => uniformInt(generator, min, max);
+  const random = (): number => draw(0, 999_999) / 1_000_000;
+  const pick = <Value>(values: readonly Value[]): Value =>
+    values[draw(0, values.length - 1)] as Value;
+  return { draw, random, pick };
+}
+
 /** Runs one seed and returns the violated invariants. */
 export async function runWithFaults(
   seed: number,
   profile: FaultProfile = new MixedFaults(),
 ): Promise<FaultRun> {
   const { members } = profile;
-  const generator = xoroshiro128plus(seed);
-  const draw = (min: number, max: number): number => uniformInt(generator, min, max);
-  const random = (): number => draw(0, 999_999) / 1_000_000;
-  const pick = <Value>(values: readonly Value[]): Value =>
-    values[draw(0, values.length - 1)] as Value;
+  const draws = drawsOf(seed);
+  const { random, pick } = draws;
+  const faultDraws = profile.drawsFaultsApart ? drawsOf(seed + FAULT_SEED_OFFSET) : draws;
   const workers = WORKERS.map((name) => ({
     name,
     capacity: { ...cores(4), memoryMib: WORKER_MIB },
   }));
-  const cluster = emulatedCluster({ workers, configuration: configurationOf(), random });
+  const cluster = emulatedCluster({
+    workers,
+    configuration: configurationOf(),
+    endsPollsOfFrozen: profile.endsPollsOfFrozen,
+    random,
+  });
   const { jobs } = cluster;
   const submitted: Submitted[] = [];
   const pending: Promise<void>[] = [];
@@ -73,7 +88,14 @@
   const relaunchAfter = (name: string, millis: number): void => {
     schedule(millis, () => void cluster.launch(name));
   };
-  const bench = { cluster, members, draw, random, pick, schedule, relaunchAfter };
+  const bench = {
+    ...faultDraws,
+    cluster,
+    members,
+    callRandom: random,
+    schedule,
+    relaunchAfter,
+  };
 
   const submit = async (number: number): Promise<void> => {
     const job = {
@@ -106,14 +128,14 @@
   const names = Object.keys(faults);
 
   let number = 0;
-  let nextFaultAt = cluster.now() + draw(100, profile.faultIntervalMillis);
+  let nextFaultAt = cluster.now() + faultDraws.draw(100, profile.faultIntervalMillis);
   const until = cluster.now() + profile.faultPhaseMillis;
   while (cluster.now() < until) {
     number += 1;
     pending.push(submit(number));
     if (cluster.now() >= nextFaultAt) {
-      nextFaultAt += draw(100, 2 * profile.faultIntervalMillis);
-      const name = pick(names);
+      nextFaultAt += faultDraws.draw(100, 2 * profile.faultIntervalMillis);
+      const name = faultDraws.pick(names);
       faultLog.push(`${Math.round(cluster.now())} fault ${name}`);
       cluster.log.push(`${Math.round(cluster.now())} fault ${name}`);
       faults[name]?.();
--- a/packages/member/src/fault-profile.fixture.ts
+++ b/packages/member/src/fault-profile.fixture.ts
@@ -14,6 +14,8 @@
   readonly draw: (min: number, max: number) => number;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
+  /** The same for what calls and processes draw, whose number changes with the code under test. */
+  readonly callRandom: () => number;
   readonly pick: <Value>(values: readonly Value[]) => Value;
   readonly schedule: (millis: number, act: () => void) => void;
   readonly relaunchAfter: (member: string, millis: number) => void;
@@ -29,6 +31,10 @@
   abstract readonly faultPhaseMillis: number;
   /** Duration of the phase without new faults that follows. */
   abstract readonly recoveryMillis: number;
+  /** Whether faults and jobs stay the same for a seed while the code under test changes. */
+  abstract readonly drawsFaultsApart: boolean;
+  /** Whether polls of a frozen member end in time. */
+  abstract readonly endsPollsOfFrozen: boolean;
 
   /** Returns the faults to draw from, by name. */
   abstract faults(bench: FaultBench): Record<string, Fault>;
--- a/packages/member/src/mixed-faults.fixture.ts
+++ b/packages/member/src/mixed-faults.fixture.ts
@@ -11,6 +11,8 @@
   readonly faultIntervalMillis = 1100;
   readonly faultPhaseMillis = 14_000;
   readonly recoveryMillis = 30_000;
+  readonly drawsFaultsApart = false;
+  readonly endsPollsOfFrozen = false;
 
   faults(bench: FaultBench): Record<string, Fault> {
     return mixedFaults(bench);
--- a/packages/member/src/partition-faults.fixture.ts
+++ b/packages/member/src/partition-faults.fixture.ts
@@ -27,6 +27,8 @@
   readonly faultIntervalMillis = 1800;
   readonly faultPhaseMillis = 24_000;
   readonly recoveryMillis = 60_000;
+  readonly drawsFaultsApart = true;
+  readonly endsPollsOfFrozen = true;
 
   faults(bench: FaultBench): Record<string, Fault> {
     return { ...mixedFaults(bench), ...cutFaults(bench) };
@@ -46,13 +48,13 @@
 }
 
 function cutFaults(bench: FaultBench): Record<string, Fault> {
-  const { cluster, draw, random, schedule } = bench;
+  const { cluster, draw, random, callRandom, schedule } = bench;
   let newcomers = 0;
   let isPartitioned = false;
 
   const some = (names: Iterable<string>, share: number): string[] =>
     [...names].filter(() => random() < share);
-  const lateMillis = (): number => (random() < 0.5 ? 0 : random() * LATE_CALL_MILLIS);
+  const lateMillis = (): number => (callRandom() < 0.5 ? 0 : callRandom() * LATE_CALL_MILLIS);
   const healAfter = (millis: number, cut: Cut): void => {
     schedule(millis, () => {
       cluster.cuts.remove(cut);
