Tests of runs with an owner that resumes during a partition

The age of the store's confirmation is measured on the monotonic clock, which stops while the machine is suspended. An owner that is resumed on the other side of a cut renews its leases for up to 2.5 s more, although another one was elected meanwhile.

--- a/packages/member/src/partitions.fixture.ts
+++ b/packages/member/src/partitions.fixture.ts
@@ -16,7 +16,11 @@
 /** Every worker has room for the tasks of another one. */
 export async function clusterWithLongTasks() {
   const workers = WORKERS.map((name) => ({ name, capacity: cores(4) }));
-  const cluster = emulatedCluster({ workers, configuration: configurationOf() });
+  const cluster = emulatedCluster({
+    workers,
+    configuration: configurationOf(),
+    endsPollsOfFrozen: true,
+  });
   await Promise.all(MEMBERS.map((name) => cluster.launch(name)));
   await cluster.run(800);
   const owner = cluster.ownerName() ?? '';
--- a/packages/member/src/partitions.test.ts
+++ b/packages/member/src/partitions.test.ts
@@ -180,3 +180,41 @@
     cluster.cuts.remove(cut);
   });
 });
+
+// Guards against a confirmation of ownership whose age leaves out the time that the owner stood still.
+test('no run starts elsewhere while it works with an owner that stood still and wakes up alone', async (t) => {
+  const cluster = await clusterWithLongTasks();
+  cluster.freeze(cluster.owner);
+  await cluster.run(1500);
+  const cut = cluster.partition([cluster.owner, 'w1', 'w2']);
+  await cluster.run(900);
+  cluster.thaw(cluster.owner);
+  await checkTakenOver(t, cluster, () => {
+    cluster.cuts.remove(cut);
+  });
+});
+
+test('no run starts elsewhere while it works with an owner that stood still and wakes up with a companion', async (t) => {
+  const cluster = await clusterWithLongTasks();
+  cluster.freeze(cluster.owner);
+  await cluster.run(1000);
+  const cut = cluster.partition([cluster.owner, cluster.companion, 'w1', 'w2']);
+  await cluster.run(1400);
+  cluster.thaw(cluster.owner);
+  await checkTakenOver(t, cluster, () => {
+    cluster.cuts.remove(cut);
+  });
+});
+
+// Guards against a renewal that was due while the owner stood still and is sent before it looks around.
+test('no run starts elsewhere while it works with an owner that stood still for longer than its leases', async (t) => {
+  const cluster = await clusterWithLongTasks();
+  cluster.freeze(cluster.owner);
+  await cluster.run(500);
+  const cut = cluster.partition([cluster.owner, cluster.companion, 'w1', 'w2']);
+  await cluster.run(3400);
+  cluster.thaw(cluster.owner);
+  await checkTakenOver(t, cluster, () => {
+    cluster.cuts.remove(cut);
+  });
+});
