--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -81,7 +81,7 @@
   const network = new EmulatedLink(clock, AMPLE_MBPS);
   const attachment = { member: brandAs<MemberId>('owner'), cuts: new EmulatedCuts(), clock };
   const port = new OneWayPort(
-    new EmulatedWorkerPort(workers, clock, faults, random, network, attachment),
+    new EmulatedWorkerPort(workers, clock, faults, random, network, attachment, clock),
     clock,
   );
   const mailbox: OwnerMessage[] = [];
