Look for the runs of an unregistered worker in its next process

The stored runs may name a worker that isn't registered when an owner takes over. If its next process registered later, a run that this one had begun was unknown there and was stopped, and its task waited for the leases of earlier owners and was started elsewhere.

The runs go to the next process, as those of a registered worker do, and its first report tells. The address of such a worker is not known, and rules nothing out.

The test shows the second run and the stop on the code before; the tests of jobs pass.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -25,7 +25,7 @@
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
 import { Stalls } from './stalls.js';
-import { Successors } from './successors.js';
+import { Successors, UNKNOWN_ADDRESS } from './successors.js';
 import { Quarantines } from './quarantines.js';
 import type { WaitingReason } from './waiting-reasons.js';
 import { WorkerCrashes } from './worker-crashes.js';
@@ -292,14 +292,24 @@
     }
     const worker = newWorker(registration, this.earlierLeasesEnd);
     this.context.workers.set(worker.incarnation, worker);
-    const earlier = this.context.currentIncarnations.get(registration.id);
-    if (earlier !== undefined) {
+    for (const earlier of this.earlierIncarnations(worker)) {
       this.reports.endIncarnation(earlier, 'born_again', worker.incarnation);
     }
     this.makeCurrent(worker);
     this.successors.meet(worker);
   }
 
+  /** The current incarnation and, after a change of owner, those that only stored runs name. */
+  private earlierIncarnations({ id, incarnation }: Worker): Worker[] {
+    const current = this.context.currentIncarnations.get(id);
+    return [...this.context.workers.values()].filter(
+      (worker) =>
+        worker.id === id &&
+        worker.incarnation !== incarnation &&
+        (worker === current || !worker.isMet),
+    );
+  }
+
   private makeCurrent(worker: Worker): void {
     this.context.currentIncarnations.set(worker.id, worker);
     this.quarantines.setWorkerCount(this.context.currentIncarnations.size);
@@ -369,7 +379,7 @@
     const registration: WorkerRegistration = {
       id,
       incarnation,
-      address: '',
+      address: UNKNOWN_ADDRESS,
       service: '',
       zone: '',
       isDraining: true,
--- a/packages/jobs/src/successors.test.ts
+++ b/packages/jobs/src/successors.test.ts
@@ -163,6 +163,25 @@
   t.deepEqual(harness.place(), []);
 });
 
+// Guards against a second run of a task that the next process of its worker has begun, where that one registers
+// only after a takeover (TWICE).
+test('a run of an unregistered worker is looked for in the process that registers under its id', (t) => {
+  const { harness, start, registration, successor } = harnessWithStart();
+  const others = REGISTRATIONS.filter(({ id }) => id !== registration.id);
+  harness.takeOver(undefined, others);
+  others.forEach(({ incarnation }) => {
+    harness.report(incarnation);
+  });
+  harness.send({ kind: 'worker', registration: { ...registration, incarnation: successor } });
+  harness.report(successor, [runningEntry(start)]);
+  harness.advance(EARLIER_LEASES_MILLIS);
+  t.deepEqual(harness.place(), []);
+  t.deepEqual(harness.stops(), []);
+  harness.end({ ...start, incarnation: successor }, 'done');
+  harness.commit();
+  t.deepEqual(harness.stateOf(jobId(1)), { kind: 'state', state: 'completed' });
+});
+
 // Guards against a worker that is never used again because another one registered under its id for a moment.
 test('an incarnation that answers after another one has registered counts as alive', (t) => {
   const { harness, start, registration, successor } = harnessWithStart();
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -9,6 +9,9 @@
 import type { JobContext } from './context.js';
 import { newWorker, type Run, type Worker } from './model.js';
 
+/** Of a worker that only stored runs name. */
+export const UNKNOWN_ADDRESS = '';
+
 export class Successors {
   private readonly ended = new Set<WorkerIncarnation>();
 
@@ -56,7 +59,8 @@
       return;
     }
     const successor = this.find(worker, incarnation);
-    if (successor.registration.address !== worker.registration.address) {
+    const { address } = worker.registration;
+    if (address !== UNKNOWN_ADDRESS && address !== successor.registration.address) {
       return;
     }
     if (!successor.isMet) {
