--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -9,7 +9,7 @@
 import type { JobOutput } from '@bamboowell/jobs/messages';
 import { schedulerHarness } from '@bamboowell/jobs/scheduler.fixture';
 import { brandAs, type MemberId, type WorkerId } from '@bamboowell/types/ids';
-import type { Term } from '@bamboowell/types/job';
+import type { JobId, StepPlan, Term } from '@bamboowell/types/job';
 import type { Deadline } from '@bamboowell/types/time';
 import { EmulatedCuts } from './emulated-cuts.fixture.js';
 import { EmulatedLink } from './emulated-link.fixture.js';
@@ -64,12 +64,12 @@
   }
 }
 
-export function linkedScheduler(names: readonly string[]) {
+/** @param random returns a number from 0 to 1. */
+export function linkedScheduler(names: readonly string[], random: () => number = () => 0.5) {
   const harness = schedulerHarness({ workers: names.map((name) => workerRegistration(name)) });
   const clock = new ManualClock(harness.now());
   const now = (): number => clock.now();
   const invariants = new JobInvariants(now);
-  const random = (): number => 0.5;
   const workers = new Map<WorkerId, EmulatedWorker>();
   for (const name of names) {
     const { capacity } = workerRegistration(name);
@@ -142,19 +142,28 @@
     harness,
     invariants,
     workers,
-    /** Workers to which nothing gets through. */
-    unreachable: faults.unreachable,
+    faults,
     losesAnswersOf: port.losesAnswersOf,
     /** Whether the owner takes nothing out of its mailbox. */
     isBusy: false,
     /** Whether no record is stored. */
     isStoreAway: false,
-    /** Submits a job of one task that outlives every lease. */
-    submit: (): void => {
+    /** Submits a job, by default of one task that outlives every lease. */
+    submit: (step: Partial<StepPlan> = {}): JobId => {
       jobs += 1;
-      const plan = jobPlan(jobs, { steps: [stepPlan({ estimateMillis: LONG_TASK_MILLIS })] });
+      const plan = jobPlan(jobs, {
+        steps: [stepPlan({ estimateMillis: LONG_TASK_MILLIS, ...step })],
+      });
       invariants.plans.set(plan.id, plan);
       harness.submit(plan);
+      return plan.id;
+    },
+    /** The worker's process ends, and the next one registers. */
+    replace: (worker: EmulatedWorker): void => {
+      worker.crash();
+      worker.restart();
+      const registration = workerRegistration(worker.id, { incarnation: worker.incarnation });
+      mailbox.push({ kind: 'input', input: { kind: 'worker', registration } });
     },
     place,
     /** The owner handles the messages that have arrived. */
--- a/packages/member/src/stale-lapses.test.ts
+++ b/packages/member/src/stale-lapses.test.ts
@@ -15,10 +15,10 @@
 
 test('a task starts elsewhere once the lease of its unreachable worker has lapsed', async (t) => {
   const { linked, worker } = await schedulerWithRun();
-  linked.unreachable.add(worker);
+  linked.faults.unreachable.add(worker);
   await linked.run(LAPSED_MILLIS);
   t.not(linked.runner(), worker);
-  linked.unreachable.delete(worker);
+  linked.faults.unreachable.delete(worker);
   await linked.run(1000);
   t.is(linked.runCount(), 1);
   t.deepEqual(linked.invariants.violations, []);
@@ -26,9 +26,9 @@
 
 test('a task goes on where it runs if its worker answers again before its lease lapses', async (t) => {
   const { linked, worker } = await schedulerWithRun();
-  linked.unreachable.add(worker);
+  linked.faults.unreachable.add(worker);
   await linked.runUntil('worker.unreachable', worker);
-  linked.unreachable.delete(worker);
+  linked.faults.unreachable.delete(worker);
   await linked.run(LAPSED_MILLIS);
   t.is(linked.runner(), worker);
   t.is(linked.invariants.starts, 1);
@@ -38,10 +38,10 @@
 // yet to take in that report (TWICE).
 test('an owner that is late to take in reports drops no run that goes on', async (t) => {
   const { linked, worker } = await schedulerWithRun();
-  linked.unreachable.add(worker);
+  linked.faults.unreachable.add(worker);
   await linked.runUntil('worker.unreachable', worker);
   linked.isBusy = true;
-  linked.unreachable.delete(worker);
+  linked.faults.unreachable.delete(worker);
   await linked.run(LAPSED_MILLIS);
   linked.place();
   linked.isBusy = false;
@@ -93,7 +93,7 @@
   linked.losesAnswersOf.delete(worker.id);
   await linked.runUntil('worker.met', worker.id);
   await linked.run(100);
-  linked.unreachable.add(worker.id);
+  linked.faults.unreachable.add(worker.id);
   await linked.run(LAPSED_MILLIS);
   t.deepEqual(linked.invariants.violations, []);
   t.not(linked.runner(), worker.id);
