--- a/packages/member/src/link-faults.fixture.ts
+++ b/packages/member/src/link-faults.fixture.ts
@@ -15,6 +15,7 @@
 const FAULT_INTERVAL_MILLIS = 6000;
 const FAULT_MILLIS = 1500;
 const CRASH_INTERVAL_MILLIS = 20_000;
+const TAKEOVER_INTERVAL_MILLIS = 15_000;
 const JOB_INTERVAL_MILLIS = 4000;
 const SHORTEST_TASK_MILLIS = 500;
 const LONGEST_TASK_MILLIS = 20_000;
@@ -25,7 +26,7 @@
 
 export interface LinkFaultRun {
   readonly violations: readonly string[];
-  /** Jobs that neither ended nor have a run after the recovery. */
+  /** Accepted jobs that neither ended nor have a run after the recovery. */
   readonly stuck: readonly JobId[];
   readonly starts: number;
 }
@@ -53,6 +54,9 @@
         linked.replace(worker);
       }
     }
+    if (isDue(TAKEOVER_INTERVAL_MILLIS)) {
+      linked.takeOver();
+    }
     linked.isBusy = next(linked.isBusy);
     linked.isStoreAway = next(linked.isStoreAway);
   };
@@ -82,8 +86,10 @@
   linked.isBusy = false;
   linked.isStoreAway = false;
   await linked.run(RECOVERY_MILLIS);
+  // Stores the ends of the last step.
+  linked.place();
   const running = [...workers.values()].flatMap((worker) => worker.running());
-  const stuck = submitted.filter((job) => {
+  const stuck = submitted.filter(linked.isAccepted).filter((job) => {
     const answer = harness.stateOf(job);
     const hasEnded =
       answer?.kind === 'state' && (answer.state === 'completed' || answer.state === 'failed');
--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -6,7 +6,7 @@
 import { match } from 'ts-pattern';
 import { ManualClock } from '@bamboowell/kernel/manual-clock';
 import { jobPlan, stepPlan, workerRegistration } from '@bamboowell/jobs/plans.fixture';
-import type { JobOutput } from '@bamboowell/jobs/messages';
+import type { JobOutput, JobToken } from '@bamboowell/jobs/messages';
 import { schedulerHarness } from '@bamboowell/jobs/scheduler.fixture';
 import { brandAs, type MemberId, type WorkerId } from '@bamboowell/types/ids';
 import type { JobId, StepPlan, Term } from '@bamboowell/types/job';
@@ -85,23 +85,29 @@
     clock,
   );
   const mailbox: OwnerMessage[] = [];
-  const links = new WorkerLinks(
-    {
-      port,
-      term: brandAs<Term>(1),
-      owner: {
-        post: (message) => {
-          mailbox.push(message);
-          return 'accepted';
+  const openLinks = (term: number): WorkerLinks =>
+    new WorkerLinks(
+      {
+        port,
+        term: brandAs<Term>(term),
+        owner: {
+          post: (message) => {
+            if (term === terms) {
+              mailbox.push(message);
+            }
+            return 'accepted';
+          },
         },
+        longestLeaseMillis: LONGEST_LEASE_MILLIS,
+        mayRenew: () => term === terms,
       },
-      longestLeaseMillis: LONGEST_LEASE_MILLIS,
-      mayRenew: () => true,
-    },
-    clock,
-  );
+      clock,
+    );
+  let terms = 1;
+  let links = openLinks(terms);
   let carriedOut = 0;
   let jobs = 0;
+  const tokens = new Map<JobId, JobToken>();
 
   const execute = (output: JobOutput): void => {
     match(output)
@@ -155,9 +161,14 @@
         steps: [stepPlan({ estimateMillis: LONG_TASK_MILLIS, ...step })],
       });
       invariants.plans.set(plan.id, plan);
-      harness.submit(plan);
+      tokens.set(plan.id, harness.submit(plan));
       return plan.id;
     },
+    /** Whether the job was accepted: a new owner doesn't know one that was not stored. */
+    isAccepted: (job: JobId): boolean => {
+      const token = tokens.get(job);
+      return token !== undefined && harness.answers.get(token)?.kind === 'accepted';
+    },
     /** The worker's process ends, and the next one registers. */
     replace: (worker: EmulatedWorker): void => {
       worker.crash();
@@ -165,6 +176,19 @@
       const registration = workerRegistration(worker.id, { incarnation: worker.incarnation });
       mailbox.push({ kind: 'input', input: { kind: 'worker', registration } });
     },
+    /** A new owner takes over with what is stored; calls of the earlier one may be on their way. */
+    takeOver: (): void => {
+      terms += 1;
+      links.closeAll();
+      links = openLinks(terms);
+      mailbox.length = 0;
+      carriedOut = 0;
+      harness.takeOver(
+        undefined,
+        [...workers.values()].map(({ id, incarnation }) => workerRegistration(id, { incarnation })),
+      );
+      carryOut();
+    },
     place,
     /** The owner handles the messages that have arrived. */
     takeMessages: (): void => {
