Look for a run that moves to a process which has reported already

A run whose worker's process was replaced twice was moved to a process that had sent its first report: if it had not begun there, nothing dropped it, and its task waited for ever. A run that was to be stopped was not stopped there.

The process is asked for another report, which tells whether the run began, and gets the stop.

--- a/packages/jobs/src/successors.test.ts
+++ b/packages/jobs/src/successors.test.ts
@@ -193,3 +193,20 @@
   harness.send({ kind: 'worker', registration });
   t.deepEqual(metBy(harness).slice(-2), [successor, incarnation]);
 });
+
+// Guards against a job that waits for a run which its worker will never list (LOST).
+test('a run that moves to a process which has reported already is dropped by its next report', (t) => {
+  const { harness, start, registration, successor } = harnessWithStart();
+  const next = workerIncarnationOf(registration.id, 3);
+  harness.send({ kind: 'other_life', incarnation: start.incarnation, successor });
+  harness.send({ kind: 'worker', registration: { ...registration, incarnation: next } });
+  harness.report(next);
+  harness.advance(1);
+  harness.send({ kind: 'other_life', incarnation: successor, successor: next });
+  harness.report(next);
+  t.deepEqual(harness.place(), [], 'a report that was asked for before proves nothing');
+  t.deepEqual(harness.of('probe'), [{ kind: 'probe', incarnation: next }]);
+  harness.advance(1);
+  harness.report(next);
+  t.is(harness.place().length, 1);
+});
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -70,6 +70,20 @@
     for (const run of runs) {
       this.move(run, successor);
     }
+    if (successor.hasReported) {
+      this.lookFor(runs, successor);
+    }
+  }
+
+  /** What hasn't begun there never does: a report that is asked for from now on tells. */
+  private lookFor(runs: readonly Run[], { incarnation }: Worker): void {
+    for (const { task, number: run, phase } of runs) {
+      if (phase === 'stopping') {
+        const order = { kind: 'stop', task: task.id, run } as const;
+        this.context.emit({ kind: 'order', incarnation, order });
+      }
+    }
+    this.context.emit({ kind: 'probe', incarnation });
   }
 
   /** The next incarnation of a worker. It may not be registered yet: then it gets no work. */
@@ -95,7 +109,7 @@
       ...run,
       worker: successor,
       phase: run.phase === 'stopping' ? 'stopping' : 'ordered',
-      confirmedAt: undefined,
+      confirmedAt: successor.hasReported ? this.context.now : undefined,
       progress: undefined,
     });
     this.context.event('run.unproven', {
