Run the partitions between processes where tests have the machine for themselves

Beside the three deployments two tests of the HTTP client, which depend on time, failed once on a busy machine (load 25 on 8 cores) and pass by themselves; packages/demo runs one file at a time.

--- a/platform/src/partitions.test.ts
+++ b/packages/demo/src/partitions.test.ts
@@ -1,7 +1,12 @@
 import test, { type ExecutionContext } from 'ava';
-import { MemberStart, ownerSide, Partition, storeSide } from './disturbances.fixture.js';
-import { run, type DisturbedRun } from './disturbed-run.fixture.js';
-import type { RunHistory } from './run-history.fixture.js';
+import {
+  MemberStart,
+  ownerSide,
+  Partition,
+  storeSide,
+} from '@bamboowell/platform/disturbances.fixture';
+import { run, type DisturbedRun } from '@bamboowell/platform/disturbed-run.fixture';
+import type { RunHistory } from '@bamboowell/platform/run-history.fixture';
 
 const CUT_MILLIS = 12_000;
 const OUTAGE_MILLIS = 8000;
