Take an epoch for known to all only once the VM list has been read

Cause: a new owner shortens its wait for the leases of earlier owners from two hours to some seconds once every other member of the region has read its epoch. An owner that starts again claims its shard at once, before it has read the VM list or heard a member: there was no other member in its view, and so none that lacked the epoch. An earlier owner that is cut off with its workers, and goes on renewing, would have had its work started again elsewhere. The race on real processes was not run. Change: views tell whether the VM list has been read, and an epoch is known to all only then; a member that is alone in its region learns that from the list as well. Why it works: a listed member is expected from then on, and those that it hears name the others that they have heard.

--- a/packages/daemon/src/claim-planner.ts
+++ b/packages/daemon/src/claim-planner.ts
@@ -35,6 +35,7 @@
   members: [],
   suspects: new Set(),
   leaving: false,
+  isListRead: false,
   at: brandAs<Instant>(0),
 };
 
@@ -113,8 +114,14 @@
     });
   }
 
-  /** Whether every other member of the region has read the epoch from the log or has left. */
+  /**
+   * Whether every other member of the region has read the epoch from the log or has left. Not known before
+   * the VM list has been read: a member that is silent is missing until then.
+   */
   isKnownToAll(epoch: Epoch): boolean {
+    if (!this.view.isListRead) {
+      return false;
+    }
     const expected = new Set(expectedMembers(this.view, this.options.self).region);
     for (const { member, heard } of this.view.members) {
       const known = heard?.heartbeat.epochs.find(({ shard }) => shard === this.options.shard);
--- a/packages/membership/src/members-messages.ts
+++ b/packages/membership/src/members-messages.ts
@@ -92,6 +92,8 @@
       readonly suspects: ReadonlySet<MemberId>;
       /** Whether this member itself is leaving. */
       readonly leaving: boolean;
+      /** Whether the VM list has been read; until then members may be missing. */
+      readonly isListRead: boolean;
       readonly at: Instant;
     }
   /** A heartbeat was received. */
--- a/packages/membership/src/members-task.ts
+++ b/packages/membership/src/members-task.ts
@@ -37,6 +37,7 @@
   private readonly receiver = new HeartbeatReceiver();
   private suspects: ReadonlySet<MemberId> = new Set();
   private listedAsLeaving = false;
+  private isListRead = false;
 
   constructor(
     private readonly settings: MembersSettings,
@@ -157,6 +158,7 @@
     }
     const now = this.clock.now();
     const before = this.listingKey();
+    this.isListRead = true;
     for (const peer of this.peers.updateFromListing(listing.vms, now)) {
       this.failureDetector.monitor(peer.member, now);
       this.connections.scheduleFirstDial(peer);
@@ -172,7 +174,7 @@
   /** A key that changes whenever the listing changes what a view contains. */
   private listingKey(): string {
     const entries = this.peers.all().map(({ member, listed }) => [member, listed]);
-    return JSON.stringify([this.listedAsLeaving, entries]);
+    return JSON.stringify([this.isListRead, this.listedAsLeaving, entries]);
   }
 
   private dialled(peer: Peer, connection: Connection | undefined): void {
@@ -250,6 +252,7 @@
   private view(): MembersEvent {
     const members = this.peers.all().map((peer) => viewOf(peer, this.suspects));
     const leaving = this.announcer.phase !== 'serving' || this.listedAsLeaving;
-    return { kind: 'view', members, suspects: this.suspects, leaving, at: this.clock.now() };
+    const { suspects, isListRead } = this;
+    return { kind: 'view', members, suspects, leaving, isListRead, at: this.clock.now() };
   }
 }
