Tell an earlier owner of the next one when it tells of its own claim

Cause: it had greeted nobody while it was the owner, so that the next owner didn't know where it accepts connections; and the members that it told of its own claim ignored that claim.

Change: a member that hears of a claim earlier than the one that it knows tells the owner of that claim, at the address that the claim names.

--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -271,6 +271,10 @@
       return;
     }
     if (known !== undefined && !known.isReleased && claim.term <= known.term) {
+      if (claim.term < known.term) {
+        // Its owner may have no other way to learn of a later claim.
+        void this.options.peers.inform(claim, known);
+      }
       return;
     }
     this.claim = claim;
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -186,14 +186,19 @@
     });
   }
 
-  private async tell(known: KnownMember, claim: Claim): Promise<void> {
+  /** Tells the member at this address of a claim; resolves to whether it was reached. */
+  async inform(target: DialTarget, claim: Claim): Promise<boolean> {
     const { clock } = this.options;
-    const result = await this.dial(known, deadlineAfter(clock.now(), INTRODUCTION_TIMEOUT_MILLIS));
-    this.known.dialled(known, result.kind === 'connected');
+    const result = await this.dial(target, deadlineAfter(clock.now(), INTRODUCTION_TIMEOUT_MILLIS));
     if (result.kind === 'connected') {
       result.connection.notify(METHODS.claim, claim);
       result.connection.close();
     }
+    return result.kind === 'connected';
+  }
+
+  private async tell(known: KnownMember, claim: Claim): Promise<void> {
+    this.known.dialled(known, await this.inform(known, claim));
   }
 
   /** Sets the listener for claims that other members announce. */
