Bound earlier owners' leases by a worker's first answer

A worker that has answered the link of an owner refuses all calls of earlier ones, so that what they gave it ends within the longest lease. Its runs waited for the end of all earlier owners' renewals if it was lost within that time, up to 14.5 s after a takeover where the owner before was unknown to the new one.

The end of earlier leases is cut to the longest lease after the first answer.

--- a/packages/member/src/lease-clock.ts
+++ b/packages/member/src/lease-clock.ts
@@ -6,6 +6,7 @@
 import { brandAs } from '@bamboowell/types/ids';
 import {
   MILLIS_PER_SECOND,
+  earlier,
   type Deadline,
   type Instant,
   type WorkerInstant,
@@ -30,7 +31,8 @@
 
   constructor(
     private readonly longestMillis: number,
-    private readonly earlierLeasesEnd: Deadline,
+    /** When all leases have ended that the worker may have had before its clock is read. */
+    private earlierLeasesEnd: Deadline,
   ) {}
 
   /** Whether the worker's clock has been read. */
@@ -43,7 +45,12 @@
     return this.latestEnd;
   }
 
+  /** The worker has answered, and from then on refuses all calls of earlier links. */
   synchronise(worker: WorkerInstant, receivedAt: Instant): void {
+    if (this.reading === undefined) {
+      const endsBy = allLeasesEnd(receivedAt, this.longestMillis);
+      this.earlierLeasesEnd = earlier(this.earlierLeasesEnd, endsBy);
+    }
     this.reading = { worker, receivedAt };
   }
 
