End the wait for an earlier owner when its member's next process greets

After a restart of all members the first one to claim was never connected to the earlier owner, and waits 14.5 s before it starts the runs of workers that it doesn't reach, where 6.3 s would do: the process of the earlier owner has ended with all others, but nothing had told the claimant so by then.

A greeting of another process of that member shows it. The new owner then counts with the shorter time, records that for its successor, and brings the lapse of workers forward that have never answered it. Once a worker has answered, the link knows its lease.

--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -67,6 +67,8 @@
   | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
+  /** All leases of earlier owners will have ended by then, which is sooner than was known. */
+  | { readonly kind: 'earlier_leases_end'; readonly at: Deadline }
   | { readonly kind: 'report'; readonly report: WorkerReport }
   /**
    * The worker does not answer. Unless it does before `lapsesAt`, nothing runs there from then on: its lease
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -157,6 +157,9 @@
   cooldownUntil: Deadline;
 }
 
+/** When a worker was last heard that has never answered this owner. */
+export const NEVER_HEARD = brandAs<Instant>(0);
+
 export function newWorker(registration: WorkerRegistration, lapsesAt: Deadline): Worker {
   return {
     incarnation: registration.incarnation,
@@ -167,7 +170,7 @@
     isRegistered: true,
     unregisteredAt: brandAs<Instant>(0),
     isReachable: true,
-    lastHeardAt: brandAs<Instant>(0),
+    lastHeardAt: NEVER_HEARD,
     lapsesAt,
     used: NO_RESOURCES,
     runs: new Map(),
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -7,11 +7,11 @@
   type RunningEntry,
   type WorkerIncarnation,
 } from '@bamboowell/types/job';
-import { hasPassed, type Deadline } from '@bamboowell/types/time';
+import { earlier, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import type { WorkerReport } from './messages.js';
-import { isEnded, runKey, type Run, type Task, type Worker } from './model.js';
+import { NEVER_HEARD, isEnded, runKey, type Run, type Task, type Worker } from './model.js';
 import type { Orders } from './orders.js';
 import type { Quarantines } from './quarantines.js';
 import type { Successors } from './successors.js';
@@ -78,7 +78,18 @@
       });
     }
     worker.isReachable = false;
-    worker.lapsesAt = lapsesAt;
+    // A link that has never had an answer has renewed no lease, and may not know how soon earlier ones end.
+    const isHeard = worker.lastHeardAt !== NEVER_HEARD;
+    worker.lapsesAt = isHeard ? lapsesAt : earlier(worker.lapsesAt, lapsesAt);
+  }
+
+  /** The leases of earlier owners end at `endAt` instead of `before` on workers that were never heard. */
+  bringForwardEarlierLeases(before: Deadline, endAt: Deadline): void {
+    for (const worker of this.context.workers.values()) {
+      if (worker.lastHeardAt === NEVER_HEARD && worker.lapsesAt === before) {
+        worker.lapsesAt = endAt;
+      }
+    }
   }
 
   /** Drops the runs of workers whose lease has lapsed, and removes such workers if unregistered. */
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -449,6 +449,28 @@
   );
 });
 
+// Guards against runs on lost workers that wait for an earlier owner which is known to have ended.
+test('runs of a worker that a new owner never heard start elsewhere once the earlier leases end sooner', (t) => {
+  const harness = readyHarness({ workers: [W1, W2] });
+  harness.submit(jobPlan(1));
+  harness.commit();
+  const start = first(harness.place());
+  harness.answerStart(start);
+  harness.commit();
+  harness.takeOver();
+  const other = start.incarnation === W1.incarnation ? W2 : W1;
+  harness.report(other.incarnation);
+  const lapsesAt = brandAs<Deadline>(harness.now() + EARLIER_LEASES_MILLIS);
+  harness.send({ kind: 'unreachable', incarnation: start.incarnation, lapsesAt });
+  const at = brandAs<Deadline>(harness.now() + 2000);
+  harness.send({ kind: 'earlier_leases_end', at });
+  harness.send({ kind: 'unreachable', incarnation: start.incarnation, lapsesAt });
+  harness.advance(1999);
+  t.deepEqual(harness.place(), []);
+  harness.advance(1);
+  t.is(first(harness.place()).incarnation, other.incarnation);
+});
+
 test('the tasks of a worker start elsewhere at once when another one answers at its address', (t) => {
   const harness = readyHarness();
   harness.submit(jobPlan(1));
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -11,7 +11,7 @@
   WorkerRegistration,
 } from '@bamboowell/types/job';
 import { NO_RESOURCES, fits } from '@bamboowell/types/resources';
-import type { Deadline, Instant } from '@bamboowell/types/time';
+import { earlier, type Deadline, type Instant } from '@bamboowell/types/time';
 import { StepAdvice } from './step-advice.js';
 import { AdviceBalancer } from './advice-balancer.js';
 import { JobContext } from './context.js';
@@ -75,7 +75,7 @@
   private readonly stepPlacement: StepPlacement;
   private readonly stalls: Stalls;
   private readonly advicePrefetch: AdvicePrefetch;
-  private readonly earlierLeasesEnd: Deadline;
+  private earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
     const { context, quarantines } = this;
@@ -197,6 +197,11 @@
       .with({ kind: 'worker_gone' }, ({ worker }) => {
         this.unregisterWorker(worker);
       })
+      .with({ kind: 'earlier_leases_end' }, ({ at }) => {
+        const before = this.earlierLeasesEnd;
+        this.earlierLeasesEnd = earlier(before, at);
+        this.reports.bringForwardEarlierLeases(before, this.earlierLeasesEnd);
+      })
       .with({ kind: 'report' }, ({ report }) => {
         this.reports.receive(report);
       })
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -35,7 +35,12 @@
 import type { Store } from './store.js';
 import type { Moment } from './moment.js';
 import { MEMBER_CLOCK_DRIFT_FACTOR, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
-import { renewalMillisAfter, type Precedence, type Takeover } from './succession.js';
+import {
+  precedenceAfterGreeting,
+  renewalMillisAfter,
+  type Precedence,
+  type Takeover,
+} from './succession.js';
 import { newTenure, type Tenure } from './tenure.js';
 import { Witnesses } from './witnesses.js';
 import { WorkLogWriter, type AppendResult } from './work-log-writer.js';
@@ -214,10 +219,22 @@
   private addMember(port: MemberPort): void {
     this.members.set(port.member, port);
     this.tenure?.witnesses.join(port);
+    this.greeted(port);
     this.stepScheduler(this.adviserInput(port));
     port.notifyTrouble(this.tenure?.hasStoreTrouble ?? false);
   }
 
+  /** A process of the earlier owner's member may show that the earlier owner has ended. */
+  private greeted(port: MemberPort): void {
+    const { tenure } = this;
+    if (tenure !== undefined) {
+      tenure.precedence = precedenceAfterGreeting(tenure.precedence, port);
+      if (tenure.work !== undefined && !tenure.isTakeoverSettled) {
+        this.determineEarlierRenewals(tenure, tenure.work);
+      }
+    }
+  }
+
   private times(): Times {
     return {
       now: this.clock.now(),
@@ -294,20 +311,34 @@
     });
   }
 
-  /** Determines for how long earlier owners may renew leases, and records it for the next one. */
   private workLoaded(tenure: Tenure, work: LoadedWork): void {
-    const { term, precedence, fencedAt = this.clock.now() } = tenure;
-    const renewalMillis = renewalMillisAfter(precedence, work.takeover);
-    const isWitnessed = renewalMillis === PROOF_LIFETIME_MILLIS;
     tenure.work = work;
-    tenure.earlierRenewalsEnd = deadlineAfter(fencedAt, renewalMillis * MEMBER_CLOCK_DRIFT_FACTOR);
-    tenure.isTakeoverSettled = isWitnessed;
-    tenure.writer.record(TAKEOVER_KEY, { term, isWitnessed } satisfies Takeover);
+    this.determineEarlierRenewals(tenure, work);
     const jobs = work.restored.jobs.length;
-    this.logTakeoverStep(tenure, 'work_loaded', { jobs, earlierRenewalMillis: renewalMillis });
+    this.logTakeoverStep(tenure, 'work_loaded', { jobs });
     this.startServing();
   }
 
+  /** Determines for how long earlier owners may renew leases, and records it for the next one. */
+  private determineEarlierRenewals(tenure: Tenure, { takeover }: LoadedWork): void {
+    const { term, precedence, fencedAt = this.clock.now(), writer } = tenure;
+    const renewalMillis = renewalMillisAfter(precedence, takeover);
+    const renewalsEnd = deadlineAfter(fencedAt, renewalMillis * MEMBER_CLOCK_DRIFT_FACTOR);
+    if (renewalsEnd === tenure.earlierRenewalsEnd) {
+      return;
+    }
+    const isWitnessed = renewalMillis === PROOF_LIFETIME_MILLIS;
+    tenure.earlierRenewalsEnd = renewalsEnd;
+    tenure.isTakeoverSettled = isWitnessed;
+    writer.record(TAKEOVER_KEY, { term, isWitnessed } satisfies Takeover);
+    this.options.events.event('owner.waits', { term, earlierRenewalMillis: renewalMillis });
+    this.stepScheduler({ kind: 'earlier_leases_end', at: this.earlierLeasesEnd(renewalsEnd) });
+  }
+
+  private earlierLeasesEnd(renewalsEnd: Deadline): Deadline {
+    return leasesEndAfter(renewalsEnd, this.options.settings.longestLeaseMillis);
+  }
+
   /** Records that all earlier owners have stopped renewing leases, once that is so. */
   private settleTakeover(tenure: Tenure, now: Instant): void {
     const { term, writer, earlierRenewalsEnd, isTakeoverSettled } = tenure;
@@ -338,7 +369,7 @@
     }
     const { longestLeaseMillis } = this.options.settings;
     const { restored } = tenure.work;
-    const earlierLeasesEnd = leasesEndAfter(tenure.earlierRenewalsEnd, longestLeaseMillis);
+    const earlierLeasesEnd = this.earlierLeasesEnd(tenure.earlierRenewalsEnd);
     tenure.scheduler = new JobScheduler(
       {
         ordering: this.options.ordering,
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -309,7 +309,7 @@
   private precedenceOf({ term }: Claim): Precedence {
     return this.sentClaim?.term === term
       ? this.sentClaim.precedence
-      : { follows: brandAs<Term>(term - 1), endsSoon: false };
+      : { predecessor: undefined, follows: brandAs<Term>(term - 1), endsSoon: false };
   }
 
   /** Whether this member knows of no later owner than that of the term, and has not claimed the work itself. */
--- a/packages/member/src/succession-model.fixture.ts
+++ b/packages/member/src/succession-model.fixture.ts
@@ -152,7 +152,7 @@
       const precedence =
         process.sentClaim?.term === claim.term
           ? process.sentClaim.precedence
-          : { follows: brandAs<Term>(claim.term - 1), endsSoon: false };
+          : { predecessor: undefined, follows: brandAs<Term>(claim.term - 1), endsSoon: false };
       process.ownership = {
         term: claim.term,
         proof: new OwnershipProof(),
--- a/packages/member/src/succession.test.ts
+++ b/packages/member/src/succession.test.ts
@@ -3,7 +3,7 @@
 import type { Term } from '@bamboowell/types/job';
 import type { Claim } from './ownership-messages.js';
 import { WITNESS_LIFETIME_MILLIS } from './ownership-proof.js';
-import { Succession } from './succession.js';
+import { Succession, precedenceAfterGreeting } from './succession.js';
 import { incarnation, memberId, momentAt } from './moments.fixture.js';
 
 const TERM = brandAs<Term>(4);
@@ -21,14 +21,15 @@
 
 test('work that was never claimed has no earlier owner', (t) => {
   const precedence = new Succession().precedence(undefined, momentAt(0));
-  t.deepEqual(precedence, { follows: undefined, endsSoon: true });
+  t.deepEqual(precedence, { predecessor: undefined, follows: undefined, endsSoon: true });
 });
 
 // Guards against a successor that starts runs again while the owner that never asked it renews their leases.
 test('an owner that this member was never connected to may go on after its claim', (t) => {
   const succession = new Succession();
   succession.connected(brandAs<Term>(3));
-  t.deepEqual(succession.precedence(claim(), momentAt(0)), { follows: TERM, endsSoon: false });
+  const { follows, endsSoon } = succession.precedence(claim(), momentAt(0));
+  t.deepEqual({ follows, endsSoon }, { follows: TERM, endsSoon: false });
 });
 
 test('an owner of which this member is a witness ends soon, also for a while after the connection is lost', (t) => {
@@ -54,3 +55,18 @@
   t.true(succession.precedence(claim(), momentAt(0)).endsSoon);
   t.false(succession.precedence(claim({ term: brandAs<Term>(5) }), momentAt(0)).endsSoon);
 });
+
+// Guards against runs on lost workers that wait for an owner whose process has ended with all others.
+test('an owner has ended once another process of its member greets the next one', (t) => {
+  const precedence = new Succession().precedence(claim(), momentAt(0));
+  const greet = (member: string, name: string): boolean =>
+    precedenceAfterGreeting(precedence, {
+      member: memberId(member),
+      incarnation: incarnation(name),
+    }).endsSoon;
+  t.false(greet('m1', 'm1-1'));
+  t.false(greet('m2', 'm2-2'));
+  t.true(greet('m1', 'm1-2'));
+  const unnamed = { member: memberId('m1'), incarnation: undefined };
+  t.false(precedenceAfterGreeting(precedence, unnamed).endsSoon);
+});
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Term } from '@bamboowell/types/job';
+import type { MemberPort } from './member-port.js';
 import type { Claim } from './ownership-messages.js';
 import {
   MAX_OFFLINE_MILLIS,
@@ -14,6 +15,8 @@
 
 /** How a claim follows the one before it. */
 export interface Precedence {
+  /** The claim that it follows; undefined if the work was never claimed, or it isn't known. */
+  readonly predecessor: Pick<Claim, 'member' | 'incarnation'> | undefined;
   /** The term that it follows; undefined if the work was never claimed. */
   readonly follows: Term | undefined;
   /**
@@ -30,6 +33,19 @@
   readonly isWitnessed: boolean;
 }
 
+/** The precedence once this process is known to run: another one of its member has ended. */
+export function precedenceAfterGreeting(
+  precedence: Precedence,
+  greeting: Pick<MemberPort, 'member' | 'incarnation'>,
+): Precedence {
+  const { predecessor } = precedence;
+  const hasEnded =
+    predecessor?.member === greeting.member &&
+    greeting.incarnation !== undefined &&
+    greeting.incarnation !== predecessor.incarnation;
+  return hasEnded ? { ...precedence, endsSoon: true } : precedence;
+}
+
 /**
  * For how long after a takeover earlier owners may renew leases. An owner whose witness succeeds it has no proof
  * that is younger than the claim. Neither have those before it if that was so when it took the work over itself;
@@ -76,11 +92,12 @@
   /** How a claim made now follows the newest one. */
   precedence(newest: Claim | undefined, now: Moment): Precedence {
     if (newest === undefined) {
-      return { follows: undefined, endsSoon: true };
+      return { predecessor: undefined, follows: undefined, endsSoon: true };
     }
-    const { term, isReleased } = newest;
+    const { term, member, incarnation, isReleased } = newest;
     const hasEnded = isReleased || this.endedTerm === term;
-    return { follows: term, endsSoon: hasEnded || this.isWitnessOf(term, now) };
+    const endsSoon = hasEnded || this.isWitnessOf(term, now);
+    return { predecessor: { member, incarnation }, follows: term, endsSoon };
   }
 
   private isWitnessOf(term: Term, now: Moment): boolean {
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -14,7 +14,7 @@
 
 export interface Tenure {
   readonly term: Term;
-  readonly precedence: Precedence;
+  precedence: Precedence;
   readonly electedAt: Instant;
   readonly writer: WorkLogWriter;
   readonly watch: WorkersWatch;
