--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -64,6 +64,11 @@
   private startedAt = 0;
   private fence = 0;
   private leaseEnd = 0;
+  private isLeased = false;
+  /** How often its lease has lapsed. */
+  private lapses = 0;
+  /** The value of `lapses` when each run that is listed ended. */
+  private readonly lapsesAtEnd = new Map<EndNumber, number>();
   private runs = new Map<string, WorkerRun>();
   private ended: EndedEntry[] = [];
   private endCount = 0;
@@ -104,6 +109,8 @@
     this.isDraining = false;
     this.fence = 0;
     this.leaseEnd = 0;
+    this.isLeased = false;
+    this.lapsesAtEnd.clear();
     this.runs = new Map();
     this.ended = [];
     this.endCount = 0;
@@ -122,6 +129,8 @@
     }
     const now = this.now();
     if (this.clock() > this.leaseEnd) {
+      this.lapses += Number(this.isLeased);
+      this.isLeased = false;
       [...this.runs.values()].forEach((run) => {
         this.end(run, 'lapsed');
       });
@@ -139,7 +148,7 @@
     this.extend(request.leaseEnd);
     for (const entry of this.ended) {
       if (entry.number <= request.acknowledged) {
-        this.jobs.endAcknowledged(entry);
+        this.jobs.endAcknowledged(entry, this.lapsesAtEnd.get(entry.number) !== this.lapses);
       }
     }
     this.ended = this.ended.filter(({ number }) => number > request.acknowledged);
@@ -278,6 +287,7 @@
     const saved = brandAs<SavedProgress>(hasSaved && end !== 'done' ? `saved ${task}` : '');
     const number = brandAs<EndNumber>(this.endCount);
     this.ended.push({ number, task, run, end, saved });
+    this.lapsesAtEnd.set(number, this.lapses);
     this.jobs.ended(task, run, end);
     const { waiting } = this;
     this.waiting = [];
@@ -290,6 +300,7 @@
     if (leaseEnd !== undefined) {
       const longest = this.clock() + LONGEST_LEASE_MILLIS;
       this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, longest));
+      this.isLeased = this.leaseEnd >= this.clock();
     }
   }
 }
