Ask a witness for its word until the term ends or it shuts down

What callers could see: a task that ran twice. An owner dismissed a witness 20 s after the end of its connection, and the witness counted on being asked for 10 s after that.

Cause: two processes counted one time from different moments, and nothing bounds how late one of them notices an event.

Change: the word of a witness is needed for as long as the term lasts. A member that shuts down, and has not claimed, says so (farewell) and is dismissed. No time is counted on either side any more.

The emulation let a process that had ended dial again, which it can't any more.

--- a/packages/member/src/emulated-peers.fixture.ts
+++ b/packages/member/src/emulated-peers.fixture.ts
@@ -32,6 +32,7 @@
 export class EmulatedPeers extends Peers {
   /** Delay of incoming messages at a busy process. */
   lagMillis = 0;
+  private hasEnded = false;
   private readonly connectionEnds = new Set<EmulatedConnection>();
 
   constructor(
@@ -61,6 +62,9 @@
   }
 
   dial({ address }: DialTarget, deadline: Deadline): Promise<DialResult> {
+    if (this.hasEnded) {
+      return this.timeOut(deadline);
+    }
     if (!this.network.cuts.connects(this.member, brandAs<MemberId>(address.host))) {
       return this.timeOut(deadline);
     }
@@ -90,6 +94,7 @@
 
   /** The process has ended, which the other ends see at once. */
   processEnded(): void {
+    this.hasEnded = true;
     this.network.listeners.delete(nameOf(this.options.settings.peerAddress));
     this.terminateAll('reset');
   }
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -47,6 +47,8 @@
       readonly reply: Reply<TermRole>;
     }
   | { readonly kind: 'member_gone'; readonly port: MemberPort }
+  /** The member has not claimed the work, and won't any more. */
+  | { readonly kind: 'member_leaving'; readonly port: MemberPort }
   /** Answer of a witness that was asked at `askedAt` whether it has claimed the work. */
   | {
       readonly kind: 'attested';
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -176,6 +176,9 @@
         }
         this.tenure?.witnesses.leave(port);
       })
+      .with({ kind: 'member_leaving' }, ({ port }) => {
+        this.tenure?.witnesses.dismiss(port);
+      })
       .with({ kind: 'attested' }, (attested) => {
         if (this.tenure?.term === attested.term) {
           this.tenure.witnesses.attested(attested);
--- a/packages/member/src/ownership-proof.test.ts
+++ b/packages/member/src/ownership-proof.test.ts
@@ -1,10 +1,5 @@
 import test from 'ava';
-import {
-  MAX_OFFLINE_MILLIS,
-  OwnershipProof,
-  PROOF_LIFETIME_MILLIS,
-  WITNESS_LIFETIME_MILLIS,
-} from './ownership-proof.js';
+import { MAX_OFFLINE_MILLIS, OwnershipProof, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
 import { incarnation, memberId, momentAt } from './moments.fixture.js';
 
 const M1 = memberId('m1');
@@ -45,13 +40,13 @@
   t.is(proof.grounds(momentAt(2900 + PROOF_LIFETIME_MILLIS + 1)), 'nothing');
 });
 
-test('the word of a witness whose connection has ended is needed all the same', (t) => {
+test('the word of a member that shuts down is not needed any more, unless another process of it has connected', (t) => {
   const proof = confirmedProof();
-  attestAll(proof, 1500);
-  proof.leave(M2, momentAt(1600));
+  proof.attest(M1, incarnation('m1-1'), momentAt(2900));
+  proof.dismiss(M2, incarnation('m2-0'));
+  t.is(proof.grounds(momentAt(3000)), 'nothing');
+  proof.dismiss(M2, incarnation('m2-1'));
   t.is(proof.grounds(momentAt(3000)), 'members');
-  proof.attest(M1, incarnation('m1-1'), momentAt(3600));
-  t.is(proof.grounds(momentAt(3700)), 'nothing');
 });
 
 // Guards against trust in a member whose earlier process has claimed the work and can't be asked any more.
@@ -80,13 +75,12 @@
   t.is(proof.grounds(momentAt(3000)), 'nothing');
 });
 
-test('a witness that has been away for long is dismissed once the store confirms the owner', (t) => {
+// Guards against an owner that goes on without the word of a member which counts on being asked.
+test('the word of a witness is needed for as long as the term lasts', (t) => {
   const proof = confirmedProof();
-  proof.leave(M2, momentAt(0));
-  const dismissedAt = 2 * WITNESS_LIFETIME_MILLIS + 1;
-  proof.confirm(momentAt(dismissedAt));
-  proof.attest(M1, incarnation('m1-1'), momentAt(dismissedAt + 2900));
-  t.is(proof.grounds(momentAt(dismissedAt + 3000)), 'members');
+  proof.confirm(momentAt(60_000));
+  proof.attest(M1, incarnation('m1-1'), momentAt(62_900));
+  t.is(proof.grounds(momentAt(63_000)), 'nothing');
 });
 
 test('an owner renews nothing on the word of its witnesses when the store has been away for too long', (t) => {
--- a/packages/member/src/ownership-proof.ts
+++ b/packages/member/src/ownership-proof.ts
@@ -24,20 +24,12 @@
 export const MAX_OFFLINE_MILLIS = 10_000;
 /** How much longer another member may take by this one's clock for what it counts by its own. */
 export const MEMBER_CLOCK_DRIFT_FACTOR = 1.025;
-/**
- * How long after its connection to the owner has ended a member counts on being asked as a witness. The owner
- * asks for its word for twice as long.
- */
-export const WITNESS_LIFETIME_MILLIS = 10_000;
-const DISMISSAL_MILLIS = 2 * WITNESS_LIFETIME_MILLIS;
 
 /** On what an owner renews leases. */
 export type RenewalGrounds = 'store' | 'members' | 'nothing';
 
 interface Witness {
   incarnation: Incarnation | undefined;
-  /** When its connection ended; undefined while it is connected. */
-  lostAt: Moment | undefined;
   /** When another process of the member followed one that may have claimed the work; undefined if none did. */
   replacedAt: Moment | undefined;
   /** When it was asked for the word that it gave last. */
@@ -51,11 +43,8 @@
   /** The store has taken an append of this owner that was sent at `sentAt`. */
   confirm(sentAt: Moment): void {
     this.confirmedAt = laterMoment(this.confirmedAt, sentAt);
-    this.witnesses.forEach((witness, member) => {
-      const { lostAt, replacedAt } = witness;
-      if (lostAt !== undefined && millisBetween(lostAt, sentAt) > DISMISSAL_MILLIS) {
-        this.witnesses.delete(member);
-      }
+    this.witnesses.forEach((witness) => {
+      const { replacedAt } = witness;
       if (replacedAt !== undefined && replacedAt.at <= sentAt.at) {
         witness.replacedAt = undefined;
       }
@@ -63,7 +52,8 @@
   }
 
   /**
-   * A member has connected to the owner.
+   * A member has connected to the owner. Its word is needed from now on, also after its connection has ended: it
+   * counts on being asked if it claims the work.
    *
    * @param incarnation undefined if the member doesn't say: it may be another process than before.
    */
@@ -72,17 +62,15 @@
     const isSame = incarnation !== undefined && known?.incarnation === incarnation;
     this.witnesses.set(member, {
       incarnation,
-      lostAt: undefined,
       replacedAt: known === undefined || isSame ? known?.replacedAt : now,
       attestedAt: isSame ? known.attestedAt : undefined,
     });
   }
 
-  /** The connection to a member has ended. Its word is needed all the same. */
-  leave(member: MemberId, now: Moment): void {
-    const witness = this.witnesses.get(member);
-    if (witness !== undefined) {
-      witness.lostAt ??= now;
+  /** A member that has claimed nothing has said that it will claim nothing any more. */
+  dismiss(member: MemberId, incarnation: Incarnation | undefined): void {
+    if (this.witnesses.get(member)?.incarnation === incarnation) {
+      this.witnesses.delete(member);
     }
   }
 
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -16,7 +16,6 @@
 import type { GatewayMessage } from './gateway-messages.js';
 import { RemoteOwner, type OwnerChannel } from './owner-channel.js';
 import type { Attestation } from './member-port.js';
-import type { Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { Claim, OwnershipMessage } from './ownership-messages.js';
 import type { OwnerListener, Peers, HelloReply } from './peers.js';
@@ -66,8 +65,6 @@
   readonly owner: MailboxAddress<OwnerMessage>;
   readonly localOwner: OwnerChannel;
   readonly gateway: MailboxAddress<GatewayMessage>;
-  /** The time of day, milliseconds since 1970. */
-  readonly wallMillis: () => number;
 }
 
 export class OwnershipTask extends Task<OwnershipMessage> {
@@ -163,7 +160,6 @@
       .with({ kind: 'connection_ended' }, ({ term, connection, reason }) => {
         if (this.claim?.term === term && this.connection === connection) {
           this.connection = undefined;
-          this.succession.disconnected(this.moment());
           this.ownerSilent(reason);
           this.redialAfterLoss(reason, this.claim);
         }
@@ -319,10 +315,6 @@
     return claim?.term === term && !claim.isReleased && !mayHaveClaimed;
   }
 
-  private moment(): Moment {
-    return { at: this.clock.now(), wallMillis: this.options.wallMillis() };
-  }
-
   private introduceLater(term: Term): void {
     const at = deadlineAfter(this.clock.now(), INTRODUCTION_INTERVAL_MILLIS);
     this.postAt(at, { kind: 'introduce', term });
@@ -584,7 +576,7 @@
       ports: this.options.peers.ports,
       isReleased: false,
     };
-    const precedence = this.succession.precedence(this.claim, this.moment());
+    const precedence = this.succession.precedence(this.claim);
     this.sentClaim = { term, precedence };
     events.event('owner.claiming', {
       term,
@@ -609,7 +601,10 @@
 
   private leave(held: Term | undefined, reply: Reply<null>): void {
     this.isShuttingDown = true;
-    const { claim } = this;
+    const { claim, connection } = this;
+    if (claim !== undefined && connection !== undefined && this.isLoyalTo(claim.term)) {
+      this.options.peers.sayFarewell(connection);
+    }
     if (held === undefined || claim?.term !== held) {
       reply(null);
       return;
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -148,6 +148,11 @@
     return answer.kind === 'answered' ? (answer.value as HelloReply) : undefined;
   }
 
+  /** Tells the owner that this member has not claimed the work, and won't any more. */
+  sayFarewell(connection: Connection): void {
+    connection.notify(METHODS.farewell, {});
+  }
+
   /** The known members of this one's region. */
   get neighbors(): readonly KnownMember[] {
     return this.known.inRegion(this.options.settings.region);
@@ -259,6 +264,9 @@
     void connection.ended.then(() => {
       owner.post({ kind: 'member_gone', port });
     });
+    connection.handle(METHODS.farewell, () => {
+      owner.post({ kind: 'member_leaving', port });
+    });
     const standing = answer.kind === 'answered' ? answer.value : 'none';
     return { standing, incarnation: settings.incarnation };
   }
--- a/packages/member/src/services.ts
+++ b/packages/member/src/services.ts
@@ -214,7 +214,7 @@
   readonly dependencies = [EVENTS, STORE, PEERS, OWNER, GATEWAY];
 
   protected make(directory: Directory): Task<OwnershipMessage> {
-    const { settings, clock, random, wallMillis } = this.environment;
+    const { settings, clock, random } = this.environment;
     const owner = directory.find(OWNER);
     const store = new MeasuredStore(directory.find(STORE), clock);
     const storeMillis = (): number | undefined => store.lowestLatencyMillis;
@@ -232,7 +232,6 @@
         owner,
         localOwner: new LocalOwner(owner, clock),
         gateway: directory.find(GATEWAY),
-        wallMillis,
       },
       clock,
     );
--- a/packages/member/src/succession-model.fixture.ts
+++ b/packages/member/src/succession-model.fixture.ts
@@ -135,7 +135,6 @@
   };
   const disconnect = (process: Process): void => {
     process.connectedTo = undefined;
-    process.succession.disconnected(momentOf(process));
   };
   const learn = (process: Process, claim: Claim | undefined, end: number | undefined): void => {
     process.end = Math.max(end ?? 0, process.end ?? 0);
@@ -184,7 +183,7 @@
   };
   const claim = (process: Process): void => {
     const { known, end, incarnation: own, name } = process;
-    const precedence = process.succession.precedence(known, momentOf(process));
+    const precedence = process.succession.precedence(known);
     const term = brandAs<Term>((known?.term ?? 0) + 1);
     process.sentClaim = { term, precedence };
     process.isClaiming = true;
@@ -287,9 +286,7 @@
     for (const member of ownership.connected) {
       if (!member.isAlive || !reachesBoth(process.name, member.name)) {
         inProcess(process, draw(0, 1200), () => {
-          if (ownership.connected.delete(member)) {
-            ownership.proof.leave(memberId(member.name), momentOf(process));
-          }
+          ownership.connected.delete(member);
         });
       } else if (chance(0.15)) {
         ask(process, ownership, member);
--- a/packages/member/src/succession.test.ts
+++ b/packages/member/src/succession.test.ts
@@ -2,9 +2,8 @@
 import { brandAs } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import type { Claim } from './ownership-messages.js';
-import { WITNESS_LIFETIME_MILLIS } from './ownership-proof.js';
 import { Succession, precedenceAfterGreeting } from './succession.js';
-import { incarnation, memberId, momentAt } from './moments.fixture.js';
+import { incarnation, memberId } from './moments.fixture.js';
 
 const TERM = brandAs<Term>(4);
 
@@ -20,7 +19,7 @@
 }
 
 test('work that was never claimed has no earlier owner', (t) => {
-  const precedence = new Succession().precedence(undefined, momentAt(0));
+  const precedence = new Succession().precedence(undefined);
   t.deepEqual(precedence, { predecessor: undefined, follows: undefined, endsSoon: true });
 });
 
@@ -28,37 +27,27 @@
 test('an owner that this member was never connected to may go on after its claim', (t) => {
   const succession = new Succession();
   succession.connected(brandAs<Term>(3));
-  const { follows, endsSoon } = succession.precedence(claim(), momentAt(0));
+  const { follows, endsSoon } = succession.precedence(claim());
   t.deepEqual({ follows, endsSoon }, { follows: TERM, endsSoon: false });
 });
 
-test('an owner of which this member is a witness ends soon, also for a while after the connection is lost', (t) => {
+test('an owner of which this member is a witness ends soon', (t) => {
   const succession = new Succession();
   succession.connected(TERM);
-  t.true(succession.precedence(claim(), momentAt(0)).endsSoon);
-  succession.disconnected(momentAt(1000));
-  t.true(succession.precedence(claim(), momentAt(1000 + WITNESS_LIFETIME_MILLIS - 1)).endsSoon);
-  t.false(succession.precedence(claim(), momentAt(1000 + WITNESS_LIFETIME_MILLIS)).endsSoon);
-});
-
-test('a connection that was lost before the machine was suspended counts as lost for as long', (t) => {
-  const succession = new Succession();
-  succession.connected(TERM);
-  succession.disconnected(momentAt(0));
-  t.false(succession.precedence(claim(), momentAt(10, WITNESS_LIFETIME_MILLIS)).endsSoon);
+  t.true(succession.precedence(claim()).endsSoon);
 });
 
 test('an owner that has released the work, or whose process has ended, renews nothing any more', (t) => {
   const succession = new Succession();
-  t.true(succession.precedence(claim({ isReleased: true }), momentAt(0)).endsSoon);
+  t.true(succession.precedence(claim({ isReleased: true })).endsSoon);
   succession.ended(TERM);
-  t.true(succession.precedence(claim(), momentAt(0)).endsSoon);
-  t.false(succession.precedence(claim({ term: brandAs<Term>(5) }), momentAt(0)).endsSoon);
+  t.true(succession.precedence(claim()).endsSoon);
+  t.false(succession.precedence(claim({ term: brandAs<Term>(5) })).endsSoon);
 });
 
 // Guards against runs on lost workers that wait for an owner whose process has ended with all others.
 test('an owner has ended once another process of its member greets the next one', (t) => {
-  const precedence = new Succession().precedence(claim(), momentAt(0));
+  const precedence = new Succession().precedence(claim());
   const greet = (member: string, name: string): boolean =>
     precedenceAfterGreeting(precedence, {
       member: memberId(member),
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -6,12 +6,7 @@
 import type { Term } from '@bamboowell/types/job';
 import type { MemberPort } from './member-port.js';
 import type { Claim } from './ownership-messages.js';
-import {
-  MAX_OFFLINE_MILLIS,
-  PROOF_LIFETIME_MILLIS,
-  WITNESS_LIFETIME_MILLIS,
-} from './ownership-proof.js';
-import { millisBetween, type Moment } from './moment.js';
+import { MAX_OFFLINE_MILLIS, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
 
 /** How a claim follows the one before it. */
 export interface Precedence {
@@ -62,26 +57,14 @@
   return endsSoon && haveEarlierEnded ? PROOF_LIFETIME_MILLIS : MAX_OFFLINE_MILLIS;
 }
 
-/** This member's connection to the owner of a term, which made it a witness of that owner. */
-interface Witnessing {
-  readonly term: Term;
-  lostAt: Moment | undefined;
-}
-
 export class Succession {
-  private witnessing: Witnessing | undefined;
+  /** The term whose owner this member has greeted, and which needs its word for as long as the term lasts. */
+  private witnessedTerm: Term | undefined;
   private endedTerm: Term | undefined;
 
   /** The owner of the term has answered this member's greeting. */
   connected(term: Term): void {
-    this.witnessing = { term, lostAt: undefined };
-  }
-
-  /** The connection to the owner has ended. */
-  disconnected(now: Moment): void {
-    if (this.witnessing !== undefined) {
-      this.witnessing.lostAt ??= now;
-    }
+    this.witnessedTerm = term;
   }
 
   /** The owner of the term renews nothing any more: another process has followed it, or it has stood down. */
@@ -90,22 +73,13 @@
   }
 
   /** How a claim made now follows the newest one. */
-  precedence(newest: Claim | undefined, now: Moment): Precedence {
+  precedence(newest: Claim | undefined): Precedence {
     if (newest === undefined) {
       return { predecessor: undefined, follows: undefined, endsSoon: true };
     }
     const { term, member, incarnation, isReleased } = newest;
     const hasEnded = isReleased || this.endedTerm === term;
-    const endsSoon = hasEnded || this.isWitnessOf(term, now);
+    const endsSoon = hasEnded || this.witnessedTerm === term;
     return { predecessor: { member, incarnation }, follows: term, endsSoon };
   }
-
-  private isWitnessOf(term: Term, now: Moment): boolean {
-    const { witnessing } = this;
-    if (witnessing?.term !== term) {
-      return false;
-    }
-    const { lostAt } = witnessing;
-    return lostAt === undefined || millisBetween(lostAt, now) < WITNESS_LIFETIME_MILLIS;
-  }
 }
--- a/packages/member/src/witnesses.ts
+++ b/packages/member/src/witnesses.ts
@@ -53,13 +53,19 @@
     this.proof.join(port.member, port.incarnation, this.moment());
   }
 
+  /** The connection to the member has ended. */
   leave(port: MemberPort): void {
     if (this.connected.get(port.member)?.port === port) {
       this.connected.delete(port.member);
-      this.proof.leave(port.member, this.moment());
     }
   }
 
+  /** The member shuts down. */
+  dismiss(port: MemberPort): void {
+    this.leave(port);
+    this.proof.dismiss(port.member, port.incarnation);
+  }
+
   attested({ port, askedAt, isLoyal }: Extract<OwnerMessage, { kind: 'attested' }>): void {
     if (isLoyal) {
       this.proof.attest(port.member, port.incarnation, askedAt);
