Hold a start back that a worker has refused for its fence until the worker answers

What callers could see: a task that ran twice. A start that was refused for its fence was sent again every 120 ms, whatever became of the owner.

Change: after a refusal for its fence a start waits until the incarnation that it is meant for has answered, as after no answer. The worker is looked at at once.

--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -62,6 +62,8 @@
   readonly order: Order;
   /** When its last copy was given up without an answer; undefined if none was. */
   unansweredAt: Instant | undefined;
+  /** When its last copy was given up, or refused by a worker that has had calls of a higher term. */
+  doubtfulAt: Instant | undefined;
   /** Whether it is to be sent as soon as the worker's incarnation has answered and has a lease. */
   isHeldBack: boolean;
 }
@@ -178,7 +180,12 @@
     if (order.kind === 'stop') {
       this.orders.delete(keyOf({ ...order, kind: 'start' }));
     }
-    this.orders.set(keyOf(order), { order, unansweredAt: undefined, isHeldBack: false });
+    this.orders.set(keyOf(order), {
+      order,
+      unansweredAt: undefined,
+      doubtfulAt: undefined,
+      isHeldBack: false,
+    });
     this.send(order);
   }
 
@@ -376,7 +383,7 @@
 
   /**
    * Sends an order. A start must not reach a later process of the worker: it names the worker's id, which
-   * stays. So it is repeated only after this incarnation has answered since the last copy was given up. None
+   * stays. So it is repeated only after this incarnation has answered since the last copy was given up or refused. None
    * is sent while the lease is suspended.
    */
   private send(order: Order): void {
@@ -394,10 +401,10 @@
     });
   }
 
-  private mayStart({ unansweredAt }: OpenOrder): boolean {
+  private mayStart({ doubtfulAt }: OpenOrder): boolean {
     const { lastHeldAt, isSuspended } = this;
     const hasAnswered =
-      lastHeldAt !== undefined && (unansweredAt === undefined || unansweredAt <= lastHeldAt);
+      lastHeldAt !== undefined && (doubtfulAt === undefined || doubtfulAt <= lastHeldAt);
     return hasAnswered && !isSuspended;
   }
 
@@ -437,9 +444,12 @@
     if (answer.kind === 'unanswered' || answer.kind === 'fenced' || isRefusedStop) {
       if (answer.kind === 'unanswered') {
         open.unansweredAt = this.clock.now();
+        open.doubtfulAt = open.unansweredAt;
         this.probe();
       } else if (answer.kind === 'fenced') {
+        open.doubtfulAt = this.clock.now();
         this.fenced();
+        this.probe();
       }
       this.postAt(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS), { kind: 'send', order });
       return;
