Annul a lost claim, and count on no word that an earlier build never asks for

The member now writes the newest claim once more, on condition of the same end, so that the lost one can't be taken any more.

A member that had greeted an owner of an earlier build counted as its witness, though that build asks nobody and renews leases for as long as it is connected to one member. The answer to a greeting now says that the owner needs the word of the member. Read, not shown: no test runs two builds together.

--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -56,6 +56,10 @@
   | { readonly kind: 'log_end_read'; readonly end: Offset | undefined }
   /** The store's answer to this member's own claim, which required that the log ends at `end`. */
   | { readonly kind: 'claimed'; readonly end: Offset; readonly outcome: AppendOutcome }
+  /** The store's answer to the record that keeps a lost claim of this member from taking effect. */
+  | { readonly kind: 'annulled'; readonly outcome: AppendOutcome }
+  /** Time to keep a lost claim from taking effect. */
+  | { readonly kind: 'annul' }
   | { readonly kind: 'check' }
   /** This member's owner task accepts requests from now on. */
   | { readonly kind: 'owner_ready'; readonly term: Term }
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -50,6 +50,8 @@
 const INTRODUCTION_INTERVAL_MILLIS = 700;
 /** An owner that asks for this member's word is answered within this, if at all. */
 const ATTESTATION_TIMEOUT_MILLIS = 1000;
+/** Pause before a lost claim is annulled again, if that is still needed. */
+const ANNULMENT_INTERVAL_MILLIS = 2000;
 /** Pause before the owner is dialled again. */
 const REDIAL_DELAY_MILLIS = 250;
 const OWNER_KEY = 'owner';
@@ -96,6 +98,8 @@
    * there the claim may still take effect.
    */
   private unresolvedEnd: Offset | undefined;
+  /** Whether the record is being written that keeps such a claim from taking effect. */
+  private isAnnulling = false;
   private readonly succession = new Succession();
   private isShuttingDown = false;
 
@@ -167,9 +171,11 @@
       .with({ kind: 'trouble' }, ({ term, isTroubled }) => {
         if (this.claim?.term === term) {
           this.options.election.trouble(isTroubled, this.clock.now());
+          this.annulLostClaim();
         }
       })
       .with({ kind: 'attest' }, ({ term, reply }) => {
+        this.annulLostClaim();
         reply(this.isLoyalTo(term));
       })
       .with({ kind: 'serving' }, ({ term }) => {
@@ -187,6 +193,15 @@
         this.options.events.event('owner.claimed', { outcome: outcome.kind });
         this.rereadClaims();
       })
+      .with({ kind: 'annulled' }, ({ outcome }) => {
+        this.isAnnulling = false;
+        this.options.events.event('owner.claim_annulled', { outcome: outcome.kind });
+        this.rereadClaims();
+        this.postAt(deadlineAfter(this.clock.now(), ANNULMENT_INTERVAL_MILLIS), { kind: 'annul' });
+      })
+      .with({ kind: 'annul' }, () => {
+        this.annulLostClaim();
+      })
       .with({ kind: 'check' }, () => {
         this.scheduledCheck = undefined;
         this.earliestCheckAt = deadlineAfter(this.clock.now(), MIN_CHECK_INTERVAL_MILLIS);
@@ -301,6 +316,22 @@
     }
   }
 
+  /**
+   * Writes the newest claim once more, where a claim of this member may still take effect: that requires that the
+   * log ends where it did. Without this the member's word would be missing until the next claim.
+   */
+  private annulLostClaim(): void {
+    const { claim, end, unresolvedEnd, isAnnulling } = this;
+    const isCurrent = claim !== undefined && !claim.isReleased && !this.isOurs(claim);
+    if (isAnnulling || unresolvedEnd !== end || !isCurrent) {
+      return;
+    }
+    this.isAnnulling = true;
+    void this.writeClaim(claim, this.options.store).then((outcome) => {
+      this.post({ kind: 'annulled', outcome });
+    });
+  }
+
   /** How this member's own claim follows the one before it. */
   private precedenceOf({ term }: Claim): Precedence {
     return this.sentClaim?.term === term
@@ -423,13 +454,16 @@
     void connection.ended.then((reason) => {
       this.post({ kind: 'connection_ended', term, connection, reason });
     });
-    this.succession.connected(term);
+    if (helloReply.needsWord === true) {
+      this.succession.connected(term);
+    }
     this.options.election.connected();
     this.options.events.event('owner.connected', { term, standing: helloReply.standing });
     if (helloReply.standing === 'serving') {
       this.servingTerm = term;
     }
     this.setChannelIfServing();
+    this.annulLostClaim();
   }
 
   private serving(term: Term): void {
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -70,6 +70,8 @@
   /** Whether the other end holds the term. */
   readonly standing: TermRole;
   readonly incarnation: Incarnation;
+  /** Whether the owner renews no lease without the word of this member; absent from earlier builds. */
+  readonly needsWord?: boolean;
 }
 
 /** Receives the owner's notifications. */
@@ -268,7 +270,7 @@
       owner.post({ kind: 'member_leaving', port });
     });
     const standing = answer.kind === 'answered' ? answer.value : 'none';
-    return { standing, incarnation: settings.incarnation };
+    return { standing, incarnation: settings.incarnation, needsWord: standing !== 'none' };
   }
 
   /**
