--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -283,6 +283,13 @@
     worker.unknownRuns = 0;
   }
 
+  /** How long ago the worker was heard, for the log; nothing if it never answered this owner. */
+  private heardBefore({ lastHeardAt }: Worker): Readonly<Record<string, number>> {
+    return lastHeardAt === NEVER_HEARD
+      ? {}
+      : { heardBeforeMillis: Math.round(this.context.now - lastHeardAt) };
+  }
+
   private loseRun(run: Run, reason: string): void {
     const { task } = run;
     this.context.detach(run);
@@ -292,7 +299,7 @@
       worker: run.worker.id,
       reason,
       phase: run.phase,
-      heardBeforeMillis: Math.round(this.context.now - run.worker.lastHeardAt),
+      ...this.heardBefore(run.worker),
     });
     if (!isEnded(task.step.job.state)) {
       this.lifecycle.enqueueIfReady(task.step);
