--- a/packages/member/src/departed-members.test.ts
+++ b/packages/member/src/departed-members.test.ts
@@ -19,7 +19,7 @@
   return cluster.jobs.starts - TASKS;
 }
 
-// Guards against running work that is given up in an outage for want of the word of a member that has stopped.
+// Guards against running work that is given up in an outage for want of an attestation of a member that has stopped.
 test('running work outlives an outage of the store that follows the shutdown of a member', async (t) => {
   const cluster = await clusterWithLongTasks();
   const stopped = cluster.shutDown(cluster.fifth);
--- a/packages/member/src/late-witness.test.ts
+++ b/packages/member/src/late-witness.test.ts
@@ -7,14 +7,14 @@
 const WORKERS = ['w1', 'w2', 'w3', 'w4'];
 /** Outlives the lease, the election and the wait of a next owner. */
 const TASK_MILLIS = 40_000;
-/** Longer than an owner asks for the word of a member that has lost its connection. */
+/** Longer than an owner asks a member for an attestation that has lost its connection. */
 const DISMISSAL_MILLIS = 21_500;
 /** Time in which a next owner starts what it takes for lost. */
 const TAKEOVER_MILLIS = 20_000;
 
 /**
  * Suspends a member, which the owner takes for lost meanwhile, and cuts the owner and its companion off from
- * the store once the owner no longer asks for the word of that member; returns what was violated.
+ * the store once the owner no longer asks that member for an attestation; returns what was violated.
  */
 async function succeedAfterSuspension(suspensionMillis: number): Promise<readonly string[]> {
   const workers = WORKERS.map((name) => ({ name, capacity: cores(4) }));
@@ -45,7 +45,7 @@
 
 for (const suspensionMillis of [8000, 14_000, DISMISSAL_MILLIS]) {
   // Guards against a successor that notices the loss of its connection late, so that it still counts as a
-  // witness of an owner that no longer asks for its word.
+  // witness of an owner that no longer asks it for an attestation.
   test(`no run starts elsewhere while it works with an owner that took its successor for lost while that was suspended for ${suspensionMillis} ms`, async (t) => {
     t.deepEqual(await succeedAfterSuspension(suspensionMillis), []);
   });
--- a/packages/member/src/lost-claims.test.ts
+++ b/packages/member/src/lost-claims.test.ts
@@ -14,7 +14,7 @@
 const OUTAGE_MILLIS = 8000;
 const TASKS_END_MILLIS = 34_000;
 
-// Guards against a member whose word is missing for as long as its lost claim could have taken effect in theory.
+// Guards against a member that cannot attest for as long as its lost claim could have taken effect in theory.
 test('running work outlives an outage of the store long after a claim was lost', async (t) => {
   const workers = ['w1', 'w2', 'w3', 'w4'].map((name) => ({ name, capacity: cores(4) }));
   const cluster = emulatedCluster({ workers, configuration: configurationOf() });
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -45,7 +45,7 @@
   /** Owner to member: `Attestation`, answered by whether the member has not claimed the work. */
   attest: 'attest',
   /** Notification from member to owner: the member has not claimed the work, and won't any more. */
-  farewell: 'farewell',
+  departure: 'departure',
   /** Notification in both directions: a `Claim` that the other end may not have seen. */
   claim: 'claim',
   /** Notification to a member of the same region: the sender follows it for the configuration. */
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -55,7 +55,7 @@
       readonly term: Term;
       readonly port: MemberPort;
       readonly askedAt: Moment;
-      readonly isLoyal: boolean;
+      readonly isAttested: boolean;
     }
   | {
       readonly kind: 'advised';
--- a/packages/member/src/ownership-proof.test.ts
+++ b/packages/member/src/ownership-proof.test.ts
@@ -14,13 +14,13 @@
   return proof;
 }
 
-/** Both witnesses were asked at this time and are loyal. */
+/** Both witnesses were asked at this time and have attested. */
 function attestAll(proof: OwnershipProof, millis: number): void {
   proof.attest(M1, incarnation('m1-1'), momentAt(millis));
   proof.attest(M2, incarnation('m2-1'), momentAt(millis));
 }
 
-test('an owner renews on the word of the store for as long as a proof lasts', (t) => {
+test('an owner renews on confirmations of the store for as long as a proof lasts', (t) => {
   const proof = confirmedProof();
   t.is(proof.grounds(momentAt(PROOF_LIFETIME_MILLIS)), 'store');
   t.is(proof.grounds(momentAt(PROOF_LIFETIME_MILLIS + 1)), 'nothing');
@@ -31,7 +31,7 @@
 });
 
 // Guards against an owner behind a cut that renews leases for as long as any member is connected to it.
-test('an owner without the store renews only on the word of all its witnesses', (t) => {
+test('an owner without the store renews only on attestations of all its witnesses', (t) => {
   const proof = confirmedProof();
   proof.attest(M1, incarnation('m1-1'), momentAt(2900));
   t.is(proof.grounds(momentAt(3000)), 'nothing');
@@ -40,7 +40,7 @@
   t.is(proof.grounds(momentAt(2900 + PROOF_LIFETIME_MILLIS + 1)), 'nothing');
 });
 
-test('the word of a member that shuts down is not needed any more, unless another process of it has connected', (t) => {
+test('the attestation of a member that shuts down is not needed any more, unless another process of it has connected', (t) => {
   const proof = confirmedProof();
   proof.attest(M1, incarnation('m1-1'), momentAt(2900));
   proof.dismiss(M2, incarnation('m2-0'));
@@ -75,15 +75,15 @@
   t.is(proof.grounds(momentAt(3000)), 'nothing');
 });
 
-// Guards against an owner that goes on without the word of a member which counts on being asked.
-test('the word of a witness is needed for as long as the term lasts', (t) => {
+// Guards against an owner that goes on without an attestation of a member which counts on being asked.
+test('the attestation of a witness is needed for as long as the term lasts', (t) => {
   const proof = confirmedProof();
   proof.confirm(momentAt(60_000));
   proof.attest(M1, incarnation('m1-1'), momentAt(62_900));
   t.is(proof.grounds(momentAt(63_000)), 'nothing');
 });
 
-test('an owner renews nothing on the word of its witnesses when the store has been away for too long', (t) => {
+test('an owner renews nothing on attestations of its witnesses when the store has been away for too long', (t) => {
   const proof = confirmedProof();
   attestAll(proof, MAX_OFFLINE_MILLIS);
   t.is(proof.grounds(momentAt(MAX_OFFLINE_MILLIS)), 'members');
--- a/packages/member/src/ownership-proof.ts
+++ b/packages/member/src/ownership-proof.ts
@@ -18,7 +18,7 @@
  */
 export const PROOF_LIFETIME_MILLIS = 2000;
 /**
- * How long after the store's last confirmation an owner renews leases on the word of its witnesses. Longer than
+ * How long after the store's last confirmation an owner renews leases on attestations of its witnesses. Longer than
  * an outage of the store usually lasts. A successor counts on this as well.
  */
 export const MAX_OFFLINE_MILLIS = 10_000;
@@ -32,7 +32,7 @@
   incarnation: Incarnation | undefined;
   /** When another process of the member followed one that may have claimed the work; undefined if none did. */
   replacedAt: Moment | undefined;
-  /** When it was asked for the word that it gave last. */
+  /** When it was asked for its last attestation. */
   attestedAt: Moment | undefined;
 }
 
@@ -52,7 +52,7 @@
   }
 
   /**
-   * A member has connected to the owner. Its word is needed from now on, also after its connection has ended: it
+   * A member has connected to the owner. Its attestation is needed from now on, also after its connection has ended: it
    * counts on being asked if it claims the work.
    *
    * @param incarnation undefined if the member doesn't say: it may be another process than before.
@@ -96,12 +96,14 @@
     if (offline <= PROOF_LIFETIME_MILLIS) {
       return 'store';
     }
-    const areAllLoyal = [...this.witnesses.values()].every((witness) => isLoyal(witness, now));
-    return areAllLoyal ? 'members' : 'nothing';
+    const haveAllAttested = [...this.witnesses.values()].every((witness) =>
+      hasAttested(witness, now),
+    );
+    return haveAllAttested ? 'members' : 'nothing';
   }
 }
 
-function isLoyal({ attestedAt, replacedAt }: Witness, now: Moment): boolean {
+function hasAttested({ attestedAt, replacedAt }: Witness, now: Moment): boolean {
   return (
     replacedAt === undefined &&
     attestedAt !== undefined &&
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -48,7 +48,7 @@
  * themselves sooner.
  */
 const INTRODUCTION_INTERVAL_MILLIS = 700;
-/** An owner that asks for this member's word is answered within this, if at all. */
+/** An owner that asks this member for an attestation is answered within this, if at all. */
 const ATTESTATION_TIMEOUT_MILLIS = 1000;
 /** Pause before a lost claim is annulled again, if that is still needed. */
 const ANNULMENT_INTERVAL_MILLIS = 2000;
@@ -176,7 +176,7 @@
       })
       .with({ kind: 'attest' }, ({ term, reply }) => {
         this.annulLostClaim();
-        reply(this.isLoyalTo(term));
+        reply(this.canAttest(term));
       })
       .with({ kind: 'serving' }, ({ term }) => {
         this.serving(term);
@@ -318,7 +318,7 @@
 
   /**
    * Writes the newest claim once more, where a claim of this member may still take effect: that requires that the
-   * log ends where it did. Without this the member's word would be missing until the next claim.
+   * log ends where it did. Without this the member could not attest until the next claim.
    */
   private annulLostClaim(): void {
     const { claim, end, unresolvedEnd, isAnnulling } = this;
@@ -340,7 +340,7 @@
   }
 
   /** Whether this member knows of no later owner than that of the term, and has not claimed the work itself. */
-  private isLoyalTo(term: Term): boolean {
+  private canAttest(term: Term): boolean {
     const { claim, end, unresolvedEnd, isClaiming } = this;
     const mayHaveClaimed = isClaiming || unresolvedEnd === end;
     return claim?.term === term && !claim.isReleased && !mayHaveClaimed;
@@ -454,7 +454,7 @@
     void connection.ended.then((reason) => {
       this.post({ kind: 'connection_ended', term, connection, reason });
     });
-    if (helloReply.needsWord === true) {
+    if (helloReply.needsAttestation === true) {
       this.succession.connected(term);
     }
     this.options.election.connected();
@@ -636,8 +636,8 @@
   private leave(held: Term | undefined, reply: Reply<null>): void {
     this.isShuttingDown = true;
     const { claim, connection } = this;
-    if (claim !== undefined && connection !== undefined && this.isLoyalTo(claim.term)) {
-      this.options.peers.sayFarewell(connection);
+    if (claim !== undefined && connection !== undefined && this.canAttest(claim.term)) {
+      this.options.peers.announceDeparture(connection);
     }
     if (held === undefined || claim?.term !== held) {
       reply(null);
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -70,8 +70,8 @@
   /** Whether the other end holds the term. */
   readonly standing: TermRole;
   readonly incarnation: Incarnation;
-  /** Whether the owner renews no lease without the word of this member; absent from earlier builds. */
-  readonly needsWord?: boolean;
+  /** Whether the owner renews no lease without an attestation of this member; absent from earlier builds. */
+  readonly needsAttestation?: boolean;
 }
 
 /** Receives the owner's notifications. */
@@ -151,8 +151,8 @@
   }
 
   /** Tells the owner that this member has not claimed the work, and won't any more. */
-  sayFarewell(connection: Connection): void {
-    connection.notify(METHODS.farewell, {});
+  announceDeparture(connection: Connection): void {
+    connection.notify(METHODS.departure, {});
   }
 
   /** The known members of this one's region. */
@@ -266,11 +266,11 @@
     void connection.ended.then(() => {
       owner.post({ kind: 'member_gone', port });
     });
-    connection.handle(METHODS.farewell, () => {
+    connection.handle(METHODS.departure, () => {
       owner.post({ kind: 'member_leaving', port });
     });
     const standing = answer.kind === 'answered' ? answer.value : 'none';
-    return { standing, incarnation: settings.incarnation, needsWord: standing !== 'none' };
+    return { standing, incarnation: settings.incarnation, needsAttestation: standing !== 'none' };
   }
 
   /**
--- a/packages/member/src/succession-model.fixture.ts
+++ b/packages/member/src/succession-model.fixture.ts
@@ -63,7 +63,7 @@
   readonly violations: readonly string[];
   /** Owners that have fenced those before them. */
   readonly takeovers: number;
-  /** Steps in which an owner renewed leases on the word of its witnesses. */
+  /** Steps in which an owner renewed leases on attestations of its witnesses. */
   readonly offlineSteps: number;
 }
 
@@ -165,7 +165,7 @@
       process.succession.ended(claim.term);
     }
   };
-  const isLoyal = ({ known, end, unresolvedEnd, isClaiming }: Process, term: Term): boolean =>
+  const canAttest = ({ known, end, unresolvedEnd, isClaiming }: Process, term: Term): boolean =>
     known?.term === term && !isClaiming && (unresolvedEnd === undefined || unresolvedEnd !== end);
 
   const readClaims = (process: Process): void => {
@@ -296,7 +296,7 @@
   const ask = (process: Process, ownership: Ownership, member: Process): void => {
     const askedAt = momentOf(process);
     inProcess(member, draw(0, 300), () => {
-      if (isLoyal(member, ownership.term) && reaches(member.name, process.name)) {
+      if (canAttest(member, ownership.term) && reaches(member.name, process.name)) {
         inProcess(process, draw(0, 300), () => {
           ownership.proof.attest(memberId(member.name), member.incarnation, askedAt);
         });
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -58,7 +58,7 @@
 }
 
 export class Succession {
-  /** The term whose owner this member has greeted, and which needs its word for as long as the term lasts. */
+  /** The term whose owner this member has greeted, and which needs its attestation for as long as the term lasts. */
   private witnessedTerm: Term | undefined;
   private endedTerm: Term | undefined;
 
--- a/packages/member/src/witnesses.ts
+++ b/packages/member/src/witnesses.ts
@@ -1,4 +1,4 @@
-/** Asks the witnesses of an owner for their word while the store doesn't confirm its ownership. */
+/** Asks the witnesses of an owner for an attestation while the store doesn't confirm its ownership. */
 
 import type { Clock } from '@bamboowell/kernel/clock';
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
@@ -66,8 +66,8 @@
     this.proof.dismiss(port.member, port.incarnation);
   }
 
-  attested({ port, askedAt, isLoyal }: Extract<OwnerMessage, { kind: 'attested' }>): void {
-    if (isLoyal) {
+  attested({ port, askedAt, isAttested }: Extract<OwnerMessage, { kind: 'attested' }>): void {
+    if (isAttested) {
       this.proof.attest(port.member, port.incarnation, askedAt);
     }
   }
@@ -90,8 +90,8 @@
   private askOne(port: MemberPort, askedAt: Moment): void {
     const { term, owner } = this;
     const deadline = deadlineAfter(this.clock.now(), PROOF_LIFETIME_MILLIS);
-    void port.attest({ term }, deadline).then((isLoyal) => {
-      owner.post({ kind: 'attested', term, port, askedAt, isLoyal });
+    void port.attest({ term }, deadline).then((isAttested) => {
+      owner.post({ kind: 'attested', term, port, askedAt, isAttested });
     });
   }
 }
