--- a/packages/member/src/ownership-proof.ts
+++ b/packages/member/src/ownership-proof.ts
@@ -4,9 +4,9 @@
  *
  * A proof is as old as the moment at which it was asked for. The store gives one with each append that it
  * takes. While it gives none, the members do: each that has been connected to the owner during its term is a
- * witness, and says that it has not claimed the work. A successor that was a witness is refused to the owner
- * as a proof from then on, so that it only has to wait for what was proven before; one that wasn't waits for
- * the longest time that an owner goes on without the store (`Succession`).
+ * witness, and attests that it has not claimed the work. A witness that has claimed it attests nothing any
+ * more, so that as the next owner it only has to wait for what was proven before its claim. Any other next
+ * owner waits for the longest time that an owner goes on without the store (`renewalMillisAfter`).
  */
 
 import type { Incarnation, MemberId } from '@bamboowell/types/ids';
@@ -18,11 +18,11 @@
  */
 export const PROOF_LIFETIME_MILLIS = 2000;
 /**
- * How long after the store's last confirmation an owner renews leases on attestations of its witnesses. Longer than
- * an outage of the store usually lasts. A successor counts on this as well.
+ * How long after the store's last confirmation an owner renews leases on attestations of its witnesses. A
+ * successor counts on this as well.
  */
 export const MAX_OFFLINE_MILLIS = 10_000;
-/** How much longer another member may take by this one's clock for what it counts by its own. */
+/** Factor by which a member's clock may run slow against that of another member. */
 export const MEMBER_CLOCK_DRIFT_FACTOR = 1.025;
 
 /** On what an owner renews leases. */
@@ -52,8 +52,8 @@
   }
 
   /**
-   * A member has connected to the owner. Its attestation is needed from now on, also after its connection has ended: it
-   * counts on being asked if it claims the work.
+   * A member has connected to the owner. Its attestation is needed from now on, also after its connection has
+   * ended: as the next owner it counts on having been asked.
    *
    * @param incarnation undefined if the member doesn't say: it may be another process than before.
    */
