Keep room for a gang only where and as long as it is likely to use it

Cause: a gang that did not start reserved workers whatever kept it from starting, and nothing behind it could use them: not if all workers together could never hold it, if the team's limit or lasting tasks kept it out, if a worker had gone, nor if it only waited for the end of a run of 40 s. Whole workers were reserved, also where no task of the gang fits.

Change: steps that can't start on the workers that are there are named (Obstacles), reserve nothing and ask for no advice. For other gangs the time and place of the start are planned by the expected ends of runs; the gang's share of each of these workers is held until then. Work behind it takes what is spare, or anything if it is over before (EASY backfilling, from memory Feitelson and Lifka), at twice its estimate. HoldWindows bounds holds: two seconds at a time while little of the service is in use, else as long as room has been kept before, with openings between.

--- a/packages/explain/src/findings.ts
+++ b/packages/explain/src/findings.ts
@@ -112,7 +112,31 @@
     fieldOf(taken, 'excess') === 'true'
       ? ['its team exceeded its promised rate, so the job waited behind all others']
       : [];
-  return [state, ...excess, ...taskFindings(taskTimesOf(jobEvents))];
+  return [state, ...excess, ...blockedFindings(jobEvents), ...taskFindings(taskTimesOf(jobEvents))];
+}
+
+const BLOCKED_CAUSES: Readonly<Record<string, string>> = {
+  no_worker_fits: 'no worker with its label is large enough for one of its tasks',
+  gang_exceeds_fleet: 'all workers that could take its tasks can not hold the gang',
+  gang_exceeds_team_limit: 'the gang needs more than its team may run',
+};
+
+/** Steps that couldn't start on the workers that were there, however long they waited. */
+function blockedFindings(jobEvents: readonly LoggedEvent[]): string[] {
+  return jobEvents
+    .filter(({ name }) => name === 'step.blocked')
+    .map((event) => {
+      const step = fieldOf(event, 'step');
+      const reason = fieldOf(event, 'reason');
+      const needed = fieldOf(event, 'label');
+      const label = needed === '' ? '' : ` (label ${needed})`;
+      const isOver = jobEvents.some(
+        ({ name, at, fields }) =>
+          name === 'step.unblocked' && at >= event.at && fields.get('step') === step,
+      );
+      const cause = BLOCKED_CAUSES[reason] ?? reason;
+      return `step ${step} of ${fieldOf(event, 'tasks')} tasks ${isOver ? 'could' : 'can'} not start: ${cause}; the workers have room for ${fieldOf(event, 'fittingTasks')} of them${label}`;
+    });
 }
 
 function taskFindings(tasks: readonly TaskTimes[]): string[] {
--- a/packages/explain/src/job-explanation.test.ts
+++ b/packages/explain/src/job-explanation.test.ts
@@ -130,6 +130,26 @@
   ]);
 });
 
+// Guards against a job that waits for ever without a reason in its explanation.
+test('a job that can not start is explained by what keeps it, also once that is gone', (t) => {
+  const step = `${JOB}.0.0`;
+  const lines = [
+    logLine(0, 'm1', 'job.taken', { job: JOB }),
+    logLine(1000, 'm1', 'step.blocked', {
+      step,
+      reason: 'gang_exceeds_fleet',
+      tasks: 11,
+      fittingTasks: 10,
+      label: 'b',
+    }),
+  ];
+  const finding = (verb: string): string =>
+    `step ${step} of 11 tasks ${verb} not start: all workers that could take its tasks can not hold the gang; the workers have room for 10 of them (label b)`;
+  t.true(explanationOf(collectorOf(lines)).findings.includes(finding('can')));
+  lines.push(logLine(9000, 'm1', 'step.unblocked', { step }));
+  t.true(explanationOf(collectorOf(lines)).findings.includes(finding('could')));
+});
+
 test('a job that no line names gets a finding that says so', (t) => {
   const { rows, findings } = explanationOf(
     collectorOf([logLine(0, 'm1', 'owner.ready', { term: 1 })]),
--- a/packages/jobs/src/advice-prefetch.ts
+++ b/packages/jobs/src/advice-prefetch.ts
@@ -8,6 +8,7 @@
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import { isStepDone, type Run, type Step, type Task } from './model.js';
+import { endByProgress } from './run-ends.js';
 import type { StepPlacement } from './step-placement.js';
 
 /** Interval between checks of upcoming steps, milliseconds. */
@@ -17,8 +18,6 @@
  * tickets.
  */
 const LEAD_MILLIS = 400;
-/** Progress below this, percent, tells too little about when a run will end. */
-const MIN_PERCENT_TO_ESTIMATE = 15;
 
 export class AdvicePrefetch {
   private nextPrefetchAt: Deadline = brandAs<Deadline>(0);
@@ -74,15 +73,7 @@
   }
 }
 
-function remainingMillisOfRun({ progress, confirmedAt }: Run, now: Instant): number {
-  if (
-    progress === undefined ||
-    confirmedAt === undefined ||
-    progress.percent < MIN_PERCENT_TO_ESTIMATE
-  ) {
-    return Number.POSITIVE_INFINITY;
-  }
-  const { percent, lastSeenAt } = progress;
-  const millisPerPercent = (lastSeenAt - confirmedAt) / percent;
-  return Math.max(1, millisPerPercent * (100 - percent) - (now - lastSeenAt));
+function remainingMillisOfRun(run: Run, now: Instant): number {
+  const end = endByProgress(run);
+  return end === undefined ? Number.POSITIVE_INFINITY : Math.max(1, end - now);
 }
--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -1,23 +1,47 @@
 /** The workers that can get work in one placement pass, and the resources that are free on each. */
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
-import { fits, subtract, type Resources } from '@bamboowell/types/resources';
+import type { WorkerRegistration } from '@bamboowell/types/job';
+import { fits, resourcesOf, subtract, type Resources } from '@bamboowell/types/resources';
+import type { Deadline } from '@bamboowell/types/time';
 import { allocationOf, type Step, type Worker } from './model.js';
 
+/** A part of a worker's resources that is kept for a gang until it is expected to start. */
+export interface Hold {
+  readonly until: Deadline;
+  /** What other runs may take that end later than that. */
+  readonly spare: Resources;
+}
+
 /** A worker that can get work in this pass, and its free resources. */
 export interface AvailableWorker {
   readonly worker: Worker;
   free: Resources;
+  hold: Hold | undefined;
   /** Whether an isolated run was placed there in this pass. */
   isClosed: boolean;
 }
 
 export function availableWorker(worker: Worker): AvailableWorker {
-  return { worker, free: subtract(worker.registration.capacity, worker.used), isClosed: false };
+  const free = subtract(worker.registration.capacity, worker.used);
+  return { worker, free, hold: undefined, isClosed: false };
+}
+
+/**
+ * What a run that ends by then may take. A run that is over before the gang starts may use what is kept for
+ * the gang (backfilling).
+ */
+export function roomFor({ free, hold }: Offer, endsBy: Deadline): Resources {
+  return hold === undefined || endsBy <= hold.until
+    ? free
+    : resourcesOf((dimension) => Math.min(free[dimension], hold.spare[dimension]));
 }
 
+/** What a worker has free, and what of that is kept. */
+type Offer = Pick<AvailableWorker, 'free' | 'hold'>;
+
 /** Whether the worker could run a task of the step if nothing else ran there. */
-export function isEligible({ registration }: Worker, { plan, job }: Step): boolean {
+export function isEligible(registration: WorkerRegistration, { plan, job }: Step): boolean {
   return (
     registration.service === job.queue.service &&
     (plan.neededLabel === undefined || registration.labels.includes(plan.neededLabel)) &&
@@ -46,13 +70,18 @@
   return available >= 0 ? MAX_COUNT : 0;
 }
 
-/** Allocates a task's demand on the worker and counts the task there. */
+/** Allocates a task's demand on the worker until then, and counts the task there. */
 export function allocate(
   available: AvailableWorker,
   demand: Resources,
+  endsBy: Deadline,
   countByWorker: Map<WorkerId, number>,
 ): void {
+  const { hold } = available;
   available.free = subtract(available.free, demand);
+  if (hold !== undefined && endsBy > hold.until) {
+    available.hold = { ...hold, spare: subtract(hold.spare, demand) };
+  }
   countByWorker.set(available.worker.id, (countByWorker.get(available.worker.id) ?? 0) + 1);
 }
 
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -16,6 +16,7 @@
 import { NO_RESOURCES, add, subtract, type Resources } from '@bamboowell/types/resources';
 import type { Instant } from '@bamboowell/types/time';
 import { EndedArchive } from './ended-archive.js';
+import { FleetCapacity } from './fleet-capacity.js';
 import { LoadControl } from './load-control.js';
 import type { JobBatch, JobOutput, JobWrite } from './messages.js';
 import {
@@ -24,12 +25,14 @@
   isEnded,
   isStepDone,
   allocationOf,
+  waitingTasks,
   type Job,
   type Run,
   type Step,
   type Task,
   type Worker,
 } from './model.js';
+import type { Obstacle } from './obstacles.js';
 import { startableWithinLimit } from './team-limits.js';
 import {
   occurrenceOf,
@@ -52,6 +55,7 @@
   /** The newest incarnation of each worker. */
   readonly currentIncarnations = new Map<WorkerId, Worker>();
   readonly load = new LoadControl();
+  readonly fleet = new FleetCapacity();
   /**
    * Waiting steps behind the point up to which advice is asked for, because the fleet has no room for them
    * soon. They are left out of placement passes until the set is cleared, ten times a second.
@@ -88,6 +92,7 @@
     this.jobs.forEach((job) => {
       job.queue = this.queues.get(job.queue.id) ?? job.queue;
     });
+    this.fleet.forgetCounts();
     this.needsPlacement = true;
   }
 
@@ -109,6 +114,27 @@
     return this.startableByTeam(job.plan?.team, allocationOf(plan), wanted);
   }
 
+  /** Whether the step's team runs too much for another task of it, or for the gang. */
+  isTeamAtLimit(step: Step): boolean {
+    const needed = step.plan.isGang ? waitingTasks(step).length : 1;
+    return this.startableWithinLimit(step, needed) < needed;
+  }
+
+  /** What keeps the step from starting on the workers that are there, however long it waits. */
+  obstacleOf(step: Step): Obstacle | undefined {
+    const fittingTasks = this.fleet.tasksThatFit(step);
+    if (fittingTasks === 0) {
+      return 'no_worker_fits';
+    }
+    if (!step.plan.isGang) {
+      return undefined;
+    }
+    if (fittingTasks < step.plan.count) {
+      return 'gang_exceeds_fleet';
+    }
+    return this.exceedsTeamLimit(step) ? 'gang_exceeds_team_limit' : undefined;
+  }
+
   /** How many tasks with this demand the team may start within its limit. */
   startableByTeam(id: TeamId | undefined, demand: Resources, wanted: number): number {
     const limit = id === undefined ? undefined : this.team(id)?.limit;
@@ -117,6 +143,15 @@
       : startableWithinLimit(this.usageOf(id), limit, demand, wanted);
   }
 
+  private exceedsTeamLimit({ job, plan }: Step): boolean {
+    const team = job.plan?.team;
+    const limit = team === undefined ? undefined : this.team(team)?.limit;
+    return (
+      limit !== undefined &&
+      startableWithinLimit(NO_RESOURCES, limit, allocationOf(plan), plan.count) < plan.count
+    );
+  }
+
   /** Adds a job that the store doesn't have yet. */
   addNew(job: Job): void {
     this.jobs.set(job.id, job);
--- /dev/null
+++ b/packages/jobs/src/emulated-fleet.fixture.ts
@@ -0,0 +1,98 @@
+/** A scheduler with workers that run what they are told to, for as long as the test says. */
+
+import { brandAs } from '@bamboowell/types/ids';
+import type {
+  EndNumber,
+  EndedEntry,
+  JobId,
+  JobPlan,
+  WorkerIncarnation,
+} from '@bamboowell/types/job';
+import { NO_PROGRESS } from '@bamboowell/types/job';
+import type { Instant } from '@bamboowell/types/time';
+import {
+  runningEntry,
+  schedulerHarness,
+  type HarnessOptions,
+  type ReceivedStart,
+} from './scheduler.fixture.js';
+
+/** Interval between placement passes and between reports, milliseconds. */
+const TICK_MILLIS = 100;
+/** A task that never ends by itself. */
+export const FOR_EVER = Number.POSITIVE_INFINITY;
+
+interface EmulatedRun {
+  readonly start: ReceivedStart;
+  readonly beganAt: Instant;
+}
+
+export function emulatedFleet(options: Required<HarnessOptions>) {
+  const harness = schedulerHarness(options);
+  harness.reportFromAll();
+  const runMillis = new Map<JobId, number>();
+  const submittedAt = new Map<JobId, Instant>();
+  const begunAt = new Map<JobId, Instant>();
+  let running: EmulatedRun[] = [];
+  let ends = 0;
+
+  const jobOf = ({ task }: ReceivedStart): JobId => brandAs<JobId>(task.split('.')[0] ?? '');
+  const millisOf = (start: ReceivedStart): number => runMillis.get(jobOf(start)) ?? 0;
+  const isOver = ({ start, beganAt }: EmulatedRun): boolean =>
+    harness.now() - beganAt >= millisOf(start);
+  const percentOf = ({ start, beganAt }: EmulatedRun): number => {
+    const millis = millisOf(start);
+    return millis === FOR_EVER ? 100 : Math.floor((100 * (harness.now() - beganAt)) / millis);
+  };
+  const endedEntry = ({ start: { task, run } }: EmulatedRun): EndedEntry => {
+    ends += 1;
+    return { number: brandAs<EndNumber>(ends), task, run, end: 'done', saved: NO_PROGRESS };
+  };
+  const report = (incarnation: WorkerIncarnation): void => {
+    const own = running.filter(({ start }) => start.incarnation === incarnation);
+    const listed = own.filter((each) => !isOver(each));
+    harness.report(
+      incarnation,
+      listed.map((each) => runningEntry(each.start, NO_PROGRESS, percentOf(each))),
+      own.filter(isOver).map(endedEntry),
+    );
+    running = running.filter((each) => !own.includes(each) || listed.includes(each));
+  };
+  const tick = (): void => {
+    harness.advance(TICK_MILLIS);
+    options.workers.forEach(({ incarnation }) => {
+      report(incarnation);
+    });
+    for (const start of harness.place()) {
+      harness.answerStart(start);
+      running.push({ start, beganAt: harness.now() });
+      const job = jobOf(start);
+      begunAt.set(job, begunAt.get(job) ?? harness.now());
+    }
+  };
+
+  return {
+    harness,
+    /** Each task of the job takes so long. */
+    submit: (plan: JobPlan, millis: number): void => {
+      runMillis.set(plan.id, millis);
+      submittedAt.set(plan.id, harness.now());
+      harness.submit(plan);
+      harness.commit();
+    },
+    /** Lets time pass; `onTick` is called before each pass. */
+    run: (millis: number, onTick: () => void = () => undefined): void => {
+      for (let passed = 0; passed < millis; passed += TICK_MILLIS) {
+        onTick();
+        tick();
+      }
+    },
+    /** Milliseconds from the submission of the job to its first start; undefined if it has not begun. */
+    waitOf: (job: JobId): number | undefined => {
+      const begun = begunAt.get(job);
+      return begun === undefined ? undefined : begun - (submittedAt.get(job) ?? begun);
+    },
+    runningOn: (incarnation: WorkerIncarnation): number =>
+      running.filter(({ start }) => start.incarnation === incarnation).length,
+  };
+}
--- /dev/null
+++ b/packages/jobs/src/fleet-capacity.ts
@@ -0,0 +1,54 @@
+/** How many tasks of a step the workers could hold if nothing else ran there. */
+
+import type { WorkerRegistration } from '@bamboowell/types/job';
+import { countFitting, isEligible } from './available-workers.js';
+import { allocationOf, type Step, type Worker } from './model.js';
+
+export class FleetCapacity {
+  private registrations: readonly WorkerRegistration[] = [];
+  /** By step, until a worker or a queue changes: thousands of steps may wait. */
+  private counts = new WeakMap<Step, number>();
+
+  /** @param workers those that are present, reachable and not draining. */
+  setWorkers(workers: readonly Worker[]): void {
+    const { registrations } = this;
+    const isUnchanged =
+      workers.length === registrations.length &&
+      workers.every(({ registration }, index) => registration === registrations[index]);
+    if (!isUnchanged) {
+      this.registrations = workers.map(({ registration }) => registration);
+      this.forgetCounts();
+    }
+  }
+
+  /** Called when the services of queues may have changed. */
+  forgetCounts(): void {
+    this.counts = new WeakMap();
+  }
+
+  /** Number of the step's tasks that fit at the same time on all workers together, at most all of them. */
+  tasksThatFit(step: Step): number {
+    const known = this.counts.get(step);
+    if (known !== undefined) {
+      return known;
+    }
+    const count = this.countTasks(step);
+    this.counts.set(step, count);
+    return count;
+  }
+
+  private countTasks(step: Step): number {
+    const { maxPerWorker, count: wanted } = step.plan;
+    const demand = allocationOf(step.plan);
+    let count = 0;
+    for (const registration of this.registrations) {
+      if (count >= wanted) {
+        break;
+      }
+      if (isEligible(registration, step)) {
+        count += countFitting(demand, registration.capacity, maxPerWorker);
+      }
+    }
+    return Math.min(count, wanted);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/hold-windows.ts
@@ -0,0 +1,92 @@
+/**
+ * Limits how long room that is kept for gangs may hold other work up. The room of each service is kept in
+ * windows, with openings between them in which whatever fits may start.
+ */
+
+import {
+  deadlineAfter,
+  earlier,
+  hasPassed,
+  type Deadline,
+  type Instant,
+} from '@bamboowell/types/time';
+
+/**
+ * Shortest window, milliseconds. In a service of which little is in use, waiting work for which there is
+ * room starts within three seconds.
+ */
+const MIN_WINDOW_MILLIS = 2000;
+/** Longest window, milliseconds: a run whose end is foreseen wrongly may delay a gang for ever. */
+const MAX_WINDOW_MILLIS = 60_000;
+/** Length of an opening, milliseconds: several placement passes, and a call for advice. */
+const OPENING_MILLIS = 300;
+
+interface Window {
+  /** Since when room has been kept, in this window and those before it. */
+  readonly keptSince: Instant;
+  readonly beganAt: Instant;
+  /** When the window ends if the service is not busy until then. */
+  idleEnd: Deadline;
+  /** When the opening began that the window has given way to. */
+  openedAt: Instant | undefined;
+}
+
+export class HoldWindows {
+  private readonly windows = new Map<string, Window>();
+  /** Services for whose gangs room was needed in this pass. */
+  private readonly needed = new Set<string>();
+
+  /**
+   * When the window of the service began by which room may be kept now; undefined in an opening.
+   *
+   * @param isBusy whether much of the service is in use: then each window may be as long as room has been
+   * kept before it, so that a gang starts in the end that long runs get in the way of.
+   */
+  windowBegin(service: string, isBusy: boolean, now: Instant): Instant | undefined {
+    this.needed.add(service);
+    const window = this.windows.get(service);
+    if (window === undefined) {
+      return this.begin(service, now, now);
+    }
+    if (isBusy) {
+      window.idleEnd = deadlineAfter(now, MIN_WINDOW_MILLIS);
+    }
+    if (!hasPassed(earlier(window.idleEnd, busyEndOf(window)), now)) {
+      window.openedAt = undefined;
+      return window.beganAt;
+    }
+    window.openedAt ??= now;
+    return isOpeningOver(window.openedAt, now)
+      ? this.begin(service, window.keptSince, now)
+      : undefined;
+  }
+
+  /** Called after each pass. Without a gang that needs room everything may start, as in an opening. */
+  endPass(now: Instant): void {
+    for (const [service, window] of this.windows) {
+      if (!this.needed.has(service)) {
+        window.openedAt ??= now;
+        if (isOpeningOver(window.openedAt, now)) {
+          this.windows.delete(service);
+        }
+      }
+    }
+    this.needed.clear();
+  }
+
+  private begin(service: string, keptSince: Instant, now: Instant): Instant {
+    const idleEnd = deadlineAfter(now, MIN_WINDOW_MILLIS);
+    this.windows.set(service, { keptSince, beganAt: now, idleEnd, openedAt: undefined });
+    return now;
+  }
+}
+
+function isOpeningOver(openedAt: Instant, now: Instant): boolean {
+  return hasPassed(deadlineAfter(openedAt, OPENING_MILLIS), now);
+}
+
+/** When the window ends if the service is busy. */
+function busyEndOf({ keptSince, beganAt }: Window): Deadline {
+  const millis = Math.max(MIN_WINDOW_MILLIS, beganAt - keptSince);
+  return deadlineAfter(beganAt, Math.min(MAX_WINDOW_MILLIS, millis));
+}
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -1,81 +1,154 @@
 /**
- * Reserves workers for a gang that cannot start yet, so that smaller tasks behind it don't take the
- * resources piece by piece.
+ * Keeps room for gangs that cannot start yet, so that smaller tasks behind them don't take it piece by piece.
+ * Work that will be over by the time a gang is expected to start may use its room meanwhile (backfilling).
  */
 
-import { add, type Resources } from '@bamboowell/types/resources';
+import { multiply, positivePart, subtract } from '@bamboowell/types/resources';
+import {
+  deadlineAfter,
+  earlier,
+  hasPassed,
+  type Deadline,
+  type Instant,
+} from '@bamboowell/types/time';
+import type { AvailableWorker } from './available-workers.js';
+import { freeAt, planGang, type GangPlan } from './gang-plan.js';
+import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
-import { countFitting } from './available-workers.js';
 
-/** Fraction of the workers that may be reserved in one pass: the rest takes whatever fits. */
+/** Fraction of the workers on which room may be kept in one pass: the rest takes whatever fits. */
 const MAX_RESERVED_FRACTION = 0.5;
+/** A plan is made anew after this, milliseconds, so that runs that end early bring the start forward. */
+const REPLAN_MILLIS = 100;
+/**
+ * A service counts as busy if this fraction of its processor time is taken. The promise to start waiting work
+ * holds while less than half is in use; starts and stops under way are counted here.
+ */
+const BUSY_FRACTION = 0.6;
 
-/** A worker and its free resources in this pass. */
-export interface Availability {
-  readonly worker: Worker;
-  readonly free: Resources;
+interface PlannedGang {
+  readonly plan: GangPlan | undefined;
+  /** Number of workers that the plan could choose from. */
+  readonly candidates: number;
+  readonly replanAt: Deadline;
+  /** When the window of `promisedStart` began. */
+  readonly windowBegin: Instant | undefined;
+  /** The earliest start that was expected in the window: runs that end later than that don't go before it. */
+  readonly promisedStart: Deadline;
 }
 
+/** The reservations of the present placement pass, and what they need from earlier ones. */
 export class Reservations {
-  private readonly reserved = new Set<Worker>();
+  private readonly windows = new HoldWindows();
+  private readonly gangs = new WeakMap<Step, PlannedGang>();
+  private readonly held = new Map<Worker, AvailableWorker>();
+  private workers: readonly AvailableWorker[] = [];
+  private readonly busyServices = new Map<string, boolean>();
 
-  /**
-   * @param workerCount number of available workers.
-   * @param lowestPriority of all queues; a higher number is a lower priority.
-   */
-  constructor(
-    private readonly workerCount: number,
-    private readonly lowestPriority: number,
-  ) {}
+  /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
+  beginPass(workers: readonly AvailableWorker[]): void {
+    this.workers = workers;
+    this.held.clear();
+    this.busyServices.clear();
+  }
+
+  endPass(now: Instant): void {
+    this.windows.endPass(now);
+  }
 
   /** Whether no more workers may be reserved in this pass. */
   get isFull(): boolean {
-    return this.reserved.size >= this.workerCount * MAX_RESERVED_FRACTION;
+    return this.held.size >= this.workers.length * MAX_RESERVED_FRACTION;
   }
 
-  /** Whether the worker is reserved for an earlier step. */
+  /** Whether room on the worker is kept for an earlier step. */
   isReserved(worker: Worker): boolean {
-    return this.reserved.has(worker);
+    return this.held.has(worker);
+  }
+
+  /** Keeps room for the whole step where it is expected to start first, if it will start at all. */
+  reserve(step: Step, candidates: readonly AvailableWorker[], now: Instant): void {
+    const unreserved = candidates.filter(({ hold }) => hold === undefined);
+    const planned = this.planned(step, unreserved, now);
+    const { plan } = planned;
+    if (plan === undefined) {
+      this.gangs.set(step, planned);
+      return;
+    }
+    const { service } = step.job.queue;
+    const windowBegin = this.windows.windowBegin(service, this.isBusy(service), now);
+    const isSameWindow = windowBegin === planned.windowBegin;
+    const promisedStart = isSameWindow
+      ? earlier(planned.promisedStart, plan.startsAt)
+      : plan.startsAt;
+    this.gangs.set(step, { ...planned, windowBegin, promisedStart });
+    if (windowBegin !== undefined) {
+      this.keepRoom(step, plan, promisedStart, unreserved, now);
+    }
   }
 
-  /**
-   * Reserves workers until the whole step will fit, starting with those that will fit most tasks.
-   */
-  reserve(step: Step, candidates: readonly Availability[]): void {
-    const ranked = candidates
-      .filter(({ worker }) => !this.reserved.has(worker))
-      .map((candidate) => ({
-        candidate,
-        tasks: tasksThatFit(step, candidate, this.lowestPriority),
-      }))
-      .sort(
-        (left, right) =>
-          right.tasks - left.tasks || compareFreeCores(left.candidate, right.candidate),
-      );
-    let missing = step.plan.count;
-    for (const { candidate, tasks } of ranked) {
-      if (missing <= 0 || this.isFull) {
+  private keepRoom(
+    step: Step,
+    { tasksByWorker }: GangPlan,
+    until: Deadline,
+    candidates: readonly AvailableWorker[],
+    now: Instant,
+  ): void {
+    const byWorker = new Map(candidates.map((candidate) => [candidate.worker, candidate]));
+    for (const [worker, tasks] of tasksByWorker) {
+      const candidate = byWorker.get(worker);
+      if (this.isFull) {
         return;
       }
-      this.reserved.add(candidate.worker);
-      missing -= tasks;
+      if (candidate !== undefined) {
+        const taken = multiply(allocationOf(step.plan), tasks);
+        const spare = positivePart(subtract(freeAt(candidate, until, now), taken));
+        candidate.hold = { until, spare };
+        this.held.set(worker, candidate);
+      }
     }
   }
-}
 
-function compareFreeCores(left: Availability, right: Availability): number {
-  return right.free.millicores - left.free.millicores;
-}
+  /** The plan of an earlier pass, if it is recent and its workers are still candidates; else a new one. */
+  private planned(step: Step, candidates: readonly AvailableWorker[], now: Instant): PlannedGang {
+    const known = this.gangs.get(step);
+    if (known !== undefined && !hasPassed(known.replanAt, now) && isStillValid(known, candidates)) {
+      return known;
+    }
+    return {
+      plan: planGang(step, candidates, now),
+      candidates: candidates.length,
+      replanAt: deadlineAfter(now, REPLAN_MILLIS),
+      windowBegin: known?.windowBegin,
+      promisedStart: known?.promisedStart ?? deadlineAfter(now, 0),
+    };
+  }
 
-/** How many tasks of the step fit once all runs of lower priority have ended. */
-function tasksThatFit(step: Step, { worker, free }: Availability, lowestPriority: number): number {
-  const { priority } = step.job.queue;
-  const runs = priority < lowestPriority ? worker.runs.values() : [];
-  let freeLater = free;
-  for (const { task } of runs) {
-    if (task.step.job.queue.priority > priority) {
-      freeLater = add(freeLater, allocationOf(task.step.plan));
+  private isBusy(service: string): boolean {
+    const known = this.busyServices.get(service);
+    if (known !== undefined) {
+      return known;
     }
+    const workers = this.workers.filter(({ worker }) => worker.registration.service === service);
+    let taken = 0;
+    let all = 0;
+    for (const { worker } of workers) {
+      taken += worker.used.millicores;
+      all += worker.registration.capacity.millicores;
+    }
+    const isBusy = taken >= BUSY_FRACTION * all;
+    this.busyServices.set(service, isBusy);
+    return isBusy;
+  }
+}
+
+function isStillValid(
+  { plan, candidates: formerCount }: PlannedGang,
+  candidates: readonly AvailableWorker[],
+): boolean {
+  if (plan === undefined) {
+    return candidates.length === formerCount;
   }
-  return countFitting(allocationOf(step.plan), freeLater, step.plan.maxPerWorker);
+  const workers = new Set(candidates.map(({ worker }) => worker));
+  return [...plan.tasksByWorker.keys()].every((worker) => workers.has(worker));
 }
--- a/packages/jobs/src/step-advice.ts
+++ b/packages/jobs/src/step-advice.ts
@@ -144,7 +144,7 @@
     const isFurther = ({ worker, free }: AvailableWorker): boolean =>
       !step.workersWithAdvice.has(worker.id) &&
       fits(demand, free) &&
-      isEligible(worker, step) &&
+      isEligible(worker.registration, step) &&
       !reservations.isReserved(worker);
     if (available.some(isFurther)) {
       this.request(step, reservations);
@@ -182,7 +182,7 @@
       const isAvailable =
         this.isPresent(worker) && worker.isReachable && !worker.registration.isDraining;
       const mayBeGranted = step.grants.has(id) || !step.workersWithAdvice.has(id);
-      if (isAvailable && mayBeGranted && isEligible(worker, step)) {
+      if (isAvailable && mayBeGranted && isEligible(worker.registration, step)) {
         const { free } = availableWorker(worker);
         candidates.push({
           worker: id,
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -18,6 +18,7 @@
 } from './model.js';
 import type { JobOrdering } from './ordering.js';
 import type { Assignment, Orders } from './orders.js';
+import { Obstacles } from './obstacles.js';
 import { Reservations } from './reservations.js';
 import { availableWorker, isEligible, type AvailableWorker } from './available-workers.js';
 import type { Quarantines } from './quarantines.js';
@@ -46,7 +47,6 @@
 interface Pass {
   readonly available: readonly AvailableWorker[];
   readonly availableById: ReadonlyMap<WorkerId, AvailableWorker>;
-  readonly reservations: Reservations;
   /** The most processor time that is free on one worker, thousandths of a core. */
   maxFreeMillicores: number;
   /** Starts under way, those of this pass included. */
@@ -64,8 +64,8 @@
 
 export class StepPlacement {
   private readonly selection: WorkerSelection;
-  /** Reservations of the last pass. */
-  private reservations = new Reservations(0, 0);
+  private readonly reservations = new Reservations();
+  private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
 
@@ -79,15 +79,21 @@
     private readonly crashes: WorkerCrashes,
   ) {
     this.selection = new WorkerSelection(context, crashes);
+    this.obstacles = new Obstacles(context);
   }
 
   place(): void {
     const available = this.availableWorkers();
-    this.reservations = new Reservations(available.length, this.context.lowestPriority);
+    this.context.fleet.setWorkers(this.placeableWorkers());
+    this.reservations.beginPass(available);
+    this.placeSteps(available);
+    this.reservations.endPass(this.context.now);
+  }
+
+  private placeSteps(available: readonly AvailableWorker[]): void {
     const pass = {
       available,
       availableById: new Map(available.map((each) => [each.worker.id, each])),
-      reservations: this.reservations,
       maxFreeMillicores: maxFreeMillicoresOf(available),
       openStarts: openStartsOn(this.context.workers.values()),
       aheadMillicores: aheadMillicoresOf(available),
@@ -105,10 +111,6 @@
     load.isStartLimitReached = false;
   }
 
-  private isTeamAtLimit(step: Step): boolean {
-    return this.context.startableWithinLimit(step, 1) === 0;
-  }
-
   private stepsToPlace(): Step[] {
     const { now } = this.context;
     if (hasPassed(this.unparkAt, now)) {
@@ -121,8 +123,8 @@
   }
 
   private placeInOrder(step: Step, pass: Pass): void {
-    if (this.isTeamAtLimit(step)) {
-      // Advice would expire unused.
+    if (this.obstacles.check(step) !== undefined || this.context.isTeamAtLimit(step)) {
+      // Advice would expire unused, and room that is kept for it would be idle.
       return;
     }
     if (pass.aheadMillicores <= 0 && !this.advice.hasTicket(step)) {
@@ -139,7 +141,8 @@
     const { parked } = this.context;
     return waitingReasons([...this.lifecycle.readySteps].filter(hasWaitingTask), {
       parked,
-      isTeamAtLimit: (step) => this.isTeamAtLimit(step),
+      obstacleOf: (step) => this.context.obstacleOf(step),
+      isTeamAtLimit: (step) => this.context.isTeamAtLimit(step),
       hasTicket: (step) => advice.hasTicket(step),
       admits: (step, worker) => advice.admits(step, worker),
       isReserved: (worker) => this.reservations.isReserved(worker),
@@ -169,12 +172,19 @@
       .map((worker) => availableWorker(worker));
   }
 
+  /** Workers that can get work sooner or later. */
+  private placeableWorkers(): Worker[] {
+    return [...this.context.workers.values()].filter((worker) => this.isPlaceable(worker));
+  }
+
+  private isPlaceable(worker: Worker): boolean {
+    return worker.isReachable && this.isPresent(worker) && !worker.registration.isDraining;
+  }
+
   private isAvailable(worker: Worker): boolean {
     return (
       worker.hasReported &&
-      worker.isReachable &&
-      this.isPresent(worker) &&
-      !worker.registration.isDraining &&
+      this.isPlaceable(worker) &&
       worker.unknownRuns === 0 &&
       hasPassed(worker.cooldownUntil, this.context.now) &&
       this.quarantines.mayPlace(worker.id) &&
@@ -186,10 +196,13 @@
   private placeStep(step: Step, pass: Pass): void {
     const hasTicket = this.advice.hasTicket(step);
     if (!hasTicket) {
-      this.advice.request(step, pass.reservations);
+      this.advice.request(step, this.reservations);
     }
     const mayStart = hasTicket && allocationOf(step.plan).millicores <= pass.maxFreeMillicores;
-    const mayReserve = step.plan.isGang && !pass.reservations.isFull;
+    const mayReserve =
+      step.plan.isGang &&
+      !this.reservations.isFull &&
+      (hasTicket || step.workersInOpenCall !== undefined);
     if (!mayStart && !mayReserve) {
       return;
     }
@@ -197,23 +210,19 @@
     const eligible = this.eligibleWorkers(step, pass);
     const isStarted = mayStart && this.startOn(step, waiting, eligible, pass);
     if (!isStarted && step.plan.isGang && waiting.length === step.tasks.length) {
-      pass.reservations.reserve(step, eligible);
+      this.reservations.reserve(step, eligible, this.context.now);
     }
   }
 
-  /** Workers that are not reserved for an earlier step and that advice so far allows for this one. */
-  private eligibleWorkers(
-    step: Step,
-    { available, availableById, reservations }: Pass,
-  ): AvailableWorker[] {
+  /** Workers that advice so far allows for the step. */
+  private eligibleWorkers(step: Step, { available, availableById }: Pass): AvailableWorker[] {
     const demand = allocationOf(step.plan);
     // A gang may reserve workers that are full at present; other steps have no use for them. This
     // test goes first because it is the cheapest and rules most workers out under load.
     const isUsable = ({ worker, free, isClosed }: AvailableWorker): boolean =>
       (step.plan.isGang || fits(demand, free)) &&
       !isClosed &&
-      isEligible(worker, step) &&
-      !reservations.isReserved(worker);
+      isEligible(worker.registration, step);
     if (step.job.queue.advice === undefined) {
       return available.filter(isUsable);
     }
@@ -236,7 +245,7 @@
   ): boolean {
     const allowed = eligible.filter(({ worker }) => this.advice.admits(step, worker));
     if (allowed.length === 0 && !this.hasAdmittedWorker(step, pass)) {
-      this.advice.request(step, pass.reservations);
+      this.advice.request(step, this.reservations);
       return false;
     }
     const assignments = this.selection.assign(step, waiting, allowed);
@@ -246,7 +255,7 @@
       pass.maxFreeMillicores = maxFreeMillicoresOf(pass.available);
     }
     if (assignments.length < waiting.length) {
-      this.advice.requestMore(step, pass.available, pass.reservations);
+      this.advice.requestMore(step, pass.available, this.reservations);
     }
     return assignments.length > 0;
   }
@@ -254,7 +263,7 @@
   /** Whether the step may start on a worker of this pass, if that had room for it. */
   private hasAdmittedWorker(step: Step, { available }: Pass): boolean {
     return available.some(
-      ({ worker }) => this.advice.admits(step, worker) && isEligible(worker, step),
+      ({ worker }) => this.advice.admits(step, worker) && isEligible(worker.registration, step),
     );
   }
 
--- a/packages/jobs/src/team-limits.ts
+++ b/packages/jobs/src/team-limits.ts
@@ -1,6 +1,6 @@
 /** How much more of its limit a team may use. */
 
-import { add, fits, isZero, type Resources } from '@bamboowell/types/resources';
+import { DIMENSIONS, isZero, type Resources } from '@bamboowell/types/resources';
 
 /**
  * How many of the tasks may start within the limit. A task that exceeds the limit by itself may start if
@@ -15,23 +15,12 @@
   demand: Resources,
   wanted: number,
 ): number {
-  const bounds = unlimitedWhereZero(limit);
-  let used = add(usage, demand);
-  let startable = isZero(usage) ? 1 : 0;
-  for (let count = 1; count <= wanted && fits(used, bounds); count += 1) {
-    startable = count;
-    used = add(used, demand);
-  }
-  return startable;
-}
-
-/** A limit of zero means no limit. */
-function unlimitedWhereZero(limit: Resources): Resources {
-  const orUnlimited = (amount: number): number => (amount === 0 ? Number.MAX_SAFE_INTEGER : amount);
-  return {
-    millicores: orUnlimited(limit.millicores),
-    memoryMib: orUnlimited(limit.memoryMib),
-    accelerators: orUnlimited(limit.accelerators),
-    slots: orUnlimited(limit.slots),
-  };
+  const atLeast = isZero(usage) ? 1 : 0;
+  const counts = DIMENSIONS.map((dimension) => {
+    const isUnlimited = limit[dimension] === 0;
+    const left = limit[dimension] - usage[dimension];
+    const need = demand[dimension];
+    return isUnlimited || (need === 0 && left >= 0) ? wanted : left / Math.max(1, need);
+  });
+  return Math.max(atLeast, Math.floor(Math.min(wanted, ...counts)));
 }
--- a/packages/jobs/src/waiting-reasons.ts
+++ b/packages/jobs/src/waiting-reasons.ts
@@ -7,10 +7,13 @@
   isEligible,
   type AvailableWorker,
 } from './available-workers.js';
+import type { Obstacle } from './obstacles.js';
 import { allocationOf, waitingTasks, type Step, type Worker } from './model.js';
 
 /** Why a step waits; the first that applies counts. */
 export type WaitingReason =
+  /** It can't start on the workers that are there. */
+  | Obstacle
   /** Its team runs as much as it may. */
   | 'team_limit'
   /** It is behind the point up to which advice is asked for. */
@@ -31,6 +34,7 @@
 /** What the reasons depend on. */
 export interface WaitingView {
   readonly parked: ReadonlySet<Step>;
+  obstacleOf(step: Step): Obstacle | undefined;
   isTeamAtLimit(step: Step): boolean;
   hasTicket(step: Step): boolean;
   admits(step: Step, worker: Worker): boolean;
@@ -54,6 +58,10 @@
 }
 
 function reasonOf(step: Step, view: WaitingView): WaitingReason {
+  const obstacle = view.obstacleOf(step);
+  if (obstacle !== undefined) {
+    return obstacle;
+  }
   if (view.isTeamAtLimit(step)) {
     return 'team_limit';
   }
@@ -65,7 +73,7 @@
   }
   const demand = allocationOf(step.plan);
   const rooms = view.workers
-    .filter((worker) => view.admits(step, worker) && isEligible(worker, step))
+    .filter((worker) => view.admits(step, worker) && isEligible(worker.registration, step))
     .map((worker) => availableWorker(worker))
     .filter(({ free }) => fits(demand, free));
   if (rooms.length === 0) {
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -2,11 +2,16 @@
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import { fits, type Resources } from '@bamboowell/types/resources';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
+import { lateEndIfStarted } from './run-ends.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
-import { racksByFreeCores, allocate, type AvailableWorker } from './available-workers.js';
+import { racksByFreeCores, allocate, roomFor, type AvailableWorker } from './available-workers.js';
+
+/** How long lasting tasks leave room alone that is kept for gangs, milliseconds. */
+const MAX_LASTING_WAIT_MILLIS = 2000;
 
 export class WorkerSelection {
   constructor(
@@ -37,6 +42,7 @@
     const countByWorker = countedRuns(step);
     let startable = this.context.startableWithinLimit(step, waiting.length);
     let rack = step.plan.prefersOneRack ? rackOf(step) : undefined;
+    const endsBy = endForHolds(step, this.context.now);
     for (const task of waiting) {
       if (startable === 0) {
         break;
@@ -44,7 +50,7 @@
       const isIsolated = this.crashes.needsIsolation(task);
       const extraPenalty = isIsolated ? this.penaltyOfOtherRuns : noPenalty;
       const candidate = bestWorker(
-        { step, task, rack, extraPenalty },
+        { step, task, rack, extraPenalty, endsBy },
         demand,
         candidates,
         countByWorker,
@@ -54,7 +60,7 @@
       }
       startable -= 1;
       rack ??= candidate.worker.registration.rack;
-      allocate(candidate, demand, countByWorker);
+      allocate(candidate, demand, endsBy, countByWorker);
       candidate.isClosed = isIsolated;
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated });
@@ -92,18 +98,20 @@
     const trial = candidates.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
     const assignments: Assignment[] = [];
+    const endsBy = endForHolds(step, this.context.now);
     for (const task of waiting) {
-      const choice = { step, task, rack: undefined, extraPenalty: noPenalty };
+      const choice = { step, task, rack: undefined, extraPenalty: noPenalty, endsBy };
       const candidate = bestWorker(choice, demand, trial, countByWorker);
       if (candidate === undefined) {
         return [];
       }
-      allocate(candidate, demand, countByWorker);
+      allocate(candidate, demand, endsBy, countByWorker);
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated: false });
     }
     candidates.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
+      candidate.hold = trial[index]?.hold;
     });
     return assignments;
   }
@@ -143,6 +151,19 @@
   /** The rack to prefer. */
   readonly rack: RackId | undefined;
   readonly extraPenalty: (worker: Worker) => number;
+  /** By when its run ends, even if it takes longer than estimated. */
+  readonly endsBy: Deadline;
+}
+
+/**
+ * When the step's tasks that start now count as over, next to what is kept for gangs. Lasting tasks are never
+ * over; they are owed a start wherever there is room, and wait a bounded time.
+ */
+function endForHolds(step: Step, now: Instant): Deadline {
+  const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_LASTING_WAIT_MILLIS);
+  return step.plan.isLasting && hasPassed(waitsUntil, now)
+    ? deadlineAfter(now, 0)
+    : lateEndIfStarted(step, now);
 }
 
 function noPenalty(): number {
@@ -166,7 +187,7 @@
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || candidate.isClosed || !fits(demand, candidate.free)) {
+    if (isFull || candidate.isClosed || !fits(demand, roomFor(candidate, choice.endsBy))) {
       continue;
     }
     const score = scoreOf(choice, candidate);
@@ -179,8 +200,8 @@
 }
 
 /**
- * Score penalty of a worker for each preferred rack that it is not on, and twice if the task failed
- * there.
+ * Score penalty of a worker for each preferred rack that it is not on, if the task would use what is kept
+ * for a gang, and twice if the task failed there.
  */
 const FAR_PENALTY_MILLICORES = 1_000_000;
 /** Score penalty for each run beside an isolated one; weighs more than all others. */
@@ -190,13 +211,15 @@
 
 function scoreOf(
   { step, task, rack, extraPenalty }: Choice,
-  { worker, free }: AvailableWorker,
+  { worker, free, hold }: AvailableWorker,
 ): number {
   const { plan } = step;
   const isFarFromData =
     plan.rackOfData !== undefined && worker.registration.rack !== plan.rackOfData;
   const leavesRack = plan.prefersOneRack && rack !== undefined && worker.registration.rack !== rack;
   const hasFailed = task.failedOn.has(worker.id);
-  const penalties = Number(isFarFromData) + Number(leavesRack) + 2 * Number(hasFailed);
+  const usesKept = hold !== undefined && !fits(allocationOf(plan), hold.spare);
+  const penalties =
+    Number(isFarFromData) + Number(leavesRack) + Number(usesKept) + 2 * Number(hasFailed);
   return free.millicores + penalties * FAR_PENALTY_MILLICORES + extraPenalty(worker);
 }
