Ask for advice by what a step can use of the workers that it needs

Cause: the processor time of all waiting tasks of a step was taken off what may be asked for ahead, over all services, labels and teams: 500 tasks used it up also where no worker has their label, or where their team may start eight.

Change: AdviceBudget keeps what may be asked for by service, by label and by team; a step draws what its workers and its team's limit let start. What exceeds a promised rate is refused only where a pool that it needs is used up.

Why it works: a step can use up no more than the room that it could take.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -15,6 +15,7 @@
 } from '@bamboowell/types/job';
 import { NO_RESOURCES, add, subtract, type Resources } from '@bamboowell/types/resources';
 import type { Instant } from '@bamboowell/types/time';
+import type { PoolKey, TeamUse } from './advice-budget.js';
 import { EndedArchive } from './ended-archive.js';
 import { FleetCapacity } from './fleet-capacity.js';
 import { LoadControl } from './load-control.js';
@@ -61,6 +62,8 @@
    * soon. They are left out of placement passes until the set is cleared, ten times a second.
    */
   readonly parked = new Set<Step>();
+  /** What the steps before the parked ones use up. */
+  readonly spentPools = new Set<PoolKey>();
   readonly archive = new EndedArchive();
   /** Set when a placement pass may be able to start something. */
   needsPlacement = true;
@@ -143,6 +146,23 @@
       : startableWithinLimit(this.usageOf(id), limit, demand, wanted);
   }
 
+  /** What the team may run and runs; undefined if it has no limit. */
+  teamUseOf(team: TeamId): TeamUse | undefined {
+    const limit = this.team(team)?.limit;
+    return limit === undefined ? undefined : { limit, usage: this.usageOf(team) };
+  }
+
+  /** Leaves the step out of placement passes for a while: those before it use these pools up. */
+  park(step: Step, spentPools: readonly PoolKey[]): void {
+    this.parked.add(step);
+    spentPools.forEach((key) => this.spentPools.add(key));
+  }
+
+  unpark(): void {
+    this.parked.clear();
+    this.spentPools.clear();
+  }
+
   private exceedsTeamLimit({ job, plan }: Step): boolean {
     const team = job.plan?.team;
     const limit = team === undefined ? undefined : this.team(team)?.limit;
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -8,10 +8,12 @@
   NO_PROGRESS,
   type JobId,
   type JobPlan,
+  type JobQueue,
   type JobState,
   type RunNumber,
   type WallInstant,
 } from '@bamboowell/types/job';
+import { poolKeysOf } from './advice-budget.js';
 import { isSpecKey, jobOfKey } from './records.js';
 import { TokenBuckets } from './token-buckets.js';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
@@ -81,7 +83,7 @@
       return;
     }
     const isExcess = !this.isWithinPromisedRate(plan);
-    const admission = this.admit(plan, isExcess);
+    const admission = this.admit(plan, queue, isExcess);
     if (admission.kind === 'refused') {
       const { retryAfterSeconds } = admission;
       const reason = 'overloaded';
@@ -245,12 +247,12 @@
   }
 
   /**
-   * A job beyond the promised rate of its team goes behind all others. Where these wait for room already,
-   * or the team runs as much as it may, it would only wait until it is of no use.
+   * A job beyond the promised rate of its team goes behind all others. Where these wait already for the room
+   * that it needs, or the team runs as much as it may, it would only wait until it is of no use.
    */
-  private admit(plan: JobPlan, isExcess: boolean): Admission {
+  private admit(plan: JobPlan, { service }: JobQueue, isExcess: boolean): Admission {
     const { context } = this;
-    if (isExcess && (context.parked.size > 0 || this.isAtLimit(plan))) {
+    if (isExcess && (this.isRoomSpent(plan, service) || this.isAtLimit(plan))) {
       return { kind: 'refused', retryAfterSeconds: EXCESS_RETRY_AFTER_SECONDS };
     }
     return context.load.admit(isExcess, () => this.stepsBeforeNew(), context.now);
@@ -261,6 +263,14 @@
     return first !== undefined && this.context.startableByTeam(team, allocationOf(first), 1) === 0;
   }
 
+  private isRoomSpent({ team, steps }: JobPlan, service: string): boolean {
+    const [first] = steps;
+    return (
+      first !== undefined &&
+      poolKeysOf(service, first, team).some((key) => this.context.spentPools.has(key))
+    );
+  }
+
   /** Steps that a new job would wait for because of the owner, and not because the fleet is full. */
   private stepsBeforeNew(): Step[] {
     return [...this.readySteps].filter((step) => !this.context.parked.has(step));
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -3,6 +3,7 @@
 import { fits } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
+import { AdviceBudget } from './advice-budget.js';
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
@@ -32,14 +33,8 @@
 const REGISTRATION_GRACE_MILLIS = 2000;
 
 /**
- * Steps ask for advice in order until what they need exceeds the free room by this fraction of the
- * fleet. What waits behind them would not start before its tickets expire, and its calls would hold up
- * those of work that can be on time.
- */
-const ADVICE_AHEAD_FRACTION = 0.5;
-/**
- * Steps that wait behind that point are looked at again after this, milliseconds. Thousands may wait,
- * and there are a hundred passes a second.
+ * Steps that wait behind the point up to which advice is asked for are looked at again after this,
+ * milliseconds. Thousands may wait, and there are a hundred passes a second.
  */
 const PARKING_MILLIS = 100;
 
@@ -51,8 +46,7 @@
   maxFreeMillicores: number;
   /** Starts under way, those of this pass included. */
   openStarts: number;
-  /** Processor time that may still be asked for ahead, thousandths of a core. */
-  aheadMillicores: number;
+  readonly adviceBudget: AdviceBudget;
 }
 
 /** The orders in which steps are placed. */
@@ -96,7 +90,7 @@
       availableById: new Map(available.map((each) => [each.worker.id, each])),
       maxFreeMillicores: maxFreeMillicoresOf(available),
       openStarts: openStartsOn(this.context.workers.values()),
-      aheadMillicores: aheadMillicoresOf(available),
+      adviceBudget: new AdviceBudget(available, (team) => this.context.teamUseOf(team)),
     };
     const { load } = this.context;
     const { usual, saturated } = this.orderings;
@@ -115,7 +109,7 @@
     const { now } = this.context;
     if (hasPassed(this.unparkAt, now)) {
       this.unparkAt = deadlineAfter(now, PARKING_MILLIS);
-      this.context.parked.clear();
+      this.context.unpark();
     }
     return [...this.lifecycle.readySteps].filter(
       (step) => !this.context.parked.has(step) && hasWaitingTask(step),
@@ -127,12 +121,20 @@
       // Advice would expire unused, and room that is kept for it would be idle.
       return;
     }
-    if (pass.aheadMillicores <= 0 && !this.advice.hasTicket(step)) {
-      this.context.parked.add(step);
+    const { adviceBudget } = pass;
+    const spentPools = adviceBudget.spentBy(step);
+    if (spentPools.length > 0 && !this.advice.hasTicket(step)) {
+      this.context.park(step, spentPools);
       return;
     }
     this.placeStep(step, pass);
-    pass.aheadMillicores -= waitingTasks(step).length * allocationOf(step.plan).millicores;
+    adviceBudget.spend(step, this.startableTasks(step));
+  }
+
+  /** How many of the step's waiting tasks the workers and its team's limit let start. */
+  private startableTasks(step: Step): number {
+    const wanted = Math.min(waitingTasks(step).length, this.context.fleet.tasksThatFit(step));
+    return this.context.startableWithinLimit(step, wanted);
   }
 
   /** Counts the waiting steps by what keeps them from starting. */
@@ -279,15 +281,6 @@
   return tasks.some(isWaiting);
 }
 
-/** What may be asked for: all that is free, and a part of the fleet beyond that. */
-function aheadMillicoresOf(available: readonly AvailableWorker[]): number {
-  return available.reduce(
-    (sum, { worker, free }) =>
-      sum + free.millicores + ADVICE_AHEAD_FRACTION * worker.registration.capacity.millicores,
-    0,
-  );
-}
-
 function maxFreeMillicoresOf(available: readonly AvailableWorker[]): number {
   return available.reduce((most, { free }) => Math.max(most, free.millicores), 0);
 }
