Leave work that has no room out of the backlog of a saturated owner

What callers saw: an owner that is behind refused new jobs for want of time, because of waiting tasks that it could not start anyway.

Cause: the backlog that a new job would wait for counted every step that was not behind the point up to which advice is asked for: also those that no worker can hold, and those of a team that runs as much as it may.

Change: such steps don't count. They cost the owner no starts.

--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -271,9 +271,15 @@
     );
   }
 
-  /** Steps that a new job would wait for because of the owner, and not because the fleet is full. */
+  /** Steps that a new job would wait for because of the owner, and not because they have no room. */
   private stepsBeforeNew(): Step[] {
-    return [...this.readySteps].filter((step) => !this.context.parked.has(step));
+    const { context } = this;
+    return [...this.readySteps].filter(
+      (step) =>
+        !context.parked.has(step) &&
+        context.obstacleOf(step) === undefined &&
+        !context.isTeamAtLimit(step),
+    );
   }
 
   private isWithinPromisedRate({ team: id }: JobPlan): boolean {
--- a/packages/jobs/src/load-control.test.ts
+++ b/packages/jobs/src/load-control.test.ts
@@ -79,6 +79,25 @@
   t.like(harness.answers.get(token), { kind: 'accepted' });
 });
 
+// Guards against an owner that refuses new jobs because of waiting ones that it can't start anyway.
+test('work that can not start on the workers that are there is no reason to refuse', (t) => {
+  const configuration = configurationOf([jobQueue()], { weight: 1000 });
+  const harness = schedulerHarness({ workers: [workerRegistration('w1')], configuration });
+  harness.reportFromAll();
+  const hopeless = stepPlan({ count: 1000, neededLabel: 'unknown' });
+  for (let index = 1; index <= 10; index += 1) {
+    harness.submit(jobPlan(index, { steps: [hopeless] }));
+  }
+  harness.commit();
+  harness.place();
+  [400, 400, 400].forEach((millis) => {
+    harness.send({ kind: 'lag', millis });
+  });
+  const token = harness.submit(jobPlan(11));
+  harness.commit();
+  t.like(harness.answers.get(token), { kind: 'accepted' });
+});
+
 /** Processor time of the simulated owner for each operation, milliseconds. */
 const SUBMIT_MILLIS = 2;
 const START_MILLIS = 16;
