Hold and preempt nothing for a gang that the workers together can't hold

What callers saw, on the product's own interface: a gang that is larger than all workers was accepted and waited for ever. While it waited, freed capacity was held for it for up to ten minutes at a time, and if it was urgent, running work was preempted for it every two seconds.

Cause: the size of a request was checked for one task only; FairShare gave a hold to whatever fitted on no worker, and Preemptions made room on a worker without regard to the rest of the gang.

Evidence: the two new tests of the owner fail without the change (the second one with stops of running work).

Change: Fleet counts how many tasks all workers could hold. A gang that as many workers as are listed can't hold is refused; one that those that are there can't hold is blocked as fleet_too_small, which gets no hold, ends the one it has and preempts nothing. A hold also ends if the limit of the team is what blocks its work.

Why it works: capacity is held, and work stopped, only for what can start once there is enough of it.

--- a/packages/owner/src/shard-owner.test.ts
+++ b/packages/owner/src/shard-owner.test.ts
@@ -245,6 +245,28 @@
   t.like(stops[0], { checkpoint: true });
 });
 
+// Guards against work that is accepted and can never start.
+test('a gang that all listed workers together can not hold is refused as impossible', (t) => {
+  const harness = owningHarness(multiply(CAPACITY, 4));
+  const gang = workOf({ shape: { kind: 'gang', tasks: 9 } });
+  t.like(refusalsOf(harness.submit(gang))[0], { verdict: 'not_run', reason: 'impossible_size' });
+});
+
+// Guards against running work that is stopped again and again for a gang that can't start.
+test('an urgent gang that the workers that are there can not hold preempts nothing', (t) => {
+  const harness = owningHarness(multiply(CAPACITY, 4));
+  harness.step({ kind: 'workers', vms: [harness.listedWorker(), harness.listedWorker()] });
+  const preemptible = workOf({ shape: { kind: 'batch', tasks: 8 }, idempotent: true });
+  for (const attempt of startedAttempts(harness.submit(preemptible))) {
+    harness.report({ kind: 'started', worker: WORKER, attempt });
+  }
+  const requestId = requestNamed('urgent');
+  const urgent = workOf({ requestId, urgency: 'urgent', shape: { kind: 'gang', tasks: 9 } });
+  const outputs = harness.submit(urgent);
+  t.deepEqual(refusalsOf(outputs), []);
+  t.deepEqual(commandsOf(outputs, 'stop'), []);
+});
+
 test('an attempt that uses more than its declared size is throttled, then stopped', (t) => {
   const harness = owningHarness();
   const attempt = firstStart(harness.submit(workOf({ idempotent: true })));
--- a/packages/owner/src/starts.ts
+++ b/packages/owner/src/starts.ts
@@ -168,8 +168,7 @@
       return false;
     }
     if (workers === undefined) {
-      round.reportBlocked(candidate, 'no_worker_fits');
-      this.parts.preemptions.makeRoomFor(candidate);
+      this.blockedByRoom(candidate, round);
       return false;
     }
     this.parts.preemptions.forget(candidate.work);
@@ -177,6 +176,16 @@
     return true;
   }
 
+  /** No hold of capacity and no preemption helps work that all workers together can't hold. */
+  private blockedByRoom(candidate: Candidate, round: Round): void {
+    if (!this.context.fleet.couldEverHold(candidate.demand, candidate.gangSize)) {
+      round.reportBlocked(candidate, 'fleet_too_small');
+      return;
+    }
+    round.reportBlocked(candidate, 'no_worker_fits');
+    this.parts.preemptions.makeRoomFor(candidate);
+  }
+
   /** Reserves resources for all of the tasks or for none. */
   private reserve(
     candidate: Candidate,
--- a/packages/owner/src/submissions.ts
+++ b/packages/owner/src/submissions.ts
@@ -195,9 +195,29 @@
         field: 'demand',
       };
     }
+    if (this.exceedsListedWorkers(work, gangSize)) {
+      return {
+        reason: 'impossible_size',
+        detail: 'all workers of the shard together are too small for the gang',
+        field: 'demand',
+      };
+    }
     return undefined;
   }
 
+  /**
+   * Whether the gang would not fit on as many workers as are listed if all were like the known one that holds
+   * most of its tasks: some may not be attached yet.
+   */
+  private exceedsListedWorkers({ demand }: Work, gangSize: number): boolean {
+    const { fleet, listedWorkerCount } = this.context;
+    return (
+      listedWorkerCount !== undefined &&
+      !fleet.isEmpty() &&
+      Math.max(listedWorkerCount, fleet.size) * fleet.mostOnOneWorker(demand) < gangSize
+    );
+  }
+
   private respondEarlier(token: Token, work: Work): void {
     const earlier: WorkId | undefined = this.context.fold.findRequest(work.team, work.requestId);
     this.context.respond(token, { kind: 'accepted', work: earlier ?? work.id, repeated: true });
--- a/packages/policy/src/blocked-sizes.ts
+++ b/packages/policy/src/blocked-sizes.ts
@@ -32,7 +32,7 @@
   private readonly teamLimits = new Map<TeamId, MinimalSizes>();
 
   add(candidate: Candidate, reason: BlockReason): void {
-    if (reason === 'no_worker_fits') {
+    if (reason !== 'team_limit_reached') {
       this.noWorkerFits.add(candidate);
       return;
     }
--- a/packages/policy/src/capacity-hold.test.ts
+++ b/packages/policy/src/capacity-hold.test.ts
@@ -7,7 +7,7 @@
 import { HOLD_AFTER_MILLIS, OVERDUE_MILLIS } from './fair-share.js';
 import { Fleet, NO_SPREAD } from './fleet.js';
 import { MAX_HOLD_MILLIS } from './capacity-hold.js';
-import type { Candidate } from './ordering.js';
+import type { BlockReason, Candidate } from './ordering.js';
 
 /** 290 steps take less time than `HOLD_AFTER_MILLIS`. */
 const STEP_MILLIS = 200;
@@ -97,6 +97,26 @@
   }
 }
 
+// Guards against capacity that is held for minutes for work that it can't help.
+test('work that the fleet can not hold, or its team not run, gets no hold and loses the one it has', (t) => {
+  const gang = candidateOf('gang', 'a', { demand: cores(4), gangSize: 3 });
+  const ordering = orderingOf(gang, candidateOf('b1', 'b', { waitingSince: at(1) }));
+  const tryGang = (reason: BlockReason, millis: number): string[] => {
+    const round = ordering.round(at(OVERDUE_MILLIS + millis));
+    t.is<string | undefined, string | undefined>(round.next()?.work, 'gang');
+    round.reportBlocked(gang, reason);
+    return drain(round);
+  };
+  t.deepEqual(tryGang('fleet_too_small', 1), ['b1']);
+  t.is(ordering.heldWork, undefined);
+  t.deepEqual(tryGang('no_worker_fits', 2), []);
+  t.is<string | undefined, string | undefined>(ordering.heldWork, 'gang');
+  t.deepEqual(tryGang('fleet_too_small', 3), ['b1']);
+  t.is(ordering.heldWork, undefined);
+  t.deepEqual(tryGang('no_worker_fits', 4), []);
+  t.deepEqual(tryGang('team_limit_reached', 5), ['b1']);
+});
+
 test('a hold for work that never fits ends, and other work starts again', (t) => {
   const never = candidateOf('never', 'a', { demand: cores(64) });
   const ordering = orderingOf(never, candidateOf('b1', 'b', { waitingSince: at(1) }));
--- a/packages/policy/src/fair-round.ts
+++ b/packages/policy/src/fair-round.ts
@@ -26,6 +26,8 @@
   recordOverdueTurn(team: TeamId): void;
   /** Requests a capacity hold for a candidate that may get one and fits on no worker. */
   requestHold(candidate: Candidate): void;
+  /** Ends the capacity hold of a candidate that capacity alone doesn't help, if it has one. */
+  releaseHold(candidate: Candidate): void;
 }
 
 /** The passes over the waiting work of one team, by urgency. */
@@ -78,7 +80,9 @@
 
   reportBlocked(candidate: Candidate, reason: BlockReason): void {
     this.blockedSizes.add(candidate, reason);
-    if (reason === 'no_worker_fits' && this.holdCandidates.has(candidate.work)) {
+    if (reason !== 'no_worker_fits') {
+      this.context.releaseHold(candidate);
+    } else if (this.holdCandidates.has(candidate.work)) {
       this.context.requestHold(candidate);
     }
   }
--- a/packages/policy/src/fair-share.ts
+++ b/packages/policy/src/fair-share.ts
@@ -77,6 +77,11 @@
       requestHold: (candidate) => {
         this.beginHold(candidate, now);
       },
+      releaseHold: ({ work }) => {
+        if (this.activeHold?.work === work) {
+          this.activeHold = undefined;
+        }
+      },
     });
   }
 
--- a/packages/policy/src/fleet.test.ts
+++ b/packages/policy/src/fleet.test.ts
@@ -122,6 +122,17 @@
   t.is(fleet.rackCount, 1);
 });
 
+test('knows how many tasks all workers together could hold', (t) => {
+  const fleet = new Fleet();
+  fleet.put(profileOf(1, amountOf(10)), false);
+  fleet.put(profileOf(2, amountOf(10)), true);
+  fleet.put(profileOf(3, amountOf(25)), true);
+  t.true(fleet.couldEverHold(amountOf(8), 5));
+  t.false(fleet.couldEverHold(amountOf(8), 6));
+  t.is(fleet.mostOnOneWorker(amountOf(8)), 3);
+  t.true(fleet.couldEverHold(amountOf(0), 1000));
+});
+
 test('groups in which nothing fitted are skipped until a release', (t) => {
   const fleet = new Fleet();
   fleet.put(
--- a/packages/policy/src/fleet.ts
+++ b/packages/policy/src/fleet.ts
@@ -3,6 +3,7 @@
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import {
   add,
+  DIMENSIONS,
   fits,
   NO_RESOURCES,
   positivePart,
@@ -12,6 +13,14 @@
 import type { WorkerProfile } from '@bamboowell/types/work';
 import { resourcesKeyOf, FleetIndex, type IndexedWorker, type WorkerGroup } from './fleet-index.js';
 
+/** Infinite for an amount of nothing. */
+function timesThatFit(amount: Resources, capacity: Resources): number {
+  const counts = DIMENSIONS.filter((dimension) => amount[dimension] > 0).map((dimension) =>
+    Math.floor(capacity[dimension] / amount[dimension]),
+  );
+  return Math.min(Number.POSITIVE_INFINITY, ...counts);
+}
+
 /** A worker as placement sees it. */
 export interface FleetWorker {
   readonly profile: WorkerProfile;
@@ -88,6 +97,11 @@
     return this.workersByRack.size;
   }
 
+  /** Number of known workers. */
+  get size(): number {
+    return this.entries.size;
+  }
+
   isEmpty(): boolean {
     return this.entries.size === 0;
   }
@@ -124,14 +138,21 @@
     return subtract(worker.profile.capacity, worker.used);
   }
 
-  /** Whether the amount fits the total capacity of any known worker. */
-  couldEverHold(amount: Resources): boolean {
-    for (const { capacity } of this.capacities.values()) {
-      if (fits(amount, capacity)) {
-        return true;
-      }
+  /** Whether all known workers together could hold so many times the amount if nothing else ran there. */
+  couldEverHold(amount: Resources, times = 1): boolean {
+    let missing = times;
+    for (const { capacity, workers } of this.capacities.values()) {
+      missing -= workers * timesThatFit(amount, capacity);
     }
-    return false;
+    return missing <= 0;
+  }
+
+  /** How many times the amount fits on the known worker that has most room for it if nothing runs there. */
+  mostOnOneWorker(amount: Resources): number {
+    const counts = [...this.capacities.values()].map(({ capacity }) =>
+      timesThatFit(amount, capacity),
+    );
+    return Math.max(0, ...counts);
   }
 
   /** Groups of usable workers that may have a worker on which the demand fits. */
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -22,8 +22,11 @@
   readonly waitingSince: Instant;
 }
 
-/** Why a candidate could not start. */
-export type BlockReason = 'no_worker_fits' | 'team_limit_reached';
+/**
+ * Why a candidate could not start. `fleet_too_small`: not even if nothing else ran on the workers that are
+ * there.
+ */
+export type BlockReason = 'no_worker_fits' | 'fleet_too_small' | 'team_limit_reached';
 
 /** One scheduling round: a pass over the waiting work. */
 export interface Round {
