Spend no calls and few passes on steps that no worker can hold

What callers saw: nothing by itself, but each such step was sorted and looked at a hundred times a second, and a later step of a job had advice asked for ahead though the workers together can't hold it.

Change: such steps are parked like those behind the point up to which advice is asked for, and looked at again ten times a second or when the workers change. A registration that was only renewed changes nothing.

Evidence: the new test of scheduler.test.ts fails without the check in prefetchAdvice. The time of passes was not measured.

--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -49,6 +49,18 @@
   );
 }
 
+/** Whether both let the same work be placed on the worker. */
+export function isSameOffer(left: WorkerRegistration, right: WorkerRegistration): boolean {
+  return (
+    left.isDraining === right.isDraining &&
+    left.service === right.service &&
+    left.rack === right.rack &&
+    left.labels.join() === right.labels.join() &&
+    fits(left.capacity, right.capacity) &&
+    fits(right.capacity, left.capacity)
+  );
+}
+
 /** Bounds the count of tasks without demand, of which any number fits. */
 const MAX_COUNT = 1000;
 
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -58,8 +58,8 @@
   readonly load = new LoadControl();
   readonly fleet = new FleetCapacity();
   /**
-   * Waiting steps behind the point up to which advice is asked for, because the fleet has no room for them
-   * soon. They are left out of placement passes until the set is cleared, ten times a second.
+   * Waiting steps for which the fleet has no room soon: those that no worker can hold, and those behind the
+   * point up to which advice is asked for. They are left out of placement passes until the set is cleared, ten times a second.
    */
   readonly parked = new Set<Step>();
   /** What the steps before the parked ones use up. */
--- a/packages/jobs/src/fleet-capacity.ts
+++ b/packages/jobs/src/fleet-capacity.ts
@@ -1,7 +1,7 @@
 /** How many tasks of a step the workers could hold if nothing else ran there. */
 
 import type { WorkerRegistration } from '@bamboowell/types/job';
-import { countFitting, isEligible } from './available-workers.js';
+import { countFitting, isEligible, isSameOffer } from './available-workers.js';
 import { allocationOf, type Step, type Worker } from './model.js';
 
 export class FleetCapacity {
@@ -9,16 +9,21 @@
   /** By step, until a worker or a queue changes: thousands of steps may wait. */
   private counts = new WeakMap<Step, number>();
 
-  /** @param workers those that are present, reachable and not draining. */
-  setWorkers(workers: readonly Worker[]): void {
+  /**
+   * Returns whether they are others than before, or offer something else.
+   *
+   * @param workers those that are present, reachable and not draining.
+   */
+  setWorkers(workers: readonly Worker[]): boolean {
     const { registrations } = this;
     const isUnchanged =
       workers.length === registrations.length &&
-      workers.every(({ registration }, index) => registration === registrations[index]);
+      workers.every(({ registration }, index) => isKnownOffer(registration, registrations[index]));
     if (!isUnchanged) {
       this.registrations = workers.map(({ registration }) => registration);
       this.forgetCounts();
     }
+    return !isUnchanged;
   }
 
   /** Called when the services of queues may have changed. */
@@ -52,3 +57,14 @@
     return Math.min(count, wanted);
   }
 }
+
+/** A registration that was only renewed is another object with the same offer. */
+function isKnownOffer(
+  registration: WorkerRegistration,
+  known: WorkerRegistration | undefined,
+): boolean {
+  return (
+    known !== undefined &&
+    (registration === known || (registration.id === known.id && isSameOffer(registration, known)))
+  );
+}
--- a/packages/jobs/src/scheduler.test.ts
+++ b/packages/jobs/src/scheduler.test.ts
@@ -328,6 +328,25 @@
   t.true(unnamed.length > 0 && unnamed.every((id) => further.includes(id)));
 });
 
+// Guards against calls that take the advisers' time for a step that can't start on the workers there are.
+test('no advice is requested ahead for a later step that the fleet can not hold', (t) => {
+  const advice = { baseMillis: 500, perWorkerMillis: 1, validMillis: 2500 };
+  const harness = readyHarness({ configuration: configurationOf([jobQueue({ advice })]) });
+  harness.addMember('m1');
+  const later = stepPlan({ after: [0], count: 9, isGang: true });
+  harness.submit(jobPlan(1, { steps: [stepPlan(), later] }));
+  harness.commit();
+  harness.place();
+  harness.grant(brandAs<StepId>(`${jobId(1)}.0.0`), [W1.id]);
+  const start = first(harness.place());
+  harness.answerStart(start);
+  harness.advance(2000);
+  harness.report(start.incarnation, [runningEntry(start, '', 50)]);
+  harness.advance(1900);
+  harness.place();
+  t.is(harness.of('ask_advice').length, 1);
+});
+
 test('a call for advice that got no answer is made again with the same workers', (t) => {
   const advice = { baseMillis: 10, perWorkerMillis: 0.1, validMillis: 2500 };
   const harness = readyHarness({ configuration: configurationOf([jobQueue({ advice })]) });
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -10,10 +10,11 @@
   WallInstant,
   WorkerRegistration,
 } from '@bamboowell/types/job';
-import { NO_RESOURCES, fits } from '@bamboowell/types/resources';
+import { NO_RESOURCES } from '@bamboowell/types/resources';
 import { earlier, type Deadline, type Instant } from '@bamboowell/types/time';
 import { StepAdvice } from './step-advice.js';
 import { AdviceBalancer } from './advice-balancer.js';
+import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
 import { Lifecycle } from './lifecycle.js';
@@ -399,15 +400,3 @@
     return worker;
   }
 }
-
-/** Whether both let the same work be placed on the worker. */
-function isSameOffer(left: WorkerRegistration, right: WorkerRegistration): boolean {
-  return (
-    left.isDraining === right.isDraining &&
-    left.service === right.service &&
-    left.rack === right.rack &&
-    left.labels.join() === right.labels.join() &&
-    fits(left.capacity, right.capacity) &&
-    fits(right.capacity, left.capacity)
-  );
-}
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -33,8 +33,8 @@
 const REGISTRATION_GRACE_MILLIS = 2000;
 
 /**
- * Steps that wait behind the point up to which advice is asked for are looked at again after this,
- * milliseconds. Thousands may wait, and there are a hundred passes a second.
+ * Steps that no worker can hold, or that wait behind the point up to which advice is asked for, are looked at
+ * again after this, milliseconds. Thousands may wait, and there are a hundred passes a second.
  */
 const PARKING_MILLIS = 100;
 
@@ -78,7 +78,9 @@
 
   place(): void {
     const available = this.availableWorkers();
-    this.context.fleet.setWorkers(this.placeableWorkers());
+    if (this.context.fleet.setWorkers(this.placeableWorkers())) {
+      this.context.unpark();
+    }
     this.reservations.beginPass(available);
     this.placeSteps(available);
     this.reservations.endPass(this.context.now);
@@ -117,7 +119,11 @@
   }
 
   private placeInOrder(step: Step, pass: Pass): void {
-    if (this.obstacles.check(step) !== undefined || this.context.isTeamAtLimit(step)) {
+    if (this.obstacles.check(step) !== undefined) {
+      this.context.park(step, []);
+      return;
+    }
+    if (this.context.isTeamAtLimit(step)) {
       // Advice would expire unused, and room that is kept for it would be idle.
       return;
     }
@@ -154,7 +160,7 @@
 
   /** Requests advice that the step will need soon, unless it has a usable ticket. */
   prefetchAdvice(step: Step): void {
-    if (!this.advice.hasTicket(step)) {
+    if (!this.advice.hasTicket(step) && this.context.obstacleOf(step) === undefined) {
       this.advice.request(step, this.reservations);
     }
   }
