Let work ask for advice in a service whose free room others can't use

What callers saw: in queues with advice, jobs that fit waited for good beside workers of which under half was in use, as no call for advice was made for them.

Cause: steps before them had used up what advice is asked for, by processor time. They could not start: their tasks were too large for the parts in which the room was free, or long runs held the rest.

Evidence: waiting-work.test.ts draws jobs of all shapes with estimates that are off by up to five times, and looks for work that has room twice over. The test of advice-backlog.test.ts fails without the change.

Change: the budget of calls binds while the service is busy, and for two seconds after that. ServiceUse tells so, as for reservations.

Why it works: in a service of which much has been free for a while, what waits first does not use the room. The advisers' time is bounded by their open calls.

--- a/packages/jobs/src/advice-backlog.test.ts
+++ b/packages/jobs/src/advice-backlog.test.ts
@@ -54,8 +54,8 @@
     harness.commit();
   };
   /** One step of the urgent queue, which goes before all others. */
-  const submitUrgent = (step: Partial<StepPlan>, team = TEAM): void => {
-    harness.submit(jobPlan(9999, { queue: URGENT, team, steps: [stepPlan(step)] }));
+  const submitUrgent = (step: Partial<StepPlan>, team = TEAM, job = 9999): void => {
+    harness.submit(jobPlan(job, { queue: URGENT, team, steps: [stepPlan(step)] }));
     harness.commit();
   };
   /** Whether the job has a call for advice. */
@@ -101,6 +101,27 @@
   t.is(harness.of('ask_advice').length, 11);
 });
 
+// Guards against free room that is spoken for by large tasks which don't fit into its parts.
+test('in an idle service a step asks for advice though what waits before it uses all that is free', (t) => {
+  const { harness, submit, submitUrgent, isAsked } = advisedFleet();
+  const spread = stepPlan({ count: WORKERS, maxPerWorker: 1, isLasting: true });
+  harness.submit(jobPlan(9000, { steps: [spread] }));
+  harness.commit();
+  harness.place();
+  const all = Array.from({ length: WORKERS }, (_, index) => workerRegistration(`w${index}`).id);
+  harness.grant(stepIdOf(jobId(9000), 0, 0), all);
+  t.is(harness.place().length, WORKERS);
+  submitUrgent({ count: 20, demand: cores(CORES) });
+  submitUrgent({ count: 20, demand: cores(CORES) }, TEAM, 9998);
+  submit(1);
+  harness.place();
+  t.true(isAsked(9999));
+  t.false(isAsked(1));
+  harness.advance(2500);
+  harness.place();
+  t.true(isAsked(1));
+});
+
 // Guards against a backlog for few workers that has jobs refused which need others.
 test('what exceeds a promised rate is refused only where it needs room that is short', (t) => {
   const { harness } = advisedFleet();
--- a/packages/jobs/src/emulated-fleet.fixture.ts
+++ b/packages/jobs/src/emulated-fleet.fixture.ts
@@ -35,6 +35,7 @@
   const begunAt = new Map<JobId, Instant>();
   let running: EmulatedRun[] = [];
   let ends = 0;
+  let answeredCalls = 0;
 
   const jobOf = ({ task }: ReceivedStart): JobId => brandAs<JobId>(task.split('.')[0] ?? '');
   const millisOf = (start: ReceivedStart): number => runMillis.get(jobOf(start)) ?? 0;
@@ -58,8 +59,17 @@
     );
     running = running.filter((each) => !own.includes(each) || listed.includes(each));
   };
+  /** Advice comes by the next tick and allows all workers. */
+  const answerCalls = (): void => {
+    const calls = harness.of('ask_advice');
+    calls.slice(answeredCalls).forEach(({ step, workers, timing }) => {
+      harness.grant(step, workers, timing.validMillis);
+    });
+    answeredCalls = calls.length;
+  };
   const tick = (): void => {
     harness.advance(TICK_MILLIS);
+    answerCalls();
     options.workers.forEach(({ incarnation }) => {
       report(incarnation);
     });
@@ -92,7 +102,12 @@
       const begun = begunAt.get(job);
       return begun === undefined ? undefined : begun - (submittedAt.get(job) ?? begun);
     },
-    runningOn: (incarnation: WorkerIncarnation): number =>
-      running.filter(({ start }) => start.incarnation === incarnation).length,
+    /** The jobs of the tasks that run on the worker, one entry a task. */
+    jobsOn: (incarnation: WorkerIncarnation): JobId[] =>
+      running
+        .filter(({ start }) => start.incarnation === incarnation)
+        .map(({ start }) => jobOf(start)),
   };
 }
+
+export type EmulatedFleet = ReturnType<typeof emulatedFleet>;
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -15,17 +15,12 @@
 import { freeAt, planGang, type GangPlan } from './gang-plan.js';
 import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
+import type { ServiceUse } from './service-use.js';
 
 /** Fraction of the workers on which room may be kept in one pass: the rest takes whatever fits. */
 const MAX_RESERVED_FRACTION = 0.5;
 /** A plan is made anew after this, milliseconds, so that runs that end early bring the start forward. */
 const REPLAN_MILLIS = 100;
-/**
- * A service counts as busy if this fraction of its processor time is taken. The promise to start waiting work
- * holds while less than half is in use; starts and stops under way are counted here.
- */
-const BUSY_FRACTION = 0.6;
-
 interface PlannedGang {
   readonly plan: GangPlan | undefined;
   /** Number of workers that the plan could choose from. */
@@ -42,14 +37,14 @@
   private readonly windows = new HoldWindows();
   private readonly gangs = new WeakMap<Step, PlannedGang>();
   private readonly held = new Map<Worker, AvailableWorker>();
-  private workers: readonly AvailableWorker[] = [];
-  private readonly busyServices = new Map<string, boolean>();
+  private workerCount = 0;
 
-  /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
-  beginPass(workers: readonly AvailableWorker[]): void {
-    this.workers = workers;
+  constructor(private readonly serviceUse: ServiceUse) {}
+
+  /** Begins a pass in which so many workers can get work; nothing is reserved yet. */
+  beginPass(workerCount: number): void {
+    this.workerCount = workerCount;
     this.held.clear();
-    this.busyServices.clear();
   }
 
   endPass(now: Instant): void {
@@ -58,7 +53,7 @@
 
   /** Whether no more workers may be reserved in this pass. */
   get isFull(): boolean {
-    return this.held.size >= this.workers.length * MAX_RESERVED_FRACTION;
+    return this.held.size >= this.workerCount * MAX_RESERVED_FRACTION;
   }
 
   /** Whether room on the worker is kept for an earlier step. */
@@ -76,7 +71,7 @@
       return;
     }
     const { service } = step.job.queue;
-    const windowBegin = this.windows.windowBegin(service, this.isBusy(service), now);
+    const windowBegin = this.windows.windowBegin(service, this.serviceUse.isBusy(service), now);
     const isSameWindow = windowBegin === planned.windowBegin;
     const promisedStart = isSameWindow
       ? earlier(planned.promisedStart, plan.startsAt)
@@ -123,23 +118,6 @@
       promisedStart: known?.promisedStart ?? deadlineAfter(now, 0),
     };
   }
-
-  private isBusy(service: string): boolean {
-    const known = this.busyServices.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const workers = this.workers.filter(({ worker }) => worker.registration.service === service);
-    let taken = 0;
-    let all = 0;
-    for (const { worker } of workers) {
-      taken += worker.used.millicores;
-      all += worker.registration.capacity.millicores;
-    }
-    const isBusy = taken >= BUSY_FRACTION * all;
-    this.busyServices.set(service, isBusy);
-    return isBusy;
-  }
 }
 
 function isStillValid(
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -23,6 +23,7 @@
 import { Reservations } from './reservations.js';
 import { availableWorker, isEligible, type AvailableWorker } from './available-workers.js';
 import type { Quarantines } from './quarantines.js';
+import { ServiceUse } from './service-use.js';
 import { waitingReasons, type WaitingReason } from './waiting-reasons.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 
@@ -58,7 +59,8 @@
 
 export class StepPlacement {
   private readonly selection: WorkerSelection;
-  private readonly reservations = new Reservations();
+  private readonly serviceUse = new ServiceUse();
+  private readonly reservations = new Reservations(this.serviceUse);
   private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
@@ -81,7 +83,8 @@
     if (this.context.fleet.setWorkers(this.placeableWorkers())) {
       this.context.unpark();
     }
-    this.reservations.beginPass(available);
+    this.serviceUse.update(available, this.context.now);
+    this.reservations.beginPass(available.length);
     this.placeSteps(available);
     this.reservations.endPass(this.context.now);
   }
@@ -129,7 +132,9 @@
     }
     const { adviceBudget } = pass;
     const spentPools = adviceBudget.spentBy(step);
-    if (spentPools.length > 0 && !this.advice.hasTicket(step)) {
+    // In an idle service what waits before the step can't use the room: it is fragmented, or too small.
+    const isIdle = this.serviceUse.isIdle(step.job.queue.service, this.context.now);
+    if (spentPools.length > 0 && !isIdle && !this.advice.hasTicket(step)) {
       this.context.park(step, spentPools);
       return;
     }
