Plan gangs in one pass over the ends of runs

The room of each worker was summed up anew for each of about ten instants that a plan looked at. Now each worker says once from when on more tasks fit, and the sorted gains are added up. Plans are the same; the tests of gang-reservations.test.ts and waiting-work.test.ts pass.

--- a/packages/jobs/src/gang-plan.ts
+++ b/packages/jobs/src/gang-plan.ts
@@ -12,15 +12,11 @@
   readonly tasksByWorker: ReadonlyMap<Worker, number>;
 }
 
-/** A worker, and what ends there when. */
-interface Outlook {
-  readonly candidate: AvailableWorker;
-  readonly ends: readonly RunEnd[];
-}
-
-interface RunEnd {
+/** From then on so many more tasks of the gang fit on the worker. */
+interface Gain {
   readonly at: Deadline;
-  readonly frees: Resources;
+  readonly tasks: number;
+  readonly candidate: AvailableWorker;
 }
 
 /**
@@ -32,91 +28,69 @@
   candidates: readonly AvailableWorker[],
   now: Instant,
 ): GangPlan | undefined {
-  const outlooks = candidates.map((candidate) => outlookOf(candidate, now));
-  const hasRoomAt = (at: Deadline): boolean => {
-    let missing = step.plan.count;
-    for (const outlook of outlooks) {
-      missing -= tasksThatFitAt(step, outlook, at);
-      if (missing <= 0) {
-        return true;
-      }
-    }
-    return false;
-  };
-  const instants = outlooks
-    .flatMap(({ ends }) => ends.map(({ at }) => at))
-    .filter((at) => at !== NEVER)
-    .sort((left, right) => left - right);
-  const startsAt = firstThat([deadlineAfter(now, 0), ...instants], hasRoomAt);
-  return startsAt === undefined
-    ? undefined
-    : { startsAt, tasksByWorker: distribute(step, outlooks, startsAt) };
+  const gains = candidates
+    .flatMap((candidate) => gainsOf(step, candidate, now))
+    .sort((left, right) => left.at - right.at);
+  let missing = step.plan.count;
+  const last = gains.find(({ tasks }) => {
+    missing -= tasks;
+    return missing <= 0;
+  });
+  if (last === undefined) {
+    return undefined;
+  }
+  const startsAt = last.at;
+  const usable = gains.filter(({ at }) => at <= startsAt);
+  return { startsAt, tasksByWorker: distribute(step.plan.count, usable) };
 }
 
 /** The free resources of the worker at that time, if nothing more is started there. */
-export function freeAt(candidate: AvailableWorker, at: Deadline, now: Instant): Resources {
-  return freeOnceEnded(outlookOf(candidate, now), at);
-}
-
-function outlookOf(candidate: AvailableWorker, now: Instant): Outlook {
-  const ends = [...candidate.worker.runs.values()].map((run) => ({
-    at: expectedEndOf(run, now),
-    frees: allocationOf(run.task.step.plan),
-  }));
-  return { candidate, ends };
-}
-
-function freeOnceEnded({ candidate, ends }: Outlook, at: Deadline): Resources {
-  return ends
-    .filter((end) => end.at <= at)
-    .reduce((free, { frees }) => add(free, frees), candidate.free);
-}
-
-function tasksThatFitAt({ plan }: Step, outlook: Outlook, at: Deadline): number {
-  return countFitting(allocationOf(plan), freeOnceEnded(outlook, at), plan.maxPerWorker);
+export function freeAt({ worker, free }: AvailableWorker, at: Deadline, now: Instant): Resources {
+  let freeThen = free;
+  for (const run of worker.runs.values()) {
+    if (expectedEndOf(run, now) <= at) {
+      freeThen = add(freeThen, allocationOf(run.task.step.plan));
+    }
+  }
+  return freeThen;
 }
 
-/** The first of the sorted instants at which the condition holds; once it holds, it holds for all later ones. */
-function firstThat(
-  instants: readonly Deadline[],
-  holds: (at: Deadline) => boolean,
-): Deadline | undefined {
-  let low = 0;
-  let high = instants.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    const at = instants[middle];
-    if (at !== undefined && holds(at)) {
-      high = middle;
-    } else {
-      low = middle + 1;
+function gainsOf({ plan }: Step, candidate: AvailableWorker, now: Instant): Gain[] {
+  const demand = allocationOf(plan);
+  const ends = [...candidate.worker.runs.values()]
+    .map((run) => ({ at: expectedEndOf(run, now), frees: allocationOf(run.task.step.plan) }))
+    .filter(({ at }) => at !== NEVER)
+    .sort((left, right) => left.at - right.at);
+  let { free } = candidate;
+  let fitting = countFitting(demand, free, plan.maxPerWorker);
+  const gains: Gain[] = [{ at: deadlineAfter(now, 0), tasks: fitting, candidate }];
+  for (const { at, frees } of ends) {
+    free = add(free, frees);
+    const fittingThen = countFitting(demand, free, plan.maxPerWorker);
+    if (fittingThen > fitting) {
+      gains.push({ at, tasks: fittingThen - fitting, candidate });
+      fitting = fittingThen;
     }
   }
-  return instants[low];
+  return gains;
 }
 
 /** Workers on which most tasks fit come first, then those with the most free cores. */
-function distribute(
-  step: Step,
-  outlooks: readonly Outlook[],
-  at: Deadline,
-): ReadonlyMap<Worker, number> {
-  const ranked = outlooks
-    .map((outlook) => ({
-      candidate: outlook.candidate,
-      tasks: tasksThatFitAt(step, outlook, at),
-    }))
-    .sort(
-      (left, right) =>
-        right.tasks - left.tasks ||
-        right.candidate.free.millicores - left.candidate.free.millicores,
-    );
+function distribute(count: number, gains: readonly Gain[]): ReadonlyMap<Worker, number> {
+  const fitting = new Map<AvailableWorker, number>();
+  for (const { candidate, tasks } of gains) {
+    fitting.set(candidate, (fitting.get(candidate) ?? 0) + tasks);
+  }
+  const ranked = [...fitting].sort(
+    ([left, leftTasks], [right, rightTasks]) =>
+      rightTasks - leftTasks || right.free.millicores - left.free.millicores,
+  );
   const tasksByWorker = new Map<Worker, number>();
-  let missing = step.plan.count;
-  for (const { candidate, tasks } of ranked) {
+  let missing = count;
+  for (const [{ worker }, tasks] of ranked) {
     const share = Math.min(tasks, missing);
     if (share > 0) {
-      tasksByWorker.set(candidate.worker, share);
+      tasksByWorker.set(worker, share);
       missing -= share;
     }
   }
