Hold a gang's room against runs without an estimate

A job whose caller gives no estimate counted as over at once, so it could start in the room of a gang at any time and delay it for as long as it runs. Now it takes only what is spare, or waits for an opening. The new test of run-ends.test.ts fails without that. Also renames, and comments put right.

--- a/packages/jobs/src/advice-budget.ts
+++ b/packages/jobs/src/advice-budget.ts
@@ -29,7 +29,7 @@
 }
 
 /**
- * Work that needs a label draws from what the workers with that label have, and work of a team from what the
+ * Each step draws from several pools: work that needs a label draws from what the workers with that label have, and work of a team from what the
  * team may run: what only few workers can hold leaves the rest to others.
  */
 export class AdviceBudget {
@@ -40,8 +40,8 @@
     private readonly teamUseOf: (team: TeamId) => TeamUse | undefined,
   ) {}
 
-  /** What the step could draw from and those before it use up; empty if it may ask for advice. */
-  spentBy(step: Step): PoolKey[] {
+  /** The pools of the step that those before it use up; empty if it may ask for advice. */
+  spentPoolsOf(step: Step): PoolKey[] {
     return this.poolsOf(step)
       .filter(({ millicores }) => millicores <= 0)
       .map(({ key }) => key);
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -59,7 +59,8 @@
   readonly fleet = new FleetCapacity();
   /**
    * Waiting steps for which the fleet has no room soon: those that no worker can hold, and those behind the
-   * point up to which advice is asked for. They are left out of placement passes until the set is cleared, ten times a second.
+   * point up to which advice is asked for. They are left out of placement passes until the set is cleared, ten
+   * times a second.
    */
   readonly parked = new Set<Step>();
   /** What the steps before the parked ones use up. */
@@ -152,7 +153,11 @@
     return limit === undefined ? undefined : { limit, usage: this.usageOf(team) };
   }
 
-  /** Leaves the step out of placement passes for a while: those before it use these pools up. */
+  /**
+   * Leaves the step out of placement passes for a while.
+   *
+   * @param spentPools what the step needs and those before it use up; empty if no worker can hold it.
+   */
   park(step: Step, spentPools: readonly PoolKey[]): void {
     this.parked.add(step);
     spentPools.forEach((key) => this.spentPools.add(key));
@@ -163,15 +168,6 @@
     this.spentPools.clear();
   }
 
-  private exceedsTeamLimit({ job, plan }: Step): boolean {
-    const team = job.plan?.team;
-    const limit = team === undefined ? undefined : this.team(team)?.limit;
-    return (
-      limit !== undefined &&
-      startableWithinLimit(NO_RESOURCES, limit, allocationOf(plan), plan.count) < plan.count
-    );
-  }
-
   /** Adds a job that the store doesn't have yet. */
   addNew(job: Job): void {
     this.jobs.set(job.id, job);
@@ -296,6 +292,15 @@
     }
   }
 
+  private exceedsTeamLimit({ job, plan }: Step): boolean {
+    const team = job.plan?.team;
+    const limit = team === undefined ? undefined : this.team(team)?.limit;
+    return (
+      limit !== undefined &&
+      startableWithinLimit(NO_RESOURCES, limit, allocationOf(plan), plan.count) < plan.count
+    );
+  }
+
   private adjustUsage(run: Run, combine: (left: Resources, right: Resources) => Resources): void {
     const { plan } = run.task.step;
     const team = run.task.step.job.plan?.team;
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -21,6 +21,7 @@
 const MAX_RESERVED_FRACTION = 0.5;
 /** A plan is made anew after this, milliseconds, so that runs that end early bring the start forward. */
 const REPLAN_MILLIS = 100;
+
 interface PlannedGang {
   readonly plan: GangPlan | undefined;
   /** Number of workers that the plan could choose from. */
@@ -28,7 +29,7 @@
   readonly replanAt: Deadline;
   /** When the window of `promisedStart` began. */
   readonly windowBegin: Instant | undefined;
-  /** The earliest start that was expected in the window: runs that end later than that don't go before it. */
+  /** The earliest start that was expected in the window: only runs that are over by then use the gang's room. */
   readonly promisedStart: Deadline;
 }
 
--- a/packages/jobs/src/run-ends.test.ts
+++ b/packages/jobs/src/run-ends.test.ts
@@ -4,7 +4,7 @@
 import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
 import { newJob, newOccurrence, newWorker, type Progress, type Run } from './model.js';
 import { jobPlan, jobQueue, stepPlan, workerRegistration } from './plans.fixture.js';
-import { expectedEndOf } from './run-ends.js';
+import { expectedEndOf, lateEndIfStarted } from './run-ends.js';
 
 const at = (millis: number) => brandAs<Instant>(millis);
 const by = (millis: number) => brandAs<Deadline>(millis);
@@ -47,6 +47,14 @@
   t.is(expectedEndOf(runOf({ progress: early }), at(1500)), by(2000));
 });
 
+// Guards against runs that may take any time and start in the room of a gang that is about to start.
+test('a run is given twice its estimate, and without one it is not expected to end', (t) => {
+  const { step } = runOf({}).task;
+  t.is(lateEndIfStarted(step, at(1000)), by(3000));
+  const unknown = { ...step, plan: { ...step.plan, estimateMillis: 0 } };
+  t.is(lateEndIfStarted(unknown, at(1000)), NEVER);
+});
+
 test('a run that stops is expected to end now, and a lasting one never', (t) => {
   const stopping = runOf({ isLasting: true });
   stopping.phase = 'stopping';
--- a/packages/jobs/src/run-ends.ts
+++ b/packages/jobs/src/run-ends.ts
@@ -5,7 +5,7 @@
 
 /** Progress below this, percent, tells too little about when a run will end. */
 const MIN_PERCENT_TO_ESTIMATE = 15;
-/** How many times as long as estimated a run may take: estimates are rough. */
+/** How many times as long as estimated a run is allowed for: estimates are rough. */
 const OVERRUN_FACTOR = 2;
 
 /**
@@ -23,9 +23,14 @@
   return later(soonest, endByProgress(run) ?? endByEstimate(run, now));
 }
 
-/** By when a run of the step that starts now ends even if it outlives its estimate as usual. */
+/**
+ * By when a run of the step that starts now ends, also if it outlives its estimate; `NEVER` for a lasting task
+ * and for one without an estimate.
+ */
 export function lateEndIfStarted({ plan }: Step, now: Instant): Deadline {
-  return plan.isLasting ? NEVER : deadlineAfter(now, OVERRUN_FACTOR * plan.estimateMillis);
+  return plan.isLasting || plan.estimateMillis === 0
+    ? NEVER
+    : deadlineAfter(now, OVERRUN_FACTOR * plan.estimateMillis);
 }
 
 /** When the run will end if it goes on as it did; undefined if its progress tells too little. */
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -131,8 +131,8 @@
       return;
     }
     const { adviceBudget } = pass;
-    const spentPools = adviceBudget.spentBy(step);
-    // In an idle service what waits before the step can't use the room: it is fragmented, or too small.
+    const spentPools = adviceBudget.spentPoolsOf(step);
+    // In an idle service the steps before this one can't use the free room, or they would have started.
     const isIdle = this.serviceUse.isIdle(step.job.queue.service, this.context.now);
     if (spentPools.length > 0 && !isIdle && !this.advice.hasTicket(step)) {
       this.context.park(step, spentPools);
