Let a gang ask for advice while its team's limit holds part of it back

Since a gang asked for no advice until the limit of its team let all of it start; by the time the advice came, smaller jobs of the team could have used the limit. It asks as before now, if one task may start, and still keeps no room from others while the limit holds it back.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -118,8 +118,13 @@
     return this.startableByTeam(job.plan?.team, allocationOf(plan), wanted);
   }
 
-  /** Whether the step's team runs too much for another task of it, or for the gang. */
+  /** Whether the step's team runs too much for another task of it. */
   isTeamAtLimit(step: Step): boolean {
+    return this.startableWithinLimit(step, 1) === 0;
+  }
+
+  /** Whether the limit of its team keeps the step from starting now: of a gang, all tasks must be within it. */
+  isWaitingForTeamLimit(step: Step): boolean {
     const needed = step.plan.isGang ? waitingTasks(step).length : 1;
     return this.startableWithinLimit(step, needed) < needed;
   }
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -278,7 +278,7 @@
       (step) =>
         !context.parked.has(step) &&
         context.obstacleOf(step) === undefined &&
-        !context.isTeamAtLimit(step),
+        !context.isWaitingForTeamLimit(step),
     );
   }
 
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -127,7 +127,7 @@
       return;
     }
     if (this.context.isTeamAtLimit(step)) {
-      // Advice would expire unused, and room that is kept for it would be idle.
+      // Advice would expire unused.
       return;
     }
     const { adviceBudget } = pass;
@@ -155,7 +155,7 @@
     return waitingReasons([...this.lifecycle.readySteps].filter(hasWaitingTask), {
       parked,
       obstacleOf: (step) => this.context.obstacleOf(step),
-      isTeamAtLimit: (step) => this.context.isTeamAtLimit(step),
+      isWaitingForTeamLimit: (step) => this.context.isWaitingForTeamLimit(step),
       hasTicket: (step) => advice.hasTicket(step),
       admits: (step, worker) => advice.admits(step, worker),
       isReserved: (worker) => this.reservations.isReserved(worker),
@@ -212,10 +212,7 @@
       this.advice.request(step, this.reservations);
     }
     const mayStart = hasTicket && allocationOf(step.plan).millicores <= pass.maxFreeMillicores;
-    const mayReserve =
-      step.plan.isGang &&
-      !this.reservations.isFull &&
-      (hasTicket || step.workersInOpenCall !== undefined);
+    const mayReserve = step.plan.isGang && !this.reservations.isFull && this.mayUseRoom(step);
     if (!mayStart && !mayReserve) {
       return;
     }
@@ -227,6 +224,12 @@
     }
   }
 
+  /** Whether the gang could start if it had room: what is kept for another one would be idle. */
+  private mayUseRoom(step: Step): boolean {
+    const isAdvised = this.advice.hasTicket(step) || step.workersInOpenCall !== undefined;
+    return isAdvised && !this.context.isWaitingForTeamLimit(step);
+  }
+
   /** Workers that advice so far allows for the step. */
   private eligibleWorkers(step: Step, { available, availableById }: Pass): AvailableWorker[] {
     const demand = allocationOf(step.plan);
--- a/packages/jobs/src/waiting-reasons.ts
+++ b/packages/jobs/src/waiting-reasons.ts
@@ -14,7 +14,7 @@
 export type WaitingReason =
   /** It can't start on the workers that are there. */
   | Obstacle
-  /** Its team runs as much as it may. */
+  /** Its team runs as much as it may, or too much for the whole gang. */
   | 'team_limit'
   /** It is behind the point up to which advice is asked for. */
   | 'behind'
@@ -35,7 +35,7 @@
 export interface WaitingView {
   readonly parked: ReadonlySet<Step>;
   obstacleOf(step: Step): Obstacle | undefined;
-  isTeamAtLimit(step: Step): boolean;
+  isWaitingForTeamLimit(step: Step): boolean;
   hasTicket(step: Step): boolean;
   admits(step: Step, worker: Worker): boolean;
   /** Whether the worker was reserved in the last pass. */
@@ -62,7 +62,7 @@
   if (obstacle !== undefined) {
     return obstacle;
   }
-  if (view.isTeamAtLimit(step)) {
+  if (view.isWaitingForTeamLimit(step)) {
     return 'team_limit';
   }
   if (!view.hasTicket(step)) {
