Keep a gang's room past two seconds if the gang is about to start

Cause: in such a service each window of reservations ended after two seconds, and in each opening jobs began that outlast the next window.

Change: a window may be as long as room has been kept before it, ten seconds at most, if the gang is expected to start before it ends.

Why it works: windows outgrow the runs in the gang's way, and nothing is held that long for a gang that would not start in that time.

--- a/packages/jobs/src/gang-reservations.test.ts
+++ b/packages/jobs/src/gang-reservations.test.ts
@@ -171,6 +171,24 @@
   t.true(wait <= 2 * SMALL_MILLIS, `the gang began after ${wait} ms`);
 });
 
+for (const runMillis of [2000, 5000]) {
+  // Guards against the same where the runs outlast a window, and little of the whole service is in use.
+  test(`a gang that needs all workers of its kind starts amid a flow of jobs of ${runMillis} ms`, (t) => {
+    const fleet = labelledFleet();
+    let number = FIRST_SMALL;
+    const submitFlow = (): void => {
+      number += 1;
+      const step = { demand: cores(4), estimateMillis: runMillis / 2, neededLabel: KIND };
+      fleet.submit(jobPlan(number, { queue: SMALL, steps: [stepPlan(step)] }), runMillis);
+    };
+    fleet.run(2 * runMillis, submitFlow);
+    fleet.submit(gangJob(1, { count: 10, demand: cores(32) }), 1000);
+    fleet.run(5 * runMillis, submitFlow);
+    const wait = fleet.waitOf(jobId(1)) ?? Number.POSITIVE_INFINITY;
+    t.true(wait <= 4 * runMillis, `the gang began after ${wait} ms`);
+  });
+}
+
 // Guards against the same in a service whose other jobs outlast a window: all its room is in use at first.
 test('a gang that needs a third of a busy service starts amid a flow of long jobs', (t) => {
   const fleet = labelledFleet();
--- a/packages/jobs/src/hold-windows.ts
+++ b/packages/jobs/src/hold-windows.ts
@@ -7,6 +7,7 @@
   deadlineAfter,
   earlier,
   hasPassed,
+  later,
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
@@ -16,6 +17,8 @@
  * room starts within three seconds.
  */
 const MIN_WINDOW_MILLIS = 2000;
+/** Longest window of a service of which little is in use, milliseconds, for a gang that starts within it. */
+const MAX_IDLE_WINDOW_MILLIS = 10_000;
 /** Longest window, milliseconds: a run whose end is foreseen wrongly may delay a gang for ever. */
 const MAX_WINDOW_MILLIS = 60_000;
 /** Length of an opening, milliseconds: several placement passes, and a call for advice. */
@@ -37,12 +40,17 @@
   private readonly needed = new Set<string>();
 
   /**
-   * When the window of the service began by which room may be kept now; undefined in an opening.
+   * When the window of the service began by which room may be kept now; undefined in an opening. A window may
+   * be as long as room has been kept before it, so that a gang starts in the end that long runs get in the way
+   * of: while much of the service is in use, or if the gang will start before the window ends.
    *
-   * @param isBusy whether much of the service is in use: then each window may be as long as room has been
-   * kept before it, so that a gang starts in the end that long runs get in the way of.
+   * @param startsAt when the gang is expected to start.
    */
-  windowBegin(service: string, isBusy: boolean, now: Instant): Instant | undefined {
+  windowBegin(
+    service: string,
+    { isBusy, startsAt }: { readonly isBusy: boolean; readonly startsAt: Deadline },
+    now: Instant,
+  ): Instant | undefined {
     this.needed.add(service);
     const window = this.windows.get(service);
     if (window === undefined) {
@@ -51,7 +59,7 @@
     if (isBusy) {
       window.idleEnd = deadlineAfter(now, MIN_WINDOW_MILLIS);
     }
-    if (!hasPassed(earlier(window.idleEnd, busyEndOf(window)), now)) {
+    if (!hasPassed(endOf(window, startsAt), now)) {
       window.openedAt = undefined;
       return window.beganAt;
     }
@@ -85,8 +93,9 @@
   return hasPassed(deadlineAfter(openedAt, OPENING_MILLIS), now);
 }
 
-/** When the window ends if the service is busy. */
-function busyEndOf({ keptSince, beganAt }: Window): Deadline {
-  const millis = Math.max(MIN_WINDOW_MILLIS, beganAt - keptSince);
-  return deadlineAfter(beganAt, Math.min(MAX_WINDOW_MILLIS, millis));
+function endOf({ keptSince, beganAt, idleEnd }: Window, startsAt: Deadline): Deadline {
+  const longestMillis = Math.max(MIN_WINDOW_MILLIS, beganAt - keptSince);
+  const busyEnd = deadlineAfter(beganAt, Math.min(MAX_WINDOW_MILLIS, longestMillis));
+  const startEnd = deadlineAfter(beganAt, Math.min(MAX_IDLE_WINDOW_MILLIS, longestMillis));
+  return earlier(busyEnd, startsAt <= startEnd ? later(idleEnd, startEnd) : idleEnd);
 }
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -72,11 +72,11 @@
       return;
     }
     const { service } = step.job.queue;
-    const windowBegin = this.windows.windowBegin(service, this.serviceUse.isBusy(service), now);
+    const { startsAt } = plan;
+    const isBusy = this.serviceUse.isBusy(service);
+    const windowBegin = this.windows.windowBegin(service, { isBusy, startsAt }, now);
     const isSameWindow = windowBegin === planned.windowBegin;
-    const promisedStart = isSameWindow
-      ? earlier(planned.promisedStart, plan.startsAt)
-      : plan.startsAt;
+    const promisedStart = isSameWindow ? earlier(planned.promisedStart, startsAt) : startsAt;
     this.gangs.set(step, { ...planned, windowBegin, promisedStart });
     if (windowBegin !== undefined) {
       this.keepRoom(step, plan, promisedStart, unreserved, now);
