Name the time once for which work may be held up beside free room

Windows of reservations, the budget of calls for advice and lasting tasks beside gangs each had a constant of two seconds for the same promise.

--- a/packages/jobs/src/hold-windows.ts
+++ b/packages/jobs/src/hold-windows.ts
@@ -11,12 +11,8 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
+import { MAX_HELD_UP_MILLIS } from './service-use.js';
 
-/**
- * Shortest window, milliseconds. In a service of which little is in use, waiting work for which there is
- * room starts within three seconds.
- */
-const MIN_WINDOW_MILLIS = 2000;
 /** Longest window of a service of which little is in use, milliseconds, for a gang that starts within it. */
 const MAX_IDLE_WINDOW_MILLIS = 10_000;
 /** Longest window, milliseconds: a run whose end is foreseen wrongly may delay a gang for ever. */
@@ -57,7 +53,7 @@
       return this.begin(service, now, now);
     }
     if (isBusy) {
-      window.idleEnd = deadlineAfter(now, MIN_WINDOW_MILLIS);
+      window.idleEnd = deadlineAfter(now, MAX_HELD_UP_MILLIS);
     }
     if (!hasPassed(endOf(window, startsAt), now)) {
       window.openedAt = undefined;
@@ -83,7 +79,7 @@
   }
 
   private begin(service: string, keptSince: Instant, now: Instant): Instant {
-    const idleEnd = deadlineAfter(now, MIN_WINDOW_MILLIS);
+    const idleEnd = deadlineAfter(now, MAX_HELD_UP_MILLIS);
     this.windows.set(service, { keptSince, beganAt: now, idleEnd, openedAt: undefined });
     return now;
   }
@@ -94,7 +90,7 @@
 }
 
 function endOf({ keptSince, beganAt, idleEnd }: Window, startsAt: Deadline): Deadline {
-  const longestMillis = Math.max(MIN_WINDOW_MILLIS, beganAt - keptSince);
+  const longestMillis = Math.max(MAX_HELD_UP_MILLIS, beganAt - keptSince);
   const busyEnd = deadlineAfter(beganAt, Math.min(MAX_WINDOW_MILLIS, longestMillis));
   const startEnd = deadlineAfter(beganAt, Math.min(MAX_IDLE_WINDOW_MILLIS, longestMillis));
   return earlier(busyEnd, startsAt <= startEnd ? later(idleEnd, startEnd) : idleEnd);
--- a/packages/jobs/src/service-use.ts
+++ b/packages/jobs/src/service-use.ts
@@ -1,4 +1,4 @@
-/** How much of each service's workers is in use. */
+/** How much of each service's workers is in use, and what work may expect of a service of which little is. */
 
 import { deadlineAfter, hasPassed, type Instant } from '@bamboowell/types/time';
 import type { AvailableWorker } from './available-workers.js';
@@ -8,8 +8,11 @@
  * holds while less than half is in use; starts and stops under way are counted here.
  */
 const BUSY_FRACTION = 0.6;
-/** A service counts as idle once it has not been busy for so long, milliseconds. */
-const IDLE_AFTER_MILLIS = 2000;
+/**
+ * How long work for which there is room is held up by what waits before it, milliseconds, while little of its
+ * service is in use: it is promised a start within three seconds.
+ */
+export const MAX_HELD_UP_MILLIS = 2000;
 
 /** Processor time, thousandths of a core. */
 interface Use {
@@ -49,6 +52,6 @@
   /** Whether much of the service has been free for a while: what waits there is not using it. */
   isIdle(service: string, now: Instant): boolean {
     const since = this.quietSince.get(service);
-    return since !== undefined && hasPassed(deadlineAfter(since, IDLE_AFTER_MILLIS), now);
+    return since !== undefined && hasPassed(deadlineAfter(since, MAX_HELD_UP_MILLIS), now);
   }
 }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -6,13 +6,11 @@
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
 import { lateEndIfStarted } from './run-ends.js';
+import { MAX_HELD_UP_MILLIS } from './service-use.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
 import { racksByFreeCores, allocate, roomFor, type AvailableWorker } from './available-workers.js';
 
-/** How long lasting tasks leave room alone that is kept for gangs, milliseconds. */
-const MAX_LASTING_WAIT_MILLIS = 2000;
-
 export class WorkerSelection {
   constructor(
     private readonly context: JobContext,
@@ -160,7 +158,7 @@
  * over; they are owed a start wherever there is room, and wait a bounded time.
  */
 function endForHolds(step: Step, now: Instant): Deadline {
-  const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_LASTING_WAIT_MILLIS);
+  const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_HELD_UP_MILLIS);
   return step.plan.isLasting && hasPassed(waitsUntil, now)
     ? deadlineAfter(now, 0)
     : lateEndIfStarted(step, now);
