Bound what waiting gangs cost a placement pass

What callers saw: nothing yet.

Change: at most eight plans are made in a pass, first gangs first, none in an opening, and each lasts for half a second; plans of a pass share the ends of runs. A gang looks only at workers that have room. The pools of AdviceBudget are found without building keys.

--- a/packages/jobs/src/advice-budget.ts
+++ b/packages/jobs/src/advice-budget.ts
@@ -33,51 +33,51 @@
  * team may run: what only few workers can hold leaves the rest to others.
  */
 export class AdviceBudget {
-  private readonly pools = new Map<PoolKey, Pool>();
+  private readonly services = new Map<string, Pool>();
+  /** By service and label. */
+  private readonly labels = new Map<string, Map<string, Pool>>();
+  private readonly teams = new Map<TeamId, Pool>();
 
   constructor(
     private readonly available: readonly AvailableWorker[],
     private readonly teamUseOf: (team: TeamId) => TeamUse | undefined,
   ) {}
 
-  /** The pools of the step that those before it use up; empty if it may ask for advice. */
-  spentPoolsOf(step: Step): PoolKey[] {
-    return this.poolsOf(step)
-      .filter(({ millicores }) => millicores <= 0)
-      .map(({ key }) => key);
-  }
-
-  /** @param tasks number of the step's tasks that may start. */
-  spend(step: Step, tasks: number): void {
-    for (const pool of this.poolsOf(step)) {
-      pool.millicores -= tasks * allocationOf(step.plan).millicores;
-    }
-  }
-
-  private poolsOf({ job, plan }: Step): Pool[] {
+  /** What the step draws from. */
+  poolsOf({ job, plan }: Step): Pool[] {
     const { service } = job.queue;
     const { neededLabel } = plan;
     const team = job.plan?.team;
-    const pools = [this.pool(servicePool(service), () => this.aheadOfWorkers(service))];
+    const pools = [this.servicePoolOf(service)];
     if (neededLabel !== undefined) {
-      pools.push(
-        this.pool(labelPool(service, neededLabel), () => this.aheadOfWorkers(service, neededLabel)),
-      );
+      pools.push(this.labelPoolOf(service, neededLabel));
     }
     if (team !== undefined) {
-      pools.push(this.pool(teamPool(team), () => aheadOfTeam(this.teamUseOf(team))));
+      pools.push(this.teamPoolOf(team));
     }
     return pools;
   }
 
-  private pool(key: PoolKey, millicoresOf: () => number): Pool {
-    const known = this.pools.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    const pool = { key, millicores: millicoresOf() };
-    this.pools.set(key, pool);
-    return pool;
+  private servicePoolOf(service: string): Pool {
+    return getOrAdd(this.services, service, () => ({
+      key: servicePool(service),
+      millicores: this.aheadOfWorkers(service),
+    }));
+  }
+
+  private labelPoolOf(service: string, label: string): Pool {
+    const pools = getOrAdd(this.labels, service, () => new Map<string, Pool>());
+    return getOrAdd(pools, label, () => ({
+      key: labelPool(service, label),
+      millicores: this.aheadOfWorkers(service, label),
+    }));
+  }
+
+  private teamPoolOf(team: TeamId): Pool {
+    return getOrAdd(this.teams, team, () => ({
+      key: teamPool(team),
+      millicores: aheadOfTeam(this.teamUseOf(team)),
+    }));
   }
 
   private aheadOfWorkers(service: string, label?: string): number {
@@ -123,3 +123,25 @@
     : Math.max(0, use.limit.millicores - use.usage.millicores) +
         AHEAD_FRACTION * use.limit.millicores;
 }
+
+/** The keys of those that steps use up; empty if the step that draws from them may ask for advice. */
+export function spentPoolsOf(pools: readonly Pool[]): PoolKey[] {
+  return pools.filter(({ millicores }) => millicores <= 0).map(({ key }) => key);
+}
+
+/** @param tasks number of the step's tasks that may start. */
+export function spend(pools: readonly Pool[], { plan }: Step, tasks: number): void {
+  for (const pool of pools) {
+    pool.millicores -= tasks * allocationOf(plan).millicores;
+  }
+}
+
+function getOrAdd<Key, Value>(map: Map<Key, Value>, key: Key, add: () => Value): Value {
+  const known = map.get(key);
+  if (known !== undefined) {
+    return known;
+  }
+  const added = add();
+  map.set(key, added);
+  return added;
+}
--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -2,7 +2,7 @@
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import type { WorkerRegistration } from '@bamboowell/types/job';
-import { fits, resourcesOf, subtract, type Resources } from '@bamboowell/types/resources';
+import { fits, subtract, type Resources } from '@bamboowell/types/resources';
 import type { Deadline } from '@bamboowell/types/time';
 import { allocationOf, type Step, type Worker } from './model.js';
 
@@ -28,18 +28,19 @@
 }
 
 /**
- * What a run that ends by then may take. A run that is over before the gang starts may use what is kept for
- * the gang (backfilling).
+ * Whether a run with this demand that ends by then may start there. One that is over before the gang starts
+ * may use what is kept for the gang (backfilling).
  */
-export function roomFor({ free, hold }: Offer, endsBy: Deadline): Resources {
-  return hold === undefined || endsBy <= hold.until
-    ? free
-    : resourcesOf((dimension) => Math.min(free[dimension], hold.spare[dimension]));
+export function hasRoomFor(
+  { free, hold }: AvailableWorker,
+  demand: Resources,
+  endsBy: Deadline,
+): boolean {
+  return (
+    fits(demand, free) && (hold === undefined || endsBy <= hold.until || fits(demand, hold.spare))
+  );
 }
 
-/** What a worker has free, and what of that is kept. */
-type Offer = Pick<AvailableWorker, 'free' | 'hold'>;
-
 /** Whether the worker could run a task of the step if nothing else ran there. */
 export function isEligible(registration: WorkerRegistration, { plan, job }: Step): boolean {
   return (
--- a/packages/jobs/src/gang-plan.test.ts
+++ b/packages/jobs/src/gang-plan.test.ts
@@ -2,8 +2,8 @@
 import { brandAs } from '@bamboowell/types/ids';
 import type { RunNumber } from '@bamboowell/types/job';
 import { NEVER, type Deadline, type Instant } from '@bamboowell/types/time';
-import { availableWorker, type AvailableWorker } from './available-workers.js';
-import { freeAt, planGang } from './gang-plan.js';
+import { availableWorker } from './available-workers.js';
+import { freeAt, outlookOf, planGang, type Outlook } from './gang-plan.js';
 import { attachRun, newJob, newOccurrence, newWorker, type Step } from './model.js';
 import { cores, jobPlan, jobQueue, stepPlan, workerRegistration } from './plans.fixture.js';
 
@@ -19,7 +19,7 @@
 }
 
 /** A worker of eight cores with a run of four cores for each of these estimates, milliseconds. */
-function workerWith(name: string, ...estimates: readonly number[]): AvailableWorker {
+function workerWith(name: string, ...estimates: readonly number[]): Outlook {
   const worker = newWorker(workerRegistration(name, { capacity: cores(8, 1000) }), NEVER);
   for (const estimateMillis of estimates) {
     const [task] = stepOf({ demand: cores(4), estimateMillis }).tasks;
@@ -37,7 +37,7 @@
       });
     }
   }
-  return availableWorker(worker);
+  return outlookOf(availableWorker(worker), NOW);
 }
 
 function gangOf(count: number): Step {
@@ -70,6 +70,6 @@
 
 test('what is free at a time includes the runs that are expected to be over by then', (t) => {
   const worker = workerWith('w1', 1000, 9000);
-  t.deepEqual(freeAt(worker, brandAs(999), NOW), cores(0, 800));
-  t.deepEqual(freeAt(worker, brandAs(1000), NOW), cores(4, 900));
+  t.deepEqual(freeAt(worker, brandAs(999)), cores(0, 800));
+  t.deepEqual(freeAt(worker, brandAs(1000)), cores(4, 900));
 });
--- a/packages/jobs/src/gang-plan.ts
+++ b/packages/jobs/src/gang-plan.ts
@@ -12,6 +12,17 @@
   readonly tasksByWorker: ReadonlyMap<Worker, number>;
 }
 
+/** A worker, and when its runs are expected to end, in order; without those that never do. */
+export interface Outlook {
+  readonly candidate: AvailableWorker;
+  readonly ends: readonly RunEnd[];
+}
+
+interface RunEnd {
+  readonly at: Deadline;
+  readonly frees: Resources;
+}
+
 /** From then on so many more tasks of the gang fit on the worker. */
 interface Gain {
   readonly at: Deadline;
@@ -25,11 +36,11 @@
  */
 export function planGang(
   step: Step,
-  candidates: readonly AvailableWorker[],
+  candidates: readonly Outlook[],
   now: Instant,
 ): GangPlan | undefined {
   const gains = candidates
-    .flatMap((candidate) => gainsOf(step, candidate, now))
+    .flatMap((outlook) => gainsOf(step, outlook, now))
     .sort((left, right) => left.at - right.at);
   let missing = step.plan.count;
   const last = gains.find(({ tasks }) => {
@@ -44,26 +55,29 @@
   return { startsAt, tasksByWorker: distribute(step.plan.count, usable) };
 }
 
-/** The free resources of the worker at that time, if nothing more is started there. */
-export function freeAt({ worker, free }: AvailableWorker, at: Deadline, now: Instant): Resources {
-  let freeThen = free;
-  for (const run of worker.runs.values()) {
-    if (expectedEndOf(run, now) <= at) {
-      freeThen = add(freeThen, allocationOf(run.task.step.plan));
-    }
-  }
-  return freeThen;
-}
-
-function gainsOf({ plan }: Step, candidate: AvailableWorker, now: Instant): Gain[] {
-  const demand = allocationOf(plan);
+export function outlookOf(candidate: AvailableWorker, now: Instant): Outlook {
   const ends = [...candidate.worker.runs.values()]
     .map((run) => ({ at: expectedEndOf(run, now), frees: allocationOf(run.task.step.plan) }))
     .filter(({ at }) => at !== NEVER)
     .sort((left, right) => left.at - right.at);
+  return { candidate, ends };
+}
+
+/** The free resources of the worker at that time, if nothing more is started there. */
+export function freeAt({ candidate, ends }: Outlook, at: Deadline): Resources {
+  return ends
+    .filter((end) => end.at <= at)
+    .reduce((free, { frees }) => add(free, frees), candidate.free);
+}
+
+function gainsOf({ plan }: Step, { candidate, ends }: Outlook, now: Instant): Gain[] {
+  const demand = allocationOf(plan);
   let { free } = candidate;
   let fitting = countFitting(demand, free, plan.maxPerWorker);
-  const gains: Gain[] = [{ at: deadlineAfter(now, 0), tasks: fitting, candidate }];
+  const gains: Gain[] = [];
+  if (fitting > 0) {
+    gains.push({ at: deadlineAfter(now, 0), tasks: fitting, candidate });
+  }
   for (const { at, frees } of ends) {
     free = add(free, frees);
     const fittingThen = countFitting(demand, free, plan.maxPerWorker);
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -12,15 +12,17 @@
   type Instant,
 } from '@bamboowell/types/time';
 import type { AvailableWorker } from './available-workers.js';
-import { freeAt, planGang, type GangPlan } from './gang-plan.js';
+import { freeAt, outlookOf, planGang, type GangPlan, type Outlook } from './gang-plan.js';
 import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
 import type { ServiceUse } from './service-use.js';
 
 /** Fraction of the workers on which room may be kept in one pass: the rest takes whatever fits. */
 const MAX_RESERVED_FRACTION = 0.5;
-/** A plan is made anew after this, milliseconds, so that runs that end early bring the start forward. */
-const REPLAN_MILLIS = 100;
+/** A plan is made anew after this, milliseconds: runs end earlier or later than expected. */
+const REPLAN_MILLIS = 500;
+/** Bounds the time of a pass: hundreds of gangs may wait, and the first ones are planned first. */
+const MAX_PLANS_PER_PASS = 8;
 
 interface PlannedGang {
   readonly plan: GangPlan | undefined;
@@ -37,15 +39,19 @@
 export class Reservations {
   private readonly windows = new HoldWindows();
   private readonly gangs = new WeakMap<Step, PlannedGang>();
-  private readonly held = new Map<Worker, AvailableWorker>();
-  private workerCount = 0;
+  private readonly held = new Set<Worker>();
+  private readonly outlooks = new Map<AvailableWorker, Outlook>();
+  private workers: ReadonlyMap<Worker, AvailableWorker> = new Map();
+  private plansInPass = 0;
 
   constructor(private readonly serviceUse: ServiceUse) {}
 
-  /** Begins a pass in which so many workers can get work; nothing is reserved yet. */
-  beginPass(workerCount: number): void {
-    this.workerCount = workerCount;
+  /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
+  beginPass(workers: readonly AvailableWorker[]): void {
+    this.workers = new Map(workers.map((available) => [available.worker, available]));
+    this.plansInPass = 0;
     this.held.clear();
+    this.outlooks.clear();
   }
 
   endPass(now: Instant): void {
@@ -54,7 +60,7 @@
 
   /** Whether no more workers may be reserved in this pass. */
   get isFull(): boolean {
-    return this.held.size >= this.workerCount * MAX_RESERVED_FRACTION;
+    return this.held.size >= this.workers.size * MAX_RESERVED_FRACTION;
   }
 
   /** Whether room on the worker is kept for an earlier step. */
@@ -64,70 +70,99 @@
 
   /** Keeps room for the whole step where it is expected to start first, if it will start at all. */
   reserve(step: Step, candidates: readonly AvailableWorker[], now: Instant): void {
-    const unreserved = candidates.filter(({ hold }) => hold === undefined);
-    const planned = this.planned(step, unreserved, now);
-    const { plan } = planned;
-    if (plan === undefined) {
-      this.gangs.set(step, planned);
+    const planned = this.planned(step, candidates, now);
+    if (planned?.plan === undefined) {
       return;
     }
-    const { service } = step.job.queue;
-    const { startsAt } = plan;
-    const isBusy = this.serviceUse.isBusy(service);
-    const windowBegin = this.windows.windowBegin(service, { isBusy, startsAt }, now);
-    const isSameWindow = windowBegin === planned.windowBegin;
-    const promisedStart = isSameWindow ? earlier(planned.promisedStart, startsAt) : startsAt;
+    const { plan } = planned;
+    const windowBegin = this.windowBegin(step, plan, now);
+    const promisedStart =
+      windowBegin === planned.windowBegin
+        ? earlier(planned.promisedStart, plan.startsAt)
+        : plan.startsAt;
     this.gangs.set(step, { ...planned, windowBegin, promisedStart });
     if (windowBegin !== undefined) {
-      this.keepRoom(step, plan, promisedStart, unreserved, now);
+      this.keepRoom(step, plan, promisedStart, now);
     }
   }
 
-  private keepRoom(
-    step: Step,
-    { tasksByWorker }: GangPlan,
-    until: Deadline,
-    candidates: readonly AvailableWorker[],
-    now: Instant,
-  ): void {
-    const byWorker = new Map(candidates.map((candidate) => [candidate.worker, candidate]));
-    for (const [worker, tasks] of tasksByWorker) {
-      const candidate = byWorker.get(worker);
+  private windowBegin(step: Step, { startsAt }: GangPlan, now: Instant): Instant | undefined {
+    const { service } = step.job.queue;
+    const isBusy = this.serviceUse.isBusy(service);
+    return this.windows.windowBegin(service, { isBusy, startsAt }, now);
+  }
+
+  private keepRoom(step: Step, plan: GangPlan, until: Deadline, now: Instant): void {
+    for (const [worker, tasks] of plan.tasksByWorker) {
+      const available = this.workers.get(worker);
       if (this.isFull) {
         return;
       }
-      if (candidate !== undefined) {
+      if (available !== undefined) {
         const taken = multiply(allocationOf(step.plan), tasks);
-        const spare = positivePart(subtract(freeAt(candidate, until, now), taken));
-        candidate.hold = { until, spare };
-        this.held.set(worker, candidate);
+        const free = freeAt(this.outlookOf(available, now), until);
+        available.hold = { until, spare: positivePart(subtract(free, taken)) };
+        this.held.add(worker);
       }
     }
   }
 
-  /** The plan of an earlier pass, if it is recent and its workers are still candidates; else a new one. */
-  private planned(step: Step, candidates: readonly AvailableWorker[], now: Instant): PlannedGang {
+  /**
+   * The plan of an earlier pass, if it is recent and its workers are still candidates; else a new one, unless
+   * nothing is kept now or enough has been planned in this pass.
+   */
+  private planned(
+    step: Step,
+    candidates: readonly AvailableWorker[],
+    now: Instant,
+  ): PlannedGang | undefined {
     const known = this.gangs.get(step);
-    if (known !== undefined && !hasPassed(known.replanAt, now) && isStillValid(known, candidates)) {
+    if (known !== undefined && !hasPassed(known.replanAt, now) && this.isValid(known, candidates)) {
       return known;
     }
-    return {
-      plan: planGang(step, candidates, now),
+    const isOpening =
+      known?.plan !== undefined && this.windowBegin(step, known.plan, now) === undefined;
+    if (isOpening || this.plansInPass >= MAX_PLANS_PER_PASS) {
+      return undefined;
+    }
+    this.plansInPass += 1;
+    const outlooks = candidates
+      .filter(({ hold }) => hold === undefined)
+      .map((candidate) => this.outlookOf(candidate, now));
+    const planned = {
+      plan: planGang(step, outlooks, now),
       candidates: candidates.length,
       replanAt: deadlineAfter(now, REPLAN_MILLIS),
       windowBegin: known?.windowBegin,
       promisedStart: known?.promisedStart ?? deadlineAfter(now, 0),
     };
+    this.gangs.set(step, planned);
+    return planned;
   }
-}
 
-function isStillValid(
-  { plan, candidates: formerCount }: PlannedGang,
-  candidates: readonly AvailableWorker[],
-): boolean {
-  if (plan === undefined) {
-    return candidates.length === formerCount;
+  private outlookOf(candidate: AvailableWorker, now: Instant): Outlook {
+    const known = this.outlooks.get(candidate);
+    if (known !== undefined) {
+      return known;
+    }
+    const outlook = outlookOf(candidate, now);
+    this.outlooks.set(candidate, outlook);
+    return outlook;
+  }
+
+  private isValid(
+    { plan, candidates: formerCount }: PlannedGang,
+    candidates: readonly AvailableWorker[],
+  ): boolean {
+    if (plan === undefined) {
+      return candidates.length === formerCount;
+    }
+    for (const worker of plan.tasksByWorker.keys()) {
+      const available = this.workers.get(worker);
+      if (available === undefined || available.hold !== undefined || available.isClosed) {
+        return false;
+      }
+    }
+    return true;
   }
-  const workers = new Set(candidates.map(({ worker }) => worker));
-  return [...plan.tasksByWorker.keys()].every((worker) => workers.has(worker));
 }
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -3,7 +3,7 @@
 import { fits } from '@bamboowell/types/resources';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
-import { AdviceBudget } from './advice-budget.js';
+import { AdviceBudget, spend, spentPoolsOf } from './advice-budget.js';
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
@@ -84,7 +84,7 @@
       this.context.unpark();
     }
     this.serviceUse.update(available, this.context.now);
-    this.reservations.beginPass(available.length);
+    this.reservations.beginPass(available);
     this.placeSteps(available);
     this.reservations.endPass(this.context.now);
   }
@@ -130,8 +130,8 @@
       // Advice would expire unused.
       return;
     }
-    const { adviceBudget } = pass;
-    const spentPools = adviceBudget.spentPoolsOf(step);
+    const pools = pass.adviceBudget.poolsOf(step);
+    const spentPools = spentPoolsOf(pools);
     // In an idle service the steps before this one can't use the free room, or they would have started.
     const isIdle = this.serviceUse.isIdle(step.job.queue.service, this.context.now);
     if (spentPools.length > 0 && !isIdle && !this.advice.hasTicket(step)) {
@@ -139,7 +139,7 @@
       return;
     }
     this.placeStep(step, pass);
-    adviceBudget.spend(step, this.startableTasks(step));
+    spend(pools, step, this.startableTasks(step));
   }
 
   /** How many of the step's waiting tasks the workers and its team's limit let start. */
--- a/packages/jobs/src/team-limits.ts
+++ b/packages/jobs/src/team-limits.ts
@@ -15,12 +15,12 @@
   demand: Resources,
   wanted: number,
 ): number {
-  const atLeast = isZero(usage) ? 1 : 0;
-  const counts = DIMENSIONS.map((dimension) => {
-    const isUnlimited = limit[dimension] === 0;
+  let startable = wanted;
+  for (const dimension of DIMENSIONS) {
     const left = limit[dimension] - usage[dimension];
     const need = demand[dimension];
-    return isUnlimited || (need === 0 && left >= 0) ? wanted : left / Math.max(1, need);
-  });
-  return Math.max(atLeast, Math.floor(Math.min(wanted, ...counts)));
+    const isUnlimited = limit[dimension] === 0 || (need === 0 && left >= 0);
+    startable = isUnlimited ? startable : Math.min(startable, Math.floor(left / Math.max(1, need)));
+  }
+  return Math.max(isZero(usage) ? 1 : 0, startable);
 }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -9,7 +9,12 @@
 import { MAX_HELD_UP_MILLIS } from './service-use.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
-import { racksByFreeCores, allocate, roomFor, type AvailableWorker } from './available-workers.js';
+import {
+  racksByFreeCores,
+  allocate,
+  hasRoomFor,
+  type AvailableWorker,
+} from './available-workers.js';
 
 export class WorkerSelection {
   constructor(
@@ -93,10 +98,11 @@
     candidates: readonly AvailableWorker[],
   ): Assignment[] {
     const demand = allocationOf(step.plan);
-    const trial = candidates.map((candidate) => ({ ...candidate }));
+    const endsBy = endForHolds(step, this.context.now);
+    const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy));
+    const trial = usable.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
     const assignments: Assignment[] = [];
-    const endsBy = endForHolds(step, this.context.now);
     for (const task of waiting) {
       const choice = { step, task, rack: undefined, extraPenalty: noPenalty, endsBy };
       const candidate = bestWorker(choice, demand, trial, countByWorker);
@@ -107,7 +113,7 @@
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated: false });
     }
-    candidates.forEach((candidate, index) => {
+    usable.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
       candidate.hold = trial[index]?.hold;
     });
@@ -185,7 +191,7 @@
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || candidate.isClosed || !fits(demand, roomFor(candidate, choice.endsBy))) {
+    if (isFull || candidate.isClosed || !hasRoomFor(candidate, demand, choice.endsBy)) {
       continue;
     }
     const score = scoreOf(choice, candidate);
