--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -6,12 +6,15 @@
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
 import { lateEndIfStarted } from './run-ends.js';
+import { MAX_HELD_UP_MILLIS } from './service-use.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
-import { racksByFreeCores, allocate, roomFor, type AvailableWorker } from './available-workers.js';
-
-/** How long lasting tasks leave room alone that is kept for gangs, milliseconds. */
-const MAX_LASTING_WAIT_MILLIS = 2000;
+import {
+  racksByFreeCores,
+  allocate,
+  hasRoomFor,
+  type AvailableWorker,
+} from './available-workers.js';
 
 export class WorkerSelection {
   constructor(
@@ -95,10 +98,11 @@
     candidates: readonly AvailableWorker[],
   ): Assignment[] {
     const demand = allocationOf(step.plan);
-    const trial = candidates.map((candidate) => ({ ...candidate }));
+    const endsBy = endForHolds(step, this.context.now);
+    const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy));
+    const trial = usable.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
     const assignments: Assignment[] = [];
-    const endsBy = endForHolds(step, this.context.now);
     for (const task of waiting) {
       const choice = { step, task, rack: undefined, extraPenalty: noPenalty, endsBy };
       const candidate = bestWorker(choice, demand, trial, countByWorker);
@@ -109,7 +113,7 @@
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated: false });
     }
-    candidates.forEach((candidate, index) => {
+    usable.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
       candidate.hold = trial[index]?.hold;
     });
@@ -160,7 +164,7 @@
  * over; they are owed a start wherever there is room, and wait a bounded time.
  */
 function endForHolds(step: Step, now: Instant): Deadline {
-  const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_LASTING_WAIT_MILLIS);
+  const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_HELD_UP_MILLIS);
   return step.plan.isLasting && hasPassed(waitsUntil, now)
     ? deadlineAfter(now, 0)
     : lateEndIfStarted(step, now);
@@ -187,7 +191,7 @@
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || candidate.isClosed || !fits(demand, roomFor(candidate, choice.endsBy))) {
+    if (isFull || candidate.isClosed || !hasRoomFor(candidate, demand, choice.endsBy)) {
       continue;
     }
     const score = scoreOf(choice, candidate);
