Keep a gang's room until it is expected to start, and shorten the wait for advice

The budget of calls binds for half a second now after the service has become idle.

A window that is longer than two seconds ends when the gang should have started by twice the time that was expected when it began; until then the expected start slid on with every run that outlived its estimate.

--- a/packages/jobs/src/hold-windows.ts
+++ b/packages/jobs/src/hold-windows.ts
@@ -11,9 +11,10 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
+import { OVERRUN_FACTOR } from './run-ends.js';
 import { MAX_HELD_UP_MILLIS } from './service-use.js';
 
-/** Longest window of a service of which little is in use, milliseconds, for a gang that starts within it. */
+/** Longest window of a service of which little is in use, milliseconds. */
 const MAX_IDLE_WINDOW_MILLIS = 10_000;
 /** Longest window, milliseconds: a run whose end is foreseen wrongly may delay a gang for ever. */
 const MAX_WINDOW_MILLIS = 60_000;
@@ -38,9 +39,10 @@
   /**
    * When the window of the service began by which room may be kept now; undefined in an opening. A window may
    * be as long as room has been kept before it, so that a gang starts in the end that long runs get in the way
-   * of: while much of the service is in use, or if the gang will start before the window ends.
+   * of: while much of the service is in use, or until the gang is expected to start, also if that takes twice
+   * as long.
    *
-   * @param startsAt when the gang is expected to start.
+   * @param startsAt when the gang was expected to start when the window began, or earlier.
    */
   windowBegin(
     service: string,
@@ -92,6 +94,10 @@
 function endOf({ keptSince, beganAt, idleEnd }: Window, startsAt: Deadline): Deadline {
   const longestMillis = Math.max(MAX_HELD_UP_MILLIS, beganAt - keptSince);
   const busyEnd = deadlineAfter(beganAt, Math.min(MAX_WINDOW_MILLIS, longestMillis));
-  const startEnd = deadlineAfter(beganAt, Math.min(MAX_IDLE_WINDOW_MILLIS, longestMillis));
-  return earlier(busyEnd, startsAt <= startEnd ? later(idleEnd, startEnd) : idleEnd);
+  const latestStart = deadlineAfter(beganAt, Math.min(MAX_IDLE_WINDOW_MILLIS, longestMillis));
+  const lateStart = deadlineAfter(beganAt, OVERRUN_FACTOR * (startsAt - beganAt));
+  return earlier(
+    busyEnd,
+    startsAt <= latestStart ? later(idleEnd, earlier(lateStart, latestStart)) : idleEnd,
+  );
 }
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -75,18 +75,16 @@
       return;
     }
     const { plan } = planned;
-    const windowBegin = this.windowBegin(step, plan, now);
-    const promisedStart =
-      windowBegin === planned.windowBegin
-        ? earlier(planned.promisedStart, plan.startsAt)
-        : plan.startsAt;
+    const startsAt = startInWindow(planned, plan);
+    const windowBegin = this.windowBegin(step, startsAt, now);
+    const promisedStart = windowBegin === planned.windowBegin ? startsAt : plan.startsAt;
     this.gangs.set(step, { ...planned, windowBegin, promisedStart });
     if (windowBegin !== undefined) {
       this.keepRoom(step, plan, promisedStart, now);
     }
   }
 
-  private windowBegin(step: Step, { startsAt }: GangPlan, now: Instant): Instant | undefined {
+  private windowBegin(step: Step, startsAt: Deadline, now: Instant): Instant | undefined {
     const { service } = step.job.queue;
     const isBusy = this.serviceUse.isBusy(service);
     return this.windows.windowBegin(service, { isBusy, startsAt }, now);
@@ -121,7 +119,8 @@
       return known;
     }
     const isOpening =
-      known?.plan !== undefined && this.windowBegin(step, known.plan, now) === undefined;
+      known?.plan !== undefined &&
+      this.windowBegin(step, startInWindow(known, known.plan), now) === undefined;
     if (isOpening || this.plansInPass >= MAX_PLANS_PER_PASS) {
       return undefined;
     }
@@ -166,3 +165,11 @@
     return true;
   }
 }
+
+/** The earliest start that was expected in the window of the gang, if it is in one. */
+function startInWindow(
+  { windowBegin, promisedStart }: PlannedGang,
+  { startsAt }: GangPlan,
+): Deadline {
+  return windowBegin === undefined ? startsAt : earlier(promisedStart, startsAt);
+}
--- a/packages/jobs/src/run-ends.ts
+++ b/packages/jobs/src/run-ends.ts
@@ -6,7 +6,7 @@
 /** Progress below this, percent, tells too little about when a run will end. */
 const MIN_PERCENT_TO_ESTIMATE = 15;
 /** How many times as long as estimated a run is allowed for: estimates are rough. */
-const OVERRUN_FACTOR = 2;
+export const OVERRUN_FACTOR = 2;
 
 /**
  * When the run is expected to have ended: by its progress or, as long as that tells too little, by its
--- a/packages/jobs/src/service-use.ts
+++ b/packages/jobs/src/service-use.ts
@@ -13,6 +13,8 @@
  * service is in use: it is promised a start within three seconds.
  */
 export const MAX_HELD_UP_MILLIS = 2000;
+/** A service counts as idle once it has not been busy for so long, milliseconds: the rest of that time. */
+const IDLE_AFTER_MILLIS = 500;
 
 /** Processor time, thousandths of a core. */
 interface Use {
@@ -52,6 +54,6 @@
   /** Whether much of the service has been free for a while: what waits there is not using it. */
   isIdle(service: string, now: Instant): boolean {
     const since = this.quietSince.get(service);
-    return since !== undefined && hasPassed(deadlineAfter(since, MAX_HELD_UP_MILLIS), now);
+    return since !== undefined && hasPassed(deadlineAfter(since, IDLE_AFTER_MILLIS), now);
   }
 }
--- a/packages/jobs/src/step-advice.ts
+++ b/packages/jobs/src/step-advice.ts
@@ -44,6 +44,12 @@
     return step.job.queue.advice === undefined || step.ticketsUntil > this.earliestUsableExpiry();
   }
 
+  /** Whether a member can take another call for the step. */
+  hasCapacityFor({ job }: Step): boolean {
+    const { advice } = job.queue;
+    return advice === undefined || this.balancer.hasCapacity(advice);
+  }
+
   /** Whether the step may start on the worker now. */
   admits(step: Step, { id }: Worker): boolean {
     if (step.job.queue.advice === undefined) {
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -132,9 +132,7 @@
     }
     const pools = pass.adviceBudget.poolsOf(step);
     const spentPools = spentPoolsOf(pools);
-    // In an idle service the steps before this one can't use the free room, or they would have started.
-    const isIdle = this.serviceUse.isIdle(step.job.queue.service, this.context.now);
-    if (spentPools.length > 0 && !isIdle && !this.advice.hasTicket(step)) {
+    if (spentPools.length > 0 && !this.advice.hasTicket(step) && !this.mayOvertake(step)) {
       this.context.park(step, spentPools);
       return;
     }
@@ -142,6 +140,15 @@
     spend(pools, step, this.startableTasks(step));
   }
 
+  /**
+   * Whether the step may ask for advice though those before it use up its pools: in an idle service they can't
+   * use the free room, or they would have started. Calls for them go first while members are short.
+   */
+  private mayOvertake(step: Step): boolean {
+    const isIdle = this.serviceUse.isIdle(step.job.queue.service, this.context.now);
+    return isIdle && this.advice.hasCapacityFor(step);
+  }
+
   /** How many of the step's waiting tasks the workers and its team's limit let start. */
   private startableTasks(step: Step): number {
     const wanted = Math.min(waitingTasks(step).length, this.context.fleet.tasksThatFit(step));
