--- a/packages/jobs/src/waiting-work.test.ts
+++ b/packages/jobs/src/waiting-work.test.ts
@@ -149,6 +149,7 @@
         [41, 40],
         [1, 125],
         [2, 60],
+        [401, 40],
       ]
     : [[Number(process.env.WAITING_WORK_SEED), Number(process.env.WAITING_WORK_DRAWS ?? 300)]];
 const ADVICE: AdviceTiming = { baseMillis: 20, perWorkerMillis: 1, validMillis: 2500 };
