--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -8,7 +8,7 @@
 import { once } from 'node:events';
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -22,6 +22,8 @@
 
 export const HOLD_MAX_MS = 6000;
 export const STOP_MS = 900;
+/** Where workers listen behind their paths, counted from the port of the cell. */
+const WORKER_PORT = 30;
 const HEARTBEAT_MS = 1500;
 const CLIENT_TIMEOUT_MS = 3000;
 const CLIENT_TRIES = 5;
@@ -49,6 +51,8 @@
   events = [];
   members = new Map();
   workers = new Map();
+  /** The paths from the members to the workers. */
+  paths = new Map();
   /** When each worker that has an entry last reported. */
   heardAt = new Map();
   store = new Store();
@@ -75,6 +79,7 @@
     this.configure(queues, tenants);
     this.sweep = setInterval(() => this.removeSilentWorkers(), 250);
     for (const worker of workers) {
+      this.openPath(worker);
       this.startWorker(worker);
     }
     for (let index = 1; index <= members; index += 1) {
@@ -165,6 +170,49 @@
     }
   }
 
+  /**
+   * Opens the path from the members to a worker. While it is cut, bytes and closings are held in both
+   * directions and new connections stay unanswered; the worker's own path to the store goes on.
+   */
+  openPath({ id, index }) {
+    const path = { isCut: false, held: [], sockets: new Set() };
+    const carry = (act) => (path.isCut ? path.held.push(act) : act());
+    const track = (socket) => {
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      path.sockets.add(socket);
+      socket.once('close', () => path.sockets.delete(socket));
+    };
+    path.server = createServer((caller) => {
+      track(caller);
+      carry(() => {
+        if (caller.destroyed) {
+          return;
+        }
+        const worker = connect({ host: this.address(100 + index), port: this.port + WORKER_PORT });
+        track(worker);
+        caller.on('data', (bytes) => carry(() => worker.write(bytes)));
+        worker.on('data', (bytes) => carry(() => caller.write(bytes)));
+        caller.once('close', () => carry(() => worker.destroy()));
+        worker.once('close', () => carry(() => caller.destroy()));
+      });
+    });
+    path.server.listen(this.port, this.address(100 + index));
+    this.paths.set(id, path);
+  }
+
+  cutWorker(id) {
+    this.note(`${id} is cut off from all members`);
+    this.paths.get(id).isCut = true;
+  }
+
+  healWorker(id) {
+    this.note(`${id} is no longer cut off`);
+    const path = this.paths.get(id);
+    path.isCut = false;
+    path.held.splice(0).forEach((act) => act());
+  }
+
   startWorker(worker) {
     const { id, index } = worker;
     const settings = {
@@ -177,7 +225,8 @@
       stopMs: STOP_MS,
       heartbeatMs: HEARTBEAT_MS,
       host: this.address(100 + index),
-      port: this.port,
+      port: this.port + WORKER_PORT,
+      address: `${this.address(100 + index)}:${this.port}`,
       ...worker,
     };
     const child = spawn(process.execPath, [WORKER, JSON.stringify(settings)], {
@@ -290,6 +339,10 @@
     const exits = this.children.map((child) => once(child, 'exit'));
     this.killAll();
     await Promise.all(exits);
+    for (const { server, sockets } of this.paths.values()) {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    }
     this.store.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -1,6 +1,7 @@
 /**
  * A worker as a process of its own, which speaks what PROTOCOL.md says of workers. It is started with
- * one argument, a JSON object with `id`, `service`, `zone`, `host`, `port`, `cpu`, `memMb`, `labels`,
+ * one argument, a JSON object with `id`, `service`, `zone`, `host`, `port`,
+ * `address` (where others reach it), `cpu`, `memMb`, `labels`,
  * `holdMaxMs`, `stopMs` and `heartbeatMs`. It writes one JSON object a line to its standard output:
  * its registrations (`report`), which the platform puts into the store, and what it did (`event`).
  *
@@ -36,8 +37,7 @@
 
 function report() {
   seq += 1;
-  const { id, service, zone, host, port, cpu, memMb, labels } = settings;
-  const address = `${host}:${port}`;
+  const { id, service, zone, address, cpu, memMb, labels } = settings;
   const capacity = { cpu, memMb };
   const state = 'ready';
   tell({
