--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -55,6 +55,8 @@
   paths = new Map();
   /** When each worker that has an entry last reported. */
   heardAt = new Map();
+  /** What each worker last reported of itself. */
+  reports = new Map();
   store = new Store();
   folder = mkdtempSync(`${tmpdir()}/bamboowell-review-`);
   startedAt = Date.now();
@@ -238,6 +240,7 @@
       const { report, ...event } = JSON.parse(line);
       if (report !== undefined) {
         this.heardAt.set(id, Date.now());
+        this.reports.set(id, report);
         this.store.put('keyed.servers', id, report);
         return;
       }
