--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -57,6 +57,8 @@
   heardAt = new Map();
   /** What each worker last reported of itself. */
   reports = new Map();
+  /** The worker whose reports the store doesn't take in at once. */
+  delaysReportsOf;
   store = new Store();
   folder = mkdtempSync(`${tmpdir()}/bamboowell-review-`);
   startedAt = Date.now();
@@ -239,8 +241,12 @@
     createInterface({ input: child.stdout }).on('line', (line) => {
       const { report, ...event } = JSON.parse(line);
       if (report !== undefined) {
-        this.heardAt.set(id, Date.now());
         this.reports.set(id, report);
+        if (this.delaysReportsOf === id) {
+          this.note(`${id} reports, which the store takes in later: ${JSON.stringify(report)}`);
+          return;
+        }
+        this.heardAt.set(id, Date.now());
         this.store.put('keyed.servers', id, report);
         return;
       }
