--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -19,6 +19,7 @@
   type WallInstant,
   type WorkerRegistration,
 } from '@bamboowell/types/job';
+import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
 import { NO_RESOURCES } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import { amountOf } from './fleets.js';
@@ -98,6 +99,7 @@
       {
         ordering: options.ordering,
         configuration: this.configuration,
+        scheduling: DEFAULT_SCHEDULING,
         earlierLeasesEnd: brandAs<Deadline>(0),
         leasesEnd: (now) => brandAs<Deadline>(now),
         restored: { jobs: [], runs: [], archives: [], orphans: [], misplaced: [] },
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -34,6 +34,7 @@
   type Worker,
 } from './model.js';
 import type { Obstacle } from './obstacles.js';
+import type { RunTimes } from './run-times.js';
 import { startableWithinLimit } from './team-limits.js';
 import {
   occurrenceOf,
@@ -82,6 +83,8 @@
   private lastBatch = 0;
 
   constructor(
+    /** What is expected of run times. */
+    readonly runTimes: RunTimes,
     /** Called when a run is over, however it ended. */
     private readonly runEnded: (run: Run) => void,
   ) {}
--- a/packages/jobs/src/emulated-fleet.fixture.ts
+++ b/packages/jobs/src/emulated-fleet.fixture.ts
@@ -27,7 +27,9 @@
   readonly beganAt: Instant;
 }
 
-export function emulatedFleet(options: Required<HarnessOptions>) {
+export function emulatedFleet(
+  options: HarnessOptions & Required<Pick<HarnessOptions, 'configuration' | 'workers'>>,
+) {
   const harness = schedulerHarness(options);
   harness.reportFromAll();
   const runMillis = new Map<JobId, number>();
--- a/packages/jobs/src/hold-windows.ts
+++ b/packages/jobs/src/hold-windows.ts
@@ -11,7 +11,7 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
-import { OVERRUN_FACTOR } from './run-ends.js';
+import { OVERRUN_FACTOR } from './run-times.js';
 import { MAX_HELD_UP_MILLIS } from './service-use.js';
 
 /** Longest window of a service of which little is in use, milliseconds. */
--- a/packages/jobs/src/run-ends.ts
+++ b/packages/jobs/src/run-ends.ts
@@ -2,12 +2,10 @@
 
 import { NEVER, deadlineAfter, later, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Run, Step } from './model.js';
+import { OVERRUN_FACTOR } from './run-times.js';
 
 /** Progress below this, percent, tells too little about when a run will end. */
 const MIN_PERCENT_TO_ESTIMATE = 15;
-/** How many times as long as estimated a run is allowed for: estimates are rough. */
-export const OVERRUN_FACTOR = 2;
-
 /**
  * When the run is expected to have ended: by its progress or, as long as that tells too little, by its
  * caller's estimate. `NEVER` for a lasting task; not before `now`.
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -19,6 +19,7 @@
   type WallInstant,
   type WorkerRegistration,
 } from '@bamboowell/types/job';
+import { DEFAULT_SCHEDULING, type SchedulingOptions } from '@bamboowell/types/scheduling';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import type {
   JobAnswer,
@@ -41,6 +42,7 @@
 export interface HarnessOptions {
   readonly configuration?: JobConfiguration;
   readonly workers?: readonly WorkerRegistration[];
+  readonly scheduling?: SchedulingOptions;
 }
 
 /** A start order with the incarnation of the worker that received it. */
@@ -70,6 +72,7 @@
       {
         ordering,
         configuration: ownConfiguration,
+        scheduling: options.scheduling ?? DEFAULT_SCHEDULING,
         earlierLeasesEnd,
         leasesEnd: (now) => brandAs<Deadline>(now + EARLIER_LEASES_MILLIS),
         restored,
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -11,6 +11,7 @@
   WorkerRegistration,
 } from '@bamboowell/types/job';
 import { NO_RESOURCES } from '@bamboowell/types/resources';
+import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { earlier, type Deadline, type Instant } from '@bamboowell/types/time';
 import { StepAdvice } from './step-advice.js';
 import { AdviceBalancer } from './advice-balancer.js';
@@ -25,6 +26,7 @@
 import { StepPlacement } from './step-placement.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
+import { DeclaredRunTimes } from './run-times.js';
 import { Stalls } from './stalls.js';
 import { Successors, UNKNOWN_ADDRESS } from './successors.js';
 import { Quarantines } from './quarantines.js';
@@ -34,6 +36,7 @@
 export interface JobSchedulerOptions {
   readonly ordering: JobOrdering;
   readonly configuration: JobConfiguration;
+  readonly scheduling: SchedulingOptions;
   /** When every lease given by an earlier owner has lapsed. */
   readonly earlierLeasesEnd: Deadline;
   /** Returns when every lease that was given until now has lapsed. */
@@ -62,10 +65,8 @@
 }
 
 export class JobScheduler {
-  private readonly context = new JobContext(({ worker }) => {
-    this.quarantines.recordEnd(worker.id);
-  });
-  private readonly quarantines = new Quarantines(this.context);
+  private readonly context: JobContext;
+  private readonly quarantines: Quarantines;
   private readonly adviceBalancer = new AdviceBalancer();
   private readonly lifecycle: Lifecycle;
   private readonly orders: Orders;
@@ -79,7 +80,12 @@
   private earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
-    const { context, quarantines } = this;
+    const context = new JobContext(new DeclaredRunTimes(), ({ worker }) => {
+      this.quarantines.recordEnd(worker.id);
+    });
+    const quarantines = new Quarantines(context);
+    this.context = context;
+    this.quarantines = quarantines;
     this.setTimes(times);
     this.earlierLeasesEnd = options.earlierLeasesEnd;
     this.orders = new Orders(
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -23,6 +23,7 @@
   WorkerRegistration,
 } from '@bamboowell/types/job';
 import { NO_RESOURCES } from '@bamboowell/types/resources';
+import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { GatewayMessage, JobReply, JobRequest } from './gateway-messages.js';
 import {
@@ -233,6 +234,7 @@
         peerPorts: 1,
         configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
+        scheduling: DEFAULT_SCHEDULING,
         stopMillis: 6000,
       },
       clock: processClock,
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -377,6 +377,7 @@
       {
         ordering: this.options.ordering,
         configuration,
+        scheduling: this.options.settings.scheduling,
         earlierLeasesEnd,
         leasesEnd: (now) => allLeasesEnd(now, longestLeaseMillis),
         restored,
--- a/packages/member/src/settings.ts
+++ b/packages/member/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a member process. */
 
 import type { Incarnation, MemberId } from '@bamboowell/types/ids';
+import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import type { Address } from '@bamboowell/types/vm';
 
 /** Resources of the machine that this process may use. */
@@ -25,6 +26,7 @@
   readonly configurationLifetimeMillis: number;
   /** Longest time that a worker keeps its runs without a lease renewal, by its own clock. */
   readonly longestLeaseMillis: number;
+  readonly scheduling: SchedulingOptions;
   /** Grace period between the request to stop and the end of the process. */
   readonly stopMillis: number;
 }
--- a/packages/member/src/tcp-peers.test.ts
+++ b/packages/member/src/tcp-peers.test.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from '@bamboowell/kernel/clock';
 import { brandAs, type Incarnation, type MemberId } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
+import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { Claim } from './ownership-messages.js';
 import { MemberPort } from './member-port.js';
@@ -46,6 +47,7 @@
     peerPorts,
     configurationLifetimeMillis: 2000,
     longestLeaseMillis: 6000,
+    scheduling: DEFAULT_SCHEDULING,
     stopMillis: 6000,
   };
   const self = new NoAdvice(settings.member, settings.region, settings.incarnation);
