Keep deferred work out of the room of gangs also between the windows of holds

Cause: holds for gangs give way for 300 ms after each window, and then any work takes the room that has come together, also jobs beyond the promised rate of their team, which are owed no start. Change: with weighted sharing, in a busy service, a gang's hold stays in force for deferred work in an opening.

--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -11,6 +11,8 @@
   readonly until: Deadline;
   /** What other runs may take that end later than that. */
   readonly spare: Resources;
+  /** Whether it keeps out only deferred work, and not what is owed a start in time. */
+  readonly isOpen: boolean;
 }
 
 /** A worker that can get work in this pass, and its free resources. */
@@ -30,15 +32,17 @@
 /**
  * Whether a run with this demand that ends by then may start there. One that is over before the gang starts
  * may use what is kept for the gang (backfilling).
+ *
+ * @param isDeferred whether the run belongs to deferred work.
  */
 export function hasRoomFor(
   { free, hold }: AvailableWorker,
   demand: Resources,
   endsBy: Deadline,
+  isDeferred: boolean,
 ): boolean {
-  return (
-    fits(demand, free) && (hold === undefined || endsBy <= hold.until || fits(demand, hold.spare))
-  );
+  const mayUseHeld = hold === undefined || (hold.isOpen && !isDeferred) || endsBy <= hold.until;
+  return fits(demand, free) && (mayUseHeld || fits(demand, hold.spare));
 }
 
 /** Whether the worker could run a task of the step if nothing else ran there. */
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -105,6 +105,11 @@
   };
 }
 
+/** Whether the step is beyond the promised rate of its team, or too late to have any value. */
+export function isDeferred(step: Step, context: JobContext): boolean {
+  return bandOf(step, context) >= 2;
+}
+
 function bandOf(step: Step, context: JobContext): Band {
   const { plan } = step.job;
   if (step.plan.isLasting) {
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -11,7 +11,7 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
-import type { AvailableWorker } from './available-workers.js';
+import type { AvailableWorker, Hold } from './available-workers.js';
 import { freeAt, outlookOf, planGang, type GangPlan, type Outlook } from './gang-plan.js';
 import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
@@ -44,7 +44,11 @@
   private workers: ReadonlyMap<Worker, AvailableWorker> = new Map();
   private plansInPass = 0;
 
-  constructor(private readonly serviceUse: ServiceUse) {}
+  /** @param keepsDeferredOut whether deferred work is kept out of a gang's room also in openings. */
+  constructor(
+    private readonly serviceUse: ServiceUse,
+    private readonly keepsDeferredOut: boolean,
+  ) {}
 
   /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
   beginPass(workers: readonly AvailableWorker[]): void {
@@ -79,8 +83,8 @@
     const windowBegin = this.windowBegin(step, startsAt, now);
     const promisedStart = windowBegin === planned.windowBegin ? startsAt : plan.startsAt;
     this.gangs.set(step, { ...planned, windowBegin, promisedStart });
-    if (windowBegin !== undefined) {
-      this.keepRoom(step, plan, promisedStart, now);
+    if (windowBegin !== undefined || this.keepsDeferredOutOf(step)) {
+      this.keepRoom(step, plan, { until: promisedStart, isOpen: windowBegin === undefined }, now);
     }
   }
 
@@ -90,7 +94,20 @@
     return this.windows.windowBegin(service, { isBusy, startsAt }, now);
   }
 
-  private keepRoom(step: Step, plan: GangPlan, until: Deadline, now: Instant): void {
+  /**
+   * In an opening of a busy service, work that is owed a start in time uses the gang's room, and deferred work
+   * doesn't: its small tasks would take the room piece by piece each time.
+   */
+  private keepsDeferredOutOf({ job }: Step): boolean {
+    return this.keepsDeferredOut && !job.isExcess && this.serviceUse.isBusy(job.queue.service);
+  }
+
+  private keepRoom(
+    step: Step,
+    plan: GangPlan,
+    { until, isOpen }: Pick<Hold, 'until' | 'isOpen'>,
+    now: Instant,
+  ): void {
     for (const [worker, tasks] of plan.tasksByWorker) {
       const available = this.workers.get(worker);
       if (this.isFull) {
@@ -99,7 +116,7 @@
       if (available !== undefined) {
         const taken = multiply(allocationOf(step.plan), tasks);
         const free = freeAt(this.outlookOf(available, now), until);
-        available.hold = { until, spare: positivePart(subtract(free, taken)) };
+        available.hold = { until, spare: positivePart(subtract(free, taken)), isOpen };
         this.held.add(worker);
       }
     }
@@ -121,7 +138,7 @@
     const isOpening =
       known?.plan !== undefined &&
       this.windowBegin(step, startInWindow(known, known.plan), now) === undefined;
-    if (isOpening || this.plansInPass >= MAX_PLANS_PER_PASS) {
+    if ((isOpening && !this.keepsDeferredOutOf(step)) || this.plansInPass >= MAX_PLANS_PER_PASS) {
       return undefined;
     }
     this.plansInPass += 1;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -122,6 +122,7 @@
       this.stepAdvice,
       { usual: options.ordering, saturated: new OldestFirst() },
       this.crashes,
+      options.scheduling,
     );
     this.advicePrefetch = new AdvicePrefetch(context, this.lifecycle, this.stepPlacement);
     context.setConfiguration(options.configuration);
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -1,6 +1,7 @@
 /** Goes through the waiting steps in order and starts tasks on available workers. */
 
 import { fits } from '@bamboowell/types/resources';
+import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
 import { AdviceBudget, spend, spentPoolsOf } from './advice-budget.js';
@@ -60,7 +61,7 @@
 export class StepPlacement {
   private readonly selection: WorkerSelection;
   private readonly serviceUse = new ServiceUse();
-  private readonly reservations = new Reservations(this.serviceUse);
+  private readonly reservations: Reservations;
   private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
@@ -73,7 +74,9 @@
     private readonly advice: StepAdvice,
     private readonly orderings: Orderings,
     private readonly crashes: WorkerCrashes,
+    scheduling: SchedulingOptions,
   ) {
+    this.reservations = new Reservations(this.serviceUse, scheduling.sharing === 'weighted');
     this.selection = new WorkerSelection(context, crashes);
     this.obstacles = new Obstacles(context);
   }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -5,6 +5,7 @@
 import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
+import { isDeferred } from './ordering.js';
 import { lateEndIfStarted } from './run-ends.js';
 import { MAX_HELD_UP_MILLIS } from './service-use.js';
 import type { WorkerCrashes } from './worker-crashes.js';
@@ -46,6 +47,7 @@
     let startable = this.context.startableWithinLimit(step, waiting.length);
     let rack = step.plan.prefersOneRack ? rackOf(step) : undefined;
     const endsBy = endForHolds(step, this.context.now);
+    const isLater = isDeferred(step, this.context);
     for (const task of waiting) {
       if (startable === 0) {
         break;
@@ -53,7 +55,7 @@
       const isIsolated = this.crashes.needsIsolation(task);
       const extraPenalty = isIsolated ? this.penaltyOfOtherRuns : noPenalty;
       const candidate = bestWorker(
-        { step, task, rack, extraPenalty, endsBy },
+        { step, task, rack, extraPenalty, endsBy, isDeferred: isLater },
         demand,
         candidates,
         countByWorker,
@@ -99,12 +101,20 @@
   ): Assignment[] {
     const demand = allocationOf(step.plan);
     const endsBy = endForHolds(step, this.context.now);
-    const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy));
+    const isLater = isDeferred(step, this.context);
+    const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy, isLater));
     const trial = usable.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
     const assignments: Assignment[] = [];
     for (const task of waiting) {
-      const choice = { step, task, rack: undefined, extraPenalty: noPenalty, endsBy };
+      const choice = {
+        step,
+        task,
+        rack: undefined,
+        extraPenalty: noPenalty,
+        endsBy,
+        isDeferred: isLater,
+      };
       const candidate = bestWorker(choice, demand, trial, countByWorker);
       if (candidate === undefined) {
         return [];
@@ -157,6 +167,8 @@
   readonly extraPenalty: (worker: Worker) => number;
   /** By when its run ends, even if it takes longer than estimated. */
   readonly endsBy: Deadline;
+  /** Whether the step is deferred work. */
+  readonly isDeferred: boolean;
 }
 
 /**
@@ -191,7 +203,11 @@
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || candidate.isClosed || !hasRoomFor(candidate, demand, choice.endsBy)) {
+    if (
+      isFull ||
+      candidate.isClosed ||
+      !hasRoomFor(candidate, demand, choice.endsBy, choice.isDeferred)
+    ) {
       continue;
     }
     const score = scoreOf(choice, candidate);
