Renew the tickets of waiting gangs before they expire, and ask about enough full workers

Cause: a gang in a full fleet asks about 30 workers, of which a third is granted, and makes call after call of 0.8 s and more; between the expiry of its tickets and the next answer it can't use room that comes together. Change: a worker without room counts for one task of a gang when its call is put together, and a gang with tickets asks again when these expire before a call would be answered. Result: tests of policy and jobs pass; in the test a gang of 16 tasks in a full fleet names 64 workers instead of 30.

--- a/packages/jobs/src/step-advice.ts
+++ b/packages/jobs/src/step-advice.ts
@@ -1,6 +1,10 @@
 /** Requests advice on which workers may run a step, and keeps the tickets that were granted. */
 
-import { workersForAdvice, type AdviceCandidate } from '@bamboowell/policy/advised-workers';
+import {
+  MIN_ADVICE_WORKERS,
+  workersForAdvice,
+  type AdviceCandidate,
+} from '@bamboowell/policy/advised-workers';
 import type { MemberId, QueueId, WorkerId } from '@bamboowell/types/ids';
 import type { StepId } from '@bamboowell/types/job';
 import { fits } from '@bamboowell/types/resources';
@@ -44,6 +48,19 @@
     return step.job.queue.advice === undefined || step.ticketsUntil > this.earliestUsableExpiry();
   }
 
+  /**
+   * Whether the tickets of a gang that waits for room expire in less time than a call takes. Its room may come
+   * together in the time between two tickets.
+   */
+  isRenewalDue({ job, plan, ticketsUntil }: Step): boolean {
+    const { advice } = job.queue;
+    if (advice === undefined || !plan.isGang) {
+      return false;
+    }
+    const callMillis = advice.baseMillis + advice.perWorkerMillis * MIN_ADVICE_WORKERS;
+    return ticketsUntil <= deadlineAfter(this.context.now, TICKET_MARGIN_MILLIS + callMillis);
+  }
+
   /** Whether a member can take another call for the step. */
   hasCapacityFor({ job }: Step): boolean {
     const { advice } = job.queue;
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -231,6 +231,9 @@
     const isStarted = mayStart && this.startOn(step, waiting, eligible, pass);
     if (!isStarted && step.plan.isGang && waiting.length === step.tasks.length) {
       this.reservations.reserve(step, eligible, this.context.now);
+      if (mayReserve && this.advice.isRenewalDue(step)) {
+        this.advice.request(step, this.reservations);
+      }
     }
   }
 
--- a/packages/policy/src/advised-workers.test.ts
+++ b/packages/policy/src/advised-workers.test.ts
@@ -55,6 +55,14 @@
   t.deepEqual(workersForAdvice(fleet(free), gang), ['w1', 'w3', 'w2', 'w0']);
 });
 
+// Guards against gangs in a full fleet that make one call after another, each for a few workers.
+test('a gang asks about as many full workers as it takes to hold it', (t) => {
+  const full = Array.from({ length: 200 }, () => 1);
+  const gang = { tasks: 16, isGang: true, grantedFraction: 0.5 };
+  t.is(workersForAdvice(fleet(full), gang).length, 64);
+  t.is(workersForAdvice(fleet(full), { ...gang, isGang: false }).length, MIN_ADVICE_WORKERS);
+});
+
 test('workers that earlier advice allows come before unknown ones, and count in full', (t) => {
   const known = Array.from({ length: 40 }, (_, number) => candidate(number, 4, number >= 20));
   const selected = workersForAdvice(known, { tasks: 10, isGang: false, grantedFraction: 0.1 });
--- a/packages/policy/src/advised-workers.ts
+++ b/packages/policy/src/advised-workers.ts
@@ -18,6 +18,12 @@
  */
 const SPARE_FACTOR = 2;
 
+/**
+ * A worker without room counts for so many tasks of a gang, which gathers room on the workers that advice
+ * allows. Asking about more of them at once takes less time than a second call.
+ */
+const GANG_TASKS_ON_FULL_WORKER = 1;
+
 /** A worker that the call may ask about. */
 export interface AdviceCandidate {
   readonly worker: WorkerId;
@@ -38,8 +44,8 @@
 }
 
 /**
- * Workers on which a task fits come first, then the others with the most free cores. Selects
- * workers in this order until the expected grants cover `SPARE_FACTOR` times the tasks, but at
+ * Workers on which a task fits come first, then the others with the most free cores; of these only a gang
+ * needs more than the minimum. Selects workers in this order until the expected grants cover `SPARE_FACTOR` times the tasks, but at
  * least `MIN_ADVICE_WORKERS` and at most `MAX_ADVICE_WORKERS`.
  */
 export function workersForAdvice(candidates: readonly AdviceCandidate[], need: AdviceNeed) {
@@ -48,7 +54,9 @@
   const selected: WorkerId[] = [];
   let expectedTasks = 0;
   for (const { worker, fittingTasks, isAllowed } of ranked) {
-    const isEnough = expectedTasks >= wantedTasks || fittingTasks === 0;
+    const usableTasks =
+      need.isGang && fittingTasks === 0 ? GANG_TASKS_ON_FULL_WORKER : fittingTasks;
+    const isEnough = expectedTasks >= wantedTasks || usableTasks === 0;
     if (
       selected.length >= MAX_ADVICE_WORKERS ||
       (isEnough && selected.length >= MIN_ADVICE_WORKERS)
@@ -56,7 +64,7 @@
       break;
     }
     selected.push(worker);
-    expectedTasks += fittingTasks * (isAllowed ? 1 : need.grantedFraction);
+    expectedTasks += usableTasks * (isAllowed ? 1 : need.grantedFraction);
   }
   return selected;
 }
