Detect a silent store by probes and repeat appends by the latency seen

An append that was not answered held up all writes for its fixed time-out of 800 ms and a pause of 60 ms, and an owner learnt that the store was back only by the next repeat. The time-out now follows the smoothed latency (100 to 800 ms, doubled with each repeat), a silent store is probed at most ten times a second on connections of their own, and the first answer to a probe repeats the appends at once. No batch is sent and nothing is placed while the store is known to be silent. Earlier copies of an append may still be answered; only the first answer counts as a proof of ownership.

--- a/packages/member/src/append-window.ts
+++ b/packages/member/src/append-window.ts
@@ -111,6 +111,19 @@
     }
   }
 
+  /** Whether the append is not known to be stored. */
+  has(sequence: ProducerSequence): boolean {
+    return this.chunks.some((each) => each.sequence === sequence);
+  }
+
+  /** Schedules a repeat of all appends that are in flight, the first one before the others. */
+  markAllFailed(): void {
+    this.chunks.forEach((chunk) => {
+      chunk.isSent = false;
+    });
+    this.isRetrying = this.chunks.length > 0;
+  }
+
   /**
    * The store will never take this append. Looks for the write that it rejects: the first half of the writes
    * keeps the sequence, and the rest is appended last, but for what has been written anew since. A write that
--- a/packages/member/src/measured-store.ts
+++ b/packages/member/src/measured-store.ts
@@ -35,6 +35,10 @@
     return page;
   }
 
+  override probe(deadline: Deadline) {
+    return this.store.probe(deadline);
+  }
+
   read(topic: Topic, from: Offset, waitMillis: number, deadline: Deadline) {
     return this.store.read(topic, from, waitMillis, deadline);
   }
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -4,7 +4,7 @@
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
-import type { Deadline } from '@bamboowell/types/time';
+import type { Deadline, Instant } from '@bamboowell/types/time';
 import type { JobInput } from '@bamboowell/jobs/messages';
 import type { ConfigurationUpdate } from './configuration-task.js';
 import type { LoadedWork } from './load-work.js';
@@ -71,6 +71,15 @@
       readonly outcome: AppendOutcome;
       readonly sentAt: Moment;
     }
+  /** Outcome of a probe of the store. */
+  | {
+      readonly kind: 'probed';
+      readonly term: Term;
+      readonly sentAt: Instant;
+      readonly isAnswered: boolean;
+    }
+  /** Time to repeat appends or to probe the store, where that is due. */
+  | { readonly kind: 'check_store'; readonly term: Term }
   /** Time to send the appends that are due. */
   | { readonly kind: 'append'; readonly term: Term }
   /** Runs a placement pass. */
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -190,6 +190,16 @@
       .with({ kind: 'appended' }, (appended) => {
         this.appended(appended);
       })
+      .with({ kind: 'probed' }, (probed) => {
+        if (this.tenure?.term === probed.term) {
+          this.tenure.writer.handleProbe(probed);
+        }
+      })
+      .with({ kind: 'check_store' }, ({ term }) => {
+        if (this.tenure?.term === term) {
+          this.tenure.writer.check();
+        }
+      })
       .with({ kind: 'append' }, ({ term }) => {
         if (this.tenure?.term === term) {
           this.tenure.writer.wake();
@@ -288,6 +298,9 @@
       wakeAt: (at) => {
         this.postAt(at, { kind: 'append', term });
       },
+      checkAt: (at) => {
+        this.postAt(at, { kind: 'check_store', term });
+      },
       takeBatch: () => this.tenure?.scheduler?.takeBatch(),
       committed: (batch) => {
         this.stepScheduler({ kind: 'committed', batch });
@@ -551,7 +564,6 @@
       return;
     }
     tenure.hasStoreTrouble = isTroubled;
-    this.options.events.event(isTroubled ? 'store.lost' : 'store.regained', { topic: 'work' });
     this.members.forEach((port) => {
       port.notifyTrouble(isTroubled);
     });
--- a/packages/member/src/store.ts
+++ b/packages/member/src/store.ts
@@ -107,6 +107,12 @@
     deadline: Deadline,
   ): Promise<NewestPage | Unavailable>;
 
+  /** Returns whether the store answers, on a connection that is not used for anything else. */
+  async probe(deadline: Deadline): Promise<boolean> {
+    const page = await this.newest('work', AFTER_ALL_KEYS, deadline);
+    return page.kind === 'page';
+  }
+
   /** Returns the records from an offset on; waits up to `waitMillis` for the first one. */
   abstract read(
     topic: Topic,
--- a/packages/member/src/work-log-writer.test.ts
+++ b/packages/member/src/work-log-writer.test.ts
@@ -25,12 +25,20 @@
     readonly answer: (outcome: AppendOutcome) => void;
   }[] = [];
 
+  readonly probes: ((isAnswered: boolean) => void)[] = [];
+
   append(_topic: Topic, writes: readonly StoreWrite[]): Promise<AppendOutcome> {
     return new Promise((answer) => {
       this.calls.push({ writes, answer });
     });
   }
 
+  override probe(): Promise<boolean> {
+    return new Promise((answer) => {
+      this.probes.push(answer);
+    });
+  }
+
   newest(): Promise<NewestPage> {
     throw new Error('not used in these tests');
   }
@@ -66,6 +74,8 @@
       post: (message) => {
         if (message.kind === 'appended') {
           outcomes.push(message);
+        } else if (message.kind === 'probed') {
+          writer.handleProbe(message);
         }
         return 'accepted';
       },
@@ -76,6 +86,11 @@
         writer.wake();
       });
     },
+    checkAt: (at) => {
+      clock.wakeAt(at, () => {
+        writer.check();
+      });
+    },
     takeBatch: () => due.shift(),
     committed: (batch) => {
       committed.push(batch);
@@ -241,3 +256,57 @@
   clock.advance(100);
   t.false(writer.isOwnershipConfirmed);
 });
+
+// Guards against a store that is back while the owner still waits for the time-outs of calls that were lost.
+test('the first answer to a probe repeats the append at once, and no batch is sent while the store is silent', async (t) => {
+  const { writer, store, clock, write, answer } = writerBench();
+  clock.advance(100);
+  write();
+  clock.advance(4);
+  await answer(0);
+  clock.advance(10);
+  write();
+  clock.advance(60);
+  write();
+  t.is(store.probes.length, 1);
+  t.is(store.calls.length, 2);
+  clock.advance(400);
+  t.true(writer.isStoreAway);
+  t.true(writer.isBackedUp);
+  const { length } = store.calls;
+  t.true(store.probes.length <= 5);
+  clock.advance(3000);
+  t.true(store.probes.length <= 35);
+  t.true(store.calls.slice(length).every(({ writes }) => writes.length === 1));
+  const before = store.calls.length;
+  clock.advance(10);
+  store.probes.at(-1)?.(true);
+  await new Promise((resolve) => setImmediate(resolve));
+  t.is(store.calls.length, before + 1);
+  t.deepEqual(store.calls[before]?.writes, store.calls[1]?.writes);
+});
+
+// Guards against an answer to a second copy that extends the proof of ownership, or moves the window back.
+test('only the first answer to an append counts, whichever copy it answers', async (t) => {
+  const { writer, store, clock, write, answer } = writerBench();
+  clock.advance(100);
+  write();
+  clock.advance(4);
+  await answer(0);
+  clock.advance(10);
+  write();
+  clock.advance(110);
+  t.is(store.calls.length, 3);
+  t.like(await answer(1), { kind: 'recorded', batches: [2] });
+  clock.advance(1480);
+  t.deepEqual(await answer(2), { kind: 'retry' });
+  t.false(writer.isOwnershipConfirmed);
+  t.true(writer.isIdle);
+  const silent: AppendOutcome = { kind: 'unavailable', how: 'silent', detail: '' };
+  write();
+  t.is(store.calls.length, 4);
+  clock.advance(180);
+  t.is(store.calls.length, 5);
+  t.deepEqual(await answer(3, silent), { kind: 'retry' });
+  t.like(await answer(4), { kind: 'recorded', batches: [3] });
+});
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -1,6 +1,6 @@
 /**
- * Writes the owner's records to the work log: batches them, appends them in order and retries
- * failed appends.
+ * Writes the owner's records to the work log: batches them, appends them in order, repeats those that
+ * failed or are not answered in time, and probes the store while it is silent.
  */
 
 import { match } from 'ts-pattern';
@@ -9,16 +9,28 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobBatch } from '@bamboowell/jobs/messages';
 import type { Term } from '@bamboowell/types/job';
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import {
+  deadlineAfter,
+  earlier,
+  hasPassed,
+  type Deadline,
+  type Instant,
+} from '@bamboowell/types/time';
 import { AppendWindow } from './append-window.js';
 import { laterMoment, millisBetween, type Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
+import { MAX_APPEND_TIMEOUT_MILLIS, StoreHealth } from './store-health.js';
 import type { ProducerSequence, Store } from './store.js';
 
 /** An idle owner appends a keep-alive after this, so that other members see that it is alive. */
 const KEEP_ALIVE_INTERVAL_MILLIS = 200;
-/** An append is given up and retried after this: far above the store's 4 ms. */
-const APPEND_TIMEOUT_MILLIS = 800;
+/**
+ * A copy of an append may be answered for this multiple of the time after which the next copy is sent, so that a
+ * store that has become slow is heard, and connections that went silent are freed.
+ */
+const COPY_LIFETIME_FACTOR = 4;
+/** A probe is given up after this: longer than the answers of a slow store take. */
+const PROBE_TIMEOUT_MILLIS = 500;
 /** Writes are batched for this long after the last append, because each call to the store has a cost. */
 const BATCH_DELAY_MILLIS = 10;
 /**
@@ -56,10 +68,12 @@
   readonly events: EventLog;
   readonly clock: Clock;
   readonly wallMillis: () => number;
-  /** Receives `appended` for each outcome. */
+  /** Receives `appended` and `probed` for each outcome. */
   readonly owner: MailboxAddress<OwnerMessage>;
   /** Schedules a call of `wake`. */
   readonly wakeAt: (at: Deadline) => void;
+  /** Schedules a call of `check`. */
+  readonly checkAt: (at: Deadline) => void;
   /** Returns the scheduler's pending writes, if there are any. */
   readonly takeBatch: () => JobBatch | undefined;
   /** Called for a batch without writes when all earlier writes are stored. */
@@ -88,6 +102,15 @@
   private readonly firstSentAt = new Map<ProducerSequence, Moment>();
   /** When the last append that the store has taken was first sent. */
   private confirmation: Moment | undefined;
+  private readonly health = new StoreHealth();
+  /** When the latest copies were sent of appends that are in flight. */
+  private readonly copySentAt = new Map<ProducerSequence, Moment>();
+  /** When the appends in flight are repeated, unless one is answered. */
+  private repeatAt: Deadline | undefined;
+  /** When `check` is called next. */
+  private nextCheckAt: Deadline | undefined;
+  /** Whether the store was suspect or lost when that was last logged. */
+  private loggedState: 'healthy' | 'suspect' | 'lost' = 'healthy';
   private lastAppendAt: Instant;
   private lastSentAt: Instant;
   /** Latency of the last append. */
@@ -125,13 +148,24 @@
    * the work.
    */
   get isStalled(): boolean {
-    const refusedMillis = this.refusedSince === undefined ? 0 : this.now - this.refusedSince;
-    return this.outstandingMillis > STALL_TIMEOUT_MILLIS || refusedMillis > REFUSAL_TIMEOUT_MILLIS;
+    return (
+      this.outstandingMillis > STALL_TIMEOUT_MILLIS || this.refusedMillis > REFUSAL_TIMEOUT_MILLIS
+    );
   }
 
   /** Whether new records would wait so long that what depends on them should not begin. */
   get isBackedUp(): boolean {
-    return this.outstandingMillis > BACKLOG_TIMEOUT_MILLIS;
+    return this.outstandingMillis > BACKLOG_TIMEOUT_MILLIS || this.isStoreAway;
+  }
+
+  /** Whether the store is known to take nothing at present. */
+  get isStoreAway(): boolean {
+    return this.health.state(this.now) === 'away' || this.refusedMillis > REFUSAL_TIMEOUT_MILLIS;
+  }
+
+  /** Whether appends are answered, or none is unanswered for longer than usual. */
+  get isStoreHealthy(): boolean {
+    return this.health.state(this.now) === 'healthy' && this.refusedSince === undefined;
   }
 
   /** Whether the store is slow, judged by the last append and by those outstanding. */
@@ -183,7 +217,7 @@
     if (!hasPassed(this.retryAt, now) || !window.canSend) {
       return;
     }
-    if (!window.hasUnsent && this.isFinishing) {
+    if (!window.hasUnsent && (this.isFinishing || !this.mayTakeBatch)) {
       return;
     }
     if (!window.hasUnsent) {
@@ -197,9 +231,57 @@
     this.sendNext();
   }
 
+  /** Runs at the time that `checkAt` was given: repeats appends and probes the store where that is due. */
+  check(): void {
+    const { health, now } = this;
+    if (this.nextCheckAt !== undefined && hasPassed(this.nextCheckAt, now)) {
+      this.nextCheckAt = undefined;
+    }
+    if (this.window.isIdle) {
+      return;
+    }
+    if (this.repeatAt !== undefined && hasPassed(this.repeatAt, now)) {
+      health.repeated();
+      this.repeatInFlight();
+    }
+    if (health.isProbeDue(now)) {
+      this.probe(now);
+    }
+    this.logState();
+    this.scheduleCheck();
+  }
+
+  /** Handles the outcome of a probe. */
+  handleProbe({ sentAt, isAnswered }: Extract<OwnerMessage, { kind: 'probed' }>): void {
+    if (!isAnswered) {
+      return;
+    }
+    const [oldest] = [...this.copySentAt.values()];
+    if (this.health.probeAnswered(sentAt, oldest?.at, this.now)) {
+      this.repeatInFlight();
+    } else {
+      this.send();
+    }
+    this.scheduleCheck();
+  }
+
   /** Handles the outcome of an append. */
   handleOutcome(message: Extract<OwnerMessage, { kind: 'appended' }>): AppendResult {
-    return match(message.outcome)
+    const { sequence, outcome, sentAt } = message;
+    const isLatest = this.copySentAt.get(sequence) === sentAt;
+    if (isLatest) {
+      this.copySentAt.delete(sequence);
+    }
+    if (!this.window.has(sequence) && outcome.kind === 'appended') {
+      // Another copy, or a later append, has told so: the answer to a repeat proves nothing about the present.
+      this.logLatency(sentAt);
+      return { kind: 'retry' };
+    }
+    const isDecisive = outcome.kind === 'appended' || outcome.kind === 'fenced';
+    if (!isLatest && !isDecisive) {
+      return { kind: 'retry' };
+    }
+    return match(outcome)
       .returnType<AppendResult>()
       .with({ kind: 'appended' }, () => this.recorded(message.sequence, message.sentAt))
       .with({ kind: 'fenced' }, () => ({ kind: 'lost', reason: 'fenced' }))
@@ -210,6 +292,7 @@
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
         if (outcome.kind === 'unavailable' && outcome.how !== 'silent') {
           this.refusedSince ??= this.now;
+          this.health.heard(this.copySentAt.size > 0, this.now);
         }
         this.failed(message.sequence, outcome.kind, 'detail' in outcome ? outcome.detail : '');
         return { kind: 'retry' };
@@ -217,6 +300,18 @@
       .exhaustive();
   }
 
+  private get refusedMillis(): number {
+    return this.refusedSince === undefined ? 0 : this.now - this.refusedSince;
+  }
+
+  /**
+   * While appends are unanswered for longer than usual no further batch is sent: what it holds would be neither
+   * accepted nor refused until the store returns.
+   */
+  private get mayTakeBatch(): boolean {
+    return this.health.state(this.now) === 'healthy';
+  }
+
   /** How long appends have been outstanding without one being stored. */
   private get outstandingMillis(): number {
     return this.outstandingSince === undefined ? 0 : this.now - this.outstandingSince;
@@ -262,13 +357,88 @@
     if (!this.firstSentAt.has(sequence)) {
       this.firstSentAt.set(sequence, sentAt);
     }
+    this.copySentAt.set(sequence, sentAt);
     this.outstandingSince ??= sentAt.at;
-    const deadline = deadlineAfter(sentAt.at, APPEND_TIMEOUT_MILLIS);
+    this.health.sent(sentAt.at);
+    const { appendTimeoutMillis } = this.health;
+    const lifetimeMillis = Math.min(
+      MAX_APPEND_TIMEOUT_MILLIS,
+      COPY_LIFETIME_FACTOR * appendTimeoutMillis,
+    );
+    const deadline = deadlineAfter(sentAt.at, lifetimeMillis);
+    if (appendTimeoutMillis < lifetimeMillis) {
+      this.repeatAt ??= deadlineAfter(sentAt.at, appendTimeoutMillis);
+    }
+    this.scheduleCheck();
     void store.append('work', append.writes, append.condition, deadline).then((outcome) => {
       owner.post({ kind: 'appended', term, sequence, outcome, sentAt });
     });
   }
 
+  /** Sends the appends in flight once more; an answer to any copy counts. */
+  private repeatInFlight(): void {
+    this.window.markAllFailed();
+    this.copySentAt.clear();
+    this.repeatAt = undefined;
+    this.retryAt = deadlineAfter(this.now, 0);
+    this.send();
+  }
+
+  private probe(now: Instant): void {
+    const { store, owner, term } = this.options;
+    this.health.probeSent(now);
+    const deadline = deadlineAfter(now, PROBE_TIMEOUT_MILLIS);
+    void store.probe(deadline).then((isAnswered) => {
+      owner.post({ kind: 'probed', term, sentAt: now, isAnswered });
+    });
+  }
+
+  private scheduleCheck(): void {
+    const probeAt = this.health.probeDueAt();
+    const at =
+      probeAt !== undefined && this.repeatAt !== undefined
+        ? earlier(probeAt, this.repeatAt)
+        : (probeAt ?? this.repeatAt);
+    const isNeeded = this.nextCheckAt === undefined || (at ?? this.nextCheckAt) < this.nextCheckAt;
+    if (at !== undefined && isNeeded) {
+      this.nextCheckAt = at;
+      this.options.checkAt(at);
+    }
+  }
+
+  /** Logs that the store is suspect, lost or back, and by what that was decided. */
+  private logState(): void {
+    const { health, now, loggedState, options } = this;
+    const silence = {
+      topic: 'work',
+      silentMillis: Math.round(health.silentMillis(now)),
+      usualMillis: Math.round(health.usualMillis ?? 0),
+      probes: health.probesWithoutAnswer,
+    };
+    if (this.isStoreAway || this.isStalled) {
+      if (loggedState !== 'lost') {
+        const isSilent = health.state(now) === 'away';
+        const by = isSilent ? 'probes' : this.refusedSince === undefined ? 'appends' : 'refusals';
+        options.events.event('store.lost', { ...silence, by });
+      }
+      this.loggedState = 'lost';
+    } else if (loggedState === 'healthy' && health.state(now) === 'suspect') {
+      options.events.event('store.suspected', silence);
+      this.loggedState = 'suspect';
+    }
+  }
+
+  private logLatency(sentAt: Moment): void {
+    this.options.events.event('append.done', { millis: this.now - sentAt.at });
+  }
+
+  private logAnswered(): void {
+    if (this.loggedState === 'lost') {
+      this.options.events.event('store.regained', { topic: 'work', by: 'append' });
+    }
+    this.loggedState = 'healthy';
+  }
+
   private scheduleWake(at: Deadline): void {
     if (!this.isWakeScheduled) {
       this.isWakeScheduled = true;
@@ -280,14 +450,19 @@
     const isFirst = this.confirmation === undefined;
     const { now } = this;
     const confirmedAt = this.firstSentAt.get(sequence) ?? sentAt;
-    this.firstSentAt.delete(sequence);
+    forgetUpTo(this.firstSentAt, sequence);
+    forgetUpTo(this.copySentAt, sequence);
     this.confirmation = laterMoment(this.confirmation, confirmedAt);
     this.lastAppendAt = now;
     this.lastLatencyMillis = now - sentAt.at;
-    this.options.events.event('append.done', { millis: this.lastLatencyMillis });
+    this.logLatency(sentAt);
     this.refusedSince = undefined;
     const { batches, rejectedKeys } = this.window.acknowledge(sequence);
     this.outstandingSince = this.window.isIdle ? undefined : now;
+    const isInFlight = this.copySentAt.size > 0;
+    this.health.answered(sentAt.at, isInFlight, now);
+    this.repeatAt = isInFlight ? deadlineAfter(now, this.health.appendTimeoutMillis) : undefined;
+    this.logAnswered();
     return { kind: 'recorded', isFirst, confirmedAt, batches, rejectedKeys };
   }
 
@@ -320,3 +495,9 @@
     this.options.wakeAt(this.retryAt);
   }
 }
+
+function forgetUpTo(sentAt: Map<ProducerSequence, Moment>, last: ProducerSequence): void {
+  for (const sequence of [...sentAt.keys()].filter((each) => each <= last)) {
+    sentAt.delete(sequence);
+  }
+}
