Send no start whose ticket expires before it arrives

Starts that were recorded before an outage of the store were sent after it, and workers rejected those whose tickets ran out on the way; each rejection cost an answer. The worker may be named again in the next call.

--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -3,11 +3,12 @@
 import { match } from 'ts-pattern';
 import { brandAs } from '@bamboowell/types/ids';
 import type { WorkerIncarnation, RunNumber, StepTaskId } from '@bamboowell/types/job';
-import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
+import { deadlineAfter } from '@bamboowell/types/time';
 import { fits } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
 import type { JobInput, OrderAnswer } from './messages.js';
 import { runKey, type Grant, type Run, type Step, type Task, type Worker } from './model.js';
+import { expiresInTransit } from './ticket-expiry.js';
 
 /**
  * Pause in new work for a worker that answered `unwell`, milliseconds: the typical length of a short
@@ -134,8 +135,9 @@
     if (!isCurrent || run.phase !== 'recorded' || job.plan === undefined) {
       return;
     }
-    if (run.grant !== undefined && hasPassed(run.grant.until, this.context.now)) {
-      // The ticket expired before the record was stored: the worker would only refuse the start.
+    if (expiresInTransit(run, this.context.now)) {
+      // The worker would only refuse the start. It may be named again in the call for advice that follows.
+      run.task.step.workersWithAdvice.delete(run.worker.id);
       this.handleRejection(run, 'ticket_ran_out', 0);
       return;
     }
