Refuse submissions that were never sent to a store that is away

A submission whose job waited for the store ended undecided, whether a record of it had been sent or not.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -183,6 +183,23 @@
     this.markChanged(job);
   }
 
+  /** Number of jobs of which no record has been sent to the store. */
+  get unsentCount(): number {
+    return this.unstored.size;
+  }
+
+  isUnsent(job: Job): boolean {
+    return this.unstored.has(job);
+  }
+
+  /** Removes a job of which no record has been sent to the store; its runs must have been stopped. */
+  dropUnsent(job: Job): void {
+    this.jobs.delete(job.id);
+    this.unstored.delete(job);
+    this.dirty.delete(job);
+    this.needsPlacement = true;
+  }
+
   /** Marks the record of the job's state for writing with the next batch. */
   markChanged(job: Job): void {
     this.markRecord(job, progressKey(job.id));
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -16,6 +16,7 @@
 import { poolKeysOf } from './advice-budget.js';
 import { isSpecKey, jobOfKey } from './records.js';
 import { TokenBuckets } from './token-buckets.js';
+import { UnsentJobs } from './unsent-jobs.js';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Admission } from './load-control.js';
@@ -53,14 +54,22 @@
   private readonly repeating = new Set<Job>();
   private readonly tokenBuckets = new TokenBuckets();
   private nextForgetAt: Deadline = brandAs<Deadline>(0);
+  private readonly unsent: UnsentJobs;
 
   constructor(
     private readonly context: JobContext,
     private readonly stopRun: (run: Run) => void,
-  ) {}
+  ) {
+    this.unsent = new UnsentJobs(context, (job) => {
+      this.discard(job);
+    });
+  }
 
-  /** @param checkedBy version of the configuration by which the request was checked. */
-  submit(plan: JobPlan, checkedBy: number, token: JobToken): void {
+  /**
+   * @param checkedBy version of the configuration by which the request was checked.
+   * @param isStoreAway whether the store takes nothing at present.
+   */
+  submit(plan: JobPlan, checkedBy: number, token: JobToken, isStoreAway = false): void {
     const { context } = this;
     const existing = context.jobs.get(plan.id);
     if (existing !== undefined) {
@@ -82,6 +91,10 @@
       context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason } });
       return;
     }
+    if (isStoreAway && this.unsent.isFull) {
+      this.unsent.refuse(plan.id, plan.queue, token);
+      return;
+    }
     const isExcess = !this.isWithinPromisedRate(plan);
     const admission = this.admit(plan, queue, isExcess);
     if (admission.kind === 'refused') {
@@ -118,6 +131,11 @@
     this.activate(job, plan);
   }
 
+  /** Refuses these submissions of a job and drops it, unless records of it were sent to the store. */
+  dropUnsent(id: JobId, tokens: readonly JobToken[]): void {
+    this.unsent.drop(id, tokens);
+  }
+
   cancel(id: JobId, token: JobToken): void {
     const job = this.context.jobs.get(id);
     if (job === undefined) {
@@ -367,21 +385,19 @@
     }
   }
 
+  /** Undoes the acceptance of a job that is dropped. */
+  private discard(job: Job): void {
+    this.withdrawSteps(job);
+    const team = job.plan?.team;
+    if (team !== undefined && !job.isExcess) {
+      this.tokenBuckets.giveBack(team);
+    }
+  }
+
   private end(job: Job, state: JobState, reason: string): void {
     job.state = state;
     job.endedAt = brandAs<WallInstant>(this.context.wall);
-    this.repeating.delete(job);
-    this.multiStepJobs.delete(job);
-    for (const { steps } of job.occurrences) {
-      for (const step of steps) {
-        this.readySteps.delete(step);
-        step.tasks
-          .flatMap(({ runs }) => [...runs])
-          .forEach((run) => {
-            this.stopRun(run);
-          });
-      }
-    }
+    this.withdrawSteps(job);
     this.context.markChanged(job);
     this.context.afterCommit(() => {
       job.visibleState = state;
@@ -398,4 +414,20 @@
       afterMillis: this.context.wall - job.acceptedAt,
     });
   }
+
+  /** Takes the job's steps out of scheduling and stops its runs. */
+  private withdrawSteps(job: Job): void {
+    this.repeating.delete(job);
+    this.multiStepJobs.delete(job);
+    for (const { steps } of job.occurrences) {
+      for (const step of steps) {
+        this.readySteps.delete(step);
+        step.tasks
+          .flatMap(({ runs }) => [...runs])
+          .forEach((run) => {
+            this.stopRun(run);
+          });
+      }
+    }
+  }
 }
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -60,7 +60,11 @@
       /** Version of the configuration by which the request was checked. */
       readonly configuration: number;
       readonly token: JobToken;
+      /** Whether the store takes nothing at present, so that only some submissions are held. */
+      readonly isStoreAway?: boolean;
     }
+  /** Refuses these submissions of a job and drops it, unless records of it were sent to the store. */
+  | { readonly kind: 'drop_unsent'; readonly job: JobId; readonly tokens: readonly JobToken[] }
   | { readonly kind: 'cancel'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'query'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'count'; readonly queue: QueueId; readonly token: JobToken }
@@ -126,9 +130,10 @@
       readonly kind: 'refused';
       /**
        * `configuration_outdated`: the scheduler has no such queue, but the request was checked by a newer
-       * configuration than the scheduler's.
+       * configuration than the scheduler's. `store_unavailable`: no record of the job was sent to the store.
        */
-      readonly reason: 'unknown_queue' | 'configuration_outdated' | 'overloaded';
+      readonly reason:
+        'unknown_queue' | 'configuration_outdated' | 'overloaded' | 'store_unavailable';
       /** When the caller should try again, if the scheduler can tell. */
       readonly retryAfterSeconds?: number;
     }
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -136,6 +136,13 @@
       send({ kind: 'submit', plan, configuration: checkedBy, token: submitted });
       return submitted;
     },
+    /** Submits a job while the store takes nothing. */
+    submitAway: (plan: JobPlan): JobToken => {
+      const submitted = token();
+      const { version } = configuration;
+      send({ kind: 'submit', plan, configuration: version, token: submitted, isStoreAway: true });
+      return submitted;
+    },
     cancel: (job: JobId): JobToken => {
       const cancelled = token();
       send({ kind: 'cancel', job, token: cancelled });
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -6,6 +6,7 @@
 import { match } from 'ts-pattern';
 import type {
   JobConfiguration,
+  JobId,
   WorkerIncarnation,
   WallInstant,
   WorkerRegistration,
@@ -155,6 +156,12 @@
     return this.context.needsPlacement;
   }
 
+  /** Whether the job has been taken and no record of it has been sent to the store. */
+  isUnsent(id: JobId): boolean {
+    const job = this.context.jobs.get(id);
+    return job !== undefined && this.context.isUnsent(job);
+  }
+
   /** Figures for metrics and the log. */
   figures(): JobFigures {
     const workers = [...this.context.workers.values()];
@@ -183,8 +190,11 @@
 
   private receive(input: JobInput): void {
     match(input)
-      .with({ kind: 'submit' }, ({ plan, configuration, token }) => {
-        this.lifecycle.submit(plan, configuration, token);
+      .with({ kind: 'submit' }, ({ plan, configuration, token, isStoreAway }) => {
+        this.lifecycle.submit(plan, configuration, token, isStoreAway);
+      })
+      .with({ kind: 'drop_unsent' }, ({ job, tokens }) => {
+        this.lifecycle.dropUnsent(job, tokens);
       })
       .with({ kind: 'cancel' }, ({ job, token }) => {
         this.lifecycle.cancel(job, token);
--- a/packages/jobs/src/token-buckets.ts
+++ b/packages/jobs/src/token-buckets.ts
@@ -26,4 +26,12 @@
     this.buckets.set(team, { tokens: hasToken ? tokens - 1 : tokens, at: now });
     return hasToken;
   }
+
+  /** Returns the token of a job that was not accepted after all. */
+  giveBack(team: TeamId): void {
+    const bucket = this.buckets.get(team);
+    if (bucket !== undefined) {
+      this.buckets.set(team, { ...bucket, tokens: bucket.tokens + 1 });
+    }
+  }
 }
--- a/packages/member/src/gateway-messages.ts
+++ b/packages/member/src/gateway-messages.ts
@@ -36,7 +36,13 @@
    */
   | {
       readonly kind: 'refused';
-      readonly reason: 'no_configuration' | 'configuration_unconfirmed' | 'no_owner' | 'overloaded';
+      readonly reason:
+        | 'no_configuration'
+        | 'configuration_unconfirmed'
+        | 'no_owner'
+        | 'overloaded'
+        /** The store took nothing while the caller waited; no record of the job was sent to it. */
+        | 'store_unavailable';
       readonly retryAfterSeconds: number;
     }
   /** It isn't known whether the request took effect. */
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -228,7 +228,9 @@
     pending.tries += 1;
     // One copy at a time: a second one on the same connection would only queue behind the first, and
     // if the first is lost its connection ends.
-    void channel.ask(pending.ownerRequest, pending.deadline).then((reply) => {
+    const remainingMillis = Math.round(pending.deadline - this.clock.now());
+    const request = { ...pending.ownerRequest, remainingMillis };
+    void channel.ask(request, pending.deadline).then((reply) => {
       this.post({ kind: 'owner_replied', id, reply });
     });
   }
@@ -387,6 +389,7 @@
     case 'unknown_queue':
       return { kind: 'unknown_queue' };
     case 'overloaded':
+    case 'store_unavailable':
       return { kind: 'refused', reason, retryAfterSeconds };
   }
 }
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -10,6 +10,8 @@
 export type OwnerRequest = OwnerCall & {
   /** Version of the configuration by which the member checked the request. */
   readonly configuration: number;
+  /** For how long the member waits for the answer, counted from the sending of the request. */
+  readonly remainingMillis?: number;
 };
 
 export type OwnerCall =
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -23,6 +23,7 @@
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
+import { HeldSubmissions } from './held-submissions.js';
 import { NO_VERSION, ageMillis } from './configuration-task.js';
 import { allLeasesEnd, leasesEndAfter } from './lease-clock.js';
 import { TAKEOVER_KEY, loadWork, type LoadedWork } from './load-work.js';
@@ -84,6 +85,7 @@
   private confirmedAt: Instant | undefined;
   private readonly members = new Map<MemberId, MemberPort>();
   private readonly requests = new PendingRequests();
+  private readonly submissions = new HeldSubmissions();
   private readonly advice: AdviceCalls;
   private isPassScheduled = false;
   private isTicking = false;
@@ -464,7 +466,24 @@
       reply({ kind: 'outdated' });
       return;
     }
-    this.stepScheduler(this.requests.add(request, reply));
+    const { writer } = this.tenure;
+    const input = this.requests.add(request, reply);
+    if (input.kind !== 'submit') {
+      this.stepScheduler(input);
+      return;
+    }
+    const { token, plan } = input;
+    this.submissions.add(token, plan.id, request.remainingMillis, this.clock.now());
+    this.stepScheduler({ ...input, isStoreAway: writer.isStoreAway });
+  }
+
+  /** Refuses submissions whose callers can't wait longer and whose jobs the store was never sent. */
+  private refuseUnsent(scheduler: JobScheduler, now: Instant): void {
+    for (const { job, tokens } of this.submissions.due(now)) {
+      if (scheduler.isUnsent(job)) {
+        this.stepScheduler({ kind: 'drop_unsent', job, tokens });
+      }
+    }
   }
 
   private executeAll(tenure: Tenure, outputs: readonly JobOutput[]): void {
@@ -476,6 +495,7 @@
   private execute(tenure: Tenure, output: JobOutput): void {
     match(output)
       .with({ kind: 'answer' }, ({ token, answer }) => {
+        this.submissions.answered(token);
         this.requests.answer(token, answer, tenure.writer.isOwnershipConfirmed);
       })
       .with({ kind: 'order' }, ({ incarnation, order }) => {
@@ -594,6 +614,9 @@
     this.settleTakeover(tenure, now);
     if (tenure.scheduler !== undefined) {
       this.stepScheduler({ kind: 'lag', millis: now - dueAt });
+      if (!tenure.writer.isStoreHealthy) {
+        this.refuseUnsent(tenure.scheduler, now);
+      }
       if (!this.isPassScheduled) {
         this.place(tenure);
       }
@@ -668,7 +691,11 @@
     tenure.hasEnded = true;
     tenure.watch.stop();
     tenure.links.closeAll();
-    this.requests.dropAll();
+    this.requests.dropAll((token) => {
+      const job = this.submissions.jobOf(token);
+      return job !== undefined && tenure.scheduler?.isUnsent(job) === true;
+    });
+    this.submissions.clear();
     this.options.events.event('owner.stood_down', { term: tenure.term, reason });
     this.ownership?.post({ kind: 'stood_down', term: tenure.term });
   }
--- a/packages/member/src/pending-requests.ts
+++ b/packages/member/src/pending-requests.ts
@@ -44,11 +44,15 @@
     });
   }
 
-  /** Answers all requests that their outcome is unknown. */
-  dropAll(): void {
+  /**
+   * Answers all requests that their outcome is unknown.
+   *
+   * @param isWithoutEffect whether a request has changed nothing and never will.
+   */
+  dropAll(isWithoutEffect: (token: JobToken) => boolean): void {
     this.unconfirmed.splice(0);
     [...this.pending.keys()].forEach((token) => {
-      this.reply(token, { kind: 'unknown' });
+      this.reply(token, { kind: isWithoutEffect(token) ? 'not_taken' : 'unknown' });
     });
   }
 
