Admission by a forecast of when a job could start

Jobs beyond their team's rate were refused only once the placement pass ran out of room, so that hundreds waited for seconds behind promised work. With admission=forecast the owner forecasts the first and the last start of each job from the expected ends of runs, what waits before it and what arrives before it, refuses what would complete too late, and serves accepted excess in order of acceptance. The default stays as it was.

--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -69,6 +69,10 @@
   readonly archive = new EndedArchive();
   /** Set when a placement pass may be able to start something. */
   needsPlacement = true;
+  /** Whether starts could be stored at the last pass. */
+  mayStart = true;
+  /** Called with a job at its first start. */
+  firstStarted: (job: Job) => void = () => undefined;
   private readonly queues = new Map<QueueId, JobQueue>();
   private readonly teams = new Map<TeamId, JobTeam>();
   private readonly usageByTeam = new Map<TeamId, Resources>();
@@ -248,11 +252,19 @@
 
   /** Records that a worker has confirmed a start. */
   startConfirmed({ task }: Run): void {
-    task.step.job.hasStarted = true;
+    this.recordStart(task.step.job);
     this.load.startConfirmed();
     this.needsPlacement ||= this.load.isStartLimitReached;
   }
 
+  /** Records that a task of the job has started. */
+  recordStart(job: Job): void {
+    if (!job.hasStarted) {
+      job.hasStarted = true;
+      this.firstStarted(job);
+    }
+  }
+
   task(id: StepTaskId): Task | undefined {
     const lastDot = id.lastIndexOf('.');
     return this.step(brandAs<StepId>(id.slice(0, lastDot)))?.tasks[Number(id.slice(lastDot + 1))];
--- a/packages/jobs/src/fleet-capacity.ts
+++ b/packages/jobs/src/fleet-capacity.ts
@@ -9,6 +9,11 @@
   /** By step, until a worker or a queue changes: thousands of steps may wait. */
   private counts = new WeakMap<Step, number>();
 
+  /** Registrations of the workers that can get work. */
+  get placeable(): readonly WorkerRegistration[] {
+    return this.registrations;
+  }
+
   /**
    * Returns whether they are others than before, or offer something else.
    *
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -8,20 +8,18 @@
   NO_PROGRESS,
   type JobId,
   type JobPlan,
-  type JobQueue,
   type JobState,
   type RunNumber,
   type WallInstant,
 } from '@bamboowell/types/job';
-import { poolKeysOf } from './advice-budget.js';
+import { jobAdmissionOf, type JobAdmission } from './admission.js';
 import { isSpecKey, jobOfKey } from './records.js';
 import { TokenBuckets } from './token-buckets.js';
+import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
-import type { Admission } from './load-control.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
-  allocationOf,
   isEnded,
   isStepDone,
   isStepReady,
@@ -38,8 +36,6 @@
 export const MAX_JOBS = 40_000;
 /** How long the state of an ended job can be queried, milliseconds; the platform requires 120 s. */
 const ENDED_RETENTION_MILLIS = 150_000;
-/** When a caller should come back whose team is beyond its promised rate while others wait. */
-const EXCESS_RETRY_AFTER_SECONDS = 2;
 /** Interval between scans for ended jobs to forget, milliseconds. */
 const FORGET_INTERVAL_MILLIS = 1000;
 
@@ -52,12 +48,19 @@
   readonly multiStepJobs = new Set<Job>();
   private readonly repeating = new Set<Job>();
   private readonly tokenBuckets = new TokenBuckets();
+  private readonly admission: JobAdmission;
   private nextForgetAt: Deadline = brandAs<Deadline>(0);
 
   constructor(
     private readonly context: JobContext,
     private readonly stopRun: (run: Run) => void,
-  ) {}
+    scheduling: SchedulingOptions,
+  ) {
+    this.admission = jobAdmissionOf(scheduling, context, this.readySteps);
+    context.firstStarted = (job) => {
+      this.admission.recordStarted(job);
+    };
+  }
 
   /** @param checkedBy version of the configuration by which the request was checked. */
   submit(plan: JobPlan, checkedBy: number, token: JobToken): void {
@@ -83,10 +86,9 @@
       return;
     }
     const isExcess = !this.isWithinPromisedRate(plan);
-    const admission = this.admit(plan, queue, isExcess);
-    if (admission.kind === 'refused') {
-      const { retryAfterSeconds } = admission;
-      const reason = 'overloaded';
+    const decision = this.admission.decide(plan, queue, isExcess);
+    if (decision.kind === 'refused') {
+      const { reason, retryAfterSeconds, forecastMillis } = decision;
       context.event('job.refused', {
         job: plan.id,
         queue: plan.queue,
@@ -94,16 +96,18 @@
         excess: isExcess,
         waitingSteps: this.readySteps.size,
         retryAfterSeconds,
+        ...(forecastMillis === undefined ? {} : { forecastMillis }),
       });
       context.emit({
         kind: 'answer',
         token,
-        answer: { kind: 'refused', reason, retryAfterSeconds },
+        answer: { kind: 'refused', reason: 'overloaded', retryAfterSeconds },
       });
       return;
     }
     const job = newJob(plan, queue, context.wall);
     job.isExcess = isExcess;
+    this.admission.recordAdmitted(job, decision);
     context.addNew(job);
     context.event('job.taken', {
       job: job.id,
@@ -228,6 +232,7 @@
 
   /** Adds the occurrences that are due, archives ended jobs and forgets those that ended long ago. */
   tick(): void {
+    this.admission.tick();
     for (const job of this.repeating) {
       this.addDueOccurrences(job);
     }
@@ -246,42 +251,6 @@
     }
   }
 
-  /**
-   * A job beyond the promised rate of its team goes behind all others. Where these wait already for the room
-   * that it needs, or the team runs as much as it may, it would only wait until it is of no use.
-   */
-  private admit(plan: JobPlan, { service }: JobQueue, isExcess: boolean): Admission {
-    const { context } = this;
-    if (isExcess && (this.isRoomSpent(plan, service) || this.isAtLimit(plan))) {
-      return { kind: 'refused', retryAfterSeconds: EXCESS_RETRY_AFTER_SECONDS };
-    }
-    return context.load.admit(isExcess, () => this.stepsBeforeNew(), context.now);
-  }
-
-  private isAtLimit({ team, steps }: JobPlan): boolean {
-    const [first] = steps;
-    return first !== undefined && this.context.startableByTeam(team, allocationOf(first), 1) === 0;
-  }
-
-  private isRoomSpent({ team, steps }: JobPlan, service: string): boolean {
-    const [first] = steps;
-    return (
-      first !== undefined &&
-      poolKeysOf(service, first, team).some((key) => this.context.spentPools.has(key))
-    );
-  }
-
-  /** Steps that a new job would wait for because of the owner, and not because they have no room. */
-  private stepsBeforeNew(): Step[] {
-    const { context } = this;
-    return [...this.readySteps].filter(
-      (step) =>
-        !context.parked.has(step) &&
-        context.obstacleOf(step) === undefined &&
-        !context.isWaitingForTeamLimit(step),
-    );
-  }
-
   private isWithinPromisedRate({ team: id }: JobPlan): boolean {
     const team = id === undefined ? undefined : this.context.team(id);
     return team === undefined || this.tokenBuckets.take(team.id, team.weight, this.context.wall);
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -50,13 +50,13 @@
 }
 
 /** A late job still has value up to this many times its objective. */
-const MAX_LATENESS_FACTOR = 3;
+export const MAX_LATENESS_FACTOR = 3;
 
 /**
  * Rank by timeliness, lowest first: can be on time (0), late (1), beyond the promised rate of the
  * team (2), too late to have any value (3).
  */
-type Band = 0 | 1 | 2 | 3;
+export type Band = 0 | 1 | 2 | 3;
 
 interface Ranked {
   readonly step: Step;
@@ -105,7 +105,7 @@
   };
 }
 
-function bandOf(step: Step, context: JobContext): Band {
+export function bandOf(step: Step, context: JobContext): Band {
   const { plan } = step.job;
   if (step.plan.isLasting) {
     // Of use whenever it runs, however long ago the job was accepted.
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -228,7 +228,7 @@
       number: entry.number,
     });
     if (run !== undefined) {
-      run.task.step.job.hasStarted = true;
+      this.context.recordStart(run.task.step.job);
       this.context.detach(run);
     }
     if (task !== undefined && !isEnded(task.step.job.state) && !task.isDone) {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,6 +18,7 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { ExcessByAcceptance } from './excess-ordering.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -97,9 +98,13 @@
         this.reports.endIncarnation(worker, 'other_life', undefined);
       },
     );
-    this.lifecycle = new Lifecycle(context, (run) => {
-      this.orders.stop(run);
-    });
+    this.lifecycle = new Lifecycle(
+      context,
+      (run) => {
+        this.orders.stop(run);
+      },
+      options.scheduling,
+    );
     this.crashes = new WorkerCrashes(context, this.lifecycle);
     this.successors = new Successors(context, options.leasesEnd);
     this.reports = new Reports(
@@ -120,7 +125,7 @@
       this.orders,
       quarantines,
       this.stepAdvice,
-      { usual: options.ordering, saturated: new OldestFirst() },
+      { usual: orderingOf(options), saturated: new OldestFirst() },
       this.crashes,
     );
     this.advicePrefetch = new AdvicePrefetch(context, this.lifecycle, this.stepPlacement);
@@ -259,6 +264,7 @@
   }
 
   private runPlacementPass(mayStart: boolean): void {
+    this.context.mayStart = mayStart;
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
@@ -406,3 +412,7 @@
     return worker;
   }
 }
+
+function orderingOf({ ordering, scheduling }: JobSchedulerOptions): JobOrdering {
+  return scheduling.admission === 'forecast' ? new ExcessByAcceptance(ordering) : ordering;
+}
--- a/packages/policy/src/advised-workers.ts
+++ b/packages/policy/src/advised-workers.ts
@@ -16,7 +16,7 @@
  * Workers are selected for this multiple of the tasks, as some of them fill up before the advice
  * arrives.
  */
-const SPARE_FACTOR = 2;
+export const SPARE_FACTOR = 2;
 
 /** A worker that the call may ask about. */
 export interface AdviceCandidate {
--- a/packages/policy/src/routing.ts
+++ b/packages/policy/src/routing.ts
@@ -35,7 +35,7 @@
 const PART_TERMINATOR = 0x1f;
 
 /** FNV-1a over UTF-16 code units, with the finalizer of MurmurHash3; from 0 to 2^32 - 1. */
-function hashOf(parts: readonly string[]): number {
+export function hashOf(parts: readonly string[]): number {
   let hash = FNV_OFFSET;
   for (const part of parts) {
     for (let index = 0; index < part.length; index += 1) {
