--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -69,6 +69,10 @@
   readonly archive = new EndedArchive();
   /** Set when a placement pass may be able to start something. */
   needsPlacement = true;
+  /** Whether starts could be stored at the last pass. */
+  mayStart = true;
+  /** Called with a job at its first start. */
+  firstStarted: (job: Job) => void = () => undefined;
   private readonly queues = new Map<QueueId, JobQueue>();
   private readonly teams = new Map<TeamId, JobTeam>();
   private readonly usageByTeam = new Map<TeamId, Resources>();
@@ -183,6 +187,23 @@
     this.markChanged(job);
   }
 
+  /** Number of jobs of which no record has been sent to the store. */
+  get unsentCount(): number {
+    return this.unstored.size;
+  }
+
+  isUnsent(job: Job): boolean {
+    return this.unstored.has(job);
+  }
+
+  /** Removes a job of which no record has been sent to the store; its runs must have been stopped. */
+  dropUnsent(job: Job): void {
+    this.jobs.delete(job.id);
+    this.unstored.delete(job);
+    this.dirty.delete(job);
+    this.needsPlacement = true;
+  }
+
   /** Marks the record of the job's state for writing with the next batch. */
   markChanged(job: Job): void {
     this.markRecord(job, progressKey(job.id));
@@ -248,11 +269,19 @@
 
   /** Records that a worker has confirmed a start. */
   startConfirmed({ task }: Run): void {
-    task.step.job.hasStarted = true;
+    this.recordStart(task.step.job);
     this.load.startConfirmed();
     this.needsPlacement ||= this.load.isStartLimitReached;
   }
 
+  /** Records that a task of the job has started. */
+  recordStart(job: Job): void {
+    if (!job.hasStarted) {
+      job.hasStarted = true;
+      this.firstStarted(job);
+    }
+  }
+
   task(id: StepTaskId): Task | undefined {
     const lastDot = id.lastIndexOf('.');
     return this.step(brandAs<StepId>(id.slice(0, lastDot)))?.tasks[Number(id.slice(lastDot + 1))];
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -6,6 +6,7 @@
 import { match } from 'ts-pattern';
 import type {
   JobConfiguration,
+  JobId,
   WorkerIncarnation,
   WallInstant,
   WorkerRegistration,
@@ -18,6 +19,7 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { ExcessByAcceptance } from './excess-ordering.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -97,9 +99,13 @@
         this.reports.endIncarnation(worker, 'other_life', undefined);
       },
     );
-    this.lifecycle = new Lifecycle(context, (run) => {
-      this.orders.stop(run);
-    });
+    this.lifecycle = new Lifecycle(
+      context,
+      (run) => {
+        this.orders.stop(run);
+      },
+      options.scheduling,
+    );
     this.crashes = new WorkerCrashes(context, this.lifecycle);
     this.successors = new Successors(context, options.leasesEnd);
     this.reports = new Reports(
@@ -120,7 +126,7 @@
       this.orders,
       quarantines,
       this.stepAdvice,
-      { usual: options.ordering, saturated: new OldestFirst() },
+      { usual: orderingOf(options), saturated: new OldestFirst() },
       this.crashes,
       options.scheduling,
     );
@@ -156,6 +162,12 @@
     return this.context.needsPlacement;
   }
 
+  /** Whether the job has been taken and no record of it has been sent to the store. */
+  isUnsent(id: JobId): boolean {
+    const job = this.context.jobs.get(id);
+    return job !== undefined && this.context.isUnsent(job);
+  }
+
   /** Figures for metrics and the log. */
   figures(): JobFigures {
     const workers = [...this.context.workers.values()];
@@ -184,8 +196,11 @@
 
   private receive(input: JobInput): void {
     match(input)
-      .with({ kind: 'submit' }, ({ plan, configuration, token }) => {
-        this.lifecycle.submit(plan, configuration, token);
+      .with({ kind: 'submit' }, ({ plan, configuration, token, isStoreAway }) => {
+        this.lifecycle.submit(plan, configuration, token, isStoreAway);
+      })
+      .with({ kind: 'drop_unsent' }, ({ job, tokens }) => {
+        this.lifecycle.dropUnsent(job, tokens);
       })
       .with({ kind: 'cancel' }, ({ job, token }) => {
         this.lifecycle.cancel(job, token);
@@ -260,6 +275,7 @@
   }
 
   private runPlacementPass(mayStart: boolean): void {
+    this.context.mayStart = mayStart;
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
@@ -407,3 +423,7 @@
     return worker;
   }
 }
+
+function orderingOf({ ordering, scheduling }: JobSchedulerOptions): JobOrdering {
+  return scheduling.admission === 'forecast' ? new ExcessByAcceptance(ordering) : ordering;
+}
