Leave evacuated data centres out of all starts of the scheduler

The operator will be able to evacuate a data centre; the scheduler had no notion of it. The input 'evacuations' replaces the set of data centres. Their workers are left out of placement, advice, gang plans, trials and room counts, and starts that are recorded and not sent are dropped. While the set may be outdated nothing is started, and stored starts wait for the next reading.

--- a/packages/jobs/src/advice-prefetch.ts
+++ b/packages/jobs/src/advice-prefetch.ts
@@ -34,23 +34,26 @@
       return;
     }
     this.nextPrefetchAt = deadlineAfter(now, PREFETCH_INTERVAL_MILLIS);
+    const evacuated = this.placement.evacuatedWorkers().length;
+    const workers = this.context.workers.size - evacuated;
     for (const job of this.lifecycle.multiStepJobs) {
       for (const { steps } of job.occurrences) {
         steps.forEach((step) => {
-          this.prefetchIfDue(step, steps);
+          this.prefetchIfDue(step, steps, workers);
         });
       }
     }
   }
 
-  private prefetchIfDue(step: Step, steps: readonly Step[]): void {
+  /** @param workers how many may be named in a call for advice. */
+  private prefetchIfDue(step: Step, steps: readonly Step[], workers: number): void {
     const timing = step.job.queue.advice;
     if (timing === undefined || step.plan.after.length === 0 || isStepDone(step)) {
       return;
     }
     const earlier = step.plan.after.flatMap((index) => steps[index] ?? []);
     const remaining = Math.max(0, ...earlier.map((each) => this.remainingMillisOfStep(each)));
-    const callMillis = timing.baseMillis + timing.perWorkerMillis * this.context.workers.size;
+    const callMillis = timing.baseMillis + timing.perWorkerMillis * workers;
     if (remaining > 0 && remaining <= callMillis + LEAD_MILLIS) {
       this.placement.prefetchAdvice(step);
     }
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -17,6 +17,7 @@
 import type { Instant } from '@bamboowell/types/time';
 import type { PoolKey, TeamUse } from './advice-budget.js';
 import { EndedArchive } from './ended-archive.js';
+import { Evacuations } from './evacuations.js';
 import { FleetCapacity } from './fleet-capacity.js';
 import { LoadControl } from './load-control.js';
 import type { JobBatch, JobOutput, JobWrite } from './messages.js';
@@ -58,6 +59,9 @@
   readonly currentIncarnations = new Map<WorkerId, Worker>();
   readonly load = new LoadControl();
   readonly fleet = new FleetCapacity();
+  readonly evacuations = new Evacuations();
+  /** What the workers of evacuated data centres could hold. */
+  readonly evacuatedFleet = new FleetCapacity();
   /**
    * Waiting steps for which the fleet has no room soon: those that no worker can hold, and those behind the
    * point up to which advice is asked for. They are left out of placement passes until the set is cleared, ten
@@ -100,6 +104,7 @@
       job.queue = this.queues.get(job.queue.id) ?? job.queue;
     });
     this.fleet.forgetCounts();
+    this.evacuatedFleet.forgetCounts();
     this.needsPlacement = true;
   }
 
@@ -135,15 +140,15 @@
   /** What keeps the step from starting on the workers that are there, however long it waits. */
   obstacleOf(step: Step): Obstacle | undefined {
     const fittingTasks = this.fleet.tasksThatFit(step);
-    if (fittingTasks === 0) {
-      return 'no_worker_fits';
+    const neededTasks = step.plan.isGang ? step.plan.count : 1;
+    if (fittingTasks < neededTasks) {
+      const fittingBefore = fittingTasks + this.evacuatedFleet.tasksThatFit(step);
+      const lack = fittingTasks === 0 ? 'no_worker_fits' : 'gang_exceeds_fleet';
+      return fittingBefore >= neededTasks ? 'evacuated' : lack;
     }
     if (!step.plan.isGang) {
       return undefined;
     }
-    if (fittingTasks < step.plan.count) {
-      return 'gang_exceeds_fleet';
-    }
     return this.exceedsTeamLimit(step) ? 'gang_exceeds_team_limit' : undefined;
   }
 
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -19,6 +19,7 @@
   WorkerRegistration,
 } from '@bamboowell/types/job';
 import type { Deadline, Instant } from '@bamboowell/types/time';
+import type { KnownEvacuations } from './evacuations.js';
 
 /** Matches an answer to its request. */
 export type JobToken = Branded<number, 'JobToken'>;
@@ -41,7 +42,9 @@
   | { readonly kind: 'unwell' }
   | { readonly kind: 'malformed' }
   /** Another incarnation of the worker answered. */
-  | { readonly kind: 'other_life' };
+  | { readonly kind: 'other_life' }
+  /** The start was not sent, or not once more: the data centre of the worker is evacuated, or may be. */
+  | { readonly kind: 'evacuated' };
 
 export interface WorkerReport {
   readonly incarnation: WorkerIncarnation;
@@ -67,6 +70,8 @@
   | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
+  /** Replaces what is known of evacuated data centres. */
+  | ({ readonly kind: 'evacuations' } & KnownEvacuations)
   /** All leases of earlier owners will have ended by then, which is sooner than was known. */
   | { readonly kind: 'earlier_leases_end'; readonly at: Deadline }
   | { readonly kind: 'report'; readonly report: WorkerReport }
--- a/packages/jobs/src/obstacles.ts
+++ b/packages/jobs/src/obstacles.ts
@@ -11,6 +11,8 @@
 export type Obstacle =
   /** No worker of its service that has its label is large enough for one task. */
   | 'no_worker_fits'
+  /** Only with workers of evacuated data centres is there room for it. */
+  | 'evacuated'
   /** All these workers together can't hold the gang. */
   | 'gang_exceeds_fleet'
   /** The gang needs more than its team may run. */
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -32,6 +32,9 @@
 }
 
 export class Orders {
+  /** Starts that are stored, and wait until the records of evacuations have been read again. */
+  private deferredStarts: Run[] = [];
+
   constructor(
     private readonly context: JobContext,
     private readonly failTask: (task: Task, worker: Worker, number: RunNumber) => void,
@@ -105,6 +108,29 @@
     }
   }
 
+  /** Sends the starts that waited for the records of evacuations, unless these are outdated again. */
+  sendDeferredStarts(): void {
+    const runs = this.deferredStarts;
+    this.deferredStarts = [];
+    runs.forEach((run) => {
+      this.sendStart(run);
+    });
+  }
+
+  /** Drops the runs of evacuated data centres whose starts have not been sent. */
+  dropUnsentStarts(): void {
+    const { evacuations, workers } = this.context;
+    for (const worker of workers.values()) {
+      if (evacuations.isEvacuated(worker.registration)) {
+        [...worker.runs.values()]
+          .filter(({ phase }) => phase === 'recorded')
+          .forEach((run) => {
+            this.dropUnsentStart(run);
+          });
+      }
+    }
+  }
+
   handleAnswer(worker: Worker, answered: AnsweredOrder): void {
     const { answer } = answered;
     const run = worker.runs.get(runKey(answered.task, answered.run));
@@ -134,6 +160,14 @@
     if (!isCurrent || run.phase !== 'recorded' || job.plan === undefined) {
       return;
     }
+    if (this.context.evacuations.isEvacuated(run.worker.registration)) {
+      this.handleRejection(run, 'evacuated', 0);
+      return;
+    }
+    if (!this.context.evacuations.isCurrent(this.context.now)) {
+      this.deferredStarts.push(run);
+      return;
+    }
     if (run.grant !== undefined && hasPassed(run.grant.until, this.context.now)) {
       // The ticket expired before the record was stored: the worker would only refuse the start.
       this.handleRejection(run, 'ticket_ran_out', 0);
@@ -160,6 +194,13 @@
     });
   }
 
+  /** An earlier member of its gang may have dropped it already. */
+  private dropUnsentStart(run: Run): void {
+    if (run.task.runs.includes(run)) {
+      this.handleRejection(run, 'evacuated', 0);
+    }
+  }
+
   private handleStartAnswer(run: Run, answer: OrderAnswer): void {
     match(answer)
       .with({ kind: 'done' }, { kind: 'outdated' }, () => {
@@ -176,7 +217,7 @@
       .with({ kind: 'unwell' }, () => {
         this.handleRejection(run, answer.kind, UNWELL_COOLDOWN_MILLIS);
       })
-      .with({ kind: 'late' }, () => {
+      .with({ kind: 'late' }, { kind: 'evacuated' }, () => {
         this.handleRejection(run, answer.kind, 0);
       })
       .with({ kind: 'malformed' }, () => {
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -30,6 +30,7 @@
   OrderAnswer,
   StartOrder,
 } from './messages.js';
+import type { KnownEvacuations } from './evacuations.js';
 import { configurationOf, workerRegistration } from './plans.fixture.js';
 import { SmallestFirst } from './ordering.js';
 import { restoreJobs } from './records.js';
@@ -64,7 +65,10 @@
     now: brandAs<Instant>(millis),
     wall: brandAs<WallInstant>(START_WALL + millis),
   });
-  const newScheduler = (ownConfiguration: JobConfiguration): JobScheduler => {
+  const newScheduler = (
+    ownConfiguration: JobConfiguration,
+    evacuations?: KnownEvacuations,
+  ): JobScheduler => {
     const earlierLeasesEnd = brandAs<Deadline>(millis + EARLIER_LEASES_MILLIS);
     const restored = restoreJobs(store);
     const ordering = new SmallestFirst();
@@ -77,6 +81,7 @@
         leasesEnd: (now) => brandAs<Deadline>(now + EARLIER_LEASES_MILLIS),
         restored,
         workers,
+        evacuations,
       },
       times(),
     );
@@ -125,10 +130,14 @@
       millis += by;
     },
     /** A new owner takes over with what is stored. */
-    takeOver: (ownConfiguration = configuration, registrations = workers): void => {
+    takeOver: (
+      ownConfiguration = configuration,
+      registrations = workers,
+      evacuations?: KnownEvacuations,
+    ): void => {
       workers = registrations;
       outputs.length = 0;
-      scheduler = newScheduler(ownConfiguration);
+      scheduler = newScheduler(ownConfiguration, evacuations);
       record(scheduler.takeOutputs());
     },
     submit: (plan: JobPlan, checkedBy = configuration.version): JobToken => {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,6 +18,8 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { EvacuationControl } from './evacuation-control.js';
+import { NO_EVACUATIONS, type KnownEvacuations } from './evacuations.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -43,6 +45,8 @@
   readonly leasesEnd: (now: Instant) => Deadline;
   readonly restored: Restored;
   readonly workers: readonly WorkerRegistration[];
+  /** Undefined where no evacuations are followed. */
+  readonly evacuations?: KnownEvacuations | undefined;
 }
 
 /** Counts of jobs, runs and workers, and how much processor time of the workers is used. */
@@ -54,6 +58,8 @@
   readonly workers: number;
   /** Workers on which nothing runs. */
   readonly idleWorkers: number;
+  /** Registered workers of evacuated data centres. */
+  readonly evacuatedWorkers: number;
   readonly millicores: number;
   readonly usedMillicores: number;
 }
@@ -76,6 +82,7 @@
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
   private readonly stalls: Stalls;
+  private readonly evacuationControl: EvacuationControl;
   private readonly advicePrefetch: AdvicePrefetch;
   private earlierLeasesEnd: Deadline;
 
@@ -112,7 +119,7 @@
     );
     this.stalls = new Stalls(context, this.orders);
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
-      this.stepPlacement.isPresent(worker),
+      this.stepPlacement.isPlaceable(worker),
     );
     this.stepPlacement = new StepPlacement(
       context,
@@ -129,6 +136,8 @@
       this.registerWorker(registration);
     });
     this.restore(options.restored);
+    this.evacuationControl = new EvacuationControl(context, this.orders);
+    this.evacuationControl.begin(options.evacuations ?? NO_EVACUATIONS);
   }
 
   /** Handles one input and returns the outputs to be carried out, in order. */
@@ -152,7 +161,13 @@
 
   /** Whether a placement pass may start something. */
   get needsPlacement(): boolean {
-    return this.context.needsPlacement;
+    const { needsPlacement, evacuations, now } = this.context;
+    return needsPlacement && evacuations.isCurrent(now);
+  }
+
+  /** Whether a start may be sent to a worker of this data centre now. */
+  mayStart(place: Pick<WorkerRegistration, 'zone'>, now: Instant): boolean {
+    return this.context.evacuations.mayStart(place, now);
   }
 
   /** Figures for metrics and the log. */
@@ -166,6 +181,7 @@
       runs: sum(({ runs }) => runs.size),
       workers: workers.length,
       idleWorkers: sum(({ runs }) => Number(runs.size === 0)),
+      evacuatedWorkers: this.stepPlacement.evacuatedWorkers().length,
       millicores: sum(({ registration }) => registration.capacity.millicores),
       usedMillicores: sum(({ used }) => used.millicores),
     };
@@ -204,6 +220,9 @@
       .with({ kind: 'worker_gone' }, ({ worker }) => {
         this.unregisterWorker(worker);
       })
+      .with({ kind: 'evacuations' }, (known) => {
+        this.evacuationControl.replace(known);
+      })
       .with({ kind: 'earlier_leases_end' }, ({ at }) => {
         const before = this.earlierLeasesEnd;
         this.earlierLeasesEnd = earlier(before, at);
@@ -263,7 +282,8 @@
     this.reports.expireLeases();
     this.stalls.check();
     this.quarantines.endQuarantines();
-    if (mayStart) {
+    this.evacuationControl.check();
+    if (mayStart && this.context.evacuations.isCurrent(this.context.now)) {
       this.context.needsPlacement = false;
       this.stepPlacement.place();
       this.advicePrefetch.prefetch();
--- a/packages/jobs/src/step-advice.ts
+++ b/packages/jobs/src/step-advice.ts
@@ -36,7 +36,8 @@
   constructor(
     private readonly context: JobContext,
     private readonly balancer: AdviceBalancer,
-    private readonly isPresent: (worker: Worker) => boolean,
+    /** Whether the worker can get work sooner or later. */
+    private readonly isPlaceable: (worker: Worker) => boolean,
   ) {}
 
   /** Whether the step needs no ticket, or has one that can still be used. */
@@ -185,10 +186,8 @@
     const candidates: AdviceCandidate[] = [];
     for (const worker of this.context.workers.values()) {
       const { id } = worker;
-      const isAvailable =
-        this.isPresent(worker) && worker.isReachable && !worker.registration.isDraining;
       const mayBeGranted = step.grants.has(id) || !step.workersWithAdvice.has(id);
-      if (isAvailable && mayBeGranted && isEligible(worker.registration, step)) {
+      if (this.isPlaceable(worker) && mayBeGranted && isEligible(worker.registration, step)) {
         const { free } = availableWorker(worker);
         candidates.push({
           worker: id,
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -80,7 +80,7 @@
 
   place(): void {
     const available = this.availableWorkers();
-    if (this.context.fleet.setWorkers(this.placeableWorkers())) {
+    if (this.setFleet()) {
       this.context.unpark();
     }
     this.serviceUse.update(available, this.context.now);
@@ -89,6 +89,14 @@
     this.reservations.endPass(this.context.now);
   }
 
+  /** Returns whether work may find room where it found none before. */
+  private setFleet(): boolean {
+    const { fleet, evacuatedFleet } = this.context;
+    const evacuated = this.evacuatedWorkers().filter((worker) => this.wouldBePlaceable(worker));
+    evacuatedFleet.setWorkers(evacuated);
+    return fleet.setWorkers(this.placeableWorkers());
+  }
+
   private placeSteps(available: readonly AvailableWorker[]): void {
     const pass = {
       available,
@@ -186,6 +194,14 @@
     return isRegistered || !hasPassed(graceEndsAt, this.context.now);
   }
 
+  /** Registered workers of evacuated data centres. */
+  evacuatedWorkers(): Worker[] {
+    const { evacuations, workers } = this.context;
+    return [...workers.values()].filter(
+      (worker) => evacuations.isEvacuated(worker.registration) && this.isPresent(worker),
+    );
+  }
+
   private availableWorkers(): AvailableWorker[] {
     return [...this.context.workers.values()]
       .filter((worker) => this.isAvailable(worker))
@@ -197,7 +213,15 @@
     return [...this.context.workers.values()].filter((worker) => this.isPlaceable(worker));
   }
 
-  private isPlaceable(worker: Worker): boolean {
+  /** Whether the worker can get work sooner or later. */
+  isPlaceable(worker: Worker): boolean {
+    return (
+      this.wouldBePlaceable(worker) && !this.context.evacuations.isEvacuated(worker.registration)
+    );
+  }
+
+  /** The same, if nothing were evacuated. */
+  private wouldBePlaceable(worker: Worker): boolean {
     return worker.isReachable && this.isPresent(worker) && !worker.registration.isDraining;
   }
 
