Follow the operator's evacuations during a term

The scheduler could leave data centres out, and nothing told it which. An owner whose settings have bounds.evacuateMs reads the records evacuate/ZONE before its scheduler is created, then follows them by long polling, and reads them directly where the poll confirms nothing for a quarter of the bound. After half of it nothing is started until they have been read. The links to workers send and repeat no start into such a data centre. Without the setting nothing is watched.

--- a/packages/jobs/src/evacuations.ts
+++ b/packages/jobs/src/evacuations.ts
@@ -8,6 +8,8 @@
 import type { WorkerRegistration } from '@bamboowell/types/job';
 import { NEVER, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 
+const ALWAYS_PASSED = brandAs<Deadline>(0);
+
 /** What the operator's records were when they were last read. */
 export interface KnownEvacuations {
   readonly zones: readonly DataCentreId[];
@@ -18,6 +20,9 @@
 /** Where nothing is evacuated and no records are followed. */
 export const NO_EVACUATIONS: KnownEvacuations = { zones: [], currentUntil: NEVER };
 
+/** Until the records have been read: nothing is started. */
+export const UNREAD_EVACUATIONS: KnownEvacuations = { zones: [], currentUntil: ALWAYS_PASSED };
+
 export interface EvacuationChanges {
   readonly began: readonly DataCentreId[];
   readonly ended: readonly DataCentreId[];
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -134,7 +134,9 @@
   handleAnswer(worker: Worker, answered: AnsweredOrder): void {
     const { answer } = answered;
     const run = worker.runs.get(runKey(answered.task, answered.run));
-    worker.lastHeardAt = this.context.now;
+    if (answer.kind !== 'evacuated') {
+      worker.lastHeardAt = this.context.now;
+    }
     if (answer.kind === 'other_life') {
       this.endIncarnation(worker);
       return;
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -9,6 +9,7 @@
 import { lineOf } from '@bamboowell/logger/line';
 import {
   brandAs,
+  type DataCentreId,
   type Incarnation,
   type MemberId,
   type Offset,
@@ -105,6 +106,19 @@
   workerId(key: string): WorkerId {
     return brandAs<WorkerId>(key);
   }
+
+  readonly keyBeforeEvacuations = 'evacuate';
+
+  evacuatedZone(key: string): DataCentreId | undefined {
+    return key.startsWith('evacuate/') ? brandAs<DataCentreId>(key.slice(9)) : undefined;
+  }
+
+  evacuation(key: string, value: string): Decoded<DataCentreId> {
+    const zone = brandAs<DataCentreId>(key.slice(9));
+    return value === '{}'
+      ? { kind: 'decoded', value: zone }
+      : { kind: 'unreadable', detail: 'not an object' };
+  }
 }
 
 /** An adviser that grants every requested worker. */
@@ -155,6 +169,8 @@
   readonly members?: number;
   readonly workers?: readonly { readonly name: string; readonly capacity: typeof NO_RESOURCES }[];
   readonly configuration: JobConfiguration;
+  /** By default the operator's evacuations are not followed. */
+  readonly evacuationBoundMillis?: number;
   /** Resources of a member's machine; ample by default. */
   readonly machineOf?: (name: string) => Machine;
   /** Region of a member; that of the store by default. */
@@ -235,6 +251,7 @@
         configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         scheduling: DEFAULT_SCHEDULING,
+        evacuationBoundMillis: options.evacuationBoundMillis,
         stopMillis: 6000,
       },
       clock: processClock,
@@ -328,7 +345,7 @@
       write('operator', 'config', JSON.stringify(configuration));
     },
     /** Writes a record of the operator that is not the configuration. */
-    declareOther: (key: string, value: string): void => {
+    declareOther: (key: string, value: string | undefined): void => {
       write('operator', key, value);
     },
     /** Advances time in small steps, so that all processes act in order. */
--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -100,6 +100,7 @@
         },
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         mayRenew: () => term === terms,
+        mayStart: () => true,
       },
       clock,
     );
--- a/packages/member/src/owner-messages.ts
+++ b/packages/member/src/owner-messages.ts
@@ -5,6 +5,7 @@
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { StepId, Term, WorkerRegistration } from '@bamboowell/types/job';
 import type { Deadline } from '@bamboowell/types/time';
+import type { KnownEvacuations } from '@bamboowell/jobs/evacuations';
 import type { JobInput } from '@bamboowell/jobs/messages';
 import type { ConfigurationUpdate } from './configuration-task.js';
 import type { LoadedWork } from './load-work.js';
@@ -30,6 +31,12 @@
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
   | { readonly kind: 'workers_read' }
+  /** The operator's records of evacuations have been read or confirmed. */
+  | {
+      readonly kind: 'evacuations';
+      readonly term: Term;
+      readonly evacuations: KnownEvacuations;
+    }
   | { readonly kind: 'loaded'; readonly term: Term; readonly work: LoadedWork }
   | {
       readonly kind: 'request';
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -19,11 +19,17 @@
   type Deadline,
   type Instant,
 } from '@bamboowell/types/time';
+import {
+  NO_EVACUATIONS,
+  UNREAD_EVACUATIONS,
+  type KnownEvacuations,
+} from '@bamboowell/jobs/evacuations';
 import type { JobInput, JobOutput } from '@bamboowell/jobs/messages';
 import type { JobOrdering } from '@bamboowell/jobs/ordering';
 import { JobScheduler, type Times } from '@bamboowell/jobs/scheduler';
 import { AdviceCalls } from './advice-calls.js';
 import { NO_VERSION, ageMillis } from './configuration-task.js';
+import { EvacuationsWatch, RELIANCE_FRACTION } from './evacuations-watch.js';
 import { allLeasesEnd, leasesEndAfter } from './lease-clock.js';
 import { TAKEOVER_KEY, loadWork, type LoadedWork } from './load-work.js';
 import type { MemberPort } from './member-port.js';
@@ -148,6 +154,13 @@
           this.startServing();
         }
       })
+      .with({ kind: 'evacuations' }, ({ term, evacuations }) => {
+        if (this.tenure?.term === term) {
+          this.tenure.evacuations = evacuations;
+          this.stepScheduler({ kind: 'evacuations', ...evacuations });
+          this.startServing();
+        }
+      })
       .with({ kind: 'loaded' }, ({ term, work }) => {
         if (this.tenure?.term === term) {
           this.workLoaded(this.tenure, work);
@@ -260,6 +273,7 @@
         owner: this,
         longestLeaseMillis: settings.longestLeaseMillis,
         mayRenew: () => this.mayRenew(tenure),
+        mayStart: (place) => tenure.scheduler?.mayStart(place, this.clock.now()) === true,
       },
       this.clock,
     );
@@ -267,15 +281,45 @@
     const writer = this.makeWriter(term);
     const moment = (): Moment => ({ at: this.clock.now(), wallMillis: this.options.wallMillis() });
     const witnesses = new Witnesses(term, this.clock, moment, this);
-    const tenure = newTenure({ term, precedence, writer, watch, links, witnesses }, now);
+    const evacuationsWatch = this.makeEvacuationsWatch(term);
+    const tenure = newTenure(
+      { term, precedence, writer, watch, evacuationsWatch, links, witnesses },
+      now,
+    );
     this.tenure = tenure;
     const { endsSoon } = precedence;
     events.event('owner.elected', { term, earlierOwnerEndsSoon: endsSoon });
     tenure.watch.start();
+    evacuationsWatch?.start();
     writer.keepAlive(settings.member);
     this.tickLater();
   }
 
+  private makeEvacuationsWatch(term: Term): EvacuationsWatch | undefined {
+    const { store, documents, events, settings } = this.options;
+    const { evacuationBoundMillis: boundMillis } = settings;
+    return boundMillis === undefined
+      ? undefined
+      : new EvacuationsWatch(
+          { store, documents, events, owner: this, term, boundMillis },
+          this.clock,
+        );
+  }
+
+  /**
+   * What is known of evacuations before the term's first start; undefined while that is still being read. An
+   * owner that can't read it takes in jobs and renews leases, and starts nothing.
+   */
+  private knownEvacuations({ electedAt, evacuations }: Tenure): KnownEvacuations | undefined {
+    const { evacuationBoundMillis: boundMillis } = this.options.settings;
+    if (boundMillis === undefined) {
+      return NO_EVACUATIONS;
+    }
+    const awaitedUntil = deadlineAfter(electedAt, boundMillis * RELIANCE_FRACTION);
+    const isOverdue = hasPassed(awaitedUntil, this.clock.now());
+    return evacuations ?? (isOverdue ? UNREAD_EVACUATIONS : undefined);
+  }
+
   private makeWriter(term: Term): WorkLogWriter {
     const { store, events, wallMillis } = this.options;
     return new WorkLogWriter({
@@ -370,6 +414,10 @@
     ) {
       return;
     }
+    const evacuations = this.knownEvacuations(tenure);
+    if (evacuations === undefined) {
+      return;
+    }
     const { longestLeaseMillis } = this.options.settings;
     const { restored } = tenure.work;
     const earlierLeasesEnd = this.earlierLeasesEnd(tenure.earlierRenewalsEnd);
@@ -382,6 +430,7 @@
         leasesEnd: (now) => allLeasesEnd(now, longestLeaseMillis),
         restored,
         workers: [...tenure.registrations.values()],
+        evacuations,
       },
       this.times(),
     );
@@ -580,6 +629,7 @@
     tenure.witnesses.ask();
     this.logRenewals(tenure);
     this.settleTakeover(tenure, now);
+    this.startServing();
     if (tenure.scheduler !== undefined) {
       this.stepScheduler({ kind: 'lag', millis: now - dueAt });
       if (!this.isPassScheduled) {
@@ -655,6 +705,7 @@
     this.tenure = undefined;
     tenure.hasEnded = true;
     tenure.watch.stop();
+    tenure.evacuationsWatch?.stop();
     tenure.links.closeAll();
     this.requests.dropAll();
     this.options.events.event('owner.stood_down', { term: tenure.term, reason });
--- a/packages/member/src/ports.ts
+++ b/packages/member/src/ports.ts
@@ -3,7 +3,7 @@
  * no decisions.
  */
 
-import type { WorkerId } from '@bamboowell/types/ids';
+import type { DataCentreId, WorkerId } from '@bamboowell/types/ids';
 import type {
   EndedEntry,
   EndNumber,
@@ -114,4 +114,11 @@
   abstract configuration(key: string, value: string): Decoded<JobConfiguration> | undefined;
   abstract worker(key: string, value: string): Decoded<WorkerRegistration>;
   abstract workerId(key: string): WorkerId;
+
+  /** Of the operator's records, those of evacuated data centres have keys after this one. */
+  abstract readonly keyBeforeEvacuations: string;
+  /** The data centre that a record with this key evacuates; undefined if the key is of another kind. */
+  abstract evacuatedZone(key: string): DataCentreId | undefined;
+  /** Whether the value of such a record is as it should be. */
+  abstract evacuation(key: string, value: string): Decoded<DataCentreId>;
 }
--- a/packages/member/src/settings.ts
+++ b/packages/member/src/settings.ts
@@ -27,6 +27,11 @@
   /** Longest time that a worker keeps its runs without a lease renewal, by its own clock. */
   readonly longestLeaseMillis: number;
   readonly scheduling: SchedulingOptions;
+  /**
+   * No task may be started in a data centre this long after the record that evacuates it was stored;
+   * undefined where the operator's evacuations are not followed.
+   */
+  readonly evacuationBoundMillis: number | undefined;
   /** Grace period between the request to stop and the end of the process. */
   readonly stopMillis: number;
 }
--- a/packages/member/src/tenure.ts
+++ b/packages/member/src/tenure.ts
@@ -3,7 +3,9 @@
 import type { WorkerId } from '@bamboowell/types/ids';
 import type { Term, WorkerRegistration } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
+import type { KnownEvacuations } from '@bamboowell/jobs/evacuations';
 import type { JobScheduler } from '@bamboowell/jobs/scheduler';
+import type { EvacuationsWatch } from './evacuations-watch.js';
 import type { LoadedWork } from './load-work.js';
 import type { RenewalGrounds } from './ownership-proof.js';
 import type { Precedence } from './succession.js';
@@ -18,6 +20,8 @@
   readonly electedAt: Instant;
   readonly writer: WorkLogWriter;
   readonly watch: WorkersWatch;
+  /** Undefined where the operator's evacuations are not followed. */
+  readonly evacuationsWatch: EvacuationsWatch | undefined;
   readonly links: WorkerLinks;
   readonly witnesses: Witnesses;
   /** Workers that the store lists, collected until the scheduler is created. */
@@ -29,6 +33,8 @@
   /** Whether the store has been told that earlier owners have stopped. */
   isTakeoverSettled: boolean;
   areWorkersRead: boolean;
+  /** As last read; undefined before that. */
+  evacuations: KnownEvacuations | undefined;
   work: LoadedWork | undefined;
   scheduler: JobScheduler | undefined;
   nextFiguresAt: Deadline;
@@ -39,7 +45,10 @@
 }
 
 export function newTenure(
-  parts: Pick<Tenure, 'term' | 'precedence' | 'writer' | 'watch' | 'links' | 'witnesses'>,
+  parts: Pick<
+    Tenure,
+    'term' | 'precedence' | 'writer' | 'watch' | 'evacuationsWatch' | 'links' | 'witnesses'
+  >,
   now: Instant,
 ): Tenure {
   return {
@@ -47,6 +56,7 @@
     electedAt: now,
     registrations: new Map(),
     areWorkersRead: false,
+    evacuations: undefined,
     fencedAt: undefined,
     earlierRenewalsEnd: undefined,
     isTakeoverSettled: false,
--- a/packages/member/src/topic-watch.ts
+++ b/packages/member/src/topic-watch.ts
@@ -37,6 +37,10 @@
    * again only if it has grown.
    */
   readonly hasLargeRecords?: boolean;
+  /** Only keys after this are read when the whole topic is. */
+  readonly after?: string;
+  /** Longest time that a poll waits for a record, if that is shorter than usual. */
+  readonly pollWaitMillis?: number;
 }
 
 export interface TopicListener {
@@ -154,7 +158,7 @@
   private async readAll(): Promise<boolean> {
     const entries: StoreEntry[] = [];
     let endAtFirstPage: Offset | undefined;
-    let after: string | undefined;
+    let { after } = this.options;
     const askedAt = this.clock.now();
     do {
       const page = await this.store.newest(this.topic, after, this.deadlineAfterWait(0));
@@ -175,7 +179,8 @@
   }
 
   private async readFrom(from: Offset): Promise<boolean> {
-    const waitMillis = this.isUnconfirmed ? 0 : POLL_WAIT_MILLIS;
+    const { pollWaitMillis = POLL_WAIT_MILLIS } = this.options;
+    const waitMillis = this.isUnconfirmed ? 0 : Math.min(pollWaitMillis, POLL_WAIT_MILLIS);
     const askedAt = this.clock.now();
     const part = await this.store.read(
       this.topic,
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -115,7 +115,7 @@
   const clock = new ManualClock(1000);
   const port = new ScriptedPort(clock);
   const ownerMessages: OwnerMessage[] = [];
-  const lease = { mayRenew: true };
+  const lease = { mayRenew: true, mayStart: true };
   /** An owner that isn't busy takes in reports at once. */
   const owner = { isBusy: false };
   let fences = 0;
@@ -140,6 +140,7 @@
       earlierLeaseEnds,
       longestLeaseMillis: 6000,
       mayRenew: () => lease.mayRenew,
+      mayStart: () => lease.mayStart,
     },
     clock,
   );
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -91,6 +91,8 @@
   readonly longestLeaseMillis: number;
   /** Whether leases may be renewed: an owner cut off from the store and all members must not. */
   readonly mayRenew: () => boolean;
+  /** Whether a start may be sent now: not into a data centre that is evacuated, or may be. */
+  readonly mayStart: () => boolean;
 }
 
 export class WorkerLinkTask extends Task<WorkerLinkMessage> {
@@ -391,6 +393,10 @@
     if (this.isClosed || open?.order !== order) {
       return;
     }
+    if (order.kind === 'start' && !this.options.mayStart()) {
+      this.close(open, { kind: 'evacuated' });
+      return;
+    }
     const call = order.kind === 'stop' ? this.stopCall(order) : this.startCall(order, open);
     if (call === undefined) {
       open.isHeldBack = true;
@@ -454,6 +460,11 @@
       this.postAt(deadlineAfter(this.clock.now(), RETRY_DELAY_MILLIS), { kind: 'send', order });
       return;
     }
+    this.close(open, answer);
+  }
+
+  /** Repeats the order no more, and tells the owner what became of it. */
+  private close({ order, unansweredAt }: OpenOrder, answer: OrderAnswer): void {
     this.orders.delete(keyOf(order));
     const { owner, target } = this.options;
     owner.post({
@@ -465,7 +476,7 @@
         task: order.task,
         run: order.run,
         answer,
-        hasUnansweredCopies: open.unansweredAt !== undefined,
+        hasUnansweredCopies: unansweredAt !== undefined,
       },
     });
   }
--- a/packages/member/src/worker-links.ts
+++ b/packages/member/src/worker-links.ts
@@ -16,6 +16,8 @@
   readonly longestLeaseMillis: number;
   /** Whether leases may be renewed. */
   readonly mayRenew: () => boolean;
+  /** Whether a start may be sent to the worker now. */
+  readonly mayStart: (registration: WorkerRegistration) => boolean;
 }
 
 export class WorkerLinks {
@@ -30,11 +32,13 @@
   }
 
   /** Opens a link to a worker, where the lease of an earlier owner may run until `lapsesAt`. */
-  open({ id, incarnation, address }: WorkerRegistration, lapsesAt: Deadline): void {
+  open(registration: WorkerRegistration, lapsesAt: Deadline): void {
+    const { id, incarnation, address } = registration;
+    const mayStart = (): boolean => this.options.mayStart(registration);
     const target = { id, incarnation, address };
     const nextFence = (): Fence => this.fences.next();
     const link = new WorkerLinkTask(
-      { ...this.options, target, nextFence, earlierLeaseEnds: lapsesAt },
+      { ...this.options, mayStart, target, nextFence, earlierLeaseEnds: lapsesAt },
       this.clock,
     );
     this.links.set(incarnation, link);
