--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -92,7 +92,7 @@
   }
 }
 
-class JsonDocuments extends Documents {
+export class JsonDocuments extends Documents {
   configuration(key: string, value: string): Decoded<JobConfiguration> | undefined {
     return key === 'config'
       ? { kind: 'decoded', value: JSON.parse(value) as JobConfiguration }
@@ -167,7 +167,11 @@
 
 export interface ClusterOptions {
   readonly members?: number;
-  readonly workers?: readonly { readonly name: string; readonly capacity: typeof NO_RESOURCES }[];
+  readonly workers?: readonly {
+    readonly name: string;
+    readonly capacity: typeof NO_RESOURCES;
+    readonly zone?: string;
+  }[];
   readonly configuration: JobConfiguration;
   /** By default the operator's evacuations are not followed. */
   readonly evacuationBoundMillis?: number;
@@ -194,8 +198,9 @@
   const jobs = new JobInvariants(now);
   const log: string[] = [];
   const workers = new Map<WorkerId, EmulatedWorker>();
-  for (const { name, capacity } of options.workers ?? []) {
+  for (const { name, capacity, zone } of options.workers ?? []) {
     const worker = new EmulatedWorker(name, capacity, now, jobs, random);
+    worker.zone = zone ?? worker.zone;
     workers.set(worker.id, worker);
   }
   jobs.setWorkers(workers.values());
--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -54,6 +54,9 @@
   incarnation: WorkerIncarnation;
   isUp = true;
   isDraining = false;
+  zone = 'west';
+  /** When each of its runs began. */
+  readonly startedRunsAt: number[] = [];
   /** Whether every run on this worker fails. */
   failsAllRuns = false;
   /** Whether it leaves half of the starts unanswered and carries them out late, and refuses the others. */
@@ -87,11 +90,11 @@
   }
 
   registration(): WorkerRegistration {
-    const { id, incarnation, capacity, isDraining } = this;
+    const { id, incarnation, capacity, isDraining, zone } = this;
     const address = `${id}:80`;
     const labels = ['a', 'r1'];
     const rack = brandAs<RackId>('r1');
-    const place = { service: 'tunnels', zone: 'west', labels, rack };
+    const place = { service: 'tunnels', zone, labels, rack };
     return { id, incarnation, address, isDraining, capacity, ...place };
   }
 
@@ -239,6 +242,7 @@
       isLate: this.isCarryingOutLate,
     });
     this.highestRun.set(order.task, order.run);
+    this.startedRunsAt.push(this.now());
     const millis = plan.estimateMillis * (0.5 + this.random());
     this.runs.set(keyOf(order), {
       task: order.task,
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -259,6 +259,31 @@
   t.is(port.starts.length, 4);
 });
 
+// Guards against a start that is repeated for seconds and begins in a data centre that is taken out of service.
+test('a start is neither sent nor repeated into an evacuated data centre, and the owner is told', async (t) => {
+  const { link, port, lease, advance, inputs } = linkBench();
+  const givenUp = () =>
+    inputs().flatMap((input) =>
+      input.kind === 'order_answered' ? [[input.answer.kind, input.hasUnansweredCopies]] : [],
+    );
+  port.answers.push('silence');
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(100);
+  lease.mayStart = false;
+  await advance(3000);
+  t.is(port.starts.length, 1);
+  t.deepEqual(givenUp(), [['evacuated', true]]);
+  link.post({ kind: 'order', order: { ...START, run: brandAs<RunNumber>(2) } });
+  await advance(100);
+  t.is(port.starts.length, 1);
+  t.deepEqual(givenUp().at(-1), ['evacuated', false]);
+  lease.mayStart = true;
+  await advance(3000);
+  t.is(port.starts.length, 1);
+});
+
 test('an answer from another incarnation of the worker ends the link', async (t) => {
   const { link, port, advance, inputs } = linkBench();
   port.holds.push(port.held(), { kind: 'other_life' });
