--- a/packages/member/src/evacuations-watch.test.ts
+++ b/packages/member/src/evacuations-watch.test.ts
@@ -145,6 +145,16 @@
   t.is(bench.reliedOnUntil(), 1000 + BOUND_MILLIS / 4 + BOUND_MILLIS / 2);
 });
 
+// Guards against starts on the word of a store that does not know its topic for a moment.
+test('a reading that lacks records that were there confirms nothing', async (t) => {
+  const bench = watchBench();
+  await bench.answer('newest', [entry('west', 3)], 5);
+  await bench.advance(BOUND_MILLIS / 4);
+  await bench.answer('newest', [], 0);
+  t.deepEqual(bench.zones(), [brandAs<DataCentreId>('west')]);
+  t.is(bench.reliedOnUntil(), 1000 + BOUND_MILLIS / 2);
+});
+
 // Guards against an answer that was on its way for long and ends an evacuation that has begun since.
 test('an answer that is older than what is known changes nothing', async (t) => {
   const bench = watchBench();
--- a/packages/member/src/evacuations-watch.ts
+++ b/packages/member/src/evacuations-watch.ts
@@ -47,6 +47,8 @@
   private readonly unreadableKeys = new Set<string>();
   /** All records before this offset have been taken in. */
   private knownUpTo = brandAs<Offset>(0);
+  /** Whether the last reading of all records was older than what is known: its store may have lost records. */
+  private isBehind = false;
   /** When the store had no further records at the latest. */
   private confirmedAt: Instant | undefined;
   private readonly startedAt: Instant;
@@ -128,7 +130,8 @@
 
   /** Takes in the newest record of each key, unless later records have been taken in already. */
   private replaceAll(entries: readonly StoreEntry[], end: Offset): void {
-    if (end < this.knownUpTo) {
+    this.isBehind = end < this.knownUpTo;
+    if (this.isBehind) {
       return;
     }
     this.knownUpTo = end;
@@ -183,7 +186,8 @@
   }
 
   private confirm(at: Instant): void {
-    if (this.confirmedAt === undefined || at > this.confirmedAt) {
+    const isLater = this.confirmedAt === undefined || at > this.confirmedAt;
+    if (isLater && !this.isBehind) {
       this.confirmedAt = at;
       this.notify();
     }
