--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -19,6 +19,8 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { EvacuationControl } from './evacuation-control.js';
+import { NO_EVACUATIONS, type KnownEvacuations } from './evacuations.js';
 import { ExcessByAcceptance } from './excess-ordering.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
@@ -45,6 +47,8 @@
   readonly leasesEnd: (now: Instant) => Deadline;
   readonly restored: Restored;
   readonly workers: readonly WorkerRegistration[];
+  /** Undefined where no evacuations are followed. */
+  readonly evacuations?: KnownEvacuations | undefined;
 }
 
 /** Counts of jobs, runs and workers, and how much processor time of the workers is used. */
@@ -56,6 +60,8 @@
   readonly workers: number;
   /** Workers on which nothing runs. */
   readonly idleWorkers: number;
+  /** Registered workers of evacuated data centres. */
+  readonly evacuatedWorkers: number;
   readonly millicores: number;
   readonly usedMillicores: number;
 }
@@ -78,6 +84,7 @@
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
   private readonly stalls: Stalls;
+  private readonly evacuationControl: EvacuationControl;
   private readonly advicePrefetch: AdvicePrefetch;
   private earlierLeasesEnd: Deadline;
 
@@ -118,7 +125,7 @@
     );
     this.stalls = new Stalls(context, this.orders);
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
-      this.stepPlacement.isPresent(worker),
+      this.stepPlacement.isPlaceable(worker),
     );
     this.stepPlacement = new StepPlacement(
       context,
@@ -136,6 +143,8 @@
       this.registerWorker(registration);
     });
     this.restore(options.restored);
+    this.evacuationControl = new EvacuationControl(context, this.orders);
+    this.evacuationControl.begin(options.evacuations ?? NO_EVACUATIONS);
   }
 
   /** Handles one input and returns the outputs to be carried out, in order. */
@@ -159,7 +168,13 @@
 
   /** Whether a placement pass may start something. */
   get needsPlacement(): boolean {
-    return this.context.needsPlacement;
+    const { needsPlacement, evacuations, now } = this.context;
+    return needsPlacement && evacuations.isCurrent(now);
+  }
+
+  /** Whether a start may be sent to a worker of this data centre now. */
+  mayStart(place: Pick<WorkerRegistration, 'zone'>, now: Instant): boolean {
+    return this.context.evacuations.mayStart(place, now);
   }
 
   /** Whether the job has been taken and no record of it has been sent to the store. */
@@ -179,6 +194,7 @@
       runs: sum(({ runs }) => runs.size),
       workers: workers.length,
       idleWorkers: sum(({ runs }) => Number(runs.size === 0)),
+      evacuatedWorkers: this.stepPlacement.evacuatedWorkers().length,
       millicores: sum(({ registration }) => registration.capacity.millicores),
       usedMillicores: sum(({ used }) => used.millicores),
     };
@@ -220,6 +236,9 @@
       .with({ kind: 'worker_gone' }, ({ worker }) => {
         this.unregisterWorker(worker);
       })
+      .with({ kind: 'evacuations' }, (known) => {
+        this.evacuationControl.replace(known);
+      })
       .with({ kind: 'earlier_leases_end' }, ({ at }) => {
         const before = this.earlierLeasesEnd;
         this.earlierLeasesEnd = earlier(before, at);
@@ -280,7 +299,8 @@
     this.reports.expireLeases();
     this.stalls.check();
     this.quarantines.endQuarantines();
-    if (mayStart) {
+    this.evacuationControl.check();
+    if (mayStart && this.context.evacuations.isCurrent(this.context.now)) {
       this.context.needsPlacement = false;
       this.stepPlacement.place();
       this.advicePrefetch.prefetch();
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -9,6 +9,7 @@
 import { lineOf } from '@bamboowell/logger/line';
 import {
   brandAs,
+  type DataCentreId,
   type Incarnation,
   type MemberId,
   type Offset,
@@ -91,7 +92,7 @@
   }
 }
 
-class JsonDocuments extends Documents {
+export class JsonDocuments extends Documents {
   configuration(key: string, value: string): Decoded<JobConfiguration> | undefined {
     return key === 'config'
       ? { kind: 'decoded', value: JSON.parse(value) as JobConfiguration }
@@ -105,6 +106,19 @@
   workerId(key: string): WorkerId {
     return brandAs<WorkerId>(key);
   }
+
+  readonly keyBeforeEvacuations = 'evacuate';
+
+  evacuatedZone(key: string): DataCentreId | undefined {
+    return key.startsWith('evacuate/') ? brandAs<DataCentreId>(key.slice(9)) : undefined;
+  }
+
+  evacuation(key: string, value: string): Decoded<DataCentreId> {
+    const zone = brandAs<DataCentreId>(key.slice(9));
+    return value === '{}'
+      ? { kind: 'decoded', value: zone }
+      : { kind: 'unreadable', detail: 'not an object' };
+  }
 }
 
 /** An adviser that grants every requested worker. */
@@ -153,8 +167,14 @@
 
 export interface ClusterOptions {
   readonly members?: number;
-  readonly workers?: readonly { readonly name: string; readonly capacity: typeof NO_RESOURCES }[];
+  readonly workers?: readonly {
+    readonly name: string;
+    readonly capacity: typeof NO_RESOURCES;
+    readonly zone?: string;
+  }[];
   readonly configuration: JobConfiguration;
+  /** By default the operator's evacuations are not followed. */
+  readonly evacuationBoundMillis?: number;
   /** Resources of a member's machine; ample by default. */
   readonly machineOf?: (name: string) => Machine;
   /** Region of a member; that of the store by default. */
@@ -178,8 +198,9 @@
   const jobs = new JobInvariants(now);
   const log: string[] = [];
   const workers = new Map<WorkerId, EmulatedWorker>();
-  for (const { name, capacity } of options.workers ?? []) {
+  for (const { name, capacity, zone } of options.workers ?? []) {
     const worker = new EmulatedWorker(name, capacity, now, jobs, random);
+    worker.zone = zone ?? worker.zone;
     workers.set(worker.id, worker);
   }
   jobs.setWorkers(workers.values());
@@ -235,6 +256,7 @@
         configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         scheduling: DEFAULT_SCHEDULING,
+        evacuationBoundMillis: options.evacuationBoundMillis,
         stopMillis: 6000,
       },
       clock: processClock,
@@ -328,7 +350,7 @@
       write('operator', 'config', JSON.stringify(configuration));
     },
     /** Writes a record of the operator that is not the configuration. */
-    declareOther: (key: string, value: string): void => {
+    declareOther: (key: string, value: string | undefined): void => {
       write('operator', key, value);
     },
     /** Advances time in small steps, so that all processes act in order. */
