--- a/packages/member/src/workers-watch.ts
+++ b/packages/member/src/workers-watch.ts
@@ -60,6 +60,7 @@
     }
   }
 
+  /** An unreadable entry comes from another writer, and says nothing about the worker registered before it. */
   private handleEntry({ key, value }: StoreEntry): void {
     if (value === undefined) {
       this.unreadableKeys.delete(key);
@@ -73,7 +74,6 @@
       this.owner.post({ kind: 'worker', registration: decoded.value });
       return;
     }
-    this.remove(this.documents.workerId(key));
     if (!this.unreadableKeys.has(key)) {
       this.unreadableKeys.add(key);
       this.events.event('record.unreadable', { topic: 'workers', key, detail: decoded.detail });
