Run times learned from finished runs order and place work, and copies replace slow runs

Declared run times are wrong by half and more, so that the order, the windows of gangs and the room of backfilled work rest on wrong numbers, and a few tasks in a hundred take seven times as long. A task whose plan allows copies gets a second run elsewhere once it has taken far longer than nearly all of its kind, in room that no waiting step needs. With declared run times nothing changes.

--- a/packages/jobs/src/advice-prefetch.ts
+++ b/packages/jobs/src/advice-prefetch.ts
@@ -3,12 +3,12 @@
  * it end.
  */
 
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { brandAs } from '@bamboowell/types/ids';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import { isStepDone, type Run, type Step, type Task } from './model.js';
-import { endByProgress } from './run-ends.js';
+import { endByEstimate, endByProgress } from './run-ends.js';
 import type { StepPlacement } from './step-placement.js';
 
 /** Interval between checks of upcoming steps, milliseconds. */
@@ -66,14 +66,14 @@
   }
 
   private remainingMillisOfTask({ runs }: Task): number {
-    const [run] = runs;
-    return run === undefined
-      ? Number.POSITIVE_INFINITY
-      : remainingMillisOfRun(run, this.context.now);
+    const remaining = runs.map((run) => this.remainingMillisOfRun(run));
+    return Math.min(Number.POSITIVE_INFINITY, ...remaining);
   }
-}
 
-function remainingMillisOfRun(run: Run, now: Instant): number {
-  const end = endByProgress(run);
-  return end === undefined ? Number.POSITIVE_INFINITY : Math.max(1, end - now);
+  private remainingMillisOfRun(run: Run): number {
+    const { now, runTimes } = this.context;
+    const isKnown = run.confirmedAt !== undefined && runTimes.isKnown(run.task.step);
+    const end = endByProgress(run) ?? (isKnown ? endByEstimate(run, now, runTimes) : undefined);
+    return end === undefined ? Number.POSITIVE_INFINITY : Math.max(1, end - now);
+  }
 }
--- a/packages/jobs/src/gang-plan.ts
+++ b/packages/jobs/src/gang-plan.ts
@@ -5,6 +5,7 @@
 import { countFitting, type AvailableWorker } from './available-workers.js';
 import { allocationOf, type Step, type Worker } from './model.js';
 import { expectedEndOf } from './run-ends.js';
+import type { RunTimes } from './run-times.js';
 
 export interface GangPlan {
   /** When there is expected to be room for all its tasks. */
@@ -55,9 +56,12 @@
   return { startsAt, tasksByWorker: distribute(step.plan.count, usable) };
 }
 
-export function outlookOf(candidate: AvailableWorker, now: Instant): Outlook {
+export function outlookOf(candidate: AvailableWorker, now: Instant, runTimes?: RunTimes): Outlook {
   const ends = [...candidate.worker.runs.values()]
-    .map((run) => ({ at: expectedEndOf(run, now), frees: allocationOf(run.task.step.plan) }))
+    .map((run) => ({
+      at: expectedEndOf(run, now, runTimes),
+      frees: allocationOf(run.task.step.plan),
+    }))
     .filter(({ at }) => at !== NEVER)
     .sort((left, right) => left.at - right.at);
   return { candidate, ends };
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -46,6 +46,8 @@
   progress: Progress | undefined;
   /** Whether nothing may be started beside it for a while, because its task may crash workers. */
   readonly isIsolated: boolean;
+  /** Whether all of it was seen, so that its time tells how long such a task takes. */
+  isTimed?: boolean;
 }
 
 /** Progress as seen in reports: only these tell how long it has not changed. */
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -1,8 +1,8 @@
 /** The order in which waiting steps are placed. */
 
-import type { JobPlan, StepPlan } from '@bamboowell/types/job';
 import type { JobContext } from './context.js';
 import type { Step } from './model.js';
+import type { RunTimes } from './run-times.js';
 
 /** Sorts steps into the order in which they are placed. */
 export abstract class JobOrdering {
@@ -10,43 +10,19 @@
   abstract sorted(steps: Iterable<Step>, context: JobContext): Step[];
 }
 
-/** Estimated processor time of all tasks of the step, core-milliseconds; at least one core each. */
-export function sizeOf({ plan }: Step): number {
-  return plan.count * Math.max(1, plan.demand.millicores / 1000) * Math.max(1, plan.estimateMillis);
+/** Expected processor time of all tasks of the step, core-milliseconds; at least one core each. */
+export function sizeOf(step: Step, runTimes: RunTimes): number {
+  const { count, demand } = step.plan;
+  return count * Math.max(1, demand.millicores / 1000) * Math.max(1, runTimes.expectedMillis(step));
 }
 
 /**
- * Time within which the job counts as on time, by its estimates, milliseconds; from its acceptance,
- * or from when the occurrence is due if the job is repeated.
+ * Time within which the job counts as on time, by its expected run times, milliseconds; from its
+ * acceptance, or from when the occurrence is due if the job is repeated.
  */
-export function latencyObjectiveMillis({ job }: Step): number {
-  const pathMillis = job.plan === undefined ? 0 : criticalPathOf(job.plan);
-  return job.queue.objectiveFactor * pathMillis + job.queue.targetLatencyMillis;
-}
-
-/**
- * Critical paths by plan, milliseconds. Cached because plans never change and all waiting steps are
- * ranked many times a second.
- */
-const criticalPaths = new WeakMap<JobPlan, number>();
-
-function criticalPathOf(plan: JobPlan): number {
-  const cached = criticalPaths.get(plan);
-  if (cached !== undefined) {
-    return cached;
-  }
-  const pathMillis = criticalPathMillis(plan.steps);
-  criticalPaths.set(plan, pathMillis);
-  return pathMillis;
-}
-
-function criticalPathMillis(steps: readonly StepPlan[]): number {
-  const ends: number[] = [];
-  for (const { estimateMillis, after } of steps) {
-    const begin = Math.max(0, ...after.map((index) => ends[index] ?? 0));
-    ends.push(begin + estimateMillis);
-  }
-  return Math.max(0, ...ends);
+export function latencyObjectiveMillis(step: Step, runTimes: RunTimes): number {
+  const { objectiveFactor, targetLatencyMillis } = step.job.queue;
+  return objectiveFactor * runTimes.criticalPathMillis(step) + targetLatencyMillis;
 }
 
 /** A late job still has value up to this many times its objective. */
@@ -101,7 +77,7 @@
     step,
     band: bandOf(step, context),
     priority: step.job.queue.priority,
-    size: sizeOf(step),
+    size: sizeOf(step, context.runTimes),
   };
 }
 
@@ -116,7 +92,7 @@
       ? step.job.acceptedAt
       : plan.repetition.firstAt + step.occurrence.index * plan.repetition.intervalMillis;
   const age = context.wall - from;
-  const objective = latencyObjectiveMillis(step);
+  const objective = latencyObjectiveMillis(step, context.runTimes);
   if (age > MAX_LATENESS_FACTOR * objective) {
     return 3;
   }
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -2,7 +2,12 @@
 
 import { match } from 'ts-pattern';
 import { brandAs } from '@bamboowell/types/ids';
-import type { WorkerIncarnation, RunNumber, StepTaskId } from '@bamboowell/types/job';
+import {
+  NO_PROGRESS,
+  type WorkerIncarnation,
+  type RunNumber,
+  type StepTaskId,
+} from '@bamboowell/types/job';
 import { deadlineAfter, hasPassed } from '@bamboowell/types/time';
 import { fits } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
@@ -145,6 +150,7 @@
     }
     run.phase = 'ordered';
     run.hasUnansweredStart = true;
+    run.isTimed = run.task.saved === NO_PROGRESS;
     job.visibleState = job.visibleState === 'pending' ? 'running' : job.visibleState;
     this.context.emit({
       kind: 'order',
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -76,6 +76,10 @@
         runs: worker.runs.size,
         lapsesInMillis: Math.round(lapsesAt - this.context.now),
       });
+      worker.runs.forEach((run) => {
+        // It may end at any time before the worker answers again.
+        run.isTimed = false;
+      });
     }
     worker.isReachable = false;
     // A link that has never had an answer has renewed no lease, and may not know how soon earlier ones end.
@@ -240,6 +244,9 @@
     const queue = task.step.job.plan?.queue;
     if (entry.end === 'done' && !task.step.plan.isLasting) {
       this.quarantines.recordSuccess(worker.id, queue);
+      if (run !== undefined) {
+        this.context.runTimes.record(run, this.context.now);
+      }
       this.lifecycle.runSucceeded(task, entry.run);
       return;
     }
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -15,6 +15,7 @@
 import { freeAt, outlookOf, planGang, type GangPlan, type Outlook } from './gang-plan.js';
 import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
+import type { RunTimes } from './run-times.js';
 import type { ServiceUse } from './service-use.js';
 
 /** Fraction of the workers on which room may be kept in one pass: the rest takes whatever fits. */
@@ -44,7 +45,10 @@
   private workers: ReadonlyMap<Worker, AvailableWorker> = new Map();
   private plansInPass = 0;
 
-  constructor(private readonly serviceUse: ServiceUse) {}
+  constructor(
+    private readonly serviceUse: ServiceUse,
+    private readonly runTimes: RunTimes,
+  ) {}
 
   /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
   beginPass(workers: readonly AvailableWorker[]): void {
@@ -144,7 +148,7 @@
     if (known !== undefined) {
       return known;
     }
-    const outlook = outlookOf(candidate, now);
+    const outlook = outlookOf(candidate, now, this.runTimes);
     this.outlooks.set(candidate, outlook);
     return outlook;
   }
--- a/packages/jobs/src/run-ends.ts
+++ b/packages/jobs/src/run-ends.ts
@@ -2,15 +2,20 @@
 
 import { NEVER, deadlineAfter, later, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { Run, Step } from './model.js';
-import { OVERRUN_FACTOR } from './run-times.js';
+import { DECLARED_RUN_TIMES, OVERRUN_FACTOR, type RunTimes } from './run-times.js';
 
 /** Progress below this, percent, tells too little about when a run will end. */
 const MIN_PERCENT_TO_ESTIMATE = 15;
+
 /**
  * When the run is expected to have ended: by its progress or, as long as that tells too little, by its
- * caller's estimate. `NEVER` for a lasting task; not before `now`.
+ * expected run time. `NEVER` for a lasting task; not before `now`.
  */
-export function expectedEndOf(run: Run, now: Instant): Deadline {
+export function expectedEndOf(
+  run: Run,
+  now: Instant,
+  runTimes: RunTimes = DECLARED_RUN_TIMES,
+): Deadline {
   const soonest = deadlineAfter(now, 0);
   if (run.phase === 'stopping') {
     return soonest;
@@ -18,17 +23,20 @@
   if (run.task.step.plan.isLasting) {
     return NEVER;
   }
-  return later(soonest, endByProgress(run) ?? endByEstimate(run, now));
+  return later(soonest, endByProgress(run) ?? endByEstimate(run, now, runTimes));
 }
 
 /**
  * By when a run of the step that starts now ends, also if it outlives its estimate; `NEVER` for a lasting task
  * and for one without an estimate.
  */
-export function lateEndIfStarted({ plan }: Step, now: Instant): Deadline {
-  return plan.isLasting || plan.estimateMillis === 0
-    ? NEVER
-    : deadlineAfter(now, OVERRUN_FACTOR * plan.estimateMillis);
+export function lateEndIfStarted(
+  step: Step,
+  now: Instant,
+  runTimes: RunTimes = DECLARED_RUN_TIMES,
+): Deadline {
+  const lateMillis = step.plan.isLasting ? 0 : runTimes.lateMillis(step);
+  return lateMillis === 0 ? NEVER : deadlineAfter(now, lateMillis);
 }
 
 /** When the run will end if it goes on as it did; undefined if its progress tells too little. */
@@ -45,11 +53,20 @@
   return deadlineAfter(lastSeenAt, millisPerPercent * (100 - percent));
 }
 
-function endByEstimate({ task, confirmedAt }: Run, now: Instant): Deadline {
+/** A run that outlives its expected time is expected to be a late one, and then to take ever longer. */
+export function endByEstimate(
+  { task, worker, confirmedAt }: Run,
+  now: Instant,
+  runTimes: RunTimes,
+): Deadline {
   const begin = confirmedAt ?? now;
-  let estimateMillis = Math.max(1, task.step.plan.estimateMillis);
-  while (begin + estimateMillis < now) {
-    estimateMillis *= OVERRUN_FACTOR;
+  const speed = runTimes.speedOf(worker.id);
+  let millis = Math.max(1, runTimes.expectedMillis(task.step) / speed);
+  if (begin + millis < now) {
+    millis = Math.max(millis, runTimes.lateMillis(task.step) / speed);
+  }
+  while (begin + millis < now) {
+    millis *= OVERRUN_FACTOR;
   }
-  return deadlineAfter(begin, estimateMillis);
+  return deadlineAfter(begin, millis);
 }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,6 +18,7 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { runTimesOf } from './learned-run-times.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -26,7 +27,7 @@
 import { StepPlacement } from './step-placement.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
-import { DeclaredRunTimes } from './run-times.js';
+import { RunTimesLog } from './run-times-log.js';
 import { Stalls } from './stalls.js';
 import { Successors, UNKNOWN_ADDRESS } from './successors.js';
 import { Quarantines } from './quarantines.js';
@@ -77,10 +78,11 @@
   private readonly stepPlacement: StepPlacement;
   private readonly stalls: Stalls;
   private readonly advicePrefetch: AdvicePrefetch;
+  private readonly runTimesLog: RunTimesLog;
   private earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
-    const context = new JobContext(new DeclaredRunTimes(), ({ worker }) => {
+    const context = new JobContext(runTimesOf(options.scheduling), ({ worker }) => {
       this.quarantines.recordEnd(worker.id);
     });
     const quarantines = new Quarantines(context);
@@ -114,6 +116,7 @@
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
       this.stepPlacement.isPresent(worker),
     );
+    this.runTimesLog = new RunTimesLog(context);
     this.stepPlacement = new StepPlacement(
       context,
       this.lifecycle,
@@ -262,6 +265,7 @@
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
+    this.runTimesLog.logIfDue();
     this.quarantines.endQuarantines();
     if (mayStart) {
       this.context.needsPlacement = false;
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -7,6 +7,7 @@
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
+import { Copies } from './copies.js';
 import type { Lifecycle } from './lifecycle.js';
 import {
   isWaiting,
@@ -60,7 +61,8 @@
 export class StepPlacement {
   private readonly selection: WorkerSelection;
   private readonly serviceUse = new ServiceUse();
-  private readonly reservations = new Reservations(this.serviceUse);
+  private readonly reservations: Reservations;
+  private readonly copies: Copies;
   private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
@@ -74,7 +76,9 @@
     private readonly orderings: Orderings,
     private readonly crashes: WorkerCrashes,
   ) {
+    this.reservations = new Reservations(this.serviceUse, context.runTimes);
     this.selection = new WorkerSelection(context, crashes);
+    this.copies = new Copies(context, lifecycle, this.selection, advice, crashes);
     this.obstacles = new Obstacles(context);
   }
 
@@ -86,6 +90,9 @@
     this.serviceUse.update(available, this.context.now);
     this.reservations.beginPass(available);
     this.placeSteps(available);
+    this.copies.assign(available, this.reservations).forEach((copy) => {
+      this.start(copy.task.step, [copy]);
+    });
     this.reservations.endPass(this.context.now);
   }
 
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -111,6 +111,7 @@
       phase: run.phase === 'stopping' ? 'stopping' : 'ordered',
       confirmedAt: successor.hasReported ? this.context.now : undefined,
       progress: undefined,
+      isTimed: false,
     });
     this.context.event('run.unproven', {
       task: task.id,
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -2,10 +2,12 @@
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import { fits, type Resources } from '@bamboowell/types/resources';
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
+import { latencyObjectiveMillis } from './ordering.js';
 import { lateEndIfStarted } from './run-ends.js';
+import type { RunTimes } from './run-times.js';
 import { MAX_HELD_UP_MILLIS } from './service-use.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 import type { Assignment } from './orders.js';
@@ -45,13 +47,14 @@
     const countByWorker = countedRuns(step);
     let startable = this.context.startableWithinLimit(step, waiting.length);
     let rack = step.plan.prefersOneRack ? rackOf(step) : undefined;
-    const endsBy = endForHolds(step, this.context.now);
+    const endsBy = endForHolds(step, this.context);
+    const penaltyOfSpeed = isQuick(step, this.context.runTimes) ? this.slowPenalty : noPenalty;
     for (const task of waiting) {
       if (startable === 0) {
         break;
       }
       const isIsolated = this.crashes.needsIsolation(task);
-      const extraPenalty = isIsolated ? this.penaltyOfOtherRuns : noPenalty;
+      const extraPenalty = isIsolated ? this.penaltyOfOtherRuns : penaltyOfSpeed;
       const candidate = bestWorker(
         { step, task, rack, extraPenalty, endsBy },
         demand,
@@ -98,7 +101,7 @@
     candidates: readonly AvailableWorker[],
   ): Assignment[] {
     const demand = allocationOf(step.plan);
-    const endsBy = endForHolds(step, this.context.now);
+    const endsBy = endForHolds(step, this.context);
     const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy));
     const trial = usable.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
@@ -126,6 +129,9 @@
     return (worker.runs.size + unreliability) * OTHER_RUN_PENALTY_MILLICORES;
   };
 
+  private readonly slowPenalty = ({ id }: Worker): number =>
+    -this.context.runTimes.speedClassOf(id) * SLOW_PENALTY_MILLICORES;
+
   private grantOf(step: Step, { worker }: AvailableWorker): Grant | undefined {
     return step.grants.get(worker.id);
   }
@@ -163,11 +169,23 @@
  * When the step's tasks that start now count as over, next to what is kept for gangs. Lasting tasks are never
  * over; they are owed a start wherever there is room, and wait a bounded time.
  */
-function endForHolds(step: Step, now: Instant): Deadline {
+function endForHolds(step: Step, { now, runTimes }: JobContext): Deadline {
   const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_HELD_UP_MILLIS);
   return step.plan.isLasting && hasPassed(waitsUntil, now)
     ? deadlineAfter(now, 0)
-    : lateEndIfStarted(step, now);
+    : lateEndIfStarted(step, now, runTimes);
+}
+
+/**
+ * Whether the objective of the job leaves little time beside its run time, so that a fast worker makes a
+ * difference. A gang advances as fast as its slowest member.
+ */
+function isQuick(step: Step, runTimes: RunTimes): boolean {
+  if (!runTimes.isLearning || step.plan.isGang || step.plan.isLasting) {
+    return false;
+  }
+  const pathMillis = runTimes.criticalPathMillis(step);
+  return latencyObjectiveMillis(step, runTimes) <= MAX_QUICK_FACTOR * pathMillis;
 }
 
 function noPenalty(): number {
@@ -210,6 +228,13 @@
 const FAR_PENALTY_MILLICORES = 1_000_000;
 /** Score penalty for each run beside an isolated one; weighs more than all others. */
 const OTHER_RUN_PENALTY_MILLICORES = 10_000_000;
+/**
+ * Score penalty for each class of speed below the usual one, for quick steps: more than the free processor
+ * time of a worker, and for all classes together less than for a rack that is not preferred.
+ */
+const SLOW_PENALTY_MILLICORES = 200_000;
+/** A step is quick if its job's objective is at most this many times its run time. */
+const MAX_QUICK_FACTOR = 3;
 /** A worker that has crashed recently counts as having so many more runs. */
 const UNRELIABLE_AS_RUNS = 3;
 
