--- a/packages/jobs/src/excess-ordering.ts
+++ b/packages/jobs/src/excess-ordering.ts
@@ -24,7 +24,7 @@
       bands.promised.push(step);
     } else if (band === 2) {
       bands.excess.push(step);
-    } else if (latencyObjectiveMillis(step) > 0) {
+    } else if (latencyObjectiveMillis(step, context.runTimes) > 0) {
       bands.late.push(step);
     } else {
       bands.last.push(step);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -22,6 +22,7 @@
 import { EvacuationControl } from './evacuation-control.js';
 import { NO_EVACUATIONS, type KnownEvacuations } from './evacuations.js';
 import { ExcessByAcceptance } from './excess-ordering.js';
+import { runTimesOf } from './learned-run-times.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -30,7 +31,7 @@
 import { StepPlacement } from './step-placement.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
-import { DeclaredRunTimes } from './run-times.js';
+import { RunTimesLog } from './run-times-log.js';
 import { Stalls } from './stalls.js';
 import { Successors, UNKNOWN_ADDRESS } from './successors.js';
 import { Quarantines } from './quarantines.js';
@@ -86,10 +87,11 @@
   private readonly stalls: Stalls;
   private readonly evacuationControl: EvacuationControl;
   private readonly advicePrefetch: AdvicePrefetch;
+  private readonly runTimesLog: RunTimesLog;
   private earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
-    const context = new JobContext(new DeclaredRunTimes(), ({ worker }) => {
+    const context = new JobContext(runTimesOf(options.scheduling), ({ worker }) => {
       this.quarantines.recordEnd(worker.id);
     });
     const quarantines = new Quarantines(context);
@@ -127,6 +129,7 @@
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
       this.stepPlacement.isPlaceable(worker),
     );
+    this.runTimesLog = new RunTimesLog(context);
     this.stepPlacement = new StepPlacement(
       context,
       this.lifecycle,
@@ -298,6 +301,7 @@
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
+    this.runTimesLog.logIfDue();
     this.quarantines.endQuarantines();
     this.evacuationControl.check();
     if (mayStart && this.context.evacuations.isCurrent(this.context.now)) {
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -8,6 +8,7 @@
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
+import { Copies } from './copies.js';
 import type { Lifecycle } from './lifecycle.js';
 import {
   isWaiting,
@@ -62,6 +63,7 @@
   private readonly selection: WorkerSelection;
   private readonly serviceUse = new ServiceUse();
   private readonly reservations: Reservations;
+  private readonly copies: Copies;
   private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
@@ -76,8 +78,13 @@
     private readonly crashes: WorkerCrashes,
     scheduling: SchedulingOptions,
   ) {
-    this.reservations = new Reservations(this.serviceUse, scheduling.sharing === 'weighted');
+    this.reservations = new Reservations(
+      this.serviceUse,
+      scheduling.sharing === 'weighted',
+      context.runTimes,
+    );
     this.selection = new WorkerSelection(context, crashes);
+    this.copies = new Copies(context, lifecycle, this.selection, advice, crashes);
     this.obstacles = new Obstacles(context);
   }
 
@@ -89,6 +96,9 @@
     this.serviceUse.update(available, this.context.now);
     this.reservations.beginPass(available);
     this.placeSteps(available);
+    this.copies.assign(available, this.reservations).forEach((copy) => {
+      this.start(copy.task.step, [copy]);
+    });
     this.reservations.endPass(this.context.now);
   }
 
