--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -213,7 +213,7 @@
     const first = afterAdvice(forecast.first, adviceMillis, arriving.firstStep, context);
     const last = afterAdvice(forecast.last, adviceMillis, arriving.firstStep, context);
     const valueFactor = isExcess ? 1 : MAX_LATENESS_FACTOR;
-    const valueMillis = valueFactor * latencyObjectiveMillis(arriving.firstStep);
+    const valueMillis = valueFactor * latencyObjectiveMillis(arriving.firstStep, context.runTimes);
     const remainingMillis = valueMillis - this.chainMillisOf(steps);
     if (forecast.hasRoomNow || last <= deadlineAfter(context.now, remainingMillis)) {
       return { kind: 'admitted', basis: { arriving, first } };
--- a/packages/jobs/src/advice-prefetch.ts
+++ b/packages/jobs/src/advice-prefetch.ts
@@ -3,12 +3,12 @@
  * it end.
  */
 
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import { brandAs } from '@bamboowell/types/ids';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import { isStepDone, type Run, type Step, type Task } from './model.js';
-import { endByProgress } from './run-ends.js';
+import { endByEstimate, endByProgress } from './run-ends.js';
 import type { StepPlacement } from './step-placement.js';
 
 /** Interval between checks of upcoming steps, milliseconds. */
@@ -34,23 +34,26 @@
       return;
     }
     this.nextPrefetchAt = deadlineAfter(now, PREFETCH_INTERVAL_MILLIS);
+    const evacuated = this.placement.evacuatedWorkers().length;
+    const workers = this.context.workers.size - evacuated;
     for (const job of this.lifecycle.multiStepJobs) {
       for (const { steps } of job.occurrences) {
         steps.forEach((step) => {
-          this.prefetchIfDue(step, steps);
+          this.prefetchIfDue(step, steps, workers);
         });
       }
     }
   }
 
-  private prefetchIfDue(step: Step, steps: readonly Step[]): void {
+  /** @param workers how many may be named in a call for advice. */
+  private prefetchIfDue(step: Step, steps: readonly Step[], workers: number): void {
     const timing = step.job.queue.advice;
     if (timing === undefined || step.plan.after.length === 0 || isStepDone(step)) {
       return;
     }
     const earlier = step.plan.after.flatMap((index) => steps[index] ?? []);
     const remaining = Math.max(0, ...earlier.map((each) => this.remainingMillisOfStep(each)));
-    const callMillis = timing.baseMillis + timing.perWorkerMillis * this.context.workers.size;
+    const callMillis = timing.baseMillis + timing.perWorkerMillis * workers;
     if (remaining > 0 && remaining <= callMillis + LEAD_MILLIS) {
       this.placement.prefetchAdvice(step);
     }
@@ -66,14 +69,14 @@
   }
 
   private remainingMillisOfTask({ runs }: Task): number {
-    const [run] = runs;
-    return run === undefined
-      ? Number.POSITIVE_INFINITY
-      : remainingMillisOfRun(run, this.context.now);
+    const remaining = runs.map((run) => this.remainingMillisOfRun(run));
+    return Math.min(Number.POSITIVE_INFINITY, ...remaining);
   }
-}
 
-function remainingMillisOfRun(run: Run, now: Instant): number {
-  const end = endByProgress(run);
-  return end === undefined ? Number.POSITIVE_INFINITY : Math.max(1, end - now);
+  private remainingMillisOfRun(run: Run): number {
+    const { now, runTimes } = this.context;
+    const isKnown = run.confirmedAt !== undefined && runTimes.isKnown(run.task.step);
+    const end = endByProgress(run) ?? (isKnown ? endByEstimate(run, now, runTimes) : undefined);
+    return end === undefined ? Number.POSITIVE_INFINITY : Math.max(1, end - now);
+  }
 }
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -2,7 +2,12 @@
 
 import { match } from 'ts-pattern';
 import { brandAs } from '@bamboowell/types/ids';
-import type { WorkerIncarnation, RunNumber, StepTaskId } from '@bamboowell/types/job';
+import {
+  NO_PROGRESS,
+  type WorkerIncarnation,
+  type RunNumber,
+  type StepTaskId,
+} from '@bamboowell/types/job';
 import { deadlineAfter } from '@bamboowell/types/time';
 import { fits } from '@bamboowell/types/resources';
 import type { JobContext } from './context.js';
@@ -33,6 +38,9 @@
 }
 
 export class Orders {
+  /** Starts that are stored, and wait until the records of evacuations have been read again. */
+  private deferredStarts: Run[] = [];
+
   constructor(
     private readonly context: JobContext,
     private readonly failTask: (task: Task, worker: Worker, number: RunNumber) => void,
@@ -106,10 +114,35 @@
     }
   }
 
+  /** Sends the starts that waited for the records of evacuations, unless these are outdated again. */
+  sendDeferredStarts(): void {
+    const runs = this.deferredStarts;
+    this.deferredStarts = [];
+    runs.forEach((run) => {
+      this.sendStart(run);
+    });
+  }
+
+  /** Drops the runs of evacuated data centres whose starts have not been sent. */
+  dropUnsentStarts(): void {
+    const { evacuations, workers } = this.context;
+    for (const worker of workers.values()) {
+      if (evacuations.isEvacuated(worker.registration)) {
+        [...worker.runs.values()]
+          .filter(({ phase }) => phase === 'recorded')
+          .forEach((run) => {
+            this.dropUnsentStart(run);
+          });
+      }
+    }
+  }
+
   handleAnswer(worker: Worker, answered: AnsweredOrder): void {
     const { answer } = answered;
     const run = worker.runs.get(runKey(answered.task, answered.run));
-    worker.lastHeardAt = this.context.now;
+    if (answer.kind !== 'evacuated') {
+      worker.lastHeardAt = this.context.now;
+    }
     if (answer.kind === 'other_life') {
       this.endIncarnation(worker);
       return;
@@ -135,6 +168,14 @@
     if (!isCurrent || run.phase !== 'recorded' || job.plan === undefined) {
       return;
     }
+    if (this.context.evacuations.isEvacuated(run.worker.registration)) {
+      this.handleRejection(run, 'evacuated', 0);
+      return;
+    }
+    if (!this.context.evacuations.isCurrent(this.context.now)) {
+      this.deferredStarts.push(run);
+      return;
+    }
     if (expiresInTransit(run, this.context.now)) {
       // The worker would only refuse the start. It may be named again in the call for advice that follows.
       run.task.step.workersWithAdvice.delete(run.worker.id);
@@ -147,6 +188,7 @@
     }
     run.phase = 'ordered';
     run.hasUnansweredStart = true;
+    run.isTimed = run.task.saved === NO_PROGRESS;
     job.visibleState = job.visibleState === 'pending' ? 'running' : job.visibleState;
     this.context.emit({
       kind: 'order',
@@ -162,6 +204,13 @@
     });
   }
 
+  /** An earlier member of its gang may have dropped it already. */
+  private dropUnsentStart(run: Run): void {
+    if (run.task.runs.includes(run)) {
+      this.handleRejection(run, 'evacuated', 0);
+    }
+  }
+
   private handleStartAnswer(run: Run, answer: OrderAnswer): void {
     match(answer)
       .with({ kind: 'done' }, { kind: 'outdated' }, () => {
@@ -178,7 +227,7 @@
       .with({ kind: 'unwell' }, () => {
         this.handleRejection(run, answer.kind, UNWELL_COOLDOWN_MILLIS);
       })
-      .with({ kind: 'late' }, () => {
+      .with({ kind: 'late' }, { kind: 'evacuated' }, () => {
         this.handleRejection(run, answer.kind, 0);
       })
       .with({ kind: 'malformed' }, () => {
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -15,6 +15,7 @@
 import { freeAt, outlookOf, planGang, type GangPlan, type Outlook } from './gang-plan.js';
 import { HoldWindows } from './hold-windows.js';
 import { allocationOf, type Step, type Worker } from './model.js';
+import type { RunTimes } from './run-times.js';
 import type { ServiceUse } from './service-use.js';
 
 /** Fraction of the workers on which room may be kept in one pass: the rest takes whatever fits. */
@@ -48,6 +49,7 @@
   constructor(
     private readonly serviceUse: ServiceUse,
     private readonly keepsDeferredOut: boolean,
+    private readonly runTimes: RunTimes,
   ) {}
 
   /** Begins a pass with the workers that can get work in it; nothing is reserved yet. */
@@ -161,7 +163,7 @@
     if (known !== undefined) {
       return known;
     }
-    const outlook = outlookOf(candidate, now);
+    const outlook = outlookOf(candidate, now, this.runTimes);
     this.outlooks.set(candidate, outlook);
     return outlook;
   }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -19,7 +19,10 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
+import { EvacuationControl } from './evacuation-control.js';
+import { NO_EVACUATIONS, type KnownEvacuations } from './evacuations.js';
 import { ExcessByAcceptance } from './excess-ordering.js';
+import { runTimesOf } from './learned-run-times.js';
 import { Lifecycle } from './lifecycle.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
@@ -28,7 +31,7 @@
 import { StepPlacement } from './step-placement.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
-import { DeclaredRunTimes } from './run-times.js';
+import { RunTimesLog } from './run-times-log.js';
 import { Stalls } from './stalls.js';
 import { Successors, UNKNOWN_ADDRESS } from './successors.js';
 import { Quarantines } from './quarantines.js';
@@ -45,6 +48,8 @@
   readonly leasesEnd: (now: Instant) => Deadline;
   readonly restored: Restored;
   readonly workers: readonly WorkerRegistration[];
+  /** Undefined where no evacuations are followed. */
+  readonly evacuations?: KnownEvacuations | undefined;
 }
 
 /** Counts of jobs, runs and workers, and how much processor time of the workers is used. */
@@ -56,6 +61,8 @@
   readonly workers: number;
   /** Workers on which nothing runs. */
   readonly idleWorkers: number;
+  /** Registered workers of evacuated data centres. */
+  readonly evacuatedWorkers: number;
   readonly millicores: number;
   readonly usedMillicores: number;
 }
@@ -78,11 +85,13 @@
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
   private readonly stalls: Stalls;
+  private readonly evacuationControl: EvacuationControl;
   private readonly advicePrefetch: AdvicePrefetch;
+  private readonly runTimesLog: RunTimesLog;
   private earlierLeasesEnd: Deadline;
 
   constructor(options: JobSchedulerOptions, times: Times) {
-    const context = new JobContext(new DeclaredRunTimes(), ({ worker }) => {
+    const context = new JobContext(runTimesOf(options.scheduling), ({ worker }) => {
       this.quarantines.recordEnd(worker.id);
     });
     const quarantines = new Quarantines(context);
@@ -118,8 +127,9 @@
     );
     this.stalls = new Stalls(context, this.orders);
     this.stepAdvice = new StepAdvice(context, this.adviceBalancer, (worker) =>
-      this.stepPlacement.isPresent(worker),
+      this.stepPlacement.isPlaceable(worker),
     );
+    this.runTimesLog = new RunTimesLog(context);
     this.stepPlacement = new StepPlacement(
       context,
       this.lifecycle,
@@ -136,6 +146,8 @@
       this.registerWorker(registration);
     });
     this.restore(options.restored);
+    this.evacuationControl = new EvacuationControl(context, this.orders);
+    this.evacuationControl.begin(options.evacuations ?? NO_EVACUATIONS);
   }
 
   /** Handles one input and returns the outputs to be carried out, in order. */
@@ -159,7 +171,13 @@
 
   /** Whether a placement pass may start something. */
   get needsPlacement(): boolean {
-    return this.context.needsPlacement;
+    const { needsPlacement, evacuations, now } = this.context;
+    return needsPlacement && evacuations.isCurrent(now);
+  }
+
+  /** Whether a start may be sent to a worker of this data centre now. */
+  mayStart(place: Pick<WorkerRegistration, 'zone'>, now: Instant): boolean {
+    return this.context.evacuations.mayStart(place, now);
   }
 
   /** Whether the job has been taken and no record of it has been sent to the store. */
@@ -179,6 +197,7 @@
       runs: sum(({ runs }) => runs.size),
       workers: workers.length,
       idleWorkers: sum(({ runs }) => Number(runs.size === 0)),
+      evacuatedWorkers: this.stepPlacement.evacuatedWorkers().length,
       millicores: sum(({ registration }) => registration.capacity.millicores),
       usedMillicores: sum(({ used }) => used.millicores),
     };
@@ -220,6 +239,9 @@
       .with({ kind: 'worker_gone' }, ({ worker }) => {
         this.unregisterWorker(worker);
       })
+      .with({ kind: 'evacuations' }, (known) => {
+        this.evacuationControl.replace(known);
+      })
       .with({ kind: 'earlier_leases_end' }, ({ at }) => {
         const before = this.earlierLeasesEnd;
         this.earlierLeasesEnd = earlier(before, at);
@@ -279,8 +301,10 @@
     this.lifecycle.tick();
     this.reports.expireLeases();
     this.stalls.check();
+    this.runTimesLog.logIfDue();
     this.quarantines.endQuarantines();
-    if (mayStart) {
+    this.evacuationControl.check();
+    if (mayStart && this.context.evacuations.isCurrent(this.context.now)) {
       this.context.needsPlacement = false;
       this.stepPlacement.place();
       this.advicePrefetch.prefetch();
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -8,6 +8,7 @@
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
 import type { JobContext } from './context.js';
+import { Copies } from './copies.js';
 import type { Lifecycle } from './lifecycle.js';
 import {
   isWaiting,
@@ -62,6 +63,7 @@
   private readonly selection: WorkerSelection;
   private readonly serviceUse = new ServiceUse();
   private readonly reservations: Reservations;
+  private readonly copies: Copies;
   private readonly obstacles: Obstacles;
   /** When the parked steps are looked at again. */
   private unparkAt: Deadline = brandAs<Deadline>(0);
@@ -76,22 +78,38 @@
     private readonly crashes: WorkerCrashes,
     scheduling: SchedulingOptions,
   ) {
-    this.reservations = new Reservations(this.serviceUse, scheduling.sharing === 'weighted');
+    this.reservations = new Reservations(
+      this.serviceUse,
+      scheduling.sharing === 'weighted',
+      context.runTimes,
+    );
     this.selection = new WorkerSelection(context, crashes);
+    this.copies = new Copies(context, lifecycle, this.selection, advice, crashes);
     this.obstacles = new Obstacles(context);
   }
 
   place(): void {
     const available = this.availableWorkers();
-    if (this.context.fleet.setWorkers(this.placeableWorkers())) {
+    if (this.setFleet()) {
       this.context.unpark();
     }
     this.serviceUse.update(available, this.context.now);
     this.reservations.beginPass(available);
     this.placeSteps(available);
+    this.copies.assign(available, this.reservations).forEach((copy) => {
+      this.start(copy.task.step, [copy]);
+    });
     this.reservations.endPass(this.context.now);
   }
 
+  /** Returns whether work may find room where it found none before. */
+  private setFleet(): boolean {
+    const { fleet, evacuatedFleet } = this.context;
+    const evacuated = this.evacuatedWorkers().filter((worker) => this.wouldBePlaceable(worker));
+    evacuatedFleet.setWorkers(evacuated);
+    return fleet.setWorkers(this.placeableWorkers());
+  }
+
   private placeSteps(available: readonly AvailableWorker[]): void {
     const pass = {
       available,
@@ -189,6 +207,14 @@
     return isRegistered || !hasPassed(graceEndsAt, this.context.now);
   }
 
+  /** Registered workers of evacuated data centres. */
+  evacuatedWorkers(): Worker[] {
+    const { evacuations, workers } = this.context;
+    return [...workers.values()].filter(
+      (worker) => evacuations.isEvacuated(worker.registration) && this.isPresent(worker),
+    );
+  }
+
   private availableWorkers(): AvailableWorker[] {
     return [...this.context.workers.values()]
       .filter((worker) => this.isAvailable(worker))
@@ -200,7 +226,15 @@
     return [...this.context.workers.values()].filter((worker) => this.isPlaceable(worker));
   }
 
-  private isPlaceable(worker: Worker): boolean {
+  /** Whether the worker can get work sooner or later. */
+  isPlaceable(worker: Worker): boolean {
+    return (
+      this.wouldBePlaceable(worker) && !this.context.evacuations.isEvacuated(worker.registration)
+    );
+  }
+
+  /** The same, if nothing were evacuated. */
+  private wouldBePlaceable(worker: Worker): boolean {
     return worker.isReachable && this.isPresent(worker) && !worker.registration.isDraining;
   }
 
