Read the log of a silent owner on suspicion, and detect its loss sooner

The loss of an owner was detected after 1.1 s of silence and decided by two reads of the work log 400 ms apart, one wait after the other. An owner that wakes up answers that a job doesn't exist only within 800 ms of its last confirmation, which is sooner than another member can have claimed.

--- a/packages/member/src/election.test.ts
+++ b/packages/member/src/election.test.ts
@@ -114,3 +114,46 @@
   t.is(weak.next(at(later)), 'probe');
   t.is(weak.logEndRead(offset(5), at(later + 5)), 'claim');
 });
+
+// Guards against two waits in a row, for the silence and for the log, which can pass at the same time.
+test('a log that is read on suspicion counts as the first read once the owner is silent', (t) => {
+  for (const [end, action] of [
+    [5, 'claim'],
+    [6, 'none'],
+  ] as const) {
+    const member = electionOf();
+    member.connected();
+    member.suspect(true, at(0));
+    t.is(member.next(at(0)), 'probe');
+    t.is(member.logEndRead(offset(5), at(5)), 'none');
+    t.is(member.next(at(300)), 'none');
+    member.silent(at(400));
+    t.is(member.next(at(400)), 'none');
+    t.is(member.next(at(5 + PROBE_INTERVAL_MILLIS)), 'probe');
+    t.is(member.logEndRead(offset(end), at(10 + PROBE_INTERVAL_MILLIS)), action);
+  }
+});
+
+// Guards against a claim that rests on a read from before the owner was last heard, or on none.
+test('a suspected owner that is heard again is not claimed from, and a failed read on suspicion does not count', (t) => {
+  const member = electionOf();
+  member.connected();
+  member.suspect(true, at(0));
+  member.next(at(0));
+  member.logEndRead(offset(5), at(5));
+  member.suspect(false, at(100));
+  t.is(member.nextAt, undefined);
+  member.silent(at(500));
+  t.is(member.next(at(500)), 'probe');
+  t.is(member.logEndRead(offset(5), at(505)), 'none');
+
+  const other = electionOf();
+  other.connected();
+  other.suspect(true, at(0));
+  other.next(at(0));
+  other.logEndRead(undefined, at(5));
+  t.is(other.nextAt, undefined);
+  other.silent(at(500));
+  t.is(other.next(at(500)), 'probe');
+  t.is(other.logEndRead(offset(5), at(505)), 'none');
+});
--- a/packages/member/src/election.ts
+++ b/packages/member/src/election.ts
@@ -1,6 +1,12 @@
 /** Decides when a member claims ownership of the cluster's work. No I/O: time and events are passed in. */
 
-import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
+import {
+  deadlineAfter,
+  hasPassed,
+  later,
+  type Deadline,
+  type Instant,
+} from '@bamboowell/types/time';
 import type { Offset } from '@bamboowell/types/ids';
 import { brandAs } from '@bamboowell/types/ids';
 
@@ -46,13 +52,26 @@
   /** A member has claimed the work and is being dialled. */
   | { readonly kind: 'claimed' }
   | { readonly kind: 'connected' }
+  /** Connected, but silent for a while: the log is read once, in case the owner turns out to be lost. */
+  | {
+      readonly kind: 'suspect';
+      readonly lastProbe: LogEnd | undefined;
+      /** Undefined once the read has been made. */
+      readonly probeAt: Deadline | undefined;
+    }
   | { readonly kind: 'in_trouble'; readonly successfulProbes: number; readonly probeAt: Deadline }
   | {
       readonly kind: 'silent';
-      readonly lastProbe: { readonly end: Offset; readonly at: Instant } | undefined;
+      readonly lastProbe: LogEnd | undefined;
       readonly probeAt: Deadline;
     };
 
+/** The end of the work log as read at a time. */
+interface LogEnd {
+  readonly end: Offset;
+  readonly at: Instant;
+}
+
 /** Allows for latency jitter: two answers may arrive closer together than their requests were sent. */
 const EARLY_ANSWER_FACTOR = 0.9;
 
@@ -96,16 +115,30 @@
     this.owner = { kind: 'connected' };
   }
 
+  /** The connection to the owner has been silent for a while, or brings something again. */
+  suspect(isSuspect: boolean, now: Instant): void {
+    if (isSuspect && this.owner.kind === 'connected') {
+      this.owner = { kind: 'suspect', lastProbe: undefined, probeAt: deadlineAfter(now, 0) };
+    } else if (!isSuspect && this.owner.kind === 'suspect') {
+      this.owner = { kind: 'connected' };
+    }
+  }
+
   /** The owner can't be reached. */
   silent(now: Instant): void {
-    if (this.owner.kind !== 'silent') {
+    const { owner } = this;
+    if (owner.kind === 'suspect' && owner.lastProbe !== undefined) {
+      const { lastProbe } = owner;
+      const dueAt = deadlineAfter(lastProbe.at, this.unchangedMillis);
+      this.owner = { kind: 'silent', lastProbe, probeAt: later(dueAt, deadlineAfter(now, 0)) };
+    } else if (owner.kind !== 'silent') {
       this.owner = { kind: 'silent', lastProbe: undefined, probeAt: deadlineAfter(now, 0) };
     }
   }
 
   /** The owner has reported whether it can write to the store. */
   trouble(isTroubled: boolean, now: Instant): void {
-    if (isTroubled && this.owner.kind === 'connected') {
+    if (isTroubled && (this.owner.kind === 'connected' || this.owner.kind === 'suspect')) {
       const probeAt = deadlineAfter(now, this.claimDelayMillis());
       this.owner = { kind: 'in_trouble', successfulProbes: 0, probeAt };
     } else if (!isTroubled && this.owner.kind === 'in_trouble') {
@@ -119,6 +152,11 @@
     if (owner.kind === 'silent') {
       return this.probedSilentOwner(owner.lastProbe, end, now);
     }
+    if (owner.kind === 'suspect') {
+      const lastProbe = end === undefined ? undefined : { end, at: now };
+      this.owner = { kind: 'suspect', lastProbe, probeAt: undefined };
+      return 'none';
+    }
     if (owner.kind === 'in_trouble') {
       const successfulProbes = end === undefined ? 0 : owner.successfulProbes + 1;
       this.owner = {
@@ -137,6 +175,7 @@
     switch (owner.kind) {
       case 'vacant':
         return owner.claimAt;
+      case 'suspect':
       case 'silent':
       case 'in_trouble':
         return owner.probeAt;
@@ -154,6 +193,10 @@
       this.owner = { kind: 'vacant', claimAt: deadlineAfter(now, CLAIM_RETRY_MILLIS) };
       return 'claim';
     }
+    if (owner.kind === 'suspect' && owner.probeAt !== undefined && hasPassed(owner.probeAt, now)) {
+      this.owner = { ...owner, probeAt: undefined };
+      return 'probe';
+    }
     const needsProbe = owner.kind === 'silent' || owner.kind === 'in_trouble';
     if (needsProbe && hasPassed(owner.probeAt, now)) {
       // The answer sets the time of the next probe.
@@ -165,11 +208,11 @@
 
   /** An owner whose log doesn't advance between two probes is taken to have failed. */
   private probedSilentOwner(
-    lastProbe: { readonly end: Offset; readonly at: Instant } | undefined,
+    lastProbe: LogEnd | undefined,
     end: Offset | undefined,
     now: Instant,
   ): ElectionAction {
-    const unchangedMillis = PROBE_INTERVAL_MILLIS + this.takeoverDelayMillis;
+    const { unchangedMillis } = this;
     if (end === undefined) {
       const probeAt = deadlineAfter(now, PROBE_INTERVAL_MILLIS);
       this.owner = { kind: 'silent', lastProbe: undefined, probeAt };
@@ -182,6 +225,11 @@
     return isUnchanged ? 'claim' : 'none';
   }
 
+  /** For how long the log of a silent owner must not advance. */
+  private get unchangedMillis(): number {
+    return PROBE_INTERVAL_MILLIS + this.takeoverDelayMillis;
+  }
+
   private claimDelayMillis(): number {
     const storeMillis = this.options.storeMillis() ?? MAX_STORE_DELAY_MILLIS;
     const storeDelayMillis = Math.min(STORE_LATENCY_FACTOR * storeMillis, MAX_STORE_DELAY_MILLIS);
--- a/packages/member/src/ownership-messages.ts
+++ b/packages/member/src/ownership-messages.ts
@@ -41,6 +41,13 @@
       readonly detail: string;
       readonly isRefused: boolean;
     }
+  /** The owner has been silent for a while, or is heard again. */
+  | {
+      readonly kind: 'owner_suspect';
+      readonly term: Term;
+      readonly connection: Connection;
+      readonly isSuspect: boolean;
+    }
   | {
       readonly kind: 'connection_ended';
       readonly term: Term;
--- a/packages/member/src/ownership-task.ts
+++ b/packages/member/src/ownership-task.ts
@@ -161,6 +161,12 @@
           this.unreachable(answer);
         }
       })
+      .with({ kind: 'owner_suspect' }, ({ term, connection, isSuspect }) => {
+        if (this.claim?.term === term && this.connection === connection) {
+          this.options.events.event('owner.suspected', { term, isSuspect });
+          this.options.election.suspect(isSuspect, this.clock.now());
+        }
+      })
       .with({ kind: 'connection_ended' }, ({ term, connection, reason }) => {
         if (this.claim?.term === term && this.connection === connection) {
           this.connection = undefined;
@@ -451,6 +457,9 @@
       return;
     }
     this.connection = connection;
+    connection.watchSuspicion((isSuspect) => {
+      this.post({ kind: 'owner_suspect', term, connection, isSuspect });
+    });
     void connection.ended.then((reason) => {
       this.post({ kind: 'connection_ended', term, connection, reason });
     });
--- a/packages/member/src/tcp-peers.ts
+++ b/packages/member/src/tcp-peers.ts
@@ -13,16 +13,9 @@
   type DialTarget,
   type PeersOptions,
 } from './peers.js';
+import { MEMBER_KEEP_ALIVE } from './owner-silence.js';
 import type { Traffic } from './traffic.js';
 
-/** A member sends a ping at least this often. */
-const PING_INTERVAL_MILLIS = 300;
-/**
- * A connection without data for this long counts as silent: several pings plus the pauses of a slow
- * machine.
- */
-const SILENCE_TIMEOUT_MILLIS = 1100;
-
 /**
  * Maximum number of ports to listen at. Node accepts about one connection a port in each iteration of
  * its event loop, which takes a tenth of a second in an owner under full load, and all members dial
@@ -30,8 +23,6 @@
  */
 const MAX_LISTENERS = 8;
 
-const KEEP_ALIVE = { pingMillis: PING_INTERVAL_MILLIS, silenceMillis: SILENCE_TIMEOUT_MILLIS };
-
 export class TcpPeers extends Peers {
   private readonly listeners: readonly Listener[];
 
@@ -65,7 +56,7 @@
       address: { ...address, port: address.port + Math.floor(Math.random() * ports) },
       clock,
       deadline,
-      keepAlive: { ...KEEP_ALIVE, firstMessageMillis: HELLO_TIMEOUT_MILLIS },
+      keepAlive: { ...MEMBER_KEEP_ALIVE, firstMessageMillis: HELLO_TIMEOUT_MILLIS },
       opened: (socket) => {
         this.traffic.track('members', socket);
       },
@@ -80,7 +71,7 @@
       clock,
       make: (socket: Socket) => {
         this.traffic.track('members', socket);
-        return new TcpConnection(socket, { clock, keepAlive: KEEP_ALIVE });
+        return new TcpConnection(socket, { clock, keepAlive: MEMBER_KEEP_ALIVE });
       },
       accept: (connection) => {
         this.accept(connection);
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -57,8 +57,12 @@
  * sequence, which would then take longer than callers should wait.
  */
 const SLOW_APPEND_MILLIS = 100;
-/** How long after a confirmation of ownership the owner may answer that a job does not exist. */
-const CONFIRMATION_LIFETIME_MILLIS = 1500;
+/**
+ * How long after a confirmation of ownership the owner may answer that a job does not exist. Another member claims
+ * the work of a silent owner no sooner than this after the owner's last confirmation: the silence that it waits
+ * for, less one ping interval.
+ */
+const CONFIRMATION_LIFETIME_MILLIS = 800;
 /** Key of the record that fences earlier owners and serves as keep-alive. */
 const ALIVE_KEY = 'alive';
 
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -23,6 +23,8 @@
 export type Handler = (params: unknown) => unknown;
 
 export abstract class Connection {
+  private suspicionListener: (isSuspect: boolean) => void = () => undefined;
+
   /** Resolves when the connection has ended; never rejects. */
   abstract readonly ended: Promise<CloseReason>;
 
@@ -41,6 +43,18 @@
   /** Pings, and detects silence, by other times from now on; the other end must do the same. */
   abstract setKeepAlive(times: KeepAliveTimes): void;
 
+  /**
+   * Calls the listener when the other end has been silent for the `suspicionMillis` of the keep-alive, and when
+   * it is heard again. Does nothing on a connection without such times.
+   */
+  watchSuspicion(listener: (isSuspect: boolean) => void): void {
+    this.suspicionListener = listener;
+  }
+
+  protected notifySuspicion(isSuspect: boolean): void {
+    this.suspicionListener(isSuspect);
+  }
+
   /** Ends the connection. */
   abstract close(): void;
 }
--- a/packages/wire/src/keep-alive.ts
+++ b/packages/wire/src/keep-alive.ts
@@ -1,6 +1,6 @@
 /** Keeps a connection alive by pings and detects that the other end is silent. */
 
-import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, earlier, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { Alarm, Clock } from '@bamboowell/kernel/clock';
 
 /** A ping is sent when nothing else was sent for this long. */
@@ -21,6 +21,8 @@
    * The same as `silenceMillis` by default.
    */
   readonly firstMessageMillis?: number;
+  /** The other end is reported as suspect when nothing was received for this long; never by default. */
+  readonly suspicionMillis?: number;
 }
 
 export const DEFAULT_KEEP_ALIVE: KeepAliveTimes = {
@@ -32,11 +34,16 @@
 export interface KeepAliveEvents {
   ping(): void;
   silent(): void;
+  /** The other end has been silent for `suspicionMillis`, or is heard again. */
+  suspect?(isSuspect: boolean): void;
 }
 
 export class KeepAlive {
   private pingAt: Deadline;
   private silentAt: Deadline;
+  /** When the other end becomes suspect; undefined if it is already, or never does. */
+  private suspectAt: Deadline | undefined;
+  private isSuspect = false;
   private paused = false;
   private alarm: Alarm;
 
@@ -66,7 +73,15 @@
 
   /** Records that something was received, also only a part of a message. */
   received(): void {
-    this.silentAt = deadlineAfter(this.clock.now(), this.times.silenceMillis);
+    const now = this.clock.now();
+    const { silenceMillis, suspicionMillis } = this.times;
+    this.silentAt = deadlineAfter(now, silenceMillis);
+    this.suspectAt =
+      suspicionMillis === undefined ? undefined : deadlineAfter(now, suspicionMillis);
+    if (this.isSuspect) {
+      this.isSuspect = false;
+      this.events.suspect?.(false);
+    }
   }
 
   /** Records that reading is paused on purpose: silence proves nothing until `resume`. */
@@ -84,7 +99,7 @@
   }
 
   private schedule(): Alarm {
-    const deadline = this.pingAt < this.silentAt ? this.pingAt : this.silentAt;
+    const deadline = earlier(this.pingAt, earlier(this.suspectAt ?? this.silentAt, this.silentAt));
     return this.clock.wakeAt(deadline, () => {
       this.wake(deadline);
     });
@@ -99,6 +114,11 @@
       this.events.silent();
       return;
     }
+    if (this.suspectAt !== undefined && hasPassed(this.suspectAt, now)) {
+      this.suspectAt = undefined;
+      this.isSuspect = true;
+      this.events.suspect?.(true);
+    }
     if (hasPassed(this.pingAt, now)) {
       this.sent();
       this.events.ping();
--- a/packages/wire/src/tcp-connection.ts
+++ b/packages/wire/src/tcp-connection.ts
@@ -80,6 +80,9 @@
       silent: () => {
         this.end('silent');
       },
+      suspect: (isSuspect: boolean) => {
+        this.notifySuspicion(isSuspect);
+      },
     };
     this.keepAlive = new KeepAlive(this.clock, keepAliveEvents, options.keepAlive);
     this.handle(PING, () => null);
