Describe outages of the store and the loss of the owner, and explain refused submissions

An owner that is told to stop while the store is away keeps its unsent submissions out of a last batch, so that they are handed back and not left undecided.

--- a/packages/explain/src/findings.ts
+++ b/packages/explain/src/findings.ts
@@ -47,6 +47,10 @@
         ? `no owner logged that it took the job; ${lastEventBefore(context, answer, isOwnerOrMemberEvent)}`
         : `${fieldOf(taken, 'member')} had taken the job; ${lastEventBefore(context, answer, isStoreEvent)}`,
     )
+    .with(
+      'store_unavailable',
+      () => `the store took nothing; ${lastEventBefore(context, answer, isStoreEvent)}`,
+    )
     .with(
       'no_configuration',
       () => `it had read no configuration; ${lastEventBefore(context, answer, isStoreEvent)}`,
--- a/packages/explain/src/job-event-collector.ts
+++ b/packages/explain/src/job-event-collector.ts
@@ -7,12 +7,14 @@
 
 /** Events that name no job but may explain what happened to one. */
 const CONTEXT_EVENTS = new Set([
+  'owner.suspected',
   'owner.lost',
   'owner.ended',
   'owner.claiming',
   'owner.elected',
   'owner.ready',
   'owner.stood_down',
+  'store.suspected',
   'store.lost',
   'store.regained',
   'append.failed',
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -673,7 +673,10 @@
       return;
     }
     this.isHandingOver = true;
-    tenure?.writer.finish();
+    if (!isOverdue || tenure?.writer.isStoreAway !== true) {
+      // Otherwise the last batch would not be stored either, and its submissions can still be handed back.
+      tenure?.writer.finish();
+    }
     if (tenure === undefined || tenure.writer.isIdle || isOverdue) {
       this.resignation = undefined;
       this.standDown('resigned');
