A registration alone no longer ends a process of a worker that answers

Cause: any registration of another incarnation ended the one in use at once, though its poll was open; a report of an earlier process that the store took in late started its tasks elsewhere. Class: a record that may be old or by another writer decides over something that answers. Change: the process that a registration names is asked (Contenders) and takes over once it has answered, or once the one in use has ended; it is ignored if another process answers at its address. A new link is opened then, since the earlier one may have used a higher fence. Tests that replaced a worker by its registration let the new process answer first.

--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -134,6 +134,8 @@
   registration: WorkerRegistration;
   /** Whether this owner has a link to it; there is none before its registration has been read. */
   isMet: boolean;
+  /** When its present link was opened, if there was an earlier one, whose reports no longer count. */
+  linkedAt: Instant;
   /** Whether it has reported all to this owner, so that no order of an earlier one can take effect. */
   hasReported: boolean;
   /** Whether its registration is in the store. */
@@ -166,6 +168,7 @@
     id: registration.id,
     registration,
     isMet: false,
+    linkedAt: brandAs<Instant>(0),
     hasReported: false,
     isRegistered: true,
     unregisteredAt: brandAs<Instant>(0),
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -32,7 +32,7 @@
 
   receive(report: WorkerReport): void {
     const worker = this.context.workers.get(report.incarnation);
-    if (worker === undefined) {
+    if (worker === undefined || report.askedAt < worker.linkedAt) {
       return;
     }
     if (!worker.isReachable) {
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -169,6 +169,14 @@
         },
       });
     },
+    /**
+     * Another process registers under the id of a worker and answers. Its first report comes over the link that is
+     * opened to it after that.
+     */
+    replaceWorker: (registration: WorkerRegistration): void => {
+      send({ kind: 'worker', registration });
+      harness.report(registration.incarnation);
+    },
     answerStart: (
       { incarnation, task, run }: ReceivedStart,
       answer: OrderAnswer = { kind: 'done' },
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -16,6 +16,7 @@
 import { StepAdvice } from './step-advice.js';
 import { AdviceBalancer } from './advice-balancer.js';
 import { isSameOffer } from './available-workers.js';
+import { Contenders } from './contenders.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
 import { Lifecycle } from './lifecycle.js';
@@ -72,6 +73,7 @@
   private readonly orders: Orders;
   private readonly crashes: WorkerCrashes;
   private readonly successors: Successors;
+  private readonly contenders: Contenders;
   private readonly reports: Reports;
   private readonly stepAdvice: StepAdvice;
   private readonly stepPlacement: StepPlacement;
@@ -102,6 +104,7 @@
     });
     this.crashes = new WorkerCrashes(context, this.lifecycle);
     this.successors = new Successors(context, options.leasesEnd);
+    this.contenders = new Contenders(context);
     this.reports = new Reports(
       context,
       this.lifecycle,
@@ -210,7 +213,9 @@
         this.reports.bringForwardEarlierLeases(before, this.earlierLeasesEnd);
       })
       .with({ kind: 'report' }, ({ report }) => {
-        this.reports.receive(report);
+        if (!this.acceptContender(report.incarnation, 'born_again')) {
+          this.reports.receive(report);
+        }
       })
       .with({ kind: 'unreachable' }, ({ incarnation, lapsesAt }) => {
         this.withWorker(incarnation, (worker) => {
@@ -220,7 +225,9 @@
       .with({ kind: 'other_life' }, ({ incarnation, successor }) => {
         if (successor !== undefined) {
           this.successors.recordAnswer(successor);
+          this.acceptContender(successor, 'other_life');
         }
+        this.refuteContender(incarnation);
         this.withWorker(incarnation, (worker) => {
           this.reports.endIncarnation(worker, 'other_life', successor);
         });
@@ -256,6 +263,9 @@
         this.observeLag(millis);
       })
       .exhaustive();
+    this.contenders.unopposed().forEach((incarnation) => {
+      this.acceptContender(incarnation, 'born_again');
+    });
   }
 
   private runPlacementPass(mayStart: boolean): void {
@@ -293,22 +303,56 @@
       }
       existing.registration = registration;
       existing.isRegistered = true;
-      if (!this.context.currentIncarnations.has(existing.id)) {
+      const current = this.context.currentIncarnations.get(existing.id);
+      if (current === undefined) {
         this.makeCurrent(existing);
       }
+      if (current === undefined || current === existing) {
+        this.contenders.drop(existing.id);
+      }
       this.successors.meet(existing);
       return;
     }
     if (this.successors.hasEnded(registration.incarnation)) {
       return;
     }
+    if (this.context.currentIncarnations.has(registration.id)) {
+      this.contenders.add(registration, this.earlierLeasesEnd);
+      return;
+    }
+    this.successors.meet(this.admit(registration, 'born_again'));
+  }
+
+  /** The process that the registration names takes the place of earlier ones, which have ended. */
+  private admit(registration: WorkerRegistration, reason: string): Worker {
     const worker = newWorker(registration, this.earlierLeasesEnd);
     this.context.workers.set(worker.incarnation, worker);
     for (const earlier of this.earlierIncarnations(worker)) {
-      this.reports.endIncarnation(earlier, 'born_again', worker.incarnation);
+      this.reports.endIncarnation(earlier, reason, worker.incarnation);
     }
     this.makeCurrent(worker);
+    return worker;
+  }
+
+  /** A contender that has answered, or that no other process opposes, is in use from now on. */
+  private acceptContender(incarnation: WorkerIncarnation, reason: string): boolean {
+    const registration = this.contenders.take(incarnation);
+    if (registration === undefined) {
+      return false;
+    }
+    const worker = this.admit(registration, reason);
+    worker.linkedAt = this.context.now;
     this.successors.meet(worker);
+    return true;
+  }
+
+  /** Another process has answered at the contender's address. */
+  private refuteContender(incarnation: WorkerIncarnation): void {
+    const registration = this.contenders.take(incarnation);
+    if (registration !== undefined) {
+      this.successors.recordEnd(incarnation);
+      this.context.event('registration.refuted', { worker: registration.id, life: incarnation });
+    }
   }
 
   /** The current incarnation and, after a change of owner, those that only stored runs name. */
@@ -329,6 +373,7 @@
 
   private unregisterWorker(id: WorkerRegistration['id']): void {
     const worker = this.context.currentIncarnations.get(id);
+    this.contenders.drop(id);
     if (worker !== undefined) {
       worker.isRegistered = false;
       worker.unregisteredAt = this.context.now;
