--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -19,7 +19,7 @@
   type WallInstant,
   type WorkerRegistration,
 } from '@bamboowell/types/job';
-import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
+import { DEFAULT_SCHEDULING, type SchedulingOptions } from '@bamboowell/types/scheduling';
 import { NO_RESOURCES } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import { amountOf } from './fleets.js';
@@ -32,6 +32,12 @@
   readonly ordering: JobOrdering;
   readonly workers: number;
   readonly members: number;
+  /** The default settings if left out. */
+  readonly scheduling?: SchedulingOptions;
+  /** How many times as long as its arrival says a run of a task takes on the worker; 1 if left out. */
+  readonly runFactorOf?: (worker: WorkerId, task: StepTaskId, run: RunNumber) => number;
+  /** Whether workers report how far a run is; if left out, every run is reported as half done. */
+  readonly showsProgress?: boolean;
 }
 
 /** How long the jobs took, and what the scheduler cost. */
@@ -45,6 +51,8 @@
   readonly adviceCalls: number;
 }
 
+/** Progress of all runs if the model shows none. */
+const ASSUMED_PERCENT = 50;
 const WORKER_CORES = 64;
 const WORKER_GIB = 128;
 /** Time step of the model. */
@@ -63,9 +71,15 @@
   readonly act: () => void;
 }
 
+interface ModelRun {
+  readonly run: RunNumber;
+  readonly beganAt: number;
+  readonly millis: number;
+}
+
 interface ModelWorker {
   readonly registration: WorkerRegistration;
-  readonly running: Map<StepTaskId, RunNumber>;
+  readonly running: Map<StepTaskId, ModelRun>;
   ends: number;
 }
 
@@ -99,7 +113,7 @@
       {
         ordering: options.ordering,
         configuration: this.configuration,
-        scheduling: DEFAULT_SCHEDULING,
+        scheduling: options.scheduling ?? DEFAULT_SCHEDULING,
         earlierLeasesEnd: brandAs<Deadline>(0),
         leasesEnd: (now) => brandAs<Deadline>(now),
         restored: { jobs: [], runs: [], archives: [], orphans: [], misplaced: [] },
@@ -217,7 +231,13 @@
 
   private start(incarnation: WorkerIncarnation, { task, run }: StartOrder): void {
     this.starts += 1;
-    this.workers.get(incarnation)?.running.set(task, run);
+    const worker = this.workers.get(incarnation);
+    if (worker === undefined) {
+      return;
+    }
+    const factor = this.options.runFactorOf?.(worker.registration.id, task, run) ?? 1;
+    const millis = factor * this.runMillisOf(task);
+    worker.running.set(task, { run, beganAt: this.now, millis });
     this.input({
       kind: 'order_answered',
       order: 'start',
@@ -227,7 +247,7 @@
       answer: { kind: 'done' },
       hasUnansweredCopies: false,
     });
-    this.schedule(this.runMillisOf(task), () => {
+    this.schedule(millis, () => {
       this.end(incarnation, task, run, 'done');
     });
   }
@@ -243,24 +263,25 @@
     run: RunNumber,
     end: EndedEntry['end'],
   ): void {
-    const worker = this.workers.get(incarnation);
-    if (worker?.running.get(task) !== run) {
-      return;
-    }
-    worker.running.delete(task);
-    worker.ends += 1;
-    const number = brandAs<EndNumber>(worker.ends);
     this.schedule(0, () => {
+      const worker = this.workers.get(incarnation);
+      if (worker?.running.get(task)?.run !== run) {
+        return;
+      }
+      // A run that is neither listed nor reported as ended would count as lost.
+      worker.running.delete(task);
+      worker.ends += 1;
+      const number = brandAs<EndNumber>(worker.ends);
       this.report(incarnation, [{ number, task, run, end, saved: NO_PROGRESS }]);
     });
   }
 
   private report(incarnation: WorkerIncarnation, ended: readonly EndedEntry[]): void {
-    const running = [...(this.workers.get(incarnation)?.running ?? [])].map(([task, run]) => ({
+    const running = [...(this.workers.get(incarnation)?.running ?? [])].map(([task, each]) => ({
       task,
-      run,
+      run: each.run,
       saved: NO_PROGRESS,
-      percent: 50,
+      percent: this.percentOf(each),
     }));
     const askedAt = brandAs<Instant>(this.now);
     this.input({
@@ -269,6 +290,12 @@
     });
   }
 
+  private percentOf({ beganAt, millis }: ModelRun): number {
+    return this.options.showsProgress === true
+      ? Math.floor((100 * (this.now - beganAt)) / millis)
+      : ASSUMED_PERCENT;
+  }
+
   private schedule(millis: number, act: () => void): void {
     this.events.push({ at: this.now + millis, act });
   }
--- a/packages/bench/src/jobs.ts
+++ b/packages/bench/src/jobs.ts
@@ -98,7 +98,7 @@
 }
 
 /** Time objective of a job, from the actual run times of its tasks, not from the estimate. */
-function objectiveOf({ kind, runMillis }: JobArrival): number {
+export function objectiveOf({ kind, runMillis }: JobArrival): number {
   const criticalPathMillis = runMillis.reduce((sum, step) => sum + Math.max(...step), 0);
   return kind.objectiveFactor * criticalPathMillis + kind.targetLatencyMillis;
 }
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { measureControlCost } from './control-cost.js';
 import { measurePacking } from './packing.js';
 import { measurePlacement } from './placement.js';
+import { measureRunTimes } from './run-times.js';
 import { measureWaiting } from './waiting.js';
 
 /** Runs a measurement and returns its figures as plain data. */
@@ -18,6 +19,7 @@
   ['capacity', measureCapacity],
   ['control-cost', measureControlCost],
   ['jobs', measureJobs],
+  ['run-times', measureRunTimes],
   ['recovery', measureRecovery],
 ]);
 
--- a/packages/jobs/src/copies.test.ts
+++ b/packages/jobs/src/copies.test.ts
@@ -66,6 +66,23 @@
   }
 });
 
+// Guards against a quick call that is late before its run is overdue.
+test('a run that will take far too long by its progress gets a copy early, and others do not', (t) => {
+  for (const [percent, copies] of [
+    [6, 1],
+    [40, 0],
+    [0, 0],
+  ] as const) {
+    const harness = learningHarness();
+    train(harness, { jobs: 60, millisOf: () => USUAL_MILLIS });
+    const steps = [stepPlan({ allowsCopies: true })];
+    const [original] = begin(harness, jobPlan(1, { steps }));
+    harness.advance(USUAL_MILLIS / 2);
+    listAsRunning(harness, original ?? t.fail(), percent);
+    t.is(harness.place().length, copies, `${percent} percent`);
+  }
+});
+
 // Guards against tasks that run twice though their plan forbids it, and against copies that cost others room.
 test('there is no copy unless the plan, the team, the attempts and the room allow it', (t) => {
   const limited = { limit: cores(1, 10_000) };
--- a/packages/jobs/src/copies.ts
+++ b/packages/jobs/src/copies.ts
@@ -20,10 +20,16 @@
 
 /** A run gets a copy once it has taken this many times as long as nearly all tasks of its kind. */
 const OVERDUE_FACTOR = 1.25;
-/** Interval between checks, milliseconds. */
-const CHECK_INTERVAL_MILLIS = 250;
+/** A run that by its progress will take this many times as long gets a copy earlier. */
+const SLOW_FACTOR = 2;
+/** Fraction of its expected time that a run must have taken before its progress is judged. */
+const MIN_SEEN_FRACTION = 0.4;
+/** Less progress than this, percent, may mean that the task reports none until it ends. */
+const MIN_PERCENT = 5;
+/** Interval between checks, milliseconds: a quick task is over within a second. */
+const CHECK_INTERVAL_MILLIS = 100;
 /** Bounds the time of a check and the room that copies take at once. */
-const MAX_COPIES_PER_CHECK = 8;
+const MAX_COPIES_PER_CHECK = 4;
 
 export class Copies {
   private nextCheckAt: Deadline = brandAs<Deadline>(0);
@@ -86,8 +92,13 @@
     if (!mayHaveCopy || !isWithinAttempts || this.crashes.needsIsolation(task)) {
       return false;
     }
-    const lateMillis = (OVERDUE_FACTOR * runTimes.lateMillis(step)) / runTimes.speedOf(worker.id);
-    return runTimes.isKnown(step) && now - confirmedAt > lateMillis && !this.endsSoon(run);
+    const speed = runTimes.speedOf(worker.id);
+    const lateMillis = runTimes.lateMillis(step) / speed;
+    const seenMillis = MIN_SEEN_FRACTION * runTimes.expectedMillis(step);
+    const isSlow =
+      now - confirmedAt > OVERDUE_FACTOR * lateMillis ||
+      leastMillisOf(run, seenMillis / speed) > SLOW_FACTOR * lateMillis;
+    return isSlow && runTimes.isKnown(step) && !this.endsSoon(run);
   }
 
   /** Whether the run is expected to end before a copy would. */
@@ -182,6 +193,20 @@
   }
 }
 
+/**
+ * The least time that the run takes if it goes on as it did; zero if its progress tells too little.
+ *
+ * @param seenMillis for how long the run must have been seen.
+ */
+function leastMillisOf({ progress, confirmedAt }: Run, seenMillis: number): number {
+  if (progress === undefined || confirmedAt === undefined || progress.percent < MIN_PERCENT) {
+    return 0;
+  }
+  const passed = progress.lastSeenAt - confirmedAt;
+  // Progress is rounded down to whole percents.
+  return passed < seenMillis ? 0 : (100 * passed) / (progress.percent + 1);
+}
+
 /** Workers where the task failed, and those that are kept for gangs, are left alone. */
 function isUsable(
   { task, worker: runsOn }: Run,
