Forecasts count how many tasks fit on each worker as its runs end

A gang was forecast in room that its own tasks would leave, and in free cores scattered over workers that hold no task of it.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -21,6 +21,7 @@
 import type { JobContext } from './context.js';
 import { allocationOf, newJob, newOccurrence, type Job, type Step, type Worker } from './model.js';
 import { MAX_LATENESS_FACTOR, latencyObjectiveMillis } from './ordering.js';
+import { OVERRUN_FACTOR } from './run-times.js';
 import { ServiceForecast, type ArrivingJob } from './service-forecast.js';
 import { NO_DEMAND, sumOf, waitingDemandOf, type Demand } from './waiting-demand.js';
 
@@ -212,10 +213,8 @@
     const adviceMillis = adviceMillisOf(arriving.firstStep, this.context.workers.size);
     const first = afterAdvice(forecast.first, adviceMillis, arriving.firstStep, context);
     const last = afterAdvice(forecast.last, adviceMillis, arriving.firstStep, context);
-    const valueFactor = isExcess ? 1 : MAX_LATENESS_FACTOR;
-    const valueMillis = valueFactor * latencyObjectiveMillis(arriving.firstStep);
-    const remainingMillis = valueMillis - this.chainMillisOf(steps);
-    if (forecast.hasRoomNow || last <= deadlineAfter(context.now, remainingMillis)) {
+    const latest = deadlineAfter(context.now, this.longestWaitMillis(steps, arriving.firstStep));
+    if (forecast.hasRoomNow || last <= latest) {
       return { kind: 'admitted', basis: { arriving, first } };
     }
     const forecastMillis = Math.min(MAX_REPORTED_MILLIS, Math.round(last - context.now));
@@ -227,6 +226,19 @@
     };
   }
 
+  /**
+   * How long the last task may wait so that the job completes while it is of value. Excess must also start while
+   * its caller could still have it served elsewhere or later, and forecasts are as far off as run times.
+   */
+  private longestWaitMillis(steps: readonly Step[], firstStep: Step): number {
+    const { isExcess, queue } = firstStep.job;
+    const objectiveMillis = latencyObjectiveMillis(firstStep);
+    const chainMillis = this.chainMillisOf(steps);
+    return isExcess
+      ? Math.min(objectiveMillis - chainMillis, queue.timeoutMillis / OVERRUN_FACTOR)
+      : MAX_LATENESS_FACTOR * objectiveMillis - chainMillis;
+  }
+
   private arrivingJob(firstStep: Step, steps: readonly Step[]): ArrivingJob {
     const { job } = firstStep;
     const demands = steps.map((step) => this.demandOf(step));
--- a/packages/jobs/src/emulated-fleet.fixture.ts
+++ b/packages/jobs/src/emulated-fleet.fixture.ts
@@ -10,6 +10,7 @@
 } from '@bamboowell/types/job';
 import { NO_PROGRESS } from '@bamboowell/types/job';
 import type { Instant } from '@bamboowell/types/time';
+import type { JobAnswer } from './messages.js';
 import {
   runningEntry,
   schedulerHarness,
@@ -86,11 +87,12 @@
   return {
     harness,
     /** Each task of the job takes so long. */
-    submit: (plan: JobPlan, millis: number): void => {
+    submit: (plan: JobPlan, millis: number): JobAnswer | undefined => {
       runMillis.set(plan.id, millis);
       submittedAt.set(plan.id, harness.now());
-      harness.submit(plan);
+      const token = harness.submit(plan);
       harness.commit();
+      return harness.answers.get(token);
     },
     /** Lets time pass; `onTick` is called before each pass. */
     run: (millis: number, onTick: () => void = () => undefined): void => {
--- a/packages/jobs/src/room-outlook.ts
+++ b/packages/jobs/src/room-outlook.ts
@@ -7,50 +7,51 @@
 import { allocationOf, type Worker } from './model.js';
 import { expectedEndOf } from './run-ends.js';
 
-/** Free resources of one worker. */
+/**
+ * Most sizes of tasks for which it is counted how many fit on each worker as its runs end. Each count looks at
+ * all runs; with more sizes, what ends is counted as a whole.
+ */
+const MAX_EXACT_SIZES = 16;
+
+interface RunEnd extends CapacityEnd {
+  readonly frees: Resources;
+}
+
+/** What one worker has free and which runs end there, in order of time. */
 interface WorkerRoom {
-  readonly capacity: Resources;
   readonly free: Resources;
-  /** What is free if runs beyond the promised rates are left out. */
-  readonly freeForPromised: Resources;
+  readonly ends: readonly RunEnd[];
+}
+
+/** The room of all workers, of all runs or without those of excess. */
+interface View {
+  readonly rooms: readonly WorkerRoom[];
+  /** By size of task: few exist, and each arriving job asks. */
+  readonly known: Map<string, Room>;
+  freed: FreedCapacity | undefined;
 }
 
 export class RoomOutlook {
   /** Processor time of all workers, thousandths of a core. */
   readonly millicores: number;
-  private readonly rooms: readonly WorkerRoom[];
-  private readonly freed: FreedCapacity;
-  private readonly freedByPromised: FreedCapacity;
-  /** By demand: few sizes exist, and each arriving job asks. */
-  private readonly known = new Map<string, Room>();
+  private readonly capacities: readonly Resources[];
+  private readonly whole: View;
+  private readonly forPromised: View;
 
   constructor(workers: readonly Worker[], now: Instant) {
-    const ends: CapacityEnd[] = [];
-    const promisedEnds: CapacityEnd[] = [];
-    this.rooms = workers.map(({ registration: { capacity }, used, runs }) => {
-      let excess = NO_RESOURCES;
-      for (const run of runs.values()) {
-        const { plan, job } = run.task.step;
-        const allocation = allocationOf(plan);
-        const end = { at: expectedEndOf(run, now), millicores: allocation.millicores };
-        ends.push(end);
-        if (job.isExcess) {
-          excess = add(excess, allocation);
-        } else {
-          promisedEnds.push(end);
-        }
-      }
-      const free = subtract(capacity, used);
-      return { capacity, free, freeForPromised: add(free, excess) };
-    });
-    this.millicores = this.rooms.reduce((sum, { capacity }) => sum + capacity.millicores, 0);
-    this.freed = new FreedCapacity(ends);
-    this.freedByPromised = new FreedCapacity(promisedEnds);
+    this.capacities = workers.map(({ registration }) => registration.capacity);
+    this.millicores = this.capacities.reduce((sum, { millicores }) => sum + millicores, 0);
+    const rooms = workers.map((worker) => roomOf(worker, now));
+    this.whole = newView(rooms.map(({ whole }) => whole));
+    this.forPromised = newView(rooms.map(({ forPromised }) => forPromised));
   }
 
   /** Number of tasks with this demand that the workers hold if nothing else runs there. */
   tasksThatFit(demand: Resources, maxPerWorker: number): number {
-    return this.count(({ capacity }) => countFitting(demand, capacity, maxPerWorker));
+    return this.capacities.reduce(
+      (sum, capacity) => sum + countFitting(demand, capacity, maxPerWorker),
+      0,
+    );
   }
 
   /**
@@ -60,27 +61,88 @@
    *   does count as if they took no room.
    */
   roomFor(demand: Resources, maxPerWorker: number, isExcess: boolean): Room {
+    const view = isExcess ? this.whole : this.forPromised;
     const { millicores, memoryMib, accelerators, slots } = demand;
-    const key = [millicores, memoryMib, accelerators, slots, maxPerWorker, isExcess].join();
-    const room = this.known.get(key) ?? this.newRoom(demand, maxPerWorker, isExcess);
-    this.known.set(key, room);
+    const key = [millicores, memoryMib, accelerators, slots, maxPerWorker].join();
+    const room = view.known.get(key) ?? this.newRoom(demand, maxPerWorker, view);
+    view.known.set(key, room);
     return room;
   }
 
-  private newRoom(demand: Resources, maxPerWorker: number, isExcess: boolean): Room {
-    const fitting = this.count(({ free, freeForPromised }) =>
-      countFitting(demand, isExcess ? free : freeForPromised, maxPerWorker),
+  private newRoom(demand: Resources, maxPerWorker: number, view: View): Room {
+    const { millicores } = demand;
+    if (view.known.size < MAX_EXACT_SIZES) {
+      return exactRoom(demand, maxPerWorker, view.rooms);
+    }
+    view.freed ??= new FreedCapacity(view.rooms.flatMap(({ ends }) => ends));
+    const fitting = view.rooms.reduce(
+      (sum, { free }) => sum + countFitting(demand, free, maxPerWorker),
+      0,
     );
-    const usable = this.count(({ capacity }) => countFitting(demand, capacity, 0));
+    // A worker of 64 cores holds three tasks of 18 cores: a sixth of what it frees is of no use to them.
+    const usable = this.tasksThatFit(demand, 0) * millicores;
     return {
-      free: fitting * demand.millicores,
-      freed: isExcess ? this.freed : this.freedByPromised,
-      // A worker of 64 cores holds three tasks of 18 cores: a sixth of what it frees is of no use to them.
-      usableFraction: Math.min(1, (usable * demand.millicores) / Math.max(1, this.millicores)),
+      free: fitting * millicores,
+      freed: view.freed,
+      usableFraction: Math.min(1, usable / Math.max(1, this.millicores)),
     };
   }
+}
+
+function newView(rooms: readonly WorkerRoom[]): View {
+  return { rooms, known: new Map(), freed: undefined };
+}
+
+function roomOf(
+  { registration: { capacity }, used, runs }: Worker,
+  now: Instant,
+): { readonly whole: WorkerRoom; readonly forPromised: WorkerRoom } {
+  const ends: RunEnd[] = [];
+  const promisedEnds: RunEnd[] = [];
+  let excess = NO_RESOURCES;
+  for (const run of runs.values()) {
+    const { plan, job } = run.task.step;
+    const frees = allocationOf(plan);
+    const end = { at: expectedEndOf(run, now), millicores: frees.millicores, frees };
+    ends.push(end);
+    if (job.isExcess) {
+      excess = add(excess, frees);
+    } else {
+      promisedEnds.push(end);
+    }
+  }
+  const free = subtract(capacity, used);
+  return {
+    whole: { free, ends: ends.sort(byTime) },
+    forPromised: { free: add(free, excess), ends: promisedEnds.sort(byTime) },
+  };
+}
+
+function byTime(left: RunEnd, right: RunEnd): number {
+  return left.at - right.at;
+}
 
-  private count(tasks: (room: WorkerRoom) => number): number {
-    return this.rooms.reduce((sum, room) => sum + tasks(room), 0);
+/** Counts how many tasks fit on each worker now and more after the end of each run. */
+function exactRoom(demand: Resources, maxPerWorker: number, rooms: readonly WorkerRoom[]): Room {
+  const { millicores } = demand;
+  const gains: CapacityEnd[] = [];
+  let fittingNow = 0;
+  for (const { free, ends } of rooms) {
+    let fitting = countFitting(demand, free, maxPerWorker);
+    let freeThen = free;
+    fittingNow += fitting;
+    for (const { at, frees } of ends) {
+      freeThen = add(freeThen, frees);
+      const fittingThen = countFitting(demand, freeThen, maxPerWorker);
+      if (fittingThen > fitting) {
+        gains.push({ at, millicores: (fittingThen - fitting) * millicores });
+        fitting = fittingThen;
+      }
+    }
   }
+  return {
+    free: fittingNow * millicores,
+    freed: new FreedCapacity(gains),
+    usableFraction: 1,
+  };
 }
--- a/packages/policy/src/start-forecast.test.ts
+++ b/packages/policy/src/start-forecast.test.ts
@@ -69,6 +69,12 @@
   t.true(Math.abs(first - 300) <= 5);
 });
 
+// Guards against a gang that is forecast to start in the room that its own tasks leave when they end.
+test('a gang that is larger than all capacity never starts', (t) => {
+  t.is(forecastStart(tasks(4, true), room(), NOTHING_AHEAD, NOW).last, NEVER);
+  t.not(forecastStart(tasks(4), room(), NOTHING_AHEAD, NOW).last, NEVER);
+});
+
 test('what is too small for a task is not counted as freed', (t) => {
   const { last } = millisOf(tasks(2), room({ usableFraction: 0.7 }), NOTHING_AHEAD, NOW);
   t.true(Math.abs(last - 300) <= 5);
--- a/packages/policy/src/start-forecast.ts
+++ b/packages/policy/src/start-forecast.ts
@@ -106,20 +106,33 @@
   now: Instant,
 ): StartForecast {
   const { waitingMillicores } = competition;
-  const last = availableAt(waitingMillicores + demand.whole, room, competition, now);
+  const wanted = waitingMillicores + demand.whole;
+  // A gang's own tasks don't end before the last one starts.
+  const turnover = demand.isGang ? waitingMillicores : Number.POSITIVE_INFINITY;
+  const last = availableAt(wanted, turnover, room, competition, now);
   const first = demand.isGang
     ? last
-    : availableAt(waitingMillicores + demand.firstTask, room, competition, now);
+    : availableAt(waitingMillicores + demand.firstTask, turnover, room, competition, now);
   return { first, last };
 }
 
-/** When so much has been available in all. */
-function availableAt(wanted: number, room: Room, competition: Competition, now: Instant): Deadline {
+/**
+ * When so much has been available in all.
+ *
+ * @param turnover the most that may be used more than once.
+ */
+function availableAt(
+  wanted: number,
+  turnover: number,
+  room: Room,
+  competition: Competition,
+  now: Instant,
+): Deadline {
   if (wanted <= room.free) {
     return deadlineAfter(now, 0);
   }
   const isEnough = (millis: number): boolean =>
-    availableWithin(millis, room, competition, now) >= wanted;
+    availableWithin(millis, turnover, room, competition, now) >= wanted;
   if (!isEnough(HORIZON_MILLIS)) {
     return NEVER;
   }
@@ -139,18 +152,21 @@
 /** All that becomes available within the time, capacity that is used in turn counted each time. */
 function availableWithin(
   millis: number,
+  turnover: number,
   { free, freed, usableFraction }: Room,
   { arrivingFraction, meanRunMillis }: Competition,
   now: Instant,
 ): number {
+  const freedWithin = (span: number): number => usableFraction * freed.until(now + span);
   const runMillis = Math.max(MIN_RUN_MILLIS, meanRunMillis);
   const lastMillis = Math.max(0, freed.lastAt - now);
   const whole = free + usableFraction * freed.total;
   // Turns in which all of today's capacity has been freed need no look at the ends.
-  const wholeTurns = millis < lastMillis ? 0 : Math.floor((millis - lastMillis) / runMillis) + 1;
-  let available = wholeTurns * whole;
-  for (let before = wholeTurns * runMillis; before <= millis; before += runMillis) {
-    available += free + usableFraction * freed.until(now + millis - before);
+  const wholeTurns = Math.max(0, Math.floor((millis - lastMillis) / runMillis));
+  let again = wholeTurns * whole;
+  for (let before = (wholeTurns + 1) * runMillis; before <= millis; before += runMillis) {
+    again += free + freedWithin(millis - before);
   }
-  return free + Math.max(0, 1 - arrivingFraction) * (available - free);
+  const remainingFraction = Math.max(0, 1 - arrivingFraction);
+  return free + remainingFraction * (freedWithin(millis) + Math.min(turnover, again));
 }
