Shares of what teams run beyond their rates, and lent room that comes back

With sharing=weighted, excess is ordered between teams by the weighted dominant share of what their excess runs, and within a team by cost of delay. On a nearly full fleet excess does not start or get in where promised work of the last seconds is expected to need the room before it ends.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -19,6 +19,7 @@
 import { AdmissionFigures } from './admission-figures.js';
 import { poolKeysOf } from './advice-budget.js';
 import type { JobContext } from './context.js';
+import type { LentRoom } from './lent-room.js';
 import { allocationOf, newJob, newOccurrence, type Job, type Step, type Worker } from './model.js';
 import { MAX_LATENESS_FACTOR, latencyObjectiveMillis } from './ordering.js';
 import { OVERRUN_FACTOR } from './run-times.js';
@@ -44,8 +45,11 @@
   | {
       readonly kind: 'refused';
       readonly retryAfterSeconds: number;
-      /** `late`: it is forecast to complete too late to be of use. */
-      readonly reason: 'overloaded' | 'team_limit' | 'late';
+      /**
+       * `late`: it is forecast to complete too late to be of use. `reserved`: promised work is expected to need
+       * the room before the job ends.
+       */
+      readonly reason: 'overloaded' | 'team_limit' | 'late' | 'reserved';
       /** Time until its last task is forecast to start. */
       readonly forecastMillis?: number;
     };
@@ -68,9 +72,12 @@
   { admission }: SchedulingOptions,
   context: JobContext,
   readySteps: ReadonlySet<Step>,
+  lentRoom: LentRoom | undefined,
 ): JobAdmission {
-  const byRate = new AdmissionByRate(context, readySteps);
-  return admission === 'forecast' ? new AdmissionByForecast(context, readySteps, byRate) : byRate;
+  const byRate = new AdmissionByRate(context, readySteps, lentRoom);
+  return admission === 'forecast'
+    ? new AdmissionByForecast(context, readySteps, byRate, lentRoom)
+    : byRate;
 }
 
 /**
@@ -81,15 +88,21 @@
   constructor(
     private readonly context: JobContext,
     private readonly readySteps: ReadonlySet<Step>,
+    /** Set if what teams run beyond their promised rate is shared between them. */
+    private readonly lentRoom: LentRoom | undefined,
   ) {
     super();
   }
 
-  decide(plan: JobPlan, { service }: JobQueue, isExcess: boolean): AdmissionDecision {
-    if (isExcess && (this.isRoomSpent(plan, service) || isTeamAtLimit(this.context, plan))) {
-      const retryAfterSeconds = EXCESS_RETRY_AFTER_SECONDS;
+  decide(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+    const { context } = this;
+    const retryAfterSeconds = EXCESS_RETRY_AFTER_SECONDS;
+    if (isExcess && (this.isRoomSpent(plan, queue.service) || isTeamAtLimit(context, plan))) {
       return { kind: 'refused', reason: 'overloaded', retryAfterSeconds };
     }
+    if (isExcess && !this.mayBorrow(plan, queue)) {
+      return { kind: 'refused', reason: 'reserved', retryAfterSeconds };
+    }
     return this.decideByLoad(isExcess);
   }
 
@@ -112,6 +125,11 @@
     // Nothing is reported.
   }
 
+  private mayBorrow(plan: JobPlan, queue: JobQueue): boolean {
+    const [firstStep] = stepsOf(plan, queue, true, this.context);
+    return firstStep === undefined || (this.lentRoom?.take(firstStep) ?? true);
+  }
+
   private isRoomSpent({ team, steps }: JobPlan, service: string): boolean {
     const [first] = steps;
     return (
@@ -146,6 +164,8 @@
     private readonly readySteps: ReadonlySet<Step>,
     /** Decides on jobs that can't be forecast. */
     private readonly byRate: AdmissionByRate,
+    /** Set if what teams run beyond their promised rate is shared between them. */
+    private readonly lentRoom: LentRoom | undefined,
   ) {
     super();
     this.figures = new AdmissionFigures(context);
@@ -214,13 +234,14 @@
     const first = afterAdvice(forecast.first, adviceMillis, arriving.firstStep, context);
     const last = afterAdvice(forecast.last, adviceMillis, arriving.firstStep, context);
     const latest = deadlineAfter(context.now, this.longestWaitMillis(steps, arriving.firstStep));
-    if (forecast.hasRoomNow || last <= latest) {
+    const isLent = !isExcess || (this.lentRoom?.take(arriving.firstStep) ?? true);
+    if (isLent && (forecast.hasRoomNow || last <= latest)) {
       return { kind: 'admitted', basis: { arriving, first } };
     }
     const forecastMillis = Math.min(MAX_REPORTED_MILLIS, Math.round(last - context.now));
     return {
       kind: 'refused',
-      reason: 'late',
+      reason: isLent ? 'late' : 'reserved',
       forecastMillis,
       retryAfterSeconds: retryAfterSeconds(id, forecastMillis, patienceMillis),
     };
@@ -273,7 +294,8 @@
     if (known !== undefined && !hasPassed(known.until, now)) {
       return known.forecast;
     }
-    const forecast = known?.forecast ?? new ServiceForecast(this.context);
+    const forecast =
+      known?.forecast ?? new ServiceForecast(this.context, this.lentRoom !== undefined);
     const ready = [...this.readySteps].filter(({ job }) => job.queue.service === service);
     forecast.refresh(this.workersOf(service), ready);
     this.services.set(service, { forecast, until: deadlineAfter(now, REFRESH_MILLIS) });
--- a/packages/jobs/src/arrival-rates.ts
+++ b/packages/jobs/src/arrival-rates.ts
@@ -1,5 +1,7 @@
-/** How much demand was accepted of late, as the measure of what will arrive next. */
+/** How much demand was accepted of late by queue, as the measure of what will arrive next. */
 
+import type { QueueId } from '@bamboowell/types/ids';
+import type { JobQueue } from '@bamboowell/types/job';
 import type { Instant } from '@bamboowell/types/time';
 import { NO_DEMAND, type Demand } from './waiting-demand.js';
 
@@ -9,22 +11,24 @@
 const MIN_SPAN_MILLIS = 1000;
 
 interface Arrivals extends Demand {
+  readonly priority: number;
   readonly at: Instant;
 }
 
-/** What is accepted by priority, as an exponentially weighted moving average. */
+/** An exponentially weighted moving average of what is accepted. */
 export class ArrivalRates {
-  private readonly arrivals = new Map<number, Arrivals>();
+  private readonly arrivals = new Map<QueueId, Arrivals>();
   private since: Instant | undefined;
 
-  record(priority: number, { millicores, work }: Demand, now: Instant): void {
+  record({ id, priority }: JobQueue, { millicores, work }: Demand, now: Instant): void {
     this.since ??= now;
-    const known = this.arrivals.get(priority);
+    const known = this.arrivals.get(id);
     const decay = known === undefined ? 0 : decayOf(now - known.at);
     const before = known ?? NO_DEMAND;
-    this.arrivals.set(priority, {
+    this.arrivals.set(id, {
       millicores: before.millicores * decay + millicores,
       work: before.work * decay + work,
+      priority,
       at: now,
     });
   }
@@ -34,15 +38,31 @@
    * if they go on: the work that arrives in a millisecond.
    */
   usageBefore(priority: number, now: Instant): number {
-    const span = Math.max(MIN_SPAN_MILLIS, now - (this.since ?? now));
-    // The average is over less than its time constant as long as that has not passed.
-    const weight = TIME_CONSTANT_MILLIS * (1 - decayOf(span));
     let usage = 0;
-    for (const [own, { work, at }] of this.arrivals) {
-      usage += own < priority ? (work * decayOf(now - at)) / weight : 0;
+    for (const arrivals of this.arrivals.values()) {
+      usage += arrivals.priority < priority ? this.ratesOf(arrivals, now).work : 0;
     }
     return usage;
   }
+
+  /** Processor time, thousandths of a core, that what arrives within the time takes at its end. */
+  neededWithin(millis: number, now: Instant): number {
+    let needed = 0;
+    for (const arrivals of this.arrivals.values()) {
+      const { millicores, work } = this.ratesOf(arrivals, now);
+      // What arrives runs for work / millicores, and leaves its room again after that.
+      needed += Math.min(millicores * millis, work);
+    }
+    return needed;
+  }
+
+  /** Demand by millisecond. */
+  private ratesOf({ millicores, work, at }: Arrivals, now: Instant): Demand {
+    const span = Math.max(MIN_SPAN_MILLIS, now - (this.since ?? now));
+    // The average is over less than its time constant as long as that has not passed.
+    const factor = decayOf(now - at) / (TIME_CONSTANT_MILLIS * (1 - decayOf(span)));
+    return { millicores: millicores * factor, work: work * factor };
+  }
 }
 
 function decayOf(millis: number): number {
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -75,6 +75,8 @@
   firstStarted: (job: Job) => void = () => undefined;
   private readonly queues = new Map<QueueId, JobQueue>();
   private readonly teams = new Map<TeamId, JobTeam>();
+  /** Resources that the teams' runs beyond their promised rates take. */
+  readonly excessUsage = new Map<TeamId, Resources>();
   private readonly usageByTeam = new Map<TeamId, Resources>();
   private outputs: JobOutput[] = [];
   /** The keys of the records of each job that are to be written. */
@@ -322,10 +324,14 @@
   }
 
   private adjustUsage(run: Run, combine: (left: Resources, right: Resources) => Resources): void {
-    const { plan } = run.task.step;
-    const team = run.task.step.job.plan?.team;
+    const { plan, job } = run.task.step;
+    const team = job.plan?.team;
     if (team !== undefined) {
       this.usageByTeam.set(team, combine(this.usageOf(team), allocationOf(plan)));
+      if (job.isExcess) {
+        const usage = this.excessUsage.get(team) ?? NO_RESOURCES;
+        this.excessUsage.set(team, combine(usage, allocationOf(plan)));
+      }
     }
   }
 
--- a/packages/jobs/src/excess-ordering.ts
+++ b/packages/jobs/src/excess-ordering.ts
@@ -2,6 +2,9 @@
 
 import type { TeamId } from '@bamboowell/types/ids';
 import type { JobContext } from './context.js';
+import { costOfDelay } from './cost-of-delay.js';
+import { ExcessShares } from './excess-shares.js';
+import type { LentRoom } from './lent-room.js';
 import type { Step } from './model.js';
 import { JobOrdering, bandOf, latencyObjectiveMillis } from './ordering.js';
 
@@ -16,7 +19,7 @@
   readonly last: Step[];
 }
 
-export function bandsOf(steps: Iterable<Step>, context: JobContext): Bands {
+function bandsOf(steps: Iterable<Step>, context: JobContext): Bands {
   const bands: Bands = { promised: [], excess: [], late: [], last: [] };
   for (const step of steps) {
     const band = bandOf(step, context);
@@ -53,7 +56,60 @@
   }
 }
 
-export function byAcceptance(left: Step, right: Step): number {
+/**
+ * Orders excess between teams by what their excess runs, and within a team by cost of delay; excess that would
+ * take room that promised work needs is left out. Work that is too late goes before all other excess of its
+ * team, and is charged to the team.
+ */
+export class ExcessByShare extends JobOrdering {
+  private readonly shares = new ExcessShares();
+
+  constructor(
+    private readonly promised: JobOrdering,
+    private readonly lentRoom: LentRoom,
+  ) {
+    super();
+  }
+
+  sorted(steps: Iterable<Step>, context: JobContext): Step[] {
+    const { promised, excess, late, last } = bandsOf(steps, context);
+    this.lentRoom.beginPass(promised);
+    const stepsByTeam = groupByTeam([
+      ...late.sort(byAcceptance),
+      ...byCostOfDelay(excess, context),
+    ]);
+    // Work without a team is charged to none.
+    const unowned = stepsByTeam.get(undefined) ?? [];
+    stepsByTeam.delete(undefined);
+    const owned = stepsByTeam as ReadonlyMap<TeamId, Step[]>;
+    return [
+      ...this.promised.sorted(promised, context),
+      ...this.shares.merged(owned, context).filter((step) => this.lentRoom.take(step)),
+      ...unowned,
+      ...this.promised.sorted(last, context),
+    ];
+  }
+}
+
+function byCostOfDelay(steps: readonly Step[], context: JobContext): Step[] {
+  return steps
+    .map((step) => ({ step, cost: costOfDelay(step, context) }))
+    .sort((left, right) => right.cost - left.cost || byAcceptance(left.step, right.step))
+    .map(({ step }) => step);
+}
+
+function groupByTeam(steps: readonly Step[]): Map<TeamId | undefined, Step[]> {
+  const groups = new Map<TeamId | undefined, Step[]>();
+  for (const step of steps) {
+    const team = step.job.plan?.team;
+    const group = groups.get(team) ?? [];
+    group.push(step);
+    groups.set(team, group);
+  }
+  return groups;
+}
+
+function byAcceptance(left: Step, right: Step): number {
   return left.job.acceptedAt - right.job.acceptedAt;
 }
 
@@ -63,13 +119,7 @@
 
 /** Puts each late step before the first step of its team that was accepted later; the others at the end. */
 function mergeLate(excess: readonly Step[], late: readonly Step[]): Step[] {
-  const lateByTeam = new Map<TeamId | undefined, Step[]>();
-  for (const step of [...late].sort(byAcceptance)) {
-    const team = step.job.plan?.team;
-    const steps = lateByTeam.get(team) ?? [];
-    steps.push(step);
-    lateByTeam.set(team, steps);
-  }
+  const lateByTeam = groupByTeam([...late].sort(byAcceptance));
   const merged: Step[] = [];
   for (const step of excess) {
     const waiting = lateByTeam.get(step.job.plan?.team) ?? [];
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -18,6 +18,7 @@
 import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
+import type { LentRoom } from './lent-room.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
   isEnded,
@@ -55,8 +56,10 @@
     private readonly context: JobContext,
     private readonly stopRun: (run: Run) => void,
     scheduling: SchedulingOptions,
+    /** Set if what teams run beyond their promised rate is shared between them. */
+    private readonly lentRoom: LentRoom | undefined,
   ) {
-    this.admission = jobAdmissionOf(scheduling, context, this.readySteps);
+    this.admission = jobAdmissionOf(scheduling, context, this.readySteps, lentRoom);
     context.firstStarted = (job) => {
       this.admission.recordStarted(job);
     };
@@ -120,6 +123,7 @@
     });
     this.answerAfterCommit(job, token, { kind: 'accepted', repeated: false });
     this.activate(job, plan);
+    this.lentRoom?.recordAccepted(job);
   }
 
   cancel(id: JobId, token: JobToken): void {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,8 +18,9 @@
 import { isSameOffer } from './available-workers.js';
 import { JobContext } from './context.js';
 import { AdvicePrefetch } from './advice-prefetch.js';
-import { ExcessByAcceptance } from './excess-ordering.js';
+import { ExcessByAcceptance, ExcessByShare } from './excess-ordering.js';
 import { Lifecycle } from './lifecycle.js';
+import { LentRoom } from './lent-room.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
 import { OldestFirst, type JobOrdering } from './ordering.js';
@@ -98,13 +99,12 @@
         this.reports.endIncarnation(worker, 'other_life', undefined);
       },
     );
-    this.lifecycle = new Lifecycle(
-      context,
-      (run) => {
-        this.orders.stop(run);
-      },
-      options.scheduling,
-    );
+    const { scheduling } = options;
+    const lentRoom = scheduling.sharing === 'weighted' ? new LentRoom(context) : undefined;
+    const stopRun = (run: Run): void => {
+      this.orders.stop(run);
+    };
+    this.lifecycle = new Lifecycle(context, stopRun, scheduling, lentRoom);
     this.crashes = new WorkerCrashes(context, this.lifecycle);
     this.successors = new Successors(context, options.leasesEnd);
     this.reports = new Reports(
@@ -125,7 +125,7 @@
       this.orders,
       quarantines,
       this.stepAdvice,
-      { usual: orderingOf(options), saturated: new OldestFirst() },
+      { usual: orderingOf(options, lentRoom), saturated: new OldestFirst() },
       this.crashes,
     );
     this.advicePrefetch = new AdvicePrefetch(context, this.lifecycle, this.stepPlacement);
@@ -413,6 +413,12 @@
   }
 }
 
-function orderingOf({ ordering, scheduling }: JobSchedulerOptions): JobOrdering {
+function orderingOf(
+  { ordering, scheduling }: JobSchedulerOptions,
+  lentRoom: LentRoom | undefined,
+): JobOrdering {
+  if (lentRoom !== undefined) {
+    return new ExcessByShare(ordering, lentRoom);
+  }
   return scheduling.admission === 'forecast' ? new ExcessByAcceptance(ordering) : ordering;
 }
--- a/packages/jobs/src/service-forecast.ts
+++ b/packages/jobs/src/service-forecast.ts
@@ -8,9 +8,16 @@
 import { ArrivalRates } from './arrival-rates.js';
 import type { JobContext } from './context.js';
 import { allocationOf, type Step, type Worker } from './model.js';
-import { bandOf, type Band } from './ordering.js';
+import { bandOf } from './ordering.js';
 import { RoomOutlook } from './room-outlook.js';
-import { WaitingDemand, sumOf, waitingDemandOf, type Demand } from './waiting-demand.js';
+import {
+  WaitingDemand,
+  multiplyDemand,
+  sumOf,
+  waitingDemandOf,
+  type Demand,
+  type RankedDemand,
+} from './waiting-demand.js';
 
 /** An arriving job that is not accepted yet. */
 export interface ArrivingJob {
@@ -41,7 +48,11 @@
   private readonly promisedRates = new ArrivalRates();
   private readonly excessRates = new ArrivalRates();
 
-  constructor(private readonly context: JobContext) {}
+  constructor(
+    private readonly context: JobContext,
+    /** Whether excess is shared between teams by weight. */
+    private readonly isShared: boolean,
+  ) {}
 
   /** Looks at the service anew. */
   refresh(workers: readonly Worker[], readySteps: Iterable<Step>): void {
@@ -87,7 +98,7 @@
     const label = firstStep.plan.neededLabel;
     this.waiting.add({ band, priority, team, label, ...widest });
     const rates = isExcess ? this.excessRates : this.promisedRates;
-    rates.record(priority, whole, this.context.now);
+    rates.record(firstStep.job.queue, whole, this.context.now);
   }
 
   private addWaiting(step: Step): void {
@@ -123,22 +134,46 @@
   }
 
   private demandAhead(job: ArrivingJob, outlook: RoomOutlook): Demand {
+    if (!job.isExcess || !this.isShared) {
+      return this.matching(outlook, job, (demand) => isAhead(demand, job));
+    }
+    // The team gets its part of what all teams with waiting excess get together, however much the others wait for.
+    const promised = this.matching(outlook, job, ({ band }) => band < 2);
+    const all = this.matching(outlook, job, ({ band }) => band >= 2);
+    const own = this.matching(outlook, job, ({ band, team }) => band >= 2 && team === job.team);
+    const share = this.shareOf(job);
+    const isSmaller = own.millicores < share * all.millicores;
+    const excess = isSmaller ? multiplyDemand(own, 1 / share) : all;
+    return sumOf([promised, excess]);
+  }
+
+  /** The team's weight as a fraction of that of all teams with excess that waits, itself included. */
+  private shareOf({ team: own }: ArrivingJob): number {
+    const weightOf = (team: TeamId | undefined): number =>
+      team === undefined ? 0 : (this.context.team(team)?.weight ?? 0);
+    const teams = new Set([...this.waiting.teamsOf(2), own]);
+    const weights = [...teams].reduce((sum, team) => sum + weightOf(team), 0);
+    return weights === 0 ? 1 : weightOf(own) / weights;
+  }
+
+  private matching(
+    outlook: RoomOutlook,
+    job: ArrivingJob,
+    isCounted: (demand: RankedDemand) => boolean,
+  ): Demand {
     const { neededLabel } = job.firstStep.plan;
     if (neededLabel === undefined) {
-      return this.waiting.matching((demand) => isAhead(demand, job));
+      return this.waiting.matching(isCounted);
     }
     // Work that any worker can run is taken to be spread over all of them.
     const share = outlook.millicores / Math.max(1, this.outlookOf(undefined).millicores);
     const same = this.waiting.matching(
-      (demand) => demand.label === neededLabel && isAhead(demand, job),
+      (demand) => demand.label === neededLabel && isCounted(demand),
     );
     const anywhere = this.waiting.matching(
-      (demand) => demand.label === undefined && isAhead(demand, job),
+      (demand) => demand.label === undefined && isCounted(demand),
     );
-    return {
-      millicores: same.millicores + share * anywhere.millicores,
-      work: same.work + share * anywhere.work,
-    };
+    return sumOf([same, multiplyDemand(anywhere, share)]);
   }
 
   /** What work that arrives later and goes before the job takes all the time, thousandths of a core. */
@@ -151,17 +186,11 @@
   }
 }
 
-interface Rank {
-  readonly band: Band;
-  readonly priority: number;
-  readonly team: TeamId | undefined;
-}
-
 /**
  * Whether what waits goes before the arriving job: promised work by priority, all of it before excess, and
  * excess by priority and acceptance. What is too late goes before newer excess of its team.
  */
-function isAhead({ band, priority, team }: Rank, job: ArrivingJob): boolean {
+function isAhead({ band, priority, team }: RankedDemand, job: ArrivingJob): boolean {
   if (!job.isExcess) {
     return band === 0 && priority <= job.priority;
   }
--- a/packages/jobs/src/waiting-demand.ts
+++ b/packages/jobs/src/waiting-demand.ts
@@ -24,6 +24,10 @@
   return { millicores, work };
 }
 
+export function multiplyDemand({ millicores, work }: Demand, factor: number): Demand {
+  return { millicores: millicores * factor, work: work * factor };
+}
+
 /** Demand of one rank: the labels that only some workers have are kept apart. */
 export interface RankedDemand extends Demand {
   readonly band: Band;
@@ -58,4 +62,10 @@
   matching(isAhead: (demand: RankedDemand) => boolean): Demand {
     return sumOf([...this.sums.values()].filter(isAhead));
   }
+
+  /** The teams with demand of the band. */
+  teamsOf(band: Band): Set<TeamId | undefined> {
+    const ofBand = [...this.sums.values()].filter((demand) => demand.band === band);
+    return new Set(ofBand.map(({ team }) => team));
+  }
 }
