--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -22,9 +22,10 @@
 import { AdvicePrefetch } from './advice-prefetch.js';
 import { EvacuationControl } from './evacuation-control.js';
 import { NO_EVACUATIONS, type KnownEvacuations } from './evacuations.js';
-import { ExcessByAcceptance } from './excess-ordering.js';
+import { ExcessByAcceptance, ExcessByShare } from './excess-ordering.js';
 import { runTimesOf } from './learned-run-times.js';
 import { Lifecycle } from './lifecycle.js';
+import { LentRoom } from './lent-room.js';
 import type { JobBatch, JobInput, JobOutput } from './messages.js';
 import { newWorker, openStartsOn, type Run, type Worker } from './model.js';
 import { OldestFirst, type JobOrdering } from './ordering.js';
@@ -110,13 +111,12 @@
         this.reports.endIncarnation(worker, 'other_life', undefined);
       },
     );
-    this.lifecycle = new Lifecycle(
-      context,
-      (run) => {
-        this.orders.stop(run);
-      },
-      options.scheduling,
-    );
+    const { scheduling } = options;
+    const lentRoom = scheduling.sharing === 'weighted' ? new LentRoom(context) : undefined;
+    const stopRun = (run: Run): void => {
+      this.orders.stop(run);
+    };
+    this.lifecycle = new Lifecycle(context, stopRun, scheduling, lentRoom);
     this.crashes = new WorkerCrashes(context, this.lifecycle);
     this.successors = new Successors(context, options.leasesEnd);
     this.contenders = new Contenders(context);
@@ -139,7 +139,7 @@
       this.orders,
       quarantines,
       this.stepAdvice,
-      { usual: orderingOf(options), saturated: new OldestFirst() },
+      { usual: orderingOf(options, lentRoom), saturated: new OldestFirst() },
       this.crashes,
       options.scheduling,
     );
@@ -493,6 +493,12 @@
   }
 }
 
-function orderingOf({ ordering, scheduling }: JobSchedulerOptions): JobOrdering {
+function orderingOf(
+  { ordering, scheduling }: JobSchedulerOptions,
+  lentRoom: LentRoom | undefined,
+): JobOrdering {
+  if (lentRoom !== undefined) {
+    return new ExcessByShare(ordering, lentRoom);
+  }
   return scheduling.admission === 'forecast' ? new ExcessByAcceptance(ordering) : ordering;
 }
