A worker that restarts after its lease has lapsed proves no crash of its task

Cause: when the next process of a worker answered, a crash was counted under each run that the owner had dropped because its lease had lapsed, and under those that it held for the slack of the lease. Class: an observation with two causes is taken for the worse one. Change: only a process that answers before the lease of the one before can have ended proves a crash. Otherwise the task is a suspect and is isolated. If the worker was silent towards the store as well, that counts without proof, at five crashes together. The test that asked for a count at once is replaced by one that asks for an end at five.

--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -64,6 +64,8 @@
   failures: number;
   /** Number of workers that crashed while they ran it. */
   crashes: number;
+  /** Number of workers that were silent until their lease ended while they ran it, and came back as new processes. */
+  unprovenCrashes: number;
   /** Whether it may be the cause of a crash. */
   isSuspected: boolean;
   saved: SavedProgress;
@@ -140,6 +142,8 @@
   hasReported: boolean;
   /** Whether its registration is in the store. */
   isRegistered: boolean;
+  /** When its registration was last read. */
+  registeredAt: Instant;
   /** When its registration disappeared; those of live workers may disappear and come back. */
   unregisteredAt: Instant;
   isReachable: boolean;
@@ -171,6 +175,7 @@
     linkedAt: brandAs<Instant>(0),
     hasReported: false,
     isRegistered: true,
+    registeredAt: NEVER_HEARD,
     unregisteredAt: brandAs<Instant>(0),
     isReachable: true,
     lastHeardAt: NEVER_HEARD,
@@ -285,6 +290,7 @@
       lastRun: brandAs<RunNumber>(0),
       failures: 0,
       crashes: 0,
+      unprovenCrashes: 0,
       isSuspected: false,
       saved: NO_PROGRESS,
       runs: [],
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -303,6 +303,7 @@
       }
       existing.registration = registration;
       existing.isRegistered = true;
+      existing.registeredAt = this.context.now;
       const current = this.context.currentIncarnations.get(existing.id);
       if (current === undefined) {
         this.makeCurrent(existing);
@@ -326,6 +327,7 @@
   /** The process that the registration names takes the place of earlier ones, which have ended. */
   private admit(registration: WorkerRegistration, reason: string): Worker {
     const worker = newWorker(registration, this.earlierLeasesEnd);
+    worker.registeredAt = this.context.now;
     this.context.workers.set(worker.incarnation, worker);
     for (const earlier of this.earlierIncarnations(worker)) {
       this.reports.endIncarnation(earlier, reason, worker.incarnation);
--- a/packages/jobs/src/worker-crashes.ts
+++ b/packages/jobs/src/worker-crashes.ts
@@ -3,7 +3,7 @@
  * in isolation, which tells them from tasks that only shared a worker with one.
  */
 
-import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { deadlineAfter, hasPassed, type Deadline, type Instant } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import { isEnded, type Run, type Task, type Worker } from './model.js';
@@ -12,6 +12,18 @@
 const MAX_CRASHES_ISOLATED = 2;
 /** A task is given up after this many crashes, whatever ran beside it. */
 const MAX_CRASHES = 3;
+/**
+ * A task is given up after this many crashes with and without proof: it may take worker after worker down that
+ * each come back only after their lease. The platform bounds the starts after three crashes by three.
+ */
+const MAX_CRASHES_UNPROVEN = 5;
+/**
+ * The lease of an unreachable worker may have ended this long before the end that the owner counts with,
+ * milliseconds: the slack and the drift that are added, and the time that the reading of the worker's clock took.
+ */
+const LEASE_DOUBT_MILLIS = 600;
+/** A worker that lives renews its registration within this time, as read by the owner, milliseconds. */
+const REGISTRATION_SILENCE_MILLIS = 2500;
 /**
  * A run that its worker confirmed longer than this before it was last heard is unlikely to be the cause
  * of its first crash, milliseconds.
@@ -40,24 +52,31 @@
     private readonly lifecycle: Lifecycle,
   ) {}
 
-  /** Counts a crash under each task that ran on the worker, also if its lease has lapsed since. */
+  /**
+   * Counts a crash under each task that ran on the worker. A worker whose lease may have lapsed before its process
+   * ended ran nothing any more, as behind a cut: that is no proof.
+   */
   recordCrash(worker: Worker): void {
+    const mayHaveLapsed = mayHaveLapsedBy(worker, this.context.now);
     const started = [...worker.runs.values()].filter(({ phase }) => phase !== 'recorded');
     const isIsolated = started.length === 1 && !this.isUnreliable(worker);
     for (const run of started) {
       if (hasLasted(run, worker)) {
         run.task.crashes = 0;
+        run.task.unprovenCrashes = 0;
         this.context.markTaskChanged(run.task);
       } else if (run.confirmedAt === undefined) {
         // The start may have arrived after the crash.
         this.suspect(run.task);
+      } else if (mayHaveLapsed) {
+        this.recordUnproven(run, worker);
       } else {
         this.countCrash(run.task, run.number, worker, isIsolated, isYoung(run, worker));
       }
     }
     for (const run of worker.lapsedRuns) {
       if (!hasLasted(run, worker)) {
-        this.countCrash(run.task, run.number, worker, false, true);
+        this.recordUnproven(run, worker);
       }
     }
     const { address } = worker.registration;
@@ -112,6 +131,32 @@
     return Math.max(MIN_ISOLATED, Math.floor(MAX_ISOLATED_FRACTION * this.context.workers.size));
   }
 
+  /**
+   * The task may have crashed its worker. That counts for little, and only if the worker was silent towards the store
+   * as well before its lease ended: one that is cut off from the members alone still renews its registration.
+   */
+  private recordUnproven({ task, number }: Run, worker: Worker): void {
+    const { job } = task.step;
+    if (isEnded(job.state) || task.isDone) {
+      return;
+    }
+    this.suspect(task);
+    const wasSilent = worker.lapsesAt - worker.registeredAt >= REGISTRATION_SILENCE_MILLIS;
+    task.unprovenCrashes += Number(wasSilent);
+    this.context.event('task.crash_unproven', {
+      task: task.id,
+      run: number,
+      worker: worker.id,
+      wasSilent,
+      unproven: task.unprovenCrashes,
+      crashes: task.crashes,
+    });
+    const crashes = task.crashes + task.unprovenCrashes;
+    if (crashes >= MAX_CRASHES_UNPROVEN) {
+      this.lifecycle.giveUp(job, `${crashes} workers crashed or were lost under ${task.id}`);
+    }
+  }
+
   private countCrash(
     task: Task,
     run: Run['number'],
@@ -141,6 +186,11 @@
   }
 }
 
+/** Whether the worker's runs may have been ended by its lease, since it is unreachable. */
+function mayHaveLapsedBy({ isReachable, lapsesAt }: Worker, now: Instant): boolean {
+  return !isReachable && now >= lapsesAt - LEASE_DOUBT_MILLIS;
+}
+
 /** Whether the run is one that lasts, and had done so for long enough that it is not to blame. */
 function hasLasted({ task, confirmedAt }: Run, { lastHeardAt }: Worker): boolean {
   return (
