--- a/packages/jobs/src/copies.ts
+++ b/packages/jobs/src/copies.ts
@@ -30,6 +30,8 @@
 const CHECK_INTERVAL_MILLIS = 100;
 /** Bounds the time of a check and the room that copies take at once. */
 const MAX_COPIES_PER_CHECK = 4;
+/** Fraction of the processor time of a service that copies leave free for what comes next. */
+const RESERVED_FRACTION = 0.05;
 
 export class Copies {
   private nextCheckAt: Deadline = brandAs<Deadline>(0);
@@ -174,7 +176,7 @@
     }
     const free = this.available
       .filter(({ worker }) => worker.registration.service === service)
-      .reduce((sum, each) => sum + each.free.millicores, 0);
+      .reduce((sum, each) => sum + freeForCopies(each), 0);
     const spare = free - this.neededIn(service);
     this.spare.set(service, spare);
     return spare;
@@ -207,6 +209,10 @@
   return passed < seenMillis ? 0 : (100 * passed) / (progress.percent + 1);
 }
 
+function freeForCopies({ worker, free }: AvailableWorker): number {
+  return free.millicores - RESERVED_FRACTION * worker.registration.capacity.millicores;
+}
+
 /** Workers where the task failed, and those that are kept for gangs, are left alone. */
 function isUsable(
   { task, worker: runsOn }: Run,
--- a/packages/metrics/src/event-metrics.test.ts
+++ b/packages/metrics/src/event-metrics.test.ts
@@ -38,6 +38,16 @@
   t.regex(await metrics.registry.metrics(), /bamboowell_owner_waiting_steps 3/);
 });
 
+test('the errors of declared and learned run times become gauges, and copies are counted', async (t) => {
+  const { metrics } = metricsOver();
+  metrics.event('run_times.figures', { declaredErrorMillis: 700, learnedErrorMillis: 120 });
+  metrics.event('run.copied', { task: '1.0.0.0', run: 1 });
+  const text = await metrics.registry.metrics();
+  t.regex(text, /bamboowell_run_times_declared_error_millis 700/);
+  t.regex(text, /bamboowell_run_times_learned_error_millis 120/);
+  t.regex(text, /bamboowell_events_total\{event="run\.copied"\} 1/);
+});
+
 test('the server serves the metrics of the registry', async (t) => {
   const { metrics } = metricsOver();
   metrics.event('member.started');
--- a/packages/metrics/src/event-metrics.ts
+++ b/packages/metrics/src/event-metrics.ts
@@ -26,6 +26,7 @@
 const GAUGE_EVENTS: ReadonlyMap<string, string> = new Map([
   ['owner.figures', 'owner'],
   ['member.figures', 'member'],
+  ['run_times.figures', 'run_times'],
 ]);
 const PREFIX = 'bamboowell_';
 
