--- a/packages/jobs/src/admission.test.ts
+++ b/packages/jobs/src/admission.test.ts
@@ -72,7 +72,7 @@
 // Guards against promised gangs that wait for the ends of excess with which the fleet was filled.
 test('with lent room that comes back, promised work waits less than without', (t) => {
   const factorOf = (team: number, atMillis: number): number =>
-    team < 2 && atMillis >= HOT_AT_MILLIS ? 6 : 1.05;
+    team < 2 && atMillis >= HOT_AT_MILLIS ? 8 : 1.05;
   const shared = runLoad(factorOf, SHARED);
   t.true(shared.promised.every(({ isAccepted }) => isAccepted));
   t.true(shared.longestWait < runLoad(factorOf).longestWait);
