--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -19,6 +19,7 @@
 import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
+import type { LentRoom } from './lent-room.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
   isEnded,
@@ -57,11 +58,13 @@
     private readonly context: JobContext,
     private readonly stopRun: (run: Run) => void,
     scheduling: SchedulingOptions,
+    /** Set if what teams run beyond their promised rate is shared between them. */
+    private readonly lentRoom: LentRoom | undefined,
   ) {
     this.unsent = new UnsentJobs(context, (job) => {
       this.discard(job);
     });
-    this.admission = jobAdmissionOf(scheduling, context, this.readySteps);
+    this.admission = jobAdmissionOf(scheduling, context, this.readySteps, lentRoom);
     context.firstStarted = (job) => {
       this.admission.recordStarted(job);
     };
@@ -132,6 +135,7 @@
     });
     this.answerAfterCommit(job, token, { kind: 'accepted', repeated: false });
     this.activate(job, plan);
+    this.lentRoom?.recordAccepted(job);
   }
 
   /** Refuses these submissions of a job and drops it, unless records of it were sent to the store. */
--- a/packages/metrics/src/event-metrics.ts
+++ b/packages/metrics/src/event-metrics.ts
@@ -25,7 +25,9 @@
 /** Events whose numeric fields become gauges, and the prefix of the gauges' names. */
 const GAUGE_EVENTS: ReadonlyMap<string, string> = new Map([
   ['owner.figures', 'owner'],
+  ['admission.figures', 'admission'],
   ['member.figures', 'member'],
+  ['run_times.figures', 'run_times'],
 ]);
 const PREFIX = 'bamboowell_';
 
