Allow for the upload of large appends before they count as unanswered

On a thin link an append of hundreds of kilobytes, such as the backlog after an outage, takes longer to send than the time after which it would be repeated, and repeats would double the load of the link. Silence and time-outs count from when the append has reached the store at 4 Mbit/s.

--- a/packages/member/src/store-health.ts
+++ b/packages/member/src/store-health.ts
@@ -91,21 +91,25 @@
     return silentMillis >= this.suspicionMillis ? 'suspect' : 'healthy';
   }
 
-  /** An append was sent. */
-  sent(now: Instant): void {
-    this.silentSince ??= now;
+  /** An append was sent, which has reached the store by `uploadedAt`: a large one takes long on a thin link. */
+  sent(uploadedAt: Instant): void {
+    this.silentSince ??= uploadedAt;
   }
 
-  /** An append was answered; `isWaiting` tells whether others are unanswered. */
-  answered(sentAt: Instant, isWaiting: boolean, now: Instant): void {
-    this.observe(Math.max(0, now - sentAt));
+  /** An append was answered that should have reached the store by `uploadedAt`. `waitingSince` as for `heard`. */
+  answered(uploadedAt: Instant, waitingSince: Instant | undefined, now: Instant): void {
+    this.observe(Math.max(0, now - uploadedAt));
     this.repeats = 0;
-    this.heard(isWaiting, now);
+    this.heard(waitingSince, now);
   }
 
-  /** The store has answered something, be it that it did nothing. `isWaiting` as for `answered`. */
-  heard(isWaiting: boolean, now: Instant): void {
-    this.silentSince = isWaiting ? now : undefined;
+  /**
+   * The store has answered something, be it that it did nothing.
+   *
+   * @param waitingSince by when the appends that are still unanswered have reached the store.
+   */
+  heard(waitingSince: Instant | undefined, now: Instant): void {
+    this.silentSince = waitingSince !== undefined && waitingSince < now ? now : waitingSince;
     this.unansweredProbes = 0;
   }
 
@@ -134,15 +138,15 @@
   }
 
   /**
-   * A probe was answered. Returns whether an append that was sent at `appendSentAt` and is unanswered has met a
-   * lost connection, and should be repeated at once.
+   * A probe was answered. Returns whether the appends that are unanswered have met lost connections, and should be
+   * repeated at once. `waitingSince` as for `heard`.
    */
-  probeAnswered(probeSentAt: Instant, appendSentAt: Instant | undefined, now: Instant): boolean {
-    this.heard(appendSentAt !== undefined, now);
+  probeAnswered(probeSentAt: Instant, waitingSince: Instant | undefined, now: Instant): boolean {
+    this.heard(waitingSince, now);
     return (
-      appendSentAt !== undefined &&
-      appendSentAt < probeSentAt &&
-      now - appendSentAt >= LOST_LATENCY_FACTOR * (now - probeSentAt)
+      waitingSince !== undefined &&
+      waitingSince < probeSentAt &&
+      now - waitingSince >= LOST_LATENCY_FACTOR * (now - probeSentAt)
     );
   }
 
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -8,6 +8,7 @@
 import type { MailboxAddress } from '@bamboowell/kernel/mailbox';
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobBatch } from '@bamboowell/jobs/messages';
+import { brandAs } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import {
   deadlineAfter,
@@ -20,7 +21,7 @@
 import { laterMoment, millisBetween, type Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
 import { MAX_APPEND_TIMEOUT_MILLIS, StoreHealth } from './store-health.js';
-import type { ProducerSequence, Store } from './store.js';
+import type { ProducerSequence, Store, StoreWrite } from './store.js';
 
 /** An idle owner appends a keep-alive after this, so that other members see that it is alive. */
 const KEEP_ALIVE_INTERVAL_MILLIS = 200;
@@ -29,6 +30,11 @@
  * store that has become slow is heard, and connections that went silent are freed.
  */
 const COPY_LIFETIME_FACTOR = 4;
+/**
+ * What an append takes to reach the store is allowed for at this rate, less than the 10 Mbit/s of a thin link that
+ * has other traffic as well.
+ */
+const UPLOAD_BYTES_PER_MILLI = 500;
 /** A probe is given up after this: longer than the answers of a slow store take. */
 const PROBE_TIMEOUT_MILLIS = 500;
 /** Writes are batched for this long after the last append, because each call to the store has a cost. */
@@ -107,8 +113,8 @@
   /** When the last append that the store has taken was first sent. */
   private confirmation: Moment | undefined;
   private readonly health = new StoreHealth();
-  /** When the latest copies were sent of appends that are in flight. */
-  private readonly copySentAt = new Map<ProducerSequence, Moment>();
+  /** The latest copies of the appends that are in flight. */
+  private readonly copies = new Map<ProducerSequence, Copy>();
   /** When the appends in flight are repeated, unless one is answered. */
   private repeatAt: Deadline | undefined;
   /** When `check` is called next. */
@@ -260,8 +266,7 @@
     if (!isAnswered) {
       return;
     }
-    const [oldest] = [...this.copySentAt.values()];
-    if (this.health.probeAnswered(sentAt, oldest?.at, this.now)) {
+    if (this.health.probeAnswered(sentAt, this.waitingSince, this.now)) {
       this.repeatInFlight();
     } else {
       this.send();
@@ -272,9 +277,9 @@
   /** Handles the outcome of an append. */
   handleOutcome(message: Extract<OwnerMessage, { kind: 'appended' }>): AppendResult {
     const { sequence, outcome, sentAt } = message;
-    const isLatest = this.copySentAt.get(sequence) === sentAt;
-    if (isLatest) {
-      this.copySentAt.delete(sequence);
+    const isLatest = this.copies.get(sequence)?.sentAt === sentAt;
+    if (isLatest && outcome.kind !== 'appended') {
+      this.copies.delete(sequence);
     }
     if (!this.window.has(sequence) && outcome.kind === 'appended') {
       // Another copy, or a later append, has told so: the answer to a repeat proves nothing about the present.
@@ -296,7 +301,7 @@
       .with({ kind: 'unavailable' }, { kind: 'full' }, { kind: 'moved' }, (outcome) => {
         if (outcome.kind === 'unavailable' && outcome.how !== 'silent') {
           this.refusedSince ??= this.now;
-          this.health.heard(this.copySentAt.size > 0, this.now);
+          this.health.heard(this.waitingSince, this.now);
         }
         this.failed(message.sequence, outcome.kind, 'detail' in outcome ? outcome.detail : '');
         return { kind: 'retry' };
@@ -304,6 +309,12 @@
       .exhaustive();
   }
 
+  /** By when all appends in flight have reached the store. */
+  private get waitingSince(): Instant | undefined {
+    const uploads = [...this.copies.values()].map(({ uploadedAt }) => uploadedAt);
+    return uploads.length === 0 ? undefined : brandAs<Instant>(Math.max(...uploads));
+  }
+
   private get refusedMillis(): number {
     return this.refusedSince === undefined ? 0 : this.now - this.refusedSince;
   }
@@ -361,17 +372,19 @@
     if (!this.firstSentAt.has(sequence)) {
       this.firstSentAt.set(sequence, sentAt);
     }
-    this.copySentAt.set(sequence, sentAt);
+    const uploadMillis = uploadMillisOf(append.writes);
+    const uploadedAt = brandAs<Instant>(sentAt.at + uploadMillis);
+    this.copies.set(sequence, { sentAt, uploadedAt });
     this.outstandingSince ??= sentAt.at;
-    this.health.sent(sentAt.at);
+    this.health.sent(uploadedAt);
     const { appendTimeoutMillis } = this.health;
     const lifetimeMillis = Math.min(
       MAX_APPEND_TIMEOUT_MILLIS,
       COPY_LIFETIME_FACTOR * appendTimeoutMillis,
     );
-    const deadline = deadlineAfter(sentAt.at, lifetimeMillis);
+    const deadline = deadlineAfter(uploadedAt, lifetimeMillis);
     if (appendTimeoutMillis < lifetimeMillis) {
-      this.repeatAt ??= deadlineAfter(sentAt.at, appendTimeoutMillis);
+      this.repeatAt ??= deadlineAfter(uploadedAt, appendTimeoutMillis);
     }
     this.scheduleCheck();
     void store.append('work', append.writes, append.condition, deadline).then((outcome) => {
@@ -382,7 +395,7 @@
   /** Sends the appends in flight once more; an answer to any copy counts. */
   private repeatInFlight(): void {
     this.window.markAllFailed();
-    this.copySentAt.clear();
+    this.copies.clear();
     this.repeatAt = undefined;
     this.retryAt = deadlineAfter(this.now, 0);
     this.send();
@@ -455,7 +468,8 @@
     const { now } = this;
     const confirmedAt = this.firstSentAt.get(sequence) ?? sentAt;
     forgetUpTo(this.firstSentAt, sequence);
-    forgetUpTo(this.copySentAt, sequence);
+    const uploadedAt = this.copies.get(sequence)?.uploadedAt ?? sentAt.at;
+    forgetUpTo(this.copies, sequence);
     this.confirmation = laterMoment(this.confirmation, confirmedAt);
     this.lastAppendAt = now;
     this.lastLatencyMillis = now - sentAt.at;
@@ -463,9 +477,12 @@
     this.refusedSince = undefined;
     const { batches, rejectedKeys } = this.window.acknowledge(sequence);
     this.outstandingSince = this.window.isIdle ? undefined : now;
-    const isInFlight = this.copySentAt.size > 0;
-    this.health.answered(sentAt.at, isInFlight, now);
-    this.repeatAt = isInFlight ? deadlineAfter(now, this.health.appendTimeoutMillis) : undefined;
+    const { waitingSince } = this;
+    this.health.answered(uploadedAt, waitingSince, now);
+    this.repeatAt =
+      waitingSince === undefined
+        ? undefined
+        : deadlineAfter(waitingSince < now ? now : waitingSince, this.health.appendTimeoutMillis);
     this.logAnswered();
     return { kind: 'recorded', isFirst, confirmedAt, batches, rejectedKeys };
   }
@@ -500,8 +517,19 @@
   }
 }
 
-function forgetUpTo(sentAt: Map<ProducerSequence, Moment>, last: ProducerSequence): void {
-  for (const sequence of [...sentAt.keys()].filter((each) => each <= last)) {
-    sentAt.delete(sequence);
+interface Copy {
+  readonly sentAt: Moment;
+  /** By when it has reached the store. */
+  readonly uploadedAt: Instant;
+}
+
+function uploadMillisOf(writes: readonly StoreWrite[]): number {
+  const bytes = writes.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0);
+  return Math.floor(bytes / UPLOAD_BYTES_PER_MILLI);
+}
+
+function forgetUpTo(bySequence: Map<ProducerSequence, unknown>, last: ProducerSequence): void {
+  for (const sequence of [...bySequence.keys()].filter((each) => each <= last)) {
+    bySequence.delete(sequence);
   }
 }
