Lasting tasks that have room nowhere else are tried on a quarantined worker

Cause: a quarantine lasts up to 30 s, doubled at each failure on probation, and the worker got no run in between, also when it had recovered and only it could run what waits. Class: a precaution that is kept where there is no choice. Change: 2 s after a worker was closed, and every 2 s from then on, lasting tasks that no open worker has room for are started there; a failed run costs them nothing. Other tasks wait as before.

--- a/packages/jobs/src/quarantines.test.ts
+++ b/packages/jobs/src/quarantines.test.ts
@@ -136,3 +136,67 @@
   t.deepEqual(standings(harness), ['quarantined', 'probation', 'quarantined']);
   t.is(startOnSuspect(), undefined);
 });
+
+/** A harness whose suspect has failed on probation, so that its second quarantine has begun. */
+function closedHarness(t: ExecutionContext) {
+  const suspect = probationHarness(t);
+  suspect.harness.end(started(suspect.startOnSuspect()), 'failed');
+  suspect.harness.commit();
+  suspect.harness.cancel(jobId(5));
+  suspect.harness.commit();
+  t.deepEqual(standings(suspect.harness), ['quarantined', 'probation', 'quarantined']);
+  return suspect;
+}
+
+/** When the suspect gets its next starts, milliseconds from now, and how many; undefined if none within 5 s. */
+function nextStarts(harness: Harness) {
+  const from = harness.now();
+  for (let waited = 0; waited < 5000; waited += 100) {
+    const starts = harness.place().filter(({ incarnation }) => incarnation === SUSPECT.incarnation);
+    if (starts.length > 0) {
+      return { afterMillis: harness.now() - from, starts };
+    }
+    harness.advance(100);
+  }
+  return undefined;
+}
+
+// Guards against services that wait for the rest of a quarantine though their only worker has recovered (LOST).
+test('lasting tasks that only a quarantined worker can run are tried there in time, all at once', (t) => {
+  const { harness, submit } = closedHarness(t);
+  [1, 2, 3].forEach(() => submit({ neededLabel: 'b', isLasting: true }));
+  for (let round = 0; round < 3; round += 1) {
+    const next = nextStarts(harness);
+    t.is(next?.starts.length, 3, `round ${round}`);
+    t.true((next?.afterMillis ?? LONGEST_IDLE_MILLIS) < LONGEST_IDLE_MILLIS, `round ${round}`);
+    next?.starts.forEach((start) => {
+      harness.answerStart(start);
+      harness.end(start, 'failed');
+    });
+    harness.commit();
+    t.deepEqual(harness.place(), [], 'not again at once');
+  }
+  const running = nextStarts(harness)?.starts ?? [];
+  running.forEach((start) => {
+    harness.answerStart(start);
+  });
+  harness.report(
+    SUSPECT.incarnation,
+    running.map((start) => runningEntry(start)),
+  );
+  t.is(nextStarts(harness), undefined, 'each runs once');
+  t.deepEqual(harness.stops(), []);
+});
+
+// Guards against jobs that fail because a worker which is known to be bad used up their attempts.
+test('tasks that end by themselves, and lasting ones with room elsewhere, are not tried on a quarantined worker', (t) => {
+  const { harness, submit } = closedHarness(t);
+  submit({ neededLabel: 'b' });
+  submit({ neededLabel: 'b', isLasting: true, isGang: true });
+  submit({ isLasting: true });
+  const elsewhere = harness.place();
+  t.is(elsewhere.length, 1);
+  t.not(elsewhere[0]?.incarnation, SUSPECT.incarnation);
+  harness.advance(3000);
+  t.deepEqual(harness.place(), []);
+});
--- a/packages/jobs/src/quarantines.ts
+++ b/packages/jobs/src/quarantines.ts
@@ -13,7 +13,10 @@
 const LONGEST_WAIT_MILLIS = 3000;
 /** Time for a placement pass, the record of a start and the start itself, milliseconds. */
 const START_MILLIS = 1000;
-/** A worker on probation gets its next run after this long even if the last one goes on, milliseconds. */
+/**
+ * A worker on probation gets its next run after this long even if the last one goes on, milliseconds. A quarantined
+ * one is tried as often with lasting work that can run nowhere else.
+ */
 const TRIAL_MILLIS = LONGEST_WAIT_MILLIS - START_MILLIS;
 /** Largest fraction of the workers that may be in quarantine at once. */
 const MAX_QUARANTINED_FRACTION = 0.3;
@@ -41,6 +44,11 @@
     return this.health.mayPlace(worker);
   }
 
+  /** Whether lasting work that can run nowhere else may be tried on the worker, which is closed to other work. */
+  mayTry(worker: WorkerId): boolean {
+    return this.health.mayTry(worker, this.context.now);
+  }
+
   recordPlacement(worker: WorkerId): void {
     this.health.recordPlacement(worker, this.context.now);
   }
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -6,6 +6,7 @@
 import { AdviceBudget, spend, spentPoolsOf } from './advice-budget.js';
 import type { StepAdvice } from './step-advice.js';
 import { WorkerSelection } from './worker-selection.js';
+import { ClosedWorkers } from './closed-workers.js';
 import type { JobContext } from './context.js';
 import type { Lifecycle } from './lifecycle.js';
 import {
@@ -43,6 +44,7 @@
 interface Pass {
   readonly available: readonly AvailableWorker[];
   readonly availableById: ReadonlyMap<WorkerId, AvailableWorker>;
+  readonly closed: ClosedWorkers;
   /** The most processor time that is free on one worker, thousandths of a core. */
   maxFreeMillicores: number;
   /** Starts under way, those of this pass included. */
@@ -90,12 +92,13 @@
   }
 
   private placeSteps(available: readonly AvailableWorker[]): void {
+    const closed = new ClosedWorkers(this.openWorkers(), this.quarantines);
+    const placeable = [...available, ...closed.available];
     const pass = {
-      available,
-      availableById: new Map(available.map((each) => [each.worker.id, each])),
-      maxFreeMillicores: maxFreeMillicoresOf(available),
+      ...passOver(available),
+      closed,
       openStarts: openStartsOn(this.context.workers.values()),
-      adviceBudget: new AdviceBudget(available, (team) => this.context.teamUseOf(team)),
+      adviceBudget: new AdviceBudget(placeable, (team) => this.context.teamUseOf(team)),
     };
     const { load } = this.context;
     const { usual, saturated } = this.orderings;
@@ -137,9 +140,21 @@
       return;
     }
     this.placeStep(step, pass);
+    this.tryOnClosed(step, pass);
     spend(pools, step, this.startableTasks(step));
   }
 
+  /** Starts what has room on no open worker on those in quarantine, if it may be tried there. */
+  private tryOnClosed(step: Step, pass: Pass): void {
+    const waiting = waitingTasks(step);
+    if (waiting.length === 0 || !pass.closed.mayTry(step) || !this.advice.hasTicket(step)) {
+      return;
+    }
+    const trial = { ...pass, ...passOver(pass.closed.available) };
+    this.startOn(step, waiting, this.eligibleWorkers(step, trial), trial);
+    pass.openStarts = trial.openStarts;
+  }
+
   /**
    * Whether the step may ask for advice though those before it use up its pools: in an idle service they can't
    * use the free room, or they would have started. Calls for them go first while members are short.
@@ -187,8 +202,8 @@
   }
 
   private availableWorkers(): AvailableWorker[] {
-    return [...this.context.workers.values()]
-      .filter((worker) => this.isAvailable(worker))
+    return this.openWorkers()
+      .filter(({ id }) => this.quarantines.mayPlace(id))
       .map((worker) => availableWorker(worker));
   }
 
@@ -201,13 +216,17 @@
     return worker.isReachable && this.isPresent(worker) && !worker.registration.isDraining;
   }
 
-  private isAvailable(worker: Worker): boolean {
+  /** Workers that can get work now, unless they are in quarantine. */
+  private openWorkers(): Worker[] {
+    return [...this.context.workers.values()].filter((worker) => this.isOpen(worker));
+  }
+
+  private isOpen(worker: Worker): boolean {
     return (
       worker.hasReported &&
       this.isPlaceable(worker) &&
       worker.unknownRuns === 0 &&
       hasPassed(worker.cooldownUntil, this.context.now) &&
-      this.quarantines.mayPlace(worker.id) &&
       !this.crashes.hasIsolatedRun(worker)
     );
   }
@@ -298,6 +317,16 @@
   }
 }
 
+function passOver(
+  available: readonly AvailableWorker[],
+): Pick<Pass, 'available' | 'availableById' | 'maxFreeMillicores'> {
+  return {
+    available,
+    availableById: new Map(available.map((each) => [each.worker.id, each])),
+    maxFreeMillicores: maxFreeMillicoresOf(available),
+  };
+}
+
 function hasWaitingTask({ tasks }: Step): boolean {
   return tasks.some(isWaiting);
 }
--- a/packages/policy/src/worker-health.ts
+++ b/packages/policy/src/worker-health.ts
@@ -39,10 +39,12 @@
 /** Health state of a worker. */
 export type HealthState =
   | { readonly kind: 'healthy'; readonly failures: ReadonlyMap<QueueId, QueueFailures> }
-  /** The worker gets no attempts until `until`. */
+  /** The worker gets no attempts until `until`, but for those that a failure costs nothing. */
   | {
       readonly kind: 'quarantined';
       readonly until: Deadline;
+      /** When it may be tried with work that a failure costs nothing. */
+      readonly nextTrialAt: Deadline;
       readonly consecutiveQuarantines: number;
     }
   /** The worker gets one attempt at a time until one succeeds. */
@@ -113,6 +115,15 @@
     );
   }
 
+  /**
+   * Whether work that a failure costs nothing may be tried on a quarantined worker, if it can run nowhere else:
+   * the worker may have recovered long before its quarantine ends.
+   */
+  mayTry(worker: WorkerId, now: Instant): boolean {
+    const state = this.stateOf(worker);
+    return state.kind === 'quarantined' && hasPassed(state.nextTrialAt, now);
+  }
+
   /**
    * Whether the worker is healthy and no work of other queues failed on it, so that a failure there
    * counts against the work.
@@ -130,6 +141,9 @@
     if (state.kind === 'probation') {
       const trialUntil = deadlineAfter(now, this.bounds.trialMillis);
       this.states.set(worker, { ...state, trialUntil });
+    } else if (state.kind === 'quarantined') {
+      const nextTrialAt = deadlineAfter(now, this.bounds.trialMillis);
+      this.states.set(worker, { ...state, nextTrialAt });
     }
   }
 
@@ -274,6 +288,7 @@
     this.states.set(worker, {
       kind: 'quarantined',
       until: deadlineAfter(now, millis),
+      nextTrialAt: deadlineAfter(now, this.bounds.trialMillis),
       consecutiveQuarantines,
     });
     return { worker, state: 'quarantined' };
