Owners record their witnesses, so that a new process of one need not wait for the longest time

Cause: after the loss of all members the next owner is a new process that has greeted nobody. It counted with an owner that renews leases without the store for 10 s, though that one lacks the attestation of the process before it. Class: what a decision needs to know is kept in memory of the processes whose loss it is about. Change: an owner lists its witnesses in the store. A new owner whose member is listed for the term that it follows waits 2 s and a lease. A member that shuts down is dismissed only once a list without it is stored. The model of successions uses the list, and finds an owner that dismisses at once.

--- a/packages/member/src/append-window.ts
+++ b/packages/member/src/append-window.ts
@@ -27,6 +27,8 @@
   /** Batches that are complete once this chunk is stored. */
   readonly batches: number[];
   isSent: boolean;
+  /** Called once it is stored. */
+  onStored: (() => void) | undefined;
   /** Key of the write that the store rejected by itself, and which the filler replaces. */
   rejectedKey: string | undefined;
 }
@@ -68,8 +70,8 @@
   }
 
   /** Adds writes that belong to no batch. */
-  addWrites(writes: readonly StoreWrite[]): void {
-    this.add(writes, []);
+  addWrites(writes: readonly StoreWrite[], onStored?: () => void): void {
+    this.add(writes, [], onStored);
   }
 
   /** Adds a batch. One without writes is complete together with the writes added before it. */
@@ -129,6 +131,7 @@
     }
     if (others.length === 0) {
       chunk.rejectedKey = first.key;
+      chunk.onStored = undefined;
       chunk.writes = [this.filler];
       return true;
     }
@@ -147,16 +150,24 @@
     this.isRetrying = false;
     const count = this.chunks.filter((each) => each.sequence <= sequence).length;
     const stored = this.chunks.splice(0, count);
+    stored.forEach(({ onStored }) => onStored?.());
     return {
       batches: stored.flatMap(({ batches }) => batches),
       rejectedKeys: stored.flatMap(({ rejectedKey }) => rejectedKey ?? []),
     };
   }
 
-  private add(writes: readonly StoreWrite[], batches: number[]): void {
+  private add(writes: readonly StoreWrite[], batches: number[], onStored?: () => void): void {
     this.lastSequence += 1;
     const sequence = brandAs<ProducerSequence>(this.lastSequence);
-    this.chunks.push({ sequence, writes, batches, isSent: false, rejectedKey: undefined });
+    this.chunks.push({
+      sequence,
+      writes,
+      batches,
+      isSent: false,
+      onStored,
+      rejectedKey: undefined,
+    });
   }
 }
 
--- a/packages/member/src/load-work.ts
+++ b/packages/member/src/load-work.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { Store } from './store.js';
 import type { Takeover } from './succession.js';
+import { WITNESSES_KEY, type WitnessRecord } from './witness-list.js';
 
 /** Timeout of one page: enough for a megabyte from a slow store. */
 const PAGE_TIMEOUT_MILLIS = 2000;
@@ -19,6 +20,8 @@
   readonly restored: Restored;
   /** Undefined if no owner of this or a later build has taken the work over. */
   readonly takeover: Takeover | undefined;
+  /** The witnesses of the last owner that recorded them. */
+  readonly witnesses: WitnessRecord | undefined;
 }
 
 export interface WorkLoader {
@@ -56,8 +59,10 @@
     }
     after = page.next;
     if (after === undefined) {
-      const takeover = entries.find(([key]) => key === TAKEOVER_KEY)?.[1] as Takeover | undefined;
-      return { restored: restoreJobs(entries), takeover };
+      const find = (wanted: string): unknown => entries.find(([key]) => key === wanted)?.[1];
+      const takeover = find(TAKEOVER_KEY) as Takeover | undefined;
+      const witnesses = find(WITNESSES_KEY) as WitnessRecord | undefined;
+      return { restored: restoreJobs(entries), takeover, witnesses };
     }
   } while (isWanted());
   return undefined;
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -37,11 +37,13 @@
 import { MEMBER_CLOCK_DRIFT_FACTOR, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
 import {
   precedenceAfterGreeting,
+  precedenceAfterLoading,
   renewalMillisAfter,
   type Precedence,
   type Takeover,
 } from './succession.js';
 import { newTenure, type Tenure } from './tenure.js';
+import { WITNESSES_KEY } from './witness-list.js';
 import { Witnesses } from './witnesses.js';
 import { WorkLogWriter, type AppendResult } from './work-log-writer.js';
 import { PendingRequests } from './pending-requests.js';
@@ -316,6 +318,8 @@
 
   private workLoaded(tenure: Tenure, work: LoadedWork): void {
     tenure.work = work;
+    const { member } = this.options.self;
+    tenure.precedence = precedenceAfterLoading(tenure.precedence, member, work.witnesses);
     this.determineEarlierRenewals(tenure, work);
     const jobs = work.restored.jobs.length;
     this.logTakeoverStep(tenure, 'work_loaded', { jobs });
@@ -342,6 +346,16 @@
     return leasesEndAfter(renewalsEnd, this.options.settings.longestLeaseMillis);
   }
 
+  /** Records the witnesses for the next owner, once it is known what the last one has recorded. */
+  private recordWitnesses({ work, witnesses, writer }: Tenure): void {
+    const record = work === undefined ? undefined : witnesses.takeRecord();
+    if (record !== undefined) {
+      writer.record(WITNESSES_KEY, record, () => {
+        witnesses.recordStored(record);
+      });
+    }
+  }
+
   /** Records that all earlier owners have stopped renewing leases, once that is so. */
   private settleTakeover(tenure: Tenure, now: Instant): void {
     const { term, writer, earlierRenewalsEnd, isTakeoverSettled } = tenure;
@@ -580,6 +594,7 @@
     tenure.witnesses.ask();
     this.logRenewals(tenure);
     this.settleTakeover(tenure, now);
+    this.recordWitnesses(tenure);
     if (tenure.scheduler !== undefined) {
       this.stepScheduler({ kind: 'lag', millis: now - dueAt });
       if (!this.isPassScheduled) {
--- a/packages/member/src/ownership-proof.ts
+++ b/packages/member/src/ownership-proof.ts
@@ -67,6 +67,11 @@
     });
   }
 
+  isWitness(member: MemberId, incarnation: Incarnation | undefined): boolean {
+    const witness = this.witnesses.get(member);
+    return witness !== undefined && witness.incarnation === incarnation;
+  }
+
   /** A member that has claimed nothing has said that it will claim nothing any more. */
   dismiss(member: MemberId, incarnation: Incarnation | undefined): void {
     if (this.witnesses.get(member)?.incarnation === incarnation) {
--- a/packages/member/src/succession-model.fixture.ts
+++ b/packages/member/src/succession-model.fixture.ts
@@ -12,7 +12,14 @@
 import { incarnation, memberId, momentAt } from './moments.fixture.js';
 import type { Moment } from './moment.js';
 import { OwnershipProof, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
-import { Succession, renewalMillisAfter, type Precedence, type Takeover } from './succession.js';
+import {
+  Succession,
+  precedenceAfterLoading,
+  renewalMillisAfter,
+  type Precedence,
+  type Takeover,
+} from './succession.js';
+import { WitnessList, type WitnessRecord } from './witness-list.js';
 import type { Claim } from './ownership-messages.js';
 
 const STEP_MILLIS = 50;
@@ -24,6 +31,9 @@
 interface Ownership {
   readonly term: Term;
   readonly proof: OwnershipProof;
+  readonly list: WitnessList;
+  /** The record of witnesses that isn't known to be stored, and its number. */
+  openRecord: { readonly number: number; readonly record: WitnessRecord } | undefined;
   readonly precedence: Precedence;
   /** Members that are connected to it. */
   readonly connected: Set<Process>;
@@ -59,15 +69,33 @@
 export const whileConnected: RenewalRule = ({ proof, connected }, now) =>
   connected.size > 0 || proof.grounds(now) === 'store';
 
+/** Dismisses a member that shuts down; varied to show that the model finds what a weaker rule allows. */
+export type DismissalRule = (ownership: Ownership, member: Process) => void;
+
+export const onceUnlisted: DismissalRule = ({ list }, { name, incarnation: own }) => {
+  list.dismiss(memberId(name), own);
+};
+
+/** The rule that an owner follows while its stored record may still list the member. */
+export const atOnce: DismissalRule = ({ proof }, { name, incarnation: own }) => {
+  proof.dismiss(memberId(name), own);
+};
+
 export interface ModelRun {
   readonly violations: readonly string[];
   /** Owners that have fenced those before them. */
   readonly takeovers: number;
+  /** Takeovers of owners that count on the record of witnesses alone. */
+  readonly listedTakeovers: number;
   /** Steps in which an owner renewed leases on attestations of its witnesses. */
   readonly offlineSteps: number;
 }
 
-export function runSuccessionModel(seed: number, mayRenew: RenewalRule = byProof): ModelRun {
+export function runSuccessionModel(
+  seed: number,
+  mayRenew: RenewalRule = byProof,
+  dismiss: DismissalRule = onceUnlisted,
+): ModelRun {
   const generator = xoroshiro128plus(seed);
   const draw = (from: number, to: number): number =>
     from + (to - from) * (uniformInt(generator, 0, 0x7fff_ffff) / 0x7fff_ffff);
@@ -77,7 +105,10 @@
   const processes: Process[] = [];
   const violations: string[] = [];
   let takeovers = 0;
+  let listedTakeovers = 0;
   let offlineSteps = 0;
+  let records = 0;
+  let storedRecord: Ownership['openRecord'];
   let incarnations = 0;
   const claims: Claim[] = [];
   let fencedTerm = brandAs<Term>(0);
@@ -152,9 +183,12 @@
         process.sentClaim?.term === claim.term
           ? process.sentClaim.precedence
           : { predecessor: undefined, follows: brandAs<Term>(claim.term - 1), endsSoon: false };
+      const proof = new OwnershipProof();
       process.ownership = {
         term: claim.term,
-        proof: new OwnershipProof(),
+        proof,
+        list: new WitnessList(claim.term, proof),
+        openRecord: undefined,
         precedence,
         connected: new Set(),
         fencedAt: undefined,
@@ -212,12 +246,16 @@
     const { term } = ownership;
     const sentAt = momentOf(process);
     const isLate = chance(0.1);
+    const { openRecord } = ownership;
     later(isLate ? draw(0, 4000) : draw(0, 60), () => {
       const isTaken = term >= fencedTerm;
       if (isTaken && term > fencedTerm) {
         fencedTerm = term;
         takeovers += 1;
       }
+      if (isTaken && openRecord !== undefined && openRecord.number > (storedRecord?.number ?? 0)) {
+        storedRecord = openRecord;
+      }
       if (isLate || !reaches('store', process.name)) {
         return;
       }
@@ -230,6 +268,10 @@
           return;
         }
         ownership.proof.confirm(sentAt);
+        if (openRecord !== undefined && ownership.openRecord === openRecord) {
+          ownership.openRecord = undefined;
+          ownership.list.recordStored(openRecord.record);
+        }
         ownership.fencedAt ??= momentOf(process);
         writeTakeover(process, ownership);
       });
@@ -239,7 +281,10 @@
     const { term, precedence, fencedAt, renewalsEnd } = ownership;
     const moment = momentOf(process);
     if (renewalsEnd === undefined && fencedAt !== undefined) {
-      const millis = renewalMillisAfter(precedence, takeover);
+      const self = memberId(process.name);
+      const loaded = precedenceAfterLoading(precedence, self, storedRecord?.record);
+      const millis = renewalMillisAfter(loaded, takeover);
+      listedTakeovers += Number(loaded.endsSoon && !precedence.endsSoon);
       ownership.renewalsEnd = fencedAt.at + millis;
       ownership.isSettled = millis === PROOF_LIFETIME_MILLIS;
     } else if (renewalsEnd !== undefined && moment.at >= renewalsEnd) {
@@ -273,13 +318,22 @@
     }
     const { ownership } = owner;
     if (isRunning(owner) && ownership?.term === known.term) {
-      ownership.proof.join(memberId(process.name), process.incarnation, momentOf(owner));
+      ownership.list.join(memberId(process.name), process.incarnation, momentOf(owner));
       ownership.connected.add(process);
       process.succession.connected(known.term);
       process.connectedTo = owner;
     }
   };
+  const recordWitnesses = (ownership: Ownership): void => {
+    const isOpen = ownership.openRecord !== undefined || ownership.renewalsEnd === undefined;
+    const record = isOpen ? undefined : ownership.list.takeRecord();
+    if (record !== undefined) {
+      records += 1;
+      ownership.openRecord = { number: records, record };
+    }
+  };
   const own = (process: Process, ownership: Ownership): void => {
+    recordWitnesses(ownership);
     if (reaches(process.name, 'store') && chance(0.25)) {
       append(process, ownership);
     }
@@ -303,6 +357,22 @@
       }
     });
   };
+  /** A member that has claimed nothing tells the owner that it claims nothing any more, and starts again. */
+  const shutDown = (process: Process): void => {
+    const { connectedTo, isClaiming, unresolvedEnd } = process;
+    const ownership = connectedTo?.ownership;
+    const mayLeave = !isClaiming && unresolvedEnd === undefined;
+    const isHeard = connectedTo !== undefined && reaches(process.name, connectedTo.name);
+    if (ownership !== undefined && connectedTo !== undefined && mayLeave && isHeard) {
+      inProcess(connectedTo, draw(0, 100), () => {
+        dismiss(ownership, process);
+      });
+    }
+    process.isAlive = false;
+    later(draw(100, 4000), () => {
+      launch(process.name);
+    });
+  };
   const tell = (process: Process): void => {
     const other = processes[Math.floor(draw(0, processes.length))];
     if (other !== undefined && reaches(process.name, other.name) && chance(0.1)) {
@@ -361,6 +431,12 @@
         });
       }
     },
+    (): void => {
+      const process = processes[Math.floor(draw(0, processes.length))];
+      if (process !== undefined && isRunning(process) && process.ownership === undefined) {
+        shutDown(process);
+      }
+    },
     (): void => {
       const names = new Set(processes.map(({ name }) => name));
       if (names.size < MAX_MEMBERS) {
@@ -403,5 +479,5 @@
     offlineSteps += Number(processes.filter(isRunning).some(isOffline));
     check();
   }
-  return { violations, takeovers, offlineSteps };
+  return { violations, takeovers, listedTakeovers, offlineSteps };
 }
--- a/packages/member/src/succession.ts
+++ b/packages/member/src/succession.ts
@@ -3,9 +3,11 @@
  * member's claim. No I/O: time and events are passed in.
  */
 
+import type { MemberId } from '@bamboowell/types/ids';
 import type { Term } from '@bamboowell/types/job';
 import type { MemberPort } from './member-port.js';
 import type { Claim } from './ownership-messages.js';
+import type { WitnessRecord } from './witness-list.js';
 import { MAX_OFFLINE_MILLIS, PROOF_LIFETIME_MILLIS } from './ownership-proof.js';
 
 /** How a claim follows the one before it. */
@@ -41,6 +43,19 @@
   return hasEnded ? { ...precedence, endsSoon: true } : precedence;
 }
 
+/**
+ * The precedence once the record of witnesses has been read. An owner that lists this member renews nothing without
+ * its attestation: the process that could have given one has ended, or is this one, which has claimed the work.
+ */
+export function precedenceAfterLoading(
+  precedence: Precedence,
+  self: MemberId,
+  record: WitnessRecord | undefined,
+): Precedence {
+  const isListed = record?.term === precedence.follows && record?.members.includes(self) === true;
+  return isListed ? { ...precedence, endsSoon: true } : precedence;
+}
+
 /**
  * For how long after a takeover earlier owners may renew leases. An owner whose witness succeeds it has no proof
  * that is younger than the claim. Neither have those before it if that was so when it took the work over itself;
--- a/packages/member/src/witnesses.ts
+++ b/packages/member/src/witnesses.ts
@@ -8,6 +8,7 @@
 import type { MemberPort } from './member-port.js';
 import { millisBetween, type Moment } from './moment.js';
 import type { OwnerMessage } from './owner-messages.js';
+import { WitnessList, type WitnessRecord } from './witness-list.js';
 import { OwnershipProof, PROOF_LIFETIME_MILLIS, type RenewalGrounds } from './ownership-proof.js';
 
 /** Witnesses are asked once the store's last confirmation is as old as this. */
@@ -23,6 +24,7 @@
 
 export class Witnesses {
   private readonly proof = new OwnershipProof();
+  private readonly list: WitnessList;
   private readonly connected = new Map<MemberId, AskedWitness>();
 
   constructor(
@@ -31,7 +33,9 @@
     private readonly moment: () => Moment,
     /** Receives `attested` for each answer. */
     private readonly owner: MailboxAddress<OwnerMessage>,
-  ) {}
+  ) {
+    this.list = new WitnessList(term, this.proof);
+  }
 
   /** Milliseconds since the store was asked for its last confirmation; undefined before the first one. */
   get millisOffline(): number | undefined {
@@ -50,7 +54,7 @@
 
   join(port: MemberPort): void {
     this.connected.set(port.member, { port, askedAt: undefined });
-    this.proof.join(port.member, port.incarnation, this.moment());
+    this.list.join(port.member, port.incarnation, this.moment());
   }
 
   /** The connection to the member has ended. */
@@ -63,7 +67,16 @@
   /** The member shuts down. */
   dismiss(port: MemberPort): void {
     this.leave(port);
-    this.proof.dismiss(port.member, port.incarnation);
+    this.list.dismiss(port.member, port.incarnation);
+  }
+
+  /** Returns the record of the witnesses to be written, if it has changed. */
+  takeRecord(): WitnessRecord | undefined {
+    return this.list.takeRecord();
+  }
+
+  recordStored(record: WitnessRecord): void {
+    this.list.recordStored(record);
   }
 
   attested({ port, askedAt, isAttested }: Extract<OwnerMessage, { kind: 'attested' }>): void {
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -156,9 +156,9 @@
     this.record(ALIVE_KEY, { term: this.options.term, member });
   }
 
-  /** Appends a record that belongs to no job. */
-  record(key: string, value: unknown): void {
-    this.window.addWrites([{ key, value: JSON.stringify(value) }]);
+  /** Appends a record that belongs to no job; `onStored` is called once it is stored. */
+  record(key: string, value: unknown, onStored?: () => void): void {
+    this.window.addWrites([{ key, value: JSON.stringify(value) }], onStored);
     this.send();
   }
 
