Late excess takes no lent room that promised work needs

Work without a value was exempt from the rule for lent room once it had waited long, and could hold up promised gangs. Room is no longer counted as taken by new jobs that are refused as late.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -1,4 +1,8 @@
-/** Decides which new jobs are taken, and tells those that are refused when to come back. */
+/**
+ * Decides which new jobs are taken, and tells those that are refused when to come back. Guards against teams
+ * that send several times their rate: their jobs would be accepted and wait behind promised work for longer
+ * than they are of use, or be refused while workers are idle.
+ */
 
 import {
   MAX_ADVICE_WORKERS,
@@ -234,14 +238,14 @@
     const first = afterAdvice(forecast.first, adviceMillis, arriving.firstStep, context);
     const last = afterAdvice(forecast.last, adviceMillis, arriving.firstStep, context);
     const latest = deadlineAfter(context.now, this.longestWaitMillis(steps, arriving.firstStep));
-    const isLent = !isExcess || (this.lentRoom?.take(arriving.firstStep) ?? true);
-    if (isLent && (forecast.hasRoomNow || last <= latest)) {
+    const isInTime = forecast.hasRoomNow || last <= latest;
+    if (isInTime && (!isExcess || (this.lentRoom?.take(arriving.firstStep) ?? true))) {
       return { kind: 'admitted', basis: { arriving, first } };
     }
     const forecastMillis = Math.min(MAX_REPORTED_MILLIS, Math.round(last - context.now));
     return {
       kind: 'refused',
-      reason: isLent ? 'late' : 'reserved',
+      reason: isInTime ? 'reserved' : 'late',
       forecastMillis,
       retryAfterSeconds: retryAfterSeconds(id, forecastMillis, patienceMillis),
     };
--- a/packages/jobs/src/lent-room.test.ts
+++ b/packages/jobs/src/lent-room.test.ts
@@ -45,8 +45,9 @@
 });
 
 // Guards against accepted excess that waits for ever beside promised work that never pauses.
-test('excess that has waited long starts', (t) => {
+test('excess that has waited long starts, unless it has no value any more', (t) => {
   t.true(nearlyFull(95).take(excess(5000, 2000)));
+  t.false(nearlyFull(95).take(excess(5000, 200_000)));
 });
 
 test('the room of waiting promised work is not lent', (t) => {
--- a/packages/jobs/src/lent-room.ts
+++ b/packages/jobs/src/lent-room.ts
@@ -9,6 +9,7 @@
 import type { JobContext } from './context.js';
 import { allocationOf, waitingTasks, type Job, type Step, type Worker } from './model.js';
 import { expectedEndOf } from './run-ends.js';
+import { bandOf } from './ordering.js';
 import { OVERRUN_FACTOR } from './run-times.js';
 import { sumOf, waitingDemandOf } from './waiting-demand.js';
 
@@ -86,9 +87,12 @@
     return isAllowed;
   }
 
-  /** An accepted job is served: its caller was told that it would start within this time. */
-  private hasWaitedLong({ job }: Step): boolean {
-    return this.context.wall - job.acceptedAt >= job.queue.timeoutMillis / OVERRUN_FACTOR;
+  /** Whether an accepted job that still has a value has waited for as long as its forecast may have said. */
+  private hasWaitedLong(step: Step): boolean {
+    const { acceptedAt, queue } = step.job;
+    const { wall } = this.context;
+    const longestMillis = queue.timeoutMillis / OVERRUN_FACTOR;
+    return wall - acceptedAt >= longestMillis && bandOf(step, this.context) < 3;
   }
 
   /** Whether promised work needs more than is left and what ends, at some time before the excess ends. */
