Give an owner time to recover when the store comes back for all

Cause: an owner that could not write was replaced as soon as any member had read the store twice within 120 ms. Change: a member claims once the store has answered it for 400 ms, later by the time of a takeover on its machine. Ruled out: the owner's probes were in time, and it was connected to its members all the while. Result: the tests of the election pass; the one of the weak machine fails without the change.

--- a/packages/member/src/election.ts
+++ b/packages/member/src/election.ts
@@ -59,7 +59,12 @@
       /** Undefined once the read has been made. */
       readonly probeAt: Deadline | undefined;
     }
-  | { readonly kind: 'in_trouble'; readonly successfulProbes: number; readonly probeAt: Deadline }
+  | {
+      readonly kind: 'in_trouble';
+      /** Since when the store has answered every probe. */
+      readonly answeredSince: Instant | undefined;
+      readonly probeAt: Deadline;
+    }
   | {
       readonly kind: 'silent';
       readonly lastProbe: LogEnd | undefined;
@@ -80,8 +85,11 @@
  * only whether the store answers this member, and not whether a log advances.
  */
 export const TROUBLE_PROBE_INTERVAL_MILLIS = 120;
-/** Consecutive successful probes after which an owner that can't write to the store is replaced. */
-const REQUIRED_PROBES = 2;
+/**
+ * How long the store must have answered a member before it replaces an owner that can't write. After an outage for
+ * all, the owner recovers within a probe of its own and a repeated append, and a change of owner would take longer.
+ */
+export const RECOVERY_MILLIS = 400;
 
 export class Election {
   private owner: OwnerState = { kind: 'unknown' };
@@ -139,8 +147,8 @@
   /** The owner has reported whether it can write to the store. */
   trouble(isTroubled: boolean, now: Instant): void {
     if (isTroubled && (this.owner.kind === 'connected' || this.owner.kind === 'suspect')) {
-      const probeAt = deadlineAfter(now, this.claimDelayMillis());
-      this.owner = { kind: 'in_trouble', successfulProbes: 0, probeAt };
+      const probeAt = deadlineAfter(now, 0);
+      this.owner = { kind: 'in_trouble', answeredSince: undefined, probeAt };
     } else if (!isTroubled && this.owner.kind === 'in_trouble') {
       this.owner = { kind: 'connected' };
     }
@@ -158,13 +166,15 @@
       return 'none';
     }
     if (owner.kind === 'in_trouble') {
-      const successfulProbes = end === undefined ? 0 : owner.successfulProbes + 1;
+      const answeredSince = end === undefined ? undefined : (owner.answeredSince ?? now);
       this.owner = {
         ...owner,
-        successfulProbes,
+        answeredSince,
         probeAt: deadlineAfter(now, TROUBLE_PROBE_INTERVAL_MILLIS),
       };
-      return successfulProbes >= REQUIRED_PROBES ? 'claim' : 'none';
+      const isRecoveryDue =
+        answeredSince !== undefined && now - answeredSince >= this.recoveryMillis;
+      return isRecoveryDue ? 'claim' : 'none';
     }
     return 'none';
   }
@@ -225,6 +235,11 @@
     return isUnchanged ? 'claim' : 'none';
   }
 
+  /** Members on slow machines wait longer, so that the one that would serve soonest claims first. */
+  private get recoveryMillis(): number {
+    return RECOVERY_MILLIS + this.takeoverDelayMillis;
+  }
+
   /** For how long the log of a silent owner must not advance. */
   private get unchangedMillis(): number {
     return PROBE_INTERVAL_MILLIS + this.takeoverDelayMillis;
