--- a/packages/member/src/store-outage.test.ts
+++ b/packages/member/src/store-outage.test.ts
@@ -160,3 +160,20 @@
     t.deepEqual(cluster.jobs.violations, []);
   });
 }
+
+// Guards against an owner that takes its unsent submissions with it into a last batch that is never stored.
+test('an owner that is told to stop in an outage hands back the submissions that were never sent', async (t) => {
+  const { cluster } = await loadedCluster();
+  const owner = cluster.ownerName() ?? '';
+  const follower = ['m1', 'm2', 'm3'].find((name) => name !== owner) ?? '';
+  cluster.members.forEach(({ storeFaults }) => {
+    storeFaults.mode = 'silent';
+  });
+  await cluster.run(1000);
+  const reply = cluster.request(follower, 'submit', jobId(1), planOf(1));
+  await cluster.run(100);
+  const stopped = cluster.shutDown(owner, 1500);
+  await cluster.run(4000);
+  await stopped;
+  t.like(await reply, { kind: 'refused', reason: 'no_owner' });
+});
