--- a/packages/jobs/src/learned-run-times.ts
+++ b/packages/jobs/src/learned-run-times.ts
@@ -3,8 +3,13 @@
  * is in memory: a new owner starts from the declared times.
  */
 
-import { RunTimeEstimator } from '@bamboowell/policy/run-time-estimator';
-import type { RunTimeEstimate, SizeClass, TaskKind } from '@bamboowell/policy/run-time-estimator';
+import {
+  RunTimeEstimator,
+  groupedKindOf,
+  type GroupedKind,
+  type RunTimeEstimate,
+  type SizeClass,
+} from '@bamboowell/policy/run-time-estimator';
 import { WorkerSpeeds } from '@bamboowell/policy/worker-speeds';
 import { brandAs, type WorkerId } from '@bamboowell/types/ids';
 import type { SchedulingOptions } from '@bamboowell/types/scheduling';
@@ -16,14 +21,16 @@
  * Estimates are renewed at most this often, milliseconds: thousands of waiting steps are ranked a hundred times
  * a second.
  */
-const RENEWAL_MILLIS = 500;
+const RENEWAL_MILLIS = 1000;
 /** Most tasks of a step that count: they share their declared time, so that more of them tell little more. */
 const MAX_RUNS_OF_STEP = 8;
 /** Runs of a queue from which on its estimates are relied on. */
 const MIN_KNOWN_RUNS = 12;
 
-interface CachedEstimate extends RunTimeEstimate {
-  readonly version: number;
+interface CachedEstimate {
+  readonly kind: GroupedKind;
+  version: number;
+  estimate: RunTimeEstimate;
 }
 
 export class LearnedRunTimes extends RunTimes {
@@ -68,7 +75,7 @@
     }
     const { step } = run.task;
     const actualMillis = endedAt - beganAt;
-    const kind = kindOf(step);
+    const kind = this.cachedOf(step).kind;
     const { expectedMillis, runs } = this.estimator.estimate(kind);
     const speed = this.speedOfRun(run);
     this.countErrors(step, expectedMillis / speed, actualMillis);
@@ -101,13 +108,23 @@
   }
 
   private estimateOf(step: Step): RunTimeEstimate {
-    const cached = this.estimates.get(step);
-    if (cached?.version === this.version) {
-      return cached;
+    const cached = this.cachedOf(step);
+    if (cached.version !== this.version) {
+      cached.version = this.version;
+      cached.estimate = this.estimator.estimate(cached.kind);
     }
-    const estimate = this.estimator.estimate(kindOf(step));
-    this.estimates.set(step, { ...estimate, version: this.version });
-    return estimate;
+    return cached.estimate;
+  }
+
+  private cachedOf(step: Step): CachedEstimate {
+    const known = this.estimates.get(step);
+    if (known !== undefined) {
+      return known;
+    }
+    const kind = kindOf(step);
+    const cached = { kind, version: this.version, estimate: this.estimator.estimate(kind) };
+    this.estimates.set(step, cached);
+    return cached;
   }
 
   /** A gang advances as fast as its slowest member. */
@@ -142,11 +159,12 @@
   return run.confirmedAt === undefined ? undefined : brandAs<Instant>(Math.max(...begins));
 }
 
-function kindOf({ job, plan }: Step): TaskKind {
+function kindOf({ job, plan }: Step): GroupedKind {
   const { count, demand, isGang, estimateMillis } = plan;
   const cores = Math.round(demand.millicores / 1000);
   const size = brandAs<SizeClass>(
     `${isGang ? 'gang' : 'tasks'} ${Math.floor(Math.log2(count))} ${cores}`,
   );
-  return { queue: job.queue.id, team: job.plan?.team, size, declaredMillis: estimateMillis };
+  const team = job.plan?.team;
+  return groupedKindOf({ queue: job.queue.id, team, size, declaredMillis: estimateMillis });
 }
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -2,7 +2,7 @@
 
 import type { RackId, WorkerId } from '@bamboowell/types/ids';
 import { fits, type Resources } from '@bamboowell/types/resources';
-import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
+import { NEVER, deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
 import { allocationOf, type Grant, type Step, type Task, type Worker } from './model.js';
 import { latencyObjectiveMillis } from './ordering.js';
@@ -66,7 +66,7 @@
       }
       startable -= 1;
       rack ??= candidate.worker.registration.rack;
-      allocate(candidate, demand, endsBy, countByWorker);
+      allocate(candidate, demand, endsBy(candidate.worker), countByWorker);
       candidate.isClosed = isIsolated;
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated });
@@ -102,7 +102,9 @@
   ): Assignment[] {
     const demand = allocationOf(step.plan);
     const endsBy = endForHolds(step, this.context);
-    const usable = candidates.filter((candidate) => hasRoomFor(candidate, demand, endsBy));
+    const usable = candidates.filter((candidate) =>
+      hasRoomFor(candidate, demand, endsBy(candidate.worker)),
+    );
     const trial = usable.map((candidate) => ({ ...candidate }));
     const countByWorker = countedRuns(step);
     const assignments: Assignment[] = [];
@@ -112,7 +114,7 @@
       if (candidate === undefined) {
         return [];
       }
-      allocate(candidate, demand, endsBy, countByWorker);
+      allocate(candidate, demand, endsBy(candidate.worker), countByWorker);
       const { worker } = candidate;
       assignments.push({ task, worker, grant: this.grantOf(step, candidate), isIsolated: false });
     }
@@ -162,18 +164,21 @@
   readonly rack: RackId | undefined;
   readonly extraPenalty: (worker: Worker) => number;
   /** By when its run ends, even if it takes longer than estimated. */
-  readonly endsBy: Deadline;
+  readonly endsBy: (worker: Worker) => Deadline;
 }
 
 /**
  * When the step's tasks that start now count as over, next to what is kept for gangs. Lasting tasks are never
  * over; they are owed a start wherever there is room, and wait a bounded time.
  */
-function endForHolds(step: Step, { now, runTimes }: JobContext): Deadline {
+function endForHolds(step: Step, { now, runTimes }: JobContext): (worker: Worker) => Deadline {
   const waitsUntil = deadlineAfter(step.readySince ?? now, MAX_HELD_UP_MILLIS);
-  return step.plan.isLasting && hasPassed(waitsUntil, now)
-    ? deadlineAfter(now, 0)
-    : lateEndIfStarted(step, now, runTimes);
+  if (step.plan.isLasting && hasPassed(waitsUntil, now)) {
+    return () => deadlineAfter(now, 0);
+  }
+  const usual = lateEndIfStarted(step, now, runTimes);
+  return ({ id }) =>
+    usual === NEVER ? NEVER : deadlineAfter(now, (usual - now) / runTimes.speedOf(id));
 }
 
 /**
@@ -209,7 +214,11 @@
   for (const candidate of candidates) {
     const isFull =
       maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (isFull || candidate.isClosed || !hasRoomFor(candidate, demand, choice.endsBy)) {
+    if (
+      isFull ||
+      candidate.isClosed ||
+      !hasRoomFor(candidate, demand, choice.endsBy(candidate.worker))
+    ) {
       continue;
     }
     const score = scoreOf(choice, candidate);
--- a/packages/policy/src/run-time-estimator.test.ts
+++ b/packages/policy/src/run-time-estimator.test.ts
@@ -2,15 +2,22 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { brandAs, type QueueId, type TeamId, type WorkerId } from '@bamboowell/types/ids';
-import { RunTimeEstimator, type SizeClass, type TaskKind } from './run-time-estimator.js';
+import {
+  RunTimeEstimator,
+  groupedKindOf,
+  type GroupedKind,
+  type SizeClass,
+  type TaskKind,
+} from './run-time-estimator.js';
 import { WorkerSpeeds } from './worker-speeds.js';
 
 const SEED = 11;
 
-function kindOf(changes: Partial<TaskKind> = {}): TaskKind {
+function kindOf(changes: Partial<TaskKind> = {}): GroupedKind {
   const queue = brandAs<QueueId>('calls');
   const team = brandAs<TeamId>('aero');
-  return { queue, team, size: brandAs<SizeClass>('3'), declaredMillis: 1000, ...changes };
+  const size = brandAs<SizeClass>('3');
+  return groupedKindOf({ queue, team, size, declaredMillis: 1000, ...changes });
 }
 
 function randomOf(seed = SEED): () => number {
--- a/packages/policy/src/run-time-estimator.ts
+++ b/packages/policy/src/run-time-estimator.ts
@@ -127,6 +127,19 @@
   }
 }
 
+/** A kind with the names of its groups, from the queue to the smallest; made once for many estimates. */
+export interface GroupedKind {
+  readonly declaredMillis: number;
+  readonly groups: readonly string[];
+}
+
+/** Runs without a declared time are apart, as they have no ratio to it. */
+export function groupedKindOf({ queue, team, size, declaredMillis }: TaskKind): GroupedKind {
+  const whole = `${declaredMillis > 0 ? 'declared' : 'undeclared'} ${queue}`;
+  const groups = [whole, `${whole} ${size}`, `${whole} ${size} ${team ?? ''}`];
+  return { declaredMillis, groups };
+}
+
 export class RunTimeEstimator {
   /** In order of their last run. */
   private readonly groups = new Map<string, RunGroup>();
@@ -137,11 +150,11 @@
   }
 
   /** @param actualMillis as on a worker of usual speed. */
-  record(kind: TaskKind, actualMillis: number): void {
+  record(kind: GroupedKind, actualMillis: number): void {
     const declared = logOf(kind.declaredMillis);
     const actual = logOf(actualMillis);
     let slope: number | undefined;
-    for (const key of keysOf(kind)) {
+    for (const key of kind.groups) {
       const group = this.touch(key, slope === undefined ? QUEUE_WINDOW : GROUP_WINDOW);
       group.add(declared, actual);
       if (group.isFitDue) {
@@ -151,13 +164,13 @@
     }
   }
 
-  estimate(kind: TaskKind): RunTimeEstimate {
+  estimate(kind: GroupedKind): RunTimeEstimate {
     const declared = logOf(kind.declaredMillis);
     let runs = 0;
     let expected: number | undefined = kind.declaredMillis > 0 ? declared : undefined;
     let spread = PRIOR_SPREAD;
     let priorRuns = PRIOR_RUNS;
-    for (const key of keysOf(kind)) {
+    for (const key of kind.groups) {
       const group = this.groups.get(key);
       if (group !== undefined) {
         const own = group.intercept + group.slope * declared;
@@ -188,12 +201,6 @@
   }
 }
 
-/** From the queue to the smallest group. Runs without a declared time are apart, as they have no ratio to it. */
-function keysOf({ queue, team, size, declaredMillis }: TaskKind): readonly string[] {
-  const whole = `${declaredMillis > 0 ? 'declared' : 'undeclared'} ${queue}`;
-  return [whole, `${whole} ${size}`, `${whole} ${size} ${team ?? ''}`];
-}
-
 function logOf(millis: number): number {
   return Math.log(Math.max(1, millis));
 }
