--- a/packages/jobs/src/admission.test.ts
+++ b/packages/jobs/src/admission.test.ts
@@ -69,6 +69,24 @@
   t.true(load.lateOf(excess.accepted, 3000).length * 50 <= excess.accepted.length);
 });
 
+// Guards against a new owner that takes in a second backlog, because it has seen no arrivals and its buckets are full.
+test('after a change of owner under load, accepted excess still starts soon and no promised work is refused', (t) => {
+  const load = hardLoad({
+    scheduling: FORECAST,
+    factorOf: (team, atMillis) => (team < 2 && atMillis >= HOT_AT_MILLIS ? 6 : 1.05),
+  });
+  load.run(8000);
+  load.fleet.harness.takeOver();
+  load.addMembers();
+  load.run(12_000);
+  load.drain(10_000);
+  const promised = load.jobs.filter(({ isExcess }) => !isExcess);
+  t.true(promised.every(({ isAccepted }) => isAccepted));
+  t.deepEqual(load.lateOf(promised, 2000), []);
+  const { accepted } = excessOf(load.jobs);
+  t.true(load.lateOf(accepted, 3000).length * 50 <= accepted.length);
+});
+
 // Guards against promised gangs that wait for the ends of excess with which the fleet was filled.
 test('with lent room that comes back, promised work waits less than without', (t) => {
   const factorOf = (team: number, atMillis: number): number =>
--- a/packages/jobs/src/hard-load.fixture.ts
+++ b/packages/jobs/src/hard-load.fixture.ts
@@ -81,9 +81,13 @@
   const queues = KINDS.map(({ queue }) => queue);
   const configuration = { version: 1, queues, teams, maxBodyBytes: 10_000 };
   const fleet = emulatedFleet({ configuration, workers, scheduling });
-  for (let index = 0; index < 40; index += 1) {
-    fleet.harness.addMember(`m${index}`);
-  }
+  /** Members that make calls for advice; a new owner knows none. */
+  const addMembers = (): void => {
+    for (let index = 0; index < 40; index += 1) {
+      fleet.harness.addMember(`m${index}`);
+    }
+  };
+  addMembers();
   const jobs: SentJob[] = [];
   /** Jobs owed by kind and team; a job is sent for each whole one. */
   const owed = KINDS.map((_, kind) =>
@@ -131,6 +135,7 @@
   return {
     fleet,
     jobs,
+    addMembers,
     run: (millis: number): void => {
       fleet.run(millis, tick);
     },
