Restored runs wait for the process that answers, also at another address

Cause: a new owner attached stored runs to the process that the store listed. If that was an earlier one at another address, they were lost when the live process answered, and started a second time. Change: runs of a worker that never answered this owner move to the process that does, whatever its address, and its first report tells. Result: the new test fails without the change; contenders, successors and scheduler tests pass.

--- a/packages/jobs/src/contenders.test.ts
+++ b/packages/jobs/src/contenders.test.ts
@@ -130,6 +130,21 @@
   );
 });
 
+// Guards against a second run of a task whose worker's earlier process, at another address, was all that the store
+// listed when the owner changed (TWICE).
+test('a stored run is looked for in the process that answers, whatever address was registered before', (t) => {
+  const { harness, start } = harnessWithRun();
+  const others = [workerRegistration('w2')];
+  harness.takeOver(undefined, [{ ...EARLIER, address: 'elsewhere:80' }, ...others]);
+  harness.report(workerRegistration('w2').incarnation);
+  harness.replaceWorker(W1);
+  t.deepEqual(harness.place(), []);
+  harness.report(W1.incarnation, [runningEntry(start)]);
+  t.deepEqual(harness.place(), []);
+  t.deepEqual(harness.stops(), []);
+  t.deepEqual(completes({ harness, start }), COMPLETED);
+});
+
 test('a process that never answers is forgotten once the worker registers again or its entry is removed', (t) => {
   const { harness, start } = harnessWithRun();
   for (const end of ['registered', 'removed']) {
--- a/packages/jobs/src/successors.ts
+++ b/packages/jobs/src/successors.ts
@@ -7,7 +7,7 @@
 import { NO_RESOURCES } from '@bamboowell/types/resources';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
-import { newWorker, type Run, type Worker } from './model.js';
+import { NEVER_HEARD, newWorker, type Run, type Worker } from './model.js';
 
 /** Of a worker that only stored runs name. */
 export const UNKNOWN_ADDRESS = '';
@@ -59,8 +59,7 @@
       return;
     }
     const successor = this.find(worker, incarnation);
-    const { address } = worker.registration;
-    if (address !== UNKNOWN_ADDRESS && address !== successor.registration.address) {
+    if (isElsewhere(worker, successor)) {
       return;
     }
     if (!successor.isMet) {
@@ -129,3 +128,13 @@
 function isUnproven({ phase, progress, hasUnansweredStart }: Run): boolean {
   return phase !== 'recorded' && (progress === undefined || hasUnansweredStart);
 }
+
+/**
+ * Whether the runs of the worker can't have reached the successor, which has another address. The runs of a worker
+ * that never answered this owner are restored ones, whose starts may have been sent to any address.
+ */
+function isElsewhere({ lastHeardAt, registration }: Worker, successor: Worker): boolean {
+  const { address } = registration;
+  const isKnown = lastHeardAt !== NEVER_HEARD && address !== UNKNOWN_ADDRESS;
+  return isKnown && address !== successor.registration.address;
+}
