Random faults with copies of slow runs

Copies add a second run to tasks of which everything else assumed one at most. The cluster runs with learned run times, slow runs and random faults now: tasks that allow copies have at most two runs, all others one.

--- /dev/null
+++ b/packages/member/src/copy-faults.fixture.ts
@@ -0,0 +1,18 @@
+/** Mixed faults with learned run times, slow runs, and tasks that may have copies. */
+
+import type { StepPlan } from '@bamboowell/types/job';
+import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
+import type { FaultBench } from './fault-profile.fixture.js';
+import { MixedFaults } from './mixed-faults.fixture.js';
+
+export class CopyFaults extends MixedFaults {
+  override readonly scheduling = { ...DEFAULT_SCHEDULING, runTimes: 'learned' as const };
+
+  override drawSteps(bench: FaultBench): StepPlan[] {
+    return super.drawSteps(bench).map((step) => ({
+      ...step,
+      estimateMillis: bench.draw(200, 800),
+      allowsCopies: !step.isGang && bench.random() < 0.7,
+    }));
+  }
+}
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -23,7 +23,7 @@
   WorkerRegistration,
 } from '@bamboowell/types/job';
 import { NO_RESOURCES } from '@bamboowell/types/resources';
-import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
+import { DEFAULT_SCHEDULING, type SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter } from '@bamboowell/types/time';
 import type { GatewayMessage, JobReply, JobRequest } from './gateway-messages.js';
 import {
@@ -155,6 +155,8 @@
   readonly members?: number;
   readonly workers?: readonly { readonly name: string; readonly capacity: typeof NO_RESOURCES }[];
   readonly configuration: JobConfiguration;
+  /** The switches of the scheduler; the default ones if left out. */
+  readonly scheduling?: SchedulingOptions;
   /** Resources of a member's machine; ample by default. */
   readonly machineOf?: (name: string) => Machine;
   /** Region of a member; that of the store by default. */
@@ -234,7 +236,7 @@
         peerPorts: 1,
         configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
-        scheduling: DEFAULT_SCHEDULING,
+        scheduling: options.scheduling ?? DEFAULT_SCHEDULING,
         stopMillis: 6000,
       },
       clock: processClock,
--- a/packages/member/src/fault-injection.fixture.ts
+++ b/packages/member/src/fault-injection.fixture.ts
@@ -8,6 +8,7 @@
 import { cores, jobId } from '@bamboowell/jobs/plans.fixture';
 import { brandAs } from '@bamboowell/types/ids';
 import type { JobId } from '@bamboowell/types/job';
+import { CopyFaults } from './copy-faults.fixture.js';
 import { emulatedCluster } from './emulated-cluster.fixture.js';
 import type { FaultProfile } from './fault-profile.fixture.js';
 import { MixedFaults } from './mixed-faults.fixture.js';
@@ -42,6 +43,7 @@
 export const FAULT_PROFILES: Readonly<Record<string, FaultProfile>> = {
   mixed: new MixedFaults(),
   partitions: new PartitionFaults(),
+  copies: new CopyFaults(),
 };
 
 /** Added to the seed of a run for the draws of its faults, where they are drawn apart. */
@@ -72,6 +74,7 @@
   const cluster = emulatedCluster({
     workers,
     configuration: configurationOf(),
+    scheduling: profile.scheduling,
     endsPollsOfFrozen: profile.endsPollsOfFrozen,
     random,
   });
--- a/packages/member/src/fault-profile.fixture.ts
+++ b/packages/member/src/fault-profile.fixture.ts
@@ -1,6 +1,7 @@
 /** Which faults and jobs a run with random faults draws. */
 
 import type { StepPlan } from '@bamboowell/types/job';
+import { DEFAULT_SCHEDULING, type SchedulingOptions } from '@bamboowell/types/scheduling';
 import type { emulatedCluster } from './emulated-cluster.fixture.js';
 
 export type Fault = () => void;
@@ -36,6 +37,9 @@
   /** Whether polls of a frozen member end in time. */
   abstract readonly endsPollsOfFrozen: boolean;
 
+  /** The switches of the scheduler. */
+  readonly scheduling: SchedulingOptions = DEFAULT_SCHEDULING;
+
   /** Returns the faults to draw from, by name. */
   abstract faults(bench: FaultBench): Record<string, Fault>;
 
