--- a/packages/member/src/copy-faults.fixture.ts
+++ b/packages/member/src/copy-faults.fixture.ts
@@ -2,11 +2,17 @@
 
 import type { StepPlan } from '@bamboowell/types/job';
 import { DEFAULT_SCHEDULING } from '@bamboowell/types/scheduling';
+import type { ClusterOptions } from './emulated-cluster.fixture.js';
 import type { FaultBench } from './fault-profile.fixture.js';
 import { MixedFaults } from './mixed-faults.fixture.js';
 
 export class CopyFaults extends MixedFaults {
-  override readonly scheduling = { ...DEFAULT_SCHEDULING, runTimes: 'learned' as const };
+  override deployment(): ClusterOptions {
+    return {
+      ...super.deployment(),
+      scheduling: { ...DEFAULT_SCHEDULING, runTimes: 'learned' },
+    };
+  }
 
   override drawSteps(bench: FaultBench): StepPlan[] {
     return super.drawSteps(bench).map((step) => ({
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -175,6 +175,8 @@
     readonly zone?: string;
   }[];
   readonly configuration: JobConfiguration;
+  /** The default switches by default. */
+  readonly scheduling?: SchedulingOptions;
   /** By default the operator's evacuations are not followed. */
   readonly evacuationBoundMillis?: number;
   /** The switches of the scheduler; the default ones if left out. */
@@ -199,7 +201,7 @@
   const lines = new EmulatedLines(clock, options.lineMbps);
   const cuts = new EmulatedCuts();
   const network = new EmulatedNetwork(lines, cuts);
-  const jobs = new JobInvariants(now);
+  const jobs = new JobInvariants(now, options.evacuationBoundMillis);
   const log: string[] = [];
   const workers = new Map<WorkerId, EmulatedWorker>();
   for (const { name, capacity, zone } of options.workers ?? []) {
@@ -358,6 +360,10 @@
     /** Writes a record of the operator that is not the configuration. */
     declareOther: (key: string, value: string | undefined): void => {
       write('operator', key, value);
+      const zone = /^evacuate\/(.+)$/.exec(key)?.[1];
+      if (zone !== undefined) {
+        jobs.evacuated(zone, value !== undefined);
+      }
     },
     /** Advances time in small steps, so that all processes act in order. */
     run: async (millis: number): Promise<void> => {
@@ -429,6 +435,7 @@
       verb: JobRequest['verb'],
       job: JobId,
       plan?: JobPlan,
+      key = 'key',
     ): Promise<JobReply | undefined> => {
       const member = members.get(name);
       if (member === undefined) {
@@ -441,7 +448,7 @@
         verb,
         host: 'example',
         path: `/plans/${job}`,
-        key: 'key',
+        key,
         waitMillis: 3000,
         body: plan === undefined ? undefined : { kind: 'decoded', value: plan },
       };
