--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -175,8 +175,6 @@
     readonly zone?: string;
   }[];
   readonly configuration: JobConfiguration;
-  /** The default switches by default. */
-  readonly scheduling?: SchedulingOptions;
   /** By default the operator's evacuations are not followed. */
   readonly evacuationBoundMillis?: number;
   /** The switches of the scheduler; the default ones if left out. */
