Count the backlog of a saturated owner ten times a second, and send its excess away for longer

Change: one count serves 100 ms, and what a team sends beyond its rate to a saturated owner is told to come back after 5 s; promised work after 1 or 2 s, spread.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -32,6 +32,8 @@
 
 /** When a caller should come back whose team is beyond its promised rate while others wait. */
 const EXCESS_RETRY_AFTER_SECONDS = 2;
+/** The same while the owner itself is saturated. */
+const SATURATED_RETRY_AFTER_SECONDS = 5;
 /** How long a look at what runs and waits serves the forecasts of a service, milliseconds. */
 const REFRESH_MILLIS = 100;
 /** The longest forecast that is reported, milliseconds. */
@@ -225,7 +227,11 @@
     }
     const byLoad = this.byRate.decideByLoad(isExcess);
     if (byLoad.kind === 'refused') {
-      return byLoad;
+      // Excess that comes back soon would take the time for starts that the owner lacks.
+      const seconds = isExcess
+        ? SATURATED_RETRY_AFTER_SECONDS
+        : retryAfterSeconds(id, byLoad.retryAfterSeconds * MILLIS_PER_SECOND, patienceMillis);
+      return { ...byLoad, retryAfterSeconds: seconds };
     }
     const steps = stepsOf(plan, queue, isExcess, context);
     const [firstStep] = steps;
--- a/packages/jobs/src/load-control.test.ts
+++ b/packages/jobs/src/load-control.test.ts
@@ -217,3 +217,18 @@
   run(20_000, 10);
   t.is(state.refused, 0);
 });
+
+// Guards against an owner that is saturated by refusals: callers that were refused come back, and each time all
+// waiting steps were counted.
+test('a saturated owner counts the waiting steps ten times a second at most, whatever comes in', (t) => {
+  const load = saturated(100);
+  let counts = 0;
+  const stepsBefore = (): Step[] => {
+    counts += 1;
+    return [];
+  };
+  for (let millis = 1800; millis < 2000; millis += 1) {
+    load.admit(true, stepsBefore, at(millis));
+  }
+  t.is(counts, 2);
+});
--- a/packages/jobs/src/load-control.ts
+++ b/packages/jobs/src/load-control.ts
@@ -32,6 +32,11 @@
 const SATURATION_MILLIS = 1000;
 /** Work is refused if what waits already takes longer than this to start. */
 const MAX_BACKLOG_MILLIS = 2000;
+/**
+ * How long a count of the waiting tasks serves further decisions, milliseconds. A saturated owner may get a thousand
+ * submissions a second while a thousand steps wait: a count for each would leave no time for starts.
+ */
+const BACKLOG_LIFETIME_MILLIS = 100;
 /** Weight of a new observation in the moving average of the starts a second. */
 const SMOOTHING_FACTOR = 0.2;
 /** Bounds of the time after which a refused caller should try again, seconds. */
@@ -51,6 +56,7 @@
   private confirmedStarts = 0;
   private startsPerSecond = 0;
   private observedAt: Instant | undefined;
+  private backlog: { readonly tasks: number; readonly until: Deadline } | undefined;
 
   /**
    * @param lagMillis how late the owner's timer was.
@@ -88,7 +94,7 @@
     if (!this.isSaturated(now)) {
       return { kind: 'admitted' };
     }
-    const backlog = waitingTasksOf(stepsBefore());
+    const backlog = this.backlogOf(stepsBefore, now);
     const seconds = backlog === 0 ? 0 : backlog / this.startsPerSecond;
     const isTooLong = seconds * MILLIS_PER_SECOND > MAX_BACKLOG_MILLIS;
     if (!isExcess && !isTooLong) {
@@ -101,6 +107,15 @@
     return { kind: 'refused', retryAfterSeconds };
   }
 
+  /** Number of tasks that wait for the owner. */
+  private backlogOf(stepsBefore: () => Iterable<Step>, now: Instant): number {
+    if (this.backlog === undefined || hasPassed(this.backlog.until, now)) {
+      const until = deadlineAfter(now, BACKLOG_LIFETIME_MILLIS);
+      this.backlog = { tasks: waitingTasksOf(stepsBefore()), until };
+    }
+    return this.backlog.tasks;
+  }
+
   private measureRate(now: Instant): void {
     if (this.observedAt !== undefined && now > this.observedAt) {
       const rate = (this.confirmedStarts * MILLIS_PER_SECOND) / (now - this.observedAt);
