Let placement and admission tell why and decide without effect

A preview of where a job would go needs the reasons of the code that decides, and must not change later decisions. Decisions are as before.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -62,6 +62,9 @@
   /** @param isExcess whether the job exceeds the rate that its team was promised. */
   abstract decide(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision;
 
+  /** Returns what `decide` would, without an effect on later decisions. */
+  abstract preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision;
+
   /** Records that a job was taken after the decision to admit it. */
   abstract recordAdmitted(job: Job, decision: AdmissionDecision): void;
 
@@ -110,6 +113,11 @@
     return this.decideByLoad(isExcess);
   }
 
+  preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+    const decide = (): AdmissionDecision => this.decide(plan, queue, isExcess);
+    return this.lentRoom?.undone(decide) ?? decide();
+  }
+
   /** What the owner itself can take on. */
   decideByLoad(isExcess: boolean): AdmissionDecision {
     const { load, now } = this.context;
@@ -176,15 +184,19 @@
   }
 
   decide(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
-    const decision = this.isForecastable(plan, queue)
-      ? this.decideByForecast(plan, queue, isExcess)
-      : this.byRate.decide(plan, queue, isExcess);
+    const decision = this.decideWith(plan, queue, isExcess, () => this.forecastOf(queue.service));
     if (decision.kind === 'refused') {
       this.figures.recordRefused(isExcess);
     }
     return decision;
   }
 
+  preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+    const decide = (): AdmissionDecision =>
+      this.decideWith(plan, queue, isExcess, () => this.newForecastOf(queue.service));
+    return this.lentRoom?.undone(decide) ?? decide();
+  }
+
   recordAdmitted(job: Job, decision: AdmissionDecision): void {
     const basis = decision.kind === 'admitted' ? decision.basis : undefined;
     this.figures.recordAdmitted(job, basis?.first);
@@ -214,7 +226,23 @@
     );
   }
 
-  private decideByForecast(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+  private decideWith(
+    plan: JobPlan,
+    queue: JobQueue,
+    isExcess: boolean,
+    forecastOfService: () => ServiceForecast,
+  ): AdmissionDecision {
+    return this.isForecastable(plan, queue)
+      ? this.decideByForecast(plan, queue, isExcess, forecastOfService)
+      : this.byRate.decide(plan, queue, isExcess);
+  }
+
+  private decideByForecast(
+    plan: JobPlan,
+    queue: JobQueue,
+    isExcess: boolean,
+    forecastOfService: () => ServiceForecast,
+  ): AdmissionDecision {
     const { context } = this;
     const { id } = plan;
     const patienceMillis = queue.timeoutMillis;
@@ -230,7 +258,7 @@
     const steps = stepsOf(plan, queue, isExcess, context);
     const [firstStep] = steps;
     const arriving = firstStep && this.arrivingJob(firstStep, steps);
-    const forecast = arriving && this.forecastOf(queue.service).forecast(arriving);
+    const forecast = arriving && forecastOfService().forecast(arriving);
     if (arriving === undefined || forecast === undefined) {
       return this.byRate.decide(plan, queue, isExcess);
     }
@@ -298,14 +326,26 @@
     if (known !== undefined && !hasPassed(known.until, now)) {
       return known.forecast;
     }
-    const forecast =
-      known?.forecast ?? new ServiceForecast(this.context, this.lentRoom !== undefined);
-    const ready = [...this.readySteps].filter(({ job }) => job.queue.service === service);
-    forecast.refresh(this.workersOf(service), ready);
+    const forecast = known?.forecast ?? this.unknownForecast();
+    forecast.refresh(this.workersOf(service), this.readyStepsOf(service));
     this.services.set(service, { forecast, until: deadlineAfter(now, REFRESH_MILLIS) });
     return forecast;
   }
 
+  /** The same, without an effect on the look that serves the decisions. */
+  private newForecastOf(service: string): ServiceForecast {
+    const forecast = this.services.get(service)?.forecast ?? this.unknownForecast();
+    return forecast.renewed(this.workersOf(service), this.readyStepsOf(service));
+  }
+
+  private unknownForecast(): ServiceForecast {
+    return new ServiceForecast(this.context, this.lentRoom !== undefined);
+  }
+
+  private readyStepsOf(service: string): Step[] {
+    return [...this.readySteps].filter(({ job }) => job.queue.service === service);
+  }
+
   private workersOf(service: string): Worker[] {
     const { fleet, currentIncarnations } = this.context;
     return fleet.placeable
--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -36,22 +36,51 @@
  * @param isDeferred whether the run belongs to deferred work.
  */
 export function hasRoomFor(
-  { free, hold }: AvailableWorker,
+  available: AvailableWorker,
   demand: Resources,
   endsBy: Deadline,
   isDeferred: boolean,
 ): boolean {
+  return lackOfRoom(available, demand, endsBy, isDeferred) === undefined;
+}
+
+/** Why a run may not start there; undefined if it may. */
+export type LackOfRoom = 'no_room' | 'kept_for_gang';
+
+/** The reason for which `hasRoomFor` says no. */
+export function lackOfRoom(
+  { free, hold }: AvailableWorker,
+  demand: Resources,
+  endsBy: Deadline,
+  isDeferred: boolean,
+): LackOfRoom | undefined {
+  if (!fits(demand, free)) {
+    return 'no_room';
+  }
   const mayUseHeld = hold === undefined || (hold.isOpen && !isDeferred) || endsBy <= hold.until;
-  return fits(demand, free) && (mayUseHeld || fits(demand, hold.spare));
+  return mayUseHeld || fits(demand, hold.spare) ? undefined : 'kept_for_gang';
 }
 
 /** Whether the worker could run a task of the step if nothing else ran there. */
-export function isEligible(registration: WorkerRegistration, { plan, job }: Step): boolean {
-  return (
-    registration.service === job.queue.service &&
-    (plan.neededLabel === undefined || registration.labels.includes(plan.neededLabel)) &&
-    fits(allocationOf(plan), registration.capacity)
-  );
+export function isEligible(registration: WorkerRegistration, step: Step): boolean {
+  return misfitOf(registration, step) === undefined;
+}
+
+/** Why a worker could not run a task of a step even if nothing else ran there. */
+export type Misfit = 'other_service' | 'no_label' | 'too_small';
+
+/** The reason for which `isEligible` says no. */
+export function misfitOf(
+  registration: WorkerRegistration,
+  { plan, job }: Step,
+): Misfit | undefined {
+  if (registration.service !== job.queue.service) {
+    return 'other_service';
+  }
+  if (plan.neededLabel !== undefined && !registration.labels.includes(plan.neededLabel)) {
+    return 'no_label';
+  }
+  return fits(allocationOf(plan), registration.capacity) ? undefined : 'too_small';
 }
 
 /** Whether both let the same work be placed on the worker. */
--- a/packages/jobs/src/lent-room.ts
+++ b/packages/jobs/src/lent-room.ts
@@ -34,7 +34,7 @@
 
 export class LentRoom {
   private readonly rates = new Map<string, ArrivalRates>();
-  private readonly ends = new Map<string, ServiceEnds>();
+  private ends = new Map<string, ServiceEnds>();
   private rooms = new Map<string, ServiceRoom>();
 
   constructor(private readonly context: JobContext) {}
@@ -87,6 +87,19 @@
     return isAllowed;
   }
 
+  /** Runs the function and forgets what it has taken. */
+  undone<Value>(act: () => Value): Value {
+    const { rooms, ends } = this;
+    this.rooms = new Map([...rooms].map(([service, room]) => [service, { ...room }]));
+    this.ends = new Map(ends);
+    try {
+      return act();
+    } finally {
+      this.rooms = rooms;
+      this.ends = ends;
+    }
+  }
+
   /** Whether an accepted job that still has a value has waited for as long as its forecast may have said. */
   private hasWaitedLong(step: Step): boolean {
     const { acceptedAt, queue } = step.job;
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -40,7 +40,8 @@
 export class Reservations {
   private readonly windows = new HoldWindows();
   private readonly gangs = new WeakMap<Step, PlannedGang>();
-  private readonly held = new Set<Worker>();
+  /** The gangs for which room is kept, by worker. */
+  private readonly held = new Map<Worker, Step>();
   private readonly outlooks = new Map<AvailableWorker, Outlook>();
   private workers: ReadonlyMap<Worker, AvailableWorker> = new Map();
   private plansInPass = 0;
@@ -74,6 +75,13 @@
     return this.held.has(worker);
   }
 
+  /** What is kept on the worker, and the gang for which it is. */
+  holdOn(worker: Worker): { readonly hold: Hold; readonly gang: Step } | undefined {
+    const gang = this.held.get(worker);
+    const hold = this.workers.get(worker)?.hold;
+    return gang === undefined || hold === undefined ? undefined : { hold, gang };
+  }
+
   /** Keeps room for the whole step where it is expected to start first, if it will start at all. */
   reserve(step: Step, candidates: readonly AvailableWorker[], now: Instant): void {
     const planned = this.planned(step, candidates, now);
@@ -119,7 +127,7 @@
         const taken = multiply(allocationOf(step.plan), tasks);
         const free = freeAt(this.outlookOf(available, now), until);
         available.hold = { until, spare: positivePart(subtract(free, taken)), isOpen };
-        this.held.add(worker);
+        this.held.set(worker, step);
       }
     }
   }
--- a/packages/jobs/src/service-forecast.ts
+++ b/packages/jobs/src/service-forecast.ts
@@ -45,15 +45,23 @@
   private outlooks = new Map<string, RoomOutlook>();
   private waiting = new WaitingDemand();
   private workers: readonly Worker[] = [];
-  private readonly promisedRates = new ArrivalRates();
-  private readonly excessRates = new ArrivalRates();
 
   constructor(
     private readonly context: JobContext,
     /** Whether excess is shared between teams by weight. */
     private readonly isShared: boolean,
+    private readonly promisedRates = new ArrivalRates(),
+    private readonly excessRates = new ArrivalRates(),
   ) {}
 
+  /** A new look at the service, which leaves this one as it is. */
+  renewed(workers: readonly Worker[], readySteps: Iterable<Step>): ServiceForecast {
+    const { context, isShared, promisedRates, excessRates } = this;
+    const renewed = new ServiceForecast(context, isShared, promisedRates, excessRates);
+    renewed.refresh(workers, readySteps);
+    return renewed;
+  }
+
   /** Looks at the service anew. */
   refresh(workers: readonly Worker[], readySteps: Iterable<Step>): void {
     this.workers = workers;
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -15,7 +15,9 @@
   racksByFreeCores,
   allocate,
   hasRoomFor,
+  lackOfRoom,
   type AvailableWorker,
+  type LackOfRoom,
 } from './available-workers.js';
 
 export class WorkerSelection {
@@ -37,6 +39,13 @@
       : this.assignEach(step, waiting, candidates);
   }
 
+  /** Why another task of the step may not start there; undefined if it may. */
+  refusalOf(step: Step, candidate: AvailableWorker): SelectionRefusal | undefined {
+    const isLater = isDeferred(step, this.context);
+    const choice = { step, endsBy: endForHolds(step, this.context), isDeferred: isLater };
+    return refusalOf(choice, allocationOf(step.plan), candidate, countedRuns(step));
+  }
+
   private assignEach(
     step: Step,
     waiting: readonly Task[],
@@ -204,6 +213,24 @@
   return latencyObjectiveMillis(step, runTimes) <= MAX_QUICK_FACTOR * pathMillis;
 }
 
+/** Why a candidate is not chosen for another task of a step. */
+export type SelectionRefusal = LackOfRoom | 'step_limit' | 'isolated_run';
+
+function refusalOf(
+  { step, endsBy, isDeferred: isLater }: Pick<Choice, 'step' | 'endsBy' | 'isDeferred'>,
+  demand: Resources,
+  candidate: AvailableWorker,
+  countByWorker: ReadonlyMap<WorkerId, number>,
+): SelectionRefusal | undefined {
+  const { maxPerWorker } = step.plan;
+  if (maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker) {
+    return 'step_limit';
+  }
+  return candidate.isClosed
+    ? 'isolated_run'
+    : lackOfRoom(candidate, demand, endsBy(candidate.worker), isLater);
+}
+
 function noPenalty(): number {
   return 0;
 }
@@ -219,17 +246,10 @@
   candidates: readonly AvailableWorker[],
   countByWorker: ReadonlyMap<WorkerId, number>,
 ): AvailableWorker | undefined {
-  const { maxPerWorker } = choice.step.plan;
   let best: AvailableWorker | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    const isFull =
-      maxPerWorker > 0 && (countByWorker.get(candidate.worker.id) ?? 0) >= maxPerWorker;
-    if (
-      isFull ||
-      candidate.isClosed ||
-      !hasRoomFor(candidate, demand, choice.endsBy(candidate.worker), choice.isDeferred)
-    ) {
+    if (refusalOf(choice, demand, candidate, countByWorker) !== undefined) {
       continue;
     }
     const score = scoreOf(choice, candidate);
