Tell where a job would go now and why, without submitting it

An operator could only find out why work waits by submitting more of it. The scheduler now answers a preview of a plan: whether it would be admitted, how many steps go before it, which workers get tasks of its first step, and why the others are passed over. The same code decides as in placement.

--- a/packages/jobs/src/excess-ordering.ts
+++ b/packages/jobs/src/excess-ordering.ts
@@ -72,6 +72,14 @@
   }
 
   sorted(steps: Iterable<Step>, context: JobContext): Step[] {
+    return this.sortedBy(this.shares, steps, context);
+  }
+
+  override preview(steps: Iterable<Step>, context: JobContext): Step[] {
+    return this.lentRoom.undone(() => this.sortedBy(this.shares.copy(), steps, context));
+  }
+
+  private sortedBy(shares: ExcessShares, steps: Iterable<Step>, context: JobContext): Step[] {
     const { promised, excess, late, last } = bandsOf(steps, context);
     this.lentRoom.beginPass(promised);
     const stepsByTeam = groupByTeam([
@@ -84,7 +92,7 @@
     const owned = stepsByTeam as ReadonlyMap<TeamId, Step[]>;
     return [
       ...this.promised.sorted(promised, context),
-      ...this.shares.merged(owned, context).filter((step) => this.lentRoom.take(step)),
+      ...shares.merged(owned, context).filter((step) => this.lentRoom.take(step)),
       ...unowned,
       ...this.promised.sorted(last, context),
     ];
--- a/packages/jobs/src/excess-shares.ts
+++ b/packages/jobs/src/excess-shares.ts
@@ -20,12 +20,23 @@
 }
 
 export class ExcessShares {
-  private readonly shares = new DominantShares();
-  /** The usage that `shares` has of each team. */
-  private readonly counted = new Map<TeamId, Resources>();
   private configuration: JobConfiguration | undefined;
   private placeable: readonly WorkerRegistration[] = [];
 
+  constructor(
+    private readonly shares = new DominantShares(),
+    /** The usage that `shares` has of each team. */
+    private readonly counted = new Map<TeamId, Resources>(),
+  ) {}
+
+  /** Changes to the copy leave this one as it is. */
+  copy(): ExcessShares {
+    const copy = new ExcessShares(this.shares.copy(), new Map(this.counted));
+    copy.configuration = this.configuration;
+    copy.placeable = this.placeable;
+    return copy;
+  }
+
   /**
    * Merges the steps of the teams: next comes that of the team with the smallest share, for which the steps
    * before it count as running.
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -13,6 +13,7 @@
   type WallInstant,
 } from '@bamboowell/types/job';
 import { jobAdmissionOf, type JobAdmission } from './admission.js';
+import { previewedAdmissionOf, type JobPreviewBasis } from './placement-preview.js';
 import { isSpecKey, jobOfKey } from './records.js';
 import { TokenBuckets } from './token-buckets.js';
 import { UnsentJobs } from './unsent-jobs.js';
@@ -25,6 +26,7 @@
   isEnded,
   isStepDone,
   isStepReady,
+  isWaiting,
   newJob,
   newOccurrence,
   type Job,
@@ -138,6 +140,35 @@
     this.lentRoom?.recordAccepted(job);
   }
 
+  /** Whether the job would be taken, and its first step; nothing is changed. */
+  preview(plan: JobPlan): JobPreviewBasis {
+    const { context } = this;
+    const existing = context.jobs.get(plan.id);
+    if (existing !== undefined) {
+      const steps = existing.occurrences.flatMap((occurrence) => occurrence.steps);
+      const step = steps.find((each) => this.readySteps.has(each) && each.tasks.some(isWaiting));
+      return { admission: { kind: 'taken_before', isExcess: existing.isExcess }, step };
+    }
+    const queue = context.queue(plan.queue);
+    if (queue === undefined) {
+      return { admission: { kind: 'refused', reason: 'unknown_queue' }, step: undefined };
+    }
+    const team = plan.team === undefined ? undefined : context.team(plan.team);
+    if (plan.team !== undefined && team === undefined) {
+      return { admission: { kind: 'refused', reason: 'unknown_team' }, step: undefined };
+    }
+    const isExcess =
+      team !== undefined && !this.tokenBuckets.has(team.id, team.weight, context.wall);
+    const job = newJob(plan, queue, context.wall);
+    job.isExcess = isExcess;
+    const [step] = newOccurrence(job, plan, 0).steps;
+    if (context.jobs.size >= MAX_JOBS) {
+      return { admission: { kind: 'refused', reason: 'overloaded', isExcess }, step };
+    }
+    const decision = this.admission.preview(plan, queue, isExcess);
+    return { admission: previewedAdmissionOf(decision, isExcess, context.now), step };
+  }
+
   /** Refuses these submissions of a job and drops it, unless records of it were sent to the store. */
   dropUnsent(id: JobId, tokens: readonly JobToken[]): void {
     this.unsent.drop(id, tokens);
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -20,6 +20,7 @@
 } from '@bamboowell/types/job';
 import type { Deadline, Instant } from '@bamboowell/types/time';
 import type { KnownEvacuations } from './evacuations.js';
+import type { PlacementPreview } from './placement-preview.js';
 
 /** Matches an answer to its request. */
 export type JobToken = Branded<number, 'JobToken'>;
@@ -71,6 +72,8 @@
   | { readonly kind: 'cancel'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'query'; readonly job: JobId; readonly token: JobToken }
   | { readonly kind: 'count'; readonly queue: QueueId; readonly token: JobToken }
+  /** Asks where the job would go now, without submitting it. */
+  | { readonly kind: 'preview'; readonly plan: JobPlan; readonly token: JobToken }
   | { readonly kind: 'configuration'; readonly configuration: JobConfiguration }
   | { readonly kind: 'worker'; readonly registration: WorkerRegistration }
   | { readonly kind: 'worker_gone'; readonly worker: WorkerId }
@@ -145,7 +148,8 @@
   | { readonly kind: 'state'; readonly state: JobState }
   | { readonly kind: 'unknown_job' }
   | { readonly kind: 'cancelled' }
-  | { readonly kind: 'count'; readonly waiting: number };
+  | { readonly kind: 'count'; readonly waiting: number }
+  | { readonly kind: 'preview'; readonly preview: PlacementPreview };
 
 export interface StartOrder {
   readonly kind: 'start';
--- a/packages/jobs/src/ordering.ts
+++ b/packages/jobs/src/ordering.ts
@@ -8,6 +8,11 @@
 export abstract class JobOrdering {
   /** Returns a new array; its first step is placed first. */
   abstract sorted(steps: Iterable<Step>, context: JobContext): Step[];
+
+  /** Returns what `sorted` would, without an effect on later orders. */
+  preview(steps: Iterable<Step>, context: JobContext): Step[] {
+    return this.sorted(steps, context);
+  }
 }
 
 /** Expected processor time of all tasks of the step, core-milliseconds; at least one core each. */
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -33,6 +33,7 @@
 import type { KnownEvacuations } from './evacuations.js';
 import { configurationOf, workerRegistration } from './plans.fixture.js';
 import { SmallestFirst } from './ordering.js';
+import type { PlacementPreview } from './placement-preview.js';
 import { restoreJobs } from './records.js';
 import { JobScheduler, type Times } from './scheduler.js';
 
@@ -162,6 +163,15 @@
       send({ kind: 'query', job, token: sent });
       return answers.get(sent);
     },
+    preview: (plan: JobPlan): PlacementPreview => {
+      const sent = token();
+      send({ kind: 'preview', plan, token: sent });
+      const answer = answers.get(sent);
+      if (answer?.kind !== 'preview') {
+        throw new Error('no preview');
+      }
+      return answer.preview;
+    },
     waitingIn: (queue: QueueId): JobAnswer | undefined => {
       const sent = token();
       send({ kind: 'count', queue, token: sent });
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -7,6 +7,7 @@
 import type {
   JobConfiguration,
   JobId,
+  JobPlan,
   WorkerIncarnation,
   WallInstant,
   WorkerRegistration,
@@ -31,6 +32,7 @@
 import { OldestFirst, type JobOrdering } from './ordering.js';
 import { Orders } from './orders.js';
 import { StepPlacement } from './step-placement.js';
+import type { PlacementPreview } from './placement-preview.js';
 import type { RestoredRun, Restored } from './records.js';
 import { Reports } from './reports.js';
 import { RunTimesLog } from './run-times-log.js';
@@ -211,6 +213,15 @@
     return this.stepPlacement.waitingReasons();
   }
 
+  /** Where the job would go now and why; nothing is changed. */
+  private preview(plan: JobPlan): PlacementPreview {
+    const { admission, step } = this.lifecycle.preview(plan);
+    return {
+      admission,
+      placement: step === undefined ? undefined : this.stepPlacement.preview(step),
+    };
+  }
+
   private setTimes({ now, wall }: Times): void {
     this.context.now = now;
     this.context.wall = wall;
@@ -230,6 +241,10 @@
       .with({ kind: 'query' }, ({ job, token }) => {
         this.lifecycle.query(job, token);
       })
+      .with({ kind: 'preview' }, ({ plan, token }) => {
+        const answer = { kind: 'preview', preview: this.preview(plan) } as const;
+        this.context.emit({ kind: 'answer', token, answer });
+      })
       .with({ kind: 'count' }, ({ queue, token }) => {
         this.lifecycle.countWaiting(queue, token);
       })
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -27,6 +27,7 @@
 import { availableWorker, isEligible, type AvailableWorker } from './available-workers.js';
 import type { Quarantines } from './quarantines.js';
 import { ServiceUse } from './service-use.js';
+import { previewStep, type StepPreview, type WorkerClosure } from './placement-preview.js';
 import { waitingReasons, type WaitingReason } from './waiting-reasons.js';
 import type { WorkerCrashes } from './worker-crashes.js';
 
@@ -206,6 +207,23 @@
     });
   }
 
+  /** Where the step would go now and why; nothing is changed. */
+  preview(step: Step): StepPreview {
+    const { context, advice, quarantines, reservations, selection } = this;
+    const { load } = context;
+    const ordering = load.isStartLimitReached ? this.orderings.saturated : this.orderings.usual;
+    return previewStep(step, {
+      context,
+      advice,
+      quarantines,
+      reservations,
+      selection,
+      ordering,
+      readySteps: [...this.lifecycle.readySteps].filter(hasWaitingTask),
+      closureOf: (worker) => this.closureOf(worker),
+    });
+  }
+
   /** Requests advice that the step will need soon, unless it has a usable ticket. */
   prefetchAdvice(step: Step): void {
     if (!this.advice.hasTicket(step) && this.context.obstacleOf(step) === undefined) {
@@ -250,7 +268,17 @@
 
   /** The same, if nothing were evacuated. */
   private wouldBePlaceable(worker: Worker): boolean {
-    return worker.isReachable && this.isPresent(worker) && !worker.registration.isDraining;
+    return this.absenceOf(worker) === undefined;
+  }
+
+  private absenceOf(worker: Worker): WorkerClosure | undefined {
+    if (!worker.isReachable) {
+      return 'unreachable';
+    }
+    if (!this.isPresent(worker)) {
+      return 'not_registered';
+    }
+    return worker.registration.isDraining ? 'draining' : undefined;
   }
 
   /** Workers that can get work now, unless they are in quarantine. */
@@ -259,13 +287,29 @@
   }
 
   private isOpen(worker: Worker): boolean {
-    return (
-      worker.hasReported &&
-      this.isPlaceable(worker) &&
-      worker.unknownRuns === 0 &&
-      hasPassed(worker.cooldownUntil, this.context.now) &&
-      !this.crashes.hasIsolatedRun(worker)
-    );
+    return this.closureOf(worker) === undefined;
+  }
+
+  /** What keeps the worker from getting work now, apart from a quarantine. */
+  private closureOf(worker: Worker): WorkerClosure | undefined {
+    const { evacuations, now } = this.context;
+    const absence = this.absenceOf(worker);
+    if (absence !== undefined) {
+      return absence;
+    }
+    if (evacuations.isEvacuated(worker.registration)) {
+      return 'evacuated';
+    }
+    if (!worker.hasReported) {
+      return 'not_reported';
+    }
+    if (worker.unknownRuns > 0) {
+      return 'unknown_runs';
+    }
+    if (!hasPassed(worker.cooldownUntil, now)) {
+      return 'cooldown';
+    }
+    return this.crashes.hasIsolatedRun(worker) ? 'isolated_run' : undefined;
   }
 
   /** Looks at workers only if the step may start or reserve some: thousands of steps may wait. */
--- a/packages/member/src/gateway-messages.ts
+++ b/packages/member/src/gateway-messages.ts
@@ -2,6 +2,7 @@
 
 import type { Reply } from '@bamboowell/kernel/ask';
 import type { JobId, JobPlan, JobState } from '@bamboowell/types/job';
+import type { Deadline } from '@bamboowell/types/time';
 import type { ConfigurationUpdate } from './configuration-task.js';
 import type { Decoded } from './ports.js';
 import type { OwnerChannel, OwnerReply } from './owner-channel.js';
@@ -52,6 +53,13 @@
   | { readonly kind: 'request'; readonly request: JobRequest; readonly reply: Reply<JobReply> }
   | ConfigurationUpdate
   | { readonly kind: 'owner'; readonly channel: OwnerChannel | undefined }
+  /** An operator asks where a job would go now; callers can't. */
+  | {
+      readonly kind: 'preview';
+      readonly plan: JobPlan;
+      readonly by: Deadline;
+      readonly reply: Reply<OwnerReply>;
+    }
   | { readonly kind: 'ready'; readonly reply: Reply<boolean> }
   | { readonly kind: 'owner_replied'; readonly id: number; readonly reply: OwnerReply }
   | { readonly kind: 'retry'; readonly id: number }
--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from '@bamboowell/logger/logger';
 import type { JobAnswer } from '@bamboowell/jobs/messages';
 import type { TeamId } from '@bamboowell/types/ids';
+import type { JobPlan } from '@bamboowell/types/job';
 import { deadlineAfter, type Deadline, type Instant } from '@bamboowell/types/time';
 import { ageMillis } from './configuration-task.js';
 import {
@@ -89,6 +90,9 @@
       .with({ kind: 'owner' }, ({ channel }) => {
         this.setChannel(channel);
       })
+      .with({ kind: 'preview' }, ({ plan, by, reply }) => {
+        this.preview(plan, by, reply);
+      })
       .with({ kind: 'ready' }, ({ reply }) => {
         reply(this.isReady());
       })
@@ -119,6 +123,15 @@
       .exhaustive();
   }
 
+  private preview(plan: JobPlan, by: Deadline, reply: Reply<OwnerReply>): void {
+    const configuration = this.routes?.configuration.version;
+    if (this.channel === undefined || configuration === undefined) {
+      reply({ kind: 'not_taken' });
+      return;
+    }
+    void this.channel.ask({ kind: 'preview', plan, configuration }, by).then(reply);
+  }
+
   private isReady(): boolean {
     const now = this.clock.now();
     const since = this.ownerlessSince;
@@ -373,10 +386,14 @@
 
 /** Returns undefined if the owner doesn't have the configuration yet that allows the request. */
 function replyOf(answer: JobAnswer): JobReply | undefined {
-  return match(answer)
-    .returnType<JobReply | undefined>()
-    .with({ kind: 'refused' }, refusalOf)
-    .otherwise((other) => other);
+  return (
+    match(answer)
+      .returnType<JobReply | undefined>()
+      .with({ kind: 'refused' }, refusalOf)
+      // No request of a caller is answered so.
+      .with({ kind: 'preview' }, () => ({ kind: 'undecided' }))
+      .otherwise((other) => other)
+  );
 }
 
 function refusalOf({
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -18,7 +18,9 @@
   | { readonly kind: 'submit'; readonly plan: JobPlan }
   | { readonly kind: 'cancel'; readonly job: JobId }
   | { readonly kind: 'query'; readonly job: JobId }
-  | { readonly kind: 'count'; readonly queue: QueueId };
+  | { readonly kind: 'count'; readonly queue: QueueId }
+  /** Only for operators: the answer tells of the work of all teams. */
+  | { readonly kind: 'preview'; readonly plan: JobPlan };
 
 /** Outcome of a request. */
 export type OwnerReply =
--- a/packages/member/src/pending-requests.ts
+++ b/packages/member/src/pending-requests.ts
@@ -78,5 +78,7 @@
       return { kind: 'query', job: request.job, token };
     case 'count':
       return { kind: 'count', queue: request.queue, token };
+    case 'preview':
+      return { kind: 'preview', plan: request.plan, token };
   }
 }
--- a/packages/policy/src/dominant-shares.ts
+++ b/packages/policy/src/dominant-shares.ts
@@ -40,6 +40,15 @@
   private capacity: Resources = NO_RESOURCES;
   private averagedAt: Instant | undefined;
 
+  /** Changes to the copy leave this one as it is. */
+  copy(): DominantShares {
+    const copy = new DominantShares();
+    this.accounts.forEach((account, team) => copy.accounts.set(team, { ...account }));
+    copy.capacity = this.capacity;
+    copy.averagedAt = this.averagedAt;
+    return copy;
+  }
+
   /** The team's weighted dominant share; 1 is the whole fleet at weight 1. */
   shareOf(team: TeamId): number {
     return this.accounts.get(team)?.share ?? 0;
