--- a/packages/member/src/gateway-task.ts
+++ b/packages/member/src/gateway-task.ts
@@ -129,7 +129,12 @@
       reply({ kind: 'not_taken' });
       return;
     }
-    void this.channel.ask({ kind: 'preview', plan, configuration }, by).then(reply);
+    const since = this.clock.now();
+    void this.channel.ask({ kind: 'preview', plan, configuration }, by).then((answer) => {
+      const millis = Math.round(this.clock.now() - since);
+      this.events.event('preview.answered', { queue: plan.queue, outcome: answer.kind, millis });
+      reply(answer);
+    });
   }
 
   private isReady(): boolean {
