Send previews to other members under a method of their own

An owner of an earlier version would take a preview as a request of an unknown kind, and its process would end. It refuses the unknown method instead, and the operator gets no answer.

--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -40,6 +40,11 @@
   hello: 'hello',
   /** Member to owner: `OwnerRequest`, answered by `OwnerReply`. */
   request: 'request',
+  /**
+   * Member to owner: an `OwnerRequest` of the kind `preview`, answered by `OwnerReply`. Owners of earlier versions
+   * refuse the method; as a request its unknown kind would end their processes.
+   */
+  preview: 'preview',
   /** Owner to member: `AdviceRequest`, answered by `AdviceAnswer`. */
   advise: 'advise',
   /** Notification from owner to member: whether the owner can write to the store. */
@@ -73,7 +78,8 @@
   }
 
   async ask(request: OwnerRequest, deadline: Deadline): Promise<OwnerReply> {
-    return replyOf(await this.connection.request(METHODS.request, request, deadline));
+    const method = request.kind === 'preview' ? METHODS.preview : METHODS.request;
+    return replyOf(await this.connection.request(method, request, deadline));
   }
 }
 
--- a/packages/member/src/peers.ts
+++ b/packages/member/src/peers.ts
@@ -232,7 +232,7 @@
       connection.setKeepAlive(READER_KEEP_ALIVE);
       configuration.post({ kind: 'member_connected', member });
     });
-    connection.handle(METHODS.request, async (params): Promise<OwnerReply> => {
+    const askOwner = async (params: unknown): Promise<OwnerReply> => {
       const request = params as OwnerRequest;
       const deadline = deadlineAfter(clock.now(), REQUEST_TIMEOUT_MILLIS);
       const answer = await ask<OwnerMessage, OwnerReply>(
@@ -242,7 +242,9 @@
         clock,
       );
       return answer.kind === 'answered' ? answer.value : { kind: 'unknown' };
-    });
+    };
+    connection.handle(METHODS.request, askOwner);
+    connection.handle(METHODS.preview, askOwner);
   }
 
   private async answerHello(
