--- a/packages/member/src/fault-profile.fixture.ts
+++ b/packages/member/src/fault-profile.fixture.ts
@@ -50,6 +50,8 @@
   abstract readonly drawsFaultsApart: boolean;
   /** Whether polls of a frozen member end in time. */
   abstract readonly endsPollsOfFrozen: boolean;
+  /** When promised work had too few workers, so that it may be refused as late. */
+  scarceAt: number[] = [];
 
   /** Returns the faults to draw from, by name. */
   abstract faults(bench: FaultBench): Record<string, Fault>;
