--- a/packages/member/src/emulated-workers.fixture.ts
+++ b/packages/member/src/emulated-workers.fixture.ts
@@ -364,7 +364,9 @@
     if (worker.incarnation !== incarnation) {
       return this.timeOut(deadline);
     }
-    const answer = worker.hold({ ...request, leaseEnd: undefined });
+    // What a poll acknowledges had ended when it arrived.
+    const acknowledged = brandAs<EndNumber>(0);
+    const answer = worker.hold({ ...request, acknowledged, leaseEnd: undefined });
     await this.transit('in', answer);
     return answer;
   }
