--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -32,6 +32,8 @@
 
 /** When a caller should come back whose team is beyond its promised rate while others wait. */
 const EXCESS_RETRY_AFTER_SECONDS = 2;
+/** The same while the owner itself is saturated. */
+const SATURATED_RETRY_AFTER_SECONDS = 5;
 /** How long a look at what runs and waits serves the forecasts of a service, milliseconds. */
 const REFRESH_MILLIS = 100;
 /** The longest forecast that is reported, milliseconds. */
@@ -62,6 +64,9 @@
   /** @param isExcess whether the job exceeds the rate that its team was promised. */
   abstract decide(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision;
 
+  /** Returns what `decide` would, without an effect on later decisions. */
+  abstract preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision;
+
   /** Records that a job was taken after the decision to admit it. */
   abstract recordAdmitted(job: Job, decision: AdmissionDecision): void;
 
@@ -110,6 +115,11 @@
     return this.decideByLoad(isExcess);
   }
 
+  preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+    const decide = (): AdmissionDecision => this.decide(plan, queue, isExcess);
+    return this.lentRoom?.undone(decide) ?? decide();
+  }
+
   /** What the owner itself can take on. */
   decideByLoad(isExcess: boolean): AdmissionDecision {
     const { load, now } = this.context;
@@ -176,15 +186,19 @@
   }
 
   decide(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
-    const decision = this.isForecastable(plan, queue)
-      ? this.decideByForecast(plan, queue, isExcess)
-      : this.byRate.decide(plan, queue, isExcess);
+    const decision = this.decideWith(plan, queue, isExcess, () => this.forecastOf(queue.service));
     if (decision.kind === 'refused') {
       this.figures.recordRefused(isExcess);
     }
     return decision;
   }
 
+  preview(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+    const decide = (): AdmissionDecision =>
+      this.decideWith(plan, queue, isExcess, () => this.newForecastOf(queue.service));
+    return this.lentRoom?.undone(decide) ?? decide();
+  }
+
   recordAdmitted(job: Job, decision: AdmissionDecision): void {
     const basis = decision.kind === 'admitted' ? decision.basis : undefined;
     this.figures.recordAdmitted(job, basis?.first);
@@ -214,7 +228,23 @@
     );
   }
 
-  private decideByForecast(plan: JobPlan, queue: JobQueue, isExcess: boolean): AdmissionDecision {
+  private decideWith(
+    plan: JobPlan,
+    queue: JobQueue,
+    isExcess: boolean,
+    forecastOfService: () => ServiceForecast,
+  ): AdmissionDecision {
+    return this.isForecastable(plan, queue)
+      ? this.decideByForecast(plan, queue, isExcess, forecastOfService)
+      : this.byRate.decide(plan, queue, isExcess);
+  }
+
+  private decideByForecast(
+    plan: JobPlan,
+    queue: JobQueue,
+    isExcess: boolean,
+    forecastOfService: () => ServiceForecast,
+  ): AdmissionDecision {
     const { context } = this;
     const { id } = plan;
     const patienceMillis = queue.timeoutMillis;
@@ -225,12 +255,16 @@
     }
     const byLoad = this.byRate.decideByLoad(isExcess);
     if (byLoad.kind === 'refused') {
-      return byLoad;
+      // Excess that comes back soon would take the time for starts that the owner lacks.
+      const seconds = isExcess
+        ? SATURATED_RETRY_AFTER_SECONDS
+        : retryAfterSeconds(id, byLoad.retryAfterSeconds * MILLIS_PER_SECOND, patienceMillis);
+      return { ...byLoad, retryAfterSeconds: seconds };
     }
     const steps = stepsOf(plan, queue, isExcess, context);
     const [firstStep] = steps;
     const arriving = firstStep && this.arrivingJob(firstStep, steps);
-    const forecast = arriving && this.forecastOf(queue.service).forecast(arriving);
+    const forecast = arriving && forecastOfService().forecast(arriving);
     if (arriving === undefined || forecast === undefined) {
       return this.byRate.decide(plan, queue, isExcess);
     }
@@ -298,14 +332,26 @@
     if (known !== undefined && !hasPassed(known.until, now)) {
       return known.forecast;
     }
-    const forecast =
-      known?.forecast ?? new ServiceForecast(this.context, this.lentRoom !== undefined);
-    const ready = [...this.readySteps].filter(({ job }) => job.queue.service === service);
-    forecast.refresh(this.workersOf(service), ready);
+    const forecast = known?.forecast ?? this.unknownForecast();
+    forecast.refresh(this.workersOf(service), this.readyStepsOf(service));
     this.services.set(service, { forecast, until: deadlineAfter(now, REFRESH_MILLIS) });
     return forecast;
   }
 
+  /** The same, without an effect on the look that serves the decisions. */
+  private newForecastOf(service: string): ServiceForecast {
+    const forecast = this.services.get(service)?.forecast ?? this.unknownForecast();
+    return forecast.renewed(this.workersOf(service), this.readyStepsOf(service));
+  }
+
+  private unknownForecast(): ServiceForecast {
+    return new ServiceForecast(this.context, this.lentRoom !== undefined);
+  }
+
+  private readyStepsOf(service: string): Step[] {
+    return [...this.readySteps].filter(({ job }) => job.queue.service === service);
+  }
+
   private workersOf(service: string): Worker[] {
     const { fleet, currentIncarnations } = this.context;
     return fleet.placeable
--- a/packages/member/src/owner-channel.ts
+++ b/packages/member/src/owner-channel.ts
@@ -18,7 +18,9 @@
   | { readonly kind: 'submit'; readonly plan: JobPlan }
   | { readonly kind: 'cancel'; readonly job: JobId }
   | { readonly kind: 'query'; readonly job: JobId }
-  | { readonly kind: 'count'; readonly queue: QueueId };
+  | { readonly kind: 'count'; readonly queue: QueueId }
+  /** Only for operators: the answer tells of the work of all teams. */
+  | { readonly kind: 'preview'; readonly plan: JobPlan };
 
 /** Outcome of a request. */
 export type OwnerReply =
@@ -38,6 +40,11 @@
   hello: 'hello',
   /** Member to owner: `OwnerRequest`, answered by `OwnerReply`. */
   request: 'request',
+  /**
+   * Member to owner: an `OwnerRequest` of the kind `preview`, answered by `OwnerReply`. Owners of earlier versions
+   * refuse the method; as a request its unknown kind would end their processes.
+   */
+  preview: 'preview',
   /** Owner to member: `AdviceRequest`, answered by `AdviceAnswer`. */
   advise: 'advise',
   /** Notification from owner to member: whether the owner can write to the store. */
@@ -71,7 +78,8 @@
   }
 
   async ask(request: OwnerRequest, deadline: Deadline): Promise<OwnerReply> {
-    return replyOf(await this.connection.request(METHODS.request, request, deadline));
+    const method = request.kind === 'preview' ? METHODS.preview : METHODS.request;
+    return replyOf(await this.connection.request(method, request, deadline));
   }
 }
 
