--- a/tools/troubles.mjs
+++ b/tools/troubles.mjs
@@ -25,7 +25,9 @@
     process.stdout.write(`seed ${seed}: ${violation}\n`);
   }
   if (accepted <= submitted / 2) {
-    process.stdout.write(`seed ${seed}: only ${accepted} of ${submitted} promised submissions accepted\n`);
+    process.stdout.write(
+      `seed ${seed}: only ${accepted} of ${submitted} promised submissions accepted\n`,
+    );
   }
   failures += Number(violations.length > 0 || accepted <= submitted / 2);
 }
