Judge the silence of the store by what this process had time to read

Cause: the silence of the store was counted from when a call was sent until now, whatever this process had come to meanwhile. An owner whose timers are some hundred milliseconds late took the store for suspect or away: it sent no batch and started nothing, though the answers had arrived. Change: the time by which its timers are late is taken off, and repeats wait as much longer.

--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -673,6 +673,7 @@
       return;
     }
     const now = this.clock.now();
+    tenure.writer.observeLag(now - dueAt);
     if (tenure.writer.isStalled) {
       this.setTrouble(tenure, true);
     }
--- a/packages/member/src/store-health.test.ts
+++ b/packages/member/src/store-health.test.ts
@@ -81,3 +81,18 @@
   t.is(health.state(at(1750)), 'suspect');
   t.false(health.probeAnswered(at(1750), at(1800), at(1754)));
 });
+
+// Guards against an owner that is short of processor time, takes the store for away since it reads its answers late,
+// and stores and starts less than it could.
+test('a process that is behind waits longer by that time, and no longer once it has caught up', (t) => {
+  const health = healthAfter(4);
+  health.observeLag(400);
+  health.sent(at(1000));
+  t.is(Number(health.probeDueAt()), 1450);
+  t.is(health.state(at(1449)), 'healthy');
+  t.is(health.appendTimeoutMillis, 500);
+  for (let ticks = 0; ticks < 30; ticks += 1) {
+    health.observeLag(0);
+  }
+  t.is(health.state(at(1051)), 'suspect');
+});
--- a/packages/member/src/store-health.ts
+++ b/packages/member/src/store-health.ts
@@ -44,6 +44,8 @@
 const DEVIATION_FACTOR = 4;
 /** Each repeat without an answer waits longer than the one before, since the store may have become slow. */
 const BACKOFF_FACTOR = 2;
+/** A lag counts for some time: the next one of a busy process may be as long. */
+const LAG_DECAY_FACTOR = 0.8;
 /** A call is lost rather than slow if it has waited for this multiple of what a later probe took. */
 const LOST_LATENCY_FACTOR = 4;
 
@@ -54,6 +56,7 @@
   /** Since when calls have been unanswered while no other was answered. */
   private silentSince: Instant | undefined;
   private unansweredProbes = 0;
+  private lagMillis = 0;
   private nextProbeAt: Deadline | undefined;
 
   /** How long an append that is sent now waits for its answer before it is repeated. */
@@ -66,7 +69,10 @@
       MIN_APPEND_TIMEOUT_MILLIS,
       TIMEOUT_LATENCY_FACTOR * latencyMillis + DEVIATION_FACTOR * this.deviationMillis,
     );
-    return Math.min(MAX_APPEND_TIMEOUT_MILLIS, usual * BACKOFF_FACTOR ** this.repeats);
+    return Math.min(
+      MAX_APPEND_TIMEOUT_MILLIS,
+      usual * BACKOFF_FACTOR ** this.repeats + this.lagMillis,
+    );
   }
 
   /** Smoothed latency of appends; undefined before the first answer. */
@@ -78,9 +84,19 @@
     return this.unansweredProbes;
   }
 
-  /** How long calls have been unanswered while no other was answered. */
+  /**
+   * How long calls have been unanswered while no other was answered, less the time by which this process is behind:
+   * an answer may have arrived that it hasn't come to yet.
+   */
   silentMillis(now: Instant): number {
-    return this.silentSince === undefined ? 0 : Math.max(0, now - this.silentSince);
+    return this.silentSince === undefined
+      ? 0
+      : Math.max(0, now - this.silentSince - this.lagMillis);
+  }
+
+  /** @param lagMillis how late a timer of this process was, observed several times a second. */
+  observeLag(lagMillis: number): void {
+    this.lagMillis = Math.max(lagMillis, LAG_DECAY_FACTOR * this.lagMillis);
   }
 
   state(now: Instant): StoreState {
@@ -123,7 +139,7 @@
     if (this.silentSince === undefined) {
       return undefined;
     }
-    const suspectAt = deadlineAfter(this.silentSince, this.suspicionMillis);
+    const suspectAt = deadlineAfter(this.silentSince, this.suspicionMillis + this.lagMillis);
     return this.nextProbeAt === undefined ? suspectAt : later(suspectAt, this.nextProbeAt);
   }
 
--- a/packages/member/src/work-log-writer.ts
+++ b/packages/member/src/work-log-writer.ts
@@ -195,6 +195,11 @@
     );
   }
 
+  /** Records how late a timer of this process was. */
+  observeLag(lagMillis: number): void {
+    this.health.observeLag(lagMillis);
+  }
+
   /** Appends a record that fences earlier owners and shows that this one is alive. */
   keepAlive(member: string): void {
     this.record(ALIVE_KEY, { term: this.options.term, member });
