Jobs: occurrences are opened as they can run, and jobs count by their bytes

Cause: all occurrences that were due became objects at once, 1.4 KB each, at acceptance and again in each takeover. Nothing counted what a job costs.

The scheduler alone with the two jobs, without store, links or logs, has 129,600 waiting steps and a heap of 204 MB after one pass. Ruled out: the size of the records (the second owner found no runs and no rows).

Change: occurrences are opened in order as earlier ones start and end, a takeover opens those of which something was begun, one that is over keeps nothing. The bytes of all jobs that have not ended are counted; a job for which there is no memory is refused at once, with a time to come back. An ended job keeps only its state.

Why it works: the open occurrences follow from what can start, not from what is due, and what one owner accepts is what the next one can load.

--- a/packages/jobs/src/advice-prefetch.ts
+++ b/packages/jobs/src/advice-prefetch.ts
@@ -37,7 +37,7 @@
     const evacuated = this.placement.evacuatedWorkers().length;
     const workers = this.context.workers.size - evacuated;
     for (const job of this.lifecycle.multiStepJobs) {
-      for (const { steps } of job.occurrences) {
+      for (const { steps } of job.occurrences.values()) {
         steps.forEach((step) => {
           this.prefetchIfDue(step, steps, workers);
         });
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -19,6 +19,7 @@
 import { EndedArchive } from './ended-archive.js';
 import { Evacuations } from './evacuations.js';
 import { FleetCapacity } from './fleet-capacity.js';
+import { JobMemory } from './job-memory.js';
 import { LoadControl } from './load-control.js';
 import type { JobBatch, JobOutput, JobWrite } from './messages.js';
 import {
@@ -58,6 +59,7 @@
   /** The newest incarnation of each worker. */
   readonly currentIncarnations = new Map<WorkerId, Worker>();
   readonly load = new LoadControl();
+  readonly memory = new JobMemory();
   readonly fleet = new FleetCapacity();
   readonly evacuations = new Evacuations();
   /** What the workers of evacuated data centres could hold. */
@@ -189,11 +191,29 @@
 
   /** Adds a job that the store doesn't have yet. */
   addNew(job: Job): void {
-    this.jobs.set(job.id, job);
+    this.add(job);
     this.unstored.add(job);
     this.markChanged(job);
   }
 
+  /** Adds a job that the store has. */
+  add(job: Job): void {
+    this.jobs.set(job.id, job);
+    if (job.plan !== undefined) {
+      this.memory.add(job.plan);
+    }
+  }
+
+  /** Keeps only the state of a job that has ended, unless the store doesn't have the end or something still runs. */
+  release(job: Job): void {
+    if (job.plan === undefined || !isEnded(job.visibleState) || hasRuns(job)) {
+      return;
+    }
+    job.plan = undefined;
+    job.occurrences.clear();
+    this.memory.remove(job.id);
+  }
+
   /** Number of jobs of which no record has been sent to the store. */
   get unsentCount(): number {
     return this.unstored.size;
@@ -206,6 +226,7 @@
   /** Removes a job of which no record has been sent to the store; its runs must have been stopped. */
   dropUnsent(job: Job): void {
     this.jobs.delete(job.id);
+    this.memory.remove(job.id);
     this.unstored.delete(job);
     this.dirty.delete(job);
     this.needsPlacement = true;
@@ -229,6 +250,7 @@
   /** Deletes a job that ended long ago, here and in the store. */
   forget(job: Job): void {
     this.jobs.delete(job.id);
+    this.memory.remove(job.id);
     const key = this.archive.forget(job.id);
     if (key !== undefined) {
       this.otherWrites.push({ key, value: undefined });
@@ -269,7 +291,7 @@
 
   step(id: StepId): Step | undefined {
     const [job, occurrence, step] = id.split('.');
-    return this.jobs.get(brandAs<JobId>(job ?? ''))?.occurrences[Number(occurrence)]?.steps[
+    return this.jobs.get(brandAs<JobId>(job ?? ''))?.occurrences.get(Number(occurrence))?.steps[
       Number(step)
     ];
   }
@@ -393,20 +415,21 @@
   }
 }
 
-/** Drops the tasks of changed occurrences of which nothing is left; returns the numbers of these. */
+/** Drops the changed occurrences of which nothing is left; returns the numbers of these. */
 function dropOccurrencesOver({ plan, occurrences }: Job, keys: ReadonlySet<string>): number[] {
   if (plan?.repetition === undefined) {
     return [];
   }
   const changed = [...new Set([...keys].map(occurrenceOf))];
-  return changed.filter((index) => {
-    const steps = occurrences[index]?.steps ?? [];
-    const isOver = steps.length > 0 && steps.every(hasNothingLeft);
-    if (isOver) {
-      steps.length = 0;
-    }
-    return isOver;
-  });
+  const over = changed.filter((index) => occurrences.get(index)?.steps.every(hasNothingLeft));
+  over.forEach((index) => occurrences.delete(index));
+  return over;
+}
+
+function hasRuns({ occurrences }: Job): boolean {
+  return [...occurrences.values()].some(({ steps }) =>
+    steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0)),
+  );
 }
 
 function hasNothingLeft(step: Step): boolean {
--- a/packages/jobs/src/lent-room.test.ts
+++ b/packages/jobs/src/lent-room.test.ts
@@ -20,7 +20,7 @@
       isExcess: false,
       plan: { estimateMillis: 2000 },
     });
-    accepted.occurrences.push(occurrence);
+    accepted.occurrences.set(occurrence.index, occurrence);
     lentRoom.recordAccepted(accepted);
   }
   lentRoom.beginPass([]);
--- a/packages/jobs/src/lent-room.ts
+++ b/packages/jobs/src/lent-room.ts
@@ -41,7 +41,7 @@
 
   /** Counts an accepted job, if it is within the promised rate of its team. */
   recordAccepted({ isExcess, queue, occurrences }: Job): void {
-    const [occurrence] = occurrences;
+    const [occurrence] = occurrences.values();
     if (isExcess || occurrence === undefined) {
       return;
     }
--- a/packages/jobs/src/lifecycle.ts
+++ b/packages/jobs/src/lifecycle.ts
@@ -20,6 +20,7 @@
 import type { SchedulingOptions } from '@bamboowell/types/scheduling';
 import { deadlineAfter, hasPassed, type Deadline } from '@bamboowell/types/time';
 import type { JobContext } from './context.js';
+import { DueOccurrences } from './due-occurrences.js';
 import type { LentRoom } from './lent-room.js';
 import type { JobAnswer, JobToken } from './messages.js';
 import {
@@ -29,17 +30,21 @@
   isWaiting,
   newJob,
   newOccurrence,
+  openOccurrence,
   type Job,
+  type Occurrence,
   type Run,
   type Step,
   type Task,
   type Worker,
 } from './model.js';
 
-/** Most jobs kept at once, open and ended; bounds memory at about 100 MB. */
+/** Most jobs kept at once, open and ended. */
 export const MAX_JOBS = 40_000;
 /** How long the state of an ended job can be queried, milliseconds; the platform requires 120 s. */
 const ENDED_RETENTION_MILLIS = 150_000;
+/** When a caller should come back whose job has no room in the owner's memory: jobs end all the time. */
+const OUT_OF_MEMORY_RETRY_AFTER_SECONDS = 5;
 /** Interval between scans for ended jobs to forget, milliseconds. */
 const FORGET_INTERVAL_MILLIS = 1000;
 
@@ -50,7 +55,7 @@
   readonly readySteps = new Set<Step>();
   /** Open jobs with more than one step. */
   readonly multiStepJobs = new Set<Job>();
-  private readonly repeating = new Set<Job>();
+  private readonly dueOccurrences: DueOccurrences;
   private readonly tokenBuckets = new TokenBuckets();
   private readonly admission: JobAdmission;
   private nextForgetAt: Deadline = brandAs<Deadline>(0);
@@ -66,6 +71,9 @@
     this.unsent = new UnsentJobs(context, (job) => {
       this.discard(job);
     });
+    this.dueOccurrences = new DueOccurrences(context, (occurrence) => {
+      this.occurrenceOpened(occurrence);
+    });
     this.admission = jobAdmissionOf(scheduling, context, this.readySteps, lentRoom);
     context.firstStarted = (job) => {
       this.admission.recordStarted(job);
@@ -84,7 +92,8 @@
       return;
     }
     const queue = context.queue(plan.queue);
-    if (queue === undefined || context.jobs.size >= MAX_JOBS) {
+    const hasRoom = context.jobs.size < MAX_JOBS && context.memory.hasRoomFor(plan);
+    if (queue === undefined || !hasRoom) {
       const configuration = context.configuration?.version ?? 0;
       const unknown = checkedBy > configuration ? 'configuration_outdated' : 'unknown_queue';
       const reason = queue === undefined ? unknown : 'overloaded';
@@ -94,8 +103,11 @@
         reason,
         configuration,
         checkedBy,
+        jobBytes: context.memory.bytes,
       });
-      context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason } });
+      const retryAfterSeconds = OUT_OF_MEMORY_RETRY_AFTER_SECONDS;
+      const hint = reason === 'overloaded' ? { retryAfterSeconds } : {};
+      context.emit({ kind: 'answer', token, answer: { kind: 'refused', reason, ...hint } });
       return;
     }
     if (isStoreAway && this.unsent.isFull) {
@@ -145,7 +157,8 @@
     const { context } = this;
     const existing = context.jobs.get(plan.id);
     if (existing !== undefined) {
-      const steps = existing.occurrences.flatMap((occurrence) => occurrence.steps);
+      const occurrences = [...existing.occurrences.values()];
+      const steps = occurrences.flatMap((occurrence) => occurrence.steps);
       const step = steps.find((each) => this.readySteps.has(each) && each.tasks.some(isWaiting));
       return { admission: { kind: 'taken_before', isExcess: existing.isExcess }, step };
     }
@@ -162,7 +175,7 @@
     const job = newJob(plan, queue, context.wall);
     job.isExcess = isExcess;
     const [step] = newOccurrence(job, plan, 0).steps;
-    if (context.jobs.size >= MAX_JOBS) {
+    if (context.jobs.size >= MAX_JOBS || !context.memory.hasRoomFor(plan)) {
       return { admission: { kind: 'refused', reason: 'overloaded', isExcess }, step };
     }
     const decision = this.admission.preview(plan, queue, isExcess);
@@ -186,6 +199,11 @@
     this.answerAfterCommit(job, token, { kind: 'cancelled' });
   }
 
+  /** Number of occurrences that are due and not opened. */
+  get heldBackOccurrences(): number {
+    return this.dueOccurrences.heldBackCount;
+  }
+
   query(id: JobId, token: JobToken): void {
     const job = this.context.jobs.get(id);
     const answer: JobAnswer =
@@ -206,7 +224,7 @@
 
   /** Takes over a job that an earlier owner stored. */
   resume(job: Job): void {
-    this.context.jobs.set(job.id, job);
+    this.context.add(job);
     // The stored queue is the one at acceptance, and later configurations may have changed it.
     job.queue = this.context.queue(job.queue.id) ?? job.queue;
     if (isEnded(job.state)) {
@@ -282,12 +300,10 @@
     }
   }
 
-  /** Adds the occurrences that are due, archives ended jobs and forgets those that ended long ago. */
+  /** Opens the occurrences that are due, archives ended jobs and forgets those that ended long ago. */
   tick(): void {
     this.admission.tick();
-    for (const job of this.repeating) {
-      this.addDueOccurrences(job);
-    }
+    this.dueOccurrences.open();
     if (hasPassed(this.nextForgetAt, this.context.now)) {
       this.nextForgetAt = deadlineAfter(this.context.now, FORGET_INTERVAL_MILLIS);
       this.forgetEnded();
@@ -297,8 +313,13 @@
 
   private forgetEnded(): void {
     for (const job of this.context.jobs.values()) {
-      if (job.endedAt !== undefined && job.endedAt + ENDED_RETENTION_MILLIS <= this.context.wall) {
+      if (job.endedAt === undefined) {
+        continue;
+      }
+      if (job.endedAt + ENDED_RETENTION_MILLIS <= this.context.wall) {
         this.context.forget(job);
+      } else {
+        this.context.release(job);
       }
     }
   }
@@ -318,15 +339,12 @@
 
   private activate(job: Job, plan: JobPlan): void {
     if (plan.repetition !== undefined) {
-      this.repeating.add(job);
-      this.addDueOccurrences(job);
-    } else if (job.occurrences.length === 0) {
-      job.occurrences.push(newOccurrence(job, plan, 0));
+      this.dueOccurrences.add(job);
+    } else if (job.openedCount === 0) {
+      openOccurrence(job, plan);
     }
-    job.occurrences.forEach(({ steps }) => {
-      steps.forEach((step) => {
-        this.enqueueIfReady(step);
-      });
+    job.occurrences.forEach((occurrence) => {
+      this.enqueueReadySteps(occurrence);
     });
     if (plan.steps.length > 1) {
       this.multiStepJobs.add(job);
@@ -335,25 +353,19 @@
     this.completeIfDone(job);
   }
 
-  private addDueOccurrences(job: Job): void {
-    const { plan } = job;
-    if (plan?.repetition === undefined || isEnded(job.state)) {
-      this.repeating.delete(job);
-      return;
-    }
-    const { count, firstAt, intervalMillis } = plan.repetition;
-    while (
-      job.occurrences.length < count &&
-      firstAt + job.occurrences.length * intervalMillis <= this.context.wall
-    ) {
-      const occurrence = newOccurrence(job, plan, job.occurrences.length);
-      job.occurrences.push(occurrence);
-      occurrence.steps.forEach((step) => {
-        this.enqueueIfReady(step);
-      });
-      this.context.markChanged(job);
-      this.context.needsPlacement = true;
+  private occurrenceOpened(occurrence: Occurrence): void {
+    this.enqueueReadySteps(occurrence);
+    const [step] = occurrence.steps;
+    if (step !== undefined) {
+      this.context.markChanged(step.job);
     }
+    this.context.needsPlacement = true;
+  }
+
+  private enqueueReadySteps({ steps }: Occurrence): void {
+    steps.forEach((step) => {
+      this.enqueueIfReady(step);
+    });
   }
 
   private markDone(task: Task, number: RunNumber): void {
@@ -381,8 +393,8 @@
     }
     const expected = plan.repetition?.count ?? 1;
     const isDone =
-      job.occurrences.length >= expected &&
-      job.occurrences.every(({ steps }) => steps.every(isStepDone));
+      job.openedCount >= expected &&
+      [...job.occurrences.values()].every(({ steps }) => steps.every(isStepDone));
     if (isDone) {
       this.end(job, 'completed', 'all tasks done');
     }
@@ -420,9 +432,9 @@
 
   /** Takes the job's steps out of scheduling and stops its runs. */
   private withdrawSteps(job: Job): void {
-    this.repeating.delete(job);
+    this.dueOccurrences.remove(job);
     this.multiStepJobs.delete(job);
-    for (const { steps } of job.occurrences) {
+    for (const { steps } of job.occurrences.values()) {
       for (const step of steps) {
         this.readySteps.delete(step);
         step.tasks
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -107,14 +107,13 @@
 
 export interface Occurrence {
   readonly index: number;
-  /** Empty once all tasks are done and have no run left. */
   readonly steps: Step[];
 }
 
 export interface Job {
   readonly id: JobId;
-  /** Undefined for a job that ended under an earlier owner. */
-  readonly plan: JobPlan | undefined;
+  /** Undefined for a job that ended under an earlier owner, or that has ended and has no run left. */
+  plan: JobPlan | undefined;
   /** Its queue, from the newest configuration that has it. */
   queue: JobQueue;
   state: JobState;
@@ -122,7 +121,10 @@
   visibleState: JobState;
   readonly acceptedAt: WallInstant;
   endedAt: WallInstant | undefined;
-  occurrences: Occurrence[];
+  /** The occurrences that were opened and are not over, by index, in ascending order. */
+  readonly occurrences: Map<number, Occurrence>;
+  /** Number of occurrences that were opened; the later ones have no state. */
+  openedCount: number;
   /** Keys of its stored records with rows of tasks, but for that of its state. */
   readonly taskRecords: Set<string>;
   /** Whether a worker has confirmed a start of one of its tasks, or the end of its run. */
@@ -243,13 +245,22 @@
     visibleState: 'pending',
     acceptedAt,
     endedAt: undefined,
-    occurrences: [],
+    occurrences: new Map(),
+    openedCount: 0,
     taskRecords: new Set(),
     hasStarted: false,
     isExcess: false,
   };
 }
 
+/** Opens the next occurrence of the job. */
+export function openOccurrence(job: Job, plan: JobPlan): Occurrence {
+  const occurrence = newOccurrence(job, plan, job.openedCount);
+  job.occurrences.set(occurrence.index, occurrence);
+  job.openedCount += 1;
+  return occurrence;
+}
+
 export function newOccurrence(job: Job, plan: JobPlan, index: number): Occurrence {
   const occurrence: Occurrence = { index, steps: [] };
   let tasksBefore = 0;
@@ -306,11 +317,6 @@
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
 
-/** Whether nothing of the occurrence is left to do or to end, so that its tasks were dropped. */
-export function isOccurrenceOver({ steps }: Occurrence): boolean {
-  return steps.length === 0;
-}
-
 export function isStepDone(step: Step): boolean {
   return step.doneCount === step.tasks.length;
 }
--- a/packages/jobs/src/records.ts
+++ b/packages/jobs/src/records.ts
@@ -19,16 +19,7 @@
 } from '@bamboowell/types/job';
 import type { RestoredArchive } from './ended-archive.js';
 import type { JobWrite } from './messages.js';
-import {
-  PLACEHOLDER_QUEUE,
-  isEnded,
-  isOccurrenceOver,
-  newJob,
-  newOccurrence,
-  type Job,
-  type Occurrence,
-  type Task,
-} from './model.js';
+import { PLACEHOLDER_QUEUE, isEnded, newJob, newOccurrence, type Job, type Task } from './model.js';
 
 const SPEC_PREFIX = 'spec/';
 const PROGRESS_PREFIX = 'progress/';
@@ -175,12 +166,12 @@
 
 /** The record of the job's state, with the first tasks of an open job. */
 export function progressOf(job: Job): ProgressRecord {
-  const over = rangesOver(job.occurrences);
+  const over = rangesOver(job);
   return {
     state: job.state,
     acceptedAt: job.acceptedAt,
     ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }),
-    occurrences: job.occurrences.length,
+    occurrences: job.openedCount,
     ...(over.length === 0 || isEnded(job.state) ? {} : { over }),
     tasks: isEnded(job.state) ? [] : rowsOf(job, 0, 0),
   };
@@ -204,7 +195,7 @@
 function rowsOf({ occurrences }: Job, occurrence: number, part: number): TaskRow[] {
   const rows: TaskRow[] = [];
   const from = part * TASKS_PER_RECORD;
-  for (const { tasks, tasksBefore } of occurrences[occurrence]?.steps ?? []) {
+  for (const { tasks, tasksBefore } of occurrences.get(occurrence)?.steps ?? []) {
     const first = Math.max(0, from - tasksBefore);
     const end = Math.max(0, from + TASKS_PER_RECORD - tasksBefore);
     rows.push(...tasks.slice(first, end).filter(isTouched).map(rowOf));
@@ -212,17 +203,14 @@
   return rows;
 }
 
-function rangesOver(occurrences: readonly Occurrence[]): OccurrenceRange[] {
-  const ranges: [number, number][] = [];
-  for (const occurrence of occurrences) {
-    const last = ranges.at(-1);
-    if (isOccurrenceOver(occurrence)) {
-      if (last?.[1] === occurrence.index) {
-        last[1] += 1;
-      } else {
-        ranges.push([occurrence.index, occurrence.index + 1]);
-      }
+function rangesOver({ occurrences, openedCount }: Job): OccurrenceRange[] {
+  const ranges: OccurrenceRange[] = [];
+  let from = 0;
+  for (const open of [...occurrences.keys(), openedCount]) {
+    if (from < open) {
+      ranges.push([from, open]);
     }
+    from = open + 1;
   }
   return ranges;
 }
@@ -366,14 +354,10 @@
   job.state = progress.state;
   job.visibleState = progress.state;
   job.endedAt = progress.endedAt;
-  for (let index = 0; index < progress.occurrences; index += 1) {
-    const isOver = progress.over?.some(([from, to]) => from <= index && index < to) === true;
-    job.occurrences.push(isOver ? { index, steps: [] } : newOccurrence(job, plan, index));
-  }
+  restoreOccurrences(job, plan, progress, moreTasks);
   const rows = [...progress.tasks];
   for (const [key, more] of moreTasks) {
-    const occurrence = job.occurrences[occurrenceOf(key)];
-    if (occurrence === undefined || isOccurrenceOver(occurrence) || isEnded(job.state)) {
+    if (!job.occurrences.has(occurrenceOf(key)) || isEnded(job.state)) {
       restored.orphans.push(key);
     } else {
       job.taskRecords.add(key);
@@ -385,13 +369,42 @@
     restoreTask(restored, job, row);
   }
   for (const [occurrence, step, index] of progress.tasks) {
-    const task = job.occurrences[occurrence]?.steps[step]?.tasks[index];
+    const task = job.occurrences.get(occurrence)?.steps[step]?.tasks[index];
     if (task !== undefined && recordOf(task) !== progressKey(job.id)) {
       restored.misplaced.push(task);
     }
   }
 }
 
+/**
+ * Opens the occurrences up to the last one of which something was begun. Those after it have nothing that must be
+ * kept, and are opened again as there is room for them.
+ */
+function restoreOccurrences(
+  job: Job,
+  plan: JobPlan,
+  { occurrences, over = [], tasks }: ProgressRecord,
+  moreTasks: ReadonlyMap<string, readonly TaskRow[]>,
+): void {
+  let begunCount = 0;
+  const begun = [
+    ...over.map(([, to]) => to - 1),
+    ...tasks.map(([occurrence]) => occurrence),
+    ...[...moreTasks.keys()].map(occurrenceOf),
+  ];
+  for (const index of begun) {
+    begunCount = Math.max(begunCount, index + 1);
+  }
+  job.openedCount = Math.min(occurrences, begunCount);
+  let from = 0;
+  for (const [overFrom, overTo] of [...over, [job.openedCount, job.openedCount] as const]) {
+    for (let index = from; index < overFrom; index += 1) {
+      job.occurrences.set(index, newOccurrence(job, plan, index));
+    }
+    from = overTo;
+  }
+}
+
 /** Whether the row shows that a run has begun; reports tell of those that only were to begin. */
 function hasBegun([, , , isDone, , failures, saved]: TaskRow): boolean {
   return isDone === 1 || failures > 0 || saved !== NO_PROGRESS;
@@ -399,7 +412,7 @@
 
 function restoreTask(restored: Restored, job: Job, row: TaskRow): void {
   const [occurrence, stepIndex, index, isDone, lastRun, failures, saved, runs, crashes = 0] = row;
-  const step = job.occurrences[occurrence]?.steps[stepIndex];
+  const step = job.occurrences.get(occurrence)?.steps[stepIndex];
   const task = step?.tasks[index];
   if (step === undefined || task === undefined) {
     return;
@@ -429,7 +442,8 @@
     visibleState: record.state,
     acceptedAt: record.acceptedAt,
     endedAt: record.endedAt ?? record.acceptedAt,
-    occurrences: [],
+    occurrences: new Map(),
+    openedCount: 0,
     taskRecords: new Set(),
     hasStarted: true,
     isExcess: false,
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -126,6 +126,7 @@
     answers,
     now: () => brandAs<Instant>(millis),
     needsPlacement: () => scheduler.needsPlacement,
+    figures: () => scheduler.figures(),
     waitingReasons: () => scheduler.waitingReasons(),
     advance: (by: number): void => {
       millis += by;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -59,6 +59,10 @@
 /** Counts of jobs, runs and workers, and how much processor time of the workers is used. */
 export interface JobFigures {
   readonly jobs: number;
+  /** What the jobs that have not ended take in memory, bytes. */
+  readonly jobBytes: number;
+  /** Occurrences that are due and wait until others are over. */
+  readonly heldBackOccurrences: number;
   /** Steps that are ready and not done, including those whose tasks all run. */
   readonly waitingSteps: number;
   readonly runs: number;
@@ -198,6 +202,8 @@
       workers.reduce((total, worker) => total + amount(worker), 0);
     return {
       jobs: this.context.jobs.size,
+      jobBytes: this.context.memory.bytes,
+      heldBackOccurrences: this.lifecycle.heldBackOccurrences,
       waitingSteps: this.lifecycle.readySteps.size,
       runs: sum(({ runs }) => runs.size),
       workers: workers.length,
