Member: orders wait in the link, where they are counted and can be withdrawn

Tasks of a large job that was cancelled ran on until their leases lapsed.

Cause: the link made a call for each order at once. Two had a connection, the others waited in the HTTP client while their time-outs ran, were given up before they were sent, made anew, and kept by the client until a connection was free. A step started all its tasks in one pass, since the limit of open starts was only looked at between steps. A mailbox of 4,096 places dropped the orders beyond it, and nobody read that it did.

Change: OrderQueue holds the orders of a worker, stops first; two to sixteen are under way, by what waits and the shortest round trip of the link, and only these have calls and time-outs. A start that can't be sent for long goes back to the scheduler as not sent and is placed elsewhere; a stop of a start that was never sent needs no call. All messages of a scheduler's step for a link are one message, and what a full mailbox does not take is kept. The limit of open starts holds within a step.

Why it works: what waits is an entry in a queue of the link instead of a call with its body, timer and copies, and nothing expires before it is sent.

--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -45,7 +45,9 @@
   /** Another incarnation of the worker answered. */
   | { readonly kind: 'other_life' }
   /** The start was not sent, or not once more: the data centre of the worker is evacuated, or may be. */
-  | { readonly kind: 'evacuated' };
+  | { readonly kind: 'evacuated' }
+  /** The start was not sent: too many orders were under way to the worker for too long. */
+  | { readonly kind: 'not_sent' };
 
 export interface WorkerReport {
   readonly incarnation: WorkerIncarnation;
--- a/packages/jobs/src/orders.ts
+++ b/packages/jobs/src/orders.ts
@@ -25,6 +25,8 @@
  * it runs.
  */
 const NO_ROOM_COOLDOWN_MILLIS = 400;
+/** Pause in new work for a worker to which starts could not be sent for seconds, milliseconds. */
+const BUSY_LINK_COOLDOWN_MILLIS = 1000;
 
 type AnsweredOrder = Extract<JobInput, { kind: 'order_answered' }>;
 
@@ -140,7 +142,7 @@
   handleAnswer(worker: Worker, answered: AnsweredOrder): void {
     const { answer } = answered;
     const run = worker.runs.get(runKey(answered.task, answered.run));
-    if (answer.kind !== 'evacuated') {
+    if (answer.kind !== 'evacuated' && answer.kind !== 'not_sent') {
       worker.lastHeardAt = this.context.now;
     }
     if (answer.kind === 'other_life') {
@@ -230,6 +232,9 @@
       .with({ kind: 'late' }, { kind: 'evacuated' }, () => {
         this.handleRejection(run, answer.kind, 0);
       })
+      .with({ kind: 'not_sent' }, () => {
+        this.handleRejection(run, answer.kind, BUSY_LINK_COOLDOWN_MILLIS);
+      })
       .with({ kind: 'malformed' }, () => {
         this.handleRejection(run, answer.kind, 0);
         this.failTask(run.task, run.worker, run.number);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -66,6 +66,8 @@
   /** Steps that are ready and not done, including those whose tasks all run. */
   readonly waitingSteps: number;
   readonly runs: number;
+  /** Starts under way: recorded or sent, and not confirmed. */
+  readonly openStarts: number;
   readonly workers: number;
   /** Workers on which nothing runs. */
   readonly idleWorkers: number;
@@ -206,6 +208,7 @@
       heldBackOccurrences: this.lifecycle.heldBackOccurrences,
       waitingSteps: this.lifecycle.readySteps.size,
       runs: sum(({ runs }) => runs.size),
+      openStarts: openStartsOn(workers),
       workers: workers.length,
       idleWorkers: sum(({ runs }) => Number(runs.size === 0)),
       evacuatedWorkers: this.stepPlacement.evacuatedWorkers().length,
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -52,6 +52,8 @@
   maxFreeMillicores: number;
   /** Starts under way, those of this pass included. */
   openStarts: number;
+  /** Whether tasks were left out because of the limit of open starts. */
+  isCutShort: boolean;
   readonly adviceBudget: AdviceBudget;
 }
 
@@ -120,6 +122,7 @@
       ...passOver(available),
       closed,
       openStarts: openStartsOn(this.context.workers.values()),
+      isCutShort: false,
       adviceBudget: new AdviceBudget(placeable, (team) => this.context.teamUseOf(team)),
     };
     const { load } = this.context;
@@ -127,12 +130,12 @@
     const ordering = load.isStartLimitReached ? saturated : usual;
     for (const step of ordering.sorted(this.stepsToPlace(), this.context)) {
       if (pass.openStarts >= load.startLimit) {
-        load.isStartLimitReached = true;
-        return;
+        pass.isCutShort = true;
+        break;
       }
       this.placeInOrder(step, pass);
     }
-    load.isStartLimitReached = false;
+    load.isStartLimitReached = pass.isCutShort;
   }
 
   private stepsToPlace(): Step[] {
@@ -175,6 +178,7 @@
     const trial = { ...pass, ...passOver(pass.closed.available) };
     this.startOn(step, waiting, this.eligibleWorkers(step, trial), trial);
     pass.openStarts = trial.openStarts;
+    pass.isCutShort = trial.isCutShort;
   }
 
   /**
@@ -374,18 +378,29 @@
       this.advice.request(step, this.reservations);
       return false;
     }
-    const assignments = this.selection.assign(step, waiting, allowed);
+    const startable = this.startableNow(step, waiting, pass);
+    const assignments = this.selection.assign(step, startable, allowed);
     if (assignments.length > 0) {
       this.start(step, assignments);
       pass.openStarts += assignments.length;
       pass.maxFreeMillicores = maxFreeMillicoresOf(pass.available);
     }
-    if (assignments.length < waiting.length) {
+    if (assignments.length < startable.length) {
       this.advice.requestMore(step, pass.available, this.reservations);
     }
     return assignments.length > 0;
   }
 
+  /** The tasks that the limit of open starts lets start. A gang starts as a whole, or it would never start. */
+  private startableNow(step: Step, waiting: readonly Task[], pass: Pass): readonly Task[] {
+    const most = this.context.load.startLimit - pass.openStarts;
+    if (step.plan.isGang || waiting.length <= most) {
+      return waiting;
+    }
+    pass.isCutShort = true;
+    return waiting.slice(0, Math.max(0, most));
+  }
+
   /** Whether the step may start on a worker of this pass, if that had room for it. */
   private hasAdmittedWorker(step: Step, { available }: Pass): boolean {
     return available.some(
--- a/packages/member/src/emulated-cluster.fixture.ts
+++ b/packages/member/src/emulated-cluster.fixture.ts
@@ -69,6 +69,7 @@
 
 const START_WALL_MILLIS = 1_700_000_000_000;
 const LONGEST_LEASE_MILLIS = 6000;
+const GANG_ASSEMBLY_MILLIS = 3000;
 const CONFIGURATION_LIFETIME_MILLIS = 2000;
 /** A machine with more resources than a member needs in any role. */
 const AMPLE_MACHINE: Machine = { cores: 1, memoryMib: 1024, linkMbps: 1000 };
@@ -261,6 +262,7 @@
         peerPorts: 1,
         configurationLifetimeMillis: CONFIGURATION_LIFETIME_MILLIS,
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
+        gangAssemblyMillis: GANG_ASSEMBLY_MILLIS,
         scheduling: options.scheduling ?? DEFAULT_SCHEDULING,
         evacuationBoundMillis: options.evacuationBoundMillis,
         stopMillis: 6000,
--- a/packages/member/src/linked-scheduler.fixture.ts
+++ b/packages/member/src/linked-scheduler.fixture.ts
@@ -22,6 +22,7 @@
 const STEP_MILLIS = 2;
 const PASS_INTERVAL_MILLIS = 10;
 const LONGEST_LEASE_MILLIS = 6000;
+const GANG_ASSEMBLY_MILLIS = 3000;
 /** Outlives every lease of a test. */
 const LONG_TASK_MILLIS = 60_000;
 const AMPLE_MBPS = 1000;
@@ -101,6 +102,7 @@
         longestLeaseMillis: LONGEST_LEASE_MILLIS,
         mayRenew: () => term === terms,
         mayStart: () => true,
+        gangAssemblyMillis: GANG_ASSEMBLY_MILLIS,
       },
       clock,
     );
@@ -136,6 +138,7 @@
       execute(output);
     }
     carriedOut = harness.outputs.length;
+    links.flush();
   };
   const place = (): void => {
     harness.send({ kind: 'place', mayStart: true });
--- a/packages/member/src/owner-task.ts
+++ b/packages/member/src/owner-task.ts
@@ -290,6 +290,7 @@
         term,
         owner: this,
         longestLeaseMillis: settings.longestLeaseMillis,
+        gangAssemblyMillis: settings.gangAssemblyMillis,
         mayRenew: () => this.mayRenew(tenure),
         mayStart: (place) => tenure.scheduler?.mayStart(place, this.clock.now()) === true,
       },
@@ -557,6 +558,7 @@
     for (const output of outputs) {
       this.execute(tenure, output);
     }
+    tenure.links.flush();
   }
 
   private execute(tenure: Tenure, output: JobOutput): void {
--- a/packages/member/src/settings.ts
+++ b/packages/member/src/settings.ts
@@ -26,6 +26,8 @@
   readonly configurationLifetimeMillis: number;
   /** Longest time that a worker keeps its runs without a lease renewal, by its own clock. */
   readonly longestLeaseMillis: number;
+  /** How long the tasks of a gang wait for each other on workers before their run ends. */
+  readonly gangAssemblyMillis: number;
   readonly scheduling: SchedulingOptions;
   /**
    * No task may be started in a data centre this long after the record that evacuates it was stored;
--- a/packages/member/src/tcp-peers.test.ts
+++ b/packages/member/src/tcp-peers.test.ts
@@ -47,6 +47,7 @@
     peerPorts,
     configurationLifetimeMillis: 2000,
     longestLeaseMillis: 6000,
+    gangAssemblyMillis: 3000,
     evacuationBoundMillis: undefined,
     scheduling: DEFAULT_SCHEDULING,
     stopMillis: 6000,
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -11,9 +11,10 @@
   type StepTaskId,
 } from '@bamboowell/types/job';
 import type { Deadline, WorkerInstant } from '@bamboowell/types/time';
-import type { LeaseSuspension, OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
+import type { JobInput, LeaseSuspension, OrderAnswer, StartOrder } from '@bamboowell/jobs/messages';
 import type { OwnerMessage } from './owner-messages.js';
 import { WorkerPort, type HoldAnswer, type HoldRequest, type Unanswered } from './ports.js';
+import { MAX_ORDERS_UNDER_WAY } from './order-queue.js';
 import { WorkerLinkTask } from './worker-link.js';
 
 const ID = brandAs<WorkerId>('w1');
@@ -36,6 +37,9 @@
   /** Answers to polls that waited as long as they may. */
   readonly lateHolds: HoldAnswer[] = [];
   readonly answers: Answers<OrderAnswer> = [];
+  /** Most starts that were open at a time, where calls take time. */
+  mostOpen = 0;
+  protected open = 0;
 
   constructor(private readonly clock: ManualClock) {
     super();
@@ -111,9 +115,17 @@
     : undefined;
 }
 
-function linkBench(earlierLeaseEnds = brandAs<Deadline>(0)) {
+interface BenchOptions {
+  readonly earlierLeaseEnds?: Deadline;
+  readonly newPort?: (clock: ManualClock) => ScriptedPort;
+}
+
+function linkBench({
+  earlierLeaseEnds = brandAs<Deadline>(0),
+  newPort = (own) => new ScriptedPort(own),
+}: BenchOptions = {}) {
   const clock = new ManualClock(1000);
-  const port = new ScriptedPort(clock);
+  const port = newPort(clock);
   const ownerMessages: OwnerMessage[] = [];
   const lease = { mayRenew: true, mayStart: true };
   /** An owner that isn't busy takes in reports at once. */
@@ -139,6 +151,8 @@
       },
       earlierLeaseEnds,
       longestLeaseMillis: 6000,
+      gangAssemblyMillis: 3000,
+      maxOrdersUnderWay: () => MAX_ORDERS_UNDER_WAY,
       mayRenew: () => lease.mayRenew,
       mayStart: () => lease.mayStart,
     },
@@ -231,7 +245,7 @@
 // Guards against a run that outlives its lapse under a lease that was given before (TWICE).
 test('a silent worker keeps its runs until the leases of earlier owners have ended', async (t) => {
   const earlierLeaseEnds = brandAs<Deadline>(7000);
-  const { link, port, advance, inputs } = linkBench(earlierLeaseEnds);
+  const { link, port, advance, inputs } = linkBench({ earlierLeaseEnds });
   port.holds.push(port.held(), 'silence', 'silence', 'silence');
   await link.start();
   await advance(3000);
@@ -427,6 +441,97 @@
   t.is(reports(), before + 1);
 });
 
+const ROUND_TRIP_MILLIS = 40;
+
+/** A worker to which calls take some time. */
+class DistantPort extends ScriptedPort {
+  constructor(
+    private readonly ownClock: ManualClock,
+    private readonly roundTripMillis = ROUND_TRIP_MILLIS,
+  ) {
+    super(ownClock);
+  }
+
+  override async hold(...args: Parameters<ScriptedPort['hold']>): Promise<HoldAnswer> {
+    await this.ownClock.sleepUntil(brandAs<Deadline>(this.ownClock.now() + this.roundTripMillis));
+    return super.hold(...args);
+  }
+
+  override async start(
+    ...args: Parameters<ScriptedPort['start']>
+  ): Promise<OrderAnswer | Unanswered> {
+    this.open += 1;
+    this.mostOpen = Math.max(this.mostOpen, this.open);
+    await this.ownClock.sleepUntil(brandAs<Deadline>(this.ownClock.now() + this.roundTripMillis));
+    this.open -= 1;
+    return super.start(...args);
+  }
+}
+
+function startsOf(count: number): StartOrder[] {
+  return Array.from({ length: count }, (_, index) => ({
+    ...START,
+    task: brandAs<StepTaskId>(`0000000000000001.0.0.${index}`),
+  }));
+}
+
+function answersTo(inputs: readonly JobInput[]): OrderAnswer['kind'][] {
+  return inputs.flatMap((input) => (input.kind === 'order_answered' ? [input.answer.kind] : []));
+}
+
+// Guards against an owner that hands all starts to the HTTP client at once, gives up those that wait for a
+// connection there and sends copies of them, until its memory is used up (FAULT).
+test('however many starts are ordered, few calls are open and none is made twice', async (t) => {
+  const { link, port, advance, inputs } = linkBench({ newPort: (own) => new DistantPort(own) });
+  await link.start();
+  await advance(100);
+  startsOf(400).forEach((order) => {
+    link.post({ kind: 'order', order });
+  });
+  await advance(2500);
+  t.true(port.mostOpen <= MAX_ORDERS_UNDER_WAY);
+  t.is(port.starts.length, 400);
+  t.is(new Set(port.starts.map(({ order }) => order.task)).size, 400);
+  t.is(answersTo(inputs()).filter((kind) => kind === 'done').length, 400);
+});
+
+test('starts that can not be sent for long go back to the owner, and were never sent', async (t) => {
+  const { link, port, advance, inputs } = linkBench({
+    newPort: (own) => new DistantPort(own, 400),
+  });
+  await link.start();
+  await advance(100);
+  const starts = startsOf(400);
+  link.post({ kind: 'batch', messages: starts.map((order) => ({ kind: 'order', order })) });
+  await advance(3500);
+  const kinds = answersTo(inputs());
+  const notSent = kinds.filter((kind) => kind === 'not_sent').length;
+  t.true(notSent > 0);
+  t.is(notSent + port.starts.length, 400);
+  t.is(kinds.filter((kind) => kind === 'done').length, port.starts.length);
+});
+
+test('a stop of a start that waits to be sent needs no call', async (t) => {
+  const { link, port, advance, inputs } = linkBench({
+    newPort: (own) => new DistantPort(own, 400),
+  });
+  await link.start();
+  await advance(100);
+  const starts = startsOf(30);
+  link.post({ kind: 'batch', messages: starts.map((order) => ({ kind: 'order', order })) });
+  await advance(50);
+  const [last] = starts.slice(-1);
+  if (last === undefined) {
+    t.fail('no start');
+    return;
+  }
+  const { task, run } = last;
+  link.post({ kind: 'order', order: { kind: 'stop', task, run } });
+  await advance(3000);
+  t.false(port.starts.some(({ order }) => order.task === task));
+  t.true(inputs().some((input) => input.kind === 'order_answered' && input.order === 'stop'));
+});
+
 /** Lease ends that were requested, by polls and by starts. */
 function leaseEnds({ requests, starts }: ScriptedPort): number[] {
   return [...requests, ...starts].flatMap(({ leaseEnd }) => leaseEnd ?? []);
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -31,6 +31,7 @@
 import type { HoldAnswer, Unanswered, WorkerPort, WorkerTarget } from './ports.js';
 import type { OwnerMessage } from './owner-messages.js';
 import { LeaseClock } from './lease-clock.js';
+import { OrderQueue, type OrderKey } from './order-queue.js';
 
 /**
  * How long a worker may wait for a run to end before it answers a poll. A poll that fails leaves time
@@ -39,7 +40,7 @@
 const POLL_WAIT_MILLIS = 1500;
 /** An answer is given up this long after it was due: several round trips to another region. */
 const ANSWER_TIMEOUT_MILLIS = 450;
-/** Timeout of an order, which is then sent again. */
+/** Timeout of an order from when it is sent; after that it is sent again. */
 const ORDER_TIMEOUT_MILLIS = 450;
 /** Pause before a failed call is repeated. */
 const RETRY_DELAY_MILLIS = 120;
@@ -48,6 +49,10 @@
  * recorded in the store.
  */
 const RECORD_TIMEOUT_MILLIS = 400;
+/** A start that was not sent for this part of the time that the tasks of a gang wait for each other goes back. */
+const UNSENT_FRACTION = 2 / 3;
+/** Interval between looks at starts that wait to be sent, milliseconds. */
+const UNSENT_CHECK_MILLIS = 100;
 /** While a lease is suspended, the worker is polled again after this if the owner hasn't resumed it. */
 const RESUMPTION_TIMEOUT_MILLIS = 400;
 /** Consecutive failed polls after which a worker counts as unreachable. */
@@ -66,19 +71,36 @@
   doubtfulAt: Instant | undefined;
   /** Whether it is to be sent as soon as the worker's incarnation has answered and has a lease. */
   isHeldBack: boolean;
+  /** Whether a copy of it was sent. */
+  isSent: boolean;
+  /** A start of which no copy was sent by then goes back to the owner. */
+  readonly returnAt: Deadline;
 }
 
 export type WorkerLinkMessage =
+  /** Several messages, in order: however many there are, they take one place in the mailbox. */
+  | { readonly kind: 'batch'; readonly messages: readonly WorkerLinkMessage[] }
   | { readonly kind: 'order'; readonly order: Order }
   | { readonly kind: 'withdraw'; readonly task: StepTaskId; readonly run: RunNumber }
   | { readonly kind: 'acknowledge'; readonly upTo: EndNumber }
   | { readonly kind: 'renew'; readonly suspension: LeaseSuspension }
   | { readonly kind: 'poll' }
-  | { readonly kind: 'held'; readonly answer: HoldAnswer; readonly askedAt: Instant }
+  | {
+      readonly kind: 'held';
+      readonly answer: HoldAnswer;
+      readonly askedAt: Instant;
+      readonly hasWaited: boolean;
+    }
   | { readonly kind: 'probe' }
   | { readonly kind: 'probed'; readonly answer: HoldAnswer; readonly askedAt: Instant }
-  | { readonly kind: 'ordered'; readonly order: Order; readonly answer: OrderAnswer | Unanswered }
-  | { readonly kind: 'send'; readonly order: Order };
+  | {
+      readonly kind: 'ordered';
+      readonly order: Order;
+      readonly answer: OrderAnswer | Unanswered;
+      readonly sentAt: Instant;
+    }
+  | { readonly kind: 'send'; readonly order: Order }
+  | { readonly kind: 'return_unsent' };
 
 export interface WorkerLinkOptions {
   readonly port: WorkerPort;
@@ -89,10 +111,14 @@
   /** When the lease of an earlier owner has ended at the latest. */
   readonly earlierLeaseEnds: Deadline;
   readonly longestLeaseMillis: number;
+  /** How long the tasks of a gang wait for each other on workers. */
+  readonly gangAssemblyMillis: number;
   /** Whether leases may be renewed: an owner cut off from the store and all members must not. */
   readonly mayRenew: () => boolean;
   /** Whether a start may be sent now: not into a data centre that is evacuated, or may be. */
   readonly mayStart: () => boolean;
+  /** How many orders may be under way at a time. */
+  readonly maxOrdersUnderWay: () => number;
 }
 
 export class WorkerLinkTask extends Task<WorkerLinkMessage> {
@@ -115,7 +141,9 @@
   private isSuspended = false;
   /** No poll is sent before this, after a failure or while newly ended runs are being recorded. */
   private pollAfter: Deadline = brandAs<Deadline>(0);
-  private readonly orders = new Map<string, OpenOrder>();
+  private readonly orders = new Map<OrderKey, OpenOrder>();
+  private readonly queue: OrderQueue;
+  private isReturnScheduled = false;
 
   constructor(
     private readonly options: WorkerLinkOptions,
@@ -124,6 +152,7 @@
     super(`worker-link-${options.target.id}`, clock);
     this.lease = new LeaseClock(options.longestLeaseMillis, options.earlierLeaseEnds);
     this.fence = options.nextFence();
+    this.queue = new OrderQueue(options.maxOrdersUnderWay);
   }
 
   protected override onStart(): void {
@@ -137,12 +166,17 @@
 
   protected receive(message: WorkerLinkMessage): void {
     match(message)
+      .with({ kind: 'batch' }, ({ messages }) => {
+        messages.forEach((each) => {
+          this.receive(each);
+        });
+      })
       .with({ kind: 'order' }, ({ order }) => {
         this.order(order);
       })
       .with({ kind: 'withdraw' }, ({ task, run }) => {
-        this.orders.delete(`start ${task} ${run}`);
-        this.orders.delete(`stop ${task} ${run}`);
+        this.withdraw(keyOf({ kind: 'start', task, run }));
+        this.withdraw(keyOf({ kind: 'stop', task, run }));
       })
       .with({ kind: 'acknowledge' }, ({ upTo }) => {
         this.acknowledged = upTo;
@@ -157,8 +191,11 @@
       .with({ kind: 'poll' }, () => {
         this.poll();
       })
-      .with({ kind: 'held' }, ({ answer, askedAt }) => {
+      .with({ kind: 'held' }, ({ answer, askedAt, hasWaited }) => {
         this.isPolling = false;
+        if (!hasWaited) {
+          this.recordRoundTrip(answer, askedAt);
+        }
         this.held(answer, askedAt);
       })
       .with({ kind: 'probe' }, () => {
@@ -166,31 +203,60 @@
       })
       .with({ kind: 'probed' }, ({ answer, askedAt }) => {
         this.isProbing = false;
+        this.recordRoundTrip(answer, askedAt);
         this.probed(answer, askedAt);
       })
       .with({ kind: 'send' }, ({ order }) => {
         this.send(order);
       })
-      .with({ kind: 'ordered' }, ({ order, answer }) => {
+      .with({ kind: 'return_unsent' }, () => {
+        this.isReturnScheduled = false;
+        this.returnUnsent();
+      })
+      .with({ kind: 'ordered' }, ({ order, answer, sentAt }) => {
+        this.queue.release();
+        this.recordRoundTrip(answer, sentAt);
         this.ordered(order, answer);
+        this.sendWaiting();
       })
       .exhaustive();
   }
 
-  /** Sends an order. A stop cancels retries of its start, which could otherwise arrive after the stop. */
+  /**
+   * Sends an order. A stop cancels retries of its start, which could otherwise arrive after the stop; if no copy of
+   * the start was sent, none of the stop is needed.
+   */
   private order(order: Order): void {
-    if (order.kind === 'stop') {
-      this.orders.delete(keyOf({ ...order, kind: 'start' }));
-    }
-    this.orders.set(keyOf(order), {
+    const open: OpenOrder = {
       order,
       unansweredAt: undefined,
       doubtfulAt: undefined,
       isHeldBack: false,
-    });
+      isSent: false,
+      returnAt: deadlineAfter(this.clock.now(), this.options.gangAssemblyMillis * UNSENT_FRACTION),
+    };
+    if (order.kind === 'stop' && this.withdraw(keyOf({ ...order, kind: 'start' }))) {
+      this.close(open, { kind: 'done' });
+      return;
+    }
+    this.orders.set(keyOf(order), open);
     this.send(order);
   }
 
+  /** Returns whether the order was open and no copy of it was sent. */
+  private withdraw(key: OrderKey): boolean {
+    const open = this.orders.get(key);
+    this.orders.delete(key);
+    this.queue.remove(key);
+    return open?.isSent === false;
+  }
+
+  private recordRoundTrip({ kind }: { readonly kind: string }, sentAt: Instant): void {
+    if (kind !== 'unanswered') {
+      this.queue.recordRoundTrip(this.clock.now() - sentAt);
+    }
+  }
+
   private poll(): void {
     if (this.isPolling || this.isClosed || !hasPassed(this.pollAfter, this.clock.now())) {
       return;
@@ -211,7 +277,7 @@
     };
     const deadline = deadlineAfter(now, waitMillis + ANSWER_TIMEOUT_MILLIS);
     void port.hold(target, request, deadline).then((answer) => {
-      this.post({ kind: 'held', answer, askedAt: now });
+      this.post({ kind: 'held', answer, askedAt: now, hasWaited: waitMillis > 0 });
     });
   }
 
@@ -246,7 +312,10 @@
     const suspension = this.isSuspended ? this.suspension : undefined;
     this.options.owner.post({
       kind: 'input',
-      input: { kind: 'report', report: { incarnation, askedAt, running, ended, suspension } },
+      input: {
+        kind: 'report',
+        report: { incarnation, askedAt, running, ended, suspension },
+      },
     });
     this.lastHeldAt = this.clock.now();
     this.sendHeldBack();
@@ -383,28 +452,67 @@
     }
   }
 
-  /**
-   * Sends an order. A start must not reach a later process of the worker: it names the worker's id, which
-   * stays. So it is repeated only after this incarnation has answered since the last copy was given up or refused. None
-   * is sent while the lease is suspended.
-   */
+  /** Sends an order as soon as few enough are under way. */
   private send(order: Order): void {
-    const open = this.orders.get(keyOf(order));
-    if (this.isClosed || open?.order !== order) {
-      return;
+    const key = keyOf(order);
+    if (!this.isClosed && this.orders.get(key)?.order === order) {
+      this.queue.add(order.kind, key);
+      this.sendWaiting();
+      this.returnLater();
+    }
+  }
+
+  /** Returns starts to the owner that can't be sent soon, so that they are placed elsewhere. */
+  private returnUnsent(): void {
+    for (const key of this.queue.waitingStarts) {
+      const open = this.orders.get(key);
+      if (open?.isSent === false && hasPassed(open.returnAt, this.clock.now())) {
+        this.queue.remove(key);
+        this.close(open, { kind: 'not_sent' });
+      }
+    }
+    this.returnLater();
+  }
+
+  private returnLater(): void {
+    if (!this.isReturnScheduled && this.queue.waitingCount > 0) {
+      this.isReturnScheduled = true;
+      const at = deadlineAfter(this.clock.now(), UNSENT_CHECK_MILLIS);
+      this.postAt(at, { kind: 'return_unsent' });
     }
+  }
+
+  private sendWaiting(): void {
+    for (let key = this.queue.take(); key !== undefined; key = this.queue.take()) {
+      const open = this.orders.get(key);
+      if (this.isClosed || open === undefined || !this.call(open)) {
+        this.queue.release();
+      }
+    }
+  }
+
+  /**
+   * Calls the worker, and returns whether it did. A start must not reach a later process of the worker: it names the
+   * worker's id, which stays. So it is repeated only after this incarnation has answered since the last copy was given
+   * up or refused. None is sent while the lease is suspended.
+   */
+  private call(open: OpenOrder): boolean {
+    const { order } = open;
     if (order.kind === 'start' && !this.options.mayStart()) {
       this.close(open, { kind: 'evacuated' });
-      return;
+      return false;
     }
     const call = order.kind === 'stop' ? this.stopCall(order) : this.startCall(order, open);
     if (call === undefined) {
       open.isHeldBack = true;
-      return;
+      return false;
     }
+    open.isSent = true;
+    const sentAt = this.clock.now();
     void call.then((answer) => {
-      this.post({ kind: 'ordered', order, answer });
+      this.post({ kind: 'ordered', order, answer, sentAt });
     });
+    return true;
   }
 
   private mayStart({ doubtfulAt }: OpenOrder): boolean {
@@ -482,6 +590,6 @@
   }
 }
 
-function keyOf({ kind, task, run }: Pick<Order, 'kind' | 'task' | 'run'>): string {
+function keyOf({ kind, task, run }: Pick<Order, 'kind' | 'task' | 'run'>): OrderKey {
   return `${kind} ${task} ${run}`;
 }
--- a/packages/member/src/worker-links.ts
+++ b/packages/member/src/worker-links.ts
@@ -5,6 +5,7 @@
 import type { Fence, WorkerIncarnation, Term, WorkerRegistration } from '@bamboowell/types/job';
 import type { Deadline } from '@bamboowell/types/time';
 import { Fences } from './fences.js';
+import { maxOrdersUnderWay } from './order-queue.js';
 import type { OwnerMessage } from './owner-messages.js';
 import type { WorkerPort } from './ports.js';
 import { WorkerLinkTask, type WorkerLinkMessage } from './worker-link.js';
@@ -14,6 +15,8 @@
   readonly term: Term;
   readonly owner: MailboxAddress<OwnerMessage>;
   readonly longestLeaseMillis: number;
+  /** How long the tasks of a gang wait for each other on workers. */
+  readonly gangAssemblyMillis: number;
   /** Whether leases may be renewed. */
   readonly mayRenew: () => boolean;
   /** Whether a start may be sent to the worker now. */
@@ -23,6 +26,8 @@
 export class WorkerLinks {
   private readonly links = new Map<WorkerIncarnation, WorkerLinkTask>();
   private readonly fences: Fences;
+  /** Messages that are not posted yet. */
+  private readonly outbox = new Map<WorkerIncarnation, WorkerLinkMessage[]>();
 
   constructor(
     private readonly options: WorkerLinksOptions,
@@ -38,21 +43,46 @@
     const target = { id, incarnation, address };
     const nextFence = (): Fence => this.fences.next();
     const link = new WorkerLinkTask(
-      { ...this.options, mayStart, target, nextFence, earlierLeaseEnds: lapsesAt },
+      {
+        ...this.options,
+        mayStart,
+        target,
+        nextFence,
+        earlierLeaseEnds: lapsesAt,
+        maxOrdersUnderWay: () => maxOrdersUnderWay(this.links.size),
+      },
       this.clock,
     );
     this.links.set(incarnation, link);
     void link.start();
   }
 
-  /** Posts a message to the link of an incarnation; ignored if there is none any more. */
+  /** Adds a message for the link of an incarnation; ignored if there is none any more. `flush` posts it. */
   post(incarnation: WorkerIncarnation, message: WorkerLinkMessage): void {
-    this.links.get(incarnation)?.post(message);
+    if (!this.links.has(incarnation)) {
+      return;
+    }
+    const messages = this.outbox.get(incarnation);
+    if (messages === undefined) {
+      this.outbox.set(incarnation, [message]);
+    } else {
+      messages.push(message);
+    }
+  }
+
+  /** Posts what was added, to each link in one message. What a full mailbox does not take stays for the next time. */
+  flush(): void {
+    for (const [incarnation, messages] of this.outbox) {
+      if (this.links.get(incarnation)?.post({ kind: 'batch', messages }) !== 'full') {
+        this.outbox.delete(incarnation);
+      }
+    }
   }
 
   close(incarnation: WorkerIncarnation): void {
     const link = this.links.get(incarnation);
     this.links.delete(incarnation);
+    this.outbox.delete(incarnation);
     void link?.stop();
   }
 
