Jobs: placement counts the starts that the link to a worker delivers in time

What callers saw: an accepted gang of 120 tasks, for which one worker has room, never worked in the other region.

And placement knew the room of a worker, not how many starts a second reach it, so that a gang was begun where it could not be whole in time.

Ruled out: a worker or an owner too slow for so many starts, since without the delay the gang works at once; copies of orders alone, since 120 starts over two connections take 3.6 s of the 3 s that there are.

Change: with each report the link says how many starts it delivers within half of the time that the tasks of a gang wait for each other (gangMs of the platform's settings). Placement has no more starts under way to a worker, spreads a gang accordingly, and names one that all links together can't deliver as blocked (gang_exceeds_links); that one keeps no room.

Why it works: a gang is begun only where its last start arrives before its first task gives up; what a link can't take in time stays where it can be placed elsewhere.

--- a/packages/bench/src/job-model.ts
+++ b/packages/bench/src/job-model.ts
@@ -53,6 +53,8 @@
 
 /** Progress of all runs if the model shows none. */
 const ASSUMED_PERCENT = 50;
+/** Starts that the link to a worker delivers in time. */
+const START_LIMIT = 1000;
 const WORKER_CORES = 64;
 const WORKER_GIB = 128;
 /** Time step of the model. */
@@ -286,7 +288,14 @@
     const askedAt = brandAs<Instant>(this.now);
     this.input({
       kind: 'report',
-      report: { incarnation, askedAt, running, ended, suspension: undefined },
+      report: {
+        incarnation,
+        askedAt,
+        running,
+        ended,
+        suspension: undefined,
+        startLimit: START_LIMIT,
+      },
     });
   }
 
--- a/packages/explain/src/findings.ts
+++ b/packages/explain/src/findings.ts
@@ -123,6 +123,8 @@
   no_worker_fits: 'no worker with its label is large enough for one of its tasks',
   evacuated: 'the workers that could hold it are in data centres that are evacuated',
   gang_exceeds_fleet: 'all workers that could take its tasks can not hold the gang',
+  gang_exceeds_links:
+    'its starts take so long on their way to the workers that its first tasks would end alone',
   gang_exceeds_team_limit: 'the gang needs more than its team may run',
 };
 
--- a/packages/jobs/src/available-workers.ts
+++ b/packages/jobs/src/available-workers.ts
@@ -4,7 +4,7 @@
 import type { WorkerRegistration } from '@bamboowell/types/job';
 import { fits, subtract, type Resources } from '@bamboowell/types/resources';
 import type { Deadline } from '@bamboowell/types/time';
-import { allocationOf, type Step, type Worker } from './model.js';
+import { allocationOf, openStartsOn, type Step, type Worker } from './model.js';
 
 /** A part of a worker's resources that is kept for a gang until it is expected to start. */
 export interface Hold {
@@ -22,11 +22,14 @@
   hold: Hold | undefined;
   /** Whether an isolated run was placed there in this pass. */
   isClosed: boolean;
+  /** How many more starts its link delivers in time. */
+  startsLeft: number;
 }
 
 export function availableWorker(worker: Worker): AvailableWorker {
   const free = subtract(worker.registration.capacity, worker.used);
-  return { worker, free, hold: undefined, isClosed: false };
+  const startsLeft = Math.max(0, worker.startLimit - openStartsOn([worker]));
+  return { worker, free, hold: undefined, isClosed: false, startsLeft };
 }
 
 /**
@@ -45,11 +48,15 @@
 }
 
 /** Why a run may not start there; undefined if it may. */
-export type LackOfRoom = 'no_room' | 'kept_for_gang';
+export type LackOfRoom =
+  | 'no_room'
+  | 'kept_for_gang'
+  /** As many starts are under way as its link delivers in time. */
+  | 'busy_link';
 
 /** The reason for which `hasRoomFor` says no. */
 export function lackOfRoom(
-  { free, hold }: AvailableWorker,
+  { free, hold, startsLeft }: AvailableWorker,
   demand: Resources,
   endsBy: Deadline,
   isDeferred: boolean,
@@ -57,6 +64,9 @@
   if (!fits(demand, free)) {
     return 'no_room';
   }
+  if (startsLeft === 0) {
+    return 'busy_link';
+  }
   const mayUseHeld = hold === undefined || (hold.isOpen && !isDeferred) || endsBy <= hold.until;
   return mayUseHeld || fits(demand, hold.spare) ? undefined : 'kept_for_gang';
 }
@@ -125,6 +135,7 @@
 ): void {
   const { hold } = available;
   available.free = subtract(available.free, demand);
+  available.startsLeft -= 1;
   if (hold !== undefined && endsBy > hold.until) {
     available.hold = { ...hold, spare: subtract(hold.spare, demand) };
   }
--- a/packages/jobs/src/contenders.test.ts
+++ b/packages/jobs/src/contenders.test.ts
@@ -2,7 +2,12 @@
 import { workerIncarnationOf, type WorkerIncarnation } from '@bamboowell/types/job';
 import { deadlineAfter } from '@bamboowell/types/time';
 import { jobId, jobPlan, workerRegistration } from './plans.fixture.js';
-import { runningEntry, schedulerHarness, type ReceivedStart } from './scheduler.fixture.js';
+import {
+  START_LIMIT,
+  runningEntry,
+  schedulerHarness,
+  type ReceivedStart,
+} from './scheduler.fixture.js';
 
 const W1 = workerRegistration('w1', { incarnation: incarnationOf('w1', 20) });
 const EARLIER = { ...W1, incarnation: incarnationOf('w1', 10) };
@@ -102,8 +107,14 @@
   const askedAt = harness.now();
   harness.advance(5);
   const early = { incarnation: LATER.incarnation, askedAt, running: [], ended: [] };
-  harness.send({ kind: 'report', report: { ...early, suspension: undefined } });
-  harness.send({ kind: 'report', report: { ...early, suspension: undefined } });
+  harness.send({
+    kind: 'report',
+    report: { ...early, suspension: undefined, startLimit: START_LIMIT },
+  });
+  harness.send({
+    kind: 'report',
+    report: { ...early, suspension: undefined, startLimit: START_LIMIT },
+  });
   const waiting = harness.place().filter(({ task }) => task === second?.task);
   t.deepEqual(waiting, []);
   t.deepEqual(
--- a/packages/jobs/src/context.ts
+++ b/packages/jobs/src/context.ts
@@ -157,6 +157,9 @@
     if (!step.plan.isGang) {
       return undefined;
     }
+    if (!this.fleet.canStartTogether(step)) {
+      return 'gang_exceeds_links';
+    }
     return this.exceedsTeamLimit(step) ? 'gang_exceeds_team_limit' : undefined;
   }
 
--- a/packages/jobs/src/fleet-capacity.ts
+++ b/packages/jobs/src/fleet-capacity.ts
@@ -5,6 +5,7 @@
 import { allocationOf, type Step, type Worker } from './model.js';
 
 export class FleetCapacity {
+  private workers: readonly Worker[] = [];
   private registrations: readonly WorkerRegistration[] = [];
   /** By step, until a worker or a queue changes: thousands of steps may wait. */
   private counts = new WeakMap<Step, number>();
@@ -21,6 +22,7 @@
    */
   setWorkers(workers: readonly Worker[]): boolean {
     const { registrations } = this;
+    this.workers = workers;
     const isUnchanged =
       workers.length === registrations.length &&
       workers.every(({ registration }, index) => isKnownOffer(registration, registrations[index]));
@@ -47,6 +49,23 @@
     return count;
   }
 
+  /** Whether the links to the workers deliver the starts of all tasks soon enough for these to meet. */
+  canStartTogether(step: Step): boolean {
+    const { maxPerWorker, count: wanted } = step.plan;
+    const demand = allocationOf(step.plan);
+    let count = 0;
+    for (const { registration, startLimit } of this.workers) {
+      if (count >= wanted) {
+        break;
+      }
+      if (isEligible(registration, step)) {
+        const fitting = countFitting(demand, registration.capacity, maxPerWorker);
+        count += Math.min(fitting, startLimit);
+      }
+    }
+    return count >= wanted;
+  }
+
   private countTasks(step: Step): number {
     const { maxPerWorker, count: wanted } = step.plan;
     const demand = allocationOf(step.plan);
--- a/packages/jobs/src/messages.ts
+++ b/packages/jobs/src/messages.ts
@@ -57,6 +57,8 @@
   readonly ended: readonly EndedEntry[];
   /** Set while the worker's lease is not renewed: it is again once the scheduler says so. */
   readonly suspension: LeaseSuspension | undefined;
+  /** How many starts the link to the worker delivers soon enough for the tasks of a gang to meet. */
+  readonly startLimit: number;
 }
 
 export type JobInput =
--- a/packages/jobs/src/model.ts
+++ b/packages/jobs/src/model.ts
@@ -165,6 +165,11 @@
   lastProcessedEnd: EndNumber;
   /** Gets no new work before then. */
   cooldownUntil: Deadline;
+  /**
+   * How many starts its link delivers soon enough for the tasks of a gang to meet; as many may be under way.
+   * Unlimited until its first report.
+   */
+  startLimit: number;
 }
 
 /** When a worker was last heard that has never answered this owner. */
@@ -190,6 +195,7 @@
     unknownRuns: 0,
     lastProcessedEnd: brandAs<EndNumber>(0),
     cooldownUntil: brandAs<Deadline>(0),
+    startLimit: Number.POSITIVE_INFINITY,
   };
 }
 
--- a/packages/jobs/src/obstacles.ts
+++ b/packages/jobs/src/obstacles.ts
@@ -15,6 +15,8 @@
   | 'evacuated'
   /** All these workers together can't hold the gang. */
   | 'gang_exceeds_fleet'
+  /** Its starts take so long on their way to these workers that the first tasks would have ended. */
+  | 'gang_exceeds_links'
   /** The gang needs more than its team may run. */
   | 'gang_exceeds_team_limit';
 
--- a/packages/jobs/src/reports.ts
+++ b/packages/jobs/src/reports.ts
@@ -42,6 +42,7 @@
     const isNews = !worker.isReachable || !worker.hasReported || report.ended.length > 0;
     worker.isReachable = true;
     worker.lastHeardAt = this.context.now;
+    worker.startLimit = Math.max(1, report.startLimit);
     const { lapsedRuns } = worker;
     worker.lapsedRuns = [];
     const listed = new Set<string>();
--- a/packages/jobs/src/scheduler.fixture.ts
+++ b/packages/jobs/src/scheduler.fixture.ts
@@ -39,6 +39,8 @@
 
 /** Leases given by an earlier owner have lapsed this long after a takeover, milliseconds. */
 export const EARLIER_LEASES_MILLIS = 6000;
+/** Starts that the link to a worker delivers in time, unless a test says otherwise. */
+export const START_LIMIT = 1000;
 const START_WALL = 1_700_000_000_000;
 
 export interface HarnessOptions {
@@ -59,6 +61,7 @@
   let millis = 1000;
   let tokens = 0;
   let ends = 0;
+  const startLimits = new Map<WorkerIncarnation, number>();
   const answers = new Map<JobToken, JobAnswer>();
   const outputs: JobOutput[] = [];
 
@@ -193,9 +196,14 @@
           running,
           ended,
           suspension,
+          startLimit: startLimits.get(incarnation) ?? START_LIMIT,
         },
       });
     },
+    /** From now on the link to the worker delivers at most so many starts in time. */
+    limitStarts: (incarnation: WorkerIncarnation, limit: number): void => {
+      startLimits.set(incarnation, limit);
+    },
     /**
      * Another process registers under the id of a worker and answers. Its first report comes over the link that is
      * opened to it after that.
--- a/packages/jobs/src/worker-selection.ts
+++ b/packages/jobs/src/worker-selection.ts
@@ -139,6 +139,7 @@
     usable.forEach((candidate, index) => {
       candidate.free = trial[index]?.free ?? candidate.free;
       candidate.hold = trial[index]?.hold;
+      candidate.startsLeft = trial[index]?.startsLeft ?? candidate.startsLeft;
     });
     return assignments;
   }
--- a/packages/member/src/order-queue.test.ts
+++ b/packages/member/src/order-queue.test.ts
@@ -84,6 +84,16 @@
   t.is(taken.length, 2);
 });
 
+test('a link that has become longer is noticed', (t) => {
+  const queue = new OrderQueue(() => MAX_ORDERS_UNDER_WAY);
+  queue.recordRoundTrip(2);
+  t.is(queue.deliverableWithin(1000), (MAX_ORDERS_UNDER_WAY * 1000) / 2);
+  for (let number = 0; number < 70; number += 1) {
+    queue.recordRoundTrip(100);
+  }
+  t.is(queue.deliverableWithin(1000), (MAX_ORDERS_UNDER_WAY * 1000) / 100);
+});
+
 test('stops go before starts, and what is withdrawn is not sent', (t) => {
   const queue = new OrderQueue(() => MAX_ORDERS_UNDER_WAY);
   queue.add('start', 'start 1');
--- a/packages/member/src/order-queue.ts
+++ b/packages/member/src/order-queue.ts
@@ -50,6 +50,11 @@
     return this.underWayCount;
   }
 
+  /** How many orders the link delivers within so many milliseconds, with as many under way as may be. */
+  deliverableWithin(millis: number): number {
+    return Math.floor((this.maxUnderWay() * millis) / this.roundTrip.millis);
+  }
+
   /** The starts that wait, the one that has waited longest first. */
   get waitingStarts(): readonly OrderKey[] {
     return [...this.starts];
--- a/packages/member/src/worker-link.test.ts
+++ b/packages/member/src/worker-link.test.ts
@@ -532,6 +532,18 @@
   t.true(inputs().some((input) => input.kind === 'order_answered' && input.order === 'stop'));
 });
 
+test('a report tells how many starts the link delivers in time', async (t) => {
+  const { link, advance, inputs } = linkBench({ newPort: (own) => new DistantPort(own) });
+  await link.start();
+  await advance(100);
+  link.post({ kind: 'order', order: START });
+  await advance(2000);
+  const limits = inputs().flatMap((input) =>
+    input.kind === 'report' ? [input.report.startLimit] : [],
+  );
+  t.true((limits.at(-1) ?? 0) >= (MAX_ORDERS_UNDER_WAY * 1000) / (ROUND_TRIP_MILLIS + 20));
+});
+
 /** Lease ends that were requested, by polls and by starts. */
 function leaseEnds({ requests, starts }: ScriptedPort): number[] {
   return [...requests, ...starts].flatMap(({ leaseEnd }) => leaseEnd ?? []);
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -49,7 +49,9 @@
  * recorded in the store.
  */
 const RECORD_TIMEOUT_MILLIS = 400;
-/** A start that was not sent for this part of the time that the tasks of a gang wait for each other goes back. */
+/** Starts to one worker are to be delivered within this part of the time that the tasks of a gang wait for each other. */
+const DELIVERY_FRACTION = 1 / 2;
+/** A start that was not sent for this part of that time goes back to the owner. */
 const UNSENT_FRACTION = 2 / 3;
 /** Interval between looks at starts that wait to be sent, milliseconds. */
 const UNSENT_CHECK_MILLIS = 100;
@@ -309,12 +311,14 @@
     }
     this.lease.synchronise(held.workerNow, this.clock.now());
     const { running, ended } = held;
+    const { gangAssemblyMillis } = this.options;
+    const startLimit = this.queue.deliverableWithin(gangAssemblyMillis * DELIVERY_FRACTION);
     const suspension = this.isSuspended ? this.suspension : undefined;
     this.options.owner.post({
       kind: 'input',
       input: {
         kind: 'report',
-        report: { incarnation, askedAt, running, ended, suspension },
+        report: { incarnation, askedAt, running, ended, suspension, startLimit },
       },
     });
     this.lastHeldAt = this.clock.now();
