--- a/packages/jobs/src/due-occurrences.test.ts
+++ b/packages/jobs/src/due-occurrences.test.ts
@@ -114,6 +114,17 @@
   t.is(harness.starts().length, 50);
 });
 
+test('however few tasks can start, the open occurrences are bounded', (t) => {
+  const harness = schedulerHarness();
+  harness.reportFromAll();
+  const steps = [stepPlan({ neededLabel: 'missing', count: 100 })];
+  harness.submit({ ...timedJob(1), steps });
+  for (let round = 0; round < 30; round += 1) {
+    harness.place();
+  }
+  t.is(harness.figures().waitingSteps, 100);
+});
+
 // Guards against owners that run out of memory, one after the other, by what each of them accepts and stores.
 test('a job for which the owner has no memory is refused, and a new owner has memory for all that were accepted', (t) => {
   const harness = schedulerHarness();
--- a/packages/jobs/src/due-occurrences.ts
+++ b/packages/jobs/src/due-occurrences.ts
@@ -9,7 +9,7 @@
 /** Most tasks of open occurrences that could start, shared equally by the jobs that have more due. */
 const MAX_STARTABLE_TASKS = 500;
 /** Most tasks of open occurrences of all jobs together, beside one occurrence of each job. */
-const MAX_OPEN_TASKS = 20_000;
+const MAX_OPEN_TASKS = 10_000;
 
 export class DueOccurrences {
   private readonly jobs = new Set<Job>();
--- a/packages/member/src/order-queue.test.ts
+++ b/packages/member/src/order-queue.test.ts
@@ -1,5 +1,15 @@
 import test from 'ava';
-import { MAX_ORDERS_UNDER_WAY, OrderQueue, maxOrdersUnderWay } from './order-queue.js';
+import { brandAs } from '@bamboowell/types/ids';
+import {
+  MAX_ORDERS_UNDER_WAY,
+  OrderQueue,
+  maxOrdersUnderWay,
+  type OrderKey,
+} from './order-queue.js';
+
+function keyOf(name: string): OrderKey {
+  return brandAs<OrderKey>(name);
+}
 
 interface Worker {
   /** Time that a call and its answer take on their way, milliseconds. */
@@ -20,7 +30,7 @@
   const queue = new OrderQueue(() => MAX_ORDERS_UNDER_WAY);
   queue.recordRoundTrip(wayMillis + orderMillis);
   for (let number = 0; number < count; number += 1) {
-    queue.add('start', `start ${number}`);
+    queue.add('start', keyOf(`start ${number}`));
   }
   const sent = new Map<string, number>();
   let answersAt: { readonly at: number; readonly sentAt: number }[] = [];
@@ -78,7 +88,7 @@
   queue.recordRoundTrip(2);
   for (let number = 0; number < 40; number += 1) {
     queue.recordRoundTrip(number % 20 === 0 ? 2 : 500);
-    queue.add('start', `start ${number}`);
+    queue.add('start', keyOf(`start ${number}`));
   }
   const taken = Array.from({ length: 10 }, () => queue.take()).filter((key) => key !== undefined);
   t.is(taken.length, 2);
@@ -96,12 +106,15 @@
 
 test('stops go before starts, and what is withdrawn is not sent', (t) => {
   const queue = new OrderQueue(() => MAX_ORDERS_UNDER_WAY);
-  queue.add('start', 'start 1');
-  queue.add('start', 'start 2');
-  queue.add('stop', 'stop 3');
-  t.true(queue.remove('start 1'));
-  t.false(queue.remove('start 1'));
-  t.deepEqual([queue.take(), queue.take(), queue.take()], ['stop 3', 'start 2', undefined]);
+  queue.add('start', keyOf('start 1'));
+  queue.add('start', keyOf('start 2'));
+  queue.add('stop', keyOf('stop 3'));
+  t.true(queue.remove(keyOf('start 1')));
+  t.false(queue.remove(keyOf('start 1')));
+  t.deepEqual(
+    [queue.take(), queue.take(), queue.take()],
+    [keyOf('stop 3'), keyOf('start 2'), undefined],
+  );
 });
 
 test('with many workers fewer orders may be under way to each, but two', (t) => {
--- a/packages/member/src/order-queue.ts
+++ b/packages/member/src/order-queue.ts
@@ -4,6 +4,8 @@
  * link's round trip.
  */
 
+import type { Branded } from '@bamboowell/types/ids';
+
 /** Orders that may be under way at a time however few wait. */
 export const MIN_ORDERS_UNDER_WAY = 2;
 /** Most orders that may be under way at a time: a worker bears 64 connections, of several owners in turn. */
@@ -29,7 +31,7 @@
 }
 
 /** Names an order within its link. */
-export type OrderKey = string;
+export type OrderKey = Branded<string, 'OrderKey'>;
 
 export class OrderQueue {
   private readonly stops = new Set<OrderKey>();
--- a/packages/member/src/worker-link.ts
+++ b/packages/member/src/worker-link.ts
@@ -595,5 +595,5 @@
 }
 
 function keyOf({ kind, task, run }: Pick<Order, 'kind' | 'task' | 'run'>): OrderKey {
-  return `${kind} ${task} ${run}`;
+  return brandAs<OrderKey>(`${kind} ${task} ${run}`);
 }
--- a/packages/member/src/worker-links.test.ts
+++ b/packages/member/src/worker-links.test.ts
@@ -85,18 +85,21 @@
   return { links, port, settle };
 }
 
-function stopOf(number: number): StopOrder {
-  const task = brandAs<StepTaskId>(`0000000000000001.0.0.${number}`);
-  return { kind: 'stop', task, run: brandAs<RunNumber>(1) };
+/** Posts a stop of each of many runs, and calls `posted` after each. */
+function postStops(links: WorkerLinks, posted: () => void = () => undefined): void {
+  for (let number = 0; number < ORDERS; number += 1) {
+    const task = brandAs<StepTaskId>(`0000000000000001.0.0.${number}`);
+    const order: StopOrder = { kind: 'stop', task, run: brandAs<RunNumber>(1) };
+    links.post(INCARNATION, { kind: 'order', order });
+    posted();
+  }
 }
 
 // Guards against orders that a full mailbox drops and nobody sends again: tasks that never start or never stop (LOST).
 test('orders for many tasks of one worker all reach it', async (t) => {
   const { links, port, settle } = openLinks();
   await settle();
-  for (let number = 0; number < ORDERS; number += 1) {
-    links.post(INCARNATION, { kind: 'order', order: stopOf(number) });
-  }
+  postStops(links);
   links.flush();
   await settle();
   t.is(port.stopped.size, ORDERS);
@@ -105,10 +108,9 @@
 test('what a full mailbox does not take is posted the next time', async (t) => {
   const { links, port, settle } = openLinks();
   await settle();
-  for (let number = 0; number < ORDERS; number += 1) {
-    links.post(INCARNATION, { kind: 'order', order: stopOf(number) });
+  postStops(links, () => {
     links.flush();
-  }
+  });
   await settle();
   links.flush();
   await settle();
