Jobs: a copy is started before the next one is assigned

Cause: the copies that were due in one check were all assigned before the first was started. Each was within the limits, together they were not.

Ruled out: starts that wait in a link or go back as not sent; none of the step's did.

Change and why it works: each copy is started, and so counted by the limits of worker and team, before the next one is assigned.

Result: the test of copies.test.ts fails before (two copies where one may be) and passes.

--- a/packages/jobs/src/copies.test.ts
+++ b/packages/jobs/src/copies.test.ts
@@ -15,6 +15,7 @@
   jobPlan,
   jobQueue,
   stepPlan,
+  workerRegistration,
 } from './plans.fixture.js';
 import type { HarnessOptions, ReceivedStart } from './scheduler.fixture.js';
 
@@ -100,6 +101,22 @@
   }
 });
 
+// Guards against copies of one check that pass a limit together, each of which would be within it (ROUTE, QUOTA).
+test('copies that are due at once count each other', (t) => {
+  const workers = ['w1', 'w2', 'w3'].map((name) => workerRegistration(name));
+  const cases: Readonly<Record<string, Parameters<typeof overdueTask>>> = {
+    'the limit of tasks per worker': [t, { workers }, { count: 2, maxPerWorker: 1 }],
+    'the limit of the team': [
+      t,
+      { workers, configuration: configurationOf(undefined, { limit: cores(3, 10_000) }) },
+      { count: 2 },
+    ],
+  };
+  for (const [reason, options] of Object.entries(cases)) {
+    t.is(overdueTask(...options).copies.length, 1, reason);
+  }
+});
+
 test('room that waiting steps need is left to them', (t) => {
   for (const hasWaiting of [true, false]) {
     const harness = learningHarness();
--- a/packages/jobs/src/copies.ts
+++ b/packages/jobs/src/copies.ts
@@ -47,21 +47,27 @@
   ) {}
 
   /**
-   * Assigns workers to the copies that are due, in the room that the pass has left and that the waiting steps
-   * don't need.
+   * Starts the copies that are due, in the room that the pass has left and that the waiting steps don't need. Each
+   * is started before the next one is assigned, so that limits on runs count it.
    */
-  assign(available: readonly AvailableWorker[], reservations: Reservations): Assignment[] {
+  place(
+    available: readonly AvailableWorker[],
+    reservations: Reservations,
+    start: (copy: Assignment) => void,
+  ): void {
     const { now, load, runTimes } = this.context;
     if (!runTimes.isLearning || !hasPassed(this.nextCheckAt, now)) {
-      return [];
+      return;
     }
     this.nextCheckAt = deadlineAfter(now, CHECK_INTERVAL_MILLIS);
     if (load.isSaturated(now)) {
-      return [];
+      return;
     }
     const overdue = this.overdueRuns().slice(0, MAX_COPIES_PER_CHECK);
     const room = new SpareRoom(this.context, this.lifecycle.readySteps, available);
-    return overdue.flatMap((run) => this.assignCopy(run, available, room, reservations));
+    for (const run of overdue) {
+      this.assignCopy(run, available, room, reservations).forEach(start);
+    }
   }
 
   private overdueRuns(): Run[] {
--- a/packages/jobs/src/step-placement.ts
+++ b/packages/jobs/src/step-placement.ts
@@ -101,7 +101,7 @@
     this.serviceUse.update(available, this.context.now);
     this.reservations.beginPass(available);
     this.placeSteps(available);
-    this.copies.assign(available, this.reservations).forEach((copy) => {
+    this.copies.place(available, this.reservations, (copy) => {
       this.start(copy.task.step, [copy]);
     });
     this.reservations.endPass(this.context.now);
