--- a/packages/member/src/order-queue.ts
+++ b/packages/member/src/order-queue.ts
@@ -14,7 +14,7 @@
 const MAX_ORDERS_TO_ALL = 1500;
 /** What waits is to be delivered within this, milliseconds. */
 const DELIVERY_MILLIS = 500;
-/** The shortest round trip that is reckoned with, milliseconds: worker and owner take time for an order, too. */
+/** Lower bound of the estimated round trip, milliseconds: worker and owner take time for an order, too. */
 const MIN_ROUND_TRIP_MILLIS = 1;
 /**
  * The shortest round trip is that of this many answers at least, and of twice as many at most: longer ones show
